--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+# Each target does its own set-up in .venv.
+PYTHON ?= python3
+STAMP := .venv/.ready
+PACKAGES := state coordination protocol transport daemon cli
+PY := .venv/bin/python
+
+.PHONY: setup test demo replay guarantees slopes format
+
+setup: $(STAMP)
+
+$(STAMP): requirements.txt $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml)
+	$(PYTHON) -m venv .venv
+	.venv/bin/pip install --quiet --disable-pip-version-check -r requirements.txt
+	.venv/bin/pip install --quiet --disable-pip-version-check --no-build-isolation \
+		--no-deps $(foreach p,$(PACKAGES),-e packages/$(p))
+	touch $(STAMP)
+
+test: setup
+	$(PY) -m tests
+
+format: setup
+	.venv/bin/ruff format .
+	.venv/bin/ruff check --fix .
+
+demo: setup
+	$(PY) -m standins.demo
+
+replay: setup
+	$(PY) -m standins.replay
+
+guarantees: setup
+	$(PY) -m tests.guarantees
+
+slopes: setup
+	$(PY) -m standins.slopes
--- /dev/null
+++ b/packages/coordination/lacewingdrum_coordination/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions, with no I/O: data and time go in, actions come out."""
--- /dev/null
+++ b/packages/daemon/lacewingdrum_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon, one on each entry VM."""
--- /dev/null
+++ b/packages/protocol/lacewingdrum_protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages and codecs for callers, runners, the platform and peers."""
--- /dev/null
+++ b/packages/protocol/lacewingdrum_protocol/peer_messages.py
@@ -0,0 +1,187 @@
+"""Messages between daemons: msgpack, each with the wire version.
+
+A message is ``Envelope`` followed by its body in one msgpack array, so that
+a daemon of another version is told apart before its body is read.
+"""
+
+import msgspec
+from result import Err, Ok, Result
+
+WIRE_VERSION = 1
+
+
+class Digest(msgspec.Struct, frozen=True, array_like=True):
+    """The version of a service's document that a daemon has in force."""
+
+    service: str
+    version: int
+    digest: str
+
+
+class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag="hb"):
+    """Says that a daemon lives, and which documents it has in force."""
+
+    incarnation: int
+    data_centre: str
+    leaving: bool
+    documents: tuple[Digest, ...]
+    gone_runners: tuple[tuple[str, int], ...] = ()
+
+
+class DocumentPush(msgspec.Struct, frozen=True, array_like=True, tag="doc"):
+    """An accepted document version."""
+
+    service: str
+    version: int
+    submission_id: str
+    digest: str
+    text: str
+
+
+class DocumentAsk(msgspec.Struct, frozen=True, array_like=True, tag="ask"):
+    """Asks a peer for documents newer than the sender's."""
+
+    documents: tuple[Digest, ...]
+
+
+class LoadEntry(msgspec.Struct, frozen=True, array_like=True):
+    """A runner's load, as its home knows it, ``age_ms`` ago."""
+
+    runner_id: str
+    age_ms: int
+    queued_short_tokens: int
+    queued_mid_tokens: int
+    queued_long_tokens: int
+    running_count: int
+    kv_used_tokens: int
+    kv_capacity_tokens: int
+    prefill_tokens_per_s: float
+    decode_tokens_per_s: float
+
+
+class LoadSummary(msgspec.Struct, frozen=True, array_like=True, tag="load"):
+    """Loads of the runners whose home the sender is."""
+
+    loads: tuple[LoadEntry, ...]
+
+
+class InFlightEntry(msgspec.Struct, frozen=True, array_like=True):
+    """An attempt that the sender has at a runner."""
+
+    attempt_id: str
+    runner_id: str
+    prompt_tokens: int
+    total_tokens: int
+    age_ms: int
+
+
+class InFlightReport(msgspec.Struct, frozen=True, array_like=True, tag="fly"):
+    """The sender's whole work at runners whose home the receiver is."""
+
+    entries: tuple[InFlightEntry, ...]
+
+
+class ReserveAsk(msgspec.Struct, frozen=True, array_like=True, tag="rsv"):
+    """Asks a runner's home to set memory aside until it lapses."""
+
+    reservation_id: str
+    runner_id: str
+    tokens: int
+    lapse_ms: int
+
+
+class ReserveAnswer(msgspec.Struct, frozen=True, array_like=True, tag="rsa"):
+    """Whether the memory was set aside."""
+
+    reservation_id: str
+    runner_id: str
+    granted: bool
+
+
+class ReserveRelease(msgspec.Struct, frozen=True, array_like=True, tag="rsr"):
+    """Gives a reservation back."""
+
+    reservation_id: str
+    runner_id: str
+
+
+class BudgetAsk(msgspec.Struct, frozen=True, array_like=True, tag="bga"):
+    """Asks a customer's home for a slice of the customer's budget."""
+
+    service: str
+    customer: str
+    wanted_tokens: int
+    used_tokens: int
+
+
+class BudgetGrant(msgspec.Struct, frozen=True, array_like=True, tag="bgg"):
+    """A slice of a customer's budget, good for ``lapse_ms``."""
+
+    service: str
+    customer: str
+    granted_tokens: int
+    lapse_ms: int
+
+
+Body = (
+    Heartbeat
+    | DocumentPush
+    | DocumentAsk
+    | LoadSummary
+    | InFlightReport
+    | ReserveAsk
+    | ReserveAnswer
+    | ReserveRelease
+    | BudgetAsk
+    | BudgetGrant
+)
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """What travels between daemons; ``sender`` is a VM id."""
+
+    wire_version: int
+    sender: str
+    body: msgspec.Raw
+
+
+class PeerMessage(msgspec.Struct, frozen=True):
+    """A decoded message and the VM that sent it."""
+
+    sender: str
+    body: Body
+
+
+class PeerMessageError(msgspec.Struct, frozen=True):
+    """Why bytes from a peer were not a message."""
+
+    reason: str
+
+
+_encoder = msgspec.msgpack.Encoder()
+_envelope_decoder = msgspec.msgpack.Decoder(Envelope)
+_body_decoder = msgspec.msgpack.Decoder(Body)
+
+
+def encode(sender: str, body: Body) -> bytes:
+    """Args: sender: own VM id; body: the message. Returns: its bytes."""
+    raw = msgspec.Raw(_encoder.encode(body))
+    return _encoder.encode(Envelope(WIRE_VERSION, sender, raw))
+
+
+def decode(data: bytes) -> Result[PeerMessage, PeerMessageError]:
+    """Read a message from a peer.
+
+    Args:
+        data: the bytes as received.
+
+    Returns:
+        The message, or why the bytes are none.
+    """
+    try:
+        envelope = _envelope_decoder.decode(data)
+        if envelope.wire_version != WIRE_VERSION:
+            return Err(PeerMessageError(f"wire version {envelope.wire_version}"))
+        return Ok(PeerMessage(envelope.sender, _body_decoder.decode(envelope.body)))
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        return Err(PeerMessageError(str(error)))
--- /dev/null
+++ b/packages/state/lacewingdrum_state/requests.py
@@ -0,0 +1,55 @@
+"""Admitted requests, and the facts that decisions need of them."""
+
+import dataclasses
+
+from lacewingdrum_state import ids, states
+
+SHORT_PROMPT_TOKENS = 4_000
+MID_PROMPT_TOKENS = 100_000
+
+
+def length_class(prompt_tokens: int) -> states.LengthClass:
+    """Args: prompt_tokens: the prompt's length. Returns: its class."""
+    if prompt_tokens <= SHORT_PROMPT_TOKENS:
+        return states.LengthClass.SHORT
+    if prompt_tokens <= MID_PROMPT_TOKENS:
+        return states.LengthClass.MID
+    return states.LengthClass.LONG
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """One request of a caller.
+
+    Times are on the daemon's monotonic clock. ``block_hashes`` are chained
+    fingerprints of the prompt's blocks, for prefix affinity. ``max_tokens``
+    bounds the answer.
+    """
+
+    request_id: ids.RequestId
+    service: ids.ServiceName
+    customer: ids.CustomerId
+    kind: ids.KindName
+    prompt_tokens: int
+    max_tokens: int
+    received_s: float
+    deadline_s: float
+    worth: float = 1.0
+    idempotent: bool = True
+    block_hashes: tuple[int, ...] = ()
+
+    @property
+    def total_tokens(self) -> int:
+        """KV cache tokens that the request may come to hold."""
+        return self.prompt_tokens + self.max_tokens
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InFlight:
+    """What a daemon tells a runner's home of one attempt it has there."""
+
+    attempt_id: ids.AttemptId
+    runner_id: ids.RunnerId
+    prompt_tokens: int
+    total_tokens: int
+    sent_s: float
--- /dev/null
+++ b/packages/state/lacewingdrum_state/requests_test.py
@@ -0,0 +1,10 @@
+"""Tests of request facts."""
+
+from lacewingdrum_state import requests, states
+
+
+def test_length_classes_meet_at_their_bounds():
+    assert requests.length_class(4_000) is states.LengthClass.SHORT
+    assert requests.length_class(4_001) is states.LengthClass.MID
+    assert requests.length_class(100_000) is states.LengthClass.MID
+    assert requests.length_class(100_001) is states.LengthClass.LONG
--- /dev/null
+++ b/packages/transport/lacewingdrum_transport/__init__.py
@@ -0,0 +1,1 @@
+"""Bytes and sockets: HTTP on both sides, ZeroMQ between daemons."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,4 @@
+"""Stand-ins for the systems around lacewingdrum, for tests and experiments.
+
+They are scaffolding and are never shipped.
+"""
