Attempts, stream assembly and callers' messages

Cause: whole answers to their owner and honest not-run answers need a state machine each, before any socket.

--- /dev/null
+++ b/packages/coordination/lacewingdrum_coordination/streams.py
@@ -0,0 +1,153 @@
+"""Puts the parts of a streamed answer together, and drops what is foreign.
+
+A part is passed on only if it belongs to the request's current attempt and
+its offset is the next one. Parts that come early wait in a bounded buffer;
+late, repeated and foreign parts are dropped. An answer is whole only when
+its final part was passed on and the runner closed the stream cleanly.
+"""
+
+import dataclasses
+import enum
+
+from lacewingdrum_state import ids
+
+MAX_EARLY_PARTS = 64
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Part:
+    """Some tokens of an answer, as a runner sent them."""
+
+    attempt_id: ids.AttemptId
+    offset: int
+    token_count: int
+    text: str
+    finish_reason: str = ""
+
+
+class DropReason(enum.Enum):
+    """Why a part was not passed on."""
+
+    FOREIGN = "foreign"
+    REPEATED = "repeated"
+    OVERLAPPING = "overlapping"
+    TOO_EARLY = "too_early"
+    AFTER_END = "after_end"
+    MALFORMED = "malformed"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Dropped:
+    """A part that was not passed on."""
+
+    part: Part
+    reason: DropReason
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stream:
+    """An answer as far as it was passed on.
+
+    ``next_offset`` counts the tokens passed on. ``finish_reason`` is set
+    once the final part was passed on.
+    """
+
+    attempt_id: ids.AttemptId
+    next_offset: int = 0
+    finish_reason: str = ""
+    early: tuple[Part, ...] = ()
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether the final part was passed on and nothing is missing."""
+        return bool(self.finish_reason) and not self.early
+
+
+def begin(attempt_id: ids.AttemptId) -> Stream:
+    """Returns: an empty answer that takes parts of ``attempt_id``."""
+    return Stream(attempt_id)
+
+
+def resume(stream: Stream, attempt_id: ids.AttemptId) -> Stream:
+    """Go on with another attempt from the tokens passed on so far.
+
+    Args:
+        stream: the answer as it stands.
+        attempt_id: the attempt that continues it.
+
+    Returns:
+        The answer, which from now on drops the former attempt's parts.
+    """
+    return dataclasses.replace(stream, attempt_id=attempt_id, early=())
+
+
+def take(
+    stream: Stream, part: Part
+) -> tuple[Stream, tuple[Part, ...], tuple[Dropped, ...]]:
+    """Take in one part.
+
+    Args:
+        stream: the answer as it stands.
+        part: the part as received.
+
+    Returns:
+        The answer after it, the parts to pass on now, those dropped.
+    """
+    reason = _reason_to_drop(stream, part)
+    if reason is not None:
+        return stream, (), (Dropped(part, reason),)
+    if part.offset > stream.next_offset:
+        early = tuple(sorted((*stream.early, part), key=lambda p: p.offset))
+        return dataclasses.replace(stream, early=early), (), ()
+    if not stream.early:
+        return _pass_on(stream, part), (part,), ()
+    return _pass_on_with_early(stream, part)
+
+
+def _reason_to_drop(stream: Stream, part: Part) -> DropReason | None:
+    if part.attempt_id != stream.attempt_id:
+        return DropReason.FOREIGN
+    if part.offset < 0 or part.token_count < 0:
+        return DropReason.MALFORMED
+    if part.token_count == 0 and not part.finish_reason:
+        return DropReason.MALFORMED
+    if stream.finish_reason:
+        return DropReason.AFTER_END
+    if part.offset + part.token_count <= stream.next_offset and part.token_count:
+        return DropReason.REPEATED
+    if part.offset < stream.next_offset:
+        return DropReason.OVERLAPPING
+    if part in stream.early:
+        return DropReason.REPEATED
+    if part.offset > stream.next_offset and len(stream.early) >= MAX_EARLY_PARTS:
+        return DropReason.TOO_EARLY
+    return None
+
+
+def _pass_on(stream: Stream, part: Part) -> Stream:
+    return dataclasses.replace(
+        stream,
+        next_offset=part.offset + part.token_count,
+        finish_reason=part.finish_reason,
+    )
+
+
+def _pass_on_with_early(
+    stream: Stream, part: Part
+) -> tuple[Stream, tuple[Part, ...], tuple[Dropped, ...]]:
+    waiting = stream.early
+    stream = dataclasses.replace(stream, early=())
+    passed: list[Part] = []
+    dropped: list[Dropped] = []
+    kept: list[Part] = []
+    for candidate in (part, *waiting):
+        reason = _reason_to_drop(stream, candidate)
+        if reason is not None:
+            dropped.append(Dropped(candidate, reason))
+        elif candidate.offset == stream.next_offset:
+            stream = _pass_on(stream, candidate)
+            passed.append(candidate)
+        else:
+            kept.append(candidate)
+    stream = dataclasses.replace(stream, early=tuple(kept))
+    return stream, tuple(passed), tuple(dropped)
--- /dev/null
+++ b/packages/protocol/lacewingdrum_protocol/callers_api.py
@@ -0,0 +1,216 @@
+"""Messages between callers and a daemon, in the usual completions shape."""
+
+import enum
+import math
+
+import msgspec
+import xxhash
+from result import Err, Ok, Result
+
+from lacewingdrum_state import states
+
+COMPLETIONS_PATH = "/v1/completions"
+SERVICES_PREFIX = "/services/"
+REQUEST_ID_HEADER = "Lacewingdrum-Request-Id"
+RAN_HEADER = "Lacewingdrum-Ran"
+PATIENCE_HEADER = "lacewingdrum-patience-ms"
+KEY_HEADER = "idempotency-key"
+DONE_DATA = b"[DONE]"
+
+BYTES_PER_TOKEN = 4
+BLOCK_TOKENS = 256
+DEFAULT_MAX_TOKENS = 256
+MAX_MAX_TOKENS = 32_768
+MAX_KEY_CHARACTERS = 200
+_BLOCK_BYTES = BLOCK_TOKENS * BYTES_PER_TOKEN
+
+
+class ErrorCode(enum.Enum):
+    """Why a request failed, as the caller reads it."""
+
+    MALFORMED = "malformed"
+    NOT_FOUND = "not_found"
+    UNKNOWN_CREDENTIAL = "unknown_credential"
+    CUSTOMER_NOT_SERVED = "customer_not_served"
+    KIND_NOT_SERVED = "kind_not_served"
+    KEY_MISSING = "idempotency_key_missing"
+    KEY_REUSED = "idempotency_key_reused"
+    ORDER_IN_PROGRESS = "order_in_progress"
+    ORDER_MAY_HAVE_RUN = "order_may_have_run"
+    LIMIT_REACHED = "limit_reached"
+    OVERLOADED = "overloaded"
+    TOO_LATE = "too_late"
+    NO_RUNNER = "no_runner"
+    NOT_READY = "not_ready"
+    LEAVING = "leaving"
+    PATIENCE_OVER = "patience_over"
+    RUNNER_LOST = "runner_lost"
+    STORE_DOWN = "store_down"
+
+
+STATUS_OF = {
+    ErrorCode.MALFORMED: 400,
+    ErrorCode.NOT_FOUND: 404,
+    ErrorCode.UNKNOWN_CREDENTIAL: 401,
+    ErrorCode.CUSTOMER_NOT_SERVED: 403,
+    ErrorCode.KIND_NOT_SERVED: 422,
+    ErrorCode.KEY_MISSING: 400,
+    ErrorCode.KEY_REUSED: 422,
+    ErrorCode.ORDER_IN_PROGRESS: 409,
+    ErrorCode.ORDER_MAY_HAVE_RUN: 409,
+    ErrorCode.LIMIT_REACHED: 429,
+    ErrorCode.OVERLOADED: 503,
+    ErrorCode.TOO_LATE: 503,
+    ErrorCode.NO_RUNNER: 503,
+    ErrorCode.NOT_READY: 503,
+    ErrorCode.LEAVING: 503,
+    ErrorCode.PATIENCE_OVER: 504,
+    ErrorCode.RUNNER_LOST: 502,
+    ErrorCode.STORE_DOWN: 503,
+}
+
+
+class Failure(msgspec.Struct, frozen=True):
+    """A failed request's final answer.
+
+    ``retry_after_ms`` 0 means that a later try cannot help.
+    """
+
+    code: ErrorCode
+    message: str
+    ran: states.Ran = states.Ran.NO
+    retry_after_ms: int = 0
+
+
+class ErrorDetail(msgspec.Struct, frozen=True):
+    """The ``error`` member of a failure's JSON body."""
+
+    code: ErrorCode
+    message: str
+    ran: states.Ran
+
+
+class ErrorBody(msgspec.Struct, frozen=True):
+    """A failure's JSON body."""
+
+    error: ErrorDetail
+
+
+class CompletionBody(msgspec.Struct, frozen=True):
+    """What a caller posts for a completion."""
+
+    model: str
+    prompt: str
+    max_tokens: int = DEFAULT_MAX_TOKENS
+    stream: bool = False
+
+
+class Choice(msgspec.Struct, frozen=True):
+    """One answer's text, whole or in part."""
+
+    text: str
+    finish_reason: str | None = None
+    index: int = 0
+
+
+class Usage(msgspec.Struct, frozen=True):
+    """Token counts of a whole answer."""
+
+    prompt_tokens: int
+    completion_tokens: int
+
+
+class CompletionAnswer(msgspec.Struct, frozen=True, omit_defaults=True):
+    """An answer, or one event of a streamed answer."""
+
+    id: str
+    model: str
+    choices: tuple[Choice, ...]
+    usage: Usage | None = None
+
+
+_json = msgspec.json.Encoder()
+_completion_decoder = msgspec.json.Decoder(CompletionBody)
+
+
+def parse_completion(body: bytes) -> Result[CompletionBody, Failure]:
+    """Read a completion request.
+
+    Args:
+        body: the request's body.
+
+    Returns:
+        The request, or a ``MALFORMED`` failure that names the fault.
+    """
+    try:
+        parsed = _completion_decoder.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        return Err(Failure(ErrorCode.MALFORMED, f"body: {error}"))
+    if not 1 <= parsed.max_tokens <= MAX_MAX_TOKENS:
+        message = f"max_tokens: found {parsed.max_tokens}, allowed 1..{MAX_MAX_TOKENS}"
+        return Err(Failure(ErrorCode.MALFORMED, message))
+    if not parsed.prompt:
+        return Err(Failure(ErrorCode.MALFORMED, "prompt: found an empty string"))
+    return Ok(parsed)
+
+
+def prompt_tokens(prompt: bytes) -> int:
+    """Args: prompt: UTF-8 text. Returns: its length in tokens, rounded up."""
+    return -(-len(prompt) // BYTES_PER_TOKEN)
+
+
+def block_hashes(prompt: bytes) -> tuple[int, ...]:
+    """Fingerprint the prompt's whole blocks.
+
+    Args:
+        prompt: UTF-8 text.
+
+    Returns:
+        A 64-bit hash for each whole block of ``BLOCK_TOKENS``, chained, so
+        that equal hashes mean equal prompts up to that block's end.
+    """
+    hashes = []
+    chained = 0
+    for start in range(0, len(prompt) - _BLOCK_BYTES + 1, _BLOCK_BYTES):
+        block = prompt[start : start + _BLOCK_BYTES]
+        chained = xxhash.xxh3_64_intdigest(block, seed=chained)
+        hashes.append(chained)
+    return tuple(hashes)
+
+
+def failure_body(failure: Failure) -> bytes:
+    """Returns: the JSON body of a failure."""
+    detail = ErrorDetail(failure.code, failure.message, failure.ran)
+    return _json.encode(ErrorBody(detail))
+
+
+def failure_headers(failure: Failure, request_id: str) -> tuple[tuple[str, str], ...]:
+    """Returns: the headers that every failure carries."""
+    headers = [
+        ("Content-Type", "application/json"),
+        (REQUEST_ID_HEADER, request_id),
+        (RAN_HEADER, failure.ran.value),
+    ]
+    if failure.retry_after_ms > 0:
+        seconds = max(1, math.ceil(failure.retry_after_ms / 1000))
+        headers.append(("Retry-After", str(seconds)))
+    return tuple(headers)
+
+
+def whole_answer(
+    request_id: str, model: str, text: str, finish_reason: str, usage: Usage
+) -> bytes:
+    """Returns: the JSON body of a whole answer."""
+    choice = Choice(text, finish_reason)
+    return _json.encode(CompletionAnswer(request_id, model, (choice,), usage))
+
+
+def stream_event(request_id: str, model: str, text: str, finish_reason: str) -> bytes:
+    """Returns: the JSON data of one event of a streamed answer."""
+    choice = Choice(text, finish_reason or None)
+    return _json.encode(CompletionAnswer(request_id, model, (choice,)))
+
+
+def stream_failure(failure: Failure) -> bytes:
+    """Returns: the JSON data of the event that ends a failed stream."""
+    return failure_body(failure)
