--- /dev/null
+++ b/packages/coordination/lacewingdrum_coordination/limits.py
@@ -0,0 +1,207 @@
+"""Customers' limits over all daemons, lent out in slices by a home.
+
+The home of a customer fills a bucket at the stated rate and lends slices of
+it. A daemon spends its slice without asking, may overdraw by one slice, and
+reports the overdraft with its next ask. So a decision never waits for a
+message, and with the home dead a daemon goes over by at most one slice.
+"""
+
+import dataclasses
+
+from lacewingdrum_state import ids
+
+SLICE_S = 0.05
+BURST_S = 0.25
+ASK_TIMEOUT_S = 0.5
+SLICE_LAPSE_S = 2.0
+MAX_DEBT_S = 10.0
+MIN_RETRY_AFTER_MS = 100
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Granted:
+    """The tokens may be used."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Exhausted:
+    """The customer is at its limit."""
+
+    retry_after_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ask:
+    """A daemon's ask to a customer's home.
+
+    ``used_tokens`` is what the daemon spent beyond its slices; negative
+    where it gives an unspent slice back.
+    """
+
+    service: ids.ServiceName
+    customer: ids.CustomerId
+    wanted_tokens: int
+    used_tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Grant:
+    """A slice lent to a daemon; it settles the overdraft of the ask."""
+
+    service: ids.ServiceName
+    customer: ids.CustomerId
+    granted_tokens: int
+    lapse_ms: int
+
+
+_Key = tuple[ids.ServiceName, ids.CustomerId]
+
+
+@dataclasses.dataclass(slots=True)
+class _Slice:
+    balance_tokens: float = 0.0
+    asked_tokens: float = 0.0
+    asked_s: float | None = None
+    lapse_s: float = 0.0
+
+
+class DaemonBudget:
+    """What one daemon may still spend for each customer."""
+
+    def __init__(self) -> None:
+        """Start without limits."""
+        self._limits: dict[_Key, float] = {}
+        self._slices: dict[_Key, _Slice] = {}
+
+    def set_limit(
+        self,
+        service: ids.ServiceName,
+        customer: ids.CustomerId,
+        limit_tokens_per_s: float,
+    ) -> None:
+        """Set a customer's limit as its document states it; 0 is none."""
+        self._limits[(service, customer)] = limit_tokens_per_s
+
+    def spend(
+        self,
+        service: ids.ServiceName,
+        customer: ids.CustomerId,
+        tokens: int,
+        now_s: float,
+    ) -> Granted | Exhausted:
+        """Take tokens from the customer's slice.
+
+        Args:
+            service: the service asked.
+            customer: who asks.
+            tokens: what the request may use.
+            now_s: the present.
+
+        Returns:
+            Granted, or how long until the overdraft is settled.
+        """
+        limit = self._limits.get((service, customer), 0.0)
+        if limit <= 0:
+            return Granted()
+        lent = self._slices.setdefault((service, customer), _Slice())
+        if lent.balance_tokens <= -limit * SLICE_S:
+            missing_s = -lent.balance_tokens / limit
+            return Exhausted(max(MIN_RETRY_AFTER_MS, int(missing_s * 1000)))
+        lent.balance_tokens -= tokens
+        return Granted()
+
+    def asks(self, now_s: float) -> tuple[Ask, ...]:
+        """Make the asks that are due.
+
+        Args:
+            now_s: the present.
+
+        Returns:
+            One ask for each customer whose slice runs low or lapsed.
+        """
+        due: list[Ask] = []
+        for (service, customer), lent in self._slices.items():
+            limit = self._limits.get((service, customer), 0.0)
+            if limit <= 0 or not self._is_due(lent, limit, now_s):
+                continue
+            due.append(self._ask(service, customer, lent, limit, now_s))
+        return tuple(due)
+
+    def _is_due(self, lent: _Slice, limit: float, now_s: float) -> bool:
+        if lent.asked_s is not None and now_s - lent.asked_s < ASK_TIMEOUT_S:
+            return False
+        if lent.balance_tokens > 0 and now_s >= lent.lapse_s:
+            return True
+        return lent.balance_tokens < limit * SLICE_S / 2 and (
+            lent.balance_tokens != 0 or lent.asked_s is not None
+        )
+
+    def _ask(
+        self,
+        service: ids.ServiceName,
+        customer: ids.CustomerId,
+        lent: _Slice,
+        limit: float,
+        now_s: float,
+    ) -> Ask:
+        lapsed = lent.balance_tokens > 0 and now_s >= lent.lapse_s
+        wanted = 0 if lapsed else int(limit * SLICE_S)
+        used = -int(lent.balance_tokens) if lapsed or lent.balance_tokens < 0 else 0
+        if lapsed:
+            lent.balance_tokens = 0.0
+            lent.asked_tokens = 0.0
+            lent.asked_s = None
+        else:
+            lent.asked_tokens = used
+            lent.asked_s = now_s
+        return Ask(service, customer, wanted, used)
+
+    def granted(self, grant: Grant, now_s: float) -> None:
+        """Take over a slice that the home lent."""
+        lent = self._slices.get((grant.service, grant.customer))
+        if lent is None or lent.asked_s is None:
+            return
+        lent.balance_tokens += grant.granted_tokens + lent.asked_tokens
+        lent.asked_tokens = 0.0
+        lent.asked_s = None
+        lent.lapse_s = now_s + grant.lapse_ms / 1000
+
+
+@dataclasses.dataclass(slots=True)
+class _Bucket:
+    level_tokens: float
+    filled_s: float
+
+
+class HomeBudget:
+    """The buckets of the customers whose home this daemon is."""
+
+    def __init__(self) -> None:
+        """Start with no bucket; each starts empty when first asked for."""
+        self._buckets: dict[_Key, _Bucket] = {}
+
+    def ask(self, ask: Ask, limit_tokens_per_s: float, now_s: float) -> Grant:
+        """Lend a slice of a customer's bucket.
+
+        Args:
+            ask: the daemon's ask.
+            limit_tokens_per_s: the stated limit.
+            now_s: the present.
+
+        Returns:
+            The slice; 0 tokens where the bucket is empty.
+        """
+        key = (ask.service, ask.customer)
+        bucket = self._buckets.setdefault(key, _Bucket(0.0, now_s))
+        self._fill(bucket, limit_tokens_per_s, now_s)
+        lowest = -limit_tokens_per_s * MAX_DEBT_S
+        bucket.level_tokens = max(lowest, bucket.level_tokens - ask.used_tokens)
+        granted = min(ask.wanted_tokens, max(0, int(bucket.level_tokens)))
+        bucket.level_tokens -= granted
+        lapse_ms = int(SLICE_LAPSE_S * 1000)
+        return Grant(ask.service, ask.customer, granted, lapse_ms)
+
+    def _fill(self, bucket: _Bucket, limit: float, now_s: float) -> None:
+        level = bucket.level_tokens + (now_s - bucket.filled_s) * limit
+        bucket.level_tokens = min(level, limit * BURST_S)
+        bucket.filled_s = now_s
--- /dev/null
+++ b/packages/coordination/lacewingdrum_coordination/outliers.py
@@ -0,0 +1,106 @@
+"""Outlier ejection: a slow or failing runner gets no new work for a while.
+
+A runner is judged by the rate measured on it against the median of its
+service. Ejections last longer each time, end with a probe, and never cover
+more than a third of a service.
+"""
+
+import dataclasses
+import statistics
+
+from lacewingdrum_state import ids
+
+SLOW_RATIO = 0.5
+STRIKES_TO_EJECT = 3
+EJECTION_S = 10.0
+MAX_EJECTION_S = 300.0
+MAX_EJECTED_SHARE = 1 / 3
+MIN_RUNNERS_TO_COMPARE = 3
+
+
+@dataclasses.dataclass(slots=True)
+class _Record:
+    tokens_per_s: float | None = None
+    strikes: int = 0
+    ejected_until_s: float | None = None
+    ejections: int = 0
+
+
+class Ejections:
+    """The runners of one service that are taken out for a while."""
+
+    def __init__(self) -> None:
+        """Start with nothing ejected."""
+        self._records: dict[ids.RunnerId, _Record] = {}
+
+    def set_runners(self, runner_ids: tuple[ids.RunnerId, ...]) -> None:
+        """Forget runners that are gone and start new ones clean."""
+        self._records = {
+            runner_id: self._records.get(runner_id, _Record())
+            for runner_id in runner_ids
+        }
+
+    def observe_rate(
+        self, runner_id: ids.RunnerId, tokens_per_s: float, now_s: float
+    ) -> None:
+        """Take in a rate measured on a runner.
+
+        Args:
+            runner_id: the runner.
+            tokens_per_s: its prefill or decode rate, the same kind for all.
+            now_s: the present.
+        """
+        record = self._records.setdefault(runner_id, _Record())
+        record.tokens_per_s = tokens_per_s
+        median = self._median_tokens_per_s()
+        if median is not None and tokens_per_s < SLOW_RATIO * median:
+            self._strike(record, now_s)
+        else:
+            self._recover(record, now_s)
+
+    def observe_failure(self, runner_id: ids.RunnerId, now_s: float) -> None:
+        """Count an attempt that the runner lost."""
+        self._strike(self._records.setdefault(runner_id, _Record()), now_s)
+
+    def observe_success(self, runner_id: ids.RunnerId, now_s: float) -> None:
+        """Count an attempt that the runner answered in full."""
+        self._recover(self._records.setdefault(runner_id, _Record()), now_s)
+
+    def ejected(self, now_s: float) -> frozenset[ids.RunnerId]:
+        """Returns: runners that get no new work now."""
+        return frozenset(
+            runner_id
+            for runner_id, record in self._records.items()
+            if record.ejected_until_s is not None and now_s < record.ejected_until_s
+        )
+
+    def _strike(self, record: _Record, now_s: float) -> None:
+        if record.ejected_until_s is not None and now_s < record.ejected_until_s:
+            return
+        probing = record.ejected_until_s is not None
+        record.strikes += 1
+        if record.strikes < STRIKES_TO_EJECT and not probing:
+            return
+        allowed = int(len(self._records) * MAX_EJECTED_SHARE)
+        if len(self.ejected(now_s)) >= allowed:
+            return
+        duration_s = min(MAX_EJECTION_S, EJECTION_S * 2**record.ejections)
+        record.ejections += 1
+        record.strikes = 0
+        record.ejected_until_s = now_s + duration_s
+
+    def _recover(self, record: _Record, now_s: float) -> None:
+        record.strikes = 0
+        if record.ejected_until_s is not None and now_s >= record.ejected_until_s:
+            record.ejected_until_s = None
+            record.ejections = 0
+
+    def _median_tokens_per_s(self) -> float | None:
+        rates = [
+            record.tokens_per_s
+            for record in self._records.values()
+            if record.tokens_per_s is not None
+        ]
+        if len(rates) < MIN_RUNNERS_TO_COMPARE:
+            return None
+        return statistics.median(rates)
--- /dev/null
+++ b/packages/coordination/lacewingdrum_coordination/priorities.py
@@ -0,0 +1,17 @@
+"""Queueing priorities of the length classes; a lower number runs first."""
+
+from lacewingdrum_state import requests, states
+
+PRIORITY = {
+    states.LengthClass.SHORT: 0,
+    states.LengthClass.MID: 1,
+    states.LengthClass.LONG: 2,
+}
+SHORT = 0
+MID = 1
+LONG = 2
+
+
+def of_prompt(prompt_tokens: int) -> int:
+    """Args: prompt_tokens: the prompt's length. Returns: its priority."""
+    return PRIORITY[requests.length_class(prompt_tokens)]
