Settings, service document parser, decision log and metrics

Cause: the daemon needs its inputs checked whole and its outputs typed. Change: keys are declared as data with rule, default and meaning; a small locator finds the line of each key, as the standard reader gives none. Ruled out: msgspec's own constraints for the check, as they stop at the first fault and give no line.

--- /dev/null
+++ b/packages/daemon/lacewingdrum_daemon/decision_log.py
@@ -0,0 +1,166 @@
+"""Log lines for decisions: JSON on stderr, and a bounded memory for explain.
+
+A line carries names, numbers and reasons. Nothing that a caller or a runner
+sent as a body may be passed to ``record``; bytes are left out as a guard.
+"""
+
+import collections
+import enum
+import logging
+import sys
+import time
+from collections.abc import Callable
+
+from pythonjsonlogger import json as json_logging
+
+from lacewingdrum_state import ids
+
+ROOT_LOGGER = "lacewingdrum"
+LINE_FIELDS = "%(levelname)s %(name)s %(message)s"
+LINES_A_REQUEST_MAX = 200
+
+
+class DecisionEvent(enum.Enum):
+    """What a line tells; its value is the line's ``event``."""
+
+    ADMITTED = "admitted"
+    REFUSED = "refused"
+    ROUTED = "routed"
+    NO_RUNNER = "no_runner"
+    SENT = "sent"
+    REFUSED_BY_RUNNER = "refused_by_runner"
+    RETRIED = "retried"
+    RESUMED = "resumed"
+    PART_DROPPED = "part_dropped"
+    RESERVED = "reserved"
+    RESERVATION_REFUSED = "reservation_refused"
+    CANCELLED = "cancelled"
+    RECLAIMED = "reclaimed"
+    EXPIRED = "expired"
+    FINISHED = "finished"
+    FAILED = "failed"
+    CALLER_GONE = "caller_gone"
+    ORDER_INSERTED = "order_inserted"
+    ORDER_REPLAYED = "order_replayed"
+    ORDER_NOT_RUN = "order_not_run"
+    ORDER_UNKNOWN = "order_unknown"
+    ORDER_ANSWERED = "order_answered"
+    RUNNER_LEAVING = "runner_leaving"
+    RUNNER_EJECTED = "runner_ejected"
+    PLACEMENT_ORDERED = "placement_ordered"
+    PLACEMENT_REPAIRED = "placement_repaired"
+    LEASE_TAKEN = "lease_taken"
+    LEASE_LOST = "lease_lost"
+    DOCUMENT_SUBMITTED = "document_submitted"
+    DOCUMENT_ACCEPTED = "document_accepted"
+    DOCUMENT_CONFLICT = "document_conflict"
+    DOCUMENT_UNSETTLED = "document_unsettled"
+    DOCUMENT_IN_FORCE = "document_in_force"
+    ADMISSION_STOPPED = "admission_stopped"
+    ADMISSION_RESUMED = "admission_resumed"
+    STARTED = "started"
+    LEAVING = "leaving"
+    STOPPED = "stopped"
+    CUT = "cut"
+
+
+Value = str | int | float | bool | None | list | dict
+
+
+class DecisionLog:
+    """Writes decision lines and remembers the last of them.
+
+    ``explain_lines`` bounds the lines kept over all requests; the oldest
+    request is forgotten first.
+    """
+
+    def __init__(
+        self,
+        logger: logging.Logger,
+        clock: Callable[[], float],
+        explain_lines: int = 20_000,
+    ) -> None:
+        self._logger = logger
+        self._clock = clock
+        self._explain_lines = explain_lines
+        self._kept: collections.OrderedDict[str, list[dict[str, Value]]]
+        self._kept = collections.OrderedDict()
+        self._kept_count = 0
+
+    def record(
+        self, event: DecisionEvent, request_id: ids.RequestId | None, **fields: object
+    ) -> None:
+        """Write one line.
+
+        Args:
+            event: what was decided.
+            request_id: the request concerned; None for the daemon itself.
+            fields: names, numbers, enums and lists or maps of them, with
+                units in the names.
+        """
+        line: dict[str, Value] = {"event": event.value}
+        if request_id is not None:
+            line["request_id"] = request_id
+        line["monotonic_s"] = round(self._clock(), 6)
+        for name, value in fields.items():
+            line[name] = _plain(value)
+        self._logger.info(event.value, extra=line)
+        if request_id is not None:
+            self._keep(request_id, line)
+
+    def lines(self, request_id: ids.RequestId) -> tuple[dict[str, Value], ...]:
+        """Args: request_id: a request. Returns: its lines still kept."""
+        return tuple(self._kept.get(request_id, ()))
+
+    def _keep(self, request_id: str, line: dict[str, Value]) -> None:
+        lines = self._kept.setdefault(request_id, [])
+        if len(lines) >= LINES_A_REQUEST_MAX:
+            return
+        lines.append(line)
+        self._kept_count += 1
+        while self._kept_count > self._explain_lines and len(self._kept) > 1:
+            _, oldest = self._kept.popitem(last=False)
+            self._kept_count -= len(oldest)
+
+
+def set_up_logging(vm_id: str, data_centre: str) -> logging.Logger:
+    """Send JSON lines of this process to stderr.
+
+    Args:
+        vm_id: named on each line.
+        data_centre: named on each line.
+
+    Returns:
+        The logger that decision lines go to.
+    """
+    handler = logging.StreamHandler(sys.stderr)
+    formatter = json_logging.JsonFormatter(
+        LINE_FIELDS,
+        static_fields={"vm_id": vm_id, "data_centre": data_centre},
+        rename_fields={"levelname": "level", "name": "logger"},
+        timestamp="at",
+    )
+    formatter.converter = time.gmtime
+    handler.setFormatter(formatter)
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(logging.INFO)
+    return logging.getLogger(ROOT_LOGGER)
+
+
+def _plain(value: object) -> Value:
+    match value:
+        case enum.Enum():
+            return value.value
+        case str() | bool() | int() | None:
+            return value
+        case float():
+            return round(value, 6)
+        case bytes() | bytearray() | memoryview():
+            return f"({len(value)} bytes)"
+        case dict():
+            return {str(name): _plain(item) for name, item in value.items()}
+        case list() | tuple() | set() | frozenset():
+            return [_plain(item) for item in value]
+        case _:
+            return str(value)
--- /dev/null
+++ b/packages/daemon/lacewingdrum_daemon/metrics.py
@@ -0,0 +1,159 @@
+"""Counters and time histograms of one daemon, in the usual text format.
+
+Times go into HDR histograms, one for each service and length class, so that
+a quantile's error does not depend on its size.
+"""
+
+import collections
+import enum
+from collections.abc import Callable
+
+from hdrh import histogram
+
+from lacewingdrum_state import ids, states
+
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+PREFIX = "lacewingdrum"
+LOWEST_US = 1
+HIGHEST_US = 3_600_000_000
+SIGNIFICANT_DIGITS = 2
+US_A_SECOND = 1_000_000
+QUANTILES = (0.5, 0.95, 0.99)
+
+
+class Timing(enum.Enum):
+    """A time that is measured for each request."""
+
+    FIRST_TOKEN = "time_to_first_token_seconds"
+    COMPLETE = "request_seconds"
+    BETWEEN_TOKENS = "between_tokens_seconds"
+
+
+class Metrics:
+    """What this daemon counted since its start."""
+
+    def __init__(self) -> None:
+        self._counts: collections.Counter[tuple[str, tuple[tuple[str, str], ...]]]
+        self._counts = collections.Counter()
+        self._times: dict[
+            tuple[Timing, ids.ServiceName, states.LengthClass],
+            histogram.HdrHistogram,
+        ] = {}
+        self._sums_us: collections.Counter = collections.Counter()
+        self._gauges: dict[str, Callable[[], float]] = {}
+
+    def count(self, name: str, amount: float = 1, **labels: str) -> None:
+        """Raise a counter.
+
+        Args:
+            name: without prefix and without ``_total``.
+            amount: by how much.
+            labels: few values each; never a request id or a customer's text.
+        """
+        self._counts[name, tuple(sorted(labels.items()))] += amount  # type: ignore[assignment]
+
+    def gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Show a value that is read each time the metrics are asked for.
+
+        Args:
+            name: without prefix, with its unit.
+            read: gives the present value.
+        """
+        self._gauges[name] = read
+
+    def time(
+        self,
+        timing: Timing,
+        service: ids.ServiceName,
+        length: states.LengthClass,
+        elapsed_s: float,
+    ) -> None:
+        """Add one measured time.
+
+        Args:
+            timing: what was measured.
+            service: of the request.
+            length: class of the request's prompt.
+            elapsed_s: seconds.
+        """
+        key = (timing, service, length)
+        times = self._times.get(key)
+        if times is None:
+            times = histogram.HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+            self._times[key] = times
+        elapsed_us = int(elapsed_s * US_A_SECOND)
+        times.record_value(min(max(elapsed_us, LOWEST_US), HIGHEST_US))
+        self._sums_us[key] += elapsed_us
+
+    def quantile_s(
+        self,
+        timing: Timing,
+        service: ids.ServiceName,
+        length: states.LengthClass,
+        quantile: float,
+    ) -> float | None:
+        """Args: as in ``time``; quantile: 0 to 1. Returns: seconds, if any."""
+        times = self._times.get((timing, service, length))
+        if times is None:
+            return None
+        return times.get_value_at_percentile(quantile * 100) / US_A_SECOND
+
+    def text(self) -> str:
+        """Returns: everything, in Prometheus' text format."""
+        lines = [*self._counter_lines(), *self._gauge_lines(), *self._time_lines()]
+        return "\n".join(lines) + "\n"
+
+    def _counter_lines(self) -> list[str]:
+        lines: list[str] = []
+        typed = ""
+        for (name, labels), value in sorted(self._counts.items()):
+            full = f"{PREFIX}_{name}_total"
+            if full != typed:
+                lines.append(f"# TYPE {full} counter")
+                typed = full
+            lines.append(f"{full}{_label_text(labels)} {value:g}")
+        return lines
+
+    def _gauge_lines(self) -> list[str]:
+        lines = []
+        for name, read in sorted(self._gauges.items()):
+            lines.append(f"# TYPE {PREFIX}_{name} gauge")
+            lines.append(f"{PREFIX}_{name} {read():g}")
+        return lines
+
+    def _time_lines(self) -> list[str]:
+        lines = []
+        for timing in Timing:
+            keys = [key for key in self._times if key[0] is timing]
+            full = f"{PREFIX}_{timing.value}"
+            if keys:
+                lines.append(f"# TYPE {full} summary")
+            for key in sorted(keys, key=lambda key: (key[1], key[2].value)):
+                lines.extend(self._summary_lines(full, key))
+        return lines
+
+    def _summary_lines(
+        self, full: str, key: tuple[Timing, ids.ServiceName, states.LengthClass]
+    ) -> list[str]:
+        times = self._times[key]
+        labels = (("length", key[2].value), ("service", str(key[1])))
+        lines = []
+        for quantile in QUANTILES:
+            value_s = times.get_value_at_percentile(quantile * 100) / US_A_SECOND
+            marked = _label_text((*labels, ("quantile", f"{quantile:g}")))
+            lines.append(f"{full}{marked} {value_s:g}")
+        total_s = self._sums_us[key] / US_A_SECOND
+        lines.append(f"{full}_sum{_label_text(labels)} {total_s:g}")
+        lines.append(f"{full}_count{_label_text(labels)} {times.get_total_count()}")
+        return lines
+
+
+def _label_text(labels: tuple[tuple[str, str], ...]) -> str:
+    if not labels:
+        return ""
+    pairs = (f'{name}="{_escaped(value)}"' for name, value in labels)
+    return "{" + ",".join(pairs) + "}"
+
+
+def _escaped(value: str) -> str:
+    return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- /dev/null
+++ b/packages/daemon/lacewingdrum_daemon/settings.py
@@ -0,0 +1,260 @@
+"""The daemon's settings: one TOML file, checked whole before anything starts.
+
+Each field is declared with its rule, default and meaning, so that the check
+and the operators' page come from one place.
+"""
+
+import dataclasses
+import pathlib
+import tomllib
+from typing import Any
+
+from lacewingdrum_protocol import toml_keys
+from lacewingdrum_state import fleet, ids
+
+KIB = 1024
+MIB = 1024 * KIB
+SECOND_MS = 1_000
+MINUTE_MS = 60 * SECOND_MS
+
+NAME = toml_keys.Text(
+    r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}",
+    "a name of 1 to 63 letters, digits, dots, dashes and underscores",
+)
+SHA256_HEX = toml_keys.Text(
+    r"[0-9a-f]{64}", "a SHA-256 digest, 64 hex digits in lower case", secret=True
+)
+CURVE_KEY = toml_keys.Text(
+    r"[!-~]{40}|", "a CURVE key of 40 characters, or empty", secret=True
+)
+PORT = toml_keys.Whole(0, toml_keys.PORT_MAX)
+REQUIRED = toml_keys.REQUIRED
+
+
+def _ms(default: int, low: int, high: int, meaning: str) -> Any:
+    return toml_keys.field(toml_keys.Whole(low, high), default, meaning)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VmSettings:
+    """Who and where this daemon is."""
+
+    vm_id: ids.VmId = toml_keys.field(
+        NAME, REQUIRED, "this VM's name in the membership list"
+    )
+    data_centre: ids.DataCentre = toml_keys.field(
+        NAME, REQUIRED, "the data centre that this VM is in"
+    )
+    host: str = toml_keys.field(
+        toml_keys.Host(), REQUIRED, "the address that all three ports listen on"
+    )
+    caller_port: int = toml_keys.field(
+        PORT, REQUIRED, "port for callers, health and metrics; 0 picks one"
+    )
+    peer_port: int = toml_keys.field(
+        PORT, REQUIRED, "port for other daemons; 0 picks one"
+    )
+    operator_port: int = toml_keys.field(
+        PORT, REQUIRED, "port for operators; 0 picks one"
+    )
+    incarnation: ids.Incarnation = toml_keys.field(
+        toml_keys.Whole(1, 2**53), 1, "grows with each start of this VM's daemon"
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """Where the platform's services are."""
+
+    table: fleet.Address = toml_keys.field(
+        toml_keys.HostPort(), REQUIRED, "the table service"
+    )
+    objects: fleet.Address = toml_keys.field(
+        toml_keys.HostPort(), REQUIRED, "the object store"
+    )
+    members: fleet.Address = toml_keys.field(
+        toml_keys.HostPort(), REQUIRED, "the membership list"
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OperatorsSettings:
+    """Who may submit documents."""
+
+    credential_sha256: str = toml_keys.field(
+        SHA256_HEX, REQUIRED, "digest of the operators' credential"
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeersSettings:
+    """Key material between daemons; all empty means no encryption."""
+
+    curve_public_key: str = toml_keys.field(
+        CURVE_KEY, "", "this daemon's public CURVE key"
+    )
+    curve_secret_key: str = toml_keys.field(
+        CURVE_KEY, "", "this daemon's secret CURVE key"
+    )
+    allowed_public_keys: tuple[str, ...] = toml_keys.field(
+        toml_keys.TextList(CURVE_KEY), (), "public CURVE keys of daemons let in"
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitsSettings:
+    """Bounds and intervals; each name ends in its unit."""
+
+    body_bytes: int = toml_keys.field(
+        toml_keys.Whole(KIB, 1024 * MIB), 16 * MIB, "largest body of a request"
+    )
+    header_bytes: int = toml_keys.field(
+        toml_keys.Whole(KIB, MIB), 16 * KIB, "largest header of a request"
+    )
+    connections: int = toml_keys.field(
+        toml_keys.Whole(1, 65_536), 1_024, "callers' connections open at once"
+    )
+    operator_connections: int = toml_keys.field(
+        toml_keys.Whole(1, 1_024), 32, "operators' connections open at once"
+    )
+    streams: int = toml_keys.field(
+        toml_keys.Whole(1, 65_536), 512, "requests in flight at once"
+    )
+    header_timeout_ms: int = _ms(
+        10 * SECOND_MS, 100, 10 * MINUTE_MS, "longest wait for a request's header"
+    )
+    body_timeout_ms: int = _ms(
+        MINUTE_MS, 100, 60 * MINUTE_MS, "longest wait for a request's body"
+    )
+    idle_timeout_ms: int = _ms(
+        75 * SECOND_MS, 100, 60 * MINUTE_MS, "longest rest of an open connection"
+    )
+    write_timeout_ms: int = _ms(
+        30 * SECOND_MS, 100, 10 * MINUTE_MS, "longest wait for a slow caller"
+    )
+    loop_lag_ms: int = _ms(
+        250, 10, 10 * SECOND_MS, "event loop lag above which nothing is admitted"
+    )
+    drain_notice_ms: int = _ms(
+        5 * SECOND_MS,
+        0,
+        10 * MINUTE_MS,
+        "time the balancer needs to see that this VM is leaving",
+    )
+    members_poll_ms: int = _ms(
+        SECOND_MS, 50, MINUTE_MS, "interval between reads of the membership list"
+    )
+    load_poll_ms: int = _ms(
+        SECOND_MS, 50, MINUTE_MS, "interval between reads of a runner's load"
+    )
+    heartbeat_ms: int = _ms(
+        SECOND_MS, 50, 10 * SECOND_MS, "interval between heartbeats to a peer"
+    )
+    document_poll_ms: int = _ms(
+        2 * SECOND_MS, 50, MINUTE_MS, "interval between reads of the documents table"
+    )
+    platform_timeout_ms: int = _ms(
+        2 * SECOND_MS, 50, MINUTE_MS, "longest wait for one call to the platform"
+    )
+    lease_term_ms: int = _ms(
+        10 * SECOND_MS, 500, 10 * MINUTE_MS, "term of the placement lease"
+    )
+    explain_lines: int = toml_keys.field(
+        toml_keys.Whole(100, 1_000_000), 20_000, "log lines kept for explain"
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """The whole file, one field a section."""
+
+    vm: VmSettings
+    platform: PlatformSettings
+    operators: OperatorsSettings
+    peers: PeersSettings = PeersSettings()
+    limits: LimitsSettings = LimitsSettings()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettingsError:
+    """One fault: the key, what was found there, what is allowed."""
+
+    key: str
+    found: str
+    allowed: str
+
+    def __str__(self) -> str:
+        return f"{self.key}: found {self.found}; allowed: {self.allowed}"
+
+
+SECTIONS: dict[str, type] = {
+    "vm": VmSettings,
+    "platform": PlatformSettings,
+    "operators": OperatorsSettings,
+    "peers": PeersSettings,
+    "limits": LimitsSettings,
+}
+
+
+def load(path: str | pathlib.Path) -> tuple[Settings | None, tuple[SettingsError, ...]]:
+    """Read and check a settings file.
+
+    Args:
+        path: the TOML file.
+
+    Returns:
+        The settings and no error, or None and every error.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except OSError as error:
+        reason = error.strerror or type(error).__name__
+        return None, (SettingsError(str(path), reason, "a readable file"),)
+    except UnicodeDecodeError:
+        return None, (SettingsError(str(path), "other bytes", "UTF-8 text"),)
+    return parse(text)
+
+
+def parse(text: str) -> tuple[Settings | None, tuple[SettingsError, ...]]:
+    """Check the text of a settings file.
+
+    Args:
+        text: TOML.
+
+    Returns:
+        The settings and no error, or None and every error.
+    """
+    try:
+        root = tomllib.loads(text)
+    except (ValueError, RecursionError) as error:
+        return None, (SettingsError("(file)", str(error), "TOML"),)
+    sections: dict[str, Any] = {}
+    faults: list[toml_keys.Fault] = []
+    for name, section in SECTIONS.items():
+        keys = toml_keys.keys_of(section)
+        values, found = toml_keys.check_table(keys, root.get(name, {}), (name,))
+        faults.extend(found)
+        if not found:
+            sections[name] = section(**values)
+    faults.extend(_unknown_sections(root))
+    faults.extend(_key_faults(sections.get("peers")))
+    if faults:
+        return None, tuple(_error(fault) for fault in faults)
+    return Settings(**sections), ()
+
+
+def _unknown_sections(root: dict[str, Any]) -> list[toml_keys.Fault]:
+    words = "one of the sections " + ", ".join(SECTIONS)
+    unknown = [name for name in root if name not in SECTIONS]
+    return [toml_keys.Fault((name,), "not known", words) for name in unknown]
+
+
+def _key_faults(peers: PeersSettings | None) -> list[toml_keys.Fault]:
+    if peers is None or bool(peers.curve_public_key) == bool(peers.curve_secret_key):
+        return []
+    words = "both CURVE keys, or neither"
+    return [toml_keys.Fault(("peers",), "one CURVE key alone", words)]
+
+
+def _error(fault: toml_keys.Fault) -> SettingsError:
+    return SettingsError(fault.key, fault.found, fault.allowed)
--- /dev/null
+++ b/packages/protocol/lacewingdrum_protocol/document_lines.py
@@ -0,0 +1,98 @@
+"""Finds the line of each key in a TOML text.
+
+The standard library's reader gives values without positions. This locator
+only needs to be right for texts that the reader took.
+"""
+
+import dataclasses
+import re
+
+KEY_PART = r"""[A-Za-z0-9_-]+|"(?:[^"\\\n]|\\.)*"|'[^'\n]*'"""
+DOTTED = rf"(?:{KEY_PART})(?:[ \t]*\.[ \t]*(?:{KEY_PART}))*"
+HEADER = re.compile(rf"[ \t]*(\[\[?)[ \t]*({DOTTED})[ \t]*\]")
+ASSIGNMENT = re.compile(rf"[ \t]*({DOTTED})[ \t]*=")
+TOKENS = re.compile(
+    r'"""(?:[^\\]|\\.)*?"{3,5}'
+    r"|'''.*?'{3,5}"
+    r'|"(?:[^"\\\n]|\\.)*"'
+    r"|'[^'\n]*'"
+    r"|\#[^\n]*"
+    r"|[\[\]{}]"
+    r"|\n",
+    re.DOTALL,
+)
+
+Path = tuple[str | int, ...]
+
+
+@dataclasses.dataclass(slots=True)
+class Locator:
+    """Lines by path; an unknown path has the line of what holds it."""
+
+    lines: dict[Path, int]
+
+    def line(self, path: Path) -> int:
+        """Args: path: of a key. Returns: its line, counted from 1."""
+        for length in range(len(path), 0, -1):
+            if path[:length] in self.lines:
+                return self.lines[path[:length]]
+        return 1
+
+
+def locate(text: str) -> Locator:
+    """Args: text: valid TOML. Returns: where its keys stand."""
+    lines: dict[Path, int] = {}
+    counts: dict[Path, int] = {}
+    table: Path = ()
+    for number, line in _statements(text):
+        header = HEADER.match(line)
+        if header:
+            table = _table_path(_parts(header[2]), counts, header[1] == "[[")
+            lines.setdefault(table[:1], number)
+            lines.setdefault(table, number)
+            continue
+        assignment = ASSIGNMENT.match(line)
+        if assignment:
+            lines.setdefault((*table, *_parts(assignment[1])), number)
+    return Locator(lines)
+
+
+def _statements(text: str) -> list[tuple[int, str]]:
+    """Returns: lines that start outside of any value, with numbers."""
+    starts = [(1, 0)]
+    number, depth = 1, 0
+    for token in TOKENS.finditer(text):
+        found = token[0]
+        if found == "\n":
+            number += 1
+            if depth <= 0:
+                depth = 0
+                starts.append((number, token.end()))
+        elif found in ("[", "{"):
+            depth += 1
+        elif found in ("]", "}"):
+            depth -= 1
+        else:
+            number += found.count("\n")
+    statements = []
+    for line_number, start in starts:
+        end = text.find("\n", start)
+        statements.append((line_number, text[start : end if end >= 0 else len(text)]))
+    return statements
+
+
+def _parts(dotted: str) -> Path:
+    return tuple(part.strip("\"'") for part in re.findall(KEY_PART, dotted))
+
+
+def _table_path(parts: Path, counts: dict[Path, int], repeated: bool) -> Path:
+    """Put the index of the latest entry behind each array of tables."""
+    path: Path = ()
+    for position, part in enumerate(parts):
+        path = (*path, part)
+        is_last = position == len(parts) - 1
+        if is_last and repeated:
+            counts[path] = counts.get(path, 0) + 1
+        if path in counts:
+            path = (*path, counts[path] - 1)
+    return path
