Model of one continuously batching engine, in virtual time

The trace replay and the engine's stand-in process need the same engine. Alike iterations are done in one step.

--- /dev/null
+++ b/standins/load_report.py
@@ -0,0 +1,88 @@
+"""A load report that lags behind the truth, as engines publish it."""
+
+import collections
+from collections.abc import Callable, Iterable, Mapping
+
+import msgspec
+
+from lacewingdrum_protocol import runner_api
+from standins import engine_types
+
+SNAPSHOTS_A_LAG = 4
+
+
+def load_of(
+    config: engine_types.RunnerConfig,
+    entries: Iterable[engine_types.Entry],
+    running_count: int,
+    kv_used_tokens: int,
+    held: Mapping[str, int],
+) -> runner_api.LoadAnswer:
+    """Sum up an engine's load.
+
+    Args:
+        config: the engine's size and speed.
+        entries: its jobs, waiting and running.
+        running_count: jobs in the batch.
+        kv_used_tokens: memory in use.
+        held: that memory by attempt.
+
+    Returns:
+        The load as of now.
+    """
+    queued = [0, 0, 0]
+    for entry in entries:
+        queued[entry.job.priority] += entry.prefill_left
+    return runner_api.LoadAnswer(
+        runner_id=config.runner_id,
+        age_ms=0,
+        queued_short_tokens=queued[runner_api.Priority.SHORT],
+        queued_mid_tokens=queued[runner_api.Priority.MID],
+        queued_long_tokens=queued[runner_api.Priority.LONG],
+        running_count=running_count,
+        kv_used_tokens=kv_used_tokens,
+        kv_capacity_tokens=config.kv_capacity_tokens,
+        prefill_tokens_per_s=config.prefill_tokens_per_s,
+        decode_tokens_per_s=1 / config.decode_step_s,
+        held=tuple(runner_api.HeldEntry(key, tokens) for key, tokens in held.items()),
+    )
+
+
+class LoadReport:
+    """Recent loads, read back with a lag."""
+
+    def __init__(self, lag_s: float) -> None:
+        self._lag_s = lag_s
+        self._taken: collections.deque[tuple[float, runner_api.LoadAnswer]] = (
+            collections.deque(maxlen=8 * SNAPSHOTS_A_LAG)
+        )
+
+    def offer(self, now_s: float, load: Callable[[], runner_api.LoadAnswer]) -> None:
+        """Keep the load of this moment, unless one was kept just before.
+
+        Args:
+            now_s: the time of the load.
+            load: makes the load when it is wanted.
+        """
+        if self._taken and now_s - self._taken[-1][0] < self._lag_s / SNAPSHOTS_A_LAG:
+            return
+        self._taken.append((now_s, load()))
+
+    def read(self, now_s: float) -> runner_api.LoadAnswer:
+        """Find the newest load that is as old as the lag.
+
+        Args:
+            now_s: the reader's time.
+
+        Returns:
+            That load with its age; a fresher one where the only loads left
+            are far older than the lag.
+        """
+        chosen_s, chosen = self._taken[-1]
+        for taken_s, answer in reversed(self._taken):
+            if now_s - taken_s > 3 * self._lag_s:
+                break
+            chosen_s, chosen = taken_s, answer
+            if now_s - taken_s >= self._lag_s:
+                break
+        return msgspec.structs.replace(chosen, age_ms=round((now_s - chosen_s) * 1000))
--- /dev/null
+++ b/standins/prefix_cache.py
@@ -0,0 +1,92 @@
+"""An engine's prefix cache: blocks by hash, with late and gapped events."""
+
+import collections
+import dataclasses
+from collections.abc import Sequence
+
+from lacewingdrum_protocol import runner_api
+
+BLOCK_TOKENS = 256
+EVENT_LOG_LENGTH = 4_096
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Logged:
+    at_s: float
+    event: runner_api.CacheEvent
+
+
+class PrefixCache:
+    """Blocks of prompts that an engine still holds, least recent first."""
+
+    def __init__(self, capacity_tokens: int, lag_s: float, gap_every: int) -> None:
+        self._capacity_blocks = capacity_tokens // BLOCK_TOKENS
+        self._lag_s = lag_s
+        self._gap_every = gap_every
+        self._blocks: collections.OrderedDict[int, None] = collections.OrderedDict()
+        self._log: collections.deque[_Logged] = collections.deque(
+            maxlen=EVENT_LOG_LENGTH
+        )
+        self._last_seq = 0
+
+    def cached_tokens(self, block_hashes: Sequence[int]) -> int:
+        """Count the prompt tokens whose blocks are held, from the start on.
+
+        Args:
+            block_hashes: chained hashes of the prompt's blocks.
+
+        Returns:
+            Tokens that need no prefill.
+        """
+        count = 0
+        for block_hash in block_hashes:
+            if block_hash not in self._blocks:
+                break
+            self._blocks.move_to_end(block_hash)
+            count += 1
+        return count * BLOCK_TOKENS
+
+    def store(self, block_hashes: Sequence[int], now_s: float) -> None:
+        """Take in a prompt's leading blocks, at most half of the cache.
+
+        Args:
+            block_hashes: chained hashes of the prompt's blocks.
+            now_s: the time that the events carry.
+        """
+        # A prompt longer than the cache would otherwise evict its own start,
+        # without which no later block of it can be found.
+        for block_hash in block_hashes[: self._capacity_blocks // 2]:
+            if block_hash in self._blocks:
+                self._blocks.move_to_end(block_hash)
+                continue
+            self._blocks[block_hash] = None
+            self._note(runner_api.CacheChange.STORED, block_hash, now_s)
+        while len(self._blocks) > self._capacity_blocks:
+            block_hash, _ = self._blocks.popitem(last=False)
+            self._note(runner_api.CacheChange.EVICTED, block_hash, now_s)
+
+    def events(self, since: int, now_s: float) -> runner_api.CacheEventsAnswer:
+        """List the events after ``since`` that are published by now.
+
+        Args:
+            since: the last sequence number that the reader knows.
+            now_s: the reader's time on the engine's clock.
+
+        Returns:
+            The events, with some missing.
+        """
+        visible = [
+            logged.event
+            for logged in self._log
+            if logged.event.seq > since and logged.at_s + self._lag_s <= now_s
+        ]
+        last_seq = visible[-1].seq if visible else since
+        kept = tuple(event for event in visible if event.seq % self._gap_every != 0)
+        return runner_api.CacheEventsAnswer(kept, last_seq)
+
+    def _note(
+        self, change: runner_api.CacheChange, block_hash: int, now_s: float
+    ) -> None:
+        self._last_seq += 1
+        event = runner_api.CacheEvent(self._last_seq, change, block_hash)
+        self._log.append(_Logged(now_s, event))
--- /dev/null
+++ b/standins/runner_model.py
@@ -0,0 +1,301 @@
+"""A model of one continuously batching engine, in virtual time.
+
+The engine works in iterations: each prefills one chunk of the batch's most
+urgent prompt and decodes one token of every other answer. Runs of alike
+iterations are done in one step, so that a replay costs time by events and
+not by tokens. The engine process and the trace replay share this model.
+"""
+
+import collections
+import dataclasses
+import heapq
+
+from result import Err, Ok, Result
+
+from lacewingdrum_protocol import runner_api
+from standins import engine_types, load_report, prefix_cache
+
+RunnerConfig = engine_types.RunnerConfig
+Job = engine_types.Job
+Progress = engine_types.Progress
+RECORD_LENGTH = 100_000
+
+
+class RunnerModel:
+    """One engine. Times are seconds on any clock that only goes forward."""
+
+    def __init__(self, config: RunnerConfig, now_s: float) -> None:
+        self.config = config
+        self.leaving = False
+        self.slowdown = 1.0
+        self._now_s = now_s
+        self._order = 0
+        self._waiting: dict[str, engine_types.Entry] = {}
+        self._queue: list[tuple[int, int, str]] = []
+        self._batch: dict[str, engine_types.Entry] = {}
+        self._imports: dict[str, int] = {}
+        self._ended: collections.OrderedDict[str, runner_api.CancelState] = (
+            collections.OrderedDict()
+        )
+        self._iteration: engine_types.Iteration | None = None
+        self._plan_changed = False
+        self._outbox: list[Progress] = []
+        self._kv_used = 0
+        self._cache = prefix_cache.PrefixCache(
+            config.cache_tokens, config.cache_event_lag_s, config.cache_gap_every
+        )
+        self._report = load_report.LoadReport(config.load_lag_s)
+        self._report.offer(now_s, self._load)
+
+    @property
+    def held(self) -> dict[str, int]:
+        """Memory in tokens that each attempt holds here."""
+        held = dict(self._imports)
+        for attempt_id, entry in self._batch.items():
+            held[attempt_id] = held.get(attempt_id, 0) + entry.job.memory_tokens
+        return held
+
+    @property
+    def busy(self) -> bool:
+        """Whether any job is waiting or running."""
+        return bool(self._batch or self._waiting)
+
+    def knows(self, attempt_id: str) -> bool:
+        """Returns: whether a job of this attempt was ever accepted."""
+        return (
+            attempt_id in self._batch
+            or attempt_id in self._waiting
+            or attempt_id in self._ended
+        )
+
+    def submit(self, job: Job, now_s: float) -> Result[None, runner_api.RefusalReason]:
+        """Queue a job.
+
+        Args:
+            job: an attempt that was not submitted before.
+            now_s: the time of its arrival.
+
+        Returns:
+            Nothing, or why the job was not started.
+        """
+        self._run(now_s)
+        if self.leaving:
+            return Err(runner_api.RefusalReason.LEAVING)
+        if job.memory_tokens > self.config.kv_capacity_tokens:
+            return Err(runner_api.RefusalReason.MEMORY)
+        if len(self._waiting) >= self.config.max_waiting:
+            return Err(runner_api.RefusalReason.BUSY)
+        self._order += 1
+        offset = job.resume_offset
+        entry = engine_types.Entry(job, self._order, job.prompt_tokens, offset, offset)
+        self._waiting[job.attempt_id] = entry
+        heapq.heappush(self._queue, (job.priority, self._order, job.attempt_id))
+        self._change_plan()
+        return Ok(None)
+
+    def cancel(self, attempt_id: str, now_s: float) -> runner_api.CancelState:
+        """End an attempt and free all that it holds.
+
+        Args:
+            attempt_id: the attempt, also one whose import is all there is.
+            now_s: the time of the cancel.
+
+        Returns:
+            What the engine had recorded of it.
+        """
+        self._run(now_s)
+        imported = self._imports.pop(attempt_id, 0)
+        self._kv_used -= imported
+        entry = self._batch.pop(attempt_id, None)
+        if entry is not None:
+            self._kv_used -= entry.job.memory_tokens
+        waiting = self._waiting.pop(attempt_id, None)
+        self._change_plan()
+        if imported or entry is not None or waiting is not None:
+            self._record(attempt_id, runner_api.CancelState.CANCELLED)
+        return self._ended.get(attempt_id, runner_api.CancelState.NOT_KNOWN)
+
+    def import_kv(
+        self, attempt_id: str, tokens: int, now_s: float
+    ) -> Result[int, runner_api.RefusalReason]:
+        """Take in part of a prompt's KV cache, held until a cancel.
+
+        Args:
+            attempt_id: the attempt that it belongs to.
+            tokens: its size; a repeat replaces the former size.
+            now_s: the time of the import.
+
+        Returns:
+            Tokens now held for the attempt, or why none were taken.
+        """
+        self._run(now_s)
+        if self.leaving:
+            return Err(runner_api.RefusalReason.LEAVING)
+        added = tokens - self._imports.get(attempt_id, 0)
+        if self._kv_used + added > self.config.kv_capacity_tokens:
+            return Err(runner_api.RefusalReason.MEMORY)
+        self._imports[attempt_id] = tokens
+        self._kv_used += added
+        return Ok(tokens)
+
+    def advance(self, now_s: float) -> list[Progress]:
+        """Work on until ``now_s``.
+
+        Args:
+            now_s: the time reached.
+
+        Returns:
+            What was produced since the last call: an attempt's first token
+            and its end with their own times, other tokens merged.
+        """
+        self._run(now_s)
+        for entry in self._batch.values():
+            if entry.produced > entry.told:
+                self._tell(entry)
+        told, self._outbox = self._outbox, []
+        return told
+
+    def next_event_s(self) -> float | None:
+        """Returns: when the next first token or end comes, if none arrives."""
+        current = self._iteration
+        if current is None:
+            return None
+        count = self._to_event(current)
+        if count <= 1:
+            return current.end_s
+        last_chunk = 0
+        if current.prefill is not None:
+            left = current.prefill.prefill_left - (count - 1) * current.chunk
+            last_chunk = min(current.chunk, left)
+        decoding = bool(current.decoding)
+        full_s = self._duration_s(current.chunk, decoding)
+        last_s = self._duration_s(last_chunk, decoding)
+        return current.end_s + (count - 2) * full_s + last_s
+
+    def load(self, now_s: float) -> runner_api.LoadAnswer:
+        """Returns: the load as it was about ``load_lag_s`` ago."""
+        self._run(now_s)
+        return self._report.read(now_s)
+
+    def cache_events(self, since: int, now_s: float) -> runner_api.CacheEventsAnswer:
+        """Returns: prefix cache events after ``since``, late and with gaps."""
+        self._run(now_s)
+        return self._cache.events(since, now_s)
+
+    def _run(self, now_s: float) -> None:
+        while self._iteration is not None and self._iteration.end_s <= now_s:
+            self._complete(self._iteration, now_s)
+            self._begin()
+        self._now_s = max(self._now_s, now_s)
+        self._report.offer(self._now_s, self._load)
+
+    def _begin(self) -> None:
+        """Admit what fits and start the next iteration, if there is work."""
+        self._admit()
+        self._plan_changed = False
+        prefill = min(
+            (entry for entry in self._batch.values() if entry.prefill_left),
+            key=lambda entry: entry.rank,
+            default=None,
+        )
+        decoding = tuple(
+            entry for entry in self._batch.values() if not entry.prefill_left
+        )
+        if prefill is None and not decoding:
+            self._iteration = None
+            return
+        chunk = 0
+        if prefill is not None:
+            chunk = min(self.config.chunk_tokens, prefill.prefill_left)
+        end_s = self._now_s + self._duration_s(chunk, bool(decoding))
+        self._iteration = engine_types.Iteration(end_s, prefill, chunk, decoding)
+
+    def _change_plan(self) -> None:
+        """Note that the iteration after the current one may differ from it."""
+        self._plan_changed = True
+        if self._iteration is None:
+            self._begin()
+
+    def _admit(self) -> None:
+        """Move waiting jobs into the batch, in strict order of rank."""
+        while self._queue and len(self._batch) < self.config.max_batch:
+            entry = self._waiting.get(self._queue[0][2])
+            if entry is None:
+                heapq.heappop(self._queue)
+                continue
+            needed = entry.job.memory_tokens
+            if self._kv_used + needed > self.config.kv_capacity_tokens:
+                return
+            heapq.heappop(self._queue)
+            del self._waiting[entry.job.attempt_id]
+            cached = self._cache.cached_tokens(entry.job.block_hashes)
+            entry.prefill_left = max(1, entry.job.prompt_tokens - cached)
+            self._kv_used += needed
+            self._batch[entry.job.attempt_id] = entry
+
+    def _complete(self, current: engine_types.Iteration, now_s: float) -> None:
+        """Finish the iteration, and alike ones after it up to ``now_s``."""
+        count = 1
+        to_event = self._to_event(current)
+        if to_event > 1:
+            duration_s = self._duration_s(current.chunk, bool(current.decoding))
+            count += int((now_s - current.end_s) / duration_s)
+            count = min(count, to_event - 1)
+            current = dataclasses.replace(
+                current, end_s=current.end_s + (count - 1) * duration_s
+            )
+        self._now_s = current.end_s
+        for entry in current.decoding:
+            if self._is_running(entry):
+                self._decode(entry, count)
+        prefill = current.prefill
+        if prefill is not None and self._is_running(prefill):
+            prefill.prefill_left -= count * current.chunk
+            if not prefill.prefill_left:
+                self._cache.store(prefill.job.block_hashes, self._now_s)
+                self._decode(prefill, 1)
+                self._tell(prefill)
+
+    def _to_event(self, current: engine_types.Iteration) -> int:
+        return 1 if self._plan_changed else current.iterations_to_event()
+
+    def _is_running(self, entry: engine_types.Entry) -> bool:
+        return self._batch.get(entry.job.attempt_id) is entry
+
+    def _decode(self, entry: engine_types.Entry, count: int) -> None:
+        entry.produced += min(count, entry.decode_left)
+        entry.last_token_s = self._now_s
+        if not entry.decode_left:
+            del self._batch[entry.job.attempt_id]
+            self._kv_used -= entry.job.memory_tokens
+            self._record(entry.job.attempt_id, runner_api.CancelState.FINISHED)
+            self._tell(entry)
+
+    def _tell(self, entry: engine_types.Entry) -> None:
+        """Report an entry's tokens that were not reported yet."""
+        count = entry.produced - entry.told
+        finished = not entry.decode_left
+        progress = Progress(
+            entry.job.attempt_id, entry.last_token_s, entry.told, count, finished
+        )
+        if count or (finished and not entry.ended):
+            self._outbox.append(progress)
+        entry.ended = finished
+        entry.told = entry.produced
+
+    def _duration_s(self, chunk: int, decoding: bool) -> float:
+        prefill_s = chunk / self.config.prefill_tokens_per_s
+        decode_s = self.config.decode_step_s if decoding else 0.0
+        return (prefill_s + decode_s) * self.slowdown
+
+    def _record(self, attempt_id: str, state: runner_api.CancelState) -> None:
+        self._ended[attempt_id] = state
+        while len(self._ended) > RECORD_LENGTH:
+            self._ended.popitem(last=False)
+
+    def _load(self) -> runner_api.LoadAnswer:
+        """Returns: the load at this moment."""
+        entries = (*self._waiting.values(), *self._batch.values())
+        return load_report.load_of(
+            self.config, entries, len(self._batch), self._kv_used, self.held
+        )
