HTTP server and client on h11, server-sent events

Callers, runners and the platform all speak HTTP/1.1. Both sides share one bounded connection class; the server answers malformed, large and slow requests itself, and the client reuses a connection only after a clean end of message. asyncio's streams were ruled out: they do not show the other side's end while nobody reads.

--- /dev/null
+++ b/packages/protocol/lacewingdrum_protocol/sse.py
@@ -0,0 +1,71 @@
+"""Server-sent events: the data field only, which is all that is used here."""
+
+MAX_EVENT_BYTES = 1024 * 1024
+
+
+class SseError(ValueError):
+    """An event larger than a reader can hold."""
+
+
+class SseParser:
+    """Splits a stream of bytes into the data of its events."""
+
+    def __init__(self, max_event_bytes: int = MAX_EVENT_BYTES) -> None:
+        self._max_event_bytes = max_event_bytes
+        self._rest = b""
+        self._data_lines: list[bytes] = []
+        self._data_bytes = 0
+
+    @property
+    def has_rest(self) -> bool:
+        """Whether an event has begun and not ended."""
+        return bool(self._rest or self._data_lines)
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Take bytes in.
+
+        Args:
+            data: the next bytes of the stream, cut anywhere.
+
+        Returns:
+            The data of each event that they complete.
+
+        Raises:
+            SseError: when an event is larger than the limit.
+        """
+        # A carriage return at the end may be half of a line's end.
+        data = self._rest + data
+        held_back = b"\r" if data.endswith(b"\r") else b""
+        if held_back:
+            data = data[:-1]
+        if b"\r" in data:
+            data = data.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
+        lines = data.split(b"\n")
+        self._rest = lines.pop() + held_back
+        events: list[bytes] = []
+        for line in lines:
+            self._take_line(line, events)
+        if len(self._rest) + self._data_bytes > self._max_event_bytes:
+            raise SseError("event too large")
+        return events
+
+    def _take_line(self, line: bytes, events: list[bytes]) -> None:
+        if not line:
+            if self._data_lines:
+                events.append(b"\n".join(self._data_lines))
+                self._data_lines = []
+                self._data_bytes = 0
+            return
+        name, _, value = line.partition(b":")
+        if name == b"data":
+            value = value.removeprefix(b" ")
+            self._data_lines.append(value)
+            self._data_bytes += len(value) + 1
+
+
+def encode(data: bytes) -> bytes:
+    """Args: data: an event's data. Returns: the event's bytes."""
+    if b"\n" not in data:
+        return b"data: " + data + b"\n\n"
+    lines = (b"data: " + line + b"\n" for line in data.split(b"\n"))
+    return b"".join(lines) + b"\n"
--- /dev/null
+++ b/packages/transport/lacewingdrum_transport/byte_channel.py
@@ -0,0 +1,239 @@
+"""One TCP connection as bounded bytes in and out.
+
+Thinner than asyncio's streams: a read has its time limit built in, the end
+of the other side is seen while nobody reads, and both buffers are bounded.
+"""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Callable
+
+READ_BUFFER_BYTES = 256 * 1024
+WRITE_BUFFER_BYTES = 64 * 1024
+UNACKNOWLEDGED_LIMIT_MS = 10_000
+KEEPALIVE_IDLE_S = 10
+KEEPALIVE_INTERVAL_S = 3
+KEEPALIVE_PROBES = 3
+
+
+class ByteChannel(asyncio.Protocol):
+    """A connection's bytes; ``gone`` is set when the other side has ended."""
+
+    def __init__(
+        self, on_connected: Callable[["ByteChannel"], None] | None = None
+    ) -> None:
+        self.gone = asyncio.Event()
+        self.peer = ""
+        self._on_connected = on_connected
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._chunks: list[bytes] = []
+        self._buffered_bytes = 0
+        self._reading_paused = False
+        self._writing_paused = False
+        self._ended = False
+        self._lost = False
+        self._read_waiter: asyncio.Future[bool] | None = None
+        self._drain_waiters: set[asyncio.Future[bool]] = set()
+        self._lost_waiter: asyncio.Future[bool] = self._loop.create_future()
+
+    # Called by asyncio.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the connection over."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        self.peer = _peer_name(transport)
+        _set_options(transport)
+        if self._on_connected is not None:
+            self._on_connected(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Keep bytes for the reader, and stop reading when it lags."""
+        self._chunks.append(data)
+        self._buffered_bytes += len(data)
+        if self._buffered_bytes >= READ_BUFFER_BYTES and not self._reading_paused:
+            assert self._transport is not None
+            self._reading_paused = True
+            self._transport.pause_reading()
+        self._wake_reader()
+
+    def eof_received(self) -> bool:
+        """Note the end; our own side stays open until closed here."""
+        self._end()
+        return True
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Note that nothing more can be read or written."""
+        self._lost = True
+        self._end()
+        self._release_drain(False)
+        if not self._lost_waiter.done():
+            self._lost_waiter.set_result(True)
+
+    def pause_writing(self) -> None:
+        """Make ``drain`` wait."""
+        self._writing_paused = True
+
+    def resume_writing(self) -> None:
+        """Let ``drain`` go on."""
+        self._writing_paused = False
+        self._release_drain(True)
+
+    # Called by the owner.
+
+    @property
+    def ended(self) -> bool:
+        """Whether the other side has ended or the connection is lost."""
+        return self._ended
+
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes wait to be read."""
+        return bool(self._chunks)
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes written here that the kernel has not taken yet."""
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
+
+    async def read(self, timeout_s: float) -> bytes | None:
+        """Wait for bytes.
+
+        Args:
+            timeout_s: how long to wait when none are there.
+
+        Returns:
+            All bytes received so far; ``b""`` at the end; ``None`` when the
+            time is over.
+        """
+        if not self._chunks and not self._ended and not await self._readable(timeout_s):
+            return None
+        return self._take()
+
+    def write(self, data: bytes) -> bool:
+        """Hand bytes to the connection.
+
+        Args:
+            data: what to send.
+
+        Returns:
+            False if surely nothing was sent, since the connection was lost.
+        """
+        if self._lost or self._transport is None or self._transport.is_closing():
+            return False
+        self._transport.write(data)
+        return True
+
+    async def drain(self, timeout_s: float) -> bool:
+        """Wait until the write buffer has room.
+
+        Args:
+            timeout_s: how long the other side may take.
+
+        Returns:
+            False when the connection was lost or the time is over.
+        """
+        if self._lost:
+            return False
+        if not self._writing_paused:
+            return True
+        waiter = self._loop.create_future()
+        self._drain_waiters.add(waiter)
+        timer = self._loop.call_later(timeout_s, _settle, waiter, False)
+        try:
+            return await waiter
+        finally:
+            timer.cancel()
+            self._drain_waiters.discard(waiter)
+
+    def write_end(self) -> None:
+        """Tell the other side that nothing more comes."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        with contextlib.suppress(OSError):
+            self._transport.write_eof()
+
+    def close(self) -> None:
+        """Close once what was written has been sent."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Close at once; unsent bytes are dropped."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    async def wait_closed(self, timeout_s: float) -> bool:
+        """Returns: whether the connection was closed within the time."""
+        done, _ = await asyncio.wait([self._lost_waiter], timeout=timeout_s)
+        return bool(done)
+
+    def _take(self) -> bytes:
+        chunks = self._chunks
+        self._chunks = []
+        self._buffered_bytes = 0
+        if self._reading_paused and not self._lost:
+            assert self._transport is not None
+            self._reading_paused = False
+            self._transport.resume_reading()
+        return chunks[0] if len(chunks) == 1 else b"".join(chunks)
+
+    async def _readable(self, timeout_s: float) -> bool:
+        if self._read_waiter is not None:
+            raise RuntimeError("another task reads this connection")
+        waiter = self._loop.create_future()
+        self._read_waiter = waiter
+        timer = self._loop.call_later(timeout_s, _settle, waiter, False)
+        try:
+            return await waiter
+        finally:
+            timer.cancel()
+            self._read_waiter = None
+
+    def _wake_reader(self) -> None:
+        if self._read_waiter is not None:
+            _settle(self._read_waiter, True)
+
+    def _release_drain(self, drained: bool) -> None:
+        for waiter in self._drain_waiters:
+            _settle(waiter, drained)
+
+    def _end(self) -> None:
+        self._ended = True
+        self.gone.set()
+        self._wake_reader()
+
+
+def _settle(waiter: asyncio.Future[bool], value: bool) -> None:
+    if not waiter.done():
+        waiter.set_result(value)
+
+
+def _peer_name(transport: asyncio.Transport) -> str:
+    name = transport.get_extra_info("peername")
+    return f"{name[0]}:{name[1]}" if name else ""
+
+
+def _set_options(transport: asyncio.Transport) -> None:
+    """Turn delays off, and let the kernel find a path that went silent."""
+    sock: socket.socket | None = transport.get_extra_info("socket")
+    if sock is None:
+        return
+    options = (
+        (socket.IPPROTO_TCP, "TCP_NODELAY", 1),
+        (socket.SOL_SOCKET, "SO_KEEPALIVE", 1),
+        (socket.IPPROTO_TCP, "TCP_KEEPIDLE", KEEPALIVE_IDLE_S),
+        (socket.IPPROTO_TCP, "TCP_KEEPINTVL", KEEPALIVE_INTERVAL_S),
+        (socket.IPPROTO_TCP, "TCP_KEEPCNT", KEEPALIVE_PROBES),
+        (socket.IPPROTO_TCP, "TCP_USER_TIMEOUT", UNACKNOWLEDGED_LIMIT_MS),
+    )
+    for level, name, value in options:
+        option = getattr(socket, name, None)
+        if option is not None:
+            with contextlib.suppress(OSError):
+                sock.setsockopt(level, option, value)
--- /dev/null
+++ b/packages/transport/lacewingdrum_transport/client_connection.py
@@ -0,0 +1,266 @@
+"""One HTTP client connection, and the reader of a response on it."""
+
+import dataclasses
+import enum
+from collections.abc import Callable
+
+import h11
+from result import Err, Ok, Result
+
+from lacewingdrum_state import fleet
+from lacewingdrum_transport import byte_channel, http_messages
+
+BYTES_PER_MIB = 1024 * 1024
+METHODS_WITH_BODY = frozenset(("POST", "PUT", "PATCH"))
+STATUSES_WITHOUT_BODY = frozenset((204, 304))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClientLimits:
+    """What one address, one connection and one response may use up."""
+
+    connections_per_address: int = 1024
+    idle_per_address: int = 64
+    idle_s: float = 15.0
+    connect_timeout_s: float = 2.0
+    header_bytes: int = 16_384
+    body_bytes: int = 64 * BYTES_PER_MIB
+
+
+class ClientErrorReason(enum.Enum):
+    """Why a request has no response, or a response no end."""
+
+    CLOSED = "closed"
+    CONNECT_FAILED = "connect_failed"
+    CONNECT_TIMEOUT = "connect_timeout"
+    INVALID_REQUEST = "invalid_request"
+    LOST = "lost"
+    MALFORMED = "malformed"
+    POOL_EXHAUSTED = "pool_exhausted"
+    TIMEOUT = "timeout"
+    TOO_LARGE = "too_large"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HttpClientError:
+    """Why a request failed.
+
+    ``may_have_left`` is False only if surely no byte of it was written.
+    """
+
+    reason: ClientErrorReason
+    may_have_left: bool
+    detail: str = ""
+
+
+class ClientConnection:
+    """A connection to one address and its h11 state."""
+
+    def __init__(
+        self,
+        address: fleet.Address,
+        channel: byte_channel.ByteChannel,
+        header_bytes: int,
+        clock: Callable[[], float],
+    ) -> None:
+        self.address = address
+        self.channel = channel
+        self.h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=header_bytes)
+        self.clock = clock
+        self.idle_since_s = 0.0
+
+    @property
+    def reusable(self) -> bool:
+        """Whether the last message ended cleanly on both sides."""
+        both_done = self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE
+        return both_done and self.quiet and not self.h11.trailing_data[0]
+
+    @property
+    def quiet(self) -> bool:
+        """Whether nothing is unread, unsent or ended."""
+        channel = self.channel
+        return not (channel.ended or channel.has_unread or channel.unsent_bytes)
+
+    async def next_event(self, deadline_s: float) -> h11.Event | HttpClientError:
+        """Wait for a part of the response.
+
+        Args:
+            deadline_s: when to give up, on the clock.
+
+        Returns:
+            The part, or why none came.
+        """
+        while True:
+            try:
+                event = self.h11.next_event()
+            except h11.RemoteProtocolError as error:
+                lost = self.channel.ended and not self.channel.has_unread
+                reason = ClientErrorReason.LOST if lost else ClientErrorReason.MALFORMED
+                return HttpClientError(reason, True, str(error))
+            if event is not h11.NEED_DATA:
+                if isinstance(event, h11.Event):
+                    return event
+                return HttpClientError(ClientErrorReason.MALFORMED, True, "paused")
+            failed = await self._receive(deadline_s)
+            if failed is not None:
+                return failed
+
+    async def _receive(self, deadline_s: float) -> HttpClientError | None:
+        wait_s = max(deadline_s - self.clock(), 0.0)
+        data = await self.channel.read(wait_s)
+        if data is None:
+            return HttpClientError(ClientErrorReason.TIMEOUT, True, "no data in time")
+        if not data and self.h11.their_state is h11.SEND_RESPONSE:
+            detail = "connection ended before the response"
+            return HttpClientError(ClientErrorReason.LOST, True, detail)
+        self.h11.receive_data(data)
+        return None
+
+    def send_request(
+        self, head: h11.Request, body: bytes
+    ) -> Result[None, HttpClientError]:
+        """Write a request.
+
+        Args:
+            head: its head, checked already.
+            body: its whole body.
+
+        Returns:
+            An error if surely nothing was written.
+        """
+        data = self.h11.send(head) or b""
+        if body:
+            data += self.h11.send(h11.Data(data=body)) or b""
+        data += self.h11.send(h11.EndOfMessage()) or b""
+        if self.channel.write(data):
+            return Ok(None)
+        detail = "connection ended before the request"
+        return Err(HttpClientError(ClientErrorReason.LOST, False, detail))
+
+
+class ResponseReader:
+    """A response whose head has come; its body is read in parts."""
+
+    def __init__(
+        self,
+        connection: ClientConnection,
+        head: h11.Response,
+        release: Callable[[ClientConnection, bool], None],
+    ) -> None:
+        self.status: int = head.status_code
+        self.headers: http_messages.Headers = tuple(
+            (name.decode("ascii"), value.decode("latin-1"))
+            for name, value in head.headers
+        )
+        self._connection = connection
+        self._release = release
+        self._ended = False
+        self._error: HttpClientError | None = None
+
+    async def read(self, timeout_s: float) -> Result[bytes, HttpClientError]:
+        """Wait for a part of the body.
+
+        Args:
+            timeout_s: how long to wait for it.
+
+        Returns:
+            All that has come, or ``b""`` at the clean end of the message.
+        """
+        connection = self._connection
+        deadline_s = connection.clock() + timeout_s
+        while not self._ended:
+            event = await connection.next_event(deadline_s)
+            if isinstance(event, h11.Data):
+                return Ok(self._with_what_follows(bytes(event.data)))
+            if isinstance(event, h11.EndOfMessage):
+                self._end(None)
+            elif isinstance(event, HttpClientError):
+                self._end(event)
+            else:
+                detail = "connection ended inside the response"
+                self._end(HttpClientError(ClientErrorReason.LOST, True, detail))
+        if self._error is not None:
+            return Err(self._error)
+        return Ok(b"")
+
+    async def close(self) -> None:
+        """Give the connection back; cut it unless the message has ended."""
+        if not self._ended:
+            self._end(HttpClientError(ClientErrorReason.CLOSED, True, "closed here"))
+
+    def _with_what_follows(self, data: bytes) -> bytes:
+        """Join parts that have come already, to be passed on in one piece."""
+        parts = [data]
+        while True:
+            try:
+                event = self._connection.h11.next_event()
+            except h11.RemoteProtocolError as error:
+                detail = str(error)
+                self._end(HttpClientError(ClientErrorReason.MALFORMED, True, detail))
+                break
+            if not isinstance(event, h11.Data):
+                if isinstance(event, h11.EndOfMessage):
+                    self._end(None)
+                break
+            parts.append(bytes(event.data))
+        return data if len(parts) == 1 else b"".join(parts)
+
+    def _end(self, error: HttpClientError | None) -> None:
+        self._ended = True
+        self._error = error
+        timed_out = error is not None and error.reason is ClientErrorReason.TIMEOUT
+        self._release(self._connection, timed_out)
+
+
+def request_head(
+    address: fleet.Address,
+    method: str,
+    path: str,
+    headers: http_messages.Headers,
+    body: bytes,
+) -> Result[h11.Request, HttpClientError]:
+    """Make and check the head of a request.
+
+    Args:
+        address: fills the Host header unless ``headers`` has one.
+        method: the method.
+        path: the path with its query, percent-encoded.
+        headers: its connection headers are replaced by the client's.
+        body: the whole body, for its length.
+
+    Returns:
+        The head, or why it cannot be sent.
+    """
+    try:
+        fields = [
+            (name.encode("ascii"), value.encode("latin-1"))
+            for name, value in headers
+            if name.lower() not in http_messages.CONNECTION_HEADERS
+        ]
+        if not http_messages.header_value(headers, "host"):
+            fields.insert(0, (b"host", str(address).encode("ascii")))
+        if body or method in METHODS_WITH_BODY:
+            fields.append((b"content-length", b"%d" % len(body)))
+        target = path.encode("ascii")
+        return Ok(h11.Request(method=method, target=target, headers=fields))
+    except (h11.LocalProtocolError, UnicodeEncodeError) as error:
+        reason = ClientErrorReason.INVALID_REQUEST
+        return Err(HttpClientError(reason, False, str(error)))
+
+
+def has_marked_end(method: str, head: h11.Response) -> bool:
+    """Tell whether a cut response could be told from a whole one.
+
+    Args:
+        method: the request's method.
+        head: the response's head.
+
+    Returns:
+        False if the body would end with the connection, however that ends.
+    """
+    if method == "HEAD" or head.status_code in STATUSES_WITHOUT_BODY:
+        return True
+    names = {name for name, _ in head.headers}
+    if b"transfer-encoding" in names:
+        return bool(head.http_version >= b"1.1")
+    return b"content-length" in names
--- /dev/null
+++ b/packages/transport/lacewingdrum_transport/http_client.py
@@ -0,0 +1,252 @@
+"""The HTTP/1.1 client: h11 on asyncio, with a pool for each address.
+
+A connection goes back to its pool only after a clean end of message. No
+request is sent twice here: the caller decides from ``may_have_left``.
+"""
+
+import asyncio
+import collections
+import time
+from collections.abc import Callable
+
+import h11
+from result import Err, Ok, Result
+
+from lacewingdrum_state import fleet
+from lacewingdrum_transport import byte_channel, client_connection, http_messages
+
+ClientErrorReason = client_connection.ClientErrorReason
+ClientLimits = client_connection.ClientLimits
+HttpClientError = client_connection.HttpClientError
+ResponseReader = client_connection.ResponseReader
+_Connection = client_connection.ClientConnection
+
+
+class HttpClient:
+    """Sends requests to any address."""
+
+    def __init__(
+        self,
+        limits: ClientLimits | None = None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._limits = limits or ClientLimits()
+        self._clock = clock
+        self._idle: dict[fleet.Address, list[_Connection]] = {}
+        self._open_counts: collections.Counter[fleet.Address] = collections.Counter()
+        self._in_use: set[_Connection] = set()
+        self._closed = False
+
+    async def request(
+        self,
+        address: fleet.Address,
+        method: str,
+        path: str,
+        headers: http_messages.Headers = (),
+        body: bytes = b"",
+        timeout_s: float = 10.0,
+    ) -> Result[http_messages.HttpResponse, HttpClientError]:
+        """Send a request and read the whole response.
+
+        Args:
+            address: where to.
+            method: the method.
+            path: the path with its query, percent-encoded.
+            headers: names and values.
+            body: the whole body.
+            timeout_s: for the whole exchange.
+
+        Returns:
+            The response, or why there is none.
+        """
+        deadline_s = self._clock() + timeout_s
+        opened = await self.open(address, method, path, headers, body, timeout_s)
+        if isinstance(opened, Err):
+            return opened
+        reader = opened.ok_value
+        try:
+            return await self._read_whole(reader, deadline_s)
+        finally:
+            await reader.close()
+
+    async def open(
+        self,
+        address: fleet.Address,
+        method: str,
+        path: str,
+        headers: http_messages.Headers = (),
+        body: bytes = b"",
+        timeout_s: float = 10.0,
+    ) -> Result[ResponseReader, HttpClientError]:
+        """Send a request and wait for the response's head.
+
+        Args:
+            address: where to.
+            method: the method.
+            path: the path with its query, percent-encoded.
+            headers: names and values.
+            body: the whole body.
+            timeout_s: until the head has come.
+
+        Returns:
+            The response, to be closed by the caller, or why there is none.
+        """
+        deadline_s = self._clock() + timeout_s
+        head = client_connection.request_head(address, method, path, headers, body)
+        if isinstance(head, Err):
+            return head
+        taken = self._take_idle(address) or await self._connect(address, timeout_s)
+        if isinstance(taken, HttpClientError):
+            return Err(taken)
+        handed_over = False
+        failed: HttpClientError | None = None
+        try:
+            answer = await self._exchange(taken, head.ok_value, body, deadline_s)
+            if isinstance(answer, HttpClientError):
+                failed = answer
+                return Err(answer)
+            handed_over = True
+            return Ok(ResponseReader(taken, answer, self._release))
+        finally:
+            # Cancelled here too, the connection must not be lost sight of.
+            if not handed_over:
+                timed_out = failed is not None and (
+                    failed.reason is ClientErrorReason.TIMEOUT
+                )
+                self._discard(taken, timed_out)
+
+    async def close(self) -> None:
+        """Cut every connection; later requests fail as not sent."""
+        self._closed = True
+        connections = list(self._in_use)
+        for idle in self._idle.values():
+            connections.extend(idle)
+        self._idle.clear()
+        for connection in connections:
+            connection.channel.abort()
+
+    def idle_count(self, address: fleet.Address) -> int:
+        """Returns: connections to ``address`` that wait for reuse."""
+        return len(self._idle.get(address, ()))
+
+    async def _exchange(
+        self,
+        connection: _Connection,
+        head: h11.Request,
+        body: bytes,
+        deadline_s: float,
+    ) -> h11.Response | HttpClientError:
+        written = connection.send_request(head, body)
+        if isinstance(written, Err):
+            return written.err_value
+        while True:
+            event = await connection.next_event(deadline_s)
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if isinstance(event, HttpClientError):
+                return event
+            if not isinstance(event, h11.Response):
+                detail = "connection ended before the response"
+                return HttpClientError(ClientErrorReason.LOST, True, detail)
+            if client_connection.has_marked_end(head.method.decode(), event):
+                return event
+            detail = "a response without Content-Length or chunks has no sure end"
+            return HttpClientError(ClientErrorReason.MALFORMED, True, detail)
+
+    async def _read_whole(
+        self, reader: ResponseReader, deadline_s: float
+    ) -> Result[http_messages.HttpResponse, HttpClientError]:
+        parts: list[bytes] = []
+        size_bytes = 0
+        while True:
+            part = await reader.read(deadline_s - self._clock())
+            if isinstance(part, Err):
+                return part
+            data = part.ok_value
+            if not data:
+                break
+            size_bytes += len(data)
+            if size_bytes > self._limits.body_bytes:
+                reason = ClientErrorReason.TOO_LARGE
+                return Err(HttpClientError(reason, True, "response too large"))
+            parts.append(data)
+        body = b"".join(parts)
+        return Ok(http_messages.HttpResponse(reader.status, reader.headers, body))
+
+    def _take_idle(self, address: fleet.Address) -> _Connection | None:
+        idle = self._idle.get(address)
+        oldest_s = self._clock() - self._limits.idle_s
+        while idle:
+            connection = idle.pop()
+            if connection.quiet and connection.idle_since_s >= oldest_s:
+                self._in_use.add(connection)
+                return connection
+            self._drop(connection)
+        return None
+
+    async def _connect(
+        self, address: fleet.Address, timeout_s: float
+    ) -> _Connection | HttpClientError:
+        if self._closed:
+            return HttpClientError(ClientErrorReason.CLOSED, False, "client closed")
+        self._prune()
+        if self._open_counts[address] >= self._limits.connections_per_address:
+            detail = f"{self._open_counts[address]} connections open"
+            return HttpClientError(ClientErrorReason.POOL_EXHAUSTED, False, detail)
+        self._open_counts[address] += 1
+        channel: byte_channel.ByteChannel | None = None
+        try:
+            async with asyncio.timeout(min(timeout_s, self._limits.connect_timeout_s)):
+                _, channel = await asyncio.get_running_loop().create_connection(
+                    byte_channel.ByteChannel, address.host, address.port
+                )
+        except TimeoutError:
+            return HttpClientError(ClientErrorReason.CONNECT_TIMEOUT, False)
+        except (OSError, OverflowError, UnicodeError) as error:
+            reason = ClientErrorReason.CONNECT_FAILED
+            return HttpClientError(reason, False, str(error))
+        finally:
+            if channel is None:
+                self._forget(address)
+        header_bytes = self._limits.header_bytes
+        connection = _Connection(address, channel, header_bytes, self._clock)
+        self._in_use.add(connection)
+        return connection
+
+    def _prune(self) -> None:
+        """Close what waited too long, also at addresses not used any more."""
+        oldest_s = self._clock() - self._limits.idle_s
+        for address, idle in list(self._idle.items()):
+            # The longest idle ones come first.
+            while idle and idle[0].idle_since_s < oldest_s:
+                self._drop(idle.pop(0))
+            if not idle:
+                del self._idle[address]
+
+    def _release(self, connection: _Connection, timed_out: bool) -> None:
+        idle = self._idle.setdefault(connection.address, [])
+        full = len(idle) >= self._limits.idle_per_address
+        if self._closed or full or not connection.reusable:
+            self._discard(connection, timed_out)
+            return
+        self._in_use.discard(connection)
+        connection.h11.start_next_cycle()
+        connection.idle_since_s = self._clock()
+        idle.append(connection)
+
+    def _discard(self, connection: _Connection, timed_out: bool) -> None:
+        self._in_use.discard(connection)
+        self._drop(connection)
+        if timed_out:
+            # What silenced this connection may have silenced the idle ones.
+            for idle in self._idle.pop(connection.address, []):
+                self._drop(idle)
+
+    def _drop(self, connection: _Connection) -> None:
+        connection.channel.abort()
+        self._forget(connection.address)
+
+    def _forget(self, address: fleet.Address) -> None:
+        self._open_counts[address] -= 1
+        if self._open_counts[address] <= 0:
+            del self._open_counts[address]
--- /dev/null
+++ b/packages/transport/lacewingdrum_transport/http_server.py
@@ -0,0 +1,254 @@
+"""The HTTP/1.1 server: h11 on asyncio, one task a connection."""
+
+import asyncio
+import logging
+import time
+from collections.abc import Awaitable, Callable
+
+import h11
+from result import Err, Ok
+
+from lacewingdrum_state import states
+from lacewingdrum_transport import (
+    byte_channel,
+    http_messages,
+    request_reader,
+    responder as responders,
+)
+
+HttpRequest = http_messages.HttpRequest
+HttpResponse = http_messages.HttpResponse
+Responder = responders.Responder
+ServerLimits = request_reader.ServerLimits
+Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
+
+LINGER_S = 1.0
+LINGER_BYTES = 64 * 1024 * 1024
+ACCEPT_BACKLOG = 1024
+OVERLOAD_RETRY_AFTER_S = 1
+
+_logger = logging.getLogger(__name__)
+
+
+class HttpServer:
+    """Serves requests to a handler.
+
+    Requests that are malformed, too large or too slow are answered here and
+    never reach the handler.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        limits: ServerLimits | None = None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._handler = handler
+        self._limits = limits or ServerLimits()
+        self._clock = clock
+        self._budget = request_reader.BodyBudget(self._limits.held_body_bytes)
+        self._server: asyncio.Server | None = None
+        self._tasks: dict[asyncio.Task[None], byte_channel.ByteChannel] = {}
+        self._busy: set[byte_channel.ByteChannel] = set()
+        self._quiet = asyncio.Event()
+        self._quiet.set()
+        self._leaving = False
+
+    @property
+    def connection_count(self) -> int:
+        """Connections that are open."""
+        return len(self._tasks)
+
+    @property
+    def busy_count(self) -> int:
+        """Requests from their first byte to their response's end."""
+        return len(self._busy)
+
+    async def start(self, host: str, port: int) -> int:
+        """Bind and accept connections.
+
+        Args:
+            host: the IP address to bind.
+            port: the port; 0 lets the system pick one.
+
+        Returns:
+            The port that was bound.
+
+        Raises:
+            OSError: when the address cannot be bound.
+        """
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: byte_channel.ByteChannel(self._connected),
+            host,
+            port,
+            backlog=ACCEPT_BACKLOG,
+        )
+        bound: int = self._server.sockets[0].getsockname()[1]
+        return bound
+
+    def set_leaving(self) -> None:
+        """Make each connection's next response its last one."""
+        self._leaving = True
+
+    def stop_accepting(self) -> None:
+        """Take no new connection; open ones go on."""
+        if self._server is not None:
+            self._server.close()
+
+    async def close(self, grace_s: float = 0.0) -> int:
+        """Stop when the requests in progress have ended.
+
+        Args:
+            grace_s: how long to wait for them.
+
+        Returns:
+            How many requests were cut.
+        """
+        self.set_leaving()
+        self.stop_accepting()
+        if self._busy and grace_s > 0:
+            await asyncio.wait(
+                [asyncio.ensure_future(self._quiet.wait())], timeout=grace_s
+            )
+        cut_count = len(self._busy)
+        tasks = tuple(self._tasks)
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            await asyncio.wait(tasks)
+        return cut_count
+
+    def _connected(self, channel: byte_channel.ByteChannel) -> None:
+        full = len(self._tasks) >= self._limits.connections
+        coroutine = self._refuse(channel) if full else self._serve(channel)
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks[task] = channel
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        channel = self._tasks.pop(task)
+        self._set_busy(channel, False)
+        if task.cancelled():
+            channel.abort()
+            return
+        error = task.exception()
+        if error is not None:
+            _logger.error("connection failed", exc_info=error)
+        channel.close()
+
+    def _set_busy(self, channel: byte_channel.ByteChannel, busy: bool) -> None:
+        if busy:
+            self._busy.add(channel)
+            self._quiet.clear()
+            return
+        self._busy.discard(channel)
+        if not self._busy:
+            self._quiet.set()
+
+    def _connection(self) -> h11.Connection:
+        return h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
+        )
+
+    async def _refuse(self, channel: byte_channel.ByteChannel) -> None:
+        reason = request_reader.RequestErrorReason.OVERLOADED
+        error = request_reader.RequestError(reason, "too many connections")
+        await self._send_error(channel, self._connection(), error)
+
+    async def _serve(self, channel: byte_channel.ByteChannel) -> None:
+        connection = self._connection()
+        reader = request_reader.RequestReader(
+            channel, connection, self._limits, self._budget, self._clock
+        )
+        while await reader.wait_begin():
+            self._set_busy(channel, True)
+            try:
+                reusable = await self._serve_one(channel, connection, reader)
+            finally:
+                reader.release()
+            if not reusable:
+                await _linger(channel)
+                return
+            connection.start_next_cycle()
+            if not connection.trailing_data[0]:
+                self._set_busy(channel, False)
+
+    async def _serve_one(
+        self,
+        channel: byte_channel.ByteChannel,
+        connection: h11.Connection,
+        reader: request_reader.RequestReader,
+    ) -> bool:
+        """Returns: whether the connection can carry another request."""
+        match await reader.read():
+            case Ok(request):
+                await self._handle(channel, connection, request)
+                done = connection.our_state is h11.DONE
+                return done and connection.their_state is h11.DONE
+            case Err(error):
+                await self._send_error(channel, connection, error)
+        return False
+
+    async def _handle(
+        self,
+        channel: byte_channel.ByteChannel,
+        connection: h11.Connection,
+        request: HttpRequest,
+    ) -> None:
+        with_body = request.method != "HEAD"
+        timeout_s = self._limits.write_timeout_s
+        responder = Responder(channel, connection, timeout_s, with_body)
+        if self._leaving:
+            responder.close_after()
+        try:
+            await self._handler(request, responder)
+        except Exception:
+            # The body may hold a customer's prompt, so it is not logged.
+            _logger.exception("handler failed: %s %s", request.method, request.path)
+        if responder.finished:
+            return
+        if responder.started:
+            responder.abort()
+            return
+        message = "the request failed inside the server"
+        await responder.send(
+            http_messages.error_response(500, "internal", message, states.Ran.MAYBE)
+        )
+
+    async def _send_error(
+        self,
+        channel: byte_channel.ByteChannel,
+        connection: h11.Connection,
+        error: request_reader.RequestError,
+    ) -> None:
+        if error.reason is request_reader.RequestErrorReason.CLOSED:
+            return
+        if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            channel.abort()
+            return
+        overloaded = error.reason is request_reader.RequestErrorReason.OVERLOADED
+        response = http_messages.error_response(
+            request_reader.STATUS_OF_REASON[error.reason],
+            error.reason.value,
+            error.detail,
+            states.Ran.NO,
+            OVERLOAD_RETRY_AFTER_S if overloaded else 0,
+        )
+        _logger.info("request refused: %s from %s", error.reason.value, channel.peer)
+        responder = Responder(channel, connection, self._limits.write_timeout_s, True)
+        responder.close_after()
+        await responder.send(response)
+
+
+async def _linger(channel: byte_channel.ByteChannel) -> None:
+    """Read on for a moment, since an early close can drop the response."""
+    channel.write_end()
+    loop = asyncio.get_running_loop()
+    until_s = loop.time() + LINGER_S
+    dropped_bytes = 0
+    while dropped_bytes < LINGER_BYTES and loop.time() < until_s:
+        data = await channel.read(until_s - loop.time())
+        if not data:
+            return
+        dropped_bytes += len(data)
--- /dev/null
+++ b/packages/transport/lacewingdrum_transport/request_reader.py
@@ -0,0 +1,245 @@
+"""Reads whole requests from a connection, within the server's limits.
+
+Everything a caller can get wrong ends here as ``RequestError``, so that a
+handler only ever sees whole requests.
+"""
+
+import dataclasses
+import enum
+import urllib.parse
+from collections.abc import Callable
+
+import h11
+from result import Err, Ok, Result
+
+from lacewingdrum_transport import byte_channel, http_messages
+
+BYTES_PER_MIB = 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerLimits:
+    """What a caller may use up.
+
+    ``held_body_bytes`` bounds the request bodies of all connections
+    together; ``idle_timeout_s`` runs while no request has begun.
+    """
+
+    header_bytes: int = 16_384
+    body_bytes: int = 16 * BYTES_PER_MIB
+    held_body_bytes: int = 512 * BYTES_PER_MIB
+    connections: int = 1024
+    header_timeout_s: float = 10.0
+    body_timeout_s: float = 60.0
+    idle_timeout_s: float = 75.0
+    write_timeout_s: float = 30.0
+
+
+class RequestErrorReason(enum.Enum):
+    """Why no request could be read."""
+
+    CLOSED = "closed"
+    MALFORMED = "malformed"
+    HEADER_TOO_LARGE = "header_too_large"
+    BODY_TOO_LARGE = "body_too_large"
+    TIMEOUT = "timeout"
+    OVERLOADED = "overloaded"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+
+
+STATUS_OF_REASON = {
+    RequestErrorReason.MALFORMED: 400,
+    RequestErrorReason.METHOD_NOT_ALLOWED: 405,
+    RequestErrorReason.TIMEOUT: 408,
+    RequestErrorReason.BODY_TOO_LARGE: 413,
+    RequestErrorReason.HEADER_TOO_LARGE: 431,
+    RequestErrorReason.OVERLOADED: 503,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestError:
+    """Why no request could be read; ``CLOSED`` needs no answer."""
+
+    reason: RequestErrorReason
+    detail: str = ""
+
+
+class BodyBudget:
+    """Counts the request bodies held by all connections of a server."""
+
+    def __init__(self, limit_bytes: int) -> None:
+        self._limit_bytes = limit_bytes
+        self.held_bytes = 0
+
+    def take(self, size_bytes: int) -> bool:
+        """Returns: whether ``size_bytes`` more may be held."""
+        if self.held_bytes + size_bytes > self._limit_bytes:
+            return False
+        self.held_bytes += size_bytes
+        return True
+
+    def give_back(self, size_bytes: int) -> None:
+        """Args: size_bytes: what is no longer held."""
+        self.held_bytes -= size_bytes
+
+
+class RequestReader:
+    """Reads the requests of one connection, one after the other."""
+
+    def __init__(
+        self,
+        channel: byte_channel.ByteChannel,
+        connection: h11.Connection,
+        limits: ServerLimits,
+        budget: BodyBudget,
+        clock: Callable[[], float],
+    ) -> None:
+        self._channel = channel
+        self._connection = connection
+        self._limits = limits
+        self._budget = budget
+        self._clock = clock
+        self._held_bytes = 0
+
+    async def wait_begin(self) -> bool:
+        """Returns: False if the caller ended or stayed idle instead."""
+        if self._connection.trailing_data[0]:
+            return True
+        data = await self._channel.read(self._limits.idle_timeout_s)
+        if not data:
+            return False
+        self._connection.receive_data(data)
+        return True
+
+    async def read(self) -> Result[http_messages.HttpRequest, RequestError]:
+        """Read one request, whose first byte has come.
+
+        Returns:
+            The whole request, or why there is none.
+        """
+        try:
+            return await self._read()
+        except h11.RemoteProtocolError as error:
+            return Err(_protocol_error(error))
+
+    def release(self) -> None:
+        """Give the last request's share of the body budget back."""
+        self._budget.give_back(self._held_bytes)
+        self._held_bytes = 0
+
+    async def _read(self) -> Result[http_messages.HttpRequest, RequestError]:
+        deadline_s = self._clock() + self._limits.header_timeout_s
+        head = await self._next_event(deadline_s)
+        if isinstance(head, RequestError):
+            return Err(head)
+        if not isinstance(head, h11.Request):
+            return Err(RequestError(RequestErrorReason.CLOSED))
+        refused = self._check_head(head)
+        if refused is not None:
+            return Err(refused)
+        self._continue_if_asked()
+        body = await self._read_body()
+        if isinstance(body, RequestError):
+            return Err(body)
+        return _request(head, body, self._channel.peer)
+
+    async def _next_event(self, deadline_s: float) -> h11.Event | RequestError:
+        while True:
+            event = self._connection.next_event()
+            if event is h11.PAUSED:
+                return RequestError(RequestErrorReason.MALFORMED, "paused")
+            if event is not h11.NEED_DATA:
+                assert isinstance(event, h11.Event)
+                return event
+            wait_s = deadline_s - self._clock()
+            data = await self._channel.read(wait_s) if wait_s > 0 else None
+            if data is None:
+                detail = "the request did not come whole in time"
+                return RequestError(RequestErrorReason.TIMEOUT, detail)
+            self._connection.receive_data(data)
+
+    def _check_head(self, head: h11.Request) -> RequestError | None:
+        # h11 bounds only a head that comes in pieces.
+        head_bytes = len(head.target)
+        head_bytes += sum(len(name) + len(value) + 4 for name, value in head.headers)
+        if head_bytes > self._limits.header_bytes:
+            return RequestError(RequestErrorReason.HEADER_TOO_LARGE, "header too large")
+        if head.method == b"CONNECT":
+            return RequestError(RequestErrorReason.METHOD_NOT_ALLOWED, "CONNECT")
+        names = [name for name, _ in head.headers]
+        if b"transfer-encoding" in names and b"content-length" in names:
+            detail = "both Transfer-Encoding and Content-Length"
+            return RequestError(RequestErrorReason.MALFORMED, detail)
+        for name, value in head.headers:
+            if name == b"content-length" and int(value) > self._limits.body_bytes:
+                return self._body_too_large()
+        return None
+
+    def _continue_if_asked(self) -> None:
+        if self._connection.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            self._channel.write(self._connection.send(go_on) or b"")
+
+    async def _read_body(self) -> bytes | RequestError:
+        deadline_s = self._clock() + self._limits.body_timeout_s
+        parts: list[bytes] = []
+        while True:
+            event = await self._next_event(deadline_s)
+            if isinstance(event, RequestError):
+                return event
+            if isinstance(event, h11.EndOfMessage):
+                return b"".join(parts)
+            if not isinstance(event, h11.Data):
+                return RequestError(RequestErrorReason.CLOSED)
+            refused = self._hold(len(event.data))
+            if refused is not None:
+                return refused
+            parts.append(bytes(event.data))
+
+    def _hold(self, size_bytes: int) -> RequestError | None:
+        if self._held_bytes + size_bytes > self._limits.body_bytes:
+            return self._body_too_large()
+        if not self._budget.take(size_bytes):
+            detail = "too many request bodies held"
+            return RequestError(RequestErrorReason.OVERLOADED, detail)
+        self._held_bytes += size_bytes
+        return None
+
+    def _body_too_large(self) -> RequestError:
+        detail = f"a body may have at most {self._limits.body_bytes} bytes"
+        return RequestError(RequestErrorReason.BODY_TOO_LARGE, detail)
+
+
+def _protocol_error(error: h11.RemoteProtocolError) -> RequestError:
+    if error.error_status_hint == 431:
+        return RequestError(RequestErrorReason.HEADER_TOO_LARGE, str(error))
+    return RequestError(RequestErrorReason.MALFORMED, str(error))
+
+
+def _request(
+    head: h11.Request, body: bytes, peer: str
+) -> Result[http_messages.HttpRequest, RequestError]:
+    target = head.target.decode("ascii", "replace")
+    path, _, query = target.partition("?")
+    if not path.startswith("/"):
+        return Err(RequestError(RequestErrorReason.MALFORMED, "target is no path"))
+    try:
+        pairs = urllib.parse.parse_qsl(query, keep_blank_values=True)
+    except ValueError as error:
+        return Err(RequestError(RequestErrorReason.MALFORMED, str(error)))
+    headers: dict[str, str] = {}
+    for raw_name, raw_value in head.headers:
+        name = raw_name.decode("ascii")
+        value = raw_value.decode("latin-1")
+        headers[name] = f"{headers[name]}, {value}" if name in headers else value
+    request = http_messages.HttpRequest(
+        method=head.method.decode("ascii"),
+        path=path,
+        query=dict(pairs),
+        headers=headers,
+        body=body,
+        peer=peer,
+        target=target,
+    )
+    return Ok(request)
