Operator port: documents, status, explain, health and metrics

Cause: operators need to submit a document and see where it is in force. Change: status is worked out from heartbeats; a daemon's own lines answer explain; the credential is compared by digest in constant time.

--- a/packages/daemon/lacewingdrum_daemon/decision_log.py
+++ b/packages/daemon/lacewingdrum_daemon/decision_log.py
@@ -64,9 +64,6 @@
     CUT = "cut"
 
 
-Value = str | int | float | bool | None | list | dict
-
-
 class DecisionLog:
     """Writes decision lines and remembers the last of them.
 
@@ -83,7 +80,7 @@
         self._logger = logger
         self._clock = clock
         self._explain_lines = explain_lines
-        self._kept: collections.OrderedDict[str, list[dict[str, Value]]]
+        self._kept: collections.OrderedDict[str, list[dict[str, object]]]
         self._kept = collections.OrderedDict()
         self._kept_count = 0
 
@@ -98,7 +95,7 @@
             fields: names, numbers, enums and lists or maps of them, with
                 units in the names.
         """
-        line: dict[str, Value] = {"event": event.value}
+        line: dict[str, object] = {"event": event.value}
         if request_id is not None:
             line["request_id"] = request_id
         line["monotonic_s"] = round(self._clock(), 6)
@@ -108,11 +105,11 @@
         if request_id is not None:
             self._keep(request_id, line)
 
-    def lines(self, request_id: ids.RequestId) -> tuple[dict[str, Value], ...]:
+    def lines(self, request_id: ids.RequestId) -> tuple[dict[str, object], ...]:
         """Args: request_id: a request. Returns: its lines still kept."""
         return tuple(self._kept.get(request_id, ()))
 
-    def _keep(self, request_id: str, line: dict[str, Value]) -> None:
+    def _keep(self, request_id: str, line: dict[str, object]) -> None:
         lines = self._kept.setdefault(request_id, [])
         if len(lines) >= LINES_A_REQUEST_MAX:
             return
@@ -148,7 +145,7 @@
     return logging.getLogger(ROOT_LOGGER)
 
 
-def _plain(value: object) -> Value:
+def _plain(value: object) -> object:
     match value:
         case enum.Enum():
             return value.value
--- /dev/null
+++ b/packages/daemon/lacewingdrum_daemon/operators.py
@@ -0,0 +1,295 @@
+"""The operator port: documents, status and explanations.
+
+Operators have a credential of their own, which is compared by its digest.
+"""
+
+import hashlib
+import hmac
+import typing
+import urllib.parse
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from lacewingdrum_coordination import documents
+from lacewingdrum_daemon import (
+    decision_log,
+    document_keeper,
+    document_status,
+    probes,
+    settings as settings_types,
+)
+from lacewingdrum_protocol import document_text, operators_api, peer_messages
+from lacewingdrum_state import documents as document_types, fleet, ids, states
+from lacewingdrum_transport import http_messages, http_server
+
+if typing.TYPE_CHECKING:
+    from lacewingdrum_daemon import peering
+
+BEARER = "Bearer "
+RETRY_AFTER_S = 1
+SUBMISSION_ID_CHARACTERS_MAX = 100
+
+ErrorCode = operators_api.ErrorCode
+ReadVersion = Callable[
+    [ids.ServiceName, ids.DocumentVersion],
+    Awaitable[document_types.StoredDocument | None],
+]
+
+_json = msgspec.json.Encoder()
+_submit_decoder = msgspec.json.Decoder(operators_api.SubmitCall)
+
+
+class Operators:
+    """Answers operators; ``handle`` is the HTTP handler."""
+
+    def __init__(
+        self,
+        keeper: document_keeper.DocumentKeeper,
+        listed_vms: Callable[[], tuple[fleet.Vm, ...]],
+        decisions: decision_log.DecisionLog,
+        peers: "peering.Peering",
+        own: settings_types.Settings,
+        health: probes.Probes,
+        clock: Callable[[], float],
+        *,
+        read_version: ReadVersion | None = None,
+    ) -> None:
+        """Wire the handler and listen to heartbeats.
+
+        Args:
+            keeper: submits documents and has those in force.
+            listed_vms: the membership list's VMs.
+            decisions: has the lines of explanations.
+            peers: brings heartbeats.
+            own: this daemon's settings.
+            health: answers health, readiness and metrics.
+            clock: monotonic seconds.
+            read_version: reads a former version of a document, or raises
+                ``ConnectionError``; without it only the version in force
+                can be shown.
+        """
+        self._keeper = keeper
+        self._listed_vms = listed_vms
+        self._decisions = decisions
+        self._own = own
+        self._health = health
+        self._clock = clock
+        self._read_version = read_version
+        self._status = document_status.DocumentStatus(own.vm.vm_id, own.vm.data_centre)
+        peers.on(peer_messages.Heartbeat, self.heard)
+
+    def heard(self, sender: ids.VmId, heartbeat: peer_messages.Heartbeat) -> None:
+        """Take in a peer's heartbeat."""
+        self._status.hear(sender, heartbeat, self._clock())
+
+    async def handle(
+        self, request: http_messages.HttpRequest, responder: http_server.Responder
+    ) -> None:
+        """Answer one call of an operator.
+
+        Args:
+            request: the call.
+            responder: its way back.
+        """
+        await responder.send(await self.answer(request))
+
+    async def answer(
+        self, request: http_messages.HttpRequest
+    ) -> http_messages.HttpResponse:
+        """Args: request: a call. Returns: the whole answer to it."""
+        probe = self._health.answer(request)
+        if probe is not None:
+            return probe
+        if not self._knows(request.headers.get("authorization", "")):
+            message = "the credential is not the operators'"
+            return _error(ErrorCode.UNKNOWN_CREDENTIAL, message)
+        path, method = request.path, request.method
+        if path.startswith(operators_api.DOCUMENTS_PREFIX):
+            name = path.removeprefix(operators_api.DOCUMENTS_PREFIX)
+            service = ids.ServiceName(urllib.parse.unquote(name))
+            if method == "POST":
+                return await self._submit(service, request.body)
+            if method == "GET":
+                return await self._show(service, request.query.get("version", ""))
+        if method == "GET" and path == operators_api.STATUS_PATH:
+            return _answer(self.status())
+        if method == "GET" and path.startswith(operators_api.EXPLAIN_PREFIX):
+            return self._explain(path.removeprefix(operators_api.EXPLAIN_PREFIX))
+        return _error(ErrorCode.NOT_FOUND, "no such path or method here")
+
+    def status(self) -> operators_api.StatusAnswer:
+        """Returns: this daemon, all documents and all VMs."""
+        vms = self._status.vms(
+            self._listed_vms(), self._keeper.digests(), self._clock()
+        )
+        return operators_api.StatusAnswer(
+            self._own.vm.vm_id,
+            self._own.vm.data_centre,
+            self._keeper.ready(),
+            self._keeper.may_admit(),
+            document_status.services(vms),
+            vms,
+        )
+
+    def _knows(self, header: str) -> bool:
+        if not header.startswith(BEARER):
+            return False
+        token = header.removeprefix(BEARER).strip()
+        digest = hashlib.sha256(token.encode("utf-8", "surrogateescape")).hexdigest()
+        return hmac.compare_digest(digest, self._own.operators.credential_sha256)
+
+    async def _submit(
+        self, service: ids.ServiceName, body: bytes
+    ) -> http_messages.HttpResponse:
+        try:
+            call = _submit_decoder.decode(body)
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+            return _error(ErrorCode.MALFORMED, f"body: {error}")
+        fault = _call_fault(call)
+        if fault:
+            return _error(ErrorCode.MALFORMED, fault)
+        faults = _document_faults(service, call.text)
+        if faults:
+            message = f"the document has {len(faults)} faults"
+            return _error(ErrorCode.DOCUMENT_FAULTY, message, faults=faults)
+        submission_id = ids.SubmissionId(call.submission_id)
+        base = ids.DocumentVersion(call.base_version)
+        self._decisions.record(
+            decision_log.DecisionEvent.DOCUMENT_SUBMITTED,
+            None,
+            service=service,
+            base_version=base,
+            submission_id=submission_id,
+        )
+        result = await self._keeper.submit(service, base, submission_id, call.text)
+        return self._submitted(service, submission_id, result)
+
+    def _submitted(
+        self,
+        service: ids.ServiceName,
+        submission_id: ids.SubmissionId,
+        result: documents.SubmitResult,
+    ) -> http_messages.HttpResponse:
+        event = decision_log.DecisionEvent
+        match result:
+            case documents.Accepted(stored):
+                kind, version = event.DOCUMENT_ACCEPTED, stored.version
+                answer = _answer(operators_api.document_answer(stored))
+            case documents.Conflict(current):
+                kind = event.DOCUMENT_CONFLICT
+                version = current.version if current else ids.DocumentVersion(0)
+                answer = _conflict(current)
+            case documents.Unsettled(_, version, _):
+                kind = event.DOCUMENT_UNSETTLED
+                message = (
+                    "not known yet whether the submission was accepted; "
+                    "ask again with the same submission id"
+                )
+                answer = _error(ErrorCode.UNSETTLED, message, ran=states.Ran.MAYBE)
+            case documents.Unavailable(detail):
+                kind, version = event.DOCUMENT_UNSETTLED, ids.DocumentVersion(0)
+                message = f"the table service cannot be reached: {detail}"
+                answer = _error(ErrorCode.STORE_DOWN, message)
+        self._decisions.record(
+            kind,
+            None,
+            service=service,
+            version=version,
+            submission_id=submission_id,
+            status=answer.status,
+        )
+        return answer
+
+    async def _show(
+        self, service: ids.ServiceName, version: str
+    ) -> http_messages.HttpResponse:
+        current = self._keeper.in_force(service)
+        if not version or (current and version == str(current.version)):
+            if current is None:
+                return _error(ErrorCode.NOT_FOUND, "no document of this service")
+            return _answer(operators_api.document_answer(current))
+        if not version.isascii() or not version.isdigit() or len(version) > 15:
+            message = "version: a whole number is allowed"
+            return _error(ErrorCode.MALFORMED, message)
+        if self._read_version is None:
+            message = "only the version in force can be shown"
+            return _error(ErrorCode.NOT_FOUND, message)
+        try:
+            number = ids.DocumentVersion(int(version))
+            found = await self._read_version(service, number)
+        except ConnectionError as error:
+            return _error(ErrorCode.STORE_DOWN, str(error))
+        if found is None:
+            return _error(ErrorCode.NOT_FOUND, f"no version {version}")
+        return _answer(operators_api.document_answer(found))
+
+    def _explain(self, request_id: str) -> http_messages.HttpResponse:
+        lines = self._decisions.lines(ids.RequestId(request_id))
+        if not lines:
+            message = "this daemon has no line of the request any more, or had none"
+            return _error(ErrorCode.NOT_FOUND, message)
+        answer = operators_api.ExplainAnswer(request_id, self._own.vm.vm_id, lines)
+        return _answer(answer)
+
+
+def _call_fault(call: operators_api.SubmitCall) -> str:
+    if call.base_version < 0:
+        return "base_version: 0 or more is allowed"
+    if not 1 <= len(call.submission_id) <= SUBMISSION_ID_CHARACTERS_MAX:
+        return f"submission_id: 1 to {SUBMISSION_ID_CHARACTERS_MAX} characters allowed"
+    return ""
+
+
+def _document_faults(
+    service: ids.ServiceName, text: str
+) -> tuple[operators_api.FaultEntry, ...]:
+    document, errors = document_text.parse(text)
+    if document is not None and document.service != service:
+        found = f'"{document.service}"'
+        allowed = f'"{service}", the service submitted to'
+        return (operators_api.FaultEntry(1, "service", found, allowed),)
+    return tuple(
+        operators_api.FaultEntry(error.line, error.key, error.found, error.allowed)
+        for error in errors
+    )
+
+
+def _conflict(
+    current: document_types.StoredDocument | None,
+) -> http_messages.HttpResponse:
+    if current is None:
+        message = "another version was accepted since; it cannot be read now"
+        return _error(ErrorCode.CONFLICT, message)
+    message = f"version {current.version} was accepted since"
+    shown = operators_api.document_answer(current)
+    return _error(ErrorCode.CONFLICT, message, current=shown)
+
+
+def _answer(message: msgspec.Struct) -> http_messages.HttpResponse:
+    headers = (
+        ("Content-Type", "application/json"),
+        (http_messages.REQUEST_ID_HEADER, ids.new_request_id()),
+    )
+    return http_messages.HttpResponse(200, headers, _json.encode(message))
+
+
+def _error(
+    code: operators_api.ErrorCode,
+    message: str,
+    *,
+    faults: tuple[operators_api.FaultEntry, ...] = (),
+    current: operators_api.DocumentAnswer | None = None,
+    ran: states.Ran = states.Ran.NO,
+) -> http_messages.HttpResponse:
+    status = operators_api.STATUS_OF[code]
+    headers = [
+        ("Content-Type", "application/json"),
+        (http_messages.REQUEST_ID_HEADER, ids.new_request_id()),
+        (http_messages.RAN_HEADER, ran.value),
+    ]
+    if code in (ErrorCode.UNSETTLED, ErrorCode.STORE_DOWN):
+        headers.append((http_messages.RETRY_AFTER_HEADER, str(RETRY_AFTER_S)))
+    detail = operators_api.ErrorDetail(code, message)
+    body = _json.encode(operators_api.ErrorAnswer(detail, faults, current))
+    return http_messages.HttpResponse(status, tuple(headers), body)
--- /dev/null
+++ b/packages/daemon/lacewingdrum_daemon/probes.py
@@ -0,0 +1,45 @@
+"""Health, readiness and metrics, the same on the caller and operator port."""
+
+from collections.abc import Callable
+
+from lacewingdrum_daemon import metrics
+from lacewingdrum_transport import http_messages
+
+TEXT = (("Content-Type", "text/plain; charset=utf-8"),)
+
+
+class Probes:
+    """Answers the balancer and the metrics collector.
+
+    ``not_ready_reason`` gives an empty text while new work is taken.
+    """
+
+    def __init__(
+        self, not_ready_reason: Callable[[], str], figures: metrics.Metrics
+    ) -> None:
+        self._not_ready_reason = not_ready_reason
+        self._figures = figures
+
+    def answer(
+        self, request: http_messages.HttpRequest
+    ) -> http_messages.HttpResponse | None:
+        """Args: request: any. Returns: the answer, None for other paths."""
+        if request.method not in ("GET", "HEAD"):
+            return None
+        match request.path:
+            case "/healthz":
+                return http_messages.HttpResponse(200, TEXT, b"ok\n")
+            case "/readyz":
+                return self._ready()
+            case "/metrics":
+                headers = (("Content-Type", metrics.CONTENT_TYPE),)
+                body = self._figures.text().encode()
+                return http_messages.HttpResponse(200, headers, body)
+        return None
+
+    def _ready(self) -> http_messages.HttpResponse:
+        reason = self._not_ready_reason()
+        if not reason:
+            return http_messages.HttpResponse(200, TEXT, b"ready\n")
+        body = f"not ready: {reason}\n".encode()
+        return http_messages.HttpResponse(503, TEXT, body)
