--- /dev/null
+++ b/packages/transport/lacewingdrum_transport/completion_stream.py
@@ -0,0 +1,75 @@
+"""The parts of a model runner's answer, as they come."""
+
+import collections
+
+import msgspec
+from result import Err, Ok, Result
+
+from lacewingdrum_protocol import runner_api, sse
+from lacewingdrum_transport import http_client, runner_errors
+
+# The end of the message follows the last event at once.
+END_WAIT_S = 0.2
+
+_part_decoder = msgspec.json.Decoder(runner_api.CompletionPart)
+
+
+class CompletionStream:
+    """One attempt's answer; whole only if ``next`` comes to ``None``."""
+
+    def __init__(self, reader: http_client.ResponseReader) -> None:
+        self._reader = reader
+        self._parser = sse.SseParser()
+        self._parts: collections.deque[runner_api.CompletionPart] = collections.deque()
+        self._done = False
+        self._error: runner_errors.RunnerError | None = None
+
+    @property
+    def has_ready(self) -> bool:
+        """Whether ``next`` has a part at once, so that parts can be joined."""
+        return bool(self._parts)
+
+    async def next(
+        self, timeout_s: float
+    ) -> Result[runner_api.CompletionPart | None, runner_errors.RunnerError]:
+        """Wait for the next part.
+
+        Args:
+            timeout_s: how long to wait for it.
+
+        Returns:
+            The part; ``None`` after the runner's mark of the end; or why the
+            answer is not whole.
+        """
+        while not self._parts:
+            if self._done:
+                return Ok(None)
+            if self._error is not None:
+                return Err(self._error)
+            await self._fill(timeout_s)
+        return Ok(self._parts.popleft())
+
+    async def close(self) -> None:
+        """Give the connection back; cut it unless the answer is whole."""
+        if self._done:
+            await self._reader.read(END_WAIT_S)
+        await self._reader.close()
+
+    async def _fill(self, timeout_s: float) -> None:
+        received = await self._reader.read(timeout_s)
+        if isinstance(received, Err):
+            self._error = runner_errors.from_transport(received.err_value)
+            return
+        if not received.ok_value:
+            detail = "the stream ended without its mark of the end"
+            reason = runner_errors.RunnerErrorReason.LOST
+            self._error = runner_errors.RunnerError(reason, None, detail)
+            return
+        try:
+            for data in self._parser.feed(received.ok_value):
+                if data == runner_api.DONE_DATA:
+                    self._done = True
+                    return
+                self._parts.append(_part_decoder.decode(data))
+        except (sse.SseError, msgspec.MsgspecError, UnicodeDecodeError) as error:
+            self._error = runner_errors.malformed(str(error)).err_value
--- a/packages/transport/lacewingdrum_transport/http_messages.py
+++ b/packages/transport/lacewingdrum_transport/http_messages.py
@@ -9,6 +9,8 @@
 REQUEST_ID_HEADER = "Lacewingdrum-Request-Id"
 RAN_HEADER = "Lacewingdrum-Ran"
 RETRY_AFTER_HEADER = "Retry-After"
+STATUS_OK = 200
+STATUS_CONFLICT = 409
 
 # These belong to one connection, so each side sets them itself.
 CONNECTION_HEADERS = frozenset(
@@ -60,6 +62,16 @@
         return header_value(self.headers, name)
 
 
+def is_success(status: int) -> bool:
+    """Returns: whether the status says that the request was done."""
+    return status // 100 == 2
+
+
+def is_client_error(status: int) -> bool:
+    """Returns: whether the status blames the request."""
+    return status // 100 == 4
+
+
 def header_value(headers: Headers, name: str) -> str:
     """Find a header.
 
--- /dev/null
+++ b/packages/transport/lacewingdrum_transport/runner_errors.py
@@ -0,0 +1,74 @@
+"""What is known of a call to a runner that failed."""
+
+import dataclasses
+import enum
+
+import msgspec
+from result import Err
+
+from lacewingdrum_protocol import runner_api
+from lacewingdrum_transport import http_client
+
+JSON_HEADERS = (("Content-Type", "application/json"),)
+REFUSAL_STATUSES = frozenset((429, 503))
+REFUSAL_BYTES = 65_536
+
+_refusal_decoder = msgspec.json.Decoder(runner_api.RefusalAnswer)
+
+
+class RunnerErrorReason(enum.Enum):
+    """How far a call came; only the first two mean that it did not start."""
+
+    UNSENT = "unsent"
+    REFUSED = "refused"
+    LOST = "lost"
+    MALFORMED = "malformed"
+    TIMEOUT = "timeout"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunnerError:
+    """Why a runner did not answer a call in full."""
+
+    reason: RunnerErrorReason
+    refusal: runner_api.RefusalReason | None = None
+    detail: str = ""
+
+
+def malformed(detail: str) -> Err[RunnerError]:
+    """Args: detail: what was wrong. Returns: an answer that makes no sense."""
+    return Err(RunnerError(RunnerErrorReason.MALFORMED, None, detail))
+
+
+def from_transport(error: http_client.HttpClientError) -> RunnerError:
+    """Args: error: of the HTTP client. Returns: the same for a runner."""
+    detail = f"{error.reason.value} {error.detail}"
+    reason = RunnerErrorReason.LOST
+    if not error.may_have_left:
+        reason = RunnerErrorReason.UNSENT
+    elif error.reason is http_client.ClientErrorReason.TIMEOUT:
+        reason = RunnerErrorReason.TIMEOUT
+    elif error.reason is http_client.ClientErrorReason.MALFORMED:
+        reason = RunnerErrorReason.MALFORMED
+    return RunnerError(reason, None, detail)
+
+
+def from_response(status: int, body: bytes) -> RunnerError:
+    """Tell a refusal from every other answer.
+
+    Args:
+        status: the answer's status, other than 200.
+        body: the answer's body.
+
+    Returns:
+        A refusal only if the runner says that the call was not started.
+    """
+    detail = f"status {status}"
+    if status in REFUSAL_STATUSES:
+        try:
+            refusal = _refusal_decoder.decode(body)
+        except (msgspec.MsgspecError, UnicodeDecodeError):
+            return RunnerError(RunnerErrorReason.MALFORMED, None, detail)
+        if not refusal.started:
+            return RunnerError(RunnerErrorReason.REFUSED, refusal.reason, detail)
+    return RunnerError(RunnerErrorReason.MALFORMED, None, detail)
