The daemon's callers' edge, completions, service calls and root

Cause: the whole path needs an edge, the two request paths and one composition root. Ruled out: reserving group memory at homes before asking engines; the engine is right in any case and refuses at once, so nobody waits while holding.

--- /dev/null
+++ b/packages/coordination/lacewingdrum_coordination/directory.py
@@ -0,0 +1,101 @@
+"""Finds who is calling and what the documents in force say of the request."""
+
+import dataclasses
+import hashlib
+from collections.abc import Iterable
+
+from lacewingdrum_state import documents, ids, states
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Directory:
+    """The documents in force, indexed for the callers' edge."""
+
+    services: dict[ids.ServiceName, documents.ServiceDocument]
+    by_model: dict[str, ids.ServiceName]
+    customers: dict[tuple[ids.ServiceName, str], documents.Customer]
+    credentials: frozenset[str]
+
+
+EMPTY = Directory({}, {}, {}, frozenset())
+
+
+def build(found: Iterable[documents.ServiceDocument]) -> Directory:
+    """Index documents.
+
+    Args:
+        found: one document a service. Where two services state the same
+            model, the first in alphabetical order serves it.
+
+    Returns:
+        The index.
+    """
+    services: dict[ids.ServiceName, documents.ServiceDocument] = {}
+    by_model: dict[str, ids.ServiceName] = {}
+    customers: dict[tuple[ids.ServiceName, str], documents.Customer] = {}
+    for document in sorted(found, key=lambda d: d.service):
+        services[document.service] = document
+        if document.service_type is states.ServiceType.MODEL:
+            by_model.setdefault(document.model, document.service)
+            by_model.setdefault(document.service, document.service)
+        for customer in document.customers:
+            customers[document.service, customer.credential_sha256] = customer
+    credentials = frozenset(digest for _, digest in customers)
+    return Directory(services, by_model, customers, credentials)
+
+
+def credential_sha256(authorization: str) -> str | None:
+    """Read an ``Authorization`` header.
+
+    Args:
+        authorization: the header's value; empty where there was none.
+
+    Returns:
+        The hex SHA-256 of the bearer token; ``None`` where there is none.
+    """
+    scheme, _, token = authorization.partition(" ")
+    token = token.strip()
+    if scheme.lower() != "bearer" or not token:
+        return None
+    return hashlib.sha256(token.encode("utf-8", "surrogateescape")).hexdigest()
+
+
+def prompt_kind(
+    document: documents.ServiceDocument, prompt_tokens: int
+) -> documents.RequestKind | None:
+    """Returns: the first kind that holds a prompt of this length."""
+    for kind in document.kinds:
+        if prompt_tokens <= kind.max_prompt_tokens:
+            return kind
+    return None
+
+
+def call_kind(
+    document: documents.ServiceDocument, method: str, path: str
+) -> documents.RequestKind | None:
+    """Returns: the first kind whose methods and path prefix match."""
+    for kind in document.kinds:
+        method_matches = not kind.methods or method in kind.methods
+        if method_matches and path.startswith(kind.path_prefix):
+            return kind
+    return None
+
+
+def patience_ms(kind: documents.RequestKind, asked: str) -> int | None:
+    """Say how long a caller is willing to wait.
+
+    Args:
+        kind: grants the longest patience.
+        asked: the caller's patience header in ms; empty where none came.
+
+    Returns:
+        The lower of both; ``None`` where the header is no positive number.
+    """
+    if not asked:
+        return kind.patience_ms
+    if not asked.isascii() or not asked.isdigit() or len(asked) > 12:
+        return None
+    asked_ms = int(asked)
+    if asked_ms == 0:
+        return None
+    return min(asked_ms, kind.patience_ms)
--- /dev/null
+++ b/packages/daemon/lacewingdrum_daemon/in_flight.py
@@ -0,0 +1,80 @@
+"""The attempts that this daemon has at runners, and the end of each.
+
+An attempt that ends without the runner's own word for it is cancelled, and
+the cancel is repeated until the runner confirms it, since a lost cancel
+would leave engine memory held.
+"""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from lacewingdrum_daemon import tasks
+from lacewingdrum_state import fleet, ids, requests
+from lacewingdrum_transport import runner_client
+
+CANCEL_TIMEOUT_S = 1.0
+CANCEL_PAUSE_S = 0.25
+CANCEL_PAUSE_MAX_S = 4.0
+CANCEL_TRIES = 60
+
+_log = logging.getLogger(__name__)
+
+
+class InFlightTable:
+    """Holds attempts in flight and cancels the abandoned ones.
+
+    Args:
+        client: speaks to the runners.
+        on_end: told of each attempt that ended, for the routing estimates.
+    """
+
+    def __init__(
+        self,
+        client: runner_client.RunnerClient,
+        on_end: Callable[[ids.AttemptId], None],
+    ) -> None:
+        self._client = client
+        self._on_end = on_end
+        self._entries: dict[tuple[str, str], requests.InFlight] = {}
+        self._tasks = tasks.TaskSet()
+
+    def entries(self) -> tuple[requests.InFlight, ...]:
+        """Returns: what this daemon owns at the runners now."""
+        return tuple(self._entries.values())
+
+    def count(self, runner_id: ids.RunnerId) -> int:
+        """Returns: how many attempts this daemon has at a runner."""
+        return sum(1 for _, held_at in self._entries if held_at == runner_id)
+
+    def add(self, entry: requests.InFlight) -> None:
+        """Record an attempt just before it is sent."""
+        self._entries[entry.attempt_id, entry.runner_id] = entry
+
+    def end(self, runner: fleet.Runner, attempt_id: ids.AttemptId) -> None:
+        """Record that the runner itself ended the attempt."""
+        if self._entries.pop((attempt_id, runner.runner_id), None) is not None:
+            self._on_end(attempt_id)
+
+    def abandon(self, runner: fleet.Runner, attempt_id: ids.AttemptId) -> None:
+        """Give an attempt up and cancel it until the runner confirms."""
+        self.end(runner, attempt_id)
+        self._tasks.spawn(self._cancel(runner, attempt_id))
+
+    async def close(self, grace_s: float) -> None:
+        """Wait for open cancels, at most ``grace_s`` seconds."""
+        await self._tasks.close(grace_s)
+
+    async def _cancel(self, runner: fleet.Runner, attempt_id: ids.AttemptId) -> None:
+        pause_s = CANCEL_PAUSE_S
+        for _ in range(CANCEL_TRIES):
+            answer = await self._client.cancel(runner, attempt_id, CANCEL_TIMEOUT_S)
+            if answer.is_ok():
+                return
+            await asyncio.sleep(pause_s)
+            pause_s = min(2 * pause_s, CANCEL_PAUSE_MAX_S)
+        # The runner's home sees what the engine still holds and goes on.
+        _log.warning(
+            "cancel not confirmed",
+            extra={"attempt_id": attempt_id, "runner_id": runner.runner_id},
+        )
--- /dev/null
+++ b/packages/daemon/lacewingdrum_daemon/loop_lag.py
@@ -0,0 +1,35 @@
+"""Measures how late the event loop runs, since the daemon itself can be the
+bottleneck and admission has to know.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+PERIOD_S = 0.05
+SMOOTHING = 0.2
+
+
+class LoopLag:
+    """Wakes at a fixed period and keeps a smoothed lateness in seconds."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._task: asyncio.Task[None] | None = None
+        self.lag_s = 0.0
+
+    def start(self) -> None:
+        """Begin to measure."""
+        self._task = asyncio.get_running_loop().create_task(self._measure())
+
+    async def close(self) -> None:
+        """End the measurement."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _measure(self) -> None:
+        while True:
+            before_s = self._clock()
+            await asyncio.sleep(PERIOD_S)
+            late_s = max(0.0, self._clock() - before_s - PERIOD_S)
+            self.lag_s += SMOOTHING * (late_s - self.lag_s)
--- /dev/null
+++ b/packages/daemon/lacewingdrum_daemon/main.py
@@ -0,0 +1,69 @@
+"""The binary ``lacewingdrumd``: settings, signals and the exit code."""
+
+import asyncio
+import signal
+import sys
+
+from cleo import application, helpers
+from cleo.commands import command as cleo_command
+from cleo.io.inputs import argv_input
+
+from lacewingdrum_daemon import daemon, decision_log, settings
+
+EXIT_CUT = 1
+EXIT_SETTINGS = 2
+EXIT_CANNOT_LISTEN = 3
+
+
+class RunCommand(cleo_command.Command):
+    """Runs one daemon until it is told to stop."""
+
+    name = "serve"
+    description = "Serves callers from this VM until SIGTERM."
+    options = [
+        helpers.option("settings", None, "The settings file, TOML.", flag=False),
+    ]
+
+    def handle(self) -> int:
+        """Returns: 0 after a stop that cut nothing; see docs/OPERATING.md."""
+        path = self.option("settings")
+        if not path:
+            print("lacewingdrumd: --settings FILE.toml is needed", file=sys.stderr)
+            return EXIT_SETTINGS
+        found, errors = settings.load(path)
+        for error in errors:
+            print(f"lacewingdrumd: {error}", file=sys.stderr)
+        if found is None:
+            return EXIT_SETTINGS
+        return asyncio.run(_serve(found))
+
+
+async def _serve(found: settings.Settings) -> int:
+    logger = decision_log.set_up_logging(found.vm.vm_id, found.vm.data_centre)
+    root = daemon.Daemon(found, logger)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, root.request_stop)
+    try:
+        await root.start()
+    except OSError as error:
+        print(f"lacewingdrumd: cannot listen: {error}", file=sys.stderr)
+        await root.close(0.0)
+        return EXIT_CANNOT_LISTEN
+    await root.stop_requested.wait()
+    cut_count = await root.drain()
+    return EXIT_CUT if cut_count else 0
+
+
+def main() -> int:
+    """Run the binary; the exit codes stand in docs/OPERATING.md."""
+    command = RunCommand()
+    app = application.Application("lacewingdrumd", "0.1.0")
+    app.add(command)
+    # The binary has one job, so its command's name is not typed.
+    arguments = ["lacewingdrumd", RunCommand.name, *sys.argv[1:]]
+    return app.run(argv_input.ArgvInput(arguments))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/packages/protocol/lacewingdrum_protocol/runner_api.py
+++ b/packages/protocol/lacewingdrum_protocol/runner_api.py
@@ -177,3 +177,26 @@
 
     fencing_number: int
     model: str
+
+
+_REFUSAL_STATUSES = (429, 503)
+_refusal_decoder = msgspec.json.Decoder(RefusalAnswer)
+
+
+def read_refusal(status: int, body: bytes) -> RefusalAnswer | None:
+    """Tell a refusal from an answer.
+
+    Args:
+        status: the response's status.
+        body: the response's body.
+
+    Returns:
+        The refusal, only where it says that nothing was started.
+    """
+    if status not in _REFUSAL_STATUSES:
+        return None
+    try:
+        refusal = _refusal_decoder.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return None
+    return None if refusal.started else refusal
