--- a/standins/runner_model.py
+++ b/standins/runner_model.py
@@ -39,6 +39,7 @@
         )
         self._iteration: engine_types.Iteration | None = None
         self._plan_changed = False
+        self._event_s: float | None = None
         self._outbox: list[Progress] = []
         self._kv_used = 0
         self._cache = prefix_cache.PrefixCache(
@@ -55,11 +56,6 @@
             held[attempt_id] = held.get(attempt_id, 0) + entry.job.memory_tokens
         return held
 
-    @property
-    def busy(self) -> bool:
-        """Whether any job is waiting or running."""
-        return bool(self._batch or self._waiting)
-
     def knows(self, attempt_id: str) -> bool:
         """Returns: whether a job of this attempt was ever accepted."""
         return (
@@ -157,20 +153,9 @@
 
     def next_event_s(self) -> float | None:
         """Returns: when the next first token or end comes, if none arrives."""
-        current = self._iteration
-        if current is None:
-            return None
-        count = self._to_event(current)
-        if count <= 1:
-            return current.end_s
-        last_chunk = 0
-        if current.prefill is not None:
-            left = current.prefill.prefill_left - (count - 1) * current.chunk
-            last_chunk = min(current.chunk, left)
-        decoding = bool(current.decoding)
-        full_s = self._duration_s(current.chunk, decoding)
-        last_s = self._duration_s(last_chunk, decoding)
-        return current.end_s + (count - 2) * full_s + last_s
+        if self._event_s is None and self._iteration is not None:
+            self._event_s = self._find_event_s(self._iteration)
+        return self._event_s
 
     def load(self, now_s: float) -> runner_api.LoadAnswer:
         """Returns: the load as it was about ``load_lag_s`` ago."""
@@ -193,6 +178,7 @@
         """Admit what fits and start the next iteration, if there is work."""
         self._admit()
         self._plan_changed = False
+        self._event_s = None
         prefill = min(
             (entry for entry in self._batch.values() if entry.prefill_left),
             key=lambda entry: entry.rank,
@@ -213,6 +199,7 @@
     def _change_plan(self) -> None:
         """Note that the iteration after the current one may differ from it."""
         self._plan_changed = True
+        self._event_s = None
         if self._iteration is None:
             self._begin()
 
@@ -256,6 +243,19 @@
                 self._decode(prefill, 1)
                 self._tell(prefill)
 
+    def _find_event_s(self, current: engine_types.Iteration) -> float:
+        count = self._to_event(current)
+        if count <= 1:
+            return current.end_s
+        last_chunk = 0
+        if current.prefill is not None:
+            left = current.prefill.prefill_left - (count - 1) * current.chunk
+            last_chunk = min(current.chunk, left)
+        decoding = bool(current.decoding)
+        full_s = self._duration_s(current.chunk, decoding)
+        last_s = self._duration_s(last_chunk, decoding)
+        return current.end_s + (count - 2) * full_s + last_s
+
     def _to_event(self, current: engine_types.Iteration) -> int:
         return 1 if self._plan_changed else current.iterations_to_event()
 
--- a/standins/runner_model_test.py
+++ b/standins/runner_model_test.py
@@ -141,7 +141,7 @@
             model.submit(job(str(number), prompt, tokens, priority=priority), at_s)
         model.cancel(str(cancelled), 3.0)
         now_s = 3.0
-        while model.busy:
+        while model.next_event_s() is not None:
             now_s = now_s + step_s if polled else model.next_event_s()
             take(now_s)
         assert model.held == {}
