--- /dev/null
+++ b/packages/cli/lacewingdrum_cli/document_commands.py
@@ -0,0 +1,261 @@
+"""Commands that work on a document: check, diff, submit and show."""
+
+import time
+
+from cleo.helpers import argument, option
+from result import Ok
+
+from lacewingdrum_cli import command_base, daemon_client, rendering, submission
+from lacewingdrum_protocol import operators_api
+from lacewingdrum_state import documents
+
+Exit = command_base.Exit
+Code = operators_api.ErrorCode
+
+FILE_ARGUMENT = argument("file", "the service document, TOML")
+DEFAULT_TIMEOUT_S = 60.0
+
+
+class CheckCommand(command_base.OperatorCommand):
+    """Checks a document without asking any daemon."""
+
+    name = "check"
+    description = "Check a document; every fault is printed."
+    arguments = [FILE_ARGUMENT]
+
+    def run_command(self) -> Exit:
+        """Returns: 0 for a document without faults."""
+        path = self.argument("file")
+        _, document, errors = self.checked(path)
+        if document is None:
+            self.complain(rendering.faults(path, errors))
+            return Exit.FAULTY
+        customers, kinds = len(document.customers), len(document.kinds)
+        self.say(f"{document.service}: {customers} customers, {kinds} kinds, no fault")
+        return Exit.OK
+
+
+class DiffCommand(command_base.OperatorCommand):
+    """Compares a document with the one in force."""
+
+    name = "diff"
+    description = "Show what a document would change."
+    arguments = [FILE_ARGUMENT]
+    options = [*command_base.DAEMON_OPTIONS]
+
+    def run_command(self) -> Exit:
+        """Returns: 0 where nothing would change."""
+        path = self.argument("file")
+        text, document, errors = self.checked(path)
+        if document is None:
+            self.complain(rendering.faults(path, errors))
+            return Exit.FAULTY
+        service = document.service
+
+        async def work(client: daemon_client.DaemonClient) -> Exit:
+            answer = await client.document(service)
+            if isinstance(answer, Ok):
+                current = answer.ok_value
+                old, name = current.text, f"{service} version {current.version}"
+            elif answer.err_value.code is Code.NOT_FOUND:
+                old, name = "", f"{service}, no version"
+            else:
+                return self.failed(answer.err_value)
+            if old == text:
+                self.say(f"{name}: no difference")
+                return Exit.OK
+            self.say(rendering.difference(old, text, name, path))
+            return Exit.DIFFERS
+
+        return self.with_daemons(work)
+
+
+class SubmitCommand(command_base.OperatorCommand):
+    """Submits a document as the next version."""
+
+    name = "submit"
+    description = "Submit a document as the next version."
+    arguments = [FILE_ARGUMENT]
+    options = [
+        *command_base.DAEMON_OPTIONS,
+        option("wait", "w", "wait until every live daemon has it in force"),
+        option(
+            "timeout-s",
+            None,
+            "how long to settle, and again to wait, in seconds",
+            flag=False,
+            default=str(DEFAULT_TIMEOUT_S),
+        ),
+        option(
+            "base", None, "version it is based on; else the one in force", flag=False
+        ),
+        option(
+            "submission-id", None, "ask again for an earlier submission", flag=False
+        ),
+    ]
+
+    def run_command(self) -> Exit:
+        """Returns: 0 for an accepted document, with --wait once in force."""
+        path = self.argument("file")
+        text, document, errors = self.checked(path)
+        if document is None:
+            self.complain(rendering.faults(path, errors))
+            return Exit.FAULTY
+        parsed, timeout_s = document, self._timeout_s()
+        base = self._base()
+
+        async def work(client: daemon_client.DaemonClient) -> Exit:
+            return await self._submit(client, parsed, text, base, timeout_s)
+
+        return self.with_daemons(work)
+
+    async def _submit(
+        self,
+        client: daemon_client.DaemonClient,
+        document: documents.ServiceDocument,
+        text: str,
+        base: int | None,
+        timeout_s: float,
+    ) -> Exit:
+        service = document.service
+        if base is None:
+            answer = await client.document(service)
+            if isinstance(answer, Ok):
+                base = answer.ok_value.version
+            elif answer.err_value.code is Code.NOT_FOUND:
+                base = 0
+            else:
+                return self.failed(answer.err_value)
+            if isinstance(answer, Ok) and answer.ok_value.text == text:
+                self.say(f"{service}: version {base} has this text already")
+                return await self._wait(client, answer.ok_value, timeout_s)
+        call = daemon_client.new_call(text, base, self.option("submission-id") or "")
+        outcome = await submission.submit(
+            client, service, call, timeout_s, time.monotonic
+        )
+        match outcome:
+            case submission.Settled(accepted):
+                self.say(f"{service}: accepted as version {accepted.version}")
+                return await self._wait(client, accepted, timeout_s)
+            case submission.StillUnknown(failure):
+                return self._unknown(call, failure)
+            case submission.NotAccepted(failure):
+                return self._not_accepted(text, failure)
+
+    async def _wait(
+        self,
+        client: daemon_client.DaemonClient,
+        accepted: operators_api.DocumentAnswer,
+        timeout_s: float,
+    ) -> Exit:
+        if not self.option("wait"):
+            return Exit.OK
+        found = await submission.wait_in_force(
+            client, accepted, timeout_s, time.monotonic
+        )
+        if found is None:
+            self.complain(
+                f"{accepted.service}: version {accepted.version} is accepted but not "
+                f"yet in force at every live daemon after {timeout_s:g} s; "
+                "see: lacewingdrum status"
+            )
+            return Exit.NOT_IN_FORCE
+        count = sum(len(centre.confirmed) for centre in found.data_centres)
+        self.say(
+            f"{found.service}: version {found.version} in force at {count} daemons"
+        )
+        return Exit.OK
+
+    def _unknown(
+        self,
+        call: operators_api.SubmitCall,
+        failure: daemon_client.ClientFailure,
+    ) -> Exit:
+        self.complain(f"error: {failure.detail}")
+        self.complain(
+            "it is not known whether the document was accepted; ask again with "
+            f"--base {call.base_version} --submission-id {call.submission_id}"
+        )
+        return Exit.UNSETTLED
+
+    def _not_accepted(self, text: str, failure: daemon_client.ClientFailure) -> Exit:
+        code = self.failed(failure)
+        answer = failure.answer
+        if answer is not None and answer.faults:
+            path = self.argument("file")
+            self.complain(rendering.faults(path, answer.faults))
+        if answer is not None and answer.current is not None:
+            current = answer.current
+            name = f"{current.service} version {current.version}"
+            path = self.argument("file")
+            self.say(rendering.difference(current.text, text, name, path))
+        if code is Exit.CONFLICT:
+            self.complain("nothing was changed; take over the other change, submit")
+        return code
+
+    def _timeout_s(self) -> float:
+        text = self.option("timeout-s")
+        try:
+            timeout_s = float(text)
+        except ValueError:
+            timeout_s = -1.0
+        if not 0 <= timeout_s <= 3600:
+            message = f"timeout-s: found {text!r}, allowed: seconds, 0 to 3600"
+            raise command_base.UsageError(message)
+        return timeout_s
+
+    def _base(self) -> int | None:
+        return whole_number("base", self.option("base"))
+
+
+class ShowCommand(command_base.OperatorCommand):
+    """Prints a document in force, or a former version."""
+
+    name = "show"
+    description = "Print a service's document."
+    arguments = [argument("service", "the service's name")]
+    options = [
+        *command_base.DAEMON_OPTIONS,
+        command_base.JSON_OPTION,
+        option("at", None, "a former version's number", flag=False),
+    ]
+
+    def run_command(self) -> Exit:
+        """Returns: 0 where there is such a document."""
+        service = self.argument("service")
+        version = whole_number("at", self.option("at"))
+
+        async def work(client: daemon_client.DaemonClient) -> Exit:
+            answer = await client.document(service, version)
+            if not isinstance(answer, Ok):
+                return self.failed(answer.err_value)
+            found = answer.ok_value
+            if self.option("json"):
+                self.say_json(found)
+                return Exit.OK
+            self.complain(f"{found.service} version {found.version} {found.digest}")
+            self.say(found.text.rstrip("\n"))
+            return Exit.OK
+
+        return self.with_daemons(work)
+
+
+def whole_number(name: str, text: str | None) -> int | None:
+    """Read an option's number.
+
+    Args:
+        name: the option.
+        text: as given, None where it was not.
+
+    Returns:
+        The number, or None.
+
+    Raises:
+        UsageError: the text is no whole number.
+    """
+    if text is None:
+        return None
+    if not text.isascii() or not text.isdigit() or len(text) > 15:
+        message = f"{name}: found {text!r}, allowed: a whole number"
+        raise command_base.UsageError(message)
+    return int(text)
--- /dev/null
+++ b/packages/cli/lacewingdrum_cli/rendering.py
@@ -0,0 +1,90 @@
+"""Turns answers into the text that an operator reads."""
+
+import difflib
+
+from lacewingdrum_protocol import document_text, operators_api
+
+NEVER = "never heard"
+MS_A_SECOND = 1_000
+DIGEST_CHARACTERS = 12
+
+
+def faults(
+    name: str,
+    found: tuple[document_text.DocumentError | operators_api.FaultEntry, ...],
+) -> str:
+    """Args: name: the file; found: its faults. Returns: a line for each."""
+    lines = []
+    for fault in found:
+        key = f" {fault.key}:" if fault.key else ""
+        lines.append(
+            f"{name}:{fault.line}:{key} found {fault.found}; allowed: {fault.allowed}"
+        )
+    return "\n".join(lines)
+
+
+def difference(old: str, new: str, old_name: str, new_name: str) -> str:
+    """Args: two texts and their names. Returns: a unified diff, or empty."""
+    lines = difflib.unified_diff(
+        old.splitlines(), new.splitlines(), old_name, new_name, lineterm=""
+    )
+    return "\n".join(lines)
+
+
+def status(answer: operators_api.StatusAnswer) -> str:
+    """Args: answer: from a daemon. Returns: documents, then VMs."""
+    ready = "ready" if answer.ready else "not ready"
+    admits = "admits" if answer.may_admit else "admits nothing"
+    lines = [f"seen from {answer.vm_id} in {answer.data_centre}: {ready}, {admits}"]
+    for service in answer.services:
+        lines.extend(_service_lines(service))
+    lines.append("VMs:")
+    for vm in answer.vms:
+        age = f"heard {vm.heard_age_ms / MS_A_SECOND:.1f} s ago"
+        if vm.heard_age_ms < 0:
+            age = NEVER
+        versions = ", ".join(f"{item.service} {item.version}" for item in vm.documents)
+        lines.append(
+            f"  {vm.vm_id} {vm.data_centre} {vm.state.value}, {age}: {versions or '-'}"
+        )
+    return "\n".join(lines)
+
+
+def explanation(answer: operators_api.ExplainAnswer) -> str:
+    """Args: answer: a request's lines. Returns: one text line for each."""
+    lines = [f"{answer.request_id}, decided on {answer.vm_id}:"]
+    for entry in answer.lines:
+        rest = [
+            f"{name}={_value(value)}"
+            for name, value in entry.items()
+            if name not in ("event", "request_id", "monotonic_s")
+        ]
+        at_s = entry.get("monotonic_s", "")
+        lines.append(f"  {at_s} {entry.get('event', '')} " + " ".join(rest))
+    return "\n".join(lines)
+
+
+def _service_lines(service: operators_api.ServiceStatus) -> list[str]:
+    where = "in force everywhere" if service.in_force_everywhere else "spreading"
+    digest = service.digest[:DIGEST_CHARACTERS]
+    lines = [f"{service.service}: version {service.version} ({digest}), {where}"]
+    for centre in service.data_centres:
+        count = len(centre.confirmed)
+        line = f"  {centre.data_centre}: {count} of {count + len(centre.missing)}"
+        if centre.missing:
+            line += ", not confirmed by " + ", ".join(centre.missing)
+        lines.append(line)
+    if service.conflicting_digests:
+        lines.append("  FAULT: two texts carry this version")
+    return lines
+
+
+def _value(value: object) -> str:
+    match value:
+        case dict():
+            inner = ", ".join(f"{name}={_value(item)}" for name, item in value.items())
+            return "{" + inner + "}"
+        case list():
+            return "[" + ", ".join(_value(item) for item in value) + "]"
+        case _:
+            return str(value)
--- a/packages/daemon/lacewingdrum_daemon/operators.py
+++ b/packages/daemon/lacewingdrum_daemon/operators.py
@@ -206,6 +206,9 @@
     ) -> http_messages.HttpResponse:
         current = self._keeper.in_force(service)
         if not version or (current and version == str(current.version)):
+            if current is None and not self._keeper.ready():
+                message = "this daemon does not know the documents yet"
+                return _error(ErrorCode.NOT_READY, message)
             if current is None:
                 return _error(ErrorCode.NOT_FOUND, "no document of this service")
             return _answer(operators_api.document_answer(current))
@@ -288,7 +291,7 @@
         (http_messages.REQUEST_ID_HEADER, ids.new_request_id()),
         (http_messages.RAN_HEADER, ran.value),
     ]
-    if code in (ErrorCode.UNSETTLED, ErrorCode.STORE_DOWN):
+    if status == 503:
         headers.append((http_messages.RETRY_AFTER_HEADER, str(RETRY_AFTER_S)))
     detail = operators_api.ErrorDetail(code, message)
     body = _json.encode(operators_api.ErrorAnswer(detail, faults, current))
--- a/packages/protocol/lacewingdrum_protocol/operators_api.py
+++ b/packages/protocol/lacewingdrum_protocol/operators_api.py
@@ -33,7 +33,7 @@
     CONFLICT = "conflict"
     UNSETTLED = "unsettled"
     STORE_DOWN = "store_down"
-    UNREADABLE_ANSWER = "unreadable_answer"
+    NOT_READY = "not_ready"
 
 
 STATUS_OF = {
@@ -44,7 +44,7 @@
     ErrorCode.CONFLICT: 409,
     ErrorCode.UNSETTLED: 503,
     ErrorCode.STORE_DOWN: 503,
-    ErrorCode.UNREADABLE_ANSWER: 502,
+    ErrorCode.NOT_READY: 503,
 }
 
 
@@ -174,3 +174,8 @@
         stored.digest,
         stored.text,
     )
+
+
+def to_json(message: object) -> str:
+    """Args: message: one of these. Returns: its JSON, indented."""
+    return msgspec.json.format(msgspec.json.encode(message), indent=2).decode()
