Show former versions; drop settings that nothing reads

Cause: four intervals and the incarnation were declared but are constants of the decisions or made at the start; a setting without effect misleads. Change: they are gone; former versions are read through the keeper.

--- a/packages/daemon/lacewingdrum_daemon/operators.py
+++ b/packages/daemon/lacewingdrum_daemon/operators.py
@@ -7,7 +7,7 @@
 import hmac
 import typing
 import urllib.parse
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 import msgspec
 
@@ -31,10 +31,6 @@
 SUBMISSION_ID_CHARACTERS_MAX = 100
 
 ErrorCode = operators_api.ErrorCode
-ReadVersion = Callable[
-    [ids.ServiceName, ids.DocumentVersion],
-    Awaitable[document_types.StoredDocument | None],
-]
 
 _json = msgspec.json.Encoder()
 _submit_decoder = msgspec.json.Decoder(operators_api.SubmitCall)
@@ -52,8 +48,6 @@
         own: settings_types.Settings,
         health: probes.Probes,
         clock: Callable[[], float],
-        *,
-        read_version: ReadVersion | None = None,
     ) -> None:
         """Wire the handler and listen to heartbeats.
 
@@ -65,9 +59,6 @@
             own: this daemon's settings.
             health: answers health, readiness and metrics.
             clock: monotonic seconds.
-            read_version: reads a former version of a document, or raises
-                ``ConnectionError``; without it only the version in force
-                can be shown.
         """
         self._keeper = keeper
         self._listed_vms = listed_vms
@@ -75,7 +66,6 @@
         self._own = own
         self._health = health
         self._clock = clock
-        self._read_version = read_version
         self._status = document_status.DocumentStatus(own.vm.vm_id, own.vm.data_centre)
         peers.on(peer_messages.Heartbeat, self.heard)
 
@@ -215,12 +205,9 @@
         if not version.isascii() or not version.isdigit() or len(version) > 15:
             message = "version: a whole number is allowed"
             return _error(ErrorCode.MALFORMED, message)
-        if self._read_version is None:
-            message = "only the version in force can be shown"
-            return _error(ErrorCode.NOT_FOUND, message)
         try:
             number = ids.DocumentVersion(int(version))
-            found = await self._read_version(service, number)
+            found = await self._keeper.read_version(service, number)
         except ConnectionError as error:
             return _error(ErrorCode.STORE_DOWN, str(error))
         if found is None:
@@ -262,7 +249,7 @@
     current: document_types.StoredDocument | None,
 ) -> http_messages.HttpResponse:
     if current is None:
-        message = "another version was accepted since; it cannot be read now"
+        message = "the base is not the newest version; the newest cannot be read now"
         return _error(ErrorCode.CONFLICT, message)
     message = f"version {current.version} was accepted since"
     shown = operators_api.document_answer(current)
--- a/packages/daemon/lacewingdrum_daemon/settings.py
+++ b/packages/daemon/lacewingdrum_daemon/settings.py
@@ -57,9 +57,6 @@
     operator_port: int = toml_keys.field(
         PORT, REQUIRED, "port for operators; 0 picks one"
     )
-    incarnation: ids.Incarnation = toml_keys.field(
-        toml_keys.Whole(1, 2**53), 1, "grows with each start of this VM's daemon"
-    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -132,9 +129,6 @@
     write_timeout_ms: int = _ms(
         30 * SECOND_MS, 100, 10 * MINUTE_MS, "longest wait for a slow caller"
     )
-    loop_lag_ms: int = _ms(
-        250, 10, 10 * SECOND_MS, "event loop lag above which nothing is admitted"
-    )
     drain_notice_ms: int = _ms(
         5 * SECOND_MS,
         0,
@@ -144,21 +138,12 @@
     members_poll_ms: int = _ms(
         SECOND_MS, 50, MINUTE_MS, "interval between reads of the membership list"
     )
-    load_poll_ms: int = _ms(
-        SECOND_MS, 50, MINUTE_MS, "interval between reads of a runner's load"
-    )
     heartbeat_ms: int = _ms(
         SECOND_MS, 50, 10 * SECOND_MS, "interval between heartbeats to a peer"
     )
-    document_poll_ms: int = _ms(
-        2 * SECOND_MS, 50, MINUTE_MS, "interval between reads of the documents table"
-    )
     platform_timeout_ms: int = _ms(
         2 * SECOND_MS, 50, MINUTE_MS, "longest wait for one call to the platform"
     )
-    lease_term_ms: int = _ms(
-        10 * SECOND_MS, 500, 10 * MINUTE_MS, "term of the placement lease"
-    )
     explain_lines: int = toml_keys.field(
         toml_keys.Whole(100, 1_000_000), 20_000, "log lines kept for explain"
     )
