--- /dev/null
+++ b/packages/coordination/lacewingdrum_coordination/reclaiming.py
@@ -0,0 +1,176 @@
+"""Finds memory that an engine holds for an attempt that no daemon owns.
+
+A killed daemon, a lost cancel or an import whose reply was lost leaves such
+memory behind. A runner's home compares what the engine lists as held with
+what the live daemons say is in flight, and cancels the difference.
+
+An attempt counts as without an owner only if every live daemon has reported
+since, and not named it: a daemon not heard of for a while is no proof.
+"""
+
+import dataclasses
+from collections.abc import Iterable
+
+from lacewingdrum_state import fleet, ids
+
+GRACE_S = 5.0
+REPORT_DELAY_S = 3.0
+SETTLE_S = 10.0
+REPEAT_S = 1.0
+
+_Held = tuple[ids.RunnerId, ids.AttemptId]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cancel:
+    """An attempt to be cancelled at a runner."""
+
+    runner_id: ids.RunnerId
+    attempt_id: ids.AttemptId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Report:
+    received_s: float
+    owned: frozenset[_Held]
+
+
+@dataclasses.dataclass(slots=True)
+class _Unowned:
+    """Memory that no live daemon named since ``since_s``."""
+
+    since_s: float
+    next_cancel_s: float = 0.0
+
+
+class Reclaiming:
+    """What one home knows of held memory and of its owners."""
+
+    def __init__(self) -> None:
+        self._reports: dict[ids.VmId, _Report] = {}
+        self._home_since_s: dict[ids.RunnerId, float] = {}
+        self._held: dict[ids.RunnerId, frozenset[ids.AttemptId]] = {}
+        self._unowned: dict[_Held, _Unowned] = {}
+        self._confirmed: dict[_Held, float] = {}
+
+    def set_homes(self, runner_ids: Iterable[ids.RunnerId], now_s: float) -> None:
+        """Keep the runners whose home this daemon is, and forget the others.
+
+        Args:
+            runner_ids: all of them.
+            now_s: the time, from which a new one counts.
+        """
+        homes = set(runner_ids)
+        for runner_id in self._home_since_s.keys() - homes:
+            del self._home_since_s[runner_id]
+            self._replace_held(runner_id, frozenset())
+        self._confirmed = {
+            key: confirmed_s
+            for key, confirmed_s in self._confirmed.items()
+            if key[0] in homes
+        }
+        for runner_id in homes:
+            self._home_since_s.setdefault(runner_id, now_s)
+
+    def report_received(
+        self,
+        vm_id: ids.VmId,
+        owned: Iterable[tuple[ids.RunnerId, ids.AttemptId]],
+        now_s: float,
+    ) -> None:
+        """Take in all that a daemon has in flight here.
+
+        Args:
+            vm_id: the daemon's VM.
+            owned: its attempts and the runners that they are at.
+            now_s: when the report came.
+        """
+        self._reports[vm_id] = _Report(now_s, frozenset(owned))
+
+    def load_received(self, load: fleet.RunnerLoad, now_s: float) -> None:
+        """Take in what an engine lists as held.
+
+        Args:
+            load: the engine's report, true at its ``as_of_s``.
+            now_s: when the report came.
+        """
+        if load.runner_id not in self._home_since_s:
+            return
+        attempts = set()
+        for held in load.held:
+            confirmed_s = self._confirmed.get((load.runner_id, held.attempt_id))
+            # A list older than the confirmed cancel still names the attempt.
+            if confirmed_s is None or load.as_of_s > confirmed_s:
+                attempts.add(held.attempt_id)
+        self._replace_held(load.runner_id, frozenset(attempts))
+        for attempt_id in attempts:
+            self._unowned.setdefault((load.runner_id, attempt_id), _Unowned(now_s))
+        self._confirmed = {
+            key: confirmed_s
+            for key, confirmed_s in self._confirmed.items()
+            if key[0] != load.runner_id or load.as_of_s <= confirmed_s
+        }
+
+    def confirmed(self, cancel: Cancel, now_s: float) -> None:
+        """Note that an engine confirmed a cancel.
+
+        Args:
+            cancel: the cancel.
+            now_s: when its answer came.
+        """
+        key = (cancel.runner_id, cancel.attempt_id)
+        self._confirmed[key] = now_s
+        held = self._held.get(cancel.runner_id, frozenset())
+        self._replace_held(cancel.runner_id, held - {cancel.attempt_id})
+
+    def cancels(
+        self, live_vm_ids: Iterable[ids.VmId], now_s: float
+    ) -> tuple[Cancel, ...]:
+        """Find what is to be cancelled now.
+
+        Args:
+            live_vm_ids: the daemons that count as live.
+            now_s: the time.
+
+        Returns:
+            Cancels, each given again after ``REPEAT_S`` until confirmed.
+        """
+        live = frozenset(live_vm_ids)
+        self._reports = {
+            vm_id: report for vm_id, report in self._reports.items() if vm_id in live
+        }
+        owned: set[_Held] = set()
+        for report in self._reports.values():
+            owned |= report.owned
+        heard_s = min((self._heard_s(vm_id) for vm_id in live), default=float("-inf"))
+        found = []
+        for key, unowned in self._unowned.items():
+            if key in owned:
+                unowned.since_s = now_s
+            elif self._is_due(key, unowned, heard_s, now_s):
+                unowned.next_cancel_s = now_s + REPEAT_S
+                found.append(Cancel(*key))
+        return tuple(found)
+
+    def _heard_s(self, vm_id: ids.VmId) -> float:
+        report = self._reports.get(vm_id)
+        return float("-inf") if report is None else report.received_s
+
+    def _is_due(
+        self, key: _Held, unowned: _Unowned, heard_s: float, now_s: float
+    ) -> bool:
+        settled_s = self._home_since_s[key[0]] + SETTLE_S
+        if now_s < max(settled_s, unowned.since_s + GRACE_S, unowned.next_cancel_s):
+            return False
+        return heard_s >= unowned.since_s + REPORT_DELAY_S
+
+    def _replace_held(
+        self, runner_id: ids.RunnerId, attempts: frozenset[ids.AttemptId]
+    ) -> None:
+        before = self._held.get(runner_id, frozenset())
+        for attempt_id in before - attempts:
+            self._unowned.pop((runner_id, attempt_id), None)
+        if attempts:
+            self._held[runner_id] = attempts
+        else:
+            self._held.pop(runner_id, None)
--- /dev/null
+++ b/packages/coordination/lacewingdrum_coordination/reclaiming_test.py
@@ -0,0 +1,133 @@
+"""Tests that unowned memory is found and owned memory is left alone."""
+
+import random
+
+from hypothesis import given, settings, strategies
+
+from lacewingdrum_coordination import reclaiming
+from lacewingdrum_state import fleet
+
+STEP_S = 0.25
+
+
+def load(as_of_s, attempts):
+    held = tuple(fleet.HeldMemory(attempt, 10) for attempt in attempts)
+    return fleet.RunnerLoad("r", as_of_s, 0, 0, 0, 0, 0, 100, 1.0, 1.0, held)
+
+
+class World:
+    """An engine, three daemons and a home, with lag, loss and death."""
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.now_s = 100.0
+        self.held = set()
+        self.owned = {"a": set(), "b": set(), "home": set()}
+        self.on_the_way = []
+        self.loads = []
+        self.home = reclaiming.Reclaiming()
+        self.cancelled_at = {}
+
+    def step(self, cancel_loss):
+        self.now_s += STEP_S
+        now_s = self.now_s
+        self.home.set_homes(["r"], now_s)
+        self.loads.append((now_s, frozenset(self.held)))
+        for vm_id, attempts in self.owned.items():
+            if self.rng.random() < 0.25:
+                delay_s = 0.0 if vm_id == "home" else self.rng.uniform(0, 2)
+                due_s = now_s + delay_s
+                self.on_the_way.append((due_s, vm_id, frozenset(attempts)))
+        self._deliver()
+        if self.rng.random() < 0.25:
+            as_of_s, attempts = self.loads[-min(len(self.loads), 6)]
+            self.home.load_received(load(as_of_s, attempts), now_s)
+        for cancel in self.home.cancels(self.owned, now_s):
+            owners = [
+                o for o, found in self.owned.items() if cancel.attempt_id in found
+            ]
+            assert not owners, "cancelled in flight"
+            if self.rng.random() >= cancel_loss:
+                self.held.discard(cancel.attempt_id)
+                if self.rng.random() >= cancel_loss:
+                    self.home.confirmed(cancel, now_s)
+
+    def _deliver(self):
+        last_s = {}
+        later = []
+        for due_s, vm_id, attempts in self.on_the_way:
+            # One sender's reports keep their order.
+            due_s = max(due_s, last_s.get(vm_id, 0.0))
+            last_s[vm_id] = due_s
+            if due_s > self.now_s:
+                later.append((due_s, vm_id, attempts))
+            elif vm_id in self.owned:
+                pairs = [("r", attempt) for attempt in attempts]
+                self.home.report_received(vm_id, pairs, self.now_s)
+        self.on_the_way = later
+
+
+events = strategies.lists(
+    strategies.sampled_from(["send", "end", "leak", "kill", "move", "late", "wait"]),
+    max_size=40,
+)
+
+
+@settings(derandomize=True, deadline=None, database=None, max_examples=150)
+@given(strategies.integers(0, 10_000), events, strategies.sampled_from([0.0, 0.7]))
+def test_memory_comes_back_and_nothing_in_flight_is_cancelled(seed, happened, loss):
+    world = World(seed)
+    for number, event in enumerate(happened):
+        attempt = f"attempt-{number}"
+        sender = world.rng.choice(sorted(world.owned))
+        match event:
+            case "send":
+                world.owned[sender].add(attempt)
+                world.held.add(attempt)
+            case "end" if world.owned[sender]:
+                ended = min(world.owned[sender])
+                world.owned[sender].discard(ended)
+                world.held.discard(ended)
+            case "leak" if world.owned[sender]:
+                # The cancel is lost, or the reply of an import.
+                world.owned[sender].discard(min(world.owned[sender]))
+            case "kill" if sender != "home":
+                del world.owned[sender]
+            case "move":
+                world.home = reclaiming.Reclaiming()
+            case "late":
+                world.held.add(attempt)
+        for _ in range(world.rng.randrange(6)):
+            world.step(loss)
+    for _ in range(600):
+        world.step(loss)
+    assert world.held == set().union(*world.owned.values())
+
+
+def test_a_daemon_that_has_not_reported_since_is_no_proof():
+    home = reclaiming.Reclaiming()
+    home.set_homes(["r"], 0.0)
+    home.report_received("a", [], 10.0)
+    home.report_received("b", [], 10.0)
+    home.load_received(load(10.0, ["x"]), 10.0)
+    home.report_received("a", [], 60.0)
+    assert home.cancels(["a", "b"], 60.0) == ()
+    home.report_received("b", [], 60.0)
+    assert home.cancels(["a", "b"], 60.0) == (reclaiming.Cancel("r", "x"),)
+
+
+def test_a_list_older_than_the_confirmed_cancel_starts_nothing():
+    home = reclaiming.Reclaiming()
+    home.set_homes(["r"], 0.0)
+    home.load_received(load(10.0, ["x"]), 10.0)
+    home.report_received("a", [], 20.0)
+    (cancel,) = home.cancels(["a"], 20.0)
+    assert home.cancels(["a"], 20.5) == ()
+    assert home.cancels(["a"], 21.0) == (cancel,)
+    home.confirmed(cancel, 21.0)
+    home.load_received(load(20.5, ["x"]), 21.5)
+    home.report_received("a", [], 40.0)
+    assert home.cancels(["a"], 40.0) == ()
+    home.load_received(load(40.0, ["x"]), 40.0)
+    home.report_received("a", [], 50.0)
+    assert home.cancels(["a"], 50.0) == (cancel,)
