--- a/packages/coordination/lacewingdrum_coordination/routing.py
+++ b/packages/coordination/lacewingdrum_coordination/routing.py
@@ -160,6 +160,31 @@
             return self._choose_group(request, priority, now_s, live)
         return self._choose_one(request, priority, now_s, fitting)
 
+    def group_parts(
+        self, request: requests.Request, decision: Decision
+    ) -> tuple[tuple[ids.RunnerId, int], ...]:
+        """Share out a prompt's memory over a decision's group.
+
+        Args:
+            request: the request.
+            decision: the decision on it.
+
+        Returns:
+            Tokens that each further runner has to hold, in order of ids;
+            the lead holds the rest.
+        """
+        if decision.runner is None or not decision.group:
+            return ()
+        lead = self._estimates[decision.runner.runner_id]
+        needed = request.total_tokens - lead.free_tokens()
+        parts = []
+        for runner in decision.group:
+            part = min(needed, self._estimates[runner.runner_id].free_tokens())
+            if part > 0:
+                parts.append((runner.runner_id, part))
+                needed -= part
+        return tuple(parts)
+
     def _choose_one(
         self,
         request: requests.Request,
--- /dev/null
+++ b/standins/replay.py
@@ -0,0 +1,180 @@
+"""Replays the traces against the decisions and prints a table for each.
+
+Run as ``python -m standins.replay``; ``--help`` lists the choices.
+"""
+
+import argparse
+import dataclasses
+import itertools
+import multiprocessing
+import sys
+import time
+from collections.abc import Sequence
+
+from standins import replay_fleet, replay_measures, replay_policies, traces
+
+LOADS = (0.6, 0.9, 1.0, 1.3, 2.0)
+PROCESSES = 6
+QUICK_REQUESTS = 1_000
+SEED = 7
+HEADING = (
+    f"{'load':>4}  {'policy':<17} {'short s':>8} {'mid s':>8} {'long s':>8}"
+    f" {'first x':>8} {'done x':>8} {'worth':>8} {'share':>6} {'worth/s':>8}"
+    f" {'refused':>8} {'late':>6}"
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Task:
+    """One row of a table."""
+
+    workload: str
+    load: float
+    policy: replay_policies.PolicyName
+    request_count: int
+    seed: int
+
+
+def run(task: Task) -> tuple[Task, replay_measures.Measures]:
+    """Replay with and without long prompts.
+
+    Args:
+        task: the row to fill.
+
+    Returns:
+        The task and its figures.
+    """
+    whole = traces.load(traces.path_of(task.workload))
+    trace = traces.Trace(whole.header, whole.rows[: task.request_count])
+    plan = replay_fleet.Plan(trace, task.load, task.policy, seed=task.seed)
+    fates = replay_fleet.Replay(plan).run()
+    bare = dataclasses.replace(plan, without_long=True)
+    without_long = replay_fleet.Replay(bare).run()
+    return task, replay_measures.measure(trace.header, fates, without_long)
+
+
+def run_all(
+    tasks: Sequence[Task], processes: int
+) -> dict[Task, replay_measures.Measures]:
+    """Run tasks in processes of this tool's own, the slowest first."""
+    ordered = sorted(tasks, key=lambda task: -task.load)
+    if processes <= 1:
+        return dict(run(task) for task in ordered)
+    with multiprocessing.Pool(processes) as pool:
+        return dict(pool.imap_unordered(run, ordered))
+
+
+def line(task: Task, found: replay_measures.Measures) -> str:
+    """Returns: a table's row."""
+    short_s, mid_s, long_s = found.first_token_p95_s
+    return (
+        f"{task.load:>4}  {task.policy.value:<17}"
+        f" {short_s:>8.3f} {mid_s:>8.2f} {long_s:>8.1f}"
+        f" {found.first_token_slowdown:>8.2f} {found.completion_slowdown:>8.2f}"
+        f" {found.worth:>8.0f} {found.worth_share:>6.3f} {found.worth_per_s:>8.2f}"
+        f" {found.refused:>8} {found.late:>6}"
+    )
+
+
+def table(workload: str, results: dict[Task, replay_measures.Measures]) -> list[str]:
+    """Returns: the lines of one workload's table."""
+    lines = [f"trace {workload}", HEADING]
+    rows = sorted(
+        (task for task in results if task.workload == workload),
+        key=lambda task: (
+            task.load,
+            list(replay_policies.PolicyName).index(task.policy),
+        ),
+    )
+    lines.extend(line(task, results[task]) for task in rows)
+    return lines
+
+
+def outcomes(
+    header: traces.Header, results: dict[Task, replay_measures.Measures]
+) -> list[str]:
+    """Compare the figures with the trace's stated outcomes.
+
+    Args:
+        header: the trace's header.
+        results: the figures of the runs that were made.
+
+    Returns:
+        A line for each outcome that the runs allow to judge.
+    """
+    by_key = {
+        (task.load, task.policy): found
+        for task, found in results.items()
+        if task.workload == header.workload
+    }
+    stated = header.outcomes
+    ours, fewest = replay_policies.PolicyName.OURS, replay_policies.PolicyName.FEWEST
+    lines = []
+
+    def judge(text: str, value: float, bound: float, at_most: bool) -> None:
+        met = value <= bound if at_most else value >= bound
+        sign = "<=" if at_most else ">="
+        verdict = "met" if met else "MISSED"
+        lines.append(f"{verdict:<7} {text}: {value:.3f} {sign} {bound}")
+
+    at_load = by_key.get((stated.slowdown_load, ours))
+    if at_load is not None:
+        first, done = at_load.first_token_slowdown, at_load.completion_slowdown
+        judge("short slowdown, first token", first, stated.max_short_slowdown, True)
+        judge("short slowdown, completion", done, stated.max_short_slowdown, True)
+        if (stated.slowdown_load, fewest) in by_key:
+            other = by_key[(stated.slowdown_load, fewest)]
+            ratio = at_load.first_token_p95_s[0] / other.first_token_p95_s[0]
+            bound = stated.max_ratio_to_fewest_in_flight
+            judge("short first token to fewest-in-flight", ratio, bound, True)
+    for (load, policy), other in sorted(by_key.items(), key=lambda item: item[0][0]):
+        if policy is ours or (load, ours) not in by_key:
+            continue
+        ratio = by_key[(load, ours)].worth / other.worth
+        bound = stated.min_worth_ratio_to_baselines
+        judge(f"worth at {load} to {policy.value}", ratio, bound, False)
+    if (1.0, ours) in by_key and (2.0, ours) in by_key:
+        ratio = by_key[(2.0, ours)].worth_per_s / by_key[(1.0, ours)].worth_per_s
+        bound = stated.min_worth_ratio_at_twice_capacity
+        judge("worth/s at 2.0 to 1.0", ratio, bound, False)
+    return lines
+
+
+def main() -> int:
+    """Returns: 0; a missed outcome is printed and is not an error."""
+    parser = argparse.ArgumentParser(prog="python -m standins.replay")
+    names = [header.workload for header in traces.WORKLOADS]
+    policies = [policy.value for policy in replay_policies.PolicyName]
+    parser.add_argument("--trace", choices=names, action="append")
+    parser.add_argument("--policy", choices=policies, action="append")
+    parser.add_argument("--load", type=float, action="append")
+    parser.add_argument("--seed", type=int, default=SEED)
+    parser.add_argument("--quick", action="store_true")
+    arguments = parser.parse_args()
+    loads: tuple[float, ...] = LOADS
+    count = sys.maxsize
+    if arguments.quick:
+        loads, count = (0.9,), QUICK_REQUESTS
+    tasks = [
+        Task(name, load, replay_policies.PolicyName(policy), count, arguments.seed)
+        for name, load, policy in itertools.product(
+            arguments.trace or names,
+            arguments.load or loads,
+            arguments.policy or policies,
+        )
+    ]
+    started_s = time.monotonic()
+    results = run_all(tasks, PROCESSES)
+    print(f"seed {arguments.seed}; short/mid/long s: p95 time to first token")
+    print("first x, done x: p95 of shorts against the same trace without longs")
+    for header in traces.WORKLOADS:
+        if header.workload not in (arguments.trace or names):
+            continue
+        print("\n" + "\n".join(table(header.workload, results)))
+        print("\n".join(outcomes(header, results)))
+    print(f"\n{len(tasks)} rows in {time.monotonic() - started_s:.0f} s")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/standins/replay_fleet.py
@@ -0,0 +1,353 @@
+"""Replays one trace against one policy in virtual time.
+
+Daemons decide on load reports that lag; the engines are the in-process model.
+Delays between data centres and between polls are kept; nothing else of a
+cluster is modelled.
+"""
+
+import dataclasses
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+from result import Ok
+
+from lacewingdrum_coordination import routing
+from lacewingdrum_state import documents, fleet, ids, requests
+from standins import replay_ours, replay_policies, runner_model, traces
+
+POLL_S = 1.0
+LOCAL_DELAY_S = 0.0005
+ADDRESS = fleet.Address("127.0.0.1", 1)
+
+Dispatcher = replay_policies.Baseline | replay_ours.Ours
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """One run: what is replayed, how fast, and against what."""
+
+    trace: traces.Trace
+    load: float
+    policy: replay_policies.PolicyName
+    without_long: bool = False
+    seed: int = 7
+    constants: routing.Policy = routing.Policy()
+
+
+@dataclasses.dataclass(slots=True)
+class Fate:
+    """What became of one request; times are absolute."""
+
+    row: traces.Row
+    arrived_s: float
+    deadline_s: float
+    refusal: str = ""
+    first_token_s: float | None = None
+    finished_s: float | None = None
+    expected_complete_s: float = 0.0
+    runner_id: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class _Attempt:
+    fate: Fate
+    daemon: int
+    in_flight: requests.InFlight
+    group: tuple[tuple[ids.RunnerId, int], ...]
+    open: bool = True
+
+
+class Replay:
+    """The state of one run."""
+
+    def __init__(self, plan: Plan) -> None:
+        """Set up the fleet and the daemons, all idle.
+
+        Args:
+            plan: the run.
+        """
+        header = plan.trace.header
+        self._plan = plan
+        self._header = header
+        self._rng = random.Random(plan.seed)
+        self._events: list[tuple[float, int, Callable[[float], None]]] = []
+        self._order = itertools.count()
+        self._runners = tuple(
+            fleet.Runner(
+                ids.RunnerId(f"r{number:02d}"),
+                ids.ServiceName(header.service),
+                self._data_centre(number),
+                ADDRESS,
+                ids.Incarnation(1),
+            )
+            for number in range(header.runner_count)
+        )
+        self._engines = {
+            runner.runner_id: runner_model.RunnerModel(
+                runner_model.RunnerConfig(runner.runner_id), 0.0
+            )
+            for runner in self._runners
+        }
+        self._wakes = dict.fromkeys(self._engines, 0)
+        self._in_flight = replay_policies.InFlightCounts(tuple(self._engines))
+        self._daemons = [
+            self._dispatcher(number) for number in range(header.daemon_count)
+        ]
+        self._attempts: dict[str, _Attempt] = {}
+        self._open_count = 0
+        self.fates: list[Fate] = []
+
+    def run(self) -> list[Fate]:
+        """Replay the trace to its end.
+
+        Returns:
+            The fate of each request, in order of arrival.
+        """
+        self._schedule_arrivals()
+        for position, runner in enumerate(self._runners):
+            first_s = POLL_S * position / len(self._runners)
+            self._at(first_s, self._poll(runner.runner_id))
+        while self._events:
+            at_s, _, action = heapq.heappop(self._events)
+            action(at_s)
+        return self.fates
+
+    def _schedule_arrivals(self) -> None:
+        for index, row in enumerate(self._plan.trace.rows):
+            kind = self._header.kinds[row.kind]
+            if self._plan.without_long and row.prompt_tokens > 100_000:
+                continue
+            at_s = row.at_ms / 1000 / self._plan.load
+            self.fates.append(Fate(row, at_s, at_s + kind.patience_ms / 1000))
+            self._open_count += 1
+            self._at(at_s, self._arrival(index, self.fates[-1]))
+
+    def _arrival(self, index: int, fate: Fate) -> Callable[[float], None]:
+        daemon = self._rng.randrange(len(self._daemons))
+
+        def arrive(now_s: float) -> None:
+            request = self._request(index, fate)
+            choice = self._daemons[daemon].choose(request, now_s)
+            if choice.runner_id is None:
+                self._close(fate, choice.refusal)
+                return
+            fate.expected_complete_s = now_s + choice.expected_complete_s
+            fate.runner_id = choice.runner_id
+            self._send(index, daemon, fate, request, choice, now_s)
+
+        return arrive
+
+    def _request(self, index: int, fate: Fate) -> requests.Request:
+        row = fate.row
+        kind = self._header.kinds[row.kind]
+        return requests.Request(
+            ids.RequestId(str(index)),
+            ids.ServiceName(self._header.service),
+            ids.CustomerId(f"c{row.customer}"),
+            ids.KindName(kind.name),
+            row.prompt_tokens,
+            row.answer_tokens,
+            fate.arrived_s,
+            fate.deadline_s,
+            kind.worth,
+            True,
+            traces.block_hashes(self._plan.trace, index),
+        )
+
+    def _send(
+        self,
+        index: int,
+        daemon: int,
+        fate: Fate,
+        request: requests.Request,
+        choice: replay_policies.Choice,
+        now_s: float,
+    ) -> None:
+        assert choice.runner_id is not None
+        attempt_id = ids.AttemptId(f"{index}.1")
+        if not self._hold_group(attempt_id, choice.group, now_s):
+            self._close(fate, "group_memory")
+            return
+        in_flight = requests.InFlight(
+            attempt_id,
+            choice.runner_id,
+            request.prompt_tokens,
+            request.total_tokens - sum(part for _, part in choice.group),
+            now_s,
+        )
+        attempt = _Attempt(fate, daemon, in_flight, choice.group)
+        self._attempts[attempt_id] = attempt
+        self._daemons[daemon].sent(request, in_flight)
+        self._in_flight.counts[choice.runner_id] += 1
+        job = runner_model.Job(
+            attempt_id,
+            request.prompt_tokens,
+            request.max_tokens,
+            choice.priority,
+            request.block_hashes,
+            0,
+            sum(part for _, part in choice.group),
+        )
+        arrival_s = now_s + self._delay_s(daemon, choice.runner_id)
+        self._at(arrival_s, self._delivery(attempt, job))
+        self._at(fate.deadline_s, self._deadline(attempt))
+
+    def _hold_group(
+        self,
+        attempt_id: ids.AttemptId,
+        group: tuple[tuple[ids.RunnerId, int], ...],
+        now_s: float,
+    ) -> bool:
+        """Import all parts of a prompt, or none."""
+        held: list[ids.RunnerId] = []
+        for runner_id, tokens in sorted(group):
+            engine = self._engines[runner_id]
+            if not isinstance(engine.import_kv(attempt_id, tokens, now_s), Ok):
+                for holder in held:
+                    self._engines[holder].cancel(attempt_id, now_s)
+                return False
+            held.append(runner_id)
+        return True
+
+    def _delivery(
+        self, attempt: _Attempt, job: runner_model.Job
+    ) -> Callable[[float], None]:
+        def deliver(now_s: float) -> None:
+            engine = self._engines[attempt.in_flight.runner_id]
+            if isinstance(engine.submit(job, now_s), Ok):
+                self._wake(attempt.in_flight.runner_id)
+                return
+            self._end(attempt, now_s)
+            self._close(attempt.fate, "runner_refused")
+
+        return deliver
+
+    def _deadline(self, attempt: _Attempt) -> Callable[[float], None]:
+        def expire(now_s: float) -> None:
+            if not attempt.open:
+                return
+            runner_id = attempt.in_flight.runner_id
+            self._engines[runner_id].cancel(attempt.in_flight.attempt_id, now_s)
+            self._wake(runner_id)
+            self._end(attempt, now_s)
+            self._close(attempt.fate, "")
+
+        return expire
+
+    def _wake(self, runner_id: ids.RunnerId) -> None:
+        """Plan the next look at an engine; an earlier plan is void."""
+        self._wakes[runner_id] += 1
+        number = self._wakes[runner_id]
+        event_s = self._engines[runner_id].next_event_s()
+        if event_s is None:
+            return
+
+        def look(now_s: float) -> None:
+            if self._wakes[runner_id] != number:
+                return
+            for progress in self._engines[runner_id].advance(now_s):
+                self._progress(runner_id, progress)
+            self._wake(runner_id)
+
+        self._at(event_s, look)
+
+    def _progress(
+        self, runner_id: ids.RunnerId, progress: runner_model.Progress
+    ) -> None:
+        attempt = self._attempts.get(progress.attempt_id)
+        if attempt is None or not attempt.open:
+            return
+        fate = attempt.fate
+        seen_s = progress.at_s + self._delay_s(attempt.daemon, runner_id)
+        if fate.first_token_s is None:
+            fate.first_token_s = seen_s
+        if progress.finished:
+            if seen_s <= fate.deadline_s:
+                fate.finished_s = seen_s
+            self._end(attempt, progress.at_s)
+            self._close(fate, "")
+
+    def _end(self, attempt: _Attempt, now_s: float) -> None:
+        attempt.open = False
+        in_flight = attempt.in_flight
+        self._in_flight.counts[in_flight.runner_id] -= 1
+        del self._attempts[in_flight.attempt_id]
+        for holder, _ in attempt.group:
+            self._engines[holder].cancel(in_flight.attempt_id, now_s)
+            self._wake(holder)
+        self._daemons[attempt.daemon].ended(in_flight, now_s)
+
+    def _close(self, fate: Fate, refusal: str) -> None:
+        fate.refusal = refusal
+        self._open_count -= 1
+
+    def _poll(self, runner_id: ids.RunnerId) -> Callable[[float], None]:
+        """Read a runner's load as its home does, and tell all daemons."""
+
+        def poll(now_s: float) -> None:
+            if not self._open_count:
+                return
+            answer = self._engines[runner_id].load(now_s)
+            load = fleet.RunnerLoad(
+                runner_id,
+                now_s - answer.age_ms / 1000,
+                answer.queued_short_tokens,
+                answer.queued_mid_tokens,
+                answer.queued_long_tokens,
+                answer.running_count,
+                answer.kv_used_tokens,
+                answer.kv_capacity_tokens,
+                answer.prefill_tokens_per_s,
+                answer.decode_tokens_per_s,
+            )
+            self._at(now_s + self._header.link_delay_s, self._summary(load))
+            self._at(now_s + POLL_S, poll)
+
+        return poll
+
+    def _summary(self, load: fleet.RunnerLoad) -> Callable[[float], None]:
+        def tell(now_s: float) -> None:
+            for daemon in self._daemons:
+                daemon.observe(load)
+
+        return tell
+
+    def _dispatcher(self, number: int) -> Dispatcher:
+        rng = random.Random(self._plan.seed * 1_000 + number)
+        delay_s = self._header.link_delay_s
+        match self._plan.policy:
+            case replay_policies.PolicyName.ROUND_ROBIN:
+                return replay_policies.RoundRobin(self._runners, rng, delay_s)
+            case replay_policies.PolicyName.FEWEST:
+                return replay_policies.FewestInFlight(
+                    self._runners, rng, delay_s, self._in_flight
+                )
+            case replay_policies.PolicyName.SHORTEST:
+                return replay_policies.ShortestWait(self._runners, rng, delay_s)
+            case replay_policies.PolicyName.OURS:
+                weights = documents.Weights(
+                    self._header.weight_time_to_first_token,
+                    self._header.weight_short_slowdown,
+                )
+                return replay_ours.Ours(
+                    self._runners,
+                    self._data_centre(number),
+                    rng,
+                    weights,
+                    self._plan.constants,
+                )
+
+    def _data_centre(self, number: int) -> ids.DataCentre:
+        names = self._header.data_centres
+        return ids.DataCentre(names[number % len(names)])
+
+    def _delay_s(self, daemon: int, runner_id: ids.RunnerId) -> float:
+        runner_number = int(runner_id[1:])
+        if self._data_centre(daemon) == self._data_centre(runner_number):
+            return LOCAL_DELAY_S
+        return self._header.link_delay_s
+
+    def _at(self, at_s: float, action: Callable[[float], None]) -> None:
+        heapq.heappush(self._events, (at_s, next(self._order), action))
--- /dev/null
+++ b/standins/replay_policies.py
@@ -0,0 +1,149 @@
+"""The policies that a replay compares, each as one daemon would run it."""
+
+import dataclasses
+import enum
+import random
+
+from lacewingdrum_coordination import runner_estimates
+from lacewingdrum_state import fleet, ids, requests
+
+
+class PolicyName(enum.Enum):
+    """The policies, by the names that the tables print."""
+
+    ROUND_ROBIN = "round-robin"
+    FEWEST = "fewest-in-flight"
+    SHORTEST = "shortest-wait"
+    OURS = "ours"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Choice:
+    """Where a request goes; no runner where it is refused.
+
+    ``group`` holds further runners with the tokens each has to hold.
+    """
+
+    runner_id: ids.RunnerId | None
+    group: tuple[tuple[ids.RunnerId, int], ...] = ()
+    priority: int = 0
+    refusal: str = ""
+    expected_complete_s: float = 0.0
+
+
+REFUSED = Choice(None, refusal="no_memory")
+
+
+class InFlightCounts:
+    """Attempts in flight a runner over all daemons, known without delay."""
+
+    def __init__(self, runner_ids: tuple[ids.RunnerId, ...]) -> None:
+        self.counts = dict.fromkeys(runner_ids, 0)
+
+
+class Baseline:
+    """What the simpler policies share: load reports and groups.
+
+    They have no priorities and no admission. A prompt larger than an engine
+    gets the group of the emptiest engines, as it could not run otherwise.
+    """
+
+    def __init__(
+        self, runners: tuple[fleet.Runner, ...], rng: random.Random, link_delay_s: float
+    ) -> None:
+        self.rng = rng
+        self.runner_ids = tuple(runner.runner_id for runner in runners)
+        self.estimates = {
+            runner.runner_id: runner_estimates.RunnerEstimate(runner, link_delay_s, 0.0)
+            for runner in runners
+        }
+
+    def observe(self, load: fleet.RunnerLoad) -> None:
+        """Take in a load report."""
+        self.estimates[load.runner_id].observe(load)
+
+    def sent(self, request: requests.Request, in_flight: requests.InFlight) -> None:
+        """Note an attempt that this daemon sent."""
+        known = self.estimates[in_flight.runner_id]
+        known.sent(in_flight, 0, in_flight.prompt_tokens)
+
+    def ended(self, in_flight: requests.InFlight, now_s: float) -> None:
+        """Note an attempt's end."""
+        self.estimates[in_flight.runner_id].ended(in_flight.attempt_id)
+
+    def choose(self, request: requests.Request, now_s: float) -> Choice:
+        """Returns: the runner or group for a request."""
+        capacity = max(known.kv_capacity_tokens for known in self.estimates.values())
+        if request.total_tokens > capacity:
+            return self._choose_group(request)
+        return Choice(self.pick(request, now_s))
+
+    def pick(self, request: requests.Request, now_s: float) -> ids.RunnerId:
+        """Returns: the runner for a request that fits one engine."""
+        raise NotImplementedError
+
+    def _choose_group(self, request: requests.Request) -> Choice:
+        by_free = sorted(
+            self.estimates.values(), key=lambda known: -known.free_tokens()
+        )
+        lead, *others = by_free
+        needed = request.total_tokens - lead.kv_capacity_tokens
+        group = []
+        for known in others:
+            part = min(needed, known.free_tokens())
+            if needed <= 0 or part <= 0:
+                break
+            group.append((known.runner.runner_id, part))
+            needed -= part
+        if needed > 0:
+            return REFUSED
+        return Choice(lead.runner.runner_id, tuple(group))
+
+
+class RoundRobin(Baseline):
+    """Each daemon goes through the runners in turn, from a random one."""
+
+    _next: int | None = None
+
+    def pick(self, request: requests.Request, now_s: float) -> ids.RunnerId:
+        """Returns: the next runner in turn."""
+        if self._next is None:
+            self._next = self.rng.randrange(len(self.runner_ids))
+        self._next = (self._next + 1) % len(self.runner_ids)
+        return self.runner_ids[self._next]
+
+
+class FewestInFlight(Baseline):
+    """The runner with the fewest attempts of all daemons, exactly known."""
+
+    def __init__(
+        self,
+        runners: tuple[fleet.Runner, ...],
+        rng: random.Random,
+        link_delay_s: float,
+        in_flight: InFlightCounts,
+    ) -> None:
+        super().__init__(runners, rng, link_delay_s)
+        self._in_flight = in_flight
+
+    def pick(self, request: requests.Request, now_s: float) -> ids.RunnerId:
+        """Returns: one of the runners with the fewest in flight."""
+        counts = self._in_flight.counts
+        fewest = min(counts.values())
+        return self.rng.choice(
+            [key for key, count in counts.items() if count == fewest]
+        )
+
+
+class ShortestWait(Baseline):
+    """The least work ahead by corrected reports, one queue for all."""
+
+    def pick(self, request: requests.Request, now_s: float) -> ids.RunnerId:
+        """Returns: one of the runners with nearly the least work ahead."""
+        waits = {}
+        for runner_id, known in self.estimates.items():
+            waits[runner_id] = known.ahead_tokens(2, now_s) / known.prefill_tokens_per_s
+        bound_s = min(waits.values()) * 1.05 + 0.02
+        return self.rng.choice(
+            [key for key, wait_s in waits.items() if wait_s <= bound_s]
+        )
