Tests of settings, documents, operators and commands; operators' page

Cause: every fault must be shown at once and the page must not drift. Seen on the way: a version with two digests counted as in force everywhere in status; it is now shown as a fault and not as in force.

--- a/packages/cli/lacewingdrum_cli/command_base.py
+++ b/packages/cli/lacewingdrum_cli/command_base.py
@@ -19,6 +19,7 @@
 
 Code = operators_api.ErrorCode
 Exit = exit_codes.ExitCode
+MakeHttp = Callable[[], http_client.HttpClient]
 Work = Callable[[daemon_client.DaemonClient], Awaitable[Exit]]
 
 EXIT_OF_CODE = {
@@ -57,12 +58,18 @@
 class OperatorCommand(Command):
     """A command that may ask daemons.
 
-    ``environment`` stands for the process's environment variables.
+    ``environment`` stands for the process's environment variables, and
+    ``make_http`` makes the client that asks.
     """
 
-    def __init__(self, environment: Mapping[str, str] = os.environ) -> None:
+    def __init__(
+        self,
+        environment: Mapping[str, str] = os.environ,
+        make_http: MakeHttp = http_client.HttpClient,
+    ) -> None:
         super().__init__()
         self._environment = environment
+        self._make_http = make_http
 
     def say(self, text: str) -> None:
         """Print to standard output, without any mark-up."""
@@ -119,7 +126,7 @@
         return Exit.NO_DAEMON
 
     async def _with_daemons(self, work: Work) -> Exit:
-        http = http_client.HttpClient()
+        http = self._make_http()
         try:
             daemons, credential = self._daemons(), self._credential()
             return await work(daemon_client.DaemonClient(http, daemons, credential))
--- a/packages/cli/lacewingdrum_cli/main.py
+++ b/packages/cli/lacewingdrum_cli/main.py
@@ -6,13 +6,25 @@
 
 from cleo.application import Application
 
-from lacewingdrum_cli import document_commands, state_commands
+from lacewingdrum_cli import command_base, document_commands, state_commands
+from lacewingdrum_transport import http_client
 
 VERSION = "0.1.0"
 
 
-def application(environment: Mapping[str, str] = os.environ) -> Application:
-    """Args: environment: variables. Returns: the application, wired."""
+def application(
+    environment: Mapping[str, str] = os.environ,
+    make_http: command_base.MakeHttp = http_client.HttpClient,
+) -> Application:
+    """Wire the commands.
+
+    Args:
+        environment: the process's variables.
+        make_http: makes the client that asks daemons.
+
+    Returns:
+        The application.
+    """
     made = Application("lacewingdrum", VERSION)
     made.auto_exits(False)
     for command in (
@@ -23,7 +35,7 @@
         state_commands.StatusCommand,
         state_commands.ExplainCommand,
     ):
-        made.add(command(environment))
+        made.add(command(environment, make_http))
     return made
 
 
--- /dev/null
+++ b/packages/daemon/lacewingdrum_daemon/decision_log_test.py
@@ -0,0 +1,59 @@
+"""Tests of decision lines."""
+
+import json
+import logging
+
+from lacewingdrum_daemon import decision_log
+from lacewingdrum_state import ids, states
+
+ROUTED = decision_log.DecisionEvent.ROUTED
+
+
+class Sink(logging.Handler):
+    """Keeps the records that it is given."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.records: list[logging.LogRecord] = []
+
+    def emit(self, record: logging.LogRecord) -> None:
+        self.records.append(record)
+
+
+def sink():
+    handler = Sink()
+    logger = logging.Logger("test")
+    logger.addHandler(handler)
+    yield handler, logger
+
+
+def test_lines_are_kept_by_request_and_bounded(sink):
+    log = decision_log.DecisionLog(sink[1], lambda: 1.5, explain_lines=3)
+    for number in range(4):
+        log.record(ROUTED, ids.RequestId(f"req-{number}"), runner=number)
+    assert log.lines(ids.RequestId("req-0")) == ()
+    (line,) = log.lines(ids.RequestId("req-3"))
+    assert line["event"] == "routed" and line["runner"] == 3
+    assert line["monotonic_s"] == 1.5
+    assert len(sink[0].records) == 4
+
+
+def test_one_request_cannot_fill_the_memory(sink):
+    log = decision_log.DecisionLog(sink[1], lambda: 0.0, explain_lines=10_000)
+    for _ in range(decision_log.LINES_A_REQUEST_MAX + 50):
+        log.record(ROUTED, ids.RequestId("req"))
+    kept = log.lines(ids.RequestId("req"))
+    assert len(kept) == decision_log.LINES_A_REQUEST_MAX
+
+
+def test_bytes_are_never_written(sink):
+    log = decision_log.DecisionLog(sink[1], lambda: 0.0)
+    log.record(ROUTED, ids.RequestId("req"), body=b"secret", nested=({"a": b"secret"},))
+    assert "secret" not in json.dumps(log.lines(ids.RequestId("req")))
+    assert sink[0].records[0].body == "(6 bytes)"
+
+
+def test_enums_are_written_by_their_value(sink):
+    log = decision_log.DecisionLog(sink[1], lambda: 0.0)
+    log.record(ROUTED, ids.RequestId("req"), ran=states.Ran.MAYBE)
+    assert log.lines(ids.RequestId("req"))[0]["ran"] == "maybe"
--- a/packages/daemon/lacewingdrum_daemon/document_status.py
+++ b/packages/daemon/lacewingdrum_daemon/document_status.py
@@ -142,7 +142,7 @@
             )
             for centre in sorted(confirmed)
         ),
-        not any(missing.values()),
+        len(digests) == 1 and not any(missing.values()),
         tuple(sorted(digests)) if len(digests) > 1 else (),
     )
 
--- /dev/null
+++ b/packages/daemon/lacewingdrum_daemon/document_status_test.py
@@ -0,0 +1,60 @@
+"""Tests of who has which document in force."""
+
+from lacewingdrum_daemon import document_status
+from lacewingdrum_protocol import operators_api, peer_messages
+from lacewingdrum_state import fleet, ids
+
+NORTH, EAST = ids.DataCentre("north"), ids.DataCentre("east")
+
+
+def vm(name: str, centre: ids.DataCentre) -> fleet.Vm:
+    address = fleet.Address("127.0.0.1", 1)
+    return fleet.Vm(ids.VmId(name), centre, address, address, ids.Incarnation(1))
+
+
+def digest(version: int, text: str = "") -> peer_messages.Digest:
+    return peer_messages.Digest("reader", version, text or f"d{version}")
+
+
+def heartbeat(*digests: peer_messages.Digest) -> peer_messages.Heartbeat:
+    return peer_messages.Heartbeat(1, "east", False, digests)
+
+
+VMS = (vm("a", NORTH), vm("b", EAST), vm("c", EAST))
+
+
+def board():
+    made = document_status.DocumentStatus(ids.VmId("a"), NORTH)
+    made.hear(ids.VmId("b"), heartbeat(digest(2)), 10.0)
+    made.hear(ids.VmId("c"), heartbeat(digest(1)), 10.0)
+    yield made
+
+
+def test_who_lags_is_named_by_data_centre(board):
+    (service,) = document_status.services(board.vms(VMS, (digest(2),), 11.0))
+    assert service.version == 2 and not service.in_force_everywhere
+    east, north = service.data_centres
+    assert east.confirmed == ("b",) and east.missing == ("c",)
+    assert north.confirmed == ("a",)
+
+
+def test_silent_vms_need_not_confirm(board):
+    board.hear(ids.VmId("b"), heartbeat(digest(2)), 20.0)
+    vms = board.vms(VMS, (digest(2),), 20.0)
+    assert [item.state.value for item in vms] == ["live", "silent", "live"]
+    assert document_status.services(vms)[0].in_force_everywhere
+
+
+def test_a_vm_never_heard_is_silent():
+    board = document_status.DocumentStatus(ids.VmId("a"), NORTH)
+    vms = board.vms(VMS, (), 1.0)
+    ages = [item.heard_age_ms for item in vms if item.vm_id != "a"]
+    assert ages == [-1, -1]
+    assert vms[0].state is operators_api.VmState.SILENT
+
+
+def test_two_texts_with_one_number_are_shown(board):
+    board.hear(ids.VmId("c"), heartbeat(digest(2, "other")), 10.0)
+    (service,) = document_status.services(board.vms(VMS, (digest(2),), 11.0))
+    assert service.conflicting_digests == ("d2", "other")
+    assert not service.in_force_everywhere
--- a/packages/protocol/lacewingdrum_protocol/toml_keys.py
+++ b/packages/protocol/lacewingdrum_protocol/toml_keys.py
@@ -142,6 +142,17 @@
             return f"an IP address and a port, ip:port, port 1 to {PORT_MAX}"
 
 
+def default_text(key: Key) -> str:
+    """Args: key: any. Returns: its default as the operators' page says it."""
+    match key.default:
+        case _Required():
+            return "required"
+        case () | "":
+            return "empty"
+        case _:
+            return f"`{shown(key.default)}`"
+
+
 def shown(value: object) -> str:
     """Args: value: a TOML value. Returns: it, shortened, as TOML has it."""
     match value:
--- /dev/null
+++ b/tests/pages.py
@@ -0,0 +1,23 @@
+"""Reads tables of the documentation, to compare them with the code."""
+
+from tests import collection
+
+
+def rows(heading: str, page: str = "docs/OPERATING.md") -> set[tuple[str, ...]]:
+    """Find a table's first three columns.
+
+    Args:
+        heading: of the section that the table stands in.
+        page: relative to the workspace root.
+
+    Returns:
+        Name, without back quotes, and the two cells after it, of each row.
+    """
+    text = (collection.ROOT / page).read_text()
+    body = text.split(f"## {heading}\n", 1)[1].split("\n## ", 1)[0]
+    found: set[tuple[str, ...]] = set()
+    for line in body.splitlines():
+        cells = [cell.strip() for cell in line.strip().strip("|").split("|")]
+        if line.startswith("| `") and len(cells) >= 3:
+            found.add((cells[0].strip("`"), cells[1], cells[2]))
+    return found
