--- a/packages/daemon/lacewingdrum_daemon/completions.py
+++ b/packages/daemon/lacewingdrum_daemon/completions.py
@@ -49,14 +49,14 @@
     """How far a call has come; owned by the one task that runs it."""
 
     stream: streams.Stream
-    attempts: list[attempts.Attempt] = dataclasses.field(default_factory=list)
+    tried: list[attempts.Attempt] = dataclasses.field(default_factory=list)
     excluded: set[ids.RunnerId] = dataclasses.field(default_factory=set)
     first_part_s: float | None = None
 
     def move(self, state: states.AttemptState) -> None:
         """Change the latest attempt's state; the first outcome stands."""
-        latest = self.attempts[-1]
-        self.attempts[-1] = attempts.move(latest, state).unwrap_or(latest)
+        latest = self.tried[-1]
+        self.tried[-1] = attempts.move(latest, state).unwrap_or(latest)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -126,7 +126,7 @@
             failure = callers_api.Failure(
                 callers_api.ErrorCode.PATIENCE_OVER,
                 "the caller closed the connection",
-                attempts.ran(progress.attempts),
+                attempts.ran(progress.tried),
             )
         if failure is not None:
             await answer.fail(failure)
@@ -136,14 +136,14 @@
         return callers_api.Failure(
             callers_api.ErrorCode.PATIENCE_OVER,
             "the patience is over",
-            attempts.ran(progress.attempts),
+            attempts.ran(progress.tried),
             retry_after_ms=int(1000 * self._rng.uniform(1.0, 3.0)),
         )
 
     async def _attempt_until_done(
         self, call: Call, answer: answers.Answer, progress: Progress
     ) -> callers_api.Failure | None:
-        while len(progress.attempts) < MAX_ATTEMPTS:
+        while len(progress.tried) < MAX_ATTEMPTS:
             decision = self._choose(call, progress)
             verdict = self._admit(call, decision, progress)
             if verdict is not None:
@@ -155,7 +155,7 @@
             if not broken.may_retry or not self._budget.take(self._clock()):
                 break
             progress.excluded.add(decision.runner.runner_id)
-        ran = attempts.ran(progress.attempts)
+        ran = attempts.ran(progress.tried)
         return callers_api.Failure(
             callers_api.ErrorCode.RUNNER_LOST,
             "no runner brought the whole answer",
@@ -180,7 +180,7 @@
     def _admit(
         self, call: Call, decision: routing.Decision, progress: Progress
     ) -> callers_api.Failure | None:
-        if progress.attempts and decision.runner is not None:
+        if progress.tried and decision.runner is not None:
             # A request that was admitted is kept: refusing it now would
             # give up work already done.
             return None
@@ -203,7 +203,7 @@
                 return callers_api.Failure(
                     _CODE_OF[reason],
                     f"refused: {reason.value}",
-                    attempts.ran(progress.attempts),
+                    attempts.ran(progress.tried),
                     retry_after_ms,
                 )
 
@@ -217,8 +217,8 @@
         assert decision.runner is not None
         runner = decision.runner
         request = call.request
-        attempt_id = ids.new_attempt_id(request.request_id, len(progress.attempts) + 1)
-        progress.attempts.append(attempts.Attempt(attempt_id, runner.runner_id))
+        attempt_id = ids.new_attempt_id(request.request_id, len(progress.tried) + 1)
+        progress.tried.append(attempts.Attempt(attempt_id, runner.runner_id))
         progress.stream = streams.resume(progress.stream, attempt_id)
         entry = requests.InFlight(
             attempt_id,
@@ -350,7 +350,7 @@
         request = call.request
         left_s = request.deadline_s - self._clock()
         return runner_api.CompletionCall(
-            attempt_id=progress.attempts[-1].attempt_id,
+            attempt_id=progress.tried[-1].attempt_id,
             prompt=call.body.prompt,
             prompt_tokens=request.prompt_tokens,
             max_tokens=request.max_tokens,
--- /dev/null
+++ b/packages/daemon/lacewingdrum_daemon/completions_test.py
@@ -0,0 +1,296 @@
+"""Tests of one model request under failure, in virtual time."""
+
+import asyncio
+import dataclasses
+import random
+import types
+
+from result import Err, Ok
+
+from lacewingdrum_coordination import admission, retries, routing
+from lacewingdrum_daemon import completions, group_memory, in_flight, metrics
+from lacewingdrum_protocol import callers_api, runner_api
+from lacewingdrum_state import documents, fleet, ids, requests, states
+from lacewingdrum_transport import runner_client
+from tests import virtual_time
+
+Reason = runner_client.RunnerErrorReason
+SERVICE = ids.ServiceName("m")
+TEXT = [f"{number} " for number in range(8)]
+SILENT_S = 1e6
+PATIENCE_S = 60.0
+PROCESSING_S = 0.1
+
+
+def runner(name):
+    return fleet.Runner(
+        ids.RunnerId(name),
+        SERVICE,
+        ids.DataCentre("d"),
+        fleet.Address("127.0.0.1", 1),
+        ids.Incarnation(1),
+    )
+
+
+def part(attempt_id, offset):
+    last = offset == len(TEXT) - 1
+    return runner_api.CompletionPart(
+        attempt_id, offset, 1, TEXT[offset], "stop" if last else ""
+    )
+
+
+@dataclasses.dataclass
+class Script:
+    """What a fake runner does with an attempt."""
+
+    parts: int = len(TEXT)
+    then: str = "done"
+    refuse: Reason | None = None
+    foreign: bool = False
+    part_pause_s: float = 0.02
+
+
+class FakeStream:
+    def __init__(self, script, call, loop):
+        self.script, self.call, self.loop = script, call, loop
+        self.queue = self.make()
+
+    def make(self):
+        first = self.call.resume_offset
+        for offset in range(first, min(first + self.script.parts, len(TEXT))):
+            if self.script.foreign:
+                yield Ok(part("another.1", offset))
+            yield Ok(part(self.call.attempt_id, offset))
+        if self.script.then == "done":
+            yield Ok(None)
+        if self.script.then == "cut":
+            yield Err(runner_client.RunnerError(Reason.LOST))
+
+    async def next(self, timeout_s):
+        await asyncio.sleep(self.script.part_pause_s)
+        for found in self.queue:
+            return found
+        await asyncio.sleep(timeout_s)
+        return Err(runner_client.RunnerError(Reason.TIMEOUT))
+
+    async def close(self):
+        pass
+
+
+class FakeRunners:
+    """Answers by script, in the order of attempts; records everything."""
+
+    def __init__(self, loop, *scripts, lost_cancels=0):
+        self.loop, self.scripts = loop, list(scripts)
+        self.lost_cancels = lost_cancels
+        self.started, self.held, self.calls = [], set(), []
+
+    async def complete(self, target, call, timeout_s):
+        script = self.scripts.pop(0)
+        self.calls.append(call)
+        if script.refuse is not None:
+            return Err(
+                runner_client.RunnerError(script.refuse, runner_api.RefusalReason.BUSY)
+            )
+        self.started.append(call.attempt_id)
+        self.held.add((target.runner_id, call.attempt_id))
+        return Ok(FakeStream(script, call, self.loop))
+
+    async def cancel(self, target, attempt_id, timeout_s):
+        if self.lost_cancels:
+            self.lost_cancels -= 1
+            await asyncio.sleep(timeout_s)
+            return Err(runner_client.RunnerError(Reason.TIMEOUT))
+        self.held.discard((target.runner_id, attempt_id))
+        state = runner_api.CancelState.CANCELLED
+        return Ok(runner_api.CancelAnswer(attempt_id, state))
+
+    async def import_kv(self, target, call, timeout_s):
+        self.held.add((target.runner_id, call.attempt_id))
+        script = self.scripts.pop(0)
+        if script.refuse is Reason.REFUSED:
+            self.held.discard((target.runner_id, call.attempt_id))
+        if script.refuse is not None:
+            return Err(runner_client.RunnerError(script.refuse))
+        return Ok(runner_api.ImportAnswer(call.attempt_id, call.tokens))
+
+
+class FakeAnswer:
+    def __init__(self, loop):
+        self.loop, self.text = loop, ""
+        self.finished_s = self.failed_s = self.failure = None
+
+    async def pass_on(self, found):
+        self.text += found.text
+
+    async def finish(self, stream):
+        self.finished_s = self.loop.time()
+
+    async def fail(self, failure):
+        self.failure, self.failed_s = failure, self.loop.time()
+
+
+class Bench:
+    """A ``Completions`` on fakes, with three runners."""
+
+    def __init__(self, loop, *scripts, lost_cancels=0, names=("a", "b", "c")):
+        self.loop = loop
+        self.runners = FakeRunners(loop, *scripts, lost_cancels=lost_cancels)
+        rng = random.Random(1)
+        router = routing.Router(ids.DataCentre("d"), rng)
+        router.set_runners([runner(name) for name in names])
+        self.table = in_flight.InFlightTable(self.runners, lambda attempt_id: None)
+        self.leaving = []
+        members = types.SimpleNamespace(
+            mark_runner_leaving=lambda *mark: self.leaving.append(mark)
+        )
+        log = types.SimpleNamespace(record=lambda *line, **fields: None)
+        self.answer = FakeAnswer(loop)
+        self.groups = group_memory.GroupMemory(self.runners, self.table, loop.time, rng)
+        self.completions = completions.Completions(
+            router,
+            self.runners,
+            self.table,
+            members,
+            self.groups,
+            retries.Budget(),
+            log,
+            metrics.Metrics(),
+            admission.Pressure,
+            loop.time,
+            rng,
+        )
+
+    async def run(self, patience_s=PATIENCE_S, prompt_tokens=1_000):
+        now_s = self.loop.time()
+        request = requests.Request(
+            ids.RequestId("req"),
+            SERVICE,
+            ids.CustomerId("c"),
+            ids.KindName("k"),
+            prompt_tokens,
+            len(TEXT),
+            now_s,
+            now_s + patience_s,
+        )
+        self.deadline_s = request.deadline_s
+        body = callers_api.CompletionBody("m", "p", len(TEXT), True)
+        call = completions.Call(request, body, documents.Weights())
+        return await self.completions.run(call, self.answer)
+
+    async def settle(self):
+        await self.table.close(300.0)
+        assert self.runners.held == set(), "memory is still held"
+        assert self.table.entries() == ()
+
+
+def on_bench(main, *scripts, **options):
+    async def started(loop):
+        bench = Bench(loop, *scripts, **options)
+        return await main(bench)
+
+    virtual_time.run(started)
+
+
+def test_a_whole_answer_is_passed_on():
+    async def main(bench):
+        assert await bench.run() is None
+        assert bench.answer.text == "".join(TEXT)
+        assert bench.answer.finished_s is not None
+
+    on_bench(main, Script(foreign=True))
+
+
+def test_a_silent_runner_ends_at_the_deadline_and_frees_its_memory():
+    async def main(bench):
+        failure = await bench.run()
+        late_s = bench.answer.failed_s - bench.deadline_s
+        assert late_s <= PROCESSING_S
+        assert failure.ran is states.Ran.MAYBE
+        assert failure.retry_after_ms > 0
+        await bench.settle()
+
+    scripts = [Script(parts=0, then="silent") for _ in range(6)]
+    on_bench(main, *scripts, lost_cancels=7)
+
+
+def test_a_broken_stream_is_continued_not_restarted():
+    async def main(bench):
+        assert await bench.run() is None
+        assert bench.answer.text == "".join(TEXT)
+        first, second = bench.runners.calls
+        assert second.resume_offset == 3
+        assert second.resume_text == "0 1 2 "
+        assert first.attempt_id != second.attempt_id
+        bench.runners.held.discard(("a", second.attempt_id))
+
+    on_bench(main, Script(parts=3, then="cut"), Script())
+
+
+def test_an_end_without_the_last_part_is_not_whole():
+    async def main(bench):
+        assert await bench.run() is None
+        assert bench.answer.text == "".join(TEXT)
+        assert len(bench.runners.calls) == 2
+
+    on_bench(main, Script(parts=5, then="done"), Script())
+
+
+def test_refused_by_every_runner_is_not_run():
+    async def main(bench):
+        failure = await bench.run()
+        assert failure.ran is states.Ran.NO
+        assert bench.runners.started == []
+        assert bench.answer.failed_s < bench.deadline_s - 1
+        await bench.settle()
+
+    refusals = [Script(refuse=Reason.REFUSED) for _ in range(3)]
+    on_bench(main, *refusals)
+
+
+def test_after_a_freeze_the_expiry_comes_before_the_parts():
+    async def main(bench):
+        bench.loop.call_later(0.05, bench.loop.freeze, 2 * PATIENCE_S)
+        failure = await bench.run()
+        assert failure is not None
+        assert failure.code is callers_api.ErrorCode.PATIENCE_OVER
+        assert bench.answer.finished_s is None
+        await bench.settle()
+
+    on_bench(main, Script())
+
+
+def test_a_caller_that_goes_away_frees_the_memory():
+    async def main(bench):
+        task = asyncio.ensure_future(bench.run())
+        await asyncio.sleep(1.0)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await bench.settle()
+
+    on_bench(main, Script(parts=2, then="silent"), lost_cancels=5)
+
+
+def test_a_lost_import_reply_frees_the_whole_group():
+    async def main(bench):
+        lead, *members = (runner(name) for name in "abc")
+        request = requests.Request(
+            ids.RequestId("req"),
+            SERVICE,
+            ids.CustomerId("c"),
+            ids.KindName("k"),
+            1_000_000,
+            10,
+            bench.loop.time(),
+            bench.loop.time() + 4.0,
+        )
+        attempt_id = ids.AttemptId("req.1")
+        try:
+            async with bench.groups.held((*members,), lead, request, attempt_id):
+                raise AssertionError("not all members were had")
+        except group_memory.NoMemory:
+            pass
+        await bench.settle()
+
+    scripts = [Script(), Script(refuse=Reason.TIMEOUT)] * 30
+    on_bench(main, *scripts, lost_cancels=3)
