--- a/packages/daemon/lacewingdrum_daemon/load_keeper.py
+++ b/packages/daemon/lacewingdrum_daemon/load_keeper.py
@@ -9,12 +9,13 @@
 import dataclasses
 import logging
 from collections.abc import Callable
-from typing import Protocol
+from typing import Protocol, TypeVar
 
+import msgspec
 from result import Err, Ok
 
 from lacewingdrum_coordination import homes, membership, reclaiming
-from lacewingdrum_daemon import tasks
+from lacewingdrum_daemon import load_messages, tasks
 from lacewingdrum_protocol import peer_messages
 from lacewingdrum_state import fleet, ids, requests
 from lacewingdrum_transport import runner_client
@@ -25,7 +26,8 @@
 SUMMARY_VALID_S = 15.0
 LOAD_TIMEOUT_S = 0.8
 CANCEL_TIMEOUT_S = 0.8
-MS_PER_S = 1000
+
+_Body = TypeVar("_Body", bound=msgspec.Struct)
 
 _log = logging.getLogger(__name__)
 
@@ -33,10 +35,12 @@
 class Peers(Protocol):
     """The calls of ``peering.Peering`` that the keeper makes."""
 
-    def on(self, body_type: type, handler: Callable[[ids.VmId, object], None]) -> None:
+    def on(
+        self, body_type: type[_Body], handler: Callable[[ids.VmId, _Body], None]
+    ) -> None:
         """Have ``handler`` called with each message of a type."""
 
-    def send(self, vm_id: ids.VmId, body: peer_messages.Body) -> None:
+    def send(self, vm_id: ids.VmId, body: peer_messages.Body) -> bool:
         """Send to one daemon, without waiting."""
 
 
@@ -50,11 +54,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Round:
-    """The fleet as one round sees it."""
+    """The fleet as one round sees it.
+
+    ``owners`` are the daemons that may have attempts in flight: leaving ones
+    count among them, though none of those is a home.
+    """
 
     number: int
     now_s: float
     live: tuple[fleet.Vm, ...]
+    owners: frozenset[ids.VmId]
     runners: dict[ids.RunnerId, fleet.Runner]
     home_of: dict[ids.RunnerId, ids.VmId]
 
@@ -138,7 +147,8 @@
         self._round_number += 1
         now_s = self._clock()
         view = self._members.view
-        live = tuple(membership.live_vms(view, now_s))
+        live = membership.live_vms(view, now_s)
+        heard = membership.heard_vms(view, now_s)
         runners = {runner.runner_id: runner for runner in view.runners}
         vm_ids = {vm.vm_id for vm in live} | {self._vm_id}
         near: dict[ids.DataCentre, set[ids.VmId]] = {self._data_centre: {self._vm_id}}
@@ -150,7 +160,8 @@
             home = homes.home_of_runner(runner.runner_id, candidates)
             if home is not None:
                 home_of[runner.runner_id] = home
-        return _Round(self._round_number, now_s, live, runners, home_of)
+        owners = frozenset((*vm_ids, *heard))
+        return _Round(self._round_number, now_s, live, owners, runners, home_of)
 
     def _is_far_due(self, now: _Round) -> bool:
         return now.number % FAR_ROUNDS == 0
@@ -161,7 +172,7 @@
         own: list[tuple[ids.RunnerId, ids.AttemptId]] = []
         for flight in self._in_flight():
             own.append((flight.runner_id, flight.attempt_id))
-            entry = _in_flight_entry(flight, now.now_s)
+            entry = load_messages.in_flight_entry(flight, now.now_s)
             for vm_id in self._homes_of(flight.runner_id, now):
                 entries.setdefault(vm_id, []).append(entry)
         self._reclaiming.report_received(self._vm_id, own, now.now_s)
@@ -204,7 +215,9 @@
 
     def _send_summaries(self, now: _Round) -> None:
         now_s = self._clock()
-        loads = tuple(_load_entry(load, now_s) for load in self._loads.values())
+        loads = tuple(
+            load_messages.load_entry(load, now_s) for load in self._loads.values()
+        )
         if not loads:
             return
         summary = peer_messages.LoadSummary(loads)
@@ -215,8 +228,7 @@
                 self._peering.send(vm.vm_id, summary)
 
     async def _reclaim(self, now: _Round) -> None:
-        live = {vm.vm_id for vm in now.live} | {self._vm_id}
-        cancels = self._reclaiming.cancels(live, self._clock())
+        cancels = self._reclaiming.cancels(now.owners, self._clock())
         await asyncio.gather(*(self._cancel(cancel, now) for cancel in cancels))
 
     async def _cancel(self, cancel: reclaiming.Cancel, now: _Round) -> None:
@@ -233,61 +245,21 @@
             },
         )
 
-    def _summary_received(self, sender: ids.VmId, body: object) -> None:
-        assert isinstance(body, peer_messages.LoadSummary)
+    def _summary_received(
+        self, sender: ids.VmId, body: peer_messages.LoadSummary
+    ) -> None:
         now_s = self._clock()
         for entry in body.loads:
-            load = _runner_load(entry, now_s)
+            load = load_messages.runner_load(entry, now_s)
             self._claimed.setdefault(load.runner_id, {})[sender] = now_s
             if load.runner_id not in self._loads:
                 self._on_load(load)
 
-    def _report_received(self, sender: ids.VmId, body: object) -> None:
-        assert isinstance(body, peer_messages.InFlightReport)
+    def _report_received(
+        self, sender: ids.VmId, body: peer_messages.InFlightReport
+    ) -> None:
         owned = (
             (ids.RunnerId(entry.runner_id), ids.AttemptId(entry.attempt_id))
             for entry in body.entries
         )
         self._reclaiming.report_received(sender, owned, self._clock())
-
-
-def _in_flight_entry(
-    flight: requests.InFlight, now_s: float
-) -> peer_messages.InFlightEntry:
-    return peer_messages.InFlightEntry(
-        attempt_id=flight.attempt_id,
-        runner_id=flight.runner_id,
-        prompt_tokens=flight.prompt_tokens,
-        total_tokens=flight.total_tokens,
-        age_ms=int(MS_PER_S * (now_s - flight.sent_s)),
-    )
-
-
-def _load_entry(load: fleet.RunnerLoad, now_s: float) -> peer_messages.LoadEntry:
-    return peer_messages.LoadEntry(
-        runner_id=load.runner_id,
-        age_ms=int(MS_PER_S * (now_s - load.as_of_s)),
-        queued_short_tokens=load.queued_short_tokens,
-        queued_mid_tokens=load.queued_mid_tokens,
-        queued_long_tokens=load.queued_long_tokens,
-        running_count=load.running_count,
-        kv_used_tokens=load.kv_used_tokens,
-        kv_capacity_tokens=load.kv_capacity_tokens,
-        prefill_tokens_per_s=load.prefill_tokens_per_s,
-        decode_tokens_per_s=load.decode_tokens_per_s,
-    )
-
-
-def _runner_load(entry: peer_messages.LoadEntry, now_s: float) -> fleet.RunnerLoad:
-    return fleet.RunnerLoad(
-        runner_id=ids.RunnerId(entry.runner_id),
-        as_of_s=now_s - entry.age_ms / MS_PER_S,
-        queued_short_tokens=entry.queued_short_tokens,
-        queued_mid_tokens=entry.queued_mid_tokens,
-        queued_long_tokens=entry.queued_long_tokens,
-        running_count=entry.running_count,
-        kv_used_tokens=entry.kv_used_tokens,
-        kv_capacity_tokens=entry.kv_capacity_tokens,
-        prefill_tokens_per_s=entry.prefill_tokens_per_s,
-        decode_tokens_per_s=entry.decode_tokens_per_s,
-    )
--- /dev/null
+++ b/packages/daemon/lacewingdrum_daemon/load_keeper_test.py
@@ -0,0 +1,190 @@
+"""Tests that engines get their memory back, with engine models in process."""
+
+import asyncio
+import random
+
+from hypothesis import given, settings, strategies
+from result import Err, Ok
+
+from lacewingdrum_coordination import membership
+from lacewingdrum_daemon import load_keeper
+from lacewingdrum_protocol import peer_messages, runner_api
+from lacewingdrum_state import fleet, requests
+from lacewingdrum_transport import runner_client
+from standins import runner_model
+
+VM_IDS = ("vm-1", "vm-2", "vm-3")
+LOST = runner_client.RunnerError(runner_client.RunnerErrorReason.LOST)
+
+
+class World:
+    """Three daemons' load keepers and two engines in virtual time."""
+
+    def __init__(self, cancel_loss=0.0, seed=1):
+        self.now_s = 1000.0
+        self.rng = random.Random(seed)
+        self.cancel_loss = cancel_loss
+        address = fleet.Address("127.0.0.1", 1)
+        vms = tuple(fleet.Vm(name, "dc", address, address, 1) for name in VM_IDS)
+        names = ("r1", "r2")
+        runners = tuple(fleet.Runner(n, "s", "dc", address, 1) for n in names)
+        members = fleet.Members(vms, runners)
+        self.view = membership.merge(membership.View(), members, self.now_s)
+        self.engines = {
+            name: runner_model.RunnerModel(runner_model.RunnerConfig(name), self.now_s)
+            for name in names
+        }
+        self.flights = {name: {} for name in VM_IDS}
+        self.loads = {name: {} for name in VM_IDS}
+        self.dead = set()
+        self.handlers = {}
+        self.keepers = {name: self._keeper(name) for name in VM_IDS}
+
+    def _keeper(self, name):
+        return load_keeper.LoadKeeper(
+            Engines(self),
+            Wire(self, name),
+            self,
+            (name, "dc"),
+            lambda: tuple(self.flights[name].values()),
+            lambda load: self.loads[name].__setitem__(load.runner_id, load),
+            lambda: self.now_s,
+        )
+
+    def send_job(self, vm_id, runner_id, attempt_id, max_tokens=20_000):
+        job = runner_model.Job(attempt_id, 50_000, max_tokens)
+        assert self.engines[runner_id].submit(job, self.now_s).is_ok()
+        self.own(vm_id, runner_id, attempt_id)
+
+    def own(self, vm_id, runner_id, attempt_id):
+        flight = requests.InFlight(attempt_id, runner_id, 1, 1, self.now_s)
+        self.flights[vm_id][attempt_id, runner_id] = flight
+
+    async def rounds(self, count):
+        for _ in range(count):
+            self.now_s += 1.0
+            for name in VM_IDS:
+                if name not in self.dead:
+                    beat = (name, 1, False)
+                    self.view = heard(self.view, *beat, self.now_s)
+            for engine in self.engines.values():
+                engine.advance(self.now_s)
+            for name, keeper in self.keepers.items():
+                if name not in self.dead:
+                    await keeper.run_round()
+
+    def held(self):
+        return {a for engine in self.engines.values() for a in engine.held}
+
+
+def heard(view, vm_id, incarnation, leaving, now_s):
+    beat = peer_messages.Heartbeat(incarnation, "dc", leaving, ())
+    return membership.heard(view, vm_id, beat.incarnation, beat.leaving, now_s)
+
+
+class Wire:
+    def __init__(self, world, own):
+        self.world, self.own = world, own
+
+    def on(self, body_type, handler):
+        self.world.handlers[self.own, body_type] = handler
+
+    def send(self, vm_id, body):
+        if vm_id not in self.world.dead:
+            self.world.handlers[vm_id, type(body)](self.own, body)
+        return True
+
+
+class Engines:
+    def __init__(self, world):
+        self.world = world
+
+    async def load(self, runner, timeout_s):
+        now_s = self.world.now_s
+        answer = self.world.engines[runner.runner_id].load(now_s)
+        held = tuple(fleet.HeldMemory(e.attempt_id, e.tokens) for e in answer.held)
+        return Ok(
+            fleet.RunnerLoad(
+                runner.runner_id, now_s - answer.age_ms / 1000, 0, 0, 0,
+                answer.running_count, 0, 0, 1.0, 1.0, held,
+            )
+        )  # fmt: skip
+
+    async def cancel(self, runner, attempt_id, timeout_s):
+        owners = [n for n, f in self.world.flights.items() if n not in self.world.dead
+                  and (attempt_id, runner.runner_id) in f]  # fmt: skip
+        assert not owners, "cancelled in flight"
+        if self.world.rng.random() < self.world.cancel_loss:
+            return Err(LOST)
+        engine = self.world.engines[runner.runner_id]
+        state = engine.cancel(attempt_id, self.world.now_s)
+        if self.world.rng.random() < self.world.cancel_loss:
+            return Err(LOST)
+        return Ok(runner_api.CancelAnswer(attempt_id, state))
+
+
+async def test_the_memory_of_a_killed_daemon_comes_back():
+    world = World()
+    world.send_job("vm-1", "r1", "a.1")
+    world.send_job("vm-2", "r1", "b.1")
+    assert world.engines["r2"].import_kv("a.1", 30_000, world.now_s).is_ok()
+    world.own("vm-1", "r2", "a.1")
+    await world.rounds(30)
+    assert world.held() == {"a.1", "b.1"}
+    world.dead.add("vm-1")
+    await world.rounds(30)
+    assert world.held() == {"b.1"}
+
+
+async def test_an_import_whose_reply_was_lost_comes_back():
+    world = World(cancel_loss=0.5)
+    world.engines["r2"].import_kv("a.1", 30_000, world.now_s)
+    await world.rounds(40)
+    assert world.held() == set()
+
+
+async def test_every_daemon_hears_the_loads_from_the_homes():
+    world = World()
+    world.send_job("vm-1", "r1", "a.1")
+    await world.rounds(3)
+    for loads in world.loads.values():
+        assert loads["r1"].running_count == 1
+        assert loads.keys() == {"r1", "r2"}
+
+
+events = strategies.lists(
+    strategies.sampled_from(["job", "import", "lose", "kill", "late", "wait"]),
+    max_size=20,
+)
+
+
+@settings(derandomize=True, deadline=None, database=None, max_examples=40)
+@given(events, strategies.integers(0, 1000))
+def test_under_any_faults_only_what_is_owned_stays_held(happened, seed):
+    asyncio.run(faults_and_recovery(happened, seed))
+
+
+async def faults_and_recovery(happened, seed):
+    world = World(cancel_loss=0.5, seed=seed)
+    await world.rounds(12)
+    for number, event in enumerate(happened):
+        vm_id = world.rng.choice([n for n in VM_IDS if n not in world.dead])
+        runner_id = world.rng.choice(["r1", "r2"])
+        match event:
+            case "job":
+                world.send_job(vm_id, runner_id, f"job-{number}")
+            case "import" | "late":
+                engine = world.engines[runner_id]
+                engine.import_kv(f"kv-{number}", 9_000, world.now_s)
+                if event == "import":
+                    world.own(vm_id, runner_id, f"kv-{number}")
+            case "lose" if world.flights[vm_id]:
+                world.flights[vm_id].popitem()
+            case "kill" if len(world.dead) < 2:
+                world.dead.add(vm_id)
+        await world.rounds(world.rng.randrange(4))
+    await world.rounds(60)
+    owned = set()
+    for name in set(VM_IDS) - world.dead:
+        owned |= {attempt_id for attempt_id, _ in world.flights[name]}
+    assert world.held() <= owned
--- /dev/null
+++ b/packages/daemon/lacewingdrum_daemon/load_messages.py
@@ -0,0 +1,51 @@
+"""Turns loads and attempts into peer messages and back."""
+
+from lacewingdrum_protocol import peer_messages
+from lacewingdrum_state import fleet, ids, requests
+
+MS_PER_S = 1000
+
+
+def in_flight_entry(
+    flight: requests.InFlight, now_s: float
+) -> peer_messages.InFlightEntry:
+    """Returns: what a runner's home is told of an attempt."""
+    return peer_messages.InFlightEntry(
+        attempt_id=flight.attempt_id,
+        runner_id=flight.runner_id,
+        prompt_tokens=flight.prompt_tokens,
+        total_tokens=flight.total_tokens,
+        age_ms=int(MS_PER_S * (now_s - flight.sent_s)),
+    )
+
+
+def load_entry(load: fleet.RunnerLoad, now_s: float) -> peer_messages.LoadEntry:
+    """Returns: what peers are told of a runner's load."""
+    return peer_messages.LoadEntry(
+        runner_id=load.runner_id,
+        age_ms=int(MS_PER_S * (now_s - load.as_of_s)),
+        queued_short_tokens=load.queued_short_tokens,
+        queued_mid_tokens=load.queued_mid_tokens,
+        queued_long_tokens=load.queued_long_tokens,
+        running_count=load.running_count,
+        kv_used_tokens=load.kv_used_tokens,
+        kv_capacity_tokens=load.kv_capacity_tokens,
+        prefill_tokens_per_s=load.prefill_tokens_per_s,
+        decode_tokens_per_s=load.decode_tokens_per_s,
+    )
+
+
+def runner_load(entry: peer_messages.LoadEntry, now_s: float) -> fleet.RunnerLoad:
+    """Returns: a peer's entry on our own clock."""
+    return fleet.RunnerLoad(
+        runner_id=ids.RunnerId(entry.runner_id),
+        as_of_s=now_s - entry.age_ms / MS_PER_S,
+        queued_short_tokens=entry.queued_short_tokens,
+        queued_mid_tokens=entry.queued_mid_tokens,
+        queued_long_tokens=entry.queued_long_tokens,
+        running_count=entry.running_count,
+        kv_used_tokens=entry.kv_used_tokens,
+        kv_capacity_tokens=entry.kv_capacity_tokens,
+        prefill_tokens_per_s=entry.prefill_tokens_per_s,
+        decode_tokens_per_s=entry.decode_tokens_per_s,
+    )
--- /dev/null
+++ b/standins/ports.py
@@ -0,0 +1,27 @@
+"""Ports that the system picks, for processes that must know them before."""
+
+import socket
+from collections.abc import Iterator
+
+HOST = "127.0.0.1"
+
+
+class PortPicker:
+    """Hands out free ports, no port twice."""
+
+    def __init__(self) -> None:
+        self._ports = self._picked()
+
+    def next(self) -> int:
+        """Returns: a port that was free a moment ago."""
+        return next(self._ports)
+
+    def _picked(self) -> Iterator[int]:
+        seen: set[int] = set()
+        while True:
+            with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+                probe.bind((HOST, 0))
+                port = probe.getsockname()[1]
+            if port not in seen:
+                seen.add(port)
+                yield port
--- /dev/null
+++ b/standins/serving.py
@@ -0,0 +1,230 @@
+"""What all stand-in processes share: two ports, faults and their control.
+
+The data port is what lacewingdrum sees. The control port takes faults
+(``POST /control``, fields of ``Faults``) and shows what really happened
+(``GET /record``), so that a test can compare it with what callers were told.
+"""
+
+import argparse
+import asyncio
+import json
+import random
+import signal
+from collections.abc import Awaitable, Callable, Mapping
+
+import msgspec
+
+from lacewingdrum_transport import http_messages, http_server
+
+HOST = "127.0.0.1"
+JSON_HEADERS = (("Content-Type", "application/json"),)
+MS_PER_S = 1000
+
+
+class Faults(msgspec.Struct, forbid_unknown_fields=True):
+    """Faults that are switched on; a share is a probability in 0 to 1.
+
+    ``lose_replies`` drops replies after the effect, ``late_writes`` has the
+    effect come after the reply was lost, ``mix_parts`` repeats, swaps and
+    delays parts of streams, ``slowdown`` divides an engine's speed.
+    """
+
+    leaving: bool = False
+    refuse: str = ""
+    outage: bool = False
+    delay_ms: int = 0
+    slowdown: float = 1.0
+    lose_replies: float = 0.0
+    late_writes: float = 0.0
+    late_ms: int = 1_000
+    cut_streams: float = 0.0
+    mix_parts: float = 0.0
+    lose_cancels: float = 0.0
+    lose_import_replies: float = 0.0
+    list_lag_ms: int = 0
+
+
+class Gone(Exception):  # noqa: N818 - it is an outcome, not a fault.
+    """The connection is of no use any more."""
+
+
+class Reply:
+    """One way back to a client, which may have gone silent."""
+
+    def __init__(
+        self, responder: http_server.Responder, is_silent: Callable[[], bool]
+    ) -> None:
+        self._responder = responder
+        self._is_silent = is_silent
+
+    async def send(self, status: int, body: bytes) -> None:
+        """Send a whole JSON answer."""
+        await self._wait_if_silent()
+        await self._responder.send(
+            http_messages.HttpResponse(status, JSON_HEADERS, body)
+        )
+
+    async def start_stream(self) -> None:
+        """Send the head of a stream of events."""
+        await self._wait_if_silent()
+        await self._responder.start_stream(
+            200, (("Content-Type", "text/event-stream"),)
+        )
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of a stream.
+
+        Raises:
+            Gone: when the client has gone.
+        """
+        await self._wait_if_silent()
+        if not await self._responder.write(data):
+            raise Gone
+
+    async def finish(self) -> None:
+        """End a stream."""
+        await self._wait_if_silent()
+        await self._responder.finish()
+
+    def cut(self) -> None:
+        """Close the connection without a clean end."""
+        self._responder.abort()
+        raise Gone
+
+    async def hang(self) -> None:
+        """Answer nothing until the client goes.
+
+        Raises:
+            Gone: always.
+        """
+        await self._responder.gone.wait()
+        raise Gone
+
+    async def _wait_if_silent(self) -> None:
+        if self._is_silent():
+            await self.hang()
+
+
+Answer = Callable[[http_server.HttpRequest, Reply], Awaitable[None]]
+Control = Callable[[bytes], bytes]
+
+
+class StandIn:
+    """The two servers of one stand-in."""
+
+    def __init__(
+        self,
+        answer: Answer,
+        record: Callable[[], object],
+        controls: Mapping[str, Control] | None = None,
+        seed: int = 1,
+    ) -> None:
+        self.faults = Faults()
+        self.rng = random.Random(seed)
+        self._answer = answer
+        self._record = record
+        self._controls = dict(controls or {})
+        self._open_peers: set[str] = set()
+        self._silent_peers: set[str] = set()
+        self._server = http_server.HttpServer(self._handle)
+        self._control_server = http_server.HttpServer(self._handle_control)
+
+    async def start(self, port: int = 0, control_port: int = 0) -> tuple[int, int]:
+        """Bind both ports.
+
+        Args:
+            port: the data port; 0 picks one.
+            control_port: the control port; 0 picks one.
+
+        Returns:
+            The ports that were bound.
+        """
+        bound = await self._server.start(HOST, port)
+        return bound, await self._control_server.start(HOST, control_port)
+
+    async def close(self) -> None:
+        """Cut everything."""
+        await self._server.close()
+        await self._control_server.close()
+
+    def happens(self, share: float) -> bool:
+        """Returns: whether a fault of this share strikes now."""
+        return share > 0 and self.rng.random() < share
+
+    def silence_open(self) -> None:
+        """Let every connection that is open now go silent for good."""
+        self._silent_peers |= self._open_peers
+
+    async def lose_reply(self, reply: Reply) -> None:
+        """Lose a reply, either by a cut or by silence."""
+        if self.rng.random() < 0.5:
+            reply.cut()
+        await reply.hang()
+
+    async def _handle(
+        self, request: http_server.HttpRequest, responder: http_server.Responder
+    ) -> None:
+        peer = request.peer
+        self._open_peers.add(peer)
+        reply = Reply(responder, lambda: peer in self._silent_peers)
+        try:
+            if peer in self._silent_peers:
+                await reply.hang()
+            if self.faults.delay_ms:
+                await asyncio.sleep(self.faults.delay_ms / MS_PER_S)
+            if self.faults.outage:
+                await reply.send(503, b"{}")
+                return
+            await self._answer(request, reply)
+        except Gone:
+            self._open_peers.discard(peer)
+            responder.abort()
+
+    async def _handle_control(
+        self, request: http_server.HttpRequest, responder: http_server.Responder
+    ) -> None:
+        status, body = self._control(request)
+        await responder.send(http_messages.HttpResponse(status, JSON_HEADERS, body))
+
+    def _control(self, request: http_server.HttpRequest) -> tuple[int, bytes]:
+        try:
+            match request.method, request.path:
+                case "GET", "/record":
+                    return 200, json.dumps(self._record()).encode()
+                case "POST", "/control":
+                    self._set_faults(request.body)
+                    return 200, msgspec.json.encode(self.faults)
+                case "POST", "/silence":
+                    self.silence_open()
+                    return 200, b"{}"
+                case "POST", path if path in self._controls:
+                    return 200, self._controls[path](request.body)
+        except msgspec.MsgspecError as error:
+            return 400, json.dumps({"error": str(error)}).encode()
+        return 404, b"{}"
+
+    def _set_faults(self, body: bytes) -> None:
+        changes = msgspec.json.decode(body, type=dict)
+        merged = msgspec.structs.asdict(self.faults) | changes
+        self.faults = msgspec.convert(merged, Faults)
+
+
+def parser(name: str) -> argparse.ArgumentParser:
+    """Returns: a command line parser with the options of every stand-in."""
+    found = argparse.ArgumentParser(prog=f"python -m standins.{name}")
+    found.add_argument("--port", type=int, default=0)
+    found.add_argument("--control-port", type=int, default=0)
+    found.add_argument("--seed", type=int, default=1)
+    return found
+
+
+async def serve(stand_in: StandIn, arguments: argparse.Namespace) -> None:
+    """Run a stand-in until SIGTERM, and print its ports as one JSON line."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    ports = await stand_in.start(arguments.port, arguments.control_port)
+    print(json.dumps({"port": ports[0], "control_port": ports[1]}), flush=True)
+    await stop.wait()
+    await stand_in.close()
