Bound what explain keeps in bytes, keep lines encoded

Cause: a routing line names every candidate; 20,000 lines of some seventy candidates as Python objects would not fit a daemon of 128 MB. Change: lines are kept as JSON bytes, at most 24 MiB; plain values skip the slow match. Ruled out: leaving candidates out of the line, as explain is to name them.

--- a/packages/daemon/lacewingdrum_daemon/decision_log.py
+++ b/packages/daemon/lacewingdrum_daemon/decision_log.py
@@ -11,6 +11,7 @@
 import time
 from collections.abc import Callable
 
+import msgspec
 from pythonjsonlogger import json as json_logging
 
 from lacewingdrum_state import ids
@@ -18,6 +19,12 @@
 ROOT_LOGGER = "lacewingdrum"
 LINE_FIELDS = "%(levelname)s %(name)s %(message)s"
 LINES_A_REQUEST_MAX = 200
+KEPT_BYTES_MAX = 24 * 1024 * 1024
+
+
+_UNCHANGED = frozenset((str, int, bool, type(None)))
+_encoder = msgspec.json.Encoder(enc_hook=str)
+_decoder = msgspec.json.Decoder(dict[str, object])
 
 
 class DecisionEvent(enum.Enum):
@@ -67,8 +74,8 @@
 class DecisionLog:
     """Writes decision lines and remembers the last of them.
 
-    ``explain_lines`` bounds the lines kept over all requests; the oldest
-    request is forgotten first.
+    ``explain_lines`` and ``KEPT_BYTES_MAX`` bound what is kept over all
+    requests; the oldest request is forgotten first.
     """
 
     def __init__(
@@ -80,9 +87,15 @@
         self._logger = logger
         self._clock = clock
         self._explain_lines = explain_lines
-        self._kept: collections.OrderedDict[str, list[dict[str, object]]]
+        self._kept: collections.OrderedDict[str, list[bytes]]
         self._kept = collections.OrderedDict()
         self._kept_count = 0
+        self._kept_bytes = 0
+
+    @property
+    def kept_bytes(self) -> int:
+        """Size of the lines that are kept."""
+        return self._kept_bytes
 
     def record(
         self, event: DecisionEvent, request_id: ids.RequestId | None, **fields: object
@@ -103,21 +116,41 @@
             line[name] = _plain(value)
         self._logger.info(event.value, extra=line)
         if request_id is not None:
-            self._keep(request_id, line)
+            self._keep(request_id, _encoder.encode(line))
 
     def lines(self, request_id: ids.RequestId) -> tuple[dict[str, object], ...]:
         """Args: request_id: a request. Returns: its lines still kept."""
-        return tuple(self._kept.get(request_id, ()))
+        return tuple(_decoder.decode(line) for line in self._kept.get(request_id, ()))
 
-    def _keep(self, request_id: str, line: dict[str, object]) -> None:
+    def _keep(self, request_id: str, line: bytes) -> None:
         lines = self._kept.setdefault(request_id, [])
         if len(lines) >= LINES_A_REQUEST_MAX:
             return
         lines.append(line)
         self._kept_count += 1
-        while self._kept_count > self._explain_lines and len(self._kept) > 1:
+        self._kept_bytes += len(line)
+        while self._is_over() and len(self._kept) > 1:
             _, oldest = self._kept.popitem(last=False)
             self._kept_count -= len(oldest)
+            self._kept_bytes -= sum(len(kept) for kept in oldest)
+
+    def _is_over(self) -> bool:
+        if self._kept_count > self._explain_lines:
+            return True
+        return self._kept_bytes > KEPT_BYTES_MAX
+
+
+def json_formatter(vm_id: str, data_centre: str) -> logging.Formatter:
+    """Args: both are named on each line. Returns: a maker of JSON lines."""
+    formatter = json_logging.JsonFormatter(
+        LINE_FIELDS,
+        static_fields={"vm_id": vm_id, "data_centre": data_centre},
+        rename_fields={"levelname": "level", "name": "logger"},
+        timestamp="at",
+        json_serializer=_dump,
+    )
+    formatter.converter = time.gmtime
+    return formatter
 
 
 def set_up_logging(vm_id: str, data_centre: str) -> logging.Logger:
@@ -131,28 +164,26 @@
         The logger that decision lines go to.
     """
     handler = logging.StreamHandler(sys.stderr)
-    formatter = json_logging.JsonFormatter(
-        LINE_FIELDS,
-        static_fields={"vm_id": vm_id, "data_centre": data_centre},
-        rename_fields={"levelname": "level", "name": "logger"},
-        timestamp="at",
-    )
-    formatter.converter = time.gmtime
-    handler.setFormatter(formatter)
+    handler.setFormatter(json_formatter(vm_id, data_centre))
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(logging.INFO)
     return logging.getLogger(ROOT_LOGGER)
 
 
+def _dump(line: object, **_options: object) -> str:
+    return _encoder.encode(line).decode()
+
+
 def _plain(value: object) -> object:
+    # A routing line has hundreds of values, so exact types come first.
+    if type(value) in _UNCHANGED:
+        return value
+    if type(value) is float:
+        return round(value, 6)
     match value:
         case enum.Enum():
             return value.value
-        case str() | bool() | int() | None:
-            return value
-        case float():
-            return round(value, 6)
         case bytes() | bytearray() | memoryview():
             return f"({len(value)} bytes)"
         case dict():
--- a/packages/daemon/lacewingdrum_daemon/decision_log_test.py
+++ b/packages/daemon/lacewingdrum_daemon/decision_log_test.py
@@ -57,3 +57,20 @@
     log = decision_log.DecisionLog(sink[1], lambda: 0.0)
     log.record(ROUTED, ids.RequestId("req"), ran=states.Ran.MAYBE)
     assert log.lines(ids.RequestId("req"))[0]["ran"] == "maybe"
+
+
+def test_kept_lines_are_bounded_in_bytes(sink):
+    log = decision_log.DecisionLog(sink[1], lambda: 0.0, explain_lines=1_000_000)
+    for number in range(30):
+        log.record(ROUTED, ids.RequestId(f"req-{number}"), estimates=["x" * 10**6])
+    assert log.kept_bytes <= decision_log.KEPT_BYTES_MAX
+    assert log.lines(ids.RequestId("req-29")) and not log.lines(ids.RequestId("req-0"))
+
+
+def test_lines_on_stderr_are_json_with_the_vm():
+    formatter = decision_log.json_formatter("vm-1", "north")
+    record = logging.LogRecord("lacewingdrum", 20, "", 0, "routed", None, None)
+    record.event = "routed"
+    line = json.loads(formatter.format(record))
+    assert line["vm_id"] == "vm-1" and line["event"] == "routed"
+    assert line["level"] == "INFO" and line["at"].endswith("Z")
