--- /dev/null
+++ b/packages/coordination/lacewingdrum_coordination/membership.py
@@ -0,0 +1,285 @@
+"""What a daemon believes of the fleet's VMs and runners.
+
+The platform's list is the frame, but it lags: heartbeats and the runners' own
+refusals correct it. Whatever any source calls leaving gets no new work, and
+only a later incarnation undoes that.
+"""
+
+import dataclasses
+from collections.abc import Mapping
+from typing import TypeVar
+
+from lacewingdrum_state import fleet, ids, states
+
+SILENCE_S = 3.0
+# How long a mark outlives its entry, since the list can drop one for a while.
+MARK_KEEP_S = 3600.0
+
+_Id = TypeVar("_Id", bound=str)
+_Entry = TypeVar("_Entry", fleet.Vm, fleet.Runner)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeavingMark:
+    """The latest incarnation known to be leaving."""
+
+    incarnation: ids.Incarnation
+    listed_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Heard:
+    """The last heartbeat of a VM.
+
+    Its incarnation is the daemon's own count, not the list's.
+    """
+
+    at_s: float
+    incarnation: ids.Incarnation
+    is_leaving: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class View:
+    """The fleet as a daemon sees it.
+
+    ``vms`` and ``runners`` are the list's, with what else is known of their
+    leaving in their state. The other fields are what the functions of this
+    module work on.
+    """
+
+    vms: tuple[fleet.Vm, ...] = ()
+    runners: tuple[fleet.Runner, ...] = ()
+    listed: fleet.Members = fleet.Members()
+    listed_since_s: Mapping[ids.VmId, float] = dataclasses.field(default_factory=dict)
+    heard: Mapping[ids.VmId, Heard] = dataclasses.field(default_factory=dict)
+    vm_marks: Mapping[ids.VmId, LeavingMark] = dataclasses.field(default_factory=dict)
+    runner_marks: Mapping[ids.RunnerId, LeavingMark] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def usable_runners(self, service: ids.ServiceName) -> tuple[fleet.Runner, ...]:
+        """Args: service: its name. Returns: its runners that take work."""
+        return usable_runners(self, service)
+
+
+def merge(view: View, members: fleet.Members, now_s: float) -> View:
+    """Take a newly read list in.
+
+    Args:
+        view: the view before.
+        members: the list.
+        now_s: the time.
+
+    Returns:
+        The view after.
+    """
+    vm_marks = dict(view.vm_marks)
+    for vm in members.vms:
+        _mark_listed(vm_marks, vm.vm_id, vm, now_s)
+    runner_marks = dict(view.runner_marks)
+    for runner in members.runners:
+        _mark_listed(runner_marks, runner.runner_id, runner, now_s)
+    listed_since_s = {
+        vm.vm_id: view.listed_since_s.get(vm.vm_id, now_s) for vm in members.vms
+    }
+    heard = {
+        vm_id: last
+        for vm_id, last in view.heard.items()
+        if vm_id in listed_since_s or now_s - last.at_s < SILENCE_S
+    }
+    return _with_states(
+        dataclasses.replace(
+            view,
+            listed=members,
+            listed_since_s=listed_since_s,
+            heard=heard,
+            vm_marks=_recent(vm_marks, now_s),
+            runner_marks=_recent(runner_marks, now_s),
+        )
+    )
+
+
+def mark_runner_leaving(
+    view: View,
+    runner_id: ids.RunnerId,
+    incarnation: ids.Incarnation,
+    now_s: float,
+) -> View:
+    """Note that a runner is leaving, by its refusal or a peer's word.
+
+    Args:
+        view: the view before.
+        runner_id: the runner.
+        incarnation: the incarnation that leaves.
+        now_s: the time.
+
+    Returns:
+        The view after; the same object if it was known.
+    """
+    mark = view.runner_marks.get(runner_id)
+    if mark is not None and mark.incarnation >= incarnation:
+        return view
+    marks = dict(view.runner_marks)
+    marks[runner_id] = LeavingMark(incarnation, now_s)
+    return _with_states(dataclasses.replace(view, runner_marks=marks))
+
+
+def heard(
+    view: View,
+    vm_id: ids.VmId,
+    incarnation: ids.Incarnation,
+    is_leaving: bool,
+    now_s: float,
+) -> View:
+    """Take a heartbeat in.
+
+    Args:
+        view: the view before.
+        vm_id: the VM it came from.
+        incarnation: the sender's own count of its starts.
+        is_leaving: whether the sender takes no new work.
+        now_s: the time.
+
+    Returns:
+        The view after; one of a former incarnation changes nothing.
+    """
+    last = view.heard.get(vm_id)
+    if last is not None:
+        if incarnation < last.incarnation:
+            return view
+        if incarnation == last.incarnation:
+            is_leaving = is_leaving or last.is_leaving
+    now_heard = dict(view.heard)
+    now_heard[vm_id] = Heard(now_s, incarnation, is_leaving)
+    changed = dataclasses.replace(view, heard=now_heard)
+    was_leaving = last is not None and last.is_leaving
+    return changed if was_leaving == is_leaving else _with_states(changed)
+
+
+def usable_runners(view: View, service: ids.ServiceName) -> tuple[fleet.Runner, ...]:
+    """Find the runners that take new work.
+
+    Args:
+        view: the view.
+        service: the service's name.
+
+    Returns:
+        Its runners that no source calls leaving.
+    """
+    return tuple(
+        runner
+        for runner in view.runners
+        if runner.service == service and runner.state is states.MemberState.LIVE
+    )
+
+
+def live_vms(
+    view: View, now_s: float, data_centre: ids.DataCentre | None = None
+) -> tuple[fleet.Vm, ...]:
+    """Find the VMs whose daemons can be homes.
+
+    Args:
+        view: the view.
+        now_s: the time.
+        data_centre: if given, only the VMs there.
+
+    Returns:
+        The listed VMs that are not leaving and that were heard of, or first
+        listed, less than ``SILENCE_S`` ago.
+    """
+    return tuple(
+        vm
+        for vm in view.vms
+        if vm.state is states.MemberState.LIVE
+        and (data_centre is None or vm.data_centre == data_centre)
+        and now_s - _last_sign_s(view, vm.vm_id) < SILENCE_S
+    )
+
+
+def heard_vms(view: View, now_s: float) -> tuple[ids.VmId, ...]:
+    """Find the VMs that can be reached, leaving ones with them.
+
+    Args:
+        view: the view.
+        now_s: the time.
+
+    Returns:
+        The listed VMs whose heartbeat came less than ``SILENCE_S`` ago.
+    """
+    return tuple(
+        vm.vm_id
+        for vm in view.vms
+        if (last := view.heard.get(vm.vm_id)) is not None
+        and now_s - last.at_s < SILENCE_S
+    )
+
+
+def unlisted_marks(
+    view: View,
+) -> tuple[tuple[ids.RunnerId, ids.Incarnation], ...]:
+    """Returns: leaving marks of runners that the list still calls live."""
+    return tuple(
+        (runner.runner_id, runner.incarnation)
+        for runner in view.listed.runners
+        if runner.state is states.MemberState.LIVE
+        and _is_marked(view.runner_marks.get(runner.runner_id), runner.incarnation)
+    )
+
+
+def _last_sign_s(view: View, vm_id: ids.VmId) -> float:
+    since_s = view.listed_since_s[vm_id]
+    last = view.heard.get(vm_id)
+    return since_s if last is None else max(since_s, last.at_s)
+
+
+def _is_marked(mark: LeavingMark | None, incarnation: ids.Incarnation) -> bool:
+    return mark is not None and mark.incarnation >= incarnation
+
+
+def _mark_listed(
+    marks: dict[_Id, LeavingMark],
+    entry_id: _Id,
+    entry: fleet.Vm | fleet.Runner,
+    now_s: float,
+) -> None:
+    mark = marks.get(entry_id)
+    if entry.state is states.MemberState.LEAVING and not _is_marked(
+        mark, entry.incarnation
+    ):
+        marks[entry_id] = LeavingMark(entry.incarnation, now_s)
+    elif mark is not None:
+        marks[entry_id] = LeavingMark(mark.incarnation, now_s)
+
+
+def _recent(marks: dict[_Id, LeavingMark], now_s: float) -> dict[_Id, LeavingMark]:
+    return {
+        entry_id: mark
+        for entry_id, mark in marks.items()
+        if now_s - mark.listed_s < MARK_KEEP_S
+    }
+
+
+def _with_states(view: View) -> View:
+    vms = tuple(_with_state(vm, _vm_leaves(view, vm)) for vm in view.listed.vms)
+    runners = tuple(
+        _with_state(
+            runner,
+            _is_marked(view.runner_marks.get(runner.runner_id), runner.incarnation),
+        )
+        for runner in view.listed.runners
+    )
+    return dataclasses.replace(view, vms=vms, runners=runners)
+
+
+def _vm_leaves(view: View, vm: fleet.Vm) -> bool:
+    last = view.heard.get(vm.vm_id)
+    if last is not None and last.is_leaving:
+        return True
+    return _is_marked(view.vm_marks.get(vm.vm_id), vm.incarnation)
+
+
+def _with_state(entry: _Entry, leaves: bool) -> _Entry:
+    if not leaves or entry.state is states.MemberState.LEAVING:
+        return entry
+    return dataclasses.replace(entry, state=states.MemberState.LEAVING)
