The whole path end to end on separate processes

Cause: parts proved alone say nothing of the path from caller to runner. Ruled out: starting daemons inside the test process; kills need processes. Settings have no incarnation any more, so the cluster does not write one (all three daemons exited 2 on it before).

--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -24,6 +24,7 @@
 READY_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 2.0
 CALL_TIMEOUT_S = 5.0
+PROBE_TIMEOUT_S = 1.0
 POLL_S = 0.1
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 
@@ -190,23 +191,26 @@
             TimeoutError: naming the daemons that do not.
         """
         until_s = time.monotonic() + timeout_s
-        while missing := await self._not_answering(path):
+        while missing := await self.not_answering(path):
             if time.monotonic() > until_s:
                 raise TimeoutError(f"{path} fails at {missing}, logs: {self.folder}")
             await asyncio.sleep(POLL_S)
 
-    async def _not_answering(self, path: str) -> list[str]:
-        missing = []
-        for vm_id, daemon in self.daemons.items():
-            if not daemon.child.is_running:
-                continue
-            answer = await self.http.request(
-                daemon.callers, "GET", path, timeout_s=CALL_TIMEOUT_S
+    async def not_answering(self, path: str) -> list[str]:
+        """Returns: running daemons that do not answer ``path`` with 200."""
+        running = [d for d in self.daemons.values() if d.child.is_running]
+        answers = await asyncio.gather(
+            *(
+                self.http.request(d.callers, "GET", path, timeout_s=PROBE_TIMEOUT_S)
+                for d in running
             )
+        )
+        missing = []
+        for daemon, answer in zip(running, answers, strict=True):
             match answer:
                 case Ok(response) if response.status == http_messages.STATUS_OK:
                     continue
-            missing.append(vm_id)
+            missing.append(daemon.plan.vm_id)
         return missing
 
     async def _control(
@@ -287,7 +291,6 @@
                 "caller_port": addresses[0].port,
                 "peer_port": addresses[1].port,
                 "operator_port": addresses[2].port,
-                "incarnation": incarnation,
             },
             "platform": dict(platform),
             "operators": {"credential_sha256": digest},
