--- /dev/null
+++ b/standins/calls.py
@@ -0,0 +1,273 @@
+"""One caller's request, checked byte for byte against the right answer."""
+
+import asyncio
+import contextlib
+import dataclasses
+import enum
+import json
+import time
+
+import msgspec
+from result import Err
+
+from lacewingdrum_protocol import callers_api, sse
+from lacewingdrum_state import documents, fleet, states
+from lacewingdrum_transport import http_client, http_messages
+from standins import answers, plain_service
+
+SLACK_S = 5.0
+PATIENCE_MARGIN_S = 0.1
+# What the machine that runs callers, daemons and engines adds by itself.
+MEASURING_MARGIN_S = 0.4
+
+
+class End(enum.Enum):
+    """How a request ended, as its caller sees it.
+
+    ``UNSENT`` never reached a daemon. ``CUT`` is a connection that broke;
+    the caller knows then that it has no answer. ``WRONG`` breaks a promise.
+    """
+
+    ANSWERED = "answered"
+    FAILED = "failed"
+    UNSENT = "unsent"
+    CUT = "cut"
+    WRONG = "wrong"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CompletionPlan:
+    """A model request to be made."""
+
+    service: documents.ServiceDocument
+    kind: documents.RequestKind
+    token: str
+    prompt: str
+    max_tokens: int
+    stream: bool
+
+    @property
+    def prompt_tokens(self) -> int:
+        """The prompt's length, as daemons count it."""
+        return callers_api.prompt_tokens(self.prompt.encode())
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServicePlan:
+    """A call of a plain service to be made; an order has a key."""
+
+    service: documents.ServiceDocument
+    kind: documents.RequestKind
+    token: str
+    method: str
+    path: str
+    body: bytes = b""
+    key: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class Outcome:
+    """What a caller saw of one request; times are from its start."""
+
+    plan: CompletionPlan | ServicePlan
+    daemon: str = ""
+    end: End = End.CUT
+    request_id: str = ""
+    status: int = 0
+    code: str = ""
+    ran: str = ""
+    detail: str = ""
+    first_token_s: float | None = None
+    total_s: float = 0.0
+
+    @property
+    def is_refused(self) -> bool:
+        """Whether the caller was told that the request was not run."""
+        return self.end is End.FAILED and self.ran == states.Ran.NO.value
+
+
+async def complete(
+    http: http_client.HttpClient, address: fleet.Address, plan: CompletionPlan
+) -> Outcome:
+    """Make a model request.
+
+    Args:
+        http: the caller's connections.
+        address: a daemon's address for callers.
+        plan: the request.
+
+    Returns:
+        What came of it.
+    """
+    body = callers_api.CompletionBody(
+        plan.service.model, plan.prompt, plan.max_tokens, plan.stream
+    )
+    headers = (("Authorization", f"Bearer {plan.token}"),)
+    path = callers_api.COMPLETIONS_PATH
+    outcome = Outcome(plan)
+    data = msgspec.json.encode(body)
+    received = await _exchange(http, address, "POST", path, headers, data, outcome)
+    if received is None:
+        return outcome
+    right = answers.answer_text(plan.prompt, 0, plan.max_tokens)
+    if plan.stream:
+        _check_stream(received, right, outcome)
+    else:
+        _check_whole(received, right, outcome)
+    return outcome
+
+
+async def call_service(
+    http: http_client.HttpClient, address: fleet.Address, plan: ServicePlan
+) -> Outcome:
+    """Make a call of a plain service.
+
+    Args:
+        http: the caller's connections.
+        address: a daemon's address for callers.
+        plan: the call.
+
+    Returns:
+        What came of it.
+    """
+    headers = [("Authorization", f"Bearer {plan.token}")]
+    if plan.key:
+        headers.append(("Idempotency-Key", plan.key))
+    path = f"{callers_api.SERVICES_PREFIX}{plan.service.service}{plan.path}"
+    outcome = Outcome(plan)
+    received = await _exchange(
+        http, address, plan.method, path, tuple(headers), plan.body, outcome
+    )
+    if received is None:
+        return outcome
+    right = plain_service.answer_to(plan.method, plan.path, plan.body)
+    outcome.end = End.ANSWERED if received == right else End.WRONG
+    outcome.detail = "" if received == right else f"other answer: {received[:80]!r}"
+    return outcome
+
+
+async def _exchange(
+    http: http_client.HttpClient,
+    address: fleet.Address,
+    method: str,
+    path: str,
+    headers: http_messages.Headers,
+    body: bytes,
+    outcome: Outcome,
+) -> bytes | None:
+    """Returns: the whole body of a 200, or None with the outcome's end set."""
+    began_s = time.monotonic()
+    patience_s = outcome.plan.kind.patience_ms / 1000
+    try:
+        return await _exchange_until(
+            http, address, method, path, headers, body, outcome, began_s
+        )
+    finally:
+        outcome.total_s = time.monotonic() - began_s
+        allowed_s = patience_s + PATIENCE_MARGIN_S + MEASURING_MARGIN_S
+        if outcome.total_s > allowed_s and outcome.end is not End.CUT:
+            outcome.end = End.WRONG
+            outcome.detail = f"ended {outcome.total_s - patience_s:.3f} s late"
+
+
+async def _exchange_until(
+    http: http_client.HttpClient,
+    address: fleet.Address,
+    method: str,
+    path: str,
+    headers: http_messages.Headers,
+    body: bytes,
+    outcome: Outcome,
+    began_s: float,
+) -> bytes | None:
+    until_s = began_s + outcome.plan.kind.patience_ms / 1000 + SLACK_S
+    opened = await http.open(
+        address, method, path, headers, body, until_s - time.monotonic()
+    )
+    if isinstance(opened, Err):
+        error = opened.err_value
+        outcome.end = End.CUT if error.may_have_left else End.UNSENT
+        outcome.detail = f"{error.reason.value} {error.detail}"
+        return None
+    reader = opened.ok_value
+    outcome.status = reader.status
+    outcome.request_id = http_messages.header_value(
+        reader.headers, callers_api.REQUEST_ID_HEADER
+    )
+    outcome.ran = http_messages.header_value(reader.headers, callers_api.RAN_HEADER)
+    received = bytearray()
+    with contextlib.closing(_Closer(reader)):
+        while True:
+            part = await reader.read(until_s - time.monotonic())
+            if isinstance(part, Err):
+                outcome.end = End.CUT
+                outcome.detail = f"{part.err_value.reason.value} in the answer"
+                return None
+            if not part.ok_value:
+                break
+            if outcome.first_token_s is None:
+                outcome.first_token_s = time.monotonic() - began_s
+            received += part.ok_value
+    if outcome.status == http_messages.STATUS_OK:
+        return bytes(received)
+    _read_failure(bytes(received), outcome)
+    return None
+
+
+class _Closer:
+    """Closes a reader without waiting, also when the caller is cancelled."""
+
+    def __init__(self, reader: http_client.ResponseReader) -> None:
+        self._reader = reader
+
+    def close(self) -> None:
+        asyncio.get_running_loop().create_task(self._reader.close())
+
+
+def _read_failure(body: bytes, outcome: Outcome) -> None:
+    try:
+        outcome.code = json.loads(body)["error"]["code"]
+    except (ValueError, KeyError, TypeError):
+        outcome.end = End.WRONG
+        outcome.detail = f"status {outcome.status} without an error body"
+        return
+    honest = outcome.ran in {ran.value for ran in states.Ran}
+    outcome.end = End.FAILED if honest and outcome.request_id else End.WRONG
+    outcome.detail = outcome.code if honest else "a failure without its headers"
+
+
+def _check_whole(received: bytes, right: str, outcome: Outcome) -> None:
+    # A whole answer's first byte says nothing of its first token.
+    outcome.first_token_s = None
+    answer = msgspec.json.decode(received, type=callers_api.CompletionAnswer)
+    is_right = answer.choices[0].text == right
+    outcome.end = End.ANSWERED if is_right else End.WRONG
+    outcome.detail = "" if is_right else "another text than the prompt's"
+
+
+def _check_stream(received: bytes, right: str, outcome: Outcome) -> None:
+    texts = []
+    is_done = False
+    for data in sse.SseParser(max_event_bytes=1 << 24).feed(received):
+        if data == callers_api.DONE_DATA:
+            is_done = True
+            continue
+        event = json.loads(data)
+        if "error" in event:
+            outcome.end = End.FAILED
+            outcome.code = event["error"]["code"]
+            outcome.ran = event["error"].get("ran", "")
+            outcome.detail = outcome.code
+            break
+        texts.append(event["choices"][0]["text"])
+    text = "".join(texts)
+    if is_done and text == right:
+        outcome.end = End.ANSWERED
+    elif not right.startswith(text):
+        outcome.end = End.WRONG
+        outcome.detail = "a stream with another text than the prompt's"
+    elif is_done:
+        outcome.end = End.WRONG
+        outcome.detail = "a stream called whole that is not"
+    elif outcome.end is not End.FAILED:
+        outcome.detail = "a stream without its end"
--- /dev/null
+++ b/standins/demo_report.py
@@ -0,0 +1,121 @@
+"""The table that ``make demo`` prints."""
+
+import collections
+import statistics
+
+from hdrh import histogram
+
+from lacewingdrum_state import requests, states
+from standins import calls, load, verdict
+
+LOWEST_US = 1
+HIGHEST_US = 3_600_000_000
+DIGITS = 3
+US_PER_S = 1_000_000
+PERCENTILES = (50, 95, 99)
+
+
+def lines(
+    result: load.LoadResult, alone: list[calls.Outcome], found: verdict.Verdict
+) -> list[str]:
+    """Make the report of a load.
+
+    Args:
+        result: what callers saw.
+        alone: short prompts that were sent to an idle fleet before.
+        found: the comparison with the runners' records.
+
+    Returns:
+        Lines to print.
+    """
+    completions = [
+        outcome
+        for outcome in result.outcomes
+        if isinstance(outcome.plan, calls.CompletionPlan)
+    ]
+    printed = ["", "Time to first token, streamed requests answered in full", ""]
+    printed.append(f"{'length':8}{'count':>8}{'p50 s':>10}{'p95 s':>10}{'p99 s':>10}")
+    for length in states.LengthClass:
+        printed.append(_row(length.value, _first_tokens_s(completions, length)))
+    printed += ["", *_slowdown_lines(completions, alone), *_worth_lines(completions)]
+    printed += ["", *_end_lines("completions", completions)]
+    reads = [outcome for outcome in result.outcomes if outcome not in completions]
+    printed += _end_lines("reads", reads)
+    printed.append(
+        f"orders: {found.orders_sent} sent, {found.orders_effective} took effect, "
+        f"{found.orders_refused} refused as not run"
+    )
+    if found.cut_by_killed:
+        printed.append(
+            f"in flight on the killed daemon and cut there: {found.cut_by_killed}"
+        )
+    return printed
+
+
+def _length(outcome: calls.Outcome) -> states.LengthClass:
+    assert isinstance(outcome.plan, calls.CompletionPlan)
+    return requests.length_class(outcome.plan.prompt_tokens)
+
+
+def _first_tokens_s(
+    outcomes: list[calls.Outcome], length: states.LengthClass
+) -> list[float]:
+    return [
+        outcome.first_token_s
+        for outcome in outcomes
+        if outcome.end is calls.End.ANSWERED
+        and outcome.first_token_s is not None
+        and _length(outcome) is length
+    ]
+
+
+def _percentiles_s(values_s: list[float]) -> list[float]:
+    """Returns: the values at ``PERCENTILES``, in seconds."""
+    found = histogram.HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+    for value_s in values_s:
+        found.record_value(max(LOWEST_US, int(value_s * US_PER_S)))
+    return [found.get_value_at_percentile(rank) / US_PER_S for rank in PERCENTILES]
+
+
+def _row(name: str, values_s: list[float]) -> str:
+    if not values_s:
+        return f"{name:8}{0:>8}{'-':>10}{'-':>10}{'-':>10}"
+    cells = "".join(f"{value:>10.3f}" for value in _percentiles_s(values_s))
+    return f"{name:8}{len(values_s):>8}{cells}"
+
+
+def _slowdown_lines(
+    completions: list[calls.Outcome], alone: list[calls.Outcome]
+) -> list[str]:
+    """Compare short prompts under load with the same kind sent alone."""
+    idle_s = _first_tokens_s(alone, states.LengthClass.SHORT)
+    loaded_s = _first_tokens_s(completions, states.LengthClass.SHORT)
+    if not idle_s or not loaded_s:
+        return ["slowdown of short requests: not measured"]
+    base_s = statistics.median(idle_s)
+    cells = ", ".join(
+        f"p{rank} {value / base_s:.2f}"
+        for rank, value in zip(PERCENTILES, _percentiles_s(loaded_s), strict=True)
+    )
+    return [
+        f"slowdown of short requests: {cells} "
+        f"(against {base_s:.3f} s, the median of {len(idle_s)} sent alone)"
+    ]
+
+
+def _worth_lines(completions: list[calls.Outcome]) -> list[str]:
+    offered = sum(outcome.plan.kind.worth for outcome in completions)
+    done = sum(
+        outcome.plan.kind.worth
+        for outcome in completions
+        if outcome.end is calls.End.ANSWERED
+    )
+    return [f"completed worth: {done:g} of {offered:g} offered"]
+
+
+def _end_lines(name: str, outcomes: list[calls.Outcome]) -> list[str]:
+    counts = collections.Counter(
+        f"{outcome.end.value} {outcome.code}".strip() for outcome in outcomes
+    )
+    cells = ", ".join(f"{count} {end}" for end, count in counts.most_common())
+    return [f"{name}: {len(outcomes)} sent: {cells or 'none'}"]
--- /dev/null
+++ b/standins/load.py
@@ -0,0 +1,257 @@
+"""An open-loop load of short and long prompts and orders, fully checked.
+
+Requests start at random times whatever became of those before them. Each
+answer is compared byte for byte, and at the end what callers were told is
+compared with what the runners did.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import random
+from collections.abc import Awaitable, Callable
+
+from lacewingdrum_coordination import directory
+from lacewingdrum_state import documents, states
+from lacewingdrum_transport import http_client
+from standins import calls, cluster
+
+BALANCER_POLL_S = 0.25
+TRIES = 3
+REPEAT_SHARE = 0.3
+REPEAT_DELAY_S = 0.3
+RETRY_PAUSE_S = 0.5
+ORDER_TRIES = 4
+DRAIN_S = 120.0
+BYTES_PER_TOKEN = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadPlan:
+    """How much load; shares of the lengths are of all completions."""
+
+    duration_s: float = 30.0
+    completions_per_s: float = 12.0
+    service_calls_per_s: float = 6.0
+    max_requests: int = 2_000
+    mid_share: float = 0.12
+    long_share: float = 0.02
+    longest_tokens: int = 900_000
+    max_answer_tokens: int = 64
+    stream_share: float = 0.7
+
+
+@dataclasses.dataclass(slots=True)
+class LoadResult:
+    """All that callers saw; orders by key, with each try's outcome."""
+
+    outcomes: list[calls.Outcome] = dataclasses.field(default_factory=list)
+    orders: dict[str, list[calls.Outcome]] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(list)
+    )
+
+
+class Balancer:
+    """The platform's balancer: sends to daemons whose ``/readyz`` says so."""
+
+    def __init__(self, deployment: cluster.Cluster, rng: random.Random) -> None:
+        self._deployment = deployment
+        self._rng = rng
+        self._ready: tuple[str, ...] = ()
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begin to watch the daemons."""
+        await self._look()
+        self._task = asyncio.get_running_loop().create_task(self._watch())
+
+    async def close(self) -> None:
+        """Stop watching."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def pick(self) -> str | None:
+        """Returns: a ready daemon's VM id."""
+        ready = [name for name in self._ready if name in self._deployment.daemons]
+        return self._rng.choice(ready) if ready else None
+
+    async def _watch(self) -> None:
+        while True:
+            await asyncio.sleep(BALANCER_POLL_S)
+            await self._look()
+
+    async def _look(self) -> None:
+        missing = set(await self._deployment.not_answering("/readyz"))
+        self._ready = tuple(
+            name
+            for name, daemon in self._deployment.daemons.items()
+            if name not in missing and daemon.child.is_running
+        )
+
+
+class Load:
+    """Callers of several daemons."""
+
+    def __init__(
+        self,
+        deployment: cluster.Cluster,
+        services: tuple[documents.ServiceDocument, ...],
+        plan: LoadPlan,
+        seed: int = 1,
+    ) -> None:
+        self._deployment = deployment
+        self._plan = plan
+        self._rng = random.Random(seed)
+        self._balancer = Balancer(deployment, self._rng)
+        self._http = http_client.HttpClient()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._count = 0
+        self.result = LoadResult()
+        model, app = states.ServiceType.MODEL, states.ServiceType.APPLICATION
+        self._models = [found for found in services if found.service_type is model]
+        self._apps = [found for found in services if found.service_type is app]
+
+    async def start(self) -> None:
+        """Find the ready daemons."""
+        await self._balancer.start()
+
+    async def close(self) -> None:
+        """Give up what is still running."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._balancer.close()
+        await self._http.close()
+
+    async def run(self) -> None:
+        """Send the whole load and wait until every request has ended."""
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + self._plan.duration_s
+        rate = self._plan.completions_per_s + self._plan.service_calls_per_s
+        while loop.time() < until_s and self._count < self._plan.max_requests:
+            await asyncio.sleep(self._rng.expovariate(rate))
+            if self._rng.random() * rate < self._plan.completions_per_s:
+                self._spawn(self._completion(self.short_or_long()))
+            else:
+                self._spawn(self._service_call())
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=DRAIN_S)
+
+    async def run_alone(self, count: int) -> list[calls.Outcome]:
+        """Send short streamed prompts one after the other.
+
+        Args:
+            count: how many.
+
+        Returns:
+            Their outcomes, not part of the load's result.
+        """
+        found = []
+        for _ in range(count):
+            tokens = self._rng.randint(1_000, 4_000)
+            plan = self._completion_plan(tokens, stream=True)
+            found.append(await self._send(calls.complete, plan))
+        return found
+
+    def short_or_long(self) -> int:
+        """Returns: a prompt length drawn from the mix."""
+        drawn = self._rng.random()
+        if drawn < self._plan.long_share:
+            return int(self._log_uniform(100_001, self._plan.longest_tokens))
+        if drawn < self._plan.long_share + self._plan.mid_share:
+            return int(self._log_uniform(4_001, 100_000))
+        return self._rng.randint(1_000, 4_000)
+
+    def _log_uniform(self, low: float, high: float) -> float:
+        ratio: float = (high / low) ** self._rng.random()
+        return low * ratio
+
+    def _spawn(self, work: Awaitable[None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _completion_plan(self, tokens: int, stream: bool) -> calls.CompletionPlan:
+        self._count += 1
+        service = self._rng.choice(self._models)
+        customer = self._customer(service)
+        start = f"request {self._count} of {service.service}: "
+        prompt = start + "." * (BYTES_PER_TOKEN * tokens - len(start))
+        kind = directory.prompt_kind(service, tokens)
+        assert kind is not None
+        max_tokens = self._rng.randint(4, self._plan.max_answer_tokens)
+        return calls.CompletionPlan(service, kind, customer, prompt, max_tokens, stream)
+
+    def _customer(self, service: documents.ServiceDocument) -> str:
+        """Returns: the demo token of a customer without a limit."""
+        free = [found for found in service.customers if not found.limit_tokens_per_s]
+        return f"demo-{self._rng.choice(free).customer}"
+
+    async def _completion(self, tokens: int) -> None:
+        stream = self._rng.random() < self._plan.stream_share
+        plan = self._completion_plan(tokens, stream)
+        self.result.outcomes.append(await self._send(calls.complete, plan))
+
+    async def _service_call(self) -> None:
+        self._count += 1
+        service = self._rng.choice(self._apps)
+        token = self._customer(service)
+        path = f"/records/{self._count}"
+        if self._rng.random() < 0.3:
+            await self._read(service, token, path)
+            return
+        kind = directory.call_kind(service, "POST", path)
+        assert kind is not None
+        key = f"key-{self._count}"
+        body = f'{{"number": {self._count}}}'.encode()
+        plan = calls.ServicePlan(service, kind, token, "POST", path, body, key)
+        await self._order(plan)
+
+    async def _read(
+        self, service: documents.ServiceDocument, token: str, path: str
+    ) -> None:
+        kind = directory.call_kind(service, "GET", path)
+        assert kind is not None
+        plan = calls.ServicePlan(service, kind, token, "GET", path)
+        self.result.outcomes.append(await self._send(calls.call_service, plan))
+
+    async def _order(self, plan: calls.ServicePlan) -> None:
+        """Send an order; some repeat it at once, others when unsure."""
+        tries = self.result.orders[plan.key]
+        repeat: asyncio.Task[None] | None = None
+        if self._rng.random() < REPEAT_SHARE:
+            repeat = asyncio.ensure_future(self._repeat(plan, tries))
+        for _ in range(ORDER_TRIES):
+            tries.append(await self._send(calls.call_service, plan))
+            if tries[-1].end in (calls.End.ANSWERED, calls.End.WRONG):
+                break
+            await asyncio.sleep(RETRY_PAUSE_S * self._rng.uniform(0.5, 1.5))
+        if repeat is not None:
+            await repeat
+
+    async def _repeat(
+        self, plan: calls.ServicePlan, tries: list[calls.Outcome]
+    ) -> None:
+        await asyncio.sleep(self._rng.uniform(0, REPEAT_DELAY_S))
+        tries.append(await self._send(calls.call_service, plan))
+
+    async def _send(
+        self, call: Callable[..., Awaitable[calls.Outcome]], plan: object
+    ) -> calls.Outcome:
+        """Send through the balancer, again where nothing was sent."""
+        outcome: calls.Outcome | None = None
+        for _ in range(TRIES):
+            vm_id = self._balancer.pick()
+            if vm_id is None:
+                await asyncio.sleep(BALANCER_POLL_S)
+                continue
+            address = self._deployment.daemons[vm_id].callers
+            outcome = await call(self._http, address, plan)
+            outcome.daemon = vm_id
+            if outcome.end is not calls.End.UNSENT:
+                break
+        if outcome is None:
+            assert isinstance(plan, calls.CompletionPlan | calls.ServicePlan)
+            outcome = calls.Outcome(plan, end=calls.End.UNSENT, detail="none ready")
+        return outcome
--- /dev/null
+++ b/standins/verdict.py
@@ -0,0 +1,143 @@
+"""Compares what callers were told with what the runners really did."""
+
+import asyncio
+import dataclasses
+import time
+from typing import Any
+
+from lacewingdrum_state import states
+from standins import calls, cluster, load
+
+HELD_POLL_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Verdict:
+    """What was found after a load; ``violations`` are broken promises."""
+
+    violations: tuple[str, ...]
+    cut_by_killed: int
+    orders_sent: int
+    orders_effective: int
+    orders_refused: int
+
+
+async def judge(
+    deployment: cluster.Cluster, result: load.LoadResult, killed: frozenset[str]
+) -> Verdict:
+    """Judge a finished load.
+
+    Args:
+        deployment: where it ran.
+        result: what callers saw.
+        killed: daemons that were killed on purpose.
+
+    Returns:
+        Every broken promise that can be seen.
+    """
+    records = {
+        name: await deployment.record(process)
+        for name, process in deployment.runners.items()
+    }
+    outcomes = list(result.outcomes)
+    for tries in result.orders.values():
+        outcomes += tries
+    violations = []
+    cut_by_killed = 0
+    for outcome in outcomes:
+        if outcome.end is calls.End.WRONG:
+            violations.append(_line(outcome))
+        elif outcome.end is calls.End.CUT and outcome.daemon in killed:
+            cut_by_killed += 1
+        elif outcome.end is calls.End.CUT:
+            violations.append(_line(outcome))
+    violations += _ran_all_the_same(outcomes, records)
+    effects = _effects(records)
+    violations += _order_violations(result, effects)
+    return Verdict(
+        violations=tuple(violations),
+        cut_by_killed=cut_by_killed,
+        orders_sent=len(result.orders),
+        orders_effective=sum(1 for key in result.orders if effects.get(key)),
+        orders_refused=sum(map(_is_all_refused, result.orders.values())),
+    )
+
+
+async def held_tokens(deployment: cluster.Cluster) -> int:
+    """Returns: tokens that all engines hold at this moment."""
+    total = 0
+    for process in deployment.runners.values():
+        record = await deployment.record(process)
+        total += sum(record.get("held", {}).values())
+    return total
+
+
+async def wait_until_free(deployment: cluster.Cluster, timeout_s: float) -> float:
+    """Wait until no engine holds memory for any attempt.
+
+    Args:
+        deployment: where to look.
+        timeout_s: how long at most.
+
+    Returns:
+        Seconds that it took, or infinity.
+    """
+    began_s = time.monotonic()
+    while await held_tokens(deployment):
+        if time.monotonic() - began_s > timeout_s:
+            return float("inf")
+        await asyncio.sleep(HELD_POLL_S)
+    return time.monotonic() - began_s
+
+
+def _line(outcome: calls.Outcome) -> str:
+    what = "order"
+    match outcome.plan:
+        case calls.CompletionPlan():
+            what = f"prompt of {outcome.plan.prompt_tokens} tokens"
+        case calls.ServicePlan(method=method, path=path):
+            what = f"{method} {path}"
+    request = outcome.request_id or "no request id"
+    return f"{what} ({request} at {outcome.daemon}): {outcome.detail}"
+
+
+def _ran_all_the_same(
+    outcomes: list[calls.Outcome], records: dict[str, dict[str, Any]]
+) -> list[str]:
+    """Find requests answered as not run that a runner did run."""
+    ran: dict[str, str] = {}
+    for name, record in records.items():
+        for attempt_id in record.get("started", []) + record.get("attempts", []):
+            ran[attempt_id.rpartition(".")[0]] = name
+    return [
+        f"answered as not run, but ran at {ran[outcome.request_id]}: {_line(outcome)}"
+        for outcome in outcomes
+        if outcome.is_refused and outcome.request_id in ran
+    ]
+
+
+def _effects(records: dict[str, dict[str, Any]]) -> dict[str, int]:
+    effects: dict[str, int] = {}
+    for record in records.values():
+        for key, count in record.get("effects", {}).items():
+            effects[key] = effects.get(key, 0) + count
+    return effects
+
+
+def _order_violations(result: load.LoadResult, effects: dict[str, int]) -> list[str]:
+    found = []
+    for key, count in effects.items():
+        if count > 1:
+            found.append(f"order {key} took effect {count} times")
+    for key, tries in result.orders.items():
+        done = any(outcome.end is calls.End.ANSWERED for outcome in tries)
+        if done and not effects.get(key):
+            found.append(f"order {key} was answered and had no effect")
+        if _is_all_refused(tries) and effects.get(key):
+            found.append(f"order {key} was refused as not run and took effect")
+    return found
+
+
+def _is_all_refused(tries: list[calls.Outcome]) -> bool:
+    told = [outcome for outcome in tries if outcome.end is not calls.End.UNSENT]
+    return all(outcome.ran == states.Ran.NO.value for outcome in told)
