--- /dev/null
+++ b/packages/transport/lacewingdrum_transport/http_client_test.py
@@ -0,0 +1,298 @@
+"""The HTTP client, over real loopback sockets and against raw bytes."""
+
+import asyncio
+import contextlib
+
+from lacewingdrum_state import fleet
+from lacewingdrum_transport import http_client, http_server
+
+HOST = "127.0.0.1"
+LIMIT_S = 10.0
+SILENCE_S = 0.05
+Reason = http_client.ClientErrorReason
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+
+
+class Clock:
+    def __init__(self):
+        self.now_s = 100.0
+
+    def __call__(self):
+        return self.now_s
+
+
+class RawServer:
+    """Answers each request with the next of some bytes.
+
+    ``None`` stays silent; an answer that starts with ``!`` cuts the
+    connection after the rest of it.
+    """
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.connection_count = 0
+        self.request_count = 0
+        self.writers = []
+        self._tasks = []
+
+    async def __aenter__(self):
+        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = fleet.Address(HOST, port)
+        return self
+
+    async def __aexit__(self, *_):
+        self._server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _serve(self, reader, writer):
+        self._tasks.append(asyncio.current_task())
+        self.connection_count += 1
+        self.writers.append(writer)
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                self.request_count += 1
+                answer = self.answers.pop(0)
+                if answer is None:
+                    continue
+                writer.write(answer.removeprefix(b"!"))
+                if answer.startswith(b"!"):
+                    writer.close()
+                    return
+
+
+@contextlib.asynccontextmanager
+async def calling(*answers, clock=None, limits=None):
+    client = http_client.HttpClient(limits, clock or Clock())
+    try:
+        async with asyncio.timeout(LIMIT_S), RawServer(*answers) as server:
+            yield client, server
+    finally:
+        await client.close()
+
+
+async def get(client, server, timeout_s=LIMIT_S):
+    return await client.request(server.address, "GET", "/", timeout_s=timeout_s)
+
+
+async def failed(*answers, timeout_s=LIMIT_S):
+    """The error of a request that is answered like this."""
+    async with calling(*answers) as (client, server):
+        error = (await get(client, server, timeout_s)).unwrap_err()
+        assert client.idle_count(server.address) == 0, "must not be reused"
+        return error.reason, error.may_have_left
+
+
+async def test_whole_response_and_reuse():
+    async with calling(WHOLE, WHOLE) as (client, server):
+        for _ in range(2):
+            response = (await get(client, server)).unwrap()
+            assert (response.status, response.body) == (200, b"done")
+            assert response.header("content-LENGTH") == "4"
+        assert server.connection_count == 1
+
+
+async def test_cut_responses_are_errors():
+    assert await failed(b"!") == (Reason.LOST, True)
+    assert await failed(b"!HTTP/1.1 200 OK\r\nContent-Le") == (Reason.LOST, True)
+    assert await failed(b"!" + WHOLE[:-1]) == (Reason.LOST, True)
+    chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n"
+    assert await failed(b"!" + chunked) == (Reason.LOST, True)
+    assert await failed(b"!" + chunked + b"0\r\n") == (Reason.LOST, True)
+
+
+async def test_response_without_a_marked_end_is_an_error():
+    unmarked = b"!HTTP/1.1 200 OK\r\n\r\ndone"
+    assert await failed(unmarked) == (Reason.MALFORMED, True)
+    old = b"!HTTP/1.0 200 OK\r\n\r\ndone"
+    assert await failed(old) == (Reason.MALFORMED, True)
+
+
+async def test_malformed_responses_are_errors():
+    assert await failed(b"nonsense\r\n\r\n") == (Reason.MALFORMED, True)
+    many = b"HTTP/1.1 200 OK\r\nA: %b\r\n\r\n" % (b"x" * 100_000)
+    assert await failed(many) == (Reason.MALFORMED, True)
+    bad_chunk = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"
+    assert await failed(bad_chunk) == (Reason.MALFORMED, True)
+
+
+async def test_large_response_is_an_error():
+    limits = http_client.ClientLimits(body_bytes=3)
+    async with calling(WHOLE, limits=limits) as (client, server):
+        error = (await get(client, server)).unwrap_err()
+        assert error.reason is Reason.TOO_LARGE
+
+
+async def test_bytes_after_the_end_forbid_reuse():
+    async with calling(WHOLE + b"HTTP/1.1 200 OK\r\n", WHOLE) as (client, server):
+        assert (await get(client, server)).unwrap().body == b"done"
+        assert (await get(client, server)).unwrap().body == b"done"
+        assert server.connection_count == 2
+
+
+async def test_answer_that_nobody_asked_for_is_dropped():
+    async with calling(WHOLE, WHOLE) as (client, server):
+        await get(client, server)
+        server.writers[0].write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother")
+        while not client._idle[server.address][0].channel.has_unread:
+            await asyncio.sleep(0)
+        assert (await get(client, server)).unwrap().body == b"done"
+        assert server.connection_count == 2
+
+
+async def test_pooled_connection_that_ended_is_not_used():
+    async with calling(WHOLE, WHOLE) as (client, server):
+        await get(client, server)
+        server.writers[0].close()
+        while not client._idle[server.address][0].channel.ended:
+            await asyncio.sleep(0)
+        assert (await get(client, server)).is_ok()
+        assert server.connection_count == 2
+
+
+async def test_reused_connection_that_fails_is_not_retried():
+    async with calling(WHOLE, b"!", WHOLE) as (client, server):
+        await get(client, server)
+        error = (await get(client, server)).unwrap_err()
+        assert (error.reason, error.may_have_left) == (Reason.LOST, True)
+        assert server.request_count == 2
+
+
+async def test_pooled_connection_ages():
+    clock = Clock()
+    async with calling(WHOLE, WHOLE, clock=clock) as (client, server):
+        await get(client, server)
+        clock.now_s += http_client.ClientLimits().idle_s + 1
+        await get(client, server)
+        assert server.connection_count == 2
+        assert client.idle_count(server.address) == 1
+
+
+async def test_silent_server_times_out_and_heals():
+    async with calling(WHOLE, WHOLE, None, WHOLE) as (client, server):
+        first, second = await asyncio.gather(get(client, server), get(client, server))
+        assert first.is_ok() and second.is_ok()
+        assert client.idle_count(server.address) == 2
+        error = (await get(client, server, SILENCE_S)).unwrap_err()
+        assert (error.reason, error.may_have_left) == (Reason.TIMEOUT, True)
+        # The other pooled connection may be as silent as this one was.
+        assert client.idle_count(server.address) == 0
+        assert (await get(client, server)).is_ok()
+        assert server.connection_count == 3
+
+
+async def test_response_that_goes_silent_times_out():
+    reason, _ = await failed(WHOLE[:-2], timeout_s=SILENCE_S)
+    assert reason is Reason.TIMEOUT
+
+
+async def test_requests_that_surely_did_not_leave():
+    limits = http_client.ClientLimits(connections_per_address=1)
+    async with calling(None, limits=limits) as (client, server):
+        nobody = fleet.Address(HOST, 1)
+        error = (await client.request(nobody, "GET", "/")).unwrap_err()
+        assert (error.reason, error.may_have_left) == (Reason.CONNECT_FAILED, False)
+        bad = ((("A", "x\r\nB: y"),), (("A b", "x"),), (("A", "\u20ac"),))
+        for headers in bad:
+            result = await client.request(server.address, "GET", "/", headers)
+            error = result.unwrap_err()
+            assert error == http_client.HttpClientError(
+                Reason.INVALID_REQUEST, False, error.detail
+            )
+        result = await client.request(server.address, "GET", "/ä b")
+        assert result.unwrap_err().reason is Reason.INVALID_REQUEST
+        held = asyncio.create_task(get(client, server))
+        while not server.request_count:
+            await asyncio.sleep(0)
+        error = (await get(client, server)).unwrap_err()
+        assert (error.reason, error.may_have_left) == (Reason.POOL_EXHAUSTED, False)
+        held.cancel()
+        await asyncio.gather(held, return_exceptions=True)
+        assert not client._open_counts, "a cancelled request gives its place back"
+        await client.close()
+        error = (await get(client, server)).unwrap_err()
+        assert (error.reason, error.may_have_left) == (Reason.CLOSED, False)
+
+
+async def test_interim_responses_are_skipped():
+    early = b"HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"
+    async with calling(early + early + WHOLE) as (client, server):
+        assert (await get(client, server)).unwrap().status == 200
+
+
+async def test_stream_is_read_as_it_comes():
+    go_on = asyncio.Event()
+
+    async def handler(request, responder):
+        await responder.start_stream(200, (("Content-Type", "text/event-stream"),))
+        await responder.write(b"one")
+        await go_on.wait()
+        await responder.write(b"two")
+        await responder.finish()
+
+    async with streaming(handler) as (client, address, _):
+        reader = (await client.open(address, "GET", "/")).unwrap()
+        assert reader.status == 200
+        assert (await reader.read(LIMIT_S)).unwrap() == b"one"
+        go_on.set()
+        assert (await reader.read(LIMIT_S)).unwrap() == b"two"
+        assert (await reader.read(LIMIT_S)).unwrap() == b""
+        assert (await reader.read(LIMIT_S)).unwrap() == b"", "the end stays the end"
+        await reader.close()
+        assert client.idle_count(address) == 1
+
+
+async def test_closing_a_stream_early_is_seen_by_the_server():
+    gone = asyncio.Event()
+
+    async def handler(request, responder):
+        await responder.start_stream(200, ())
+        await responder.write(b"one")
+        await responder.gone.wait()
+        gone.set()
+
+    async with streaming(handler) as (client, address, _):
+        reader = (await client.open(address, "GET", "/")).unwrap()
+        await reader.read(LIMIT_S)
+        await reader.close()
+        await gone.wait()
+        assert (await reader.read(LIMIT_S)).unwrap_err().reason is Reason.CLOSED
+        assert client.idle_count(address) == 0
+
+
+async def test_aborted_stream_has_no_clean_end():
+    async def handler(request, responder):
+        await responder.start_stream(200, ())
+        await responder.write(b"one")
+        responder.abort()
+
+    async with streaming(handler) as (client, address, _):
+        result = await client.request(address, "GET", "/")
+        assert result.unwrap_err().reason is Reason.LOST
+
+
+async def test_large_bodies_pass_both_ways():
+    async def handler(request, responder):
+        await responder.send(http_server.HttpResponse(200, (), request.body))
+
+    body = bytes(range(256)) * 16_000
+    async with streaming(handler) as (client, address, _):
+        for _ in range(2):
+            response = (await client.request(address, "POST", "/", (), body)).unwrap()
+            assert response.body == body
+
+
+@contextlib.asynccontextmanager
+async def streaming(handler):
+    server = http_server.HttpServer(handler)
+    client = http_client.HttpClient()
+    address = fleet.Address(HOST, await server.start(HOST, 0))
+    try:
+        async with asyncio.timeout(LIMIT_S):
+            yield client, address, server
+    finally:
+        await client.close()
+        await server.close()
