--- a/standins/load.py
+++ b/standins/load.py
@@ -28,7 +28,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadPlan:
-    """How much load; shares of the lengths are of all completions."""
+    """How much load; shares of the lengths are of all completions.
+
+    ``first_tokens`` are lengths of prompts that are sent at the beginning,
+    so that a short run has a prompt larger than two engines too.
+    """
 
     duration_s: float = 30.0
     completions_per_s: float = 12.0
@@ -37,6 +41,7 @@
     mid_share: float = 0.12
     long_share: float = 0.02
     longest_tokens: int = 900_000
+    first_tokens: tuple[int, ...] = (900_000,)
     max_answer_tokens: int = 64
     stream_share: float = 0.7
 
@@ -128,6 +133,8 @@
         """Send the whole load and wait until every request has ended."""
         loop = asyncio.get_running_loop()
         until_s = loop.time() + self._plan.duration_s
+        for tokens in self._plan.first_tokens:
+            self._spawn(self._completion(tokens))
         rate = self._plan.completions_per_s + self._plan.service_calls_per_s
         while loop.time() < until_s and self._count < self._plan.max_requests:
             await asyncio.sleep(self._rng.expovariate(rate))
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -149,9 +149,10 @@
     ) -> runner_api.RefusalReason | None:
         if self.stand_in.faults.refuse:
             return runner_api.RefusalReason(self.stand_in.faults.refuse)
-        # The other members of a group hold equal shares of the prompt.
-        share_tokens = -(-call.prompt_tokens // max(1, len(call.group)))
-        elsewhere_tokens = max(0, len(call.group) - 1) * share_tokens
+        # The group's other members and this engine hold equal shares.
+        others = len(set(call.group) - {self.model.config.runner_id})
+        share_tokens = -(-call.prompt_tokens // (others + 1))
+        elsewhere_tokens = min(others * share_tokens, call.prompt_tokens)
         job = runner_model.Job(
             attempt_id=call.attempt_id,
             prompt_tokens=call.prompt_tokens,
@@ -159,7 +160,7 @@
             priority=call.priority,
             block_hashes=call.block_hashes,
             resume_offset=call.resume_offset,
-            held_elsewhere_tokens=min(elsewhere_tokens, call.prompt_tokens),
+            held_elsewhere_tokens=elsewhere_tokens,
         )
         return self.model.submit(job, time.monotonic()).err()
 
