Orders at most once; documents by compare-and-set

Orders: an explicit state machine (claim, send, release, record) and its driver. A lost reply is settled by repeating the same compare-and-set; where that does not help, the row is occupied as not_run, so that a late write loses. The clock is read right before the send.

Ruled out: taking over another daemon's dispatched row after a time, which sends twice where the holder was only slow.

--- /dev/null
+++ b/packages/coordination/lacewingdrum_coordination/document_versions.py
@@ -0,0 +1,171 @@
+"""Which document versions a daemon holds and how fresh they are.
+
+A daemon *holds* the highest version that it heard of, as text, and passes it
+on. It *serves* the highest one that it could parse. A version written in a
+newer daemon's syntax is held and passed on but not served, and the digests
+go on naming the version that is served, so that ``status`` lists this daemon
+as one that has not confirmed. Refusing the service's requests instead would
+turn a document in new syntax into an outage while VMs are replaced.
+"""
+
+import dataclasses
+import enum
+
+from lacewingdrum_coordination import documents as submissions
+from lacewingdrum_state import documents
+
+POLL_S = 1.0
+QUIET_S = 2.0
+BACKSTOP_S = 30.0
+JITTER_S = 1.0
+STALE_S = 5.0
+PEERS_WAIT_S = 2.5
+
+
+class Change(enum.Enum):
+    """What a version heard of did to what a daemon holds."""
+
+    IGNORED = "ignored"
+    ADOPTED = "adopted"
+    HELD_UNPARSED = "held_unparsed"
+    CORRUPT = "corrupt"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """One service's versions at a daemon."""
+
+    held: documents.StoredDocument
+    served: documents.StoredDocument | None = None
+    parsed: documents.ServiceDocument | None = None
+
+
+def learn(
+    entry: Entry | None,
+    stored: documents.StoredDocument,
+    parsed: documents.ServiceDocument | None,
+) -> tuple[Entry | None, Change]:
+    """Take in a version that the table or a peer names as accepted.
+
+    Args:
+        entry: what the daemon holds of the service.
+        stored: the version.
+        parsed: the same parsed; None where this daemon cannot.
+
+    Returns:
+        What it holds now, and what changed.
+    """
+    if stored.digest != submissions.digest_of(stored.text):
+        return entry, Change.CORRUPT
+    if entry is not None and stored.version <= entry.held.version:
+        return entry, Change.IGNORED
+    if parsed is not None and parsed.service == stored.service:
+        return Entry(stored, stored, parsed), Change.ADOPTED
+    if entry is None:
+        return Entry(stored), Change.HELD_UNPARSED
+    return dataclasses.replace(entry, held=stored), Change.HELD_UNPARSED
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Freshness:
+    """When a daemon last heard of versions, on its monotonic clock.
+
+    ``table_s`` is when the last whole answer of the table was asked for.
+    ``peer_s`` is when a listed peer was last heard. ``sourced`` says that a
+    peer which is ready itself has named its versions.
+    """
+
+    started_s: float
+    table_s: float | None = None
+    peer_s: float | None = None
+    sourced: bool = False
+    was_ready: bool = False
+    tried_s: float | None = None
+    jitter_s: float = 0.0
+
+
+def heard_table(state: Freshness, asked_s: float) -> Freshness:
+    """Args: asked_s: when the table was asked. Returns: the state after."""
+    return dataclasses.replace(state, table_s=asked_s, was_ready=True)
+
+
+def heard_peer(state: Freshness, now_s: float, names_versions: bool) -> Freshness:
+    """Note a heartbeat of a listed peer.
+
+    Args:
+        state: the state before.
+        now_s: when it came.
+        names_versions: whether it named any; a daemon names none before it
+            is ready.
+
+    Returns:
+        The state after.
+    """
+    sourced = state.sourced or names_versions
+    return dataclasses.replace(state, peer_s=now_s, sourced=sourced)
+
+
+def check_ready(state: Freshness, now_s: float, missing: bool) -> Freshness:
+    """Find out whether peers alone have made this daemon ready.
+
+    Any one peer may lag behind, so a fresh daemon that has no answer of the
+    table first hears all of them for more than a heartbeat's interval.
+
+    Args:
+        state: the state before.
+        now_s: the time.
+        missing: whether a peer named a version that is not held yet.
+
+    Returns:
+        The state after; once ready, a daemon stays so.
+    """
+    waited = now_s >= state.started_s + PEERS_WAIT_S
+    ready = state.sourced and waited and not missing
+    return dataclasses.replace(state, was_ready=state.was_ready or ready)
+
+
+def may_admit(state: Freshness, now_s: float) -> bool:
+    """Returns: whether the table or a listed peer was reached lately."""
+    return state.was_ready and now_s - _last_heard_s(state) < STALE_S
+
+
+def poll_due(state: Freshness, now_s: float, is_poller: bool) -> bool:
+    """Find out whether the table is to be asked now.
+
+    Args:
+        state: the state before.
+        now_s: the time.
+        is_poller: whether this daemon polls for its data centre.
+
+    Returns:
+        For the poller, and before the first answer, once each ``POLL_S``;
+        for others when they heard nothing for a while, and rarely otherwise.
+    """
+    if state.tried_s is None:
+        return True
+    since_try_s = now_s - state.tried_s
+    if is_poller or not state.was_ready:
+        return since_try_s >= POLL_S
+    quiet_s = min(since_try_s, now_s - _last_heard_s(state))
+    if quiet_s >= QUIET_S + state.jitter_s:
+        return True
+    return since_try_s >= BACKSTOP_S + state.jitter_s
+
+
+def tried_table(state: Freshness, now_s: float, jitter: float) -> Freshness:
+    """Note that the table is being asked.
+
+    Args:
+        state: the state before.
+        now_s: the time.
+        jitter: random, in 0 to 1, for the next time.
+
+    Returns:
+        The state after.
+    """
+    return dataclasses.replace(state, tried_s=now_s, jitter_s=jitter * JITTER_S)
+
+
+def _last_heard_s(state: Freshness) -> float:
+    heard = [time_s for time_s in (state.table_s, state.peer_s) if time_s is not None]
+    return max(heard, default=float("-inf"))
--- /dev/null
+++ b/packages/coordination/lacewingdrum_coordination/order_steps.py
@@ -0,0 +1,248 @@
+"""The transitions of ``orders.Attempt``: one event in, actions out.
+
+At most one write or send of an attempt is under way at a time, so that an
+event always answers the last action. ``DeadlinePassed`` alone may come in
+between, and only ever leads to an answer for the caller.
+"""
+
+import dataclasses
+
+from lacewingdrum_coordination import orders
+from lacewingdrum_state import orders as rows, states
+
+_NO_WORK: tuple[orders.Action, ...] = ()
+
+
+def step(
+    attempt: orders.Attempt,
+    event: orders.Event,
+    now_s: float,
+    own: orders.OwnAttempts,
+) -> orders.Step:
+    """Take an attempt through one event.
+
+    Expiry goes before the event itself: after a pause the caller is told
+    first, whatever else has come in meanwhile.
+
+    Args:
+        attempt: the state before.
+        event: what happened.
+        now_s: the time on the daemon's monotonic clock.
+        own: the daemon's other attempts of the same order.
+
+    Returns:
+        The state after and what is to be done, in order.
+    """
+    told = _NO_WORK
+    if now_s >= attempt.deadline_s and not _says_not_run(event):
+        attempt, told = _expire(attempt)
+    attempt, actions = _handle(attempt, event, now_s, own)
+    return attempt, told + actions
+
+
+def _says_not_run(event: orders.Event) -> bool:
+    match event:
+        case orders.SendEnded(orders.Unsent() | orders.RefusedNotStarted()):
+            return True
+    return False
+
+
+def _handle(
+    attempt: orders.Attempt,
+    event: orders.Event,
+    now_s: float,
+    own: orders.OwnAttempts,
+) -> orders.Step:
+    match event:
+        case orders.Started():
+            return _end((attempt, _NO_WORK)) if attempt.told else _claim(attempt)
+        case orders.DeadlinePassed():
+            return _expire(attempt)
+        case orders.SendEnded(outcome):
+            return _send_ended(attempt, outcome)
+        case orders.WriteFailed(may_have_applied):
+            return _write_failed(attempt, may_have_applied, now_s)
+        case orders.RowSeen():
+            if attempt.phase is orders.Phase.CLAIMING:
+                return _claim_seen(attempt, event, now_s, own)
+            return _closing_write_seen(attempt, event)
+
+
+def _row(attempt: orders.Attempt, state: states.OrderState) -> rows.OrderRow:
+    answered = state is states.OrderState.ANSWERED
+    return rows.OrderRow(
+        order_id=attempt.order_id,
+        state=state,
+        attempt_id=attempt.attempt_id,
+        fingerprint=attempt.fingerprint,
+        answer=_stored_answer(attempt.answer) if answered else None,
+    )
+
+
+def _stored_answer(answer: rows.OrderAnswer | None) -> rows.OrderAnswer | None:
+    if answer is None or len(answer.body) > orders.MAX_STORED_ANSWER_BYTES:
+        return None
+    return answer
+
+
+def _tell(
+    attempt: orders.Attempt, result: orders.OrderResult
+) -> tuple[orders.Attempt, tuple[orders.Action, ...]]:
+    if attempt.told:
+        return attempt, _NO_WORK
+    return dataclasses.replace(attempt, told=True), (orders.Tell(result),)
+
+
+def _tell_not_run(attempt: orders.Attempt, reason: orders.NotSentReason) -> orders.Step:
+    return _tell(attempt, orders.NotSent(states.Ran.NO, reason))
+
+
+def _tell_maybe(attempt: orders.Attempt, reason: orders.NotSentReason) -> orders.Step:
+    return _tell(attempt, orders.NotSent(states.Ran.MAYBE, reason))
+
+
+def _end(step_so_far: orders.Step) -> orders.Step:
+    attempt, actions = step_so_far
+    return dataclasses.replace(attempt, phase=orders.Phase.ENDED), actions
+
+
+def _expire(attempt: orders.Attempt) -> orders.Step:
+    if attempt.phase is orders.Phase.SENDING:
+        return _tell_maybe(attempt, orders.NotSentReason.DEADLINE)
+    return _tell_not_run(attempt, orders.NotSentReason.DEADLINE)
+
+
+def _claim(attempt: orders.Attempt, delay_s: float = 0.0) -> orders.Step:
+    attempt = dataclasses.replace(attempt, claim_writes=attempt.claim_writes + 1)
+    row = _row(attempt, states.OrderState.DISPATCHED)
+    return attempt, (orders.WriteRow(row, attempt.base_version, delay_s),)
+
+
+def _may_still_send(attempt: orders.Attempt, now_s: float) -> bool:
+    return not attempt.told and now_s < attempt.deadline_s
+
+
+def _claim_seen(
+    attempt: orders.Attempt,
+    seen: orders.RowSeen,
+    now_s: float,
+    own: orders.OwnAttempts,
+) -> orders.Step:
+    # Whatever the outcome, the row now is past the version that all earlier
+    # claims of this attempt named, so none of them can land any more.
+    attempt = dataclasses.replace(
+        attempt, base_version=seen.row_version, unsettled=False
+    )
+    if seen.applied or _is_own_claim(attempt, seen.row):
+        if _may_still_send(attempt, now_s):
+            return (
+                dataclasses.replace(attempt, phase=orders.Phase.SENDING),
+                (orders.Send(),),
+            )
+        return _release(attempt, orders.NotSentReason.DEADLINE)
+    if seen.row_version == 0:
+        return _claim_again(attempt, now_s)
+    if seen.row is None or seen.row.order_id != attempt.order_id:
+        return _end(_tell_maybe(attempt, orders.NotSentReason.UNREADABLE_ROW))
+    if seen.row.fingerprint != attempt.fingerprint:
+        return _end(_tell_not_run(attempt, orders.NotSentReason.KEY_REUSED))
+    return _claim_refused(attempt, seen.row, now_s, own)
+
+
+def _is_own_claim(attempt: orders.Attempt, row: rows.OrderRow | None) -> bool:
+    return row == _row(attempt, states.OrderState.DISPATCHED)
+
+
+def _claim_refused(
+    attempt: orders.Attempt,
+    row: rows.OrderRow,
+    now_s: float,
+    own: orders.OwnAttempts,
+) -> orders.Step:
+    match row.state:
+        case states.OrderState.ANSWERED if row.answer is not None:
+            return _end(_tell(attempt, orders.Done(row.answer, replayed=True)))
+        case states.OrderState.ANSWERED:
+            reason = orders.NotSentReason.ANSWER_NOT_KEPT
+            return _end(_tell(attempt, orders.NotSent(states.Ran.YES, reason)))
+        case states.OrderState.NOT_RUN:
+            return _claim_again(attempt, now_s)
+        case states.OrderState.DISPATCHED if row.attempt_id in own.unsent:
+            return _claim_again(attempt, now_s)
+        case states.OrderState.DISPATCHED if row.attempt_id in own.sending:
+            return _end(_tell_maybe(attempt, orders.NotSentReason.IN_PROGRESS))
+        case states.OrderState.DISPATCHED:
+            return _end(_tell_maybe(attempt, orders.NotSentReason.MAY_HAVE_RUN))
+
+
+def _claim_again(attempt: orders.Attempt, now_s: float) -> orders.Step:
+    in_bounds = attempt.claim_writes < orders.MAX_CLAIM_WRITES
+    if in_bounds and _may_still_send(attempt, now_s):
+        return _claim(attempt)
+    return _end(_tell_not_run(attempt, orders.NotSentReason.UNSETTLED))
+
+
+def _release(attempt: orders.Attempt, reason: orders.NotSentReason) -> orders.Step:
+    """Never send from here on, and make the row say so."""
+    attempt, told = _tell_not_run(attempt, reason)
+    attempt = dataclasses.replace(
+        attempt, phase=orders.Phase.RELEASING, failed_writes=0
+    )
+    return attempt, (*told, _closing_write(attempt, delay_s=0.0))
+
+
+def _record(attempt: orders.Attempt, answer: rows.OrderAnswer) -> orders.Step:
+    attempt, told = _tell(attempt, orders.Done(answer, replayed=False))
+    attempt = dataclasses.replace(
+        attempt, phase=orders.Phase.RECORDING, failed_writes=0, answer=answer
+    )
+    return attempt, (*told, _closing_write(attempt, delay_s=0.0))
+
+
+def _closing_write(attempt: orders.Attempt, delay_s: float) -> orders.WriteRow:
+    recording = attempt.phase is orders.Phase.RECORDING
+    state = states.OrderState.ANSWERED if recording else states.OrderState.NOT_RUN
+    return orders.WriteRow(_row(attempt, state), attempt.base_version, delay_s)
+
+
+def _closing_write_seen(attempt: orders.Attempt, seen: orders.RowSeen) -> orders.Step:
+    # A claim that landed late is the one thing that is still to be moved on.
+    # Any other row means that this write was applied, or that another
+    # attempt took the place and this one's claim cannot land any more.
+    if not seen.applied and _is_own_claim(attempt, seen.row):
+        attempt = dataclasses.replace(attempt, base_version=seen.row_version)
+        return attempt, (_closing_write(attempt, delay_s=0.0),)
+    return _end((attempt, _NO_WORK))
+
+
+def _send_ended(attempt: orders.Attempt, outcome: orders.SendOutcome) -> orders.Step:
+    match outcome:
+        case orders.Answered(answer):
+            return _record(attempt, answer)
+        case orders.RefusedNotStarted():
+            return _release(attempt, orders.NotSentReason.RUNNER_REFUSED)
+        case orders.Unsent():
+            return _release(attempt, orders.NotSentReason.RUNNER_UNREACHED)
+        case orders.Lost():
+            return _end(_tell_maybe(attempt, orders.NotSentReason.ANSWER_LOST))
+
+
+def _write_failed(
+    attempt: orders.Attempt, may_have_applied: bool, now_s: float
+) -> orders.Step:
+    attempt = dataclasses.replace(attempt, failed_writes=attempt.failed_writes + 1)
+    if attempt.phase is not orders.Phase.CLAIMING:
+        return attempt, (_closing_write(attempt, _backoff_s(attempt)),)
+    unsettled = attempt.unsettled or may_have_applied
+    attempt = dataclasses.replace(attempt, unsettled=unsettled)
+    if not unsettled:
+        return _end(_tell_not_run(attempt, orders.NotSentReason.NO_TABLE))
+    in_bounds = attempt.claim_writes < orders.MAX_CLAIM_WRITES
+    if in_bounds and _may_still_send(attempt, now_s):
+        return _claim(attempt, _backoff_s(attempt))
+    return _release(attempt, orders.NotSentReason.UNSETTLED)
+
+
+def _backoff_s(attempt: orders.Attempt) -> float:
+    doublings = min(attempt.failed_writes - 1, 10)
+    return min(orders.FIRST_RETRY_S * 2**doublings, orders.LAST_RETRY_S)
--- a/packages/coordination/lacewingdrum_coordination/orders.py
+++ b/packages/coordination/lacewingdrum_coordination/orders.py
@@ -22,6 +22,7 @@
 
 import dataclasses
 import enum
+from collections.abc import Iterable
 
 from lacewingdrum_state import ids, orders, states
 
@@ -143,6 +144,14 @@
     unsent: frozenset[ids.AttemptId] = frozenset()
 
 
+def own_attempts(attempts: Iterable[Attempt]) -> OwnAttempts:
+    """Args: attempts: this daemon's, of one order. Returns: their sorting."""
+    known = tuple(attempts)
+    releasing = {a.attempt_id for a in known if a.phase is Phase.RELEASING}
+    sending = {a.attempt_id for a in known if a.phase is not Phase.RELEASING}
+    return OwnAttempts(frozenset(sending), frozenset(releasing))
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Started:
     """The attempt begins."""
--- /dev/null
+++ b/packages/coordination/lacewingdrum_coordination/orders_test.py
@@ -0,0 +1,326 @@
+"""Explores an order's state machine over event orders.
+
+A small table with one row stands in for the service. Writes can be refused,
+lost, lost after they took effect, or land much later. Two daemons run
+attempts of one key; either may pause at any point, or end.
+"""
+
+import dataclasses
+
+import hypothesis
+from hypothesis import stateful, strategies
+
+from lacewingdrum_coordination import order_steps, orders
+from lacewingdrum_state import ids, orders as rows, states
+
+ORDER_ID = rows.OrderId(
+    ids.ServiceName("vault-ledger"), ids.CustomerId("broker"), ids.IdempotencyKey("k")
+)
+ANSWER = rows.OrderAnswer(200, "text/plain", b"released")
+PATIENCE_S = 5.0
+SETTINGS = hypothesis.settings(
+    derandomize=True,
+    deadline=None,
+    database=None,
+    max_examples=150,
+    stateful_step_count=40,
+)
+DAEMONS = strategies.integers(0, 1)
+
+
+@dataclasses.dataclass
+class Running:
+    """One attempt under way, and the work it waits for."""
+
+    daemon: int
+    attempt: orders.Attempt
+    work: orders.Action | None = None
+
+
+class World:
+    """The table's row, the runner's record and what callers were told."""
+
+    def __init__(self):
+        self.now_s = 0.0
+        self.row_version = 0
+        self.row = None
+        self.late = []
+        self.running = []
+        self.sent = []
+        self.ran = {}
+        self.told = {}
+        self.killed = False
+        self.count = 0
+
+    def begin(self, daemon, fingerprint):
+        self.count += 1
+        attempt = orders.Attempt(
+            ORDER_ID,
+            fingerprint,
+            ids.AttemptId(f"a{self.count}"),
+            self.now_s + PATIENCE_S,
+        )
+        running = Running(daemon, attempt)
+        self.running.append(running)
+        self.give(running, orders.Started())
+
+    def give(self, running, event):
+        near = [r.attempt for r in self.running if r.daemon == running.daemon]
+        own = orders.own_attempts(near)
+        running.attempt, actions = order_steps.step(
+            running.attempt, event, self.now_s, own
+        )
+        if not isinstance(event, orders.DeadlinePassed):
+            running.work = None
+        for action in actions:
+            if isinstance(action, orders.Tell):
+                self.tell(running.attempt.attempt_id, action.result)
+            else:
+                assert running.work is None, "two works at once"
+                running.work = action
+        if running.attempt.phase is orders.Phase.ENDED:
+            self.running.remove(running)
+
+    def tell(self, attempt_id, result):
+        assert attempt_id not in self.told, "told twice"
+        self.told[attempt_id] = result
+        if isinstance(result, orders.Done):
+            assert result.answer == ANSWER and self.ran
+
+    def apply(self, write):
+        if self.row_version != write.if_version:
+            return False
+        self.row_version += 1
+        self.row = write.row
+        return True
+
+    def write(self, running, fate):
+        write = running.work
+        if fate == "late":
+            self.late.append(write)
+        applied = fate in ("good", "reply_lost") and self.apply(write)
+        if fate == "good":
+            self.give(running, orders.RowSeen(applied, self.row_version, self.row))
+        else:
+            self.give(running, orders.WriteFailed(fate != "refused"))
+
+    def send(self, running, fate):
+        if self.now_s >= running.attempt.deadline_s:
+            self.give(running, orders.SendEnded(orders.Unsent()))
+            return
+        attempt_id = running.attempt.attempt_id
+        self.sent.append(attempt_id)
+        outcomes = {
+            "answered": orders.Answered(ANSWER),
+            "lost_after": orders.Lost(),
+            "lost_before": orders.Lost(),
+            "refused": orders.RefusedNotStarted(),
+            "unsent": orders.Unsent(),
+        }
+        if fate in ("answered", "lost_after"):
+            self.ran[attempt_id] = ANSWER
+        if fate in ("refused", "unsent"):
+            self.sent.remove(attempt_id)
+        self.give(running, orders.SendEnded(outcomes[fate]))
+
+
+class OrderMachine(stateful.RuleBasedStateMachine):
+    """Any order of faults, pauses, repeats and ends."""
+
+    def __init__(self):
+        super().__init__()
+        self.world = World()
+
+    def _working(self, kind):
+        return [r for r in self.world.running if isinstance(r.work, kind)]
+
+    @stateful.rule(daemon=DAEMONS, other_body=strategies.integers(0, 9))
+    def begin(self, daemon, other_body):
+        if self.world.count < 8:
+            self.world.begin(daemon, "ff" if other_body else "00")
+
+    @stateful.precondition(lambda self: self._working(orders.WriteRow))
+    @stateful.rule(
+        pick=strategies.integers(0, 7),
+        fate=strategies.sampled_from(
+            ["good", "good", "reply_lost", "dropped", "late", "refused"]
+        ),
+    )
+    def write(self, pick, fate):
+        working = self._working(orders.WriteRow)
+        self.world.write(working[pick % len(working)], fate)
+
+    @stateful.precondition(lambda self: self._working(orders.Send))
+    @stateful.rule(
+        pick=strategies.integers(0, 7),
+        fate=strategies.sampled_from(
+            ["answered", "lost_after", "lost_before", "refused", "unsent"]
+        ),
+    )
+    def send(self, pick, fate):
+        working = self._working(orders.Send)
+        self.world.send(working[pick % len(working)], fate)
+
+    @stateful.precondition(lambda self: self.world.late)
+    @stateful.rule(pick=strategies.integers(0, 7))
+    def land_late(self, pick):
+        late = self.world.late
+        self.world.apply(late.pop(pick % len(late)))
+
+    @stateful.rule(seconds=strategies.sampled_from([0.1, 1.0, PATIENCE_S, 60.0]))
+    def pause(self, seconds):
+        self.world.now_s += seconds
+
+    @stateful.rule()
+    def expire(self):
+        for running in tuple(self.world.running):
+            if self.world.now_s >= running.attempt.deadline_s:
+                self.world.give(running, orders.DeadlinePassed())
+                assert running.attempt.told
+
+    @stateful.rule(daemon=DAEMONS, really=strategies.integers(0, 4))
+    def kill(self, daemon, really):
+        if really:
+            return
+        world = self.world
+        world.killed = True
+        gone = [r for r in world.running if r.daemon == daemon]
+        writes = [r.work for r in gone if isinstance(r.work, orders.WriteRow)]
+        world.late.extend(writes)
+        world.running = [r for r in world.running if r.daemon != daemon]
+
+    @stateful.invariant()
+    def sent_at_most_once(self):
+        assert len(set(self.world.sent)) == len(self.world.sent)
+        assert len(self.world.sent) <= 1
+        assert len(self.world.ran) <= 1
+
+    @stateful.invariant()
+    def not_run_was_not_run(self):
+        for attempt_id, result in self.world.told.items():
+            if isinstance(result, orders.NotSent) and result.ran is states.Ran.NO:
+                assert attempt_id not in self.world.sent
+
+    def teardown(self):
+        world = self.world
+        while world.running:
+            for running in tuple(world.running):
+                if isinstance(running.work, orders.Send):
+                    world.send(running, "answered")
+                else:
+                    world.write(running, "good")
+        while world.late:
+            world.apply(world.late.pop())
+        self.sent_at_most_once()
+        self.not_run_was_not_run()
+        self.check_final_row()
+
+    def check_final_row(self):
+        world = self.world
+        if world.killed or world.row is None:
+            return
+        if world.row.state is states.OrderState.ANSWERED:
+            assert world.row.answer == ANSWER
+            assert set(world.ran) == {world.row.attempt_id}
+        elif world.row.state is states.OrderState.DISPATCHED:
+            # Only an order that may have left and was not answered may
+            # stay so: nothing else may block the key.
+            assert world.sent == [world.row.attempt_id]
+        else:
+            assert not world.sent
+
+
+def test_any_order_of_events_sends_at_most_once():
+    stateful.run_state_machine_as_test(OrderMachine, settings=SETTINGS)
+
+
+def _world_with(daemon=0, fingerprint="ff"):
+    world = World()
+    world.begin(daemon, fingerprint)
+    return world, world.running[0]
+
+
+def test_a_write_that_lands_late_does_not_block_the_next_try():
+    world, first = _world_with()
+    for _ in range(orders.MAX_CLAIM_WRITES):
+        world.write(first, "late")
+    assert world.told["a1"].ran is states.Ran.NO
+    world.write(first, "refused")
+    world.apply(world.late.pop())
+    assert world.row.state is states.OrderState.DISPATCHED
+    # The same daemon knows that the attempt never sent, another does not.
+    world.begin(1, "ff")
+    world.write(world.running[1], "good")
+    assert world.told["a2"].reason is orders.NotSentReason.MAY_HAVE_RUN
+    world.begin(0, "ff")
+    again = world.running[1]
+    world.write(again, "good")
+    world.write(again, "good")
+    world.send(again, "answered")
+    assert world.told["a3"] == orders.Done(ANSWER, replayed=False)
+
+
+def test_a_holder_paused_between_claim_and_send_never_sends():
+    world, holder = _world_with()
+    world.write(holder, "good")
+    assert isinstance(holder.work, orders.Send)
+    world.now_s += 60.0
+    world.begin(1, "ff")
+    world.write(world.running[1], "good")
+    assert world.told["a2"].ran is states.Ran.MAYBE
+    world.send(holder, "answered")
+    assert not world.sent
+    assert world.told["a1"].ran is states.Ran.NO
+    world.write(holder, "good")
+    assert world.row.state is states.OrderState.NOT_RUN
+    world.begin(1, "ff")
+    repeat = world.running[0]
+    world.write(repeat, "good")
+    world.write(repeat, "good")
+    world.send(repeat, "answered")
+    assert world.sent == ["a3"]
+
+
+def test_repeats_get_the_stored_answer_and_other_bodies_are_refused():
+    world, first = _world_with()
+    world.write(first, "good")
+    world.begin(0, "ff")
+    world.write(world.running[1], "good")
+    assert world.told["a2"].reason is orders.NotSentReason.IN_PROGRESS
+    world.send(first, "answered")
+    world.write(first, "good")
+    world.begin(1, "ff")
+    world.write(world.running[0], "good")
+    assert world.told["a3"] == orders.Done(ANSWER, replayed=True)
+    world.begin(1, "00")
+    world.write(world.running[0], "good")
+    assert world.told["a4"].reason is orders.NotSentReason.KEY_REUSED
+    assert world.told["a4"].ran is states.Ran.NO
+
+
+def test_an_answer_too_large_to_keep_is_told_as_run():
+    large = rows.OrderAnswer(200, "", b"x" * (orders.MAX_STORED_ANSWER_BYTES + 1))
+    world, first = _world_with()
+    world.write(first, "good")
+    attempt, actions = order_steps.step(
+        first.attempt,
+        orders.SendEnded(orders.Answered(large)),
+        0.0,
+        orders.OwnAttempts(),
+    )
+    assert actions[0] == orders.Tell(orders.Done(large, replayed=False))
+    assert actions[1].row.answer is None
+    world.row = actions[1].row
+    world.begin(1, "ff")
+    world.write(world.running[1], "good")
+    assert world.told["a2"].ran is states.Ran.YES
+    assert attempt.phase is orders.Phase.RECORDING
+
+
+def test_without_a_table_nothing_is_sent():
+    world, first = _world_with()
+    world.write(first, "refused")
+    assert world.told["a1"] == orders.NotSent(
+        states.Ran.NO, orders.NotSentReason.NO_TABLE
+    )
+    assert not world.running
--- /dev/null
+++ b/packages/daemon/lacewingdrum_daemon/document_store.py
@@ -0,0 +1,177 @@
+"""Reads and writes the history of documents in the platform's table.
+
+Each version is a row that is never changed. Versions have no gaps: version
+n + 1 is written only after n was seen. An index row a service, written before
+its first version, lets a poll find services without reading their history.
+"""
+
+from collections.abc import Mapping
+
+from result import Err, Ok
+
+from lacewingdrum_coordination import documents
+from lacewingdrum_daemon import tables
+from lacewingdrum_protocol import row_codec
+from lacewingdrum_state import documents as document_types, ids, rows
+
+CATCH_UP_VERSIONS = 8
+
+
+class DocumentStore:
+    """The rows of all documents."""
+
+    def __init__(self, table: tables.Table) -> None:
+        self._table = table
+
+    async def services(self) -> tuple[ids.ServiceName, ...]:
+        """Find all services that may have a document.
+
+        Returns:
+            Their names.
+
+        Raises:
+            ConnectionError: when the table gave no answer.
+        """
+        match await self._table.scan(row_codec.DOCUMENT_INDEX_TABLE, ""):
+            case Ok(found):
+                return tuple(row_codec.service_of_index(row.row_key) for row in found)
+            case Err(error):
+                raise ConnectionError(error.detail)
+        raise AssertionError
+
+    async def read_version(
+        self, service: ids.ServiceName, version: ids.DocumentVersion
+    ) -> document_types.StoredDocument | None:
+        """Read one version.
+
+        Args:
+            service: whose document it is.
+            version: its number.
+
+        Returns:
+            The version, or None if it is absent or cannot be read.
+
+        Raises:
+            ConnectionError: when the table gave no answer.
+        """
+        (row,) = await self._read((row_codec.document_key(service, version),))
+        return _document(row)
+
+    async def read_after(
+        self, held: Mapping[ids.ServiceName, ids.DocumentVersion]
+    ) -> tuple[document_types.StoredDocument, ...]:
+        """Read what came after the versions held.
+
+        Args:
+            held: the version held of each service; 0 for none.
+
+        Returns:
+            The highest version of each service that has a later one.
+
+        Raises:
+            ConnectionError: when the table gave no answer.
+        """
+        newest: dict[ids.ServiceName, document_types.StoredDocument] = {}
+        behind = dict(held)
+        is_first = True
+        while behind:
+            places = _places_after(behind, catches_up=not is_first)
+            found = await self._read(tuple(places))
+            is_first = False
+            behind = {}
+            for row in found:
+                if row.row_version == 0:
+                    continue
+                # A row that cannot be read here comes from a newer daemon;
+                # later ones may be readable again.
+                service, version = places[row.row_key]
+                behind[service] = version
+                stored = _document(row)
+                if stored is not None:
+                    newest[service] = stored
+        return tuple(newest.values())
+
+    async def look(
+        self, wanted: document_types.StoredDocument
+    ) -> documents.HistorySeen | documents.HistoryUnread:
+        """Find out whether a version may be committed.
+
+        Args:
+            wanted: the version; its base is the one before.
+
+        Returns:
+            What stands in the history at both places. For a first version
+            the index row exists afterwards.
+        """
+        base = ids.DocumentVersion(wanted.version - 1)
+        keys = (
+            row_codec.document_key(wanted.service, base),
+            row_codec.document_key(wanted.service, wanted.version),
+        )
+        try:
+            base_row, following_row = await self._read(keys)
+            if base == 0:
+                await self._write_index(wanted.service)
+        except ConnectionError as error:
+            return documents.HistoryUnread(str(error))
+        return documents.HistorySeen(
+            base_exists=base == 0 or base_row.row_version > 0,
+            following_exists=following_row.row_version > 0,
+            following=_document(following_row),
+        )
+
+    async def commit(
+        self, stored: document_types.StoredDocument
+    ) -> documents.RowSeen | documents.CommitFailed:
+        """Write a version, if no such row exists.
+
+        Args:
+            stored: the version.
+
+        Returns:
+            What the table did.
+        """
+        key = row_codec.document_key(stored.service, stored.version)
+        write = rows.RowWrite(key, 0, row_codec.encode(stored))
+        match await self._table.write((write,)):
+            case Ok((outcome,)):
+                return documents.RowSeen(outcome.applied, _document(outcome.row))
+            case Err(error):
+                may_have_applied = tables.may_have_applied(error)
+                return documents.CommitFailed(may_have_applied, error.detail)
+        return documents.CommitFailed(True, "no outcome")
+
+    async def _write_index(self, service: ids.ServiceName) -> None:
+        write = rows.RowWrite(row_codec.index_key(service), 0, service.encode())
+        result = await self._table.write((write,))
+        if isinstance(result, Err):
+            raise ConnectionError(result.err_value.detail)
+
+    async def _read(self, keys: tuple[rows.RowKey, ...]) -> tuple[rows.Row, ...]:
+        match await self._table.read(keys):
+            case Ok(found):
+                return found
+            case Err(error):
+                raise ConnectionError(error.detail)
+        raise AssertionError
+
+
+def _places_after(
+    held: Mapping[ids.ServiceName, ids.DocumentVersion], catches_up: bool
+) -> dict[rows.RowKey, tuple[ids.ServiceName, ids.DocumentVersion]]:
+    """Returns: the rows to ask for, in the order of their versions."""
+    places = {}
+    for service, version in held.items():
+        width = CATCH_UP_VERSIONS if catches_up or version == 0 else 1
+        for ahead in range(1, width + 1):
+            place = ids.DocumentVersion(version + ahead)
+            places[row_codec.document_key(service, place)] = (service, place)
+    return places
+
+
+def _document(row: rows.Row) -> document_types.StoredDocument | None:
+    stored = row_codec.decode_document(row.value).ok()
+    if stored is None:
+        return None
+    key = row_codec.document_key(stored.service, stored.version)
+    return stored if key == row.row_key else None
--- a/packages/daemon/lacewingdrum_daemon/order_calls.py
+++ b/packages/daemon/lacewingdrum_daemon/order_calls.py
@@ -1,25 +1,46 @@
-"""Carries out orders: the driver of ``coordination.orders``."""
+"""Carries out orders: the driver of ``coordination.orders``.
 
-import typing
+Each order runs in a task of its own, so that it goes to its end and is
+recorded even when its caller goes away or its deadline passes.
+"""
+
+import asyncio
+import logging
 from collections.abc import Awaitable, Callable
 
-from lacewingdrum_coordination import orders
-from lacewingdrum_state import ids, orders as order_rows
+from result import Err, Ok
+
+from lacewingdrum_coordination import order_steps, orders
+from lacewingdrum_daemon import tables, tasks
+from lacewingdrum_protocol import row_codec
+from lacewingdrum_state import ids, orders as order_rows, rows, states
 
-if typing.TYPE_CHECKING:
-    from lacewingdrum_transport import table_client
+MAX_CALLS = 10_000
 
 Sender = Callable[[], Awaitable[orders.SendOutcome]]
+_log = logging.getLogger(__name__)
 
 
 class OrderCalls:
     """Runs each order to its end, whether or not its caller waits."""
 
-    def __init__(
-        self, table: "table_client.TableClient", clock: Callable[[], float]
-    ) -> None:
+    def __init__(self, table: tables.Table, clock: Callable[[], float]) -> None:
+        """Prepare to run orders.
+
+        Args:
+            table: the platform's table service.
+            clock: monotonic seconds.
+        """
         self._table = table
         self._clock = clock
+        self._tasks = tasks.TaskSet()
+        self._calls: dict[order_rows.OrderId, set[_Call]] = {}
+        self._call_count = 0
+
+    @property
+    def open_count(self) -> int:
+        """Orders that are under way or not yet recorded."""
+        return self._call_count
 
     async def run(
         self,
@@ -29,8 +50,138 @@
         deadline_s: float,
         send: Sender,
     ) -> orders.OrderResult:
-        """Run one order; answers at the deadline at the latest."""
-        raise NotImplementedError
+        """Run one order; answers at the deadline at the latest.
+
+        Args:
+            order_id: who asked, where, with which key.
+            fingerprint: SHA-256 of method, path and body, in hex.
+            attempt_id: an id that no other run has.
+            deadline_s: when the caller's patience ends, on ``clock``.
+            send: sends the order once; called at most once, and never after
+                the deadline.
+
+        Returns:
+            The runner's answer, or why there is none and whether it ran.
+        """
+        if self._call_count >= MAX_CALLS:
+            return orders.NotSent(states.Ran.NO, orders.NotSentReason.NO_TABLE)
+        attempt = orders.Attempt(order_id, fingerprint, attempt_id, deadline_s)
+        call = _Call(self._table, self._clock, self._own_attempts, attempt, send)
+        self._open(call)
+        self._tasks.spawn(self._drive(call))
+        return await call.result()
 
     async def close(self, grace_s: float) -> None:
-        """Wait for what is still to be recorded, then end."""
+        """Wait for what is still to be recorded, then end.
+
+        Args:
+            grace_s: how long to wait before the rest is given up.
+        """
+        await self._tasks.close(grace_s)
+
+    def _open(self, call: "_Call") -> None:
+        self._calls.setdefault(call.attempt.order_id, set()).add(call)
+        self._call_count += 1
+
+    async def _drive(self, call: "_Call") -> None:
+        try:
+            await call.drive()
+        finally:
+            self._forget(call)
+
+    def _forget(self, call: "_Call") -> None:
+        calls = self._calls[call.attempt.order_id]
+        calls.discard(call)
+        if not calls:
+            del self._calls[call.attempt.order_id]
+        self._call_count -= 1
+
+    def _own_attempts(self, order_id: order_rows.OrderId) -> orders.OwnAttempts:
+        calls = self._calls.get(order_id, set())
+        return orders.own_attempts(call.attempt for call in calls)
+
+
+class _Call:
+    """One attempt, its task and the caller that waits for it."""
+
+    def __init__(
+        self,
+        table: tables.Table,
+        clock: Callable[[], float],
+        own_attempts: Callable[[order_rows.OrderId], orders.OwnAttempts],
+        attempt: orders.Attempt,
+        send: Sender,
+    ) -> None:
+        self.attempt = attempt
+        self._table = table
+        self._clock = clock
+        self._own_attempts = own_attempts
+        self._send = send
+        self._row_key = row_codec.order_key(attempt.order_id)
+        self._told: asyncio.Future[orders.OrderResult] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+    async def result(self) -> orders.OrderResult:
+        """Wait for the caller's answer, until the deadline."""
+        left_s = max(0.0, self.attempt.deadline_s - self._clock())
+        await asyncio.wait({self._told}, timeout=left_s)
+        if not self._told.done():
+            self._step(orders.DeadlinePassed())
+        return self._told.result()
+
+    async def drive(self) -> None:
+        """Take the attempt to its end."""
+        work = self._step(orders.Started())
+        while work is not None:
+            event = await self._perform(work)
+            work = self._step(event)
+
+    def _step(self, event: orders.Event) -> orders.WriteRow | orders.Send | None:
+        own = self._own_attempts(self.attempt.order_id)
+        self.attempt, actions = order_steps.step(
+            self.attempt, event, self._clock(), own
+        )
+        work: orders.WriteRow | orders.Send | None = None
+        for action in actions:
+            match action:
+                case orders.Tell(result):
+                    self._told.set_result(result)
+                case orders.WriteRow() | orders.Send():
+                    work = action
+        return work
+
+    async def _perform(self, work: orders.WriteRow | orders.Send) -> orders.Event:
+        match work:
+            case orders.Send():
+                return orders.SendEnded(await self._send_in_time())
+            case orders.WriteRow():
+                return await self._write(work)
+
+    async def _send_in_time(self) -> orders.SendOutcome:
+        # A pause can come between any two steps, so the clock is read with
+        # nothing but the send behind it.
+        if self._clock() >= self.attempt.deadline_s:
+            return orders.Unsent()
+        try:
+            return await self._send()
+        except Exception:
+            _log.exception("order %s: send failed", self.attempt.attempt_id)
+            return orders.Lost()
+
+    async def _write(self, work: orders.WriteRow) -> orders.Event:
+        if work.delay_s > 0:
+            await asyncio.sleep(work.delay_s)
+        value = row_codec.encode(work.row)
+        write = rows.RowWrite(self._row_key, work.if_version, value)
+        match await self._table.write((write,)):
+            case Ok((outcome,)):
+                return _row_seen(outcome)
+            case Err(error):
+                return orders.WriteFailed(tables.may_have_applied(error))
+        return orders.WriteFailed(may_have_applied=True)
+
+
+def _row_seen(outcome: rows.WriteOutcome) -> orders.RowSeen:
+    row = row_codec.decode_order(outcome.row.value).ok()
+    return orders.RowSeen(outcome.applied, outcome.row.row_version, row)
--- /dev/null
+++ b/packages/daemon/lacewingdrum_daemon/submitting.py
@@ -0,0 +1,36 @@
+"""Takes one submission to its end: the driver of ``documents.step``."""
+
+import asyncio
+from collections.abc import Callable
+
+from lacewingdrum_coordination import documents
+from lacewingdrum_daemon import document_store
+
+
+async def settle(
+    store: document_store.DocumentStore,
+    submission: documents.Submission,
+    clock: Callable[[], float],
+) -> documents.SubmitResult:
+    """Commit a submission and find out what became of it.
+
+    Args:
+        store: the documents' rows.
+        submission: the submission.
+        clock: monotonic seconds.
+
+    Returns:
+        What the operator is told.
+    """
+    event: documents.Event = documents.Started()
+    while True:
+        submission, action = documents.step(submission, event, clock())
+        match action:
+            case documents.Tell(result):
+                return result
+            case documents.ReadHistory():
+                event = await store.look(submission.wanted)
+            case documents.Commit(stored, delay_s):
+                if delay_s > 0:
+                    await asyncio.sleep(delay_s)
+                event = await store.commit(stored)
--- /dev/null
+++ b/tests/faulty_table.py
@@ -0,0 +1,144 @@
+"""A table service in memory whose replies and writes go astray.
+
+It runs on the loop's time and draws its faults from a seeded generator, so
+that a run can be repeated exactly.
+"""
+
+import asyncio
+import dataclasses
+import random
+
+from result import Err, Ok
+
+from lacewingdrum_state import rows
+from lacewingdrum_transport import table_client
+
+TIMEOUT_S = 0.5
+LATENCY_S = 0.02
+LATE_S = 8.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Faults:
+    """How likely each fault of a call is; the rest goes well.
+
+    A write is refused, dropped with its reply lost, applied with its reply
+    lost, or applied late with its reply lost. A read fails as often as any
+    of them.
+    """
+
+    refused: float = 0.0
+    dropped: float = 0.0
+    reply_lost: float = 0.0
+    late: float = 0.0
+
+    @property
+    def total(self) -> float:
+        """How likely any fault is."""
+        return self.refused + self.dropped + self.reply_lost + self.late
+
+
+class FaultyTable:
+    """The table itself; each daemon calls it through a ``Link``."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.faults = Faults()
+        self.is_down = False
+        self.rows: dict[rows.RowKey, rows.Row] = {}
+        self.rng = rng
+
+    def row(self, key: rows.RowKey) -> rows.Row:
+        """Args: key: any. Returns: its row; version 0 if absent."""
+        return self.rows.get(key, rows.Row(key, 0, b""))
+
+    def apply(self, write: rows.RowWrite) -> rows.WriteOutcome:
+        """Args: write: a compare-and-set. Returns: what it did."""
+        row = self.row(write.row_key)
+        if row.row_version != write.if_version:
+            return rows.WriteOutcome(False, row)
+        row = rows.Row(write.row_key, row.row_version + 1, write.value)
+        self.rows[write.row_key] = row
+        return rows.WriteOutcome(True, row)
+
+
+class Link:
+    """One daemon's client of the table, which can be cut or frozen."""
+
+    def __init__(self, table: FaultyTable) -> None:
+        self._table = table
+        self.is_cut = False
+        self.thawed = asyncio.Event()
+        self.thawed.set()
+
+    async def write(
+        self, writes: tuple[rows.RowWrite, ...]
+    ) -> table_client.WriteResult:
+        """Write rows; any fault may come in between."""
+        result = await self._write(writes)
+        await self.thawed.wait()
+        return result
+
+    async def read(self, keys: tuple[rows.RowKey, ...]) -> table_client.RowsResult:
+        """Read rows; absent ones have version 0."""
+        lost = await self._read_fault()
+        await self.thawed.wait()
+        if lost is not None:
+            return Err(lost)
+        return Ok(tuple(self._table.row(key) for key in keys))
+
+    async def scan(self, table: str, prefix: str) -> table_client.RowsResult:
+        """Read the rows of a table whose keys start with ``prefix``."""
+        lost = await self._read_fault()
+        await self.thawed.wait()
+        if lost is not None:
+            return Err(lost)
+        found = [
+            row
+            for key, row in self._table.rows.items()
+            if key.table == table and key.key.startswith(prefix)
+        ]
+        return Ok(tuple(sorted(found, key=lambda row: row.row_key.key)))
+
+    async def _write(
+        self, writes: tuple[rows.RowWrite, ...]
+    ) -> table_client.WriteResult:
+        table = self._table
+        await asyncio.sleep(table.rng.uniform(0.0, LATENCY_S))
+        faults = table.faults
+        draw = table.rng.random()
+        if table.is_down or self.is_cut or draw < faults.refused:
+            return Err(_error(table_client.TableErrorReason.NOT_APPLIED))
+        draw -= faults.refused
+        loop = asyncio.get_running_loop()
+        if draw < faults.dropped:
+            return await _lost()
+        draw -= faults.dropped
+        if draw < faults.late:
+            for write in writes:
+                loop.call_later(table.rng.uniform(0.0, LATE_S), table.apply, write)
+            return await _lost()
+        draw -= faults.late
+        outcomes = tuple(table.apply(write) for write in writes)
+        if draw < faults.reply_lost:
+            return await _lost()
+        await asyncio.sleep(table.rng.uniform(0.0, LATENCY_S))
+        return Ok(outcomes)
+
+    async def _read_fault(self) -> table_client.TableError | None:
+        table = self._table
+        await asyncio.sleep(table.rng.uniform(0.0, LATENCY_S))
+        if table.is_down or self.is_cut:
+            return _error(table_client.TableErrorReason.NOT_APPLIED)
+        if table.rng.random() < table.faults.total:
+            await asyncio.sleep(TIMEOUT_S)
+            return _error(table_client.TableErrorReason.UNKNOWN)
+        return None
+
+
+async def _lost() -> table_client.WriteResult:
+    await asyncio.sleep(TIMEOUT_S)
+    return Err(_error(table_client.TableErrorReason.UNKNOWN))
+
+
+def _error(reason: table_client.TableErrorReason) -> table_client.TableError:
+    return table_client.TableError(reason, "fault of the test")
