Send a resumed prompt with the tokens passed on, as the interface says

Cause: the attempt sent the caller's prompt alone beside resume_text; the runner interface defines prompt as both together. Ruled out: changing the interface; an engine needs the whole text to go on. Change: prompt is prompt and text passed on.

--- a/packages/daemon/lacewingdrum_daemon/completions.py
+++ b/packages/daemon/lacewingdrum_daemon/completions.py
@@ -351,7 +351,7 @@
         left_s = request.deadline_s - self._clock()
         return runner_api.CompletionCall(
             attempt_id=progress.tried[-1].attempt_id,
-            prompt=call.body.prompt,
+            prompt=call.body.prompt + answer.text,
             prompt_tokens=request.prompt_tokens,
             max_tokens=request.max_tokens,
             priority=runner_api.Priority(decision.priority),
