All pairs of faults on real processes, under a checked load

Cause: pure proofs do not see sockets, signals and processes. Ruled out: judging lateness at a frozen daemon by the plain deadline; it can only end what was due once it goes on. Change: faults, their healing, trials in parallel; the verdict allows for frozen and killed daemons only.

--- a/standins/calls.py
+++ b/standins/calls.py
@@ -67,7 +67,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Outcome:
-    """What a caller saw of one request; times are from its start."""
+    """What a caller saw of one request.
+
+    Times are from its start; ``began_s`` is on the monotonic clock.
+    """
 
     plan: CompletionPlan | ServicePlan
     daemon: str = ""
@@ -79,6 +82,13 @@
     detail: str = ""
     first_token_s: float | None = None
     total_s: float = 0.0
+    began_s: float = 0.0
+
+    @property
+    def deadline_s(self) -> float:
+        """When it had to be ended, on the monotonic clock."""
+        allowed_s = PATIENCE_MARGIN_S + MEASURING_MARGIN_S
+        return self.began_s + self.plan.kind.patience_ms / 1000 + allowed_s
 
     @property
     def is_refused(self) -> bool:
@@ -156,18 +166,13 @@
     outcome: Outcome,
 ) -> bytes | None:
     """Returns: the whole body of a 200, or None with the outcome's end set."""
-    began_s = time.monotonic()
-    patience_s = outcome.plan.kind.patience_ms / 1000
+    began_s = outcome.began_s = time.monotonic()
     try:
         return await _exchange_until(
             http, address, method, path, headers, body, outcome, began_s
         )
     finally:
         outcome.total_s = time.monotonic() - began_s
-        allowed_s = patience_s + PATIENCE_MARGIN_S + MEASURING_MARGIN_S
-        if outcome.total_s > allowed_s and outcome.end is not End.CUT:
-            outcome.end = End.WRONG
-            outcome.detail = f"ended {outcome.total_s - patience_s:.3f} s late"
 
 
 async def _exchange_until(
--- a/standins/verdict.py
+++ b/standins/verdict.py
@@ -3,6 +3,8 @@
 import asyncio
 import dataclasses
 import time
+import types
+from collections.abc import Mapping
 from typing import Any
 
 from lacewingdrum_state import states
@@ -23,7 +25,10 @@
 
 
 async def judge(
-    deployment: cluster.Cluster, result: load.LoadResult, killed: frozenset[str]
+    deployment: cluster.Cluster,
+    result: load.LoadResult,
+    killed: frozenset[str],
+    thawed_s: Mapping[str, float] = types.MappingProxyType({}),
 ) -> Verdict:
     """Judge a finished load.
 
@@ -31,6 +36,8 @@
         deployment: where it ran.
         result: what callers saw.
         killed: daemons that were killed on purpose.
+        thawed_s: when daemons that were frozen on purpose went on; what
+            was due before had to end then at once.
 
     Returns:
         Every broken promise that can be seen.
@@ -38,6 +45,7 @@
     records = {
         name: await deployment.record(process)
         for name, process in deployment.runners.items()
+        if process.child.is_running
     }
     outcomes = list(result.outcomes)
     for tries in result.orders.values():
@@ -51,6 +59,11 @@
             cut_by_killed += 1
         elif outcome.end is calls.End.CUT:
             violations.append(_line(outcome))
+    violations += [
+        f"{_late_s(outcome, thawed_s):.3f} s late: {_line(outcome)}"
+        for outcome in outcomes
+        if outcome.end is not calls.End.CUT and _late_s(outcome, thawed_s) > 0
+    ]
     violations += _ran_all_the_same(outcomes, records)
     effects = _effects(records)
     violations += _order_violations(result, effects)
@@ -67,6 +80,8 @@
     """Returns: tokens that all engines hold at this moment."""
     total = 0
     for process in deployment.runners.values():
+        if not process.child.is_running:
+            continue
         record = await deployment.record(process)
         total += sum(record.get("held", {}).values())
     return total
@@ -90,6 +105,12 @@
     return time.monotonic() - began_s
 
 
+def _late_s(outcome: calls.Outcome, thawed_s: Mapping[str, float]) -> float:
+    margin_s = calls.PATIENCE_MARGIN_S + calls.MEASURING_MARGIN_S
+    due_s = max(outcome.deadline_s, thawed_s.get(outcome.daemon, 0.0) + margin_s)
+    return max(0.0, outcome.began_s + outcome.total_s - due_s)
+
+
 def _line(outcome: calls.Outcome) -> str:
     what = "order"
     match outcome.plan:
--- /dev/null
+++ b/tests/faults.py
@@ -0,0 +1,133 @@
+"""Faults of real processes: how each is switched on and healed."""
+
+import asyncio
+import dataclasses
+import enum
+import time
+
+from lacewingdrum_state import states
+from standins import cluster
+
+VICTIM_DAEMON = "vm-1"
+VICTIM_ENGINE = "engine-1"
+
+
+class Fault(enum.Enum):
+    """One thing that goes wrong."""
+
+    KILL_DAEMON = "kill_daemon"
+    FREEZE_DAEMON = "freeze_daemon"
+    KILL_ENGINE = "kill_engine"
+    FREEZE_ENGINE = "freeze_engine"
+    SILENT_ENGINE = "silent_engine"
+    SILENT_TABLE = "silent_table"
+    TABLE_DOWN = "table_down"
+    TABLE_SLOW = "table_slow"
+    TABLE_LOSES_REPLIES = "table_loses_replies"
+    TABLE_WRITES_LATE = "table_writes_late"
+    ENGINE_LEAVES_LIST_LAGS = "engine_leaves_list_lags"
+    CANCELS_LOST = "cancels_lost"
+    IMPORT_REPLIES_LOST = "import_replies_lost"
+    STREAMS_CUT = "streams_cut"
+    PARTS_MIXED = "parts_mixed"
+
+
+@dataclasses.dataclass(slots=True)
+class Damage:
+    """What has to be allowed for when the load is judged."""
+
+    killed: set[str] = dataclasses.field(default_factory=set)
+    thawed_s: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
+async def inject(fault: Fault, found: cluster.Cluster, damage: Damage) -> None:
+    """Switch a fault on.
+
+    Args:
+        fault: which.
+        found: the deployment.
+        damage: is told what the judge must allow for.
+    """
+    table = found.platform["table"]
+    match fault:
+        case Fault.KILL_DAEMON:
+            damage.killed.add(VICTIM_DAEMON)
+            await found.kill_daemon(VICTIM_DAEMON)
+        case Fault.FREEZE_DAEMON:
+            # Another fault of the pair may have killed it.
+            found.daemons[VICTIM_DAEMON].child.freeze()
+        case Fault.KILL_ENGINE:
+            await found.runners[VICTIM_ENGINE].child.kill()
+        case Fault.FREEZE_ENGINE:
+            found.runners[VICTIM_ENGINE].child.freeze()
+        case Fault.SILENT_ENGINE:
+            await found.silence(found.runners["engine-0"])
+        case Fault.SILENT_TABLE:
+            await found.silence(table)
+        case Fault.TABLE_DOWN:
+            await found.fault(table, outage=True)
+        case Fault.TABLE_SLOW:
+            await found.fault(table, delay_ms=1_500)
+        case Fault.TABLE_LOSES_REPLIES:
+            await found.fault(table, lose_replies=0.3)
+        case Fault.TABLE_WRITES_LATE:
+            await found.fault(table, late_writes=0.3)
+        case Fault.ENGINE_LEAVES_LIST_LAGS:
+            await found.fault(found.platform["members"], list_lag_ms=60_000)
+            await found.fault(found.runners["engine-2"], leaving=True)
+            await found.mark("engine-2", states.MemberState.LEAVING)
+        case _:
+            await _fault_engines(found, fault, 1.0)
+
+
+async def heal(fault: Fault, found: cluster.Cluster, damage: Damage) -> None:
+    """Switch a fault off again."""
+    match fault:
+        case Fault.KILL_DAEMON:
+            plan = found.daemons[VICTIM_DAEMON].plan
+            found.daemons[VICTIM_DAEMON].child.thaw()
+            await found.start_daemon(plan)
+        case Fault.FREEZE_DAEMON:
+            found.daemons[VICTIM_DAEMON].child.thaw()
+            damage.thawed_s[VICTIM_DAEMON] = time.monotonic()
+        case Fault.FREEZE_ENGINE:
+            found.runners[VICTIM_ENGINE].child.thaw()
+        case Fault.TABLE_DOWN:
+            await found.fault(found.platform["table"], outage=False)
+        case Fault.TABLE_SLOW:
+            await found.fault(found.platform["table"], delay_ms=0)
+        case Fault.TABLE_LOSES_REPLIES:
+            await found.fault(found.platform["table"], lose_replies=0.0)
+        case Fault.TABLE_WRITES_LATE:
+            await found.fault(found.platform["table"], late_writes=0.0)
+        case Fault.CANCELS_LOST | Fault.IMPORT_REPLIES_LOST:
+            await _fault_engines(found, fault, 0.0)
+        case Fault.STREAMS_CUT | Fault.PARTS_MIXED:
+            await _fault_engines(found, fault, 0.0)
+        case _:
+            return
+
+
+async def _fault_engines(found: cluster.Cluster, fault: Fault, amount: float) -> None:
+    faults: dict[str, float] = {}
+    match fault:
+        case Fault.CANCELS_LOST:
+            faults["lose_cancels"] = 0.7 * amount
+        case Fault.IMPORT_REPLIES_LOST:
+            faults["lose_import_replies"] = 0.5 * amount
+        case Fault.STREAMS_CUT:
+            faults["cut_streams"] = 0.01 * amount
+        case Fault.PARTS_MIXED:
+            faults["mix_parts"] = 0.2 * amount
+    engines = [
+        process
+        for name, process in found.runners.items()
+        if name.startswith("engine-") and process.child.is_running
+    ]
+    for process in engines:
+        try:
+            async with asyncio.timeout(1.0):
+                await found.fault(process, **faults)
+        except (TimeoutError, RuntimeError):
+            # A frozen engine does not take the fault, and has one already.
+            continue
--- /dev/null
+++ b/tests/guarantee_faults.py
@@ -0,0 +1,182 @@
+"""All pairs of faults on real processes, under a fully checked load.
+
+``python -m tests.guarantee_faults [FAULT FAULT]`` runs every pair, or one.
+A trial starts a deployment, disturbs it in the middle of a load, heals it,
+and then compares what callers were told with what the runners did.
+"""
+
+import argparse
+import asyncio
+import concurrent.futures
+import dataclasses
+import itertools
+import multiprocessing
+import os
+import pathlib
+import re
+import sys
+import tempfile
+
+from lacewingdrum_protocol import document_text
+from lacewingdrum_state import documents
+from standins import cluster, load, verdict
+from tests import faults, whole_system
+
+PARALLEL = 4
+LOAD_S = 6.0
+INJECT_S = 1.0
+HEAL_S = 4.0
+FREE_TIMEOUT_S = 45.0
+SEED = 1
+ENGINE_OPTIONS = ("--prefill-tokens-per-s", "100000", "--decode-step-s", "0.01")
+PATIENCES_MS = {"15000": "4000", "60000": "9000", "600000": "25000", "10000": "3000"}
+LOAD = load.LoadPlan(
+    duration_s=LOAD_S,
+    completions_per_s=8.0,
+    service_calls_per_s=8.0,
+    mid_share=0.1,
+    long_share=0.03,
+    first_tokens=(900_000,),
+    max_answer_tokens=48,
+)
+
+Pair = tuple[faults.Fault, faults.Fault]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Trial:
+    """What one trial showed."""
+
+    pair: Pair
+    request_count: int
+    answered_count: int
+    order_count: int
+    freed_s: float
+    violations: tuple[str, ...]
+
+
+def all_pairs() -> list[Pair]:
+    """Returns: each two different faults, once."""
+    return list(itertools.combinations(faults.Fault, 2))
+
+
+async def run_pair(pair: Pair, folder: pathlib.Path, seed: int = SEED) -> Trial:
+    """Run one trial.
+
+    Args:
+        pair: the faults that are on at the same time.
+        folder: for settings and logs.
+        seed: of the load.
+
+    Returns:
+        What it showed.
+    """
+    services = _documents(folder)
+    plan = whole_system.plan(4, 2, ENGINE_OPTIONS)
+    async with whole_system.running(plan, folder, folder) as found:
+        callers = load.Load(found, services, LOAD, seed)
+        await callers.start()
+        damage = faults.Damage()
+        try:
+            disturbing = asyncio.ensure_future(_disturb(pair, found, damage))
+            await callers.run()
+            await disturbing
+            freed_s = await verdict.wait_until_free(found, FREE_TIMEOUT_S)
+            judged = await verdict.judge(
+                found, callers.result, frozenset(damage.killed), damage.thawed_s
+            )
+        finally:
+            await callers.close()
+    violations = list(judged.violations)
+    if freed_s == float("inf"):
+        violations.append(f"memory still held after {FREE_TIMEOUT_S:g} s")
+    outcomes = list(callers.result.outcomes)
+    for tries in callers.result.orders.values():
+        outcomes += tries
+    answered = sum(outcome.end.value == "answered" for outcome in outcomes)
+    return Trial(
+        pair,
+        len(outcomes),
+        answered,
+        judged.orders_sent,
+        freed_s,
+        tuple(violations),
+    )
+
+
+async def _disturb(pair: Pair, found: cluster.Cluster, damage: faults.Damage) -> None:
+    await asyncio.sleep(INJECT_S)
+    for fault in pair:
+        await faults.inject(fault, found, damage)
+    await asyncio.sleep(HEAL_S - INJECT_S)
+    for fault in pair:
+        await faults.heal(fault, found, damage)
+
+
+def _documents(folder: pathlib.Path) -> tuple[documents.ServiceDocument, ...]:
+    """Write the examples with short patience, so that it runs out here."""
+    found = []
+    for service in (whole_system.MODEL_SERVICE, whole_system.APP_SERVICE):
+        text = (whole_system.EXAMPLES / f"{service}.toml").read_text()
+        for patience_ms, shorter_ms in PATIENCES_MS.items():
+            pattern = rf"patience_ms = {patience_ms}\b"
+            text = re.sub(pattern, f"patience_ms = {shorter_ms}", text)
+        (folder / f"{service}.toml").write_text(text)
+        document, errors = document_text.parse(text)
+        assert document is not None, errors
+        found.append(document)
+    return tuple(found)
+
+
+def run_in_own_process(pair: Pair) -> Trial:
+    """Returns: what one trial showed; an error in it is a violation."""
+    with tempfile.TemporaryDirectory(prefix="lacewingdrum-pair-") as name:
+        try:
+            return asyncio.run(run_pair(pair, pathlib.Path(name)))
+        except Exception as error:
+            text = f"the trial failed: {type(error).__name__} {error}"
+            return Trial(pair, 0, 0, 0, 0.0, (text,))
+
+
+def run_all(pairs: list[Pair]) -> list[Trial]:
+    """Run trials, a few at a time, each with processes of its own."""
+    context = multiprocessing.get_context("spawn")
+    with concurrent.futures.ProcessPoolExecutor(PARALLEL, context) as pool:
+        trials = []
+        for trial in pool.map(run_in_own_process, pairs):
+            print(_line(trial), flush=True)
+            trials.append(trial)
+        return trials
+
+
+def _line(trial: Trial) -> str:
+    names = " + ".join(fault.value for fault in trial.pair)
+    text = (
+        f"{names}: {trial.request_count} requests, {trial.answered_count} answered, "
+        f"{trial.order_count} orders, memory free after {trial.freed_s:.1f} s, "
+        f"{len(trial.violations)} violations"
+    )
+    return "\n  ".join([text, *trial.violations[:5]])
+
+
+def main() -> int:
+    """Returns: 0 when no promise was broken in any trial."""
+    parser = argparse.ArgumentParser(prog="python -m tests.guarantee_faults")
+    parser.add_argument("fault", nargs="*", choices=[f.value for f in faults.Fault])
+    names = parser.parse_args().fault
+    pairs = all_pairs()
+    if names:
+        wanted = {faults.Fault(name) for name in names}
+        pairs = [pair for pair in pairs if wanted <= set(pair)]
+    trials = run_all(pairs)
+    requests = sum(trial.request_count for trial in trials)
+    violations = sum(len(trial.violations) for trial in trials)
+    print(
+        f"{len(trials)} pairs, {requests} requests, {violations} violations, "
+        f"seed {SEED}, {os.cpu_count()} cores"
+    )
+    return 1 if violations else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/whole_system.py
+++ b/tests/whole_system.py
@@ -67,13 +67,19 @@
 
 @contextlib.asynccontextmanager
 async def running(
-    wanted: cluster.Plan, folder: pathlib.Path
+    wanted: cluster.Plan, folder: pathlib.Path, documents: pathlib.Path = EXAMPLES
 ) -> AsyncIterator[cluster.Cluster]:
-    """Run a deployment with both examples of Kazvintage in force."""
+    """Run a deployment with both documents of Kazvintage in force.
+
+    Args:
+        wanted: the deployment.
+        folder: for settings and logs.
+        documents: the folder of the documents.
+    """
     async with cluster.Cluster(wanted, folder) as found:
         for service in (MODEL_SERVICE, APP_SERVICE):
             code, output = await command(
-                found, "submit", "--wait", str(EXAMPLES / f"{service}.toml")
+                found, "submit", "--wait", str(documents / f"{service}.toml")
             )
             assert code == 0, output
         await found.wait_for("/readyz", READY_TIMEOUT_S)
