--- /dev/null
+++ b/packages/protocol/lacewingdrum_protocol/peer_messages_test.py
@@ -0,0 +1,87 @@
+"""Messages between daemons: arbitrary bytes decode to a typed outcome."""
+
+import os
+
+import hypothesis
+import msgspec
+from hypothesis import strategies
+from result import Err, Ok
+
+from lacewingdrum_protocol import peer_messages
+
+EXAMPLES = int(os.environ.get("LACEWINGDRUM_FUZZ_EXAMPLES", "200"))
+SETTINGS = hypothesis.settings(
+    max_examples=EXAMPLES, derandomize=True, deadline=None, database=None
+)
+HEARTBEAT = peer_messages.Heartbeat(
+    7, "bayern-a", True, (peer_messages.Digest("meiler-llm", 3, "d"),), (("r", 1),)
+)
+VALUES = strategies.recursive(
+    strategies.none()
+    | strategies.integers(-(2**63), 2**64 - 1)
+    | strategies.floats()
+    | strategies.text(max_size=8)
+    | strategies.binary(max_size=8)
+    | strategies.sampled_from(("hb", "doc", "load", "fly", "bga")),
+    lambda inner: strategies.lists(inner, max_size=6),
+    max_leaves=20,
+)
+
+
+def decoded_as_typed(data):
+    match peer_messages.decode(data):
+        case Ok(message):
+            assert isinstance(message.body, peer_messages.Body)
+            again = peer_messages.encode(message.sender, message.body)
+            assert peer_messages.decode(again).is_ok()
+        case Err(error):
+            assert isinstance(error, peer_messages.PeerMessageError)
+
+
+@SETTINGS
+@hypothesis.given(strategies.binary(max_size=200))
+def check_bytes(data):
+    decoded_as_typed(data)
+
+
+@SETTINGS
+@hypothesis.given(VALUES, VALUES)
+def check_values(sender, body):
+    decoded_as_typed(msgspec.msgpack.encode([1, sender, body]))
+    decoded_as_typed(msgspec.msgpack.encode([1, "vm-a", body]))
+    decoded_as_typed(msgspec.msgpack.encode([1, "vm-a", ["hb", body, body]]))
+
+
+@SETTINGS
+@hypothesis.given(strategies.integers(0, 200), strategies.integers(0, 255))
+def check_changed_byte(position, value):
+    data = bytearray(peer_messages.encode("vm-a", HEARTBEAT))
+    data[position % len(data)] = value
+    decoded_as_typed(bytes(data))
+    decoded_as_typed(bytes(data[: position % len(data)]))
+
+
+def test_arbitrary_bytes():
+    check_bytes()
+
+
+def test_arbitrary_values():
+    check_values()
+
+
+def test_changed_and_cut_messages():
+    check_changed_byte()
+
+
+def test_deep_nesting_is_an_error():
+    assert peer_messages.decode(b"\x93\x01\xa1a" + b"\x91" * 100_000).is_err()
+
+
+def test_other_wire_version_is_an_error():
+    data = msgspec.msgpack.encode([2, "vm-a", ["hb", "of another shape"]])
+    assert "wire version 2" in peer_messages.decode(data).unwrap_err().reason
+
+
+def test_message_comes_back():
+    data = peer_messages.encode("vm-a", HEARTBEAT)
+    assert peer_messages.decode(data).unwrap().body == HEARTBEAT
--- /dev/null
+++ b/packages/protocol/lacewingdrum_protocol/sse_test.py
@@ -0,0 +1,51 @@
+"""Server-sent events, cut anywhere."""
+
+import hypothesis
+from hypothesis import strategies
+
+from lacewingdrum_protocol import sse
+
+
+def test_events_survive_any_cut():
+    events = [b"one", b"", b"two\nlines", b"[DONE]", b'{"a": 1}']
+    for end in (b"\n", b"\r\n", b"\r"):
+        wire = b"".join(sse.encode(event) for event in events).replace(b"\n", end)
+        for size in range(1, len(wire) + 1):
+            parser = sse.SseParser()
+            found = []
+            for at in range(0, len(wire), size):
+                found += parser.feed(wire[at : at + size])
+            # A bare carriage return ends a line only once more has come.
+            found += parser.feed(b": end")
+            assert found == events
+
+
+def test_other_fields_and_comments_are_skipped():
+    parser = sse.SseParser()
+    assert parser.feed(b": hi\nevent: x\nid: 1\ndata:a\ndata: b\n\n\n\n") == [b"a\nb"]
+    assert parser.feed(b"data: cut") == []
+    assert parser.has_rest
+
+
+def test_large_event_is_an_error():
+    parser = sse.SseParser(max_event_bytes=100)
+    failed = False
+    try:
+        for _ in range(20):
+            parser.feed(b"data: 0123456789\n")
+    except sse.SseError:
+        failed = True
+    assert failed
+
+
+@hypothesis.settings(derandomize=True, deadline=None, database=None)
+@hypothesis.given(strategies.lists(strategies.binary(max_size=50), max_size=8))
+def check_any_bytes(pieces):
+    parser = sse.SseParser()
+    split = [event for piece in pieces for event in parser.feed(piece)]
+    whole = sse.SseParser().feed(b"".join(pieces))
+    assert split == whole
+
+
+def test_any_bytes_parse_alike_however_cut():
+    check_any_bytes()
--- /dev/null
+++ b/packages/transport/lacewingdrum_transport/http_fuzz_test.py
@@ -0,0 +1,127 @@
+"""Arbitrary bytes at both HTTP edges end in a typed outcome, in time."""
+
+import asyncio
+import contextlib
+import os
+
+import hypothesis
+from hypothesis import strategies
+
+from lacewingdrum_state import fleet
+from lacewingdrum_transport import http_client, http_server
+
+HOST = "127.0.0.1"
+HANG_S = 10.0
+EXAMPLES = int(os.environ.get("LACEWINGDRUM_FUZZ_EXAMPLES", "200"))
+STATUSES = {b"200", b"400", b"405", b"408", b"413", b"431", b"503", b"100"}
+LIMITS = http_server.ServerLimits(
+    header_bytes=512,
+    body_bytes=512,
+    header_timeout_s=0.02,
+    body_timeout_s=0.02,
+    idle_timeout_s=0.02,
+)
+PIECES = (
+    b"GET / HTTP/1.1\r\n",
+    b"POST /a?b=%zz HTTP/1.1\r\n",
+    b"HEAD /\xff HTTP/1.0\r\n",
+    b"CONNECT h:1 HTTP/1.1\r\n",
+    b"HTTP/1.1 200 OK\r\n",
+    b"HTTP/1.1 204 No Content\r\n",
+    b"HTTP/1.1 101 Switching Protocols\r\n",
+    b"HTTP/1.0 200 OK\r\n",
+    b"Host: h\r\n",
+    b"Content-Length: 3\r\n",
+    b"Content-Length: 99999999999999999999999\r\n",
+    b"Content-Length: +3\r\n",
+    b"Transfer-Encoding: chunked\r\n",
+    b"Transfer-Encoding: gzip\r\n",
+    b"Connection: close\r\n",
+    b"Connection: upgrade\r\nUpgrade: x\r\n",
+    b"Expect: 100-continue\r\n",
+    b"A: " + b"x" * 600 + b"\r\n",
+    b"A:\x00\r\n",
+    b"\r\n",
+    b"\n",
+    b"abc",
+    b"3\r\nabc\r\n",
+    b"ffffffffffffffffffffff\r\n",
+    b"3;ext=1\r\nabc\r\n",
+    b"0\r\n\r\n",
+    b"0\r\nTrailer: x\r\n\r\n",
+)
+WIRE = strategies.lists(
+    strategies.sampled_from(PIECES) | strategies.binary(max_size=40), max_size=12
+).map(b"".join)
+SETTINGS = hypothesis.settings(
+    max_examples=EXAMPLES, derandomize=True, deadline=None, database=None
+)
+
+
+def test_any_bytes_to_the_server():
+    with asyncio.Runner() as runner:
+
+        @SETTINGS
+        @hypothesis.given(WIRE)
+        def check(sent):
+            runner.run(asyncio.wait_for(to_server(sent), HANG_S))
+
+        check()
+
+
+async def to_server(sent):
+    seen = []
+
+    async def handler(request, responder):
+        seen.append(request)
+        await responder.send(http_server.HttpResponse(200, (), request.body))
+
+    server = http_server.HttpServer(handler, LIMITS)
+    port = await server.start(HOST, 0)
+    reader, writer = await asyncio.open_connection(HOST, port)
+    writer.write(sent)
+    received = b""
+    with contextlib.suppress(ConnectionError):
+        received = await reader.read(-1)
+    writer.close()
+    assert await server.close(HANG_S) == 0
+    for part in received.split(b"HTTP/1.1 ")[1:]:
+        assert part[:3] in STATUSES, part
+    for request in seen:
+        assert len(request.body) <= LIMITS.body_bytes
+        assert request.path.startswith("/")
+    if received and not seen:
+        assert b"HTTP/1.1 200" not in received
+
+
+def test_any_bytes_to_the_client():
+    with asyncio.Runner() as runner:
+
+        @SETTINGS
+        @hypothesis.given(WIRE, strategies.booleans())
+        def check(answer, whole):
+            whole_head = b"HTTP/1.1 200 OK\r\n" if whole else b""
+            runner.run(asyncio.wait_for(to_client(whole_head + answer), HANG_S))
+
+        check()
+
+
+async def to_client(answer):
+    async def serve(reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer)
+        writer.close()
+
+    server = await asyncio.start_server(serve, HOST, 0)
+    address = fleet.Address(HOST, server.sockets[0].getsockname()[1])
+    client = http_client.HttpClient()
+    result = await client.request(address, "GET", "/", timeout_s=HANG_S / 2)
+    server.close()
+    await client.close()
+    if result.is_ok():
+        assert 200 <= result.unwrap().status <= 999
+        return
+    error = result.unwrap_err()
+    assert error.reason is not http_client.ClientErrorReason.TIMEOUT
+    assert error.may_have_left
--- a/packages/transport/lacewingdrum_transport/request_reader.py
+++ b/packages/transport/lacewingdrum_transport/request_reader.py
@@ -213,8 +213,9 @@
 
 def _protocol_error(error: h11.RemoteProtocolError) -> RequestError:
     if error.error_status_hint == 431:
-        return RequestError(RequestErrorReason.HEADER_TOO_LARGE, str(error))
-    return RequestError(RequestErrorReason.MALFORMED, str(error))
+        return RequestError(RequestErrorReason.HEADER_TOO_LARGE, "header too large")
+    # h11's own words quote the caller's bytes.
+    return RequestError(RequestErrorReason.MALFORMED, "not valid HTTP/1.1")
 
 
 def _request(
