--- /dev/null
+++ b/packages/daemon/lacewingdrum_daemon/peering_test.py
@@ -0,0 +1,141 @@
+"""Daemons that talk to each other over real loopback sockets."""
+
+import asyncio
+import contextlib
+
+from result import Ok
+
+from lacewingdrum_coordination import membership
+from lacewingdrum_daemon import members_keeper, peering
+from lacewingdrum_protocol import peer_messages
+from lacewingdrum_state import fleet, ids
+from lacewingdrum_transport import peer_socket
+
+HOST = "127.0.0.1"
+LIMIT_S = 10.0
+PERIOD_S = 0.02
+CENTRES = {"vm-1": "bayern-a", "vm-2": "bayern-a", "vm-3": "bayern-b"}
+
+
+class List:
+    """The membership list that all daemons of a test read."""
+
+    def __init__(self):
+        self.vms = ()
+
+    async def read(self):
+        return Ok(fleet.Members(self.vms))
+
+
+class Node:
+    """One daemon's socket, members keeper and peering."""
+
+    def __init__(self, name, members):
+        self.vm_id = ids.VmId(name)
+        self.data_centre = ids.DataCentre(CENTRES[name])
+        clock = asyncio.get_running_loop().time
+        self.clock = clock
+        self.socket = peer_socket.PeerSocket(self.vm_id, None, clock)
+        self.members = members_keeper.MembersKeeper(members, PERIOD_S, clock)
+        self.peering = peering.Peering(
+            self.socket, self.members, self.heartbeat, clock, PERIOD_S
+        )
+        self.received = []
+        self.peering.on(peer_messages.BudgetGrant, self.take)
+
+    def heartbeat(self):
+        return peer_messages.Heartbeat(1, self.data_centre, False, ())
+
+    def take(self, sender, body):
+        self.received.append((sender, body.customer))
+
+    def live(self):
+        found = membership.live_vms(self.members.view, self.clock())
+        return {vm.vm_id for vm in found}
+
+    def heard(self):
+        return set(membership.heard_vms(self.members.view, self.clock()))
+
+    async def start(self):
+        port = await self.socket.start(HOST, 0)
+        self.members.start()
+        self.peering.start()
+        address = fleet.Address(HOST, port)
+        return fleet.Vm(
+            self.vm_id, self.data_centre, address, address, ids.Incarnation(1)
+        )
+
+    async def close(self):
+        await self.peering.close()
+        await self.members.close()
+        await self.socket.close()
+
+
+@contextlib.asynccontextmanager
+async def fleet_of_three():
+    members = List()
+    nodes = [Node(name, members) for name in CENTRES]
+    try:
+        async with asyncio.timeout(LIMIT_S):
+            members.vms = tuple([await node.start() for node in nodes])
+            await until(lambda: all(len(node.heard()) == 3 for node in nodes))
+            yield nodes, members
+    finally:
+        for node in nodes:
+            await node.close()
+
+
+async def until(condition):
+    while not condition():
+        await asyncio.sleep(0.005)
+
+
+def grant(customer):
+    return peer_messages.BudgetGrant("meiler-llm", customer, 1, 1)
+
+
+async def test_messages_reach_the_daemons_meant():
+    async with fleet_of_three() as ((first, second, third), _):
+        assert first.peering.broadcast(grant("all")) == 2
+        assert first.peering.broadcast(grant("centre"), first.data_centre) == 1
+        assert first.peering.send(third.vm_id, grant("third"))
+        assert first.peering.send(first.vm_id, grant("self"))
+        await until(lambda: len(second.received) == 2 and len(third.received) == 2)
+        await until(lambda: first.received)
+        assert second.received == [("vm-1", "all"), ("vm-1", "centre")]
+        assert third.received == [("vm-1", "all"), ("vm-1", "third")]
+        assert first.received == [("vm-1", "self")]
+
+
+async def test_failing_handler_ends_nothing():
+    async with fleet_of_three() as ((first, second, _), _):
+
+        def fail(sender, body):
+            raise ValueError(body.customer)
+
+        second.peering._handlers[peer_messages.BudgetGrant].insert(0, fail)
+        peering._log.disabled = True
+        first.peering.send(second.vm_id, grant("a"))
+        first.peering.send(second.vm_id, grant("b"))
+        await until(lambda: len(second.received) == 2)
+        peering._log.disabled = False
+
+
+async def test_leaving_is_told_at_once_and_homes_move():
+    async with fleet_of_three() as ((first, second, third), _):
+        third.peering.set_leaving()
+        await until(lambda: first.live() == second.live() == {"vm-1", "vm-2"})
+        assert third.vm_id in first.heard()
+
+
+async def test_killed_daemon_falls_silent():
+    async with fleet_of_three() as ((first, second, third), _):
+        await third.close()
+        await until(lambda: first.live() == second.live() == {"vm-1", "vm-2"})
+
+
+async def test_connections_follow_the_list():
+    async with fleet_of_three() as ((first, second, third), members):
+        members.vms = members.vms[:2]
+        await until(lambda: first.socket.peers == (second.vm_id,))
+        assert not first.peering.send(third.vm_id, grant("a"))
