--- a/packages/transport/lacewingdrum_transport/http_client_test.py
+++ b/packages/transport/lacewingdrum_transport/http_client_test.py
@@ -4,7 +4,7 @@
 import contextlib
 
 from lacewingdrum_state import fleet
-from lacewingdrum_transport import http_client, http_server
+from lacewingdrum_transport import byte_channel, http_client, http_server
 
 HOST = "127.0.0.1"
 LIMIT_S = 10.0
@@ -245,6 +245,31 @@
         assert client.idle_count(address) == 1
 
 
+async def test_slow_reader_holds_the_server_back():
+    part = b"x" * 65_536
+    written_bytes = 0
+
+    async def handler(request, responder):
+        nonlocal written_bytes
+        await responder.start_stream(200, ())
+        while await responder.write(part):
+            written_bytes += len(part)
+
+    async with streaming(handler) as (client, address, _):
+        reader = (await client.open(address, "GET", "/")).unwrap()
+        stood_still = -1
+        while written_bytes != stood_still or not written_bytes:
+            stood_still = written_bytes
+            await asyncio.sleep(0.2)
+        (connection,) = client._in_use
+        held_bytes = connection.channel._buffered_bytes
+        assert held_bytes < 3 * byte_channel.READ_BUFFER_BYTES
+        await reader.read(LIMIT_S)
+        while written_bytes == stood_still:
+            await reader.read(LIMIT_S)
+        await reader.close()
+
+
 async def test_closing_a_stream_early_is_seen_by_the_server():
     gone = asyncio.Event()
 
