Tell far daemons of loads often at first; six engines a model in the demo

A long prompt over several data centres was refused while the far engines' loads were unknown. Two of three engines are too few for it as well, since one is kept free for short prompts.

--- a/packages/daemon/lacewingdrum_daemon/load_keeper.py
+++ b/packages/daemon/lacewingdrum_daemon/load_keeper.py
@@ -22,6 +22,7 @@
 
 POLL_S = 1.0
 FAR_ROUNDS = 5
+FIRST_ROUNDS = 10
 SILENT_ROUNDS = 30
 SUMMARY_VALID_S = 15.0
 LOAD_TIMEOUT_S = 0.8
@@ -164,7 +165,8 @@
         return _Round(self._round_number, now_s, live, owners, runners, home_of)
 
     def _is_far_due(self, now: _Round) -> bool:
-        return now.number % FAR_ROUNDS == 0
+        # Far daemons cannot place long prompts before they hear of runners.
+        return now.number <= FIRST_ROUNDS or now.number % FAR_ROUNDS == 0
 
     def _report_in_flight(self, now: _Round) -> None:
         """Tell each home, and each daemon that takes itself for one."""
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -19,7 +19,7 @@
 EXAMPLES = ("sommelier-llm", "vault-ledger", "meiler-llm", "meiler-app")
 DATA_CENTRES = ("almaty-north", "almaty-east", "almaty-south")
 ENGINE_OPTIONS = ("--prefill-tokens-per-s", "50000", "--decode-step-s", "0.01")
-ENGINES = {"sommelier-llm": 2, "meiler-llm": 1}
+ENGINES = {"sommelier-llm": 2, "meiler-llm": 2}
 PLAIN_SERVICES = ("vault-ledger", "meiler-app")
 ALONE_COUNT = 15
 READY_TIMEOUT_S = 30.0
