Slopes: what each part costs against its size

Cause: docs/CAPACITY.md has to work from measured slopes. Change: make slopes measures decisions, messages, membership, load rounds, budgets, documents, links, forwarded parts, the table's work and memory at three sizes or more, in rounds, and prints line and spread.

--- /dev/null
+++ b/standins/slope_control.py
@@ -0,0 +1,296 @@
+"""Slopes of the control path: decisions, messages, hashing, rounds."""
+
+import asyncio
+import functools
+import io
+import logging
+import random
+import time
+from collections.abc import Callable
+from typing import Any
+
+from result import Ok, Result
+
+from lacewingdrum_coordination import homes, membership, routing
+from lacewingdrum_daemon import decision_log, load_keeper, members_keeper
+from lacewingdrum_protocol import peer_messages
+from lacewingdrum_state import documents, fleet, ids, requests
+from lacewingdrum_transport import runner_client
+from standins import slope_fit, slope_fleet
+
+NOW_S = 100.0
+RUNNER_SIZES = (20, 92, 275, 1_100)
+VM_SIZES = (30, 90, 180, 360)
+ENTRY_SIZES = (1, 8, 32, 128)
+CANDIDATE_SIZES = (5, 10, 20, 40)
+CALLS_IN_FLIGHT = 80
+ROUND_DAEMONS = 8
+WARM_ROUNDS = 10
+ROUNDS = 3
+
+Measured = slope_fit.Measured
+MakeBody = Callable[[int], peer_messages.Body]
+
+
+def decisions() -> list[Measured]:
+    """Returns: costs of a routing decision and of its log line."""
+    return [
+        slope_fit.measure(
+            "routing decision, short prompt, against the service's runners",
+            "us",
+            RUNNER_SIZES,
+            _decision_us,
+        ),
+        slope_fit.measure(
+            "log line of a decision, against candidates", "us", CANDIDATE_SIZES, _log_us
+        ),
+        slope_fit.measure(
+            "log line of a decision, against candidates",
+            "bytes",
+            CANDIDATE_SIZES,
+            _log_bytes,
+            repeats=1,
+        ),
+    ]
+
+
+def messages() -> list[Measured]:
+    """Returns: bytes and processor time of peer messages."""
+    made: list[Measured] = []
+    for name, sizes, body in (
+        ("load summary, against runners", RUNNER_SIZES, _summary),
+        ("heartbeat, against documents", ENTRY_SIZES, slope_fleet.heartbeat),
+        ("in-flight report, against attempts", ENTRY_SIZES, _report),
+    ):
+        for what, unit, cost in (
+            ("", "bytes", _size_bytes),
+            (", encode", "us", _encode_us),
+            (", decode", "us", _decode_us),
+        ):
+            repeats = 1 if unit == "bytes" else slope_fit.REPEATS
+            work = functools.partial(cost, body)
+            made.append(slope_fit.measure(name + what, unit, sizes, work, repeats))
+    return made
+
+
+def membership_costs() -> list[Measured]:
+    """Returns: costs that grow with the number of VMs."""
+    return [
+        slope_fit.measure(
+            "home of a runner or customer, against VMs", "us", VM_SIZES, _home_us
+        ),
+        slope_fit.measure(
+            "taking in a heartbeat, against VMs", "us", VM_SIZES, _heard_us
+        ),
+    ]
+
+
+def rounds() -> list[Measured]:
+    """Returns: costs of one round of load reports, against VMs.
+
+    Runners grow with the VMs as at the planned size (1,100 for 360).
+    """
+    seen = [{size: _round(size) for size in VM_SIZES} for _ in range(ROUNDS)]
+    made = []
+    for index, (name, unit) in enumerate(
+        (
+            ("load round, processor time, against VMs", "us"),
+            ("load round, messages sent a round, against VMs", "messages"),
+            ("load round, bytes sent a round, against VMs", "bytes"),
+        )
+    ):
+        made.append(
+            Measured(
+                name,
+                unit,
+                tuple(
+                    tuple(slope_fit.Point(size, run[size][index]) for size in VM_SIZES)
+                    for run in seen
+                ),
+            )
+        )
+    return made
+
+
+def _decision_us(size: int) -> float:
+    router = routing.Router(slope_fleet.data_centre(0), random.Random(1))
+    runners = slope_fleet.runners(size, services=1)
+    router.set_runners(runners)
+    for runner in runners:
+        router.observe_load(slope_fleet.load(runner, NOW_S - 0.5))
+    request, weights = slope_fleet.request(), documents.Weights()
+    return slope_fit.call_us(lambda: router.choose(request, weights, NOW_S))
+
+
+def _log(stream: io.StringIO) -> decision_log.DecisionLog:
+    logger = logging.Logger("slopes")
+    handler = logging.StreamHandler(stream)
+    handler.setFormatter(decision_log.json_formatter("entry-vm-0001", "region-00"))
+    logger.addHandler(handler)
+    return decision_log.DecisionLog(logger, time.monotonic)
+
+
+def _record(log: decision_log.DecisionLog, size: int) -> None:
+    estimates = [(f"runner-{index:05d}", 0.123456, 5.123456) for index in range(size)]
+    log.record(
+        decision_log.DecisionEvent.ROUTED,
+        ids.new_request_id(),
+        runner_id="runner-00001",
+        reason="near_best",
+        estimates=estimates,
+    )
+
+
+def _log_us(size: int) -> float:
+    log = _log(io.StringIO())
+    return slope_fit.call_us(lambda: _record(log, size))
+
+
+def _log_bytes(size: int) -> float:
+    stream = io.StringIO()
+    _record(_log(stream), size)
+    return len(stream.getvalue())
+
+
+def _summary(size: int) -> peer_messages.LoadSummary:
+    runners = slope_fleet.runners(size)
+    return peer_messages.LoadSummary(tuple(map(slope_fleet.load_entry, runners)))
+
+
+def _report(size: int) -> peer_messages.InFlightReport:
+    found = slope_fleet.in_flight(size, slope_fleet.runners(100))
+    return peer_messages.InFlightReport(
+        tuple(
+            peer_messages.InFlightEntry(
+                item.attempt_id,
+                item.runner_id,
+                item.prompt_tokens,
+                item.total_tokens,
+                900,
+            )
+            for item in found
+        )
+    )
+
+
+def _size_bytes(body: MakeBody, size: int) -> float:
+    return len(peer_messages.encode("entry-vm-0001", body(size)))
+
+
+def _encode_us(body: MakeBody, size: int) -> float:
+    made = body(size)
+    return slope_fit.call_us(lambda: peer_messages.encode("entry-vm-0001", made))
+
+
+def _decode_us(body: MakeBody, size: int) -> float:
+    data = peer_messages.encode("entry-vm-0001", body(size))
+    return slope_fit.call_us(lambda: peer_messages.decode(data))
+
+
+def _home_us(size: int) -> float:
+    vm_ids = [vm.vm_id for vm in slope_fleet.vms(size)]
+    runner_id = ids.RunnerId("runner-00001")
+    return slope_fit.call_us(lambda: homes.home_of_runner(runner_id, vm_ids))
+
+
+def _view(size: int) -> membership.View:
+    vms = slope_fleet.vms(size)
+    runners = slope_fleet.runners(round(size * 1_100 / 360))
+    view = membership.merge(membership.View(), fleet.Members(vms, runners), NOW_S)
+    for vm in vms:
+        view = membership.heard(view, vm.vm_id, ids.Incarnation(1), False, NOW_S)
+    return view
+
+
+class _NoList:
+    async def read(self) -> Any:
+        """Never asked."""
+        raise AssertionError
+
+
+def _heard_us(size: int) -> float:
+    keeper = members_keeper.MembersKeeper(_NoList(), 1.0, lambda: NOW_S)
+    keeper.view = _view(size)
+    vm_id = slope_fleet.vms(size)[-1].vm_id
+    beat = slope_fleet.heartbeat(16)
+    return slope_fit.call_us(lambda: keeper.heard(vm_id, beat))
+
+
+class _CountingPeers:
+    """Encodes each message as the socket would, and counts."""
+
+    def __init__(self) -> None:
+        self.message_count = 0
+        self.byte_count = 0
+
+    def on(self, body_type: type, handler: Callable[..., None]) -> None:
+        """Take a handler that is never called."""
+
+    def send(self, vm_id: ids.VmId, body: peer_messages.Body) -> bool:
+        """Count a message."""
+        self.message_count += 1
+        self.byte_count += len(peer_messages.encode("entry-vm-0001", body))
+        return True
+
+
+class _Runners:
+    """Every runner answers its load at once."""
+
+    async def load(
+        self, runner: fleet.Runner, timeout_s: float
+    ) -> Result[fleet.RunnerLoad, runner_client.RunnerError]:
+        """Returns: a busy runner's load."""
+        return Ok(slope_fleet.load(runner, NOW_S))
+
+
+class _Members:
+    def __init__(self, view: membership.View) -> None:
+        self.view = view
+
+
+def _round(size: int) -> tuple[float, ...]:
+    """Returns: us, messages and bytes of a round, a mean over daemons."""
+    view = _view(size)
+    here = view.vms[0].data_centre
+    near = tuple(runner for runner in view.runners if runner.data_centre == here)
+    flights = slope_fleet.in_flight(CALLS_IN_FLIGHT, near)
+    daemons = [vm.vm_id for vm in view.vms if vm.data_centre == here]
+    daemons = daemons[:ROUND_DAEMONS]
+    costs = [_rounds_of(vm_id, here, view, flights) for vm_id in daemons]
+    return tuple(sum(column) / len(costs) for column in zip(*costs, strict=True))
+
+
+def _rounds_of(
+    vm_id: ids.VmId,
+    here: ids.DataCentre,
+    view: membership.View,
+    flights: tuple[requests.InFlight, ...],
+) -> tuple[float, float, float]:
+    peers = _CountingPeers()
+    keeper = load_keeper.LoadKeeper(
+        _Runners(),  # type: ignore[arg-type]
+        peers,
+        _Members(view),
+        (vm_id, here),
+        lambda: flights,
+        lambda load: None,
+        lambda: NOW_S,
+    )
+
+    async def run() -> float:
+        # A daemon that has just started tells more of the fleet.
+        for _ in range(WARM_ROUNDS):
+            await keeper.run_round()
+        peers.message_count = peers.byte_count = 0
+        began_s = time.process_time()
+        for _ in range(load_keeper.FAR_ROUNDS):
+            await keeper.run_round()
+        return time.process_time() - began_s
+
+    took_s = asyncio.run(run())
+    count = load_keeper.FAR_ROUNDS
+    return (
+        took_s / count * slope_fit.US_A_SECOND,
+        peers.message_count / count,
+        peers.byte_count / count,
+    )
--- /dev/null
+++ b/standins/slope_fit_test.py
@@ -0,0 +1,28 @@
+"""Tests of the least-squares fits."""
+
+from standins import slope_fit, slope_table
+
+
+def test_a_line_is_found_again():
+    measured = slope_fit.measure("x", "us", (1, 5, 9), lambda size: 3 + 2 * size)
+    fit = measured.fit
+    assert abs(fit.base - 3) < 1e-9 and abs(fit.slope - 2) < 1e-9
+    assert abs(fit.slope_low - 2) < 1e-9 and abs(fit.slope_high - 2) < 1e-9
+    assert abs(fit.r_squared - 1) < 1e-9
+
+
+def test_spread_shows_the_rounds_that_differ():
+    costs = iter((1, 2, 3, 2, 4, 6))
+    measured = slope_fit.measure("x", "us", (1, 2, 3), lambda _: next(costs), 2)
+    fit = measured.fit
+    assert (fit.slope_low, fit.slope_high, fit.slope) == (1, 2, 1.5)
+    assert fit.r_squared < 1
+
+
+def test_table_work_is_the_same_in_each_run():
+    written = {
+        measured.name: measured.fit.slope
+        for measured in slope_table.work((2, 4, 8), polled_s=0.0)
+    }
+    assert written["rows written: orders one after another"] == 2
+    assert written["rows written: documents submitted and adopted"] == 2
--- /dev/null
+++ b/standins/slope_sockets.py
@@ -0,0 +1,157 @@
+"""Slopes of daemons' sockets: what links between daemons cost while they beat.
+
+One hub has a link to each of so many peers, and a sink takes the part of all
+of them, so that the process does what one daemon of such a fleet does: send,
+receive and acknowledge a heartbeat a link and a second.
+"""
+
+import asyncio
+import contextlib
+import time
+
+from lacewingdrum_state import fleet, ids
+from lacewingdrum_transport import peer_socket
+from standins import slope_fit, slope_fleet
+
+LINK_SIZES = (30, 90, 180, 359)
+RELAYED_LINKS = (2, 4, 8)
+DOCUMENT_SIZES = (1, 4, 16)
+DOCUMENTS = 16
+BEAT_S = 1.0
+WARM_UP_S = 2.0
+MEASURED_S = 4.0
+ROUNDS = 3
+PAGE_BYTES = 4096
+LOOPBACK = "127.0.0.1"
+
+Measured = slope_fit.Measured
+
+
+def links() -> list[Measured]:
+    """Returns: processor time, memory and bytes of links between daemons."""
+    seen = [
+        {size: asyncio.run(_beat(size, DOCUMENTS, False)) for size in LINK_SIZES}
+        for _ in range(ROUNDS)
+    ]
+    relayed = [
+        {size: asyncio.run(_beat(size, DOCUMENTS, True)) for size in RELAYED_LINKS}
+        for _ in range(ROUNDS)
+    ]
+    thinner = [
+        {size: asyncio.run(_beat(1, size, True)) for size in DOCUMENT_SIZES}
+        for _ in range(ROUNDS)
+    ]
+    busy = "processor time a second, all-to-all heartbeats, against links"
+    wire = "payload bytes a second both ways, 16 documents, against links"
+    thin = "payload bytes a second both ways, one link, against documents"
+    return [
+        _measured(busy, "us/s", seen, 0),
+        _measured("resident memory of links, against links", "bytes", seen, 1),
+        _measured(wire, "bytes/s", relayed, 2),
+        _measured(thin, "bytes/s", thinner, 2),
+        _measured("segments a second both ways, against links", "1/s", relayed, 3),
+    ]
+
+
+def _measured(
+    name: str, unit: str, runs: list[dict[int, tuple[float, ...]]], index: int
+) -> Measured:
+    rounds = tuple(
+        tuple(slope_fit.Point(size, run[size][index]) for size in run) for run in runs
+    )
+    return Measured(name, unit, rounds)
+
+
+class _Relay:
+    """Passes TCP on and counts payload bytes and reads."""
+
+    def __init__(self, port: int) -> None:
+        self._port = port
+        self.byte_count = 0
+        self.read_count = 0
+        self._server: asyncio.Server | None = None
+        self._writers: list[asyncio.StreamWriter] = []
+
+    async def start(self) -> int:
+        """Returns: the port to connect to instead."""
+        self._server = await asyncio.start_server(self._accept, LOOPBACK, 0)
+        return int(self._server.sockets[0].getsockname()[1])
+
+    async def close(self) -> None:
+        """Cut everything."""
+        assert self._server is not None
+        self._server.close()
+        for writer in self._writers:
+            writer.close()
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(ConnectionError, asyncio.CancelledError):
+            onward = await asyncio.open_connection(LOOPBACK, self._port)
+            self._writers += [writer, onward[1]]
+            await asyncio.gather(
+                self._pump(reader, onward[1]), self._pump(onward[0], writer)
+            )
+
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while data := await reader.read(65_536):
+            self.byte_count += len(data)
+            self.read_count += 1
+            writer.write(data)
+
+
+def _resident_bytes() -> int:
+    with open("/proc/self/statm") as file:
+        return int(file.read().split()[1]) * PAGE_BYTES
+
+
+async def _beat(
+    link_count: int, document_count: int, relayed: bool
+) -> tuple[float, ...]:
+    """Returns: us a second, bytes held, bytes and reads a second."""
+    before_bytes = _resident_bytes()
+    hub = peer_socket.PeerSocket(ids.VmId("entry-vm-0000"))
+    sink = peer_socket.PeerSocket(ids.VmId("entry-vm-0001"))
+    await hub.start(LOOPBACK, 0)
+    port = await sink.start(LOOPBACK, 0)
+    relay = _Relay(port)
+    if relayed:
+        port = await relay.start()
+    peers = [ids.VmId(f"entry-vm-{index:04d}") for index in range(link_count)]
+    for peer in peers:
+        hub.connect(peer, fleet.Address(LOOPBACK, port))
+    receiving = asyncio.get_running_loop().create_task(_receive(sink))
+    beating = asyncio.get_running_loop().create_task(_send(hub, peers, document_count))
+    await asyncio.sleep(WARM_UP_S)
+    began_s, used_s = time.monotonic(), time.process_time()
+    bytes_before, reads_before = relay.byte_count, relay.read_count
+    await asyncio.sleep(MEASURED_S)
+    took_s = time.monotonic() - began_s
+    busy_us = (time.process_time() - used_s) / took_s * slope_fit.US_A_SECOND
+    held_bytes = _resident_bytes() - before_bytes
+    byte_rate = (relay.byte_count - bytes_before) / took_s
+    read_rate = (relay.read_count - reads_before) / took_s
+    beating.cancel()
+    receiving.cancel()
+    await asyncio.gather(beating, receiving, return_exceptions=True)
+    await hub.close()
+    await sink.close()
+    if relayed:
+        await relay.close()
+    return busy_us, float(max(0, held_bytes)), byte_rate, read_rate
+
+
+async def _send(
+    hub: peer_socket.PeerSocket, peers: list[ids.VmId], document_count: int
+) -> None:
+    while True:
+        hub.send_many(peers, slope_fleet.heartbeat(document_count))
+        await asyncio.sleep(BEAT_S)
+
+
+async def _receive(sink: peer_socket.PeerSocket) -> None:
+    while True:
+        await sink.receive()
--- /dev/null
+++ b/standins/slope_table.py
@@ -0,0 +1,202 @@
+"""Slopes of the table service's work: an order, a document, a poll."""
+
+import asyncio
+import functools
+import random
+import time
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from result import Err, Ok
+
+from lacewingdrum_coordination import documents as submissions, membership, orders
+from lacewingdrum_daemon import document_keeper, order_calls
+from lacewingdrum_protocol import document_text, peer_messages, table_api
+from lacewingdrum_state import fleet, ids, orders as order_rows
+from lacewingdrum_transport import http_client, http_messages, table_client
+from standins import slope_fit, slope_fleet, table
+
+SIZES = (4, 16, 64)
+POLLED_S = 6.0
+PATIENCE_S = 10.0
+ADDRESS = fleet.Address("127.0.0.1", 9001)
+
+Measured = slope_fit.Measured
+
+
+class CountingTable:
+    """Stands for the HTTP client of a table client; counts rows and calls."""
+
+    def __init__(self) -> None:
+        self.model = table.TableModel()
+        self.call_count = 0
+        self.write_count = 0
+        self.read_count = 0
+        self.body_bytes = 0
+
+    async def request(
+        self,
+        address: fleet.Address,
+        method: str,
+        path: str,
+        headers: http_messages.Headers,
+        body: bytes,
+        timeout_s: float,
+    ) -> Ok[http_messages.HttpResponse] | Err[http_client.HttpClientError]:
+        """Returns: the model's answer, after one turn of the loop."""
+        await asyncio.sleep(0)
+        self.call_count += 1
+        answer = self._answer(path, body)
+        self.body_bytes += len(body) + len(answer)
+        return Ok(http_messages.HttpResponse(200, (), answer))
+
+    def _answer(self, path: str, body: bytes) -> bytes:
+        encode, decode = msgspec.json.encode, msgspec.json.decode
+        if path == table_api.WRITE_PATH:
+            call = decode(body, type=table_api.WriteCall)
+            self.write_count += len(call.writes)
+            return encode(self.model.write(call))
+        if path == table_api.READ_PATH:
+            read = decode(body, type=table_api.ReadCall)
+            self.read_count += len(read.keys)
+            return encode(self.model.read(read))
+        found = self.model.scan(decode(body, type=table_api.ScanCall))
+        self.read_count += len(found.rows)
+        return encode(found)
+
+    def client(self) -> table_client.TableClient:
+        """Returns: a table client that reaches this table."""
+        return table_client.TableClient(self, ADDRESS, 1.0)  # type: ignore[arg-type]
+
+
+def work(sizes: tuple[int, ...] = SIZES, polled_s: float = POLLED_S) -> list[Measured]:
+    """Count the table's work.
+
+    Args:
+        sizes: orders, documents or services.
+        polled_s: how long to let a daemon poll.
+
+    Returns:
+        Its rows, calls and bytes for orders, documents and polls.
+    """
+    poll = functools.partial(_poll, polled_s)
+    made: list[Measured] = []
+    for name, run, fields in (
+        ("orders one after another", _orders_in_turn, COUNTS),
+        ("orders at once in one daemon", _orders_at_once, COUNTS[2:3]),
+        ("documents submitted and adopted", _documents, COUNTS),
+        (f"polling for {polled_s:g} s, against services", poll, COUNTS[1:]),
+    ):
+        seen = {size: asyncio.run(run(size)) for size in sizes}
+        for label, unit, read in fields:
+            points = tuple(slope_fit.Point(size, read(seen[size])) for size in sizes)
+            made.append(Measured(f"{label}: {name}", unit, (points,)))
+    return made
+
+
+COUNTS: tuple[tuple[str, str, Callable[[CountingTable], float]], ...] = (
+    ("rows written", "rows", lambda counted: counted.write_count),
+    ("rows read", "rows", lambda counted: counted.read_count),
+    ("calls", "calls", lambda counted: counted.call_count),
+    ("bytes of bodies", "bytes", lambda counted: counted.body_bytes),
+)
+
+
+async def _order(calls: order_calls.OrderCalls, number: int) -> None:
+    async def send() -> orders.SendOutcome:
+        answer = order_rows.OrderAnswer(200, "application/json", b'{"done": true}')
+        return orders.Answered(answer)
+
+    order_id = order_rows.OrderId(
+        ids.ServiceName("ledger"),
+        ids.CustomerId("customer-0001"),
+        ids.IdempotencyKey(f"key-{number:032x}"),
+    )
+    attempt_id = ids.new_attempt_id(ids.new_request_id(), 1)
+    deadline_s = time.monotonic() + PATIENCE_S
+    result = await calls.run(order_id, "0" * 64, attempt_id, deadline_s, send)
+    assert isinstance(result, orders.Done), result
+
+
+async def _orders_in_turn(size: int) -> CountingTable:
+    counted = CountingTable()
+    calls = order_calls.OrderCalls(counted.client(), time.monotonic)
+    for number in range(size):
+        await _order(calls, number)
+    await calls.close(PATIENCE_S)
+    return counted
+
+
+async def _orders_at_once(size: int) -> CountingTable:
+    counted = CountingTable()
+    calls = order_calls.OrderCalls(counted.client(), time.monotonic)
+    await asyncio.gather(*(_order(calls, number) for number in range(size)))
+    await calls.close(PATIENCE_S)
+    return counted
+
+
+class _Alone:
+    """Peers and members of a daemon that is alone in its data centre."""
+
+    def __init__(self) -> None:
+        self.view = membership.merge(
+            membership.View(), fleet.Members(slope_fleet.vms(1)), time.monotonic()
+        )
+
+    def on(self, body_type: type, handler: Callable[..., None]) -> None:
+        """Take a handler that is never called."""
+
+    def send(self, vm_id: ids.VmId, body: peer_messages.Body) -> bool:
+        """Send nothing."""
+        return True
+
+    def broadcast(
+        self, body: peer_messages.Body, data_centre: ids.DataCentre | None = None
+    ) -> int:
+        """Send nothing."""
+        return 0
+
+
+def _keeper(counted: CountingTable) -> document_keeper.DocumentKeeper:
+    alone: Any = _Alone()
+    return document_keeper.DocumentKeeper(
+        counted.client(),
+        alone,
+        document_text.parse,
+        time.monotonic,
+        vm_id=alone.view.vms[0].vm_id,
+        members=alone,
+        rng=random.Random(1),
+    )
+
+
+async def _submit(keeper: document_keeper.DocumentKeeper, name: str) -> None:
+    result = await keeper.submit(
+        ids.ServiceName(name),
+        ids.DocumentVersion(0),
+        ids.new_submission_id(),
+        slope_fleet.document(10, name),
+    )
+    assert isinstance(result, submissions.Accepted), result
+
+
+async def _documents(size: int) -> CountingTable:
+    counted = CountingTable()
+    keeper = _keeper(counted)
+    for index in range(size):
+        await _submit(keeper, f"model-{index:02d}")
+    return counted
+
+
+async def _poll(polled_s: float, size: int) -> CountingTable:
+    """Returns: the counts of a poller that has polled before."""
+    counted = CountingTable()
+    keeper = _keeper(counted)
+    for index in range(size):
+        await _submit(keeper, f"model-{index:02d}")
+    counted.call_count = counted.read_count = counted.body_bytes = 0
+    keeper.start()
+    await asyncio.sleep(polled_s)
+    await keeper.close()
+    return counted
