Peer messages are taken in batches; far daemons hear half the heartbeats

Daemons of other data centres hear every second heartbeat, once a second, which still carries the digests as often as they are compared.

--- a/packages/daemon/lacewingdrum_daemon/peering.py
+++ b/packages/daemon/lacewingdrum_daemon/peering.py
@@ -14,6 +14,8 @@
 from lacewingdrum_transport import peer_socket
 
 HEARTBEAT_PERIOD_S = 0.5
+# Daemons of other data centres, which are many, hear one beat of so many.
+FAR_BEAT_INTERVAL = 2
 
 _Body = TypeVar("_Body", bound=msgspec.Struct)
 _Handler = Callable[[ids.VmId, Any], None]
@@ -37,6 +39,7 @@
         self._clock = clock
         self._period_s = period_s
         self._is_leaving = False
+        self._beat_count = 0
         self._handlers: dict[type, list[_Handler]] = collections.defaultdict(list)
         self._tasks = tasks.TaskSet()
 
@@ -100,15 +103,19 @@
         self._is_leaving = True
         self.beat()
 
-    def beat(self) -> None:
-        """Follow the list, and send one heartbeat to each daemon on it."""
+    def beat(self, data_centre: ids.DataCentre | None = None) -> None:
+        """Follow the list, and send one heartbeat to the daemons on it.
+
+        Args:
+            data_centre: if given, only to the daemons there.
+        """
         self._follow_list()
         heartbeat = self._heartbeat()
         if self._is_leaving:
             heartbeat = msgspec.structs.replace(heartbeat, leaving=True)
         # Nobody sends to itself, yet the own VM is live like any other.
         self._members.heard(self._socket.vm_id, heartbeat)
-        self.broadcast(heartbeat)
+        self.broadcast(heartbeat, data_centre)
 
     def _follow_list(self) -> None:
         listed = {
@@ -122,10 +129,21 @@
         for vm_id, address in listed.items():
             self._socket.connect(vm_id, address)
 
+    def _beat_in_turn(self) -> None:
+        self._beat_count += 1
+        is_far_turn = self._beat_count % FAR_BEAT_INTERVAL == 1
+        self.beat(None if is_far_turn else self._own_data_centre())
+
+    def _own_data_centre(self) -> ids.DataCentre | None:
+        for vm in self._members.view.vms:
+            if vm.vm_id == self._socket.vm_id:
+                return vm.data_centre
+        return None
+
     async def _beat_for_ever(self) -> None:
         while True:
             try:
-                self.beat()
+                self._beat_in_turn()
             except Exception:
                 # A daemon without heartbeats would count as dead.
                 _log.exception("heartbeat failed")
--- /dev/null
+++ b/packages/transport/lacewingdrum_transport/peer_link.py
@@ -0,0 +1,158 @@
+"""The sending half of a connection to one peer: a DEALER that heals.
+
+A DEALER whose peer stays silent is thrown away and built anew, since an open
+connection can go silent for good while new ones work.
+"""
+
+import contextlib
+import dataclasses
+
+import zmq
+
+from lacewingdrum_state import fleet
+
+CHECKS_PER_SILENCE = 4
+SEND_QUEUE_MESSAGES = 256
+RECEIVE_QUEUE_MESSAGES = 256
+MESSAGE_BYTES = 8 * 1024 * 1024
+RECONNECT_MS = 100
+RECONNECT_MAX_MS = 1000
+CONNECT_TIMEOUT_MS = 2000
+HANDSHAKE_TIMEOUT_MS = 2000
+PING_INTERVAL_MS = 500
+PING_TIMEOUT_MS = 2000
+
+Socket = zmq.Socket[bytes]
+Context = zmq.Context[Socket]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CurveKeys:
+    """This daemon's key pair, and the keys of the daemons let in.
+
+    Without ``allowed_public_keys`` all daemons share this key pair.
+    """
+
+    public_key: str
+    secret_key: str
+    allowed_public_keys: tuple[str, ...] = ()
+
+    @property
+    def peer_keys(self) -> tuple[str, ...]:
+        """The public keys that a peer may have."""
+        return self.allowed_public_keys or (self.public_key,)
+
+    def set_own(self, socket: Socket) -> None:
+        """Args: socket: gets this daemon's key pair."""
+        socket.curve_publickey = self.public_key.encode("ascii")
+        socket.curve_secretkey = self.secret_key.encode("ascii")
+
+
+class PeerLink:
+    """Sends to one peer without ever waiting."""
+
+    def __init__(
+        self,
+        context: Context,
+        address: fleet.Address,
+        keys: CurveKeys | None,
+        silence_s: float,
+        now_s: float,
+    ) -> None:
+        self.address = address
+        self._context = context
+        self._keys = keys
+        self._silence_s = silence_s
+        self._key_index = 0
+        self._is_known = False
+        self._heard_s = now_s
+        self._dealer = self._new_dealer()
+
+    def send(self, data: bytes) -> bool:
+        """Returns: False if it was dropped: no connection, or queue full."""
+        return send_now(self._dealer, (data,))
+
+    def rebuild_if_silent(self, now_s: float) -> bool:
+        """Read acknowledgements, and build anew if they stay away.
+
+        Args:
+            now_s: the time.
+
+        Returns:
+            Whether it was built anew.
+        """
+        if _has_received(self._dealer):
+            self._heard_s = now_s
+            self._is_known = True
+            return False
+        if now_s - self._heard_s < self._patience_s():
+            return False
+        self._dealer.close(linger=0)
+        if not self._is_known:
+            # The peer may have another of the allowed keys.
+            self._key_index += 1
+        self._is_known = False
+        self._heard_s = now_s
+        self._dealer = self._new_dealer()
+        return True
+
+    def close(self) -> None:
+        """Close at once; what is queued is dropped."""
+        self._dealer.close(linger=0)
+
+    def _patience_s(self) -> float:
+        many_keys = self._keys is not None and len(self._keys.peer_keys) > 1
+        if many_keys and not self._is_known and not self._is_connected():
+            # Another key may be the peer's, and there are some to try.
+            return self._silence_s / CHECKS_PER_SILENCE
+        return self._silence_s
+
+    def _is_connected(self) -> bool:
+        """Returns: whether the handshake is done; only then can be sent."""
+        return bool(int(self._dealer.getsockopt(zmq.EVENTS)) & zmq.POLLOUT)
+
+    def _new_dealer(self) -> Socket:
+        dealer = self._context.socket(zmq.DEALER)
+        set_common_options(dealer)
+        # Without a connection nothing is queued, so that nothing goes stale.
+        dealer.setsockopt(zmq.IMMEDIATE, 1)
+        dealer.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+        dealer.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+        dealer.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
+        if self._keys is not None:
+            peer_keys = self._keys.peer_keys
+            peer_key = peer_keys[self._key_index % len(peer_keys)]
+            self._keys.set_own(dealer)
+            dealer.curve_serverkey = peer_key.encode("ascii")
+        dealer.connect(f"tcp://{self.address}")
+        return dealer
+
+
+def set_common_options(socket: Socket) -> None:
+    """Args: socket: gets bounded queues, and pings for silent paths."""
+    socket.setsockopt(zmq.LINGER, 0)
+    socket.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
+    socket.setsockopt(zmq.RCVHWM, RECEIVE_QUEUE_MESSAGES)
+    socket.setsockopt(zmq.MAXMSGSIZE, MESSAGE_BYTES)
+    socket.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS)
+    socket.setsockopt(zmq.HEARTBEAT_IVL, PING_INTERVAL_MS)
+    socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, PING_TIMEOUT_MS)
+
+
+def send_now(socket: Socket, frames: tuple[bytes, ...]) -> bool:
+    """Returns: False if the message was dropped, as it would have to wait."""
+    try:
+        socket.send_multipart(frames, zmq.NOBLOCK)
+    except zmq.ZMQError:
+        return False
+    return True
+
+
+def _has_received(socket: Socket) -> bool:
+    """Read all acknowledgements. Returns: whether there was one."""
+    found = False
+    with contextlib.suppress(zmq.ZMQError):
+        while True:
+            socket.recv_multipart(zmq.NOBLOCK)
+            found = True
+    return found
--- a/packages/transport/lacewingdrum_transport/peer_socket_test.py
+++ b/packages/transport/lacewingdrum_transport/peer_socket_test.py
@@ -110,8 +110,8 @@
 async def test_bytes_that_are_no_message_are_counted():
     async with pair() as (a, b):
         await send_until_taken(a, B, BEAT)
-        a._links[B].dealer.send_multipart([b"\xc1"], zmq.NOBLOCK)
-        a._links[B].dealer.send_multipart([b"1", b"2"], zmq.NOBLOCK)
+        a._links[B]._dealer.send_multipart([b"\xc1"], zmq.NOBLOCK)
+        a._links[B]._dealer.send_multipart([b"1", b"2"], zmq.NOBLOCK)
         a.send(B, RELEASE)
         assert (await receive(b)).body == BEAT
         assert (await receive(b)).body == RELEASE
@@ -184,7 +184,7 @@
             events = 0
             while not events & zmq.POLLIN:
                 await asyncio.sleep(0.005)
-                events = a._links[B].dealer.getsockopt(zmq.EVENTS)
+                events = a._links[B]._dealer.getsockopt(zmq.EVENTS)
             clock.now_s += 1.9
             a.rebuild_silent()
         assert a.rebuilt_count == 0
@@ -241,13 +241,13 @@
                 await asyncio.sleep(0.01)
         finally:
             await plain.close()
-        assert b._router_now.getsockopt(zmq.EVENTS) & zmq.POLLIN == 0
+        assert not b._received and b.malformed_count == 0
         await send_until_taken_by_itself(b, known)
 
 
 async def send_until_taken_by_itself(b, pair_keys):
     """The socket still serves those who have the right key."""
-    endpoint = b._router_now.getsockopt_string(zmq.LAST_ENDPOINT)
+    endpoint = b._router.getsockopt_string(zmq.LAST_ENDPOINT)
     good = peer_socket.PeerSocket(A, peer_socket.CurveKeys(*pair_keys), Clock())
     await good.start(HOST, 0)
     try:
