A daemon is ready only once it has read the membership list

Cause: of 464 calls over three planned stops one got 503 no_runner: a daemon that had just started was ready, since peers gave it the documents, before its first read of the membership list. Ruled out: a runner that refused; the log has no routing candidate at all.

--- a/packages/daemon/lacewingdrum_daemon/callers.py
+++ b/packages/daemon/lacewingdrum_daemon/callers.py
@@ -41,13 +41,18 @@
     """Says whether this daemon takes requests now, and why not.
 
     Args:
+        knows_fleet: whether the membership list was read.
         knows_documents: whether it has the documents in force.
         may_admit: whether they are fresh enough to admit by.
     """
 
     def __init__(
-        self, knows_documents: Callable[[], bool], may_admit: Callable[[], bool]
+        self,
+        knows_fleet: Callable[[], bool],
+        knows_documents: Callable[[], bool],
+        may_admit: Callable[[], bool],
     ) -> None:
+        self._knows_fleet = knows_fleet
         self._knows_documents = knows_documents
         self._may_admit = may_admit
         self.is_leaving = False
@@ -64,6 +69,8 @@
         A daemon that is leaving still takes what open connections bring,
         until the balancer has noticed.
         """
+        if not self._knows_fleet():
+            return "the membership list was not read yet"
         if not self._knows_documents():
             return "the documents in force are not known yet"
         if not self._may_admit():
--- a/packages/daemon/lacewingdrum_daemon/daemon.py
+++ b/packages/daemon/lacewingdrum_daemon/daemon.py
@@ -65,6 +65,7 @@
         self._incarnation = ids.Incarnation(time.time_ns() // 1_000_000)
         self.stop_requested = asyncio.Event()
         self._cut_requested = asyncio.Event()
+        self._knows_fleet = False
         self._tasks = tasks.TaskSet()
         self._decisions = decision_log.DecisionLog(
             logger, self._clock, own.limits.explain_lines
@@ -154,7 +155,9 @@
             self._clock,
             self._rng,
         )
-        self._gate = callers.Gate(self._documents.ready, self._documents.may_admit)
+        self._gate = callers.Gate(
+            lambda: self._knows_fleet, self._documents.ready, self._documents.may_admit
+        )
         health = probes.Probes(self._gate.not_ready_reason, self._figures)
         edge = callers.Callers(
             self._directory.current,
@@ -285,12 +288,14 @@
             return
 
     async def _sync_fleet(self) -> None:
+        await self._members.wait_first()
         seen: tuple[fleet.Runner, ...] = ()
         while True:
             runners = self._members.view.runners
             if runners != seen:
                 self._router.set_runners(runners)
                 seen = runners
+            self._knows_fleet = True
             await asyncio.sleep(FLEET_SYNC_S)
 
     def _attempt_ended(self, attempt_id: ids.AttemptId) -> None:
--- a/tests/guarantee_faults.py
+++ b/tests/guarantee_faults.py
@@ -13,12 +13,9 @@
 import multiprocessing
 import os
 import pathlib
-import re
 import sys
 import tempfile
 
-from lacewingdrum_protocol import document_text
-from lacewingdrum_state import documents
 from standins import cluster, load, verdict
 from tests import faults, whole_system
 
@@ -71,7 +68,7 @@
     Returns:
         What it showed.
     """
-    services = _documents(folder)
+    services = whole_system.write_documents(folder, PATIENCES_MS)
     plan = whole_system.plan(4, 2, ENGINE_OPTIONS)
     async with whole_system.running(plan, folder, folder) as found:
         callers = load.Load(found, services, LOAD, seed)
@@ -113,21 +110,6 @@
         await faults.heal(fault, found, damage)
 
 
-def _documents(folder: pathlib.Path) -> tuple[documents.ServiceDocument, ...]:
-    """Write the examples with short patience, so that it runs out here."""
-    found = []
-    for service in (whole_system.MODEL_SERVICE, whole_system.APP_SERVICE):
-        text = (whole_system.EXAMPLES / f"{service}.toml").read_text()
-        for patience_ms, shorter_ms in PATIENCES_MS.items():
-            pattern = rf"patience_ms = {patience_ms}\b"
-            text = re.sub(pattern, f"patience_ms = {shorter_ms}", text)
-        (folder / f"{service}.toml").write_text(text)
-        document, errors = document_text.parse(text)
-        assert document is not None, errors
-        found.append(document)
-    return tuple(found)
-
-
 def run_in_own_process(pair: Pair) -> Trial:
     """Returns: what one trial showed; an error in it is a violation."""
     with tempfile.TemporaryDirectory(prefix="lacewingdrum-pair-") as name:
@@ -162,11 +144,10 @@
 def main() -> int:
     """Returns: 0 when no promise was broken in any trial."""
     parser = argparse.ArgumentParser(prog="python -m tests.guarantee_faults")
-    parser.add_argument("fault", nargs="*", choices=[f.value for f in faults.Fault])
-    names = parser.parse_args().fault
+    parser.add_argument("fault", nargs="*", type=faults.Fault, help="its value")
+    wanted = set(parser.parse_args().fault)
     pairs = all_pairs()
-    if names:
-        wanted = {faults.Fault(name) for name in names}
+    if wanted:
         pairs = [pair for pair in pairs if wanted <= set(pair)]
     trials = run_all(pairs)
     requests = sum(trial.request_count for trial in trials)
--- a/tests/whole_system.py
+++ b/tests/whole_system.py
@@ -4,9 +4,12 @@
 import contextlib
 import json
 import pathlib
+import re
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 
+from lacewingdrum_protocol import document_text
+from lacewingdrum_state import documents
 from lacewingdrum_transport import http_messages
 from standins import cluster
 
@@ -67,19 +70,19 @@
 
 @contextlib.asynccontextmanager
 async def running(
-    wanted: cluster.Plan, folder: pathlib.Path, documents: pathlib.Path = EXAMPLES
+    wanted: cluster.Plan, folder: pathlib.Path, document_folder: pathlib.Path = EXAMPLES
 ) -> AsyncIterator[cluster.Cluster]:
     """Run a deployment with both documents of Kazvintage in force.
 
     Args:
         wanted: the deployment.
         folder: for settings and logs.
-        documents: the folder of the documents.
+        document_folder: where the documents are.
     """
     async with cluster.Cluster(wanted, folder) as found:
         for service in (MODEL_SERVICE, APP_SERVICE):
             code, output = await command(
-                found, "submit", "--wait", str(documents / f"{service}.toml")
+                found, "submit", "--wait", str(document_folder / f"{service}.toml")
             )
             assert code == 0, output
         await found.wait_for("/readyz", READY_TIMEOUT_S)
@@ -87,6 +90,31 @@
         yield found
 
 
+def write_documents(
+    folder: pathlib.Path, patiences_ms: Mapping[str, str]
+) -> tuple[documents.ServiceDocument, ...]:
+    """Write Kazvintage's examples with other patience.
+
+    Args:
+        folder: where to.
+        patiences_ms: the examples' patience against the one wanted.
+
+    Returns:
+        The documents, parsed.
+    """
+    found = []
+    for service in (MODEL_SERVICE, APP_SERVICE):
+        text = (EXAMPLES / f"{service}.toml").read_text()
+        for patience_ms, wanted_ms in patiences_ms.items():
+            pattern = rf"patience_ms = {patience_ms}\b"
+            text = re.sub(pattern, f"patience_ms = {wanted_ms}", text)
+        (folder / f"{service}.toml").write_text(text)
+        document, errors = document_text.parse(text)
+        assert document is not None, errors
+        found.append(document)
+    return tuple(found)
+
+
 async def _wait_for_documents(found: cluster.Cluster) -> None:
     """Wait until each daemon knows the customers of both documents."""
     async with asyncio.timeout(READY_TIMEOUT_S):
