Proof that a leaving engine gets no new work after three seconds

Ruled out: judging by the router's state; the engine's own record counts. Change: one engine of three leaves under load, by the list's mark alone and by its refusals alone with a list that lags ten minutes.

--- /dev/null
+++ b/tests/guarantee_leaving.py
@@ -0,0 +1,136 @@
+"""An engine that leaves gets no new work after three seconds.
+
+It is told in two ways: by its mark in the membership list alone, and by its
+own refusals alone while the list lags far behind.
+"""
+
+import asyncio
+import dataclasses
+import enum
+import pathlib
+import random
+import sys
+import tempfile
+
+from lacewingdrum_state import documents, states
+from lacewingdrum_transport import http_client
+from standins import calls, cluster, load
+from tests import whole_system
+
+BOUND_S = 3.0
+WATCH_S = 4.0
+WARM_UP_S = 1.5
+CALLER_COUNT = 12
+LEAVING = "engine-2"
+SEED = 1
+
+
+class Sign(enum.Enum):
+    """How it becomes known that the engine is leaving."""
+
+    LIST_MARK = "list_mark"
+    REFUSAL = "refusal"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeavingReport:
+    """Attempts that reached the engine; none may come after the bound."""
+
+    sign: Sign
+    before: int
+    within_bound: int
+    after_bound: int
+    failed: int
+
+
+async def run(sign: Sign, folder: pathlib.Path) -> LeavingReport:
+    """Let one of three engines leave under load.
+
+    Args:
+        sign: how it becomes known.
+        folder: for settings and logs.
+
+    Returns:
+        How many attempts reached it, and when.
+    """
+    service, _ = whole_system.write_documents(folder, {})
+    async with whole_system.running(whole_system.plan(), folder, folder) as found:
+        balancer = load.Balancer(found, random.Random(SEED))
+        await balancer.start()
+        failures: list[calls.Outcome] = []
+        callers = [
+            asyncio.ensure_future(_call_on(found, balancer, service, n, failures))
+            for n in range(CALLER_COUNT)
+        ]
+        await asyncio.sleep(WARM_UP_S)
+        before = await _reached(found)
+        await _leave(sign, found)
+        await asyncio.sleep(BOUND_S)
+        at_bound = await _reached(found)
+        await asyncio.sleep(WATCH_S)
+        after = await _reached(found)
+        for caller in callers:
+            caller.cancel()
+        await asyncio.gather(*callers, return_exceptions=True)
+        await balancer.close()
+    return LeavingReport(
+        sign, before, at_bound - before, after - at_bound, len(failures)
+    )
+
+
+async def _leave(sign: Sign, found: cluster.Cluster) -> None:
+    match sign:
+        case Sign.LIST_MARK:
+            await found.mark(LEAVING, states.MemberState.LEAVING)
+        case Sign.REFUSAL:
+            await found.fault(found.platform["members"], list_lag_ms=600_000)
+            await found.fault(found.runners[LEAVING], leaving=True)
+
+
+async def _reached(found: cluster.Cluster) -> int:
+    record = await found.record(found.runners[LEAVING])
+    return len(record["started"]) + len(record["refused"])
+
+
+async def _call_on(
+    found: cluster.Cluster,
+    balancer: load.Balancer,
+    service: documents.ServiceDocument,
+    number: int,
+    failures: list[calls.Outcome],
+) -> None:
+    http = http_client.HttpClient()
+    count = 0
+    while True:
+        count += 1
+        vm_id = balancer.pick()
+        if vm_id is None:
+            await asyncio.sleep(load.BALANCER_POLL_S)
+            continue
+        plan = calls.CompletionPlan(
+            service,
+            service.kinds[0],
+            whole_system.CUSTOMER_TOKEN,
+            f"caller {number} call {count}",
+            4,
+            True,
+        )
+        outcome = await calls.complete(http, found.daemons[vm_id].callers, plan)
+        if outcome.end is not calls.End.ANSWERED:
+            failures.append(outcome)
+
+
+def main() -> int:
+    """Returns: 0 when no attempt came after the bound."""
+    violations = 0
+    for sign in Sign:
+        with tempfile.TemporaryDirectory(prefix="lacewingdrum-leave-") as name:
+            report = asyncio.run(run(sign, pathlib.Path(name)))
+        print(report)
+        violations += report.after_bound + report.failed
+    print(f"2 trials, {violations} violations, seed {SEED}")
+    return 1 if violations else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
