--- a/standins/calls.py
+++ b/standins/calls.py
@@ -112,7 +112,10 @@
     body = callers_api.CompletionBody(
         plan.service.model, plan.prompt, plan.max_tokens, plan.stream
     )
-    headers = (("Authorization", f"Bearer {plan.token}"),)
+    headers = (
+        ("Authorization", f"Bearer {plan.token}"),
+        (callers_api.PATIENCE_HEADER, str(plan.kind.patience_ms)),
+    )
     path = callers_api.COMPLETIONS_PATH
     outcome = Outcome(plan)
     data = msgspec.json.encode(body)
--- /dev/null
+++ b/standins/memory_trial.py
@@ -0,0 +1,215 @@
+"""Prompts of more than two engines' memory, with daemons killed among them.
+
+Cancels and replies of imports are lost all the while. Afterwards every
+engine must hold nothing. ``python -m standins.memory_trial`` prints one row.
+"""
+
+import argparse
+import asyncio
+import collections
+import dataclasses
+import pathlib
+import random
+import sys
+import tempfile
+
+from lacewingdrum_coordination import directory
+from lacewingdrum_state import documents
+from lacewingdrum_transport import http_client
+from standins import calls, cluster, demo, load, verdict
+
+SERVICE = "sommelier-llm"
+DATA_CENTRES = ("almaty-north", "almaty-east", "almaty-south")
+ENGINE_COUNT = 9
+ENGINE_TOKENS = 100_000
+ENGINE_OPTIONS = (
+    "--prefill-tokens-per-s",
+    "400000",
+    "--decode-step-s",
+    "0.005",
+    "--kv-capacity-tokens",
+    str(ENGINE_TOKENS),
+    "--load-lag-s",
+    "0.3",
+)
+LEAST_TOKENS = 2 * ENGINE_TOKENS + 4_000
+MOST_TOKENS = 2 * ENGINE_TOKENS + 40_000
+ANSWER_TOKENS = 16
+PATIENCE_MS = 12_000
+CALLERS = 3
+TRIES = 8
+PAUSE_S = 0.2
+RETRY_PAUSE_S = 0.5
+LOSE_CANCELS = 0.3
+LOSE_IMPORT_REPLIES = 0.05
+RESTART_S = 3.0
+FREE_TIMEOUT_S = 60.0
+BYTES_PER_TOKEN = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """What a trial found; ``free_s`` is infinite if memory stayed held."""
+
+    ends: collections.Counter[str]
+    held_at_end_tokens: int
+    free_s: float
+    wrong: tuple[str, ...]
+
+
+def plan() -> cluster.Plan:
+    """Returns: three daemons and nine small engines."""
+    daemons = tuple(
+        cluster.DaemonPlan(f"vm-{place}", centre)
+        for place, centre in enumerate(DATA_CENTRES)
+    )
+    engines = tuple(
+        cluster.RunnerPlan(
+            f"engine-{number}",
+            SERVICE,
+            DATA_CENTRES[number % len(DATA_CENTRES)],
+            options=ENGINE_OPTIONS,
+        )
+        for number in range(ENGINE_COUNT)
+    )
+    return cluster.Plan(daemons, engines)
+
+
+class Trial:
+    """Several callers, each with one large prompt after the other."""
+
+    def __init__(self, deployment: cluster.Cluster, count: int, seed: int) -> None:
+        self._deployment = deployment
+        self._left = count
+        self._rng = random.Random(seed)
+        self._http = http_client.HttpClient()
+        self._balancer = load.Balancer(deployment, self._rng)
+        self._service = self._document()
+        self.ends: collections.Counter[str] = collections.Counter()
+        self.wrong: list[str] = []
+
+    async def run(self, kills: int) -> Report:
+        """Send all prompts, and wait until the engines hold nothing.
+
+        Args:
+            kills: daemons to kill and start again meanwhile.
+
+        Returns:
+            What was found.
+        """
+        await self._balancer.start()
+        await self._set_faults(LOSE_CANCELS, LOSE_IMPORT_REPLIES)
+        killer = asyncio.ensure_future(self._kill_in_turn(kills, self._left))
+        await asyncio.gather(*(self._caller() for _ in range(CALLERS)))
+        killer.cancel()
+        await asyncio.gather(killer, return_exceptions=True)
+        held = await verdict.held_tokens(self._deployment)
+        free_s = await verdict.wait_until_free(self._deployment, FREE_TIMEOUT_S)
+        await self._balancer.close()
+        await self._http.close()
+        return Report(self.ends, held, free_s, tuple(self.wrong))
+
+    async def _kill_in_turn(self, kills: int, count: int) -> None:
+        plans = self._deployment.plan.daemons
+        for number in range(kills):
+            due = count - (number + 1) * count // (kills + 1)
+            while self._left > due:
+                await asyncio.sleep(PAUSE_S)
+            victim = plans[number % len(plans)]
+            await self._deployment.kill_daemon(victim.vm_id)
+            await asyncio.sleep(RESTART_S)
+            await self._deployment.start_daemon(victim)
+
+    async def _caller(self) -> None:
+        while self._left > 0:
+            self._left -= 1
+            request = self._request(f"prompt {self._left} ")
+            for _ in range(TRIES):
+                if await self._send(request):
+                    break
+                await asyncio.sleep(RETRY_PAUSE_S * self._rng.uniform(0.5, 1.5))
+            await asyncio.sleep(PAUSE_S)
+
+    def _request(self, start: str) -> calls.CompletionPlan:
+        tokens = self._rng.randint(LEAST_TOKENS, MOST_TOKENS)
+        prompt = start + "." * (BYTES_PER_TOKEN * tokens - len(start))
+        kind = directory.prompt_kind(self._service, tokens)
+        assert kind is not None
+        kind = dataclasses.replace(kind, patience_ms=PATIENCE_MS)
+        token = f"demo-{self._service.customers[0].customer}"
+        return calls.CompletionPlan(
+            self._service, kind, token, prompt, ANSWER_TOKENS, stream=True
+        )
+
+    async def _send(self, request: calls.CompletionPlan) -> bool:
+        """Returns: whether the answer came whole."""
+        vm_id = self._balancer.pick()
+        if vm_id is None:
+            return False
+        address = self._deployment.daemons[vm_id].callers
+        outcome = await calls.complete(self._http, address, request)
+        self.ends[f"{outcome.end.value} {outcome.code}".strip()] += 1
+        if outcome.end is calls.End.WRONG:
+            self.wrong.append(f"{outcome.request_id}: {outcome.detail}")
+        return outcome.end is calls.End.ANSWERED
+
+    async def _set_faults(self, cancels: float, imports: float) -> None:
+        for process in self._deployment.runners.values():
+            await self._deployment.fault(
+                process, lose_cancels=cancels, lose_import_replies=imports
+            )
+
+    def _document(self) -> documents.ServiceDocument:
+        for document in demo.parsed_examples():
+            if document.service == SERVICE:
+                return document
+        raise LookupError(SERVICE)
+
+
+async def run(folder: pathlib.Path, count: int, kills: int, seed: int) -> Report:
+    """Run one trial on processes of its own.
+
+    Args:
+        folder: for settings and logs.
+        count: prompts.
+        kills: daemons killed and started again meanwhile.
+        seed: of lengths, choices and faults.
+
+    Returns:
+        What was found.
+    """
+    async with cluster.Cluster(dataclasses.replace(plan(), seed=seed), folder) as made:
+        path = str(demo.example(SERVICE))
+        if await demo.command(made, "submit", "--wait", path) != 0:
+            raise RuntimeError("the document was not accepted")
+        await made.wait_for("/readyz")
+        return await Trial(made, count, seed).run(kills)
+
+
+def main() -> int:
+    """Returns: 0 if all memory came back and no answer was wrong."""
+    parser = argparse.ArgumentParser(prog="python -m standins.memory_trial")
+    parser.add_argument("--prompts", type=int, default=200)
+    parser.add_argument("--kills", type=int, default=4)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--keep", type=pathlib.Path, help="a folder for the logs")
+    arguments = parser.parse_args()
+    with tempfile.TemporaryDirectory(prefix="lacewingdrum-memory-") as name:
+        folder = arguments.keep or pathlib.Path(name)
+        folder.mkdir(parents=True, exist_ok=True)
+        report = asyncio.run(
+            run(folder, arguments.prompts, arguments.kills, arguments.seed)
+        )
+    print(
+        f"memory: {arguments.prompts} prompts, {arguments.kills} kills, "
+        f"seed {arguments.seed}: {dict(report.ends)}; held at the end "
+        f"{report.held_at_end_tokens} tokens, free after {report.free_s:.1f} s; "
+        f"{len(report.wrong)} wrong"
+    )
+    for line in report.wrong:
+        print(f"BROKEN {line}")
+    return 1 if report.wrong or report.free_s == float("inf") else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/standins/runner_model.py
+++ b/standins/runner_model.py
@@ -233,10 +233,10 @@
             )
         self._now_s = current.end_s
         for entry in current.decoding:
-            if self._is_running(entry):
+            if self._batch.get(entry.job.attempt_id) is entry:
                 self._decode(entry, count)
         prefill = current.prefill
-        if prefill is not None and self._is_running(prefill):
+        if prefill is not None and self._batch.get(prefill.job.attempt_id) is prefill:
             prefill.prefill_left -= count * current.chunk
             if not prefill.prefill_left:
                 self._cache.store(prefill.job.block_hashes, self._now_s)
@@ -259,9 +259,6 @@
     def _to_event(self, current: engine_types.Iteration) -> int:
         return 1 if self._plan_changed else current.iterations_to_event()
 
-    def _is_running(self, entry: engine_types.Entry) -> bool:
-        return self._batch.get(entry.job.attempt_id) is entry
-
     def _decode(self, entry: engine_types.Entry, count: int) -> None:
         entry.produced += min(count, entry.decode_left)
         entry.last_token_s = self._now_s
