--- a/standins/calls.py
+++ b/standins/calls.py
@@ -124,9 +124,9 @@
         return outcome
     right = answers.answer_text(plan.prompt, 0, plan.max_tokens)
     if plan.stream:
-        _check_stream(received, right, outcome)
+        check_stream(received, right, outcome)
     else:
-        _check_whole(received, right, outcome)
+        check_whole(received, right, outcome)
     return outcome
 
 
@@ -244,7 +244,8 @@
     outcome.detail = outcome.code if honest else "a failure without its headers"
 
 
-def _check_whole(received: bytes, right: str, outcome: Outcome) -> None:
+def check_whole(received: bytes, right: str, outcome: Outcome) -> None:
+    """Set the end of a request that got a whole answer."""
     # A whole answer's first byte says nothing of its first token.
     outcome.first_token_s = None
     answer = msgspec.json.decode(received, type=callers_api.CompletionAnswer)
@@ -253,7 +254,8 @@
     outcome.detail = "" if is_right else "another text than the prompt's"
 
 
-def _check_stream(received: bytes, right: str, outcome: Outcome) -> None:
+def check_stream(received: bytes, right: str, outcome: Outcome) -> None:
+    """Set the end of a request whose stream of events came to its end."""
     texts = []
     is_done = False
     for data in sse.SseParser(max_event_bytes=1 << 24).feed(received):
