Slopes of leases, pushes and later versions; events that are written

Cause: the table's share of leases and the bytes of a pushed document were not measured; the log's events listed more than is written. Change: both are measured; the events are those in use, and a test holds the operators' page to them.

--- a/packages/daemon/lacewingdrum_daemon/decision_log_test.py
+++ b/packages/daemon/lacewingdrum_daemon/decision_log_test.py
@@ -5,6 +5,7 @@
 
 from lacewingdrum_daemon import decision_log
 from lacewingdrum_state import ids, states
+from tests import pages
 
 ROUTED = decision_log.DecisionEvent.ROUTED
 
@@ -74,3 +75,8 @@
     line = json.loads(formatter.format(record))
     assert line["vm_id"] == "vm-1" and line["event"] == "routed"
     assert line["level"] == "INFO" and line["at"].endswith("Z")
+
+
+def test_page_lists_the_events():
+    expected = {event.value for event in decision_log.DecisionEvent}
+    assert {row[0] for row in pages.rows("Log lines")} == expected
--- a/standins/slope_control.py
+++ b/standins/slope_control.py
@@ -1,20 +1,17 @@
-"""Slopes of the control path: decisions, messages, hashing, rounds."""
+"""Slopes of the control path between daemons: messages, homes, rounds."""
 
 import asyncio
 import functools
-import io
-import logging
-import random
 import time
 from collections.abc import Callable
 from typing import Any
 
 from result import Ok, Result
 
-from lacewingdrum_coordination import homes, membership, routing
-from lacewingdrum_daemon import decision_log, load_keeper, members_keeper
+from lacewingdrum_coordination import homes, membership
+from lacewingdrum_daemon import load_keeper, members_keeper
 from lacewingdrum_protocol import peer_messages
-from lacewingdrum_state import documents, fleet, ids, requests
+from lacewingdrum_state import fleet, ids, requests
 from lacewingdrum_transport import runner_client
 from standins import slope_fit, slope_fleet
 
@@ -22,7 +19,7 @@
 RUNNER_SIZES = (20, 92, 275, 1_100)
 VM_SIZES = (30, 90, 180, 360)
 ENTRY_SIZES = (1, 8, 32, 128)
-CANDIDATE_SIZES = (5, 10, 20, 40)
+CUSTOMER_SIZES = (50, 500, 2_000)
 CALLS_IN_FLIGHT = 80
 ROUND_DAEMONS = 8
 WARM_ROUNDS = 10
@@ -32,28 +29,6 @@
 MakeBody = Callable[[int], peer_messages.Body]
 
 
-def decisions() -> list[Measured]:
-    """Returns: costs of a routing decision and of its log line."""
-    return [
-        slope_fit.measure(
-            "routing decision, short prompt, against the service's runners",
-            "us",
-            RUNNER_SIZES,
-            _decision_us,
-        ),
-        slope_fit.measure(
-            "log line of a decision, against candidates", "us", CANDIDATE_SIZES, _log_us
-        ),
-        slope_fit.measure(
-            "log line of a decision, against candidates",
-            "bytes",
-            CANDIDATE_SIZES,
-            _log_bytes,
-            repeats=1,
-        ),
-    ]
-
-
 def messages() -> list[Measured]:
     """Returns: bytes and processor time of peer messages."""
     made: list[Measured] = []
@@ -70,6 +45,15 @@
             repeats = 1 if unit == "bytes" else slope_fit.REPEATS
             work = functools.partial(cost, body)
             made.append(slope_fit.measure(name + what, unit, sizes, work, repeats))
+    made.append(
+        slope_fit.measure(
+            "document push, against customers",
+            "bytes",
+            CUSTOMER_SIZES,
+            functools.partial(_size_bytes, _push),
+            1,
+        )
+    )
     return made
 
 
@@ -112,51 +96,16 @@
     return made
 
 
-def _decision_us(size: int) -> float:
-    router = routing.Router(slope_fleet.data_centre(0), random.Random(1))
-    runners = slope_fleet.runners(size, services=1)
-    router.set_runners(runners)
-    for runner in runners:
-        router.observe_load(slope_fleet.load(runner, NOW_S - 0.5))
-    request, weights = slope_fleet.request(), documents.Weights()
-    return slope_fit.call_us(lambda: router.choose(request, weights, NOW_S))
-
-
-def _log(stream: io.StringIO) -> decision_log.DecisionLog:
-    logger = logging.Logger("slopes")
-    handler = logging.StreamHandler(stream)
-    handler.setFormatter(decision_log.json_formatter("entry-vm-0001", "region-00"))
-    logger.addHandler(handler)
-    return decision_log.DecisionLog(logger, time.monotonic)
-
-
-def _record(log: decision_log.DecisionLog, size: int) -> None:
-    estimates = [(f"runner-{index:05d}", 0.123456, 5.123456) for index in range(size)]
-    log.record(
-        decision_log.DecisionEvent.ROUTED,
-        ids.new_request_id(),
-        runner_id="runner-00001",
-        reason="near_best",
-        estimates=estimates,
-    )
-
-
-def _log_us(size: int) -> float:
-    log = _log(io.StringIO())
-    return slope_fit.call_us(lambda: _record(log, size))
-
-
-def _log_bytes(size: int) -> float:
-    stream = io.StringIO()
-    _record(_log(stream), size)
-    return len(stream.getvalue())
-
-
 def _summary(size: int) -> peer_messages.LoadSummary:
     runners = slope_fleet.runners(size)
     return peer_messages.LoadSummary(tuple(map(slope_fleet.load_entry, runners)))
 
 
+def _push(size: int) -> peer_messages.DocumentPush:
+    text = slope_fleet.document(size)
+    return peer_messages.DocumentPush("model-00", 1_000, "s" * 24, "0" * 64, text)
+
+
 def _report(size: int) -> peer_messages.InFlightReport:
     found = slope_fleet.in_flight(size, slope_fleet.runners(100))
     return peer_messages.InFlightReport(
--- a/standins/slope_fit_test.py
+++ b/standins/slope_fit_test.py
@@ -25,4 +25,4 @@
         for measured in slope_table.work((2, 4, 8), polled_s=0.0)
     }
     assert written["rows written: orders one after another"] == 2
-    assert written["rows written: documents submitted and adopted"] == 2
+    assert written["rows written: later versions submitted"] == 1
--- /dev/null
+++ b/standins/slope_leases.py
@@ -0,0 +1,129 @@
+"""Slopes of the placement leases: table rows a second, against services."""
+
+import asyncio
+import time
+from typing import Any
+
+from result import Ok, Result
+
+from lacewingdrum_coordination import membership
+from lacewingdrum_daemon import placement_keeper
+from lacewingdrum_protocol import runner_api
+from lacewingdrum_state import documents, fleet, ids, states
+from lacewingdrum_transport import runner_client
+from standins import slope_fit, slope_fleet, slope_table
+
+SERVICE_SIZES = (4, 8, 16)
+RUNNERS_A_SERVICE = 4
+WARM_UP_S = 1.5
+HELD_S = 7.5
+MODEL = "model@1"
+
+Measured = slope_fit.Measured
+
+
+def leases() -> list[Measured]:
+    """Returns: the table's rows for leases that one daemon holds."""
+    seen = {size: asyncio.run(_hold(size)) for size in SERVICE_SIZES}
+    made = []
+    for index, name in enumerate(
+        (
+            "rows written a second for leases held, against services",
+            "rows read a second for leases held, against services",
+            "runners' states read a second, against services of 4 runners",
+        )
+    ):
+        points = tuple(
+            slope_fit.Point(size, seen[size][index] / HELD_S) for size in SERVICE_SIZES
+        )
+        made.append(Measured(name, "1/s", (points,)))
+    return made
+
+
+class _Runners:
+    """Runners that serve what they are ordered to."""
+
+    def __init__(self) -> None:
+        self.read_count = 0
+        self._served: dict[ids.RunnerId, runner_api.DesiredAnswer] = {}
+
+    async def desired(
+        self, runner: fleet.Runner, timeout_s: float
+    ) -> Result[runner_api.DesiredAnswer, runner_client.RunnerError]:
+        """Returns: what the runner serves."""
+        self.read_count += 1
+        nothing = runner_api.DesiredAnswer(0, "")
+        return Ok(self._served.get(runner.runner_id, nothing))
+
+    async def order_desired(
+        self, runner: fleet.Runner, call: runner_api.DesiredCall, timeout_s: float
+    ) -> Result[runner_api.DesiredAnswer, runner_client.RunnerError]:
+        """Returns: what the runner serves from now on."""
+        answer = runner_api.DesiredAnswer(call.fencing_number, call.model)
+        self._served[runner.runner_id] = answer
+        return Ok(answer)
+
+
+class _Documents:
+    """Documents of services that each desire a model."""
+
+    def __init__(self, names: tuple[ids.ServiceName, ...]) -> None:
+        self._names = names
+
+    def services(self) -> tuple[ids.ServiceName, ...]:
+        """Returns: their names."""
+        return self._names
+
+    def parsed(self, service: ids.ServiceName) -> documents.ServiceDocument:
+        """Returns: a document that desires a model."""
+        rules = documents.RunnerRules(True, MODEL)
+        model = states.ServiceType.MODEL
+        return documents.ServiceDocument(
+            service, model, "x", (), (), "m", runners=rules
+        )
+
+    def may_admit(self) -> bool:
+        """Returns: always true."""
+        return True
+
+
+class _Members:
+    """One VM, so that every lease is its own."""
+
+    def __init__(self, runners: tuple[fleet.Runner, ...]) -> None:
+        self._listed = fleet.Members(slope_fleet.vms(1), runners)
+        self.vm = self._listed.vms[0]
+
+    @property
+    def view(self) -> membership.View:
+        """The list as just read."""
+        return membership.merge(membership.View(), self._listed, time.monotonic())
+
+
+async def _hold(size: int) -> tuple[float, float, float]:
+    """Returns: rows written and read, and runners read, while held."""
+    counted = slope_table.CountingTable()
+    runners = slope_fleet.runners(
+        size * slope_fleet.DATA_CENTRES * RUNNERS_A_SERVICE, size
+    )
+    near = tuple(r for r in runners if r.data_centre == slope_fleet.data_centre(0))
+    names = tuple(dict.fromkeys(runner.service for runner in near))
+    assert len(names) == size
+    members: Any = _Members(near)
+    served: Any = _Runners()
+    held: Any = _Documents(names)
+    keeper = placement_keeper.PlacementKeeper(
+        counted.client(), served, members, held, members.vm.vm_id, time.monotonic
+    )
+    keeper.start()
+    await asyncio.sleep(WARM_UP_S)
+    assert all(keeper.holds(name) for name in names)
+    written, read, asked = counted.write_count, counted.read_count, served.read_count
+    await asyncio.sleep(HELD_S)
+    taken = (
+        float(counted.write_count - written),
+        float(counted.read_count - read),
+        float(served.read_count - asked),
+    )
+    await keeper.close()
+    return taken
--- a/standins/slope_sockets.py
+++ b/standins/slope_sockets.py
@@ -103,7 +103,8 @@
             writer.write(data)
 
 
-def _resident_bytes() -> int:
+def resident_bytes() -> int:
+    """Returns: this process's resident memory."""
     with open("/proc/self/statm") as file:
         return int(file.read().split()[1]) * PAGE_BYTES
 
@@ -112,7 +113,7 @@
     link_count: int, document_count: int, relayed: bool
 ) -> tuple[float, ...]:
     """Returns: us a second, bytes held, bytes and reads a second."""
-    before_bytes = _resident_bytes()
+    before_bytes = resident_bytes()
     hub = peer_socket.PeerSocket(ids.VmId("entry-vm-0000"))
     sink = peer_socket.PeerSocket(ids.VmId("entry-vm-0001"))
     await hub.start(LOOPBACK, 0)
@@ -131,7 +132,7 @@
     await asyncio.sleep(MEASURED_S)
     took_s = time.monotonic() - began_s
     busy_us = (time.process_time() - used_s) / took_s * slope_fit.US_A_SECOND
-    held_bytes = _resident_bytes() - before_bytes
+    held_bytes = resident_bytes() - before_bytes
     byte_rate = (relay.byte_count - bytes_before) / took_s
     read_rate = (relay.read_count - reads_before) / took_s
     beating.cancel()
--- a/standins/slope_table.py
+++ b/standins/slope_table.py
@@ -65,6 +65,11 @@
         self.read_count += len(found.rows)
         return encode(found)
 
+    def reset(self) -> None:
+        """Count anew."""
+        self.call_count = self.write_count = self.read_count = 0
+        self.body_bytes = 0
+
     def client(self) -> table_client.TableClient:
         """Returns: a table client that reaches this table."""
         return table_client.TableClient(self, ADDRESS, 1.0)  # type: ignore[arg-type]
@@ -85,7 +90,8 @@
     for name, run, fields in (
         ("orders one after another", _orders_in_turn, COUNTS),
         ("orders at once in one daemon", _orders_at_once, COUNTS[2:3]),
-        ("documents submitted and adopted", _documents, COUNTS),
+        ("first versions submitted", _first_versions, COUNTS),
+        ("later versions submitted", _later_versions, COUNTS),
         (f"polling for {polled_s:g} s, against services", poll, COUNTS[1:]),
     ):
         seen = {size: asyncio.run(run(size)) for size in sizes}
@@ -171,17 +177,19 @@
     )
 
 
-async def _submit(keeper: document_keeper.DocumentKeeper, name: str) -> None:
+async def _submit(
+    keeper: document_keeper.DocumentKeeper, name: str, base: int = 0
+) -> None:
     result = await keeper.submit(
         ids.ServiceName(name),
-        ids.DocumentVersion(0),
+        ids.DocumentVersion(base),
         ids.new_submission_id(),
         slope_fleet.document(10, name),
     )
     assert isinstance(result, submissions.Accepted), result
 
 
-async def _documents(size: int) -> CountingTable:
+async def _first_versions(size: int) -> CountingTable:
     counted = CountingTable()
     keeper = _keeper(counted)
     for index in range(size):
@@ -189,13 +197,23 @@
     return counted
 
 
+async def _later_versions(size: int) -> CountingTable:
+    counted = CountingTable()
+    keeper = _keeper(counted)
+    await _submit(keeper, "model-00")
+    counted.reset()
+    for index in range(size):
+        await _submit(keeper, "model-00", index + 1)
+    return counted
+
+
 async def _poll(polled_s: float, size: int) -> CountingTable:
     """Returns: the counts of a poller that has polled before."""
     counted = CountingTable()
     keeper = _keeper(counted)
     for index in range(size):
         await _submit(keeper, f"model-{index:02d}")
-    counted.call_count = counted.read_count = counted.body_bytes = 0
+    counted.reset()
     keeper.start()
     await asyncio.sleep(polled_s)
     await keeper.close()
--- a/standins/slopes.py
+++ b/standins/slopes.py
@@ -4,13 +4,16 @@
 them and its spread are printed. docs/CAPACITY.md works from these figures.
 """
 
+import importlib
 import os
 import platform
 import sys
 
 from standins import (
     slope_control,
+    slope_decisions,
     slope_fit,
+    slope_leases,
     slope_memory,
     slope_platform,
     slope_sockets,
@@ -19,7 +22,7 @@
 )
 
 SECTIONS = (
-    ("Decisions", slope_control.decisions),
+    ("Decisions", slope_decisions.decisions),
     ("Peer messages", slope_control.messages),
     ("Membership", slope_control.membership_costs),
     ("Load rounds", slope_control.rounds),
@@ -29,6 +32,7 @@
     ("Links between daemons", slope_sockets.links),
     ("Forwarded parts", slope_streams.forwarding),
     ("Table service", slope_table.work),
+    ("Placement leases", slope_leases.leases),
     ("Memory", slope_memory.held),
 )
 
@@ -41,6 +45,9 @@
     wanted = sys.argv[1].lower() if len(sys.argv) > 1 else ""
     version = platform.python_version()
     print(f"Python {version}, {os.cpu_count()} processors, {platform.machine()}")
+    importlib.import_module("lacewingdrum_daemon.daemon")
+    resident_mb = slope_sockets.resident_bytes() / 1_000_000
+    print(f"resident memory with the daemon's modules loaded: {resident_mb:.1f} MB")
     for title, section in SECTIONS:
         if wanted not in title.lower():
             continue
