--- a/packages/coordination/lacewingdrum_coordination/admission.py
+++ b/packages/coordination/lacewingdrum_coordination/admission.py
@@ -11,7 +11,7 @@
 from lacewingdrum_coordination import routing
 from lacewingdrum_state import requests
 
-PATIENCE_MARGIN_RATIO = 0.1
+PATIENCE_MARGIN_RATIO = 0.05
 PATIENCE_MARGIN_S = 0.1
 MIN_RETRY_AFTER_MS = 1_000
 RETRY_JITTER_RATIO = 0.5
--- /dev/null
+++ b/packages/coordination/lacewingdrum_coordination/groups.py
@@ -0,0 +1,165 @@
+"""Groups of engines for prompts larger than one engine's memory.
+
+All or nothing: the homes of the engines are asked one after the other, in
+the order of runner ids, so that two prompts that want the same engines cannot
+each hold what the other waits for. What was granted is given back at the
+first refusal, and lapses by itself if its daemon dies.
+"""
+
+import dataclasses
+import enum
+from collections.abc import Sequence
+
+from lacewingdrum_coordination import runner_estimates
+from lacewingdrum_state import ids
+
+HEADROOM_TOKENS = 40_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Part:
+    """Tokens of a prompt that one engine shall hold."""
+
+    runner_id: ids.RunnerId
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """The engine that runs the prompt, and the parts of the others."""
+
+    lead: runner_estimates.RunnerEstimate
+    lead_tokens: int
+    parts: tuple[Part, ...]
+
+
+def plan(
+    candidates: Sequence[runner_estimates.RunnerEstimate],
+    total_tokens: int,
+    now_s: float,
+) -> Plan | None:
+    """Share out a prompt over the engines with the most free memory.
+
+    Args:
+        candidates: engines that may take part.
+        total_tokens: what the prompt and its answer need.
+        now_s: the present.
+
+    Returns:
+        The plan, parts in the order of runner ids; None if the free memory
+        of all candidates is too small.
+    """
+    by_free = sorted(
+        candidates, key=lambda known: (-known.free_tokens(), known.runner.runner_id)
+    )
+    shares: dict[ids.RunnerId, int] = {}
+    members: list[runner_estimates.RunnerEstimate] = []
+    needed = total_tokens
+    for known in by_free:
+        share = min(needed, known.free_tokens() - HEADROOM_TOKENS)
+        if share <= 0:
+            break
+        members.append(known)
+        shares[known.runner.runner_id] = share
+        needed -= share
+    if needed > 0:
+        return None
+    lead = min(members, key=lambda known: sum(known.queued_tokens(now_s)))
+    lead_tokens = shares.pop(lead.runner.runner_id)
+    parts = tuple(Part(runner_id, shares[runner_id]) for runner_id in sorted(shares))
+    return Plan(lead, lead_tokens, parts)
+
+
+class ReservationState(enum.Enum):
+    """How far the reservation of a group has come."""
+
+    ASKING = "asking"
+    HELD = "held"
+    REFUSED = "refused"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskHome:
+    """Ask the home of a runner to set memory aside."""
+
+    part: Part
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReleaseHome:
+    """Give back what the home of a runner set aside."""
+
+    part: Part
+
+
+Action = AskHome | ReleaseHome
+
+
+class GroupReservation:
+    """One prompt's reservations, asked in order of runner ids."""
+
+    def __init__(self, parts: Sequence[Part]) -> None:
+        """Prepare the asks; ``start`` makes the first.
+
+        Args:
+            parts: what each engine shall set aside, the lead's included.
+        """
+        self._parts = sorted(parts, key=lambda part: part.runner_id)
+        self._granted: list[Part] = []
+        self.state = ReservationState.ASKING
+
+    def start(self) -> tuple[Action, ...]:
+        """Returns: the first ask."""
+        return self._ask_next()
+
+    def answered(self, runner_id: ids.RunnerId, is_granted: bool) -> tuple[Action, ...]:
+        """Take in a home's answer, or its silence as a refusal.
+
+        Args:
+            runner_id: the runner asked for.
+            is_granted: whether the memory was set aside.
+
+        Returns:
+            The next ask, or the releases after a refusal. A grant that comes
+            after the end is released.
+        """
+        position = len(self._granted)
+        expected = self._parts[position] if position < len(self._parts) else None
+        if self.state is not ReservationState.ASKING or expected is None:
+            return self._release_late(runner_id, is_granted)
+        if expected.runner_id != runner_id:
+            return ()
+        if not is_granted:
+            self.state = ReservationState.REFUSED
+            return self._release_granted((expected,))
+        self._granted.append(expected)
+        if len(self._granted) == len(self._parts):
+            self.state = ReservationState.HELD
+            return ()
+        return self._ask_next()
+
+    def release(self) -> tuple[Action, ...]:
+        """Returns: the releases of all that may be held."""
+        position = len(self._granted)
+        asked: tuple[Part, ...] = ()
+        if self.state is ReservationState.ASKING:
+            asked = tuple(self._parts[position : position + 1])
+        self.state = ReservationState.REFUSED
+        return self._release_granted(asked)
+
+    def _ask_next(self) -> tuple[Action, ...]:
+        return (AskHome(self._parts[len(self._granted)]),)
+
+    def _release_granted(self, more: tuple[Part, ...]) -> tuple[Action, ...]:
+        # A home that never answered may have granted, so it is told as well.
+        released = tuple(ReleaseHome(part) for part in (*self._granted, *more))
+        self._granted = []
+        return released
+
+    def _release_late(
+        self, runner_id: ids.RunnerId, is_granted: bool
+    ) -> tuple[Action, ...]:
+        if self.state is not ReservationState.REFUSED or not is_granted:
+            return ()
+        late = [part for part in self._parts if part.runner_id == runner_id]
+        return tuple(ReleaseHome(part) for part in late)
--- a/packages/coordination/lacewingdrum_coordination/homes.py
+++ b/packages/coordination/lacewingdrum_coordination/homes.py
@@ -61,5 +61,10 @@
     return rendezvous(f"customer\x1f{service}\x1f{customer}", vm_ids)
 
 
+def weight_of(key: str) -> int:
+    """Returns: a number that spreads keys evenly, alike on all daemons."""
+    return xxhash.xxh3_64_intdigest(key.encode())
+
+
 def _weight(key: str, vm_id: ids.VmId) -> int:
-    return xxhash.xxh3_64_intdigest(f"{key}\x1f{vm_id}".encode())
+    return weight_of(f"{key}\x1f{vm_id}")
--- /dev/null
+++ b/packages/coordination/lacewingdrum_coordination/overload.py
@@ -0,0 +1,180 @@
+"""Overload control of one service: what to give up, and for whom.
+
+While the runners keep up nothing is given up. Once more work arrives than
+they can do, the work with the least worth goes first, and a customer that
+asks for far more than its share loses its own excess before others lose any.
+"""
+
+import collections
+import dataclasses
+import math
+
+from lacewingdrum_coordination import routing
+from lacewingdrum_state import ids, requests
+
+WINDOW_S = 30.0
+MIN_WINDOW_S = 2.0
+RENEW_S = 0.5
+CALM_BACKLOG_S = 7.0
+TARGET_BACKLOG_S = 12.0
+BACKLOG_SPAN_S = 10.0
+MIN_SUPPLY_RATIO = 0.3
+FLOOD_RATIO = 1.5
+REQUEST_TOKENS = 500
+MAX_OFFERS = 2_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Verdict:
+    """Whether a request is given up, and how long the backlog drains."""
+
+    shed: bool
+    drain_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Offer:
+    at_s: float
+    customer: ids.CustomerId
+    tokens: int
+    worth_per_token: float
+
+
+class OverloadControl:
+    """Decides for one service on one daemon."""
+
+    def __init__(self) -> None:
+        """Start without offers."""
+        self._offers: collections.deque[_Offer] = collections.deque()
+        self._shares: dict[ids.CustomerId, float] = {}
+        self._floors: dict[ids.CustomerId, float] = {}
+        self._floor = 0.0
+        self._renewed_s = -math.inf
+
+    def judge(
+        self,
+        request: requests.Request,
+        share: float,
+        supply: routing.Supply,
+        daemon_count: int,
+        now_s: float,
+    ) -> Verdict:
+        """Count a request that is offered, and say whether to give it up.
+
+        Args:
+            request: the request.
+            share: its customer's share, as the document states it.
+            supply: what the service's runners can do and have to do.
+            daemon_count: daemons that share the callers.
+            now_s: the present.
+
+        Returns:
+            The verdict; shed requests are counted as offered as well.
+        """
+        tokens = request.prompt_tokens + REQUEST_TOKENS
+        offer = _Offer(now_s, request.customer, tokens, request.worth / tokens)
+        self._shares[request.customer] = share
+        self._add(offer)
+        if now_s - self._renewed_s >= RENEW_S:
+            self._renewed_s = now_s
+            self._renew(supply, daemon_count, now_s)
+        floor = self._floors.get(request.customer, self._floor)
+        return Verdict(offer.worth_per_token < floor, supply.backlog_s)
+
+    def _add(self, offer: _Offer) -> None:
+        self._offers.append(offer)
+        oldest_s = offer.at_s - WINDOW_S
+        while self._offers[0].at_s < oldest_s or len(self._offers) > MAX_OFFERS:
+            self._offers.popleft()
+
+    def _renew(self, supply: routing.Supply, daemon_count: int, now_s: float) -> None:
+        """Set the floors of worth from the last window's offers."""
+        self._floors, self._floor = {}, 0.0
+        span_s = max(MIN_WINDOW_S, now_s - self._offers[0].at_s)
+        affordable = affordable_tokens_per_s(supply) / daemon_count * span_s
+        offered: dict[ids.CustomerId, float] = collections.defaultdict(float)
+        for offer in self._offers:
+            offered[offer.customer] += offer.tokens
+        total = sum(offered.values())
+        if total <= affordable or span_s <= MIN_WINDOW_S:
+            return
+        for customer, granted in self._floods(offered, affordable).items():
+            self._floors[customer] = self._floor_for(granted / offered[customer])
+            affordable -= granted
+            total -= offered[customer]
+        if total > affordable:
+            self._floor = self._floor_for(affordable / total)
+
+    def _floods(
+        self, offered: dict[ids.CustomerId, float], affordable: float
+    ) -> dict[ids.CustomerId, float]:
+        """Find customers far above their share, and what each is granted."""
+        granted = fair_grants(offered, self._shares, affordable)
+        shares = sum(self._shares[customer] for customer in offered)
+        floods = {}
+        for customer, tokens in offered.items():
+            fair = affordable * self._shares[customer] / shares
+            if tokens > FLOOD_RATIO * fair and tokens > granted[customer]:
+                floods[customer] = granted[customer]
+        return floods if len(floods) < len(offered) else {}
+
+    def _floor_for(self, kept_ratio: float) -> float:
+        """Returns: the worth per token above which that much work lies."""
+        ordered = sorted(self._offers, key=lambda offer: -offer.worth_per_token)
+        left = kept_ratio * sum(offer.tokens for offer in ordered)
+        for offer in ordered:
+            left -= offer.tokens
+            if left < 0:
+                return offer.worth_per_token
+        return 0.0
+
+
+def affordable_tokens_per_s(supply: routing.Supply) -> float:
+    """Say how much work may be admitted: all while little is queued.
+
+    Args:
+        supply: rate and backlog of the service's runners.
+
+    Returns:
+        Tokens a second over all daemons.
+    """
+    if supply.backlog_s < CALM_BACKLOG_S:
+        return math.inf
+    ratio = 1 + (TARGET_BACKLOG_S - supply.backlog_s) / BACKLOG_SPAN_S
+    return supply.rate_tokens_per_s * max(MIN_SUPPLY_RATIO, ratio)
+
+
+def fair_grants(
+    offered: dict[ids.CustomerId, float],
+    shares: dict[ids.CustomerId, float],
+    affordable: float,
+) -> dict[ids.CustomerId, float]:
+    """Share work out by weight; who asks for less leaves the rest to others.
+
+    Args:
+        offered: what each customer asks for.
+        shares: their weights.
+        affordable: what there is.
+
+    Returns:
+        What each customer is granted.
+    """
+    granted: dict[ids.CustomerId, float] = {}
+    waiting = dict(offered)
+    left = affordable
+    while waiting:
+        weight = sum(shares[customer] for customer in waiting)
+        level = left / weight
+        content = [
+            customer
+            for customer, tokens in waiting.items()
+            if tokens <= level * shares[customer]
+        ]
+        if not content:
+            for customer in waiting:
+                granted[customer] = level * shares[customer]
+            return granted
+        for customer in content:
+            granted[customer] = waiting.pop(customer)
+            left -= granted[customer]
+    return granted
--- a/packages/coordination/lacewingdrum_coordination/routing.py
+++ b/packages/coordination/lacewingdrum_coordination/routing.py
@@ -3,21 +3,33 @@
 The estimate of a runner's time to first token counts only the work that runs
 before this request at its own priority. Among the runners near the best one
 is picked at random, because several daemons decide on the same late reports.
+Long prompts stay off a few runners whose number follows the short demand.
 """
 
 import dataclasses
 import enum
 import random
-from collections.abc import Iterable
-
-from lacewingdrum_coordination import priorities, runner_estimates
+from collections.abc import Iterable, Sequence
+
+from lacewingdrum_coordination import (
+    estimates,
+    groups,
+    outliers,
+    pools,
+    prefixes,
+    priorities,
+    runner_estimates,
+)
 from lacewingdrum_state import documents, fleet, ids, requests, states
 
+Estimate = estimates.Estimate
+
 
 class Reason(enum.Enum):
     """Why a decision came out as it did."""
 
     NEAR_BEST = "near_best"
+    CACHED_PREFIX = "cached_prefix"
     ONLY_CANDIDATE = "only_candidate"
     GROUP = "group"
     NO_RUNNER = "no_runner"
@@ -26,20 +38,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Policy:
-    """Constants of the decision."""
+    """Constants of the decision.
+
+    ``kept_free_ratio`` is the number of runners kept free of long prompts,
+    in multiples of the short demand, and ``kept_free_mid_s`` what a mid
+    prompt pays in its score to go there. Both grow with the document's weight
+    of the short slowdown.
+    """
 
     near_best_ratio: float = 1.05
     near_best_s: float = 0.02
     remote_link_delay_s: float = 0.005
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Estimate:
-    """What a runner is thought to need for a request."""
-
-    runner_id: ids.RunnerId
-    first_token_s: float
-    complete_s: float
+    remote_cost_s: float = 0.005
+    kept_free_ratio: float = 2.0
+    headroom_tokens: int = 40_000
+    kept_free_mid_s: float = 1.0
+    patience_margin_ratio: float = 0.05
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,7 +61,8 @@
     """The runner picked for a request, and what it was picked from.
 
     ``group`` holds the further runners whose memory a prompt above one
-    engine's memory needs, in the order of their ids.
+    engine's memory needs, in the order of their ids, and ``group_tokens``
+    what each of them has to hold.
     """
 
     runner: fleet.Runner | None
@@ -55,6 +70,29 @@
     priority: int
     reason: Reason
     estimates: tuple[Estimate, ...]
+    group_tokens: tuple[int, ...] = ()
+    cached_tokens: int = 0
+
+    @property
+    def estimate(self) -> Estimate | None:
+        """The estimate of the runner that was picked."""
+        if self.runner is None:
+            return None
+        for each in self.estimates:
+            if each.runner_id == self.runner.runner_id:
+                return each
+        return None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Supply:
+    """What a service's runners can do and have to do."""
+
+    rate_tokens_per_s: float
+    backlog_s: float
+
+
+_Known = runner_estimates.RunnerEstimate
 
 
 class Router:
@@ -76,10 +114,11 @@
         self._data_centre = data_centre
         self._rng = rng
         self._policy = policy
-        self._estimates: dict[ids.RunnerId, runner_estimates.RunnerEstimate] = {}
-        self._by_service: dict[
-            ids.ServiceName, list[runner_estimates.RunnerEstimate]
-        ] = {}
+        self._known: dict[ids.RunnerId, _Known] = {}
+        self._pools: dict[ids.ServiceName, pools.RunnerPool] = {}
+        self._ejections: dict[ids.ServiceName, outliers.Ejections] = {}
+        self._prefixes = prefixes.PrefixIndex()
+        self._cached: dict[ids.RequestId, dict[ids.RunnerId, int]] = {}
         self._runner_of: dict[ids.AttemptId, ids.RunnerId] = {}
 
     def set_runners(self, runners: Iterable[fleet.Runner]) -> None:
@@ -88,45 +127,87 @@
         Args:
             runners: all runners; those that leave get no new work.
         """
-        estimates: dict[ids.RunnerId, runner_estimates.RunnerEstimate] = {}
-        by_service: dict[ids.ServiceName, list[runner_estimates.RunnerEstimate]] = {}
+        known_now: dict[ids.RunnerId, _Known] = {}
+        by_service: dict[ids.ServiceName, list[_Known]] = {}
         for runner in runners:
-            known = self._estimates.get(runner.runner_id)
+            known = self._known.get(runner.runner_id)
             if known is None or known.runner.incarnation != runner.incarnation:
-                known = runner_estimates.RunnerEstimate(
-                    runner, self._link_delay_s(runner), 0.0
-                )
+                self._prefixes.forget(runner.runner_id)
+                known = _Known(runner, self._link_delay_s(runner), 0.0)
             known.runner = runner
-            estimates[runner.runner_id] = known
+            known_now[runner.runner_id] = known
             if runner.state is states.MemberState.LIVE:
                 by_service.setdefault(runner.service, []).append(known)
-        self._estimates = estimates
-        self._by_service = by_service
+        for runner_id in self._known.keys() - known_now.keys():
+            self._prefixes.forget(runner_id)
+        self._known = known_now
+        for service in self._pools.keys() | by_service.keys():
+            self._set_pool(service, by_service.get(service, []))
+
+    def _set_pool(self, service: ids.ServiceName, members: list[_Known]) -> None:
+        self._pools.setdefault(service, pools.RunnerPool()).set_runners(members)
+        ejections = self._ejections.setdefault(service, outliers.Ejections())
+        ejections.set_runners(tuple(known.runner.runner_id for known in members))
 
     def observe_load(self, load: fleet.RunnerLoad) -> None:
         """Take in a runner's report, from itself or from its home."""
-        known = self._estimates.get(load.runner_id)
-        if known is not None:
-            known.observe(load)
+        known = self._known.get(load.runner_id)
+        if known is None:
+            return
+        known.observe(load)
+        service = known.runner.service
+        if service in self._pools:
+            self._pools[service].note_load(load)
+
+    def observe_cache(
+        self, runner_id: ids.RunnerId, changes: Sequence[prefixes.BlockChange]
+    ) -> None:
+        """Take in a runner's cache events."""
+        if runner_id in self._known:
+            self._prefixes.observe(runner_id, changes)
+
+    def observe_peers(self, in_flight: Iterable[requests.InFlight]) -> None:
+        """Count what peers sent, as they report it to a runner's home."""
+        for entry in in_flight:
+            known = self._known.get(entry.runner_id)
+            if known is not None:
+                priority = priorities.of_prompt(entry.prompt_tokens)
+                known.sent(entry, priority, entry.prompt_tokens)
+
+    def ejections(self, service: ids.ServiceName) -> outliers.Ejections:
+        """Returns: the ejections of a service, to tell of what was seen."""
+        return self._ejections.setdefault(service, outliers.Ejections())
 
     def sent(self, request: requests.Request, in_flight: requests.InFlight) -> None:
         """Count an attempt that was sent to a runner."""
-        known = self._estimates.get(in_flight.runner_id)
+        cached = self._cached.pop(request.request_id, {})
+        known = self._known.get(in_flight.runner_id)
         if known is None:
             return
         priority = priorities.of_prompt(request.prompt_tokens)
-        known.sent(in_flight, priority, in_flight.prompt_tokens)
+        work = in_flight.prompt_tokens - cached.get(in_flight.runner_id, 0)
+        known.sent(in_flight, priority, max(1, work))
         self._runner_of[in_flight.attempt_id] = in_flight.runner_id
+        pool = self._pools.get(request.service)
+        if pool is not None:
+            pool.demand.note(priority, work, request.worth, in_flight.sent_s)
 
     def ended(self, attempt_id: ids.AttemptId, now_s: float) -> None:
         """Forget an attempt that was answered, refused or cancelled."""
         runner_id = self._runner_of.pop(attempt_id, None)
         if runner_id is None:
             return
-        known = self._estimates.get(runner_id)
+        known = self._known.get(runner_id)
         if known is not None:
             known.ended(attempt_id)
 
+    def supply(self, service: ids.ServiceName) -> Supply:
+        """Returns: rate and backlog of a service's runners."""
+        pool = self._pools.get(service)
+        if pool is None:
+            return Supply(0.0, 0.0)
+        return Supply(pool.rate_tokens_per_s(), pool.backlog_s())
+
     def choose(
         self,
         request: requests.Request,
@@ -146,113 +227,191 @@
             The choice; without a runner where none can take it.
         """
         priority = priorities.of_prompt(request.prompt_tokens)
-        live = [
-            known
-            for known in self._by_service.get(request.service, ())
-            if known.runner.runner_id not in excluded
-        ]
-        if not live:
+        pool = self._pools.get(request.service)
+        if pool is None:
             return Decision(None, (), priority, Reason.NO_RUNNER, ())
-        fitting = [
-            known for known in live if known.kv_capacity_tokens >= request.total_tokens
-        ]
-        if not fitting:
-            return self._choose_group(request, priority, now_s, live)
-        return self._choose_one(request, priority, now_s, fitting)
-
-    def group_parts(
-        self, request: requests.Request, decision: Decision
-    ) -> tuple[tuple[ids.RunnerId, int], ...]:
-        """Share out a prompt's memory over a decision's group.
-
-        Args:
-            request: the request.
-            decision: the decision on it.
-
-        Returns:
-            Tokens that each further runner has to hold, in order of ids;
-            the lead holds the rest.
-        """
-        if decision.runner is None or not decision.group:
-            return ()
-        lead = self._estimates[decision.runner.runner_id]
-        needed = request.total_tokens - lead.free_tokens()
-        parts = []
-        for runner in decision.group:
-            part = min(needed, self._estimates[runner.runner_id].free_tokens())
-            if part > 0:
-                parts.append((runner.runner_id, part))
-                needed -= part
-        return tuple(parts)
+        cached = self._prefixes.cached_tokens(request.block_hashes)
+        out = excluded | self.ejections(request.service).ejected(now_s)
+        kept_free = self._kept_free(pool, weights, now_s)
+        seen = pool.candidates(self._rng, priority, kept_free, out, cached)
+        if not seen:
+            return Decision(None, (), priority, Reason.NO_RUNNER, ())
+        if all(known.kv_capacity_tokens < request.total_tokens for known in seen):
+            return self._choose_group(request, pool, seen, now_s)
+        candidates = self._usable(seen, request, priority, now_s)
+        return self._choose_one(request, weights, pool, candidates, cached, now_s)
 
     def _choose_one(
         self,
         request: requests.Request,
-        priority: int,
+        weights: documents.Weights,
+        pool: pools.RunnerPool,
+        candidates: list[_Known],
+        cached: dict[ids.RunnerId, int],
         now_s: float,
-        fitting: list[runner_estimates.RunnerEstimate],
     ) -> Decision:
-        free = [
-            known for known in fitting if known.free_tokens() >= request.total_tokens
-        ]
-        candidates = free or fitting
-        estimates = tuple(
-            self._estimate(known, request, priority, now_s) for known in candidates
+        left_s = request.deadline_s - now_s
+        work = self._work(request, pool, now_s)
+        found = self._estimates(candidates, work, cached, now_s)
+        if not self._in_time(found, left_s) and _may_raise(request, pool, now_s):
+            work = self._work(request, pool, now_s, priorities.MID)
+            found = self._estimates(candidates, work, cached, now_s)
+        kept_free = self._kept_free(pool, weights, now_s)
+        scores = self._scores(candidates, found, weights, work.priority, kept_free)
+        chosen = candidates[self._pick(found, scores, left_s)]
+        hit_tokens = cached.get(chosen.runner.runner_id, 0)
+        reason = Reason.NEAR_BEST
+        if len(candidates) == 1:
+            reason = Reason.ONLY_CANDIDATE
+        elif hit_tokens:
+            reason = Reason.CACHED_PREFIX
+        self._remember(request.request_id, cached)
+        return Decision(chosen.runner, (), work.priority, reason, found, (), hit_tokens)
+
+    def _estimates(
+        self,
+        candidates: list[_Known],
+        work: estimates.Work,
+        cached: dict[ids.RunnerId, int],
+        now_s: float,
+    ) -> tuple[Estimate, ...]:
+        return tuple(
+            estimates.estimate(
+                known, work, cached.get(known.runner.runner_id, 0), now_s
+            )
+            for known in candidates
         )
-        best_s = min(estimate.first_token_s for estimate in estimates)
-        bound_s = best_s * self._policy.near_best_ratio + self._policy.near_best_s
-        near = [
-            known
-            for known, estimate in zip(candidates, estimates, strict=True)
-            if estimate.first_token_s <= bound_s
+
+    def _in_time(self, found: tuple[Estimate, ...], left_s: float) -> list[int]:
+        """Returns: positions of the runners that finish in the time left."""
+        usable_s = left_s * (1 - self._policy.patience_margin_ratio)
+        return [
+            position
+            for position, each in enumerate(found)
+            if each.complete_s <= usable_s
         ]
-        chosen = self._rng.choice(near)
-        reason = Reason.ONLY_CANDIDATE if len(candidates) == 1 else Reason.NEAR_BEST
-        return Decision(chosen.runner, (), priority, reason, estimates)
 
-    def _choose_group(
+    def _pick(
+        self, found: tuple[Estimate, ...], scores: list[float], left_s: float
+    ) -> int:
+        """Draw among the near-best of those that finish in the time left."""
+        policy = self._policy
+        in_time = self._in_time(found, left_s)
+        if not in_time:
+            return min(range(len(found)), key=lambda each: found[each].complete_s)
+        best = min(scores[position] for position in in_time)
+        bound_s = best * policy.near_best_ratio + policy.near_best_s
+        return self._rng.choice(
+            [position for position in in_time if scores[position] <= bound_s]
+        )
+
+    def _scores(
         self,
+        candidates: list[_Known],
+        found: tuple[Estimate, ...],
+        weights: documents.Weights,
+        priority: int,
+        kept_free: int,
+    ) -> list[float]:
+        kept_free_mid_s = self._policy.kept_free_mid_s * 2 * weights.short_slowdown
+        scores = []
+        for known, each in zip(candidates, found, strict=True):
+            score = each.first_token_s
+            if known.link_delay_s:
+                score += self._policy.remote_cost_s
+            if priority == priorities.MID and known.rank < kept_free:
+                score += kept_free_mid_s
+            scores.append(score)
+        return scores
+
+    def _usable(
+        self,
+        seen: list[_Known],
         request: requests.Request,
         priority: int,
         now_s: float,
-        live: list[runner_estimates.RunnerEstimate],
+    ) -> list[_Known]:
+        """Leave out runners without memory or without a fresh report."""
+        needed = request.total_tokens
+        fitting = [known for known in seen if known.kv_capacity_tokens >= needed]
+        heard = [known for known in fitting if known.is_known(now_s)] or fitting
+        spare = 0 if priority == priorities.SHORT else self._policy.headroom_tokens
+        roomy = [known for known in heard if known.free_tokens() >= needed + spare]
+        if roomy:
+            return roomy
+        free = [known for known in heard if known.free_tokens() >= needed]
+        return free or heard
+
+    def _choose_group(
+        self,
+        request: requests.Request,
+        pool: pools.RunnerPool,
+        seen: list[_Known],
+        now_s: float,
     ) -> Decision:
-        """Take the emptiest engines until their memory holds the prompt."""
-        by_free = sorted(
-            live, key=lambda known: (-known.free_tokens(), known.runner.runner_id)
-        )
-        members: list[runner_estimates.RunnerEstimate] = []
-        free_tokens = 0
-        for known in by_free:
-            members.append(known)
-            free_tokens += max(0, known.free_tokens())
-            if free_tokens >= request.total_tokens:
-                break
-        if free_tokens < request.total_tokens:
-            return Decision(None, (), priority, Reason.NO_MEMORY, ())
-        lead = min(members, key=lambda known: known.ahead_tokens(priority, now_s))
-        rest = sorted(
-            (known.runner for known in members if known is not lead),
-            key=lambda runner: runner.runner_id,
+        work = self._work(request, pool, now_s)
+        plan = groups.plan(seen, request.total_tokens, now_s)
+        if plan is None:
+            return Decision(None, (), work.priority, Reason.NO_MEMORY, ())
+        found = estimates.estimate(plan.lead, work, 0, now_s)
+        left_s = request.deadline_s - now_s
+        if not self._in_time((found,), left_s) and _may_raise(request, pool, now_s):
+            work = self._work(request, pool, now_s, priorities.MID)
+            found = estimates.estimate(plan.lead, work, 0, now_s)
+        return Decision(
+            plan.lead.runner,
+            tuple(self._known[part.runner_id].runner for part in plan.parts),
+            work.priority,
+            Reason.GROUP,
+            (found,),
+            tuple(part.tokens for part in plan.parts),
         )
-        estimate = self._estimate(lead, request, priority, now_s)
-        return Decision(lead.runner, tuple(rest), priority, Reason.GROUP, (estimate,))
 
-    def _estimate(
+    def _work(
         self,
-        known: runner_estimates.RunnerEstimate,
         request: requests.Request,
-        priority: int,
+        pool: pools.RunnerPool,
         now_s: float,
-    ) -> Estimate:
-        work_tokens = known.ahead_tokens(priority, now_s) + request.prompt_tokens
-        first_token_s = (
-            work_tokens / known.prefill_tokens_per_s + 2 * known.link_delay_s
+        raised_to: int | None = None,
+    ) -> estimates.Work:
+        """Sum up a request, at a raised priority if it would be too late."""
+        priority = priorities.of_prompt(request.prompt_tokens)
+        if raised_to is not None:
+            priority = raised_to
+        urgent = 0.0
+        if priority > priorities.SHORT:
+            urgent = pool.utilisation(priority - 1, now_s)
+        whole = pool.utilisation(priorities.LONG, now_s)
+        return estimates.Work(
+            priority, request.prompt_tokens, request.max_tokens, urgent, whole
         )
-        decode_s = request.max_tokens / known.decode_tokens_per_s
-        return Estimate(known.runner.runner_id, first_token_s, first_token_s + decode_s)
+
+    def _kept_free(
+        self, pool: pools.RunnerPool, weights: documents.Weights, now_s: float
+    ) -> int:
+        short = pool.utilisation(priorities.SHORT, now_s)
+        ratio = self._policy.kept_free_ratio * 2 * weights.short_slowdown
+        return pool.kept_free_count(ratio, short)
+
+    def _remember(
+        self, request_id: ids.RequestId, cached: dict[ids.RunnerId, int]
+    ) -> None:
+        """Keep what was cached until the request is sent."""
+        if not cached:
+            return
+        self._cached[request_id] = cached
+        if len(self._cached) > 1_000:
+            del self._cached[next(iter(self._cached))]
 
     def _link_delay_s(self, runner: fleet.Runner) -> float:
         if runner.data_centre == self._data_centre:
             return 0.0
         return self._policy.remote_link_delay_s
+
+
+def _may_raise(request: requests.Request, pool: pools.RunnerPool, now_s: float) -> bool:
+    """Returns: whether a late long prompt is worth what it would delay."""
+    if priorities.of_prompt(request.prompt_tokens) != priorities.LONG:
+        return False
+    worth_per_token = request.worth / request.prompt_tokens
+    return worth_per_token >= pool.demand.worth_per_token(now_s)
--- a/packages/coordination/lacewingdrum_coordination/runner_estimates.py
+++ b/packages/coordination/lacewingdrum_coordination/runner_estimates.py
@@ -13,12 +13,15 @@
 DEFAULT_PREFILL_TOKENS_PER_S = 10_000.0
 DEFAULT_DECODE_TOKENS_PER_S = 50.0
 DEFAULT_KV_CAPACITY_TOKENS = 400_000
+CHUNK_TOKENS = 2_048
 SENT_MEMORY_S = 10.0
+REPORT_STALE_S = 5.0
+BUSY_GAIN = 0.1
 
 
 @dataclasses.dataclass(slots=True)
 class _Sent:
-    work_tokens: int
+    work_tokens: float
     total_tokens: int
     priority: int
     sent_s: float
@@ -31,9 +34,12 @@
         "runner",
         "load",
         "prefill_tokens_per_s",
-        "decode_tokens_per_s",
+        "token_s",
+        "chunk_s",
         "kv_capacity_tokens",
         "link_delay_s",
+        "rank",
+        "busy_ratio",
         "_queued",
         "_at_s",
         "_sent",
@@ -51,25 +57,36 @@
         """
         self.runner = runner
         self.load: fleet.RunnerLoad | None = None
-        self.prefill_tokens_per_s = DEFAULT_PREFILL_TOKENS_PER_S
-        self.decode_tokens_per_s = DEFAULT_DECODE_TOKENS_PER_S
         self.kv_capacity_tokens = DEFAULT_KV_CAPACITY_TOKENS
         self.link_delay_s = link_delay_s
+        self.rank = 0
+        self.busy_ratio = 0.0
+        self._set_speed(DEFAULT_PREFILL_TOKENS_PER_S, DEFAULT_DECODE_TOKENS_PER_S)
         self._queued = [0.0, 0.0, 0.0]
         self._at_s = now_s
         self._sent: dict[ids.AttemptId, _Sent] = {}
         self._kv_reported = 0
         self._kv_sent = 0
 
+    def _set_speed(
+        self, prefill_tokens_per_s: float, decode_tokens_per_s: float
+    ) -> None:
+        """Work out the rate of prefill when every chunk also decodes."""
+        self.token_s = 1 / decode_tokens_per_s
+        self.chunk_s = CHUNK_TOKENS / prefill_tokens_per_s
+        self.prefill_tokens_per_s = CHUNK_TOKENS / (self.chunk_s + self.token_s)
+
+    def is_known(self, now_s: float) -> bool:
+        """Returns: whether a report of the last seconds is at hand."""
+        return self.load is not None and now_s - self.load.as_of_s < REPORT_STALE_S
+
     def observe(self, load: fleet.RunnerLoad) -> None:
         """Start anew from a report, unless it is older than the last one."""
         if self.load is not None and load.as_of_s < self.load.as_of_s:
             return
         self.load = load
-        if load.prefill_tokens_per_s > 0:
-            self.prefill_tokens_per_s = load.prefill_tokens_per_s
-        if load.decode_tokens_per_s > 0:
-            self.decode_tokens_per_s = load.decode_tokens_per_s
+        if load.prefill_tokens_per_s > 0 and load.decode_tokens_per_s > 0:
+            self._set_speed(load.prefill_tokens_per_s, load.decode_tokens_per_s)
         if load.kv_capacity_tokens > 0:
             self.kv_capacity_tokens = load.kv_capacity_tokens
         self._queued = [
@@ -77,13 +94,15 @@
             float(load.queued_mid_tokens),
             float(load.queued_long_tokens),
         ]
+        is_busy = 1.0 if sum(self._queued) > 0 else 0.0
+        self.busy_ratio += BUSY_GAIN * (is_busy - self.busy_ratio)
         self._at_s = load.as_of_s
         self._kv_reported = load.kv_used_tokens
         self._replay_sent(load)
 
     def _replay_sent(self, load: fleet.RunnerLoad) -> None:
+        """Add what was sent too late for the report to count it."""
         self._kv_sent = 0
-        reported = {held.attempt_id for held in load.held}
         for attempt_id, sent in list(self._sent.items()):
             arrived_s = sent.sent_s + self.link_delay_s
             if arrived_s <= load.as_of_s:
@@ -92,11 +111,10 @@
                 continue
             self.project(arrived_s)
             self._queued[sent.priority] += sent.work_tokens
-            if attempt_id not in reported:
-                self._kv_sent += sent.total_tokens
+            self._kv_sent += sent.total_tokens
 
     def sent(
-        self, in_flight: requests.InFlight, priority: int, work_tokens: int
+        self, in_flight: requests.InFlight, priority: int, work_tokens: float
     ) -> None:
         """Count an attempt that this daemon, or a peer, sent.
 
@@ -105,10 +123,16 @@
             priority: the priority it queues at.
             work_tokens: prompt tokens that the runner must prefill for it.
         """
-        self.project(in_flight.sent_s)
+        if in_flight.attempt_id in self._sent:
+            return
         self._sent[in_flight.attempt_id] = _Sent(
             work_tokens, in_flight.total_tokens, priority, in_flight.sent_s
         )
+        if self.load is not None and (
+            in_flight.sent_s + self.link_delay_s <= self.load.as_of_s
+        ):
+            return
+        self.project(in_flight.sent_s)
         self._queued[priority] += work_tokens
         self._kv_sent += in_flight.total_tokens
 
@@ -138,27 +162,17 @@
             queued[priority] = 0.0
             drained -= waiting
 
-    def ahead_tokens(self, priority: int, now_s: float) -> float:
-        """Work that runs before a new request of a priority.
+    def queued_tokens(self, now_s: float) -> list[float]:
+        """Project the queues.
 
         Args:
-            priority: the new request's priority.
             now_s: the present.
 
         Returns:
-            Prompt tokens queued at that priority or before it.
+            Prompt tokens queued at each priority; not to be changed.
         """
         self.project(now_s)
-        queued = self._queued
-        if priority == priorities.SHORT:
-            return queued[0]
-        if priority == priorities.MID:
-            return queued[0] + queued[1]
-        return queued[0] + queued[1] + queued[2]
-
-    def behind_tokens(self, priority: int) -> float:
-        """Returns: prompt tokens queued behind a priority, as projected."""
-        return sum(self._queued[priority + 1 :])
+        return self._queued
 
     def free_tokens(self) -> int:
         """Returns: KV cache tokens that are thought to be free."""
--- a/standins/replay.py
+++ b/standins/replay.py
@@ -19,6 +19,7 @@
 SEED = 7
 HEADING = (
     f"{'load':>4}  {'policy':<17} {'short s':>8} {'mid s':>8} {'long s':>8}"
+    f" {'done s':>8}"
     f" {'first x':>8} {'done x':>8} {'worth':>8} {'share':>6} {'worth/s':>8}"
     f" {'refused':>8} {'late':>6}"
 )
@@ -70,6 +71,7 @@
     return (
         f"{task.load:>4}  {task.policy.value:<17}"
         f" {short_s:>8.3f} {mid_s:>8.2f} {long_s:>8.1f}"
+        f" {found.short_completion_p95_s:>8.2f}"
         f" {found.first_token_slowdown:>8.2f} {found.completion_slowdown:>8.2f}"
         f" {found.worth:>8.0f} {found.worth_share:>6.3f} {found.worth_per_s:>8.2f}"
         f" {found.refused:>8} {found.late:>6}"
@@ -166,6 +168,7 @@
     started_s = time.monotonic()
     results = run_all(tasks, PROCESSES)
     print(f"seed {arguments.seed}; short/mid/long s: p95 time to first token")
+    print("done s: p95 time to the last token of shorts")
     print("first x, done x: p95 of shorts against the same trace without longs")
     for header in traces.WORKLOADS:
         if header.workload not in (arguments.trace or names):
--- a/standins/replay_measures.py
+++ b/standins/replay_measures.py
@@ -24,6 +24,7 @@
     """
 
     first_token_p95_s: tuple[float, float, float]
+    short_completion_p95_s: float
     first_token_slowdown: float
     completion_slowdown: float
     worth: float
@@ -57,6 +58,7 @@
     short, bare = _shorts(fates), _shorts(without_long)
     return Measures(
         _first_token_p95s(fates),
+        p95(_completion_s(short)),
         _ratio(p95(_first_token_s(short)), p95(_first_token_s(bare))),
         _ratio(p95(_completion_s(short)), p95(_completion_s(bare))),
         worth,
