Heartbeats each half second, as peering and membership expect

Cause: the settings' default of one second, with far daemons hearing every second beat, left no margin to the 2 s after which a silent link is rebuilt and 1 s to the 3 s after which a daemon counts as gone. Change: default 500 ms, 50 to 1000 allowed.

--- a/packages/daemon/lacewingdrum_daemon/settings.py
+++ b/packages/daemon/lacewingdrum_daemon/settings.py
@@ -139,7 +139,10 @@
         SECOND_MS, 50, MINUTE_MS, "interval between reads of the membership list"
     )
     heartbeat_ms: int = _ms(
-        SECOND_MS, 50, 10 * SECOND_MS, "interval between heartbeats to a peer"
+        500,
+        50,
+        SECOND_MS,
+        "interval between heartbeats within a data centre; others hear each second one",
     )
     platform_timeout_ms: int = _ms(
         2 * SECOND_MS, 50, MINUTE_MS, "longest wait for one call to the platform"
