Placement lease, keepers' tests and explorations of event orders

Placement reads back each runner every second, and so repairs a stale order where fencing numbers are ignored.

--- a/packages/daemon/lacewingdrum_daemon/document_keeper.py
+++ b/packages/daemon/lacewingdrum_daemon/document_keeper.py
@@ -17,6 +17,7 @@
     membership,
 )
 from lacewingdrum_daemon import (
+    decision_log,
     document_store,
     members_keeper,
     peering,
@@ -30,7 +31,7 @@
 TICK_S = 0.25
 
 Parse = Callable[[str], tuple[document_types.ServiceDocument | None, tuple[Any, ...]]]
-_log = logging.getLogger(__name__)
+_log = logging.getLogger(f"{decision_log.ROOT_LOGGER}.documents")
 
 
 class DocumentKeeper:
@@ -67,6 +68,7 @@
         self._rng = rng
         self._tasks = tasks.TaskSet()
         self._entries: dict[ids.ServiceName, document_versions.Entry] = {}
+        self._is_reachable = True
         self._named: dict[ids.ServiceName, int] = {}
         self._freshness = document_versions.Freshness(clock())
 
@@ -177,7 +179,7 @@
         try:
             await self._read_on((service,))
         except ConnectionError as error:
-            _log.warning("documents: history not read: %s", error)
+            self._note_reachable(False, str(error))
         entry = self._entries.get(service)
         return None if entry is None else entry.held
 
@@ -225,12 +227,19 @@
             listed = await self._store.services()
             found = await self._read_on((*listed, *self._entries))
         except ConnectionError as error:
-            _log.warning("documents: table not read: %s", error)
+            self._note_reachable(False, str(error))
             return
+        self._note_reachable(True, "")
         self._freshness = document_versions.heard_table(self._freshness, asked_s)
         for stored in found:
             self._peers.broadcast(_push(stored), self._data_centre())
 
+    def _note_reachable(self, is_reachable: bool, detail: str) -> None:
+        if is_reachable != self._is_reachable:
+            self._is_reachable = is_reachable
+            words = "can be read again" if is_reachable else "cannot be read"
+            _log.warning("document table %s %s", words, detail)
+
     async def _read_on(
         self, services: tuple[ids.ServiceName, ...]
     ) -> tuple[document_types.StoredDocument, ...]:
--- /dev/null
+++ b/packages/daemon/lacewingdrum_daemon/document_keeper_test.py
@@ -0,0 +1,192 @@
+"""Tests of the document keeper, on virtual time and a network in memory."""
+
+import asyncio
+
+from lacewingdrum_coordination import document_versions, documents
+from lacewingdrum_state import ids
+from tests import document_site, faulty_table, virtual_time
+
+SPREAD_S = 5.0
+
+
+async def submit(daemon, base, name):
+    return await daemon.keeper.submit(
+        document_site.SERVICE, base, ids.SubmissionId(name), f"text of {name}"
+    )
+
+
+async def started(seed, count=4):
+    site = document_site.Site(seed)
+    for _ in range(count):
+        site.add()
+    await asyncio.sleep(1.5)
+    return site, list(site.daemons.values())
+
+
+def test_an_accepted_version_is_pushed_to_all_at_once():
+    async def main(loop):
+        site, daemons = await started(1)
+        assert all(daemon.keeper.ready() for daemon in daemons)
+        assert isinstance(await submit(daemons[0], 0, "a"), documents.Accepted)
+        await asyncio.sleep(0.1)
+        assert [daemon.version for daemon in daemons] == [1] * 4
+        parsed = daemons[3].keeper.parsed(document_site.SERVICE)
+        assert parsed.purpose == "text of a"
+        await site.close()
+
+    virtual_time.run(main)
+
+
+def test_two_operators_at_once_and_the_loser_sees_the_winner():
+    async def main(loop):
+        site, daemons = await started(2)
+        results = await asyncio.gather(
+            submit(daemons[0], 0, "a"), submit(daemons[1], 0, "b")
+        )
+        kinds = sorted(type(result).__name__ for result in results)
+        assert kinds == ["Accepted", "Conflict"]
+        conflict = [r for r in results if isinstance(r, documents.Conflict)][0]
+        assert conflict.current.version == 1
+        await site.close()
+
+    virtual_time.run(main)
+
+
+def test_a_reply_lost_after_the_commit_is_read_back():
+    async def main(loop):
+        site, daemons = await started(3)
+        site.table.faults = faulty_table.Faults(reply_lost=1.0)
+        submitting = asyncio.create_task(submit(daemons[0], 0, "a"))
+        while len(site.table.rows) < 1:
+            await asyncio.sleep(0.1)
+        site.table.faults = faulty_table.Faults()
+        # The index row's reply was lost, so nothing of the document was
+        # written and the operator may try again.
+        assert isinstance(await submitting, documents.Unavailable)
+        submitting = asyncio.create_task(submit(daemons[0], 0, "a"))
+        await asyncio.sleep(3 * faulty_table.LATENCY_S)
+        site.table.faults = faulty_table.Faults(reply_lost=1.0)
+        await asyncio.sleep(2.0)
+        site.table.faults = faulty_table.Faults()
+        assert isinstance(await submitting, documents.Accepted)
+        assert isinstance(await submit(daemons[1], 0, "a"), documents.Accepted)
+        await site.close()
+
+    virtual_time.run(main)
+
+
+def test_versions_spread_by_digests_and_polls_when_pushes_are_lost():
+    async def main(loop):
+        site, daemons = await started(4)
+        site.network.loss = 1.0
+        await submit(daemons[0], 0, "a")
+        await asyncio.sleep(SPREAD_S)
+        assert [daemon.version for daemon in daemons] == [1] * 4
+        site.table.is_down = True
+        await site.kill(daemons[1].vm.vm_id)
+        site.network.loss = 0.5
+        late = site.add()
+        await asyncio.sleep(SPREAD_S)
+        assert late.version == 1 and late.keeper.ready()
+        await site.close()
+
+    virtual_time.run(main)
+
+
+def test_only_one_daemon_a_data_centre_polls_while_peers_are_heard():
+    async def main(loop):
+        site, daemons = await started(5, count=6)
+        reads = dict.fromkeys(site.daemons, 0)
+        for daemon in daemons:
+            scan = daemon.link.scan
+
+            async def counted(table, prefix, scan=scan, vm_id=daemon.vm.vm_id):
+                reads[vm_id] += 1
+                return await scan(table, prefix)
+
+            daemon.link.scan = counted
+        await asyncio.sleep(20.0)
+        assert sorted(reads.values())[:4] == [0] * 4
+        assert all(count >= 15 for count in sorted(reads.values())[4:])
+        await site.close()
+
+    virtual_time.run(main)
+
+
+def test_a_fresh_daemon_in_an_outage_is_not_ready_before_its_peers_spoke():
+    async def main(loop):
+        site, daemons = await started(6)
+        await submit(daemons[0], 0, "a")
+        await submit(daemons[0], 1, "b")
+        await asyncio.sleep(1.0)
+        site.table.is_down = True
+        fresh = site.add()
+        waited_s = 0.0
+        while not fresh.keeper.ready():
+            assert fresh.keeper.digests() == ()
+            assert not fresh.keeper.may_admit()
+            await asyncio.sleep(0.1)
+            waited_s += 0.1
+        assert fresh.version == 2
+        assert document_versions.PEERS_WAIT_S <= waited_s < SPREAD_S
+        await site.close()
+
+    virtual_time.run(main)
+
+
+def test_a_fresh_daemon_that_reaches_nothing_never_gets_ready():
+    async def main(loop):
+        site, daemons = await started(7)
+        await submit(daemons[0], 0, "a")
+        site.table.is_down = True
+        fresh = site.add()
+        site.network.cut.add(fresh.vm.vm_id)
+        await asyncio.sleep(60.0)
+        assert not fresh.keeper.ready() and not fresh.keeper.may_admit()
+        await site.close()
+
+    virtual_time.run(main)
+
+
+def test_a_daemon_cut_off_stops_admitting_and_resumes():
+    async def main(loop):
+        site, daemons = await started(8)
+        site.table.is_down = True
+        await asyncio.sleep(2 * document_versions.STALE_S)
+        assert all(daemon.keeper.may_admit() for daemon in daemons)
+        site.network.cut.add(daemons[0].vm.vm_id)
+        await asyncio.sleep(document_versions.STALE_S + 0.1)
+        assert [d.keeper.may_admit() for d in daemons] == [False, True, True, True]
+        site.network.cut.clear()
+        await asyncio.sleep(1.0)
+        assert daemons[0].keeper.may_admit()
+        loop.freeze(30.0)
+        assert not daemons[0].keeper.may_admit()
+        await site.close()
+
+    virtual_time.run(main)
+
+
+def test_a_version_in_later_syntax_is_passed_on_but_not_served():
+    def old_parse(text):
+        if text == "text of b":
+            return None, ("later syntax",)
+        return document_site.parse(text)
+
+    async def main(loop):
+        site = document_site.Site(9)
+        new, old = site.add(), site.add(old_parse)
+        await asyncio.sleep(1.5)
+        await submit(new, 0, "a")
+        await submit(new, 1, "b")
+        await asyncio.sleep(1.0)
+        assert (new.version, old.version) == (2, 1)
+        assert [digest.version for digest in old.keeper.digests()] == [1]
+        await site.kill(new.vm.vm_id)
+        site.table.is_down = True
+        newest = site.add()
+        await asyncio.sleep(SPREAD_S)
+        assert newest.version == 2
+        await site.close()
+
+    virtual_time.run(main)
--- a/packages/daemon/lacewingdrum_daemon/order_calls_test.py
+++ b/packages/daemon/lacewingdrum_daemon/order_calls_test.py
@@ -94,6 +94,33 @@
     virtual_time.run(main)
 
 
+def test_no_pause_between_two_steps_lets_a_late_send_through():
+    # The clock jumps after it was read a given number of times.
+    async def main(loop):
+        for reads in range(12):
+            site = Site(loop)
+            left = [reads]
+
+            def clock(left=left):
+                left[0] -= 1
+                return loop.time() + (60.0 if left[0] < 0 else 0.0)
+
+            async def send(site=site, left=left):
+                site.sent_s.append(left[0])
+                return orders.Answered(ANSWER)
+
+            site.send = send
+            site.calls[0] = order_calls.OrderCalls(site.links[0], clock)
+            result = await site.run(0)
+            await asyncio.sleep(1.0)
+            assert all(left_at_send >= 0 for left_at_send in site.sent_s)
+            if not site.sent_s:
+                assert result.ran is states.Ran.NO
+                assert site.row() is None or site.row().state.value == "not_run"
+
+    virtual_time.run(main)
+
+
 def test_the_answer_is_recorded_once_the_table_is_back():
     async def main(loop):
         site = Site(loop)
--- a/packages/daemon/lacewingdrum_daemon/placement_keeper.py
+++ b/packages/daemon/lacewingdrum_daemon/placement_keeper.py
@@ -1,13 +1,34 @@
-"""Orders each runner's model: the driver of ``coordination.leases``."""
+"""Keeps runners at their desired model: the driver of ``leases`` and
+``placement``.
 
-import typing
+One daemon at a time holds a service's lease and orders its runners. The one
+that shall hold it is found by rendezvous hashing, so that the others need not
+read the row.
+"""
+
+import asyncio
+import logging
+import secrets
 from collections.abc import Callable
 
-from lacewingdrum_state import ids
+from result import Err, Ok
+
+from lacewingdrum_coordination import homes, leases, membership, placement
+from lacewingdrum_daemon import (
+    decision_log,
+    document_keeper,
+    members_keeper,
+    tables,
+    tasks,
+)
+from lacewingdrum_protocol import row_codec, runner_api
+from lacewingdrum_state import documents as document_types, fleet, ids, rows
+from lacewingdrum_transport import runner_client
+
+TICK_S = 0.5
+RUNNER_TIMEOUT_S = 1.0
 
-if typing.TYPE_CHECKING:
-    from lacewingdrum_daemon import document_keeper, members_keeper
-    from lacewingdrum_transport import runner_client, table_client
+_log = logging.getLogger(f"{decision_log.ROOT_LOGGER}.placement")
 
 
 class PlacementKeeper:
@@ -15,22 +36,223 @@
 
     def __init__(
         self,
-        table: "table_client.TableClient",
-        runners: "runner_client.RunnerClient",
-        members: "members_keeper.MembersKeeper",
-        documents: "document_keeper.DocumentKeeper",
+        table: tables.Table,
+        runners: runner_client.RunnerClient,
+        members: members_keeper.MembersKeeper,
+        documents: document_keeper.DocumentKeeper,
         vm_id: ids.VmId,
         clock: Callable[[], float],
     ) -> None:
+        """Prepare to place.
+
+        Args:
+            table: the platform's table service.
+            runners: calls any runner.
+            members: the VMs and runners.
+            documents: what each service desires.
+            vm_id: this daemon's VM.
+            clock: monotonic seconds.
+        """
         self._table = table
         self._runners = runners
         self._members = members
         self._documents = documents
         self._vm_id = vm_id
         self._clock = clock
+        # A daemon that starts again on the same VM is another holder.
+        self._holder = ids.VmId(f"{vm_id}/{secrets.token_hex(4)}")
+        self._places: dict[ids.ServiceName, _Place] = {}
+        self._tasks = tasks.TaskSet()
 
     def start(self) -> None:
         """Begin to watch the leases."""
+        self._tasks.spawn(self._watch_forever())
 
     async def close(self) -> None:
         """Stop ordering; the leases lapse by themselves."""
+        await self._tasks.close()
+        for place in self._places.values():
+            await place.close()
+
+    def holds(self, service: ids.ServiceName) -> bool:
+        """Args: service: its name. Returns: whether orders may be sent."""
+        place = self._places.get(service)
+        return place is not None and place.may_order()
+
+    async def _watch_forever(self) -> None:
+        while True:
+            try:
+                for service in self._documents.services():
+                    self._place(service).tick(self._wanted(service))
+            except Exception:
+                # Without this loop no order would be repaired any more.
+                _log.exception("placement failed")
+            await asyncio.sleep(TICK_S)
+
+    def _place(self, service: ids.ServiceName) -> "_Place":
+        if service not in self._places:
+            self._places[service] = _Place(
+                service,
+                self._table,
+                self._runners,
+                self._members,
+                self._clock,
+                self._holder,
+            )
+        return self._places[service]
+
+    def _wanted(
+        self, service: ids.ServiceName
+    ) -> document_types.ServiceDocument | None:
+        """Returns: the document, if this daemon shall place its runners."""
+        document = self._documents.parsed(service)
+        if document is None or not document.runners.desired_model:
+            return None
+        if not self._documents.may_admit():
+            return None
+        live = membership.live_vms(self._members.view, self._clock())
+        home = homes.rendezvous(f"placement\x1f{service}", [vm.vm_id for vm in live])
+        return document if home == self._vm_id else None
+
+
+class _Place:
+    """The lease and the runners of one service."""
+
+    def __init__(
+        self,
+        service: ids.ServiceName,
+        table: tables.Table,
+        runners: runner_client.RunnerClient,
+        members: members_keeper.MembersKeeper,
+        clock: Callable[[], float],
+        holder: ids.VmId,
+    ) -> None:
+        self._service = service
+        self._table = table
+        self._runners = runners
+        self._members = members
+        self._clock = clock
+        self._lease = leases.Lease(holder)
+        self._lease_call: asyncio.Task | None = None
+        self._orders: asyncio.Task | None = None
+        self._ordered_s = float("-inf")
+        self._confirmed: dict[ids.RunnerId, placement.Seen] = {}
+        self._tasks = tasks.TaskSet()
+
+    async def close(self) -> None:
+        """End what is under way."""
+        await self._tasks.close()
+
+    def may_order(self) -> bool:
+        """Returns: whether this daemon surely is the only holder now."""
+        return leases.may_order(self._lease, self._clock())
+
+    def tick(self, document: document_types.ServiceDocument | None) -> None:
+        """Keep the lease and the runners; ``document`` None to let go."""
+        if _is_over(self._lease_call):
+            action = self._step(leases.Tick(document is not None))
+            if action is not None:
+                self._lease_call = self._tasks.spawn(self._call_table(action))
+        if document is None or not self.may_order() or not _is_over(self._orders):
+            return
+        if self._clock() >= self._ordered_s + placement.READ_BACK_S:
+            self._ordered_s = self._clock()
+            self._orders = self._tasks.spawn(self._order_all(document))
+
+    def _step(self, event: leases.Event) -> leases.Action | None:
+        before = self._lease
+        self._lease, action = leases.step(before, event, self._clock())
+        if before.mine != self._lease.mine:
+            lost = self._lease.mine is None
+            kind = decision_log.DecisionEvent.LEASE_LOST
+            if not lost:
+                kind = decision_log.DecisionEvent.LEASE_TAKEN
+            number = before.mine if lost else self._lease.mine
+            self._note(kind, fencing_number=number)
+        return action
+
+    async def _call_table(self, action: leases.Action | None) -> None:
+        key = row_codec.lease_key(self._service)
+        while action is not None:
+            match action:
+                case leases.ReadRow():
+                    event = await self._read(key)
+                case leases.WriteRow(row, if_version):
+                    value = row_codec.encode(row)
+                    event = await self._write(rows.RowWrite(key, if_version, value))
+            action = self._step(event)
+
+    async def _read(self, key: rows.RowKey) -> leases.Event:
+        match await self._table.read((key,)):
+            case Ok((found,)):
+                row = row_codec.decode_lease(found.value).ok()
+                return leases.RowRead(found.row_version, row)
+        return leases.CallFailed()
+
+    async def _write(self, write: rows.RowWrite) -> leases.Event:
+        match await self._table.write((write,)):
+            case Ok((outcome,)):
+                row = row_codec.decode_lease(outcome.row.value).ok()
+                return leases.RowWritten(outcome.applied, outcome.row.row_version, row)
+        return leases.CallFailed()
+
+    async def _order_all(self, document: document_types.ServiceDocument) -> None:
+        runners = self._members.view.usable_runners(self._service)
+        await asyncio.gather(*(self._order(document, runner) for runner in runners))
+
+    async def _order(
+        self, document: document_types.ServiceDocument, runner: fleet.Runner
+    ) -> None:
+        match await self._runners.desired(runner, RUNNER_TIMEOUT_S):
+            case Ok(answer):
+                seen = placement.Seen(answer.fencing_number, answer.model)
+            case Err():
+                return
+        number = self._lease.mine
+        if number is None:
+            return
+        rules = document.runners
+        decision = placement.decide(
+            rules.desired_model, number, rules.checks_fencing, seen
+        )
+        if decision.reason is placement.Reason.NEWER_HOLDER:
+            self._step(leases.Fenced())
+        if not decision.must_order:
+            return
+        wanted = placement.Seen(number, rules.desired_model)
+        was_confirmed = self._confirmed.get(runner.runner_id) == wanted
+        kind = decision_log.DecisionEvent.PLACEMENT_ORDERED
+        if was_confirmed:
+            kind = decision_log.DecisionEvent.PLACEMENT_REPAIRED
+        self._note(
+            kind,
+            runner_id=runner.runner_id,
+            model=rules.desired_model,
+            found_model=seen.model,
+            fencing_number=number,
+            found_fencing_number=seen.fencing_number,
+            reason=decision.reason.value,
+        )
+        await self._send(runner, runner_api.DesiredCall(number, rules.desired_model))
+
+    async def _send(self, runner: fleet.Runner, call: runner_api.DesiredCall) -> None:
+        # A pause can come between any two steps, so the lease is looked at
+        # with nothing but the send behind it.
+        if not self.may_order() or self._lease.mine != call.fencing_number:
+            return
+        match await self._runners.order_desired(runner, call, RUNNER_TIMEOUT_S):
+            case Ok(answer) if answer.fencing_number > call.fencing_number:
+                self._step(leases.Fenced())
+            case Ok(answer):
+                confirmed = placement.Seen(answer.fencing_number, answer.model)
+                self._confirmed[runner.runner_id] = confirmed
+
+    def _note(self, event: decision_log.DecisionEvent, **fields: object) -> None:
+        _log.info(
+            event.value,
+            extra={"event": event.value, "service": self._service, **fields},
+        )
+
+
+def _is_over(task: asyncio.Task | None) -> bool:
+    return task is None or task.done()
--- /dev/null
+++ b/packages/daemon/lacewingdrum_daemon/placement_keeper_test.py
@@ -0,0 +1,203 @@
+"""Tests of the placement keeper, on virtual time."""
+
+import asyncio
+import dataclasses
+import random
+
+from result import Err, Ok
+
+from lacewingdrum_coordination import leases, membership
+from lacewingdrum_daemon import placement_keeper
+from lacewingdrum_protocol import runner_api
+from lacewingdrum_state import documents, fleet, ids, states
+from lacewingdrum_transport import runner_client
+from tests import faulty_table, virtual_time
+
+SERVICE = ids.ServiceName("meiler-llm")
+NOWHERE = fleet.Address("127.0.0.1", 1)
+VMS = tuple(
+    fleet.Vm(ids.VmId(f"vm-{number}"), ids.DataCentre("bayern-a"), NOWHERE, NOWHERE, 1)
+    for number in range(2)
+)
+RUNNERS = tuple(
+    fleet.Runner(ids.RunnerId(f"r-{number}"), SERVICE, "bayern-a", NOWHERE, 1)
+    for number in range(3)
+)
+
+
+class Engines:
+    """Runners that check fencing numbers, or not, behind a client."""
+
+    def __init__(self, checks):
+        self.checks = checks
+        self.seen = {r.runner_id: runner_api.DesiredAnswer(0, "") for r in RUNNERS}
+        self.orders = []
+        self.silent = set()
+
+    async def desired(self, runner, timeout_s):
+        await asyncio.sleep(0.01)
+        if runner.runner_id in self.silent:
+            await asyncio.sleep(timeout_s)
+            reason = runner_client.RunnerErrorReason.TIMEOUT
+            return Err(runner_client.RunnerError(reason))
+        return Ok(self.seen[runner.runner_id])
+
+    async def order_desired(self, runner, call, timeout_s):
+        await asyncio.sleep(0.01)
+        seen = self.seen[runner.runner_id]
+        self.orders.append((runner.runner_id, call))
+        if not self.checks or call.fencing_number >= seen.fencing_number:
+            seen = runner_api.DesiredAnswer(call.fencing_number, call.model)
+            self.seen[runner.runner_id] = seen
+        return Ok(seen)
+
+    def models(self):
+        return {seen.model for seen in self.seen.values()}
+
+
+@dataclasses.dataclass
+class Members:
+    view: membership.View
+
+
+class Documents:
+    """One service's document, which this daemon has in force."""
+
+    def __init__(self, model, checks):
+        self.model, self.checks = model, checks
+
+    def services(self):
+        return (SERVICE,)
+
+    def parsed(self, service):
+        rules = documents.RunnerRules(self.checks, self.model)
+        return documents.ServiceDocument(
+            service, states.ServiceType.MODEL, "", (), (), runners=rules
+        )
+
+    def may_admit(self):
+        return True
+
+
+class Site:
+    """Two daemons; which one shall hold the lease is set by hand."""
+
+    def __init__(self, loop, checks):
+        self.loop = loop
+        self.table = faulty_table.FaultyTable(random.Random(7))
+        self.links = [faulty_table.Link(self.table) for _ in VMS]
+        self.engines = Engines(checks)
+        self.members = [Members(membership.View()) for _ in VMS]
+        self.documents = [Documents("m@1", checks), Documents("m@2", checks)]
+        self.keepers = []
+        for number, vm in enumerate(VMS):
+            keeper = placement_keeper.PlacementKeeper(
+                self.links[number],
+                self.engines,
+                self.members[number],
+                self.documents[number],
+                vm.vm_id,
+                loop.time,
+            )
+            keeper.start()
+            self.keepers.append(keeper)
+
+    def elect(self, number, seen_by=(0, 1)):
+        """Make the daemons in ``seen_by`` believe that only one is live."""
+        members = fleet.Members(vms=(VMS[number],), runners=RUNNERS)
+        now_s = self.loop.time() + 1e9
+        for daemon in seen_by:
+            view = membership.merge(membership.View(), members, now_s)
+            self.members[daemon].view = view
+
+    async def close(self):
+        for keeper in self.keepers:
+            await keeper.close()
+
+
+def test_runners_get_the_desired_model_and_stay_so():
+    async def main(loop):
+        site = Site(loop, checks=False)
+        site.elect(0)
+        site.engines.silent.add(RUNNERS[0].runner_id)
+        await asyncio.sleep(5.0)
+        site.engines.silent.clear()
+        await asyncio.sleep(3.0)
+        assert site.engines.models() == {"m@1"}
+        assert len(site.engines.orders) == len(RUNNERS)
+        site.engines.seen[RUNNERS[1].runner_id] = runner_api.DesiredAnswer(0, "old")
+        await asyncio.sleep(3.0)
+        assert site.engines.models() == {"m@1"}
+        site.documents[0].model = "m@3"
+        await asyncio.sleep(3.0)
+        assert site.engines.models() == {"m@3"}
+        await site.close()
+
+    virtual_time.run(main)
+
+
+def _paused_holder_goes_on(checks):
+    async def main(loop):
+        site = Site(loop, checks)
+        site.elect(0)
+        await asyncio.sleep(3.0)
+        assert site.keepers[0].holds(SERVICE)
+        # The holder is paused with an order checked and on its way.
+        number = site.engines.seen[RUNNERS[0].runner_id].fencing_number
+        stale = runner_api.DesiredCall(number, "m@1")
+        site.links[0].thawed.clear()
+        site.elect(1, seen_by=(1,))
+        await asyncio.sleep(leases.TERM_S + 5.0)
+        assert site.keepers[1].holds(SERVICE)
+        assert not site.keepers[0].holds(SERVICE)
+        assert site.engines.models() == {"m@2"}
+        await site.engines.order_desired(RUNNERS[0], stale, 1.0)
+        assert site.engines.models() == ({"m@2"} if checks else {"m@1", "m@2"})
+        site.links[0].thawed.set()
+        await asyncio.sleep(5.0)
+        assert site.engines.models() == {"m@2"}
+        late = [call for _, call in site.engines.orders[-1:]]
+        assert all(call.model == "m@2" for call in late) or checks
+        await site.close()
+
+    virtual_time.run(main)
+
+
+def test_a_paused_holder_is_refused_where_numbers_are_checked():
+    _paused_holder_goes_on(checks=True)
+
+
+def test_a_paused_holders_order_is_repaired_where_numbers_are_ignored():
+    _paused_holder_goes_on(checks=False)
+
+
+def test_without_a_table_the_holder_stops_ordering():
+    async def main(loop):
+        site = Site(loop, checks=False)
+        site.elect(0)
+        await asyncio.sleep(3.0)
+        site.table.is_down = True
+        await asyncio.sleep(leases.TERM_S)
+        assert not site.keepers[0].holds(SERVICE)
+        site.documents[0].model = "m@9"
+        await asyncio.sleep(5.0)
+        assert site.engines.models() == {"m@1"}
+        site.table.is_down = False
+        await asyncio.sleep(3.0)
+        assert site.engines.models() == {"m@9"}
+        await site.close()
+
+    virtual_time.run(main)
+
+
+def test_lost_replies_of_the_table_cost_no_lease_for_good():
+    async def main(loop):
+        site = Site(loop, checks=True)
+        site.table.faults = faulty_table.Faults(reply_lost=0.4, dropped=0.2, late=0.2)
+        site.elect(0)
+        await asyncio.sleep(60.0)
+        assert site.engines.models() == {"m@1"}
+        assert {call.fencing_number for _, call in site.engines.orders} == {1}
+        await site.close()
+
+    virtual_time.run(main)
