--- a/packages/coordination/lacewingdrum_coordination/limits.py
+++ b/packages/coordination/lacewingdrum_coordination/limits.py
@@ -2,19 +2,20 @@
 
 The home of a customer fills a bucket at the stated rate and lends slices of
 it. A daemon spends its slice without asking, may overdraw by one slice, and
-reports the overdraft with its next ask. So a decision never waits for a
-message, and with the home dead a daemon goes over by at most one slice.
+pays the overdraft from the next slices before it spends more. So a decision
+never waits for a message, and with the home dead a daemon goes over by at
+most one slice.
 """
 
 import dataclasses
 
 from lacewingdrum_state import ids
 
-SLICE_S = 0.05
-BURST_S = 0.25
+SLICE_S = 0.04
+BURST_S = 0.2
+EMPTY_PAUSE_S = 0.1
 ASK_TIMEOUT_S = 0.5
 SLICE_LAPSE_S = 2.0
-MAX_DEBT_S = 10.0
 MIN_RETRY_AFTER_MS = 100
 
 
@@ -34,8 +35,8 @@
 class Ask:
     """A daemon's ask to a customer's home.
 
-    ``used_tokens`` is what the daemon spent beyond its slices; negative
-    where it gives an unspent slice back.
+    ``wanted_tokens`` includes what the daemon has overdrawn. A negative
+    ``used_tokens`` gives back what it did not spend of a lapsed slice.
     """
 
     service: ids.ServiceName
@@ -46,7 +47,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Grant:
-    """A slice lent to a daemon; it settles the overdraft of the ask."""
+    """A slice lent to a daemon."""
 
     service: ids.ServiceName
     customer: ids.CustomerId
@@ -60,8 +61,8 @@
 @dataclasses.dataclass(slots=True)
 class _Slice:
     balance_tokens: float = 0.0
-    asked_tokens: float = 0.0
     asked_s: float | None = None
+    next_ask_s: float = 0.0
     lapse_s: float = 0.0
 
 
@@ -132,9 +133,9 @@
             return False
         if lent.balance_tokens > 0 and now_s >= lent.lapse_s:
             return True
-        return lent.balance_tokens < limit * SLICE_S / 2 and (
-            lent.balance_tokens != 0 or lent.asked_s is not None
-        )
+        is_idle = lent.balance_tokens == 0
+        is_low = lent.balance_tokens < limit * SLICE_S / 2
+        return is_low and not is_idle and now_s >= lent.next_ask_s
 
     def _ask(
         self,
@@ -144,27 +145,27 @@
         limit: float,
         now_s: float,
     ) -> Ask:
-        lapsed = lent.balance_tokens > 0 and now_s >= lent.lapse_s
-        wanted = 0 if lapsed else int(limit * SLICE_S)
-        used = -int(lent.balance_tokens) if lapsed or lent.balance_tokens < 0 else 0
-        if lapsed:
+        if lent.balance_tokens > 0 and now_s >= lent.lapse_s:
+            unspent = int(lent.balance_tokens)
             lent.balance_tokens = 0.0
-            lent.asked_tokens = 0.0
             lent.asked_s = None
-        else:
-            lent.asked_tokens = used
-            lent.asked_s = now_s
-        return Ask(service, customer, wanted, used)
+            return Ask(service, customer, 0, -unspent)
+        lent.asked_s = now_s
+        wanted = int(limit * SLICE_S - min(0.0, lent.balance_tokens))
+        return Ask(service, customer, wanted, 0)
 
     def granted(self, grant: Grant, now_s: float) -> None:
         """Take over a slice that the home lent."""
         lent = self._slices.get((grant.service, grant.customer))
         if lent is None or lent.asked_s is None:
             return
-        lent.balance_tokens += grant.granted_tokens + lent.asked_tokens
-        lent.asked_tokens = 0.0
+        lent.balance_tokens += grant.granted_tokens
         lent.asked_s = None
         lent.lapse_s = now_s + grant.lapse_ms / 1000
+        # An empty bucket is not asked again at once, or every daemon would
+        # ask in each round as long as the customer is at its limit.
+        if lent.balance_tokens <= 0:
+            lent.next_ask_s = now_s + EMPTY_PAUSE_S
 
 
 @dataclasses.dataclass(slots=True)
@@ -194,8 +195,9 @@
         key = (ask.service, ask.customer)
         bucket = self._buckets.setdefault(key, _Bucket(0.0, now_s))
         self._fill(bucket, limit_tokens_per_s, now_s)
-        lowest = -limit_tokens_per_s * MAX_DEBT_S
-        bucket.level_tokens = max(lowest, bucket.level_tokens - ask.used_tokens)
+        returned = max(0, -ask.used_tokens)
+        burst = limit_tokens_per_s * BURST_S
+        bucket.level_tokens = min(burst, bucket.level_tokens + returned)
         granted = min(ask.wanted_tokens, max(0, int(bucket.level_tokens)))
         bucket.level_tokens -= granted
         lapse_ms = int(SLICE_LAPSE_S * 1000)
--- a/packages/coordination/lacewingdrum_coordination/routing.py
+++ b/packages/coordination/lacewingdrum_coordination/routing.py
@@ -23,6 +23,7 @@
 from lacewingdrum_state import documents, fleet, ids, requests, states
 
 Estimate = estimates.Estimate
+MAX_CHOSEN = 1_000
 
 
 class Reason(enum.Enum):
@@ -118,7 +119,7 @@
         self._pools: dict[ids.ServiceName, pools.RunnerPool] = {}
         self._ejections: dict[ids.ServiceName, outliers.Ejections] = {}
         self._prefixes = prefixes.PrefixIndex()
-        self._cached: dict[ids.RequestId, dict[ids.RunnerId, int]] = {}
+        self._chosen: dict[ids.RequestId, tuple[int, dict[ids.RunnerId, int]]] = {}
         self._runner_of: dict[ids.AttemptId, ids.RunnerId] = {}
 
     def set_runners(self, runners: Iterable[fleet.Runner]) -> None:
@@ -180,17 +181,17 @@
 
     def sent(self, request: requests.Request, in_flight: requests.InFlight) -> None:
         """Count an attempt that was sent to a runner."""
-        cached = self._cached.pop(request.request_id, {})
+        usual = priorities.of_prompt(request.prompt_tokens)
+        priority, cached = self._chosen.pop(request.request_id, (usual, {}))
         known = self._known.get(in_flight.runner_id)
         if known is None:
             return
-        priority = priorities.of_prompt(request.prompt_tokens)
         work = in_flight.prompt_tokens - cached.get(in_flight.runner_id, 0)
         known.sent(in_flight, priority, max(1, work))
         self._runner_of[in_flight.attempt_id] = in_flight.runner_id
         pool = self._pools.get(request.service)
         if pool is not None:
-            pool.demand.note(priority, work, request.worth, in_flight.sent_s)
+            pool.demand.note(usual, work, request.worth, in_flight.sent_s)
 
     def ended(self, attempt_id: ids.AttemptId, now_s: float) -> None:
         """Forget an attempt that was answered, refused or cancelled."""
@@ -265,7 +266,7 @@
             reason = Reason.ONLY_CANDIDATE
         elif hit_tokens:
             reason = Reason.CACHED_PREFIX
-        self._remember(request.request_id, cached)
+        self._remember(request.request_id, work.priority, cached)
         return Decision(chosen.runner, (), work.priority, reason, found, (), hit_tokens)
 
     def _estimates(
@@ -358,6 +359,7 @@
         if not self._in_time((found,), left_s) and _may_raise(request, pool, now_s):
             work = self._work(request, pool, now_s, priorities.MID)
             found = estimates.estimate(plan.lead, work, 0, now_s)
+        self._remember(request.request_id, work.priority, {})
         return Decision(
             plan.lead.runner,
             tuple(self._known[part.runner_id].runner for part in plan.parts),
@@ -394,14 +396,15 @@
         return pool.kept_free_count(ratio, short)
 
     def _remember(
-        self, request_id: ids.RequestId, cached: dict[ids.RunnerId, int]
+        self,
+        request_id: ids.RequestId,
+        priority: int,
+        cached: dict[ids.RunnerId, int],
     ) -> None:
-        """Keep what was cached until the request is sent."""
-        if not cached:
-            return
-        self._cached[request_id] = cached
-        if len(self._cached) > 1_000:
-            del self._cached[next(iter(self._cached))]
+        """Keep what a choice went by until the request is sent."""
+        self._chosen[request_id] = (priority, cached)
+        if len(self._chosen) > MAX_CHOSEN:
+            del self._chosen[next(iter(self._chosen))]
 
     def _link_delay_s(self, runner: fleet.Runner) -> float:
         if runner.data_centre == self._data_centre:
