Answers are flushed before a stop; reads of the list do not wait for another

Cause: a stop counted a response as done when asyncio had it, so a slow caller's answer could be cut by the process's end. The server now waits until the kernel has it all. A membership read that hangs on a silent connection delayed the next one by its whole timeout, 2 s of the 3 s that a leaving mark may take; reads now overlap, and an older answer that comes later is dropped. The kernel's limit for unacknowledged bytes holds on the client's side alone, since it also ends callers that read nothing for so long; 5 s instead of 10.

--- a/packages/daemon/lacewingdrum_daemon/members_keeper.py
+++ b/packages/daemon/lacewingdrum_daemon/members_keeper.py
@@ -15,6 +15,9 @@
 from lacewingdrum_transport import members_client
 
 POLL_SPREAD = 0.1
+# A read may hang on a connection that went silent; the next one does not wait
+# for it, so that a leaving mark is seen in time.
+READS_AT_ONCE = 4
 
 _log = logging.getLogger(__name__)
 
@@ -48,6 +51,9 @@
         self._first = asyncio.Event()
         self._tasks = tasks.TaskSet()
         self._is_reachable = True
+        self._read_count = 0
+        self._merged_read = 0
+        self._open_reads = 0
 
     def start(self) -> None:
         """Begin to poll."""
@@ -99,21 +105,31 @@
 
     async def poll_once(self) -> None:
         """Read the list and take it in, if it can be read."""
-        match await self._client.read():
+        self._read_count += 1
+        number = self._read_count
+        self._open_reads += 1
+        try:
+            answer = await self._client.read()
+        finally:
+            self._open_reads -= 1
+        match answer:
             case Ok(members):
-                self.view = membership.merge(self.view, members, self._clock())
-                self._first.set()
+                self._take(number, members)
                 self._note_reachable(True, "")
             case Err(error):
                 self._note_reachable(False, f"{error.reason.value} {error.detail}")
 
+    def _take(self, number: int, members: fleet.Members) -> None:
+        if number < self._merged_read:
+            return
+        self._merged_read = number
+        self.view = membership.merge(self.view, members, self._clock())
+        self._first.set()
+
     async def _poll(self) -> None:
         while True:
-            try:
-                await self.poll_once()
-            except Exception:
-                # Without the list no leaving mark would come any more.
-                _log.exception("membership poll failed")
+            if self._open_reads < READS_AT_ONCE:
+                self._tasks.spawn(self.poll_once())
             spread = self._rng.uniform(1.0 - POLL_SPREAD, 1.0 + POLL_SPREAD)
             await asyncio.sleep(self._poll_s * spread)
 
--- a/packages/daemon/lacewingdrum_daemon/members_keeper_test.py
+++ b/packages/daemon/lacewingdrum_daemon/members_keeper_test.py
@@ -1,10 +1,11 @@
 """The members keeper against a list that follows a script."""
 
 import asyncio
+import unittest
 
 from result import Err, Ok
 
-from lacewingdrum_daemon import members_keeper
+from lacewingdrum_daemon import members_keeper, tasks
 from lacewingdrum_protocol import peer_messages
 from lacewingdrum_state import fleet, ids
 from lacewingdrum_transport import members_client
@@ -51,20 +52,39 @@
     members = List()
     members.answer = ValueError("not foreseen")
     keeper = keeper_of(members)
-    members_keeper._log.disabled = True
     keeper.start()
     try:
-        async with asyncio.timeout(10.0):
-            while members.read_count < 3:
-                await asyncio.sleep(0)
-            members.answer = Ok(fleet.Members((), (RUNNER,)))
-            await keeper.wait_first()
+        with unittest.TestCase().assertLogs(tasks.__name__):
+            async with asyncio.timeout(10.0):
+                while members.read_count < 3:
+                    await asyncio.sleep(0)
+                members.answer = Ok(fleet.Members((), (RUNNER,)))
+                await keeper.wait_first()
     finally:
         await keeper.close()
-        members_keeper._log.disabled = False
     assert keeper.view.runners == (RUNNER,)
 
 
+async def test_read_that_hangs_holds_no_other_up():
+    late = asyncio.Event()
+    members = List()
+
+    async def read_first():
+        members.read = lambda: List.read(members)
+        await late.wait()
+        return Ok(fleet.Members())
+
+    members.read = read_first
+    keeper = keeper_of(members)
+    first = asyncio.create_task(keeper.poll_once())
+    await asyncio.sleep(0)
+    await keeper.poll_once()
+    assert keeper.view.runners == (RUNNER,)
+    late.set()
+    await first
+    assert keeper.view.runners == (RUNNER,), "the older answer came later"
+
+
 async def test_refusal_and_a_peers_word_mark_alike():
     for mark in (by_refusal, by_heartbeat):
         keeper = keeper_of(List())
--- a/packages/transport/lacewingdrum_transport/byte_channel.py
+++ b/packages/transport/lacewingdrum_transport/byte_channel.py
@@ -11,21 +11,31 @@
 
 READ_BUFFER_BYTES = 256 * 1024
 WRITE_BUFFER_BYTES = 64 * 1024
-UNACKNOWLEDGED_LIMIT_MS = 10_000
+UNACKNOWLEDGED_LIMIT_MS = 5_000
 KEEPALIVE_IDLE_S = 10
 KEEPALIVE_INTERVAL_S = 3
 KEEPALIVE_PROBES = 3
 
 
 class ByteChannel(asyncio.Protocol):
-    """A connection's bytes; ``gone`` is set when the other side has ended."""
+    """A connection's bytes; ``gone`` is set when the other side has ended.
+
+    Args:
+        on_connected: called with the channel once it is connected.
+        unacknowledged_limit_ms: when to give a path up that takes nothing. It
+            also ends connections whose other side reads nothing for so long,
+            so it is for sides that are expected to read.
+    """
 
     def __init__(
-        self, on_connected: Callable[["ByteChannel"], None] | None = None
+        self,
+        on_connected: Callable[["ByteChannel"], None] | None = None,
+        unacknowledged_limit_ms: int = 0,
     ) -> None:
         self.gone = asyncio.Event()
         self.peer = ""
         self._on_connected = on_connected
+        self._unacknowledged_limit_ms = unacknowledged_limit_ms
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._chunks: list[bytes] = []
@@ -36,7 +46,6 @@
         self._lost = False
         self._read_waiter: asyncio.Future[bool] | None = None
         self._drain_waiters: set[asyncio.Future[bool]] = set()
-        self._lost_waiter: asyncio.Future[bool] = self._loop.create_future()
 
     # Called by asyncio.
 
@@ -46,7 +55,7 @@
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self.peer = _peer_name(transport)
-        _set_options(transport)
+        _set_options(transport, self._unacknowledged_limit_ms)
         if self._on_connected is not None:
             self._on_connected(self)
 
@@ -70,8 +79,6 @@
         self._lost = True
         self._end()
         self._release_drain(False)
-        if not self._lost_waiter.done():
-            self._lost_waiter.set_result(True)
 
     def pause_writing(self) -> None:
         """Make ``drain`` wait."""
@@ -151,6 +158,24 @@
             timer.cancel()
             self._drain_waiters.discard(waiter)
 
+    async def flush(self, timeout_s: float) -> bool:
+        """Wait until the kernel has taken all that was written.
+
+        Args:
+            timeout_s: how long the other side may take nothing.
+
+        Returns:
+            False when the connection was lost or the time is over.
+        """
+        assert self._transport is not None
+        while not self._lost and (unsent_bytes := self.unsent_bytes):
+            self._transport.set_write_buffer_limits(high=0)
+            is_flushed = await self.drain(timeout_s)
+            if not is_flushed and self.unsent_bytes >= unsent_bytes:
+                return False
+        self._transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        return not self._lost
+
     def write_end(self) -> None:
         """Tell the other side that nothing more comes."""
         if self._transport is None or self._transport.is_closing():
@@ -168,11 +193,6 @@
         if self._transport is not None:
             self._transport.abort()
 
-    async def wait_closed(self, timeout_s: float) -> bool:
-        """Returns: whether the connection was closed within the time."""
-        done, _ = await asyncio.wait([self._lost_waiter], timeout=timeout_s)
-        return bool(done)
-
     def _take(self) -> bytes:
         chunks = self._chunks
         self._chunks = []
@@ -219,7 +239,7 @@
     return f"{name[0]}:{name[1]}" if name else ""
 
 
-def _set_options(transport: asyncio.Transport) -> None:
+def _set_options(transport: asyncio.Transport, unacknowledged_limit_ms: int) -> None:
     """Turn delays off, and let the kernel find a path that went silent."""
     sock: socket.socket | None = transport.get_extra_info("socket")
     if sock is None:
@@ -230,7 +250,7 @@
         (socket.IPPROTO_TCP, "TCP_KEEPIDLE", KEEPALIVE_IDLE_S),
         (socket.IPPROTO_TCP, "TCP_KEEPINTVL", KEEPALIVE_INTERVAL_S),
         (socket.IPPROTO_TCP, "TCP_KEEPCNT", KEEPALIVE_PROBES),
-        (socket.IPPROTO_TCP, "TCP_USER_TIMEOUT", UNACKNOWLEDGED_LIMIT_MS),
+        (socket.IPPROTO_TCP, "TCP_USER_TIMEOUT", unacknowledged_limit_ms),
     )
     for level, name, value in options:
         option = getattr(socket, name, None)
--- a/packages/transport/lacewingdrum_transport/http_client.py
+++ b/packages/transport/lacewingdrum_transport/http_client.py
@@ -198,7 +198,7 @@
         try:
             async with asyncio.timeout(min(timeout_s, self._limits.connect_timeout_s)):
                 _, channel = await asyncio.get_running_loop().create_connection(
-                    byte_channel.ByteChannel, address.host, address.port
+                    _new_channel, address.host, address.port
                 )
         except TimeoutError:
             return HttpClientError(ClientErrorReason.CONNECT_TIMEOUT, False)
@@ -250,3 +250,8 @@
         self._open_counts[address] -= 1
         if self._open_counts[address] <= 0:
             del self._open_counts[address]
+
+
+def _new_channel() -> byte_channel.ByteChannel:
+    limit_ms = byte_channel.UNACKNOWLEDGED_LIMIT_MS
+    return byte_channel.ByteChannel(unacknowledged_limit_ms=limit_ms)
--- a/packages/transport/lacewingdrum_transport/http_server.py
+++ b/packages/transport/lacewingdrum_transport/http_server.py
@@ -1,6 +1,7 @@
 """The HTTP/1.1 server: h11 on asyncio, one task a connection."""
 
 import asyncio
+import contextlib
 import logging
 import time
 from collections.abc import Awaitable, Callable
@@ -108,9 +109,9 @@
         self.set_leaving()
         self.stop_accepting()
         if self._busy and grace_s > 0:
-            await asyncio.wait(
-                [asyncio.ensure_future(self._quiet.wait())], timeout=grace_s
-            )
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(grace_s):
+                    await self._quiet.wait()
         cut_count = len(self._busy)
         tasks = tuple(self._tasks)
         for task in tasks:
@@ -155,6 +156,8 @@
         reason = request_reader.RequestErrorReason.OVERLOADED
         error = request_reader.RequestError(reason, "too many connections")
         await self._send_error(channel, self._connection(), error)
+        if len(self._tasks) < 2 * self._limits.connections:
+            await _linger(channel)
 
     async def _serve(self, channel: byte_channel.ByteChannel) -> None:
         connection = self._connection()
--- a/packages/transport/lacewingdrum_transport/http_server_test.py
+++ b/packages/transport/lacewingdrum_transport/http_server_test.py
@@ -332,6 +332,26 @@
         assert await closing == 0
 
 
+async def test_close_cuts_no_answer_that_a_slow_caller_still_reads():
+    body = b"x" * 30_000_000
+
+    async def handler(request, responder):
+        await responder.send(http_server.HttpResponse(200, (), body))
+
+    async with serving(handler) as (server, port):
+        reader, writer = await asyncio.open_connection(HOST, port, limit=1024)
+        writer.transport.pause_reading()
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        while not server.busy_count:
+            await asyncio.sleep(0)
+        closing = asyncio.create_task(server.close(LIMIT_S))
+        await asyncio.sleep(0.1)
+        writer.transport.resume_reading()
+        assert (await reader.read(-1)).endswith(body)
+        assert await closing == 0
+        writer.close()
+
+
 async def test_close_without_grace_counts_what_it_cuts():
     entered = asyncio.Event()
 
--- a/packages/transport/lacewingdrum_transport/responder.py
+++ b/packages/transport/lacewingdrum_transport/responder.py
@@ -53,7 +53,7 @@
         if self._with_body and with_body and response.body:
             data += self._connection.send(h11.Data(data=response.body)) or b""
         data += self._end()
-        return await self._write(data)
+        return await self._write_last(data)
 
     async def start_stream(self, status: int, headers: http_messages.Headers) -> bool:
         """Send the head of a response whose body comes in parts.
@@ -86,7 +86,7 @@
         Returns:
             False when the caller has gone.
         """
-        return await self._write(self._end())
+        return await self._write_last(self._end())
 
     def abort(self) -> None:
         """Cut the connection, so that no clean end is seen."""
@@ -117,8 +117,15 @@
     async def _write(self, data: bytes) -> bool:
         if self.gone.is_set() or not self._channel.write(data):
             return False
-        if await self._channel.drain(self._write_timeout_s):
-            return True
+        return await self._channel.drain(self._write_timeout_s) or self._give_up()
+
+    async def _write_last(self, data: bytes) -> bool:
+        """Write, and wait until nothing would be cut by the process's end."""
+        if self.gone.is_set() or not self._channel.write(data):
+            return False
+        return await self._channel.flush(self._write_timeout_s) or self._give_up()
+
+    def _give_up(self) -> bool:
         # A caller that takes nothing for so long would hold memory for good.
         self._channel.abort()
         return False
