--- a/standins/slope_control.py
+++ b/standins/slope_control.py
@@ -13,7 +13,7 @@
 from lacewingdrum_protocol import peer_messages
 from lacewingdrum_state import fleet, ids, requests
 from lacewingdrum_transport import runner_client
-from standins import slope_fit, slope_fleet
+from standins import slope_documents, slope_fit, slope_fleet
 
 NOW_S = 100.0
 RUNNER_SIZES = (20, 92, 275, 1_100)
@@ -64,7 +64,16 @@
             "home of a runner or customer, against VMs", "us", VM_SIZES, _home_us
         ),
         slope_fit.measure(
-            "taking in a heartbeat, against VMs", "us", VM_SIZES, _heard_us
+            "heartbeat of 16 documents taken into the view, against VMs",
+            "us",
+            VM_SIZES,
+            _heard_us,
+        ),
+        slope_fit.measure(
+            "the same taken in by documents and status, against VMs",
+            "us",
+            VM_SIZES,
+            slope_documents.heartbeat_us,
         ),
     ]
 
--- a/standins/slope_platform.py
+++ b/standins/slope_platform.py
@@ -17,6 +17,8 @@
 VM_SIZES = (36, 120, 360)
 RUNNERS_A_VM = 1_100 / 360
 READ_SIZES = (10, 40, 160)
+HELD_ATTEMPTS = 25
+HELD_SIZES = (0, 25, 100)
 CUSTOMER_SIZES = (100, 1_000, 8_100)
 LIMIT_TOKENS_PER_S = 20_000
 NOW_S = 100.0
@@ -35,6 +37,9 @@
         slope_fit.measure(
             "reading and merging the list, against VMs", "us", VM_SIZES, _list_us
         ),
+        slope_fit.measure(
+            "load report, against attempts held", "bytes", HELD_SIZES, _load_bytes, 1
+        ),
         slope_fit.measure(
             "load reports read over loopback, against reports",
             "us",
@@ -94,14 +99,26 @@
     return slope_fit.call_us(read)
 
 
+def _load_body(runner_id: str, held_count: int) -> bytes:
+    held = tuple(
+        runner_api.HeldEntry(f"req-{index:020x}.1", 4_500)
+        for index in range(held_count)
+    )
+    answer = runner_api.LoadAnswer(
+        runner_id, 100, 2_000, 20_000, 300_000, 24, 310_000, 400_000, 1e4, 50.0, held
+    )
+    return msgspec.json.encode(answer)
+
+
+def _load_bytes(held_count: int) -> float:
+    return len(_load_body("runner-00000", held_count))
+
+
 class _LoadServer:
     """Answers every request with the same load, from a thread of its own."""
 
     def __init__(self, runner_id: str) -> None:
-        answer = runner_api.LoadAnswer(
-            runner_id, 100, 2_000, 20_000, 300_000, 24, 310_000, 400_000, 1e4, 50.0
-        )
-        body = msgspec.json.encode(answer)
+        body = _load_body(runner_id, HELD_ATTEMPTS)
         head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
         self._answer = head + body
         self._listener = socket.create_server((LOOPBACK, 0))
