--- a/packages/coordination/lacewingdrum_coordination/demand.py
+++ b/packages/coordination/lacewingdrum_coordination/demand.py
@@ -1,17 +1,18 @@
-"""The rate and the worth of the work that is sent, measured with a decay."""
+"""The mix and the worth of the work that is sent, measured with a decay."""
 
 import math
 
 from lacewingdrum_coordination import priorities
 
 DECAY_S = 60.0
+FADE_STEP_S = 0.1
 PRIORITY_COUNT = len(priorities.PRIORITY)
 
 
 class DemandMeter:
-    """Tokens a second at each priority over the last while."""
+    """Tokens at each priority, and their worth, over the last while."""
 
-    __slots__ = ("_decay_s", "_tokens", "_worth", "_at_s", "_started_s")
+    __slots__ = ("_decay_s", "_tokens", "_worth", "_at_s")
 
     def __init__(self, decay_s: float = DECAY_S):
         """Start at rest.
@@ -23,7 +24,6 @@
         self._tokens = [0.0] * PRIORITY_COUNT
         self._worth = 0.0
         self._at_s: float | None = None
-        self._started_s = 0.0
 
     def note(self, priority: int, tokens: float, worth: float, now_s: float) -> None:
         """Count work that was sent."""
@@ -31,12 +31,11 @@
         self._tokens[priority] += tokens
         self._worth += worth
 
-    def tokens_per_s(self, priority: int, now_s: float) -> float:
-        """Returns: the rate of work at one priority."""
+    def share(self, priority: int, now_s: float) -> float:
+        """Returns: the part of the work up to a priority; 0 before any."""
         self._fade(now_s)
-        seen_s = now_s - self._started_s
-        window_s = self._decay_s * (1 - math.exp(-seen_s / self._decay_s))
-        return self._tokens[priority] / max(window_s, 1.0)
+        whole = sum(self._tokens)
+        return sum(self._tokens[: priority + 1]) / whole if whole else 0.0
 
     def worth_per_token(self, now_s: float) -> float:
         """Returns: the mean worth of a token; 0 before anything was sent."""
@@ -47,10 +46,9 @@
     def _fade(self, now_s: float) -> None:
         if self._at_s is None:
             self._at_s = now_s
-            self._started_s = now_s
             return
         elapsed_s = now_s - self._at_s
-        if elapsed_s <= 0:
+        if elapsed_s < FADE_STEP_S:
             return
         factor = math.exp(-elapsed_s / self._decay_s)
         self._tokens = [tokens * factor for tokens in self._tokens]
--- a/packages/coordination/lacewingdrum_coordination/estimates.py
+++ b/packages/coordination/lacewingdrum_coordination/estimates.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from lacewingdrum_coordination import runner_estimates
+from lacewingdrum_coordination import priorities, runner_estimates
 from lacewingdrum_state import ids
 
 MAX_UTILISATION = 0.9
@@ -18,7 +18,7 @@
     complete_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Work:
     """What a request asks of a runner.
 
@@ -32,13 +32,21 @@
     urgent_utilisation: float = 0.0
     utilisation: float = 0.0
 
+    def left_beside_urgent(self) -> float:
+        """Returns: the share of a runner's time left for this priority."""
+        return 1 - min(MAX_UTILISATION, URGENT_RATIO * self.urgent_utilisation)
+
+    def left_beside_all(self) -> float:
+        """Returns: the share of a runner's time that drains its backlog."""
+        return 1 - min(MAX_UTILISATION, self.utilisation)
+
 
-def estimate(
+def times_s(
     known: runner_estimates.RunnerEstimate,
     work: Work,
     cached_tokens: int,
     now_s: float,
-) -> Estimate:
+) -> tuple[float, float]:
     """Estimate a request on one runner.
 
     The first token waits for the work queued at the request's own priority
@@ -55,30 +63,26 @@
     Returns:
         Seconds from now to the first and to the last token.
     """
-    queued = known.queued_tokens(now_s)
-    ahead_tokens = sum(queued[: work.priority + 1])
-    behind_tokens = sum(queued) - ahead_tokens
-    own_tokens = max(1, work.prompt_tokens - cached_tokens)
+    # This runs for each candidate of each decision, so it spells out the
+    # three queues instead of going through them.
+    short, mid, long = known.queued_tokens(now_s)
+    if work.priority == priorities.SHORT:
+        ahead, behind = short, mid + long
+    elif work.priority == priorities.MID:
+        ahead, behind = short + mid, long
+    else:
+        ahead, behind = short + mid + long, 0.0
+    own = work.prompt_tokens - cached_tokens
     rate = known.prefill_tokens_per_s
-    urgent = min(MAX_UTILISATION, URGENT_RATIO * work.urgent_utilisation)
-    first_token_s = (ahead_tokens + own_tokens) / (rate * (1 - urgent))
-    if behind_tokens and not ahead_tokens:
-        first_token_s += known.chunk_s / 2
-    first_token_s += 2 * known.link_delay_s
-    backlog_s = behind_tokens / (rate * (1 - min(MAX_UTILISATION, work.utilisation)))
-    decode_s = _decode_s(known, work.answer_tokens, backlog_s)
-    return Estimate(known.runner.runner_id, first_token_s, first_token_s + decode_s)
-
-
-def _decode_s(
-    known: runner_estimates.RunnerEstimate,
-    answer_tokens: int,
-    backlog_s: float,
-) -> float:
-    """Returns: time of an answer's tokens beside and after a backlog."""
+    first_s = (ahead + own) / (rate * work.left_beside_urgent())
+    if behind and not ahead:
+        first_s += known.chunk_s / 2
+    first_s += 2 * known.link_delay_s
+    backlog_s = behind / (rate * work.left_beside_all())
     busy_token_s = known.token_s + known.chunk_s
-    beside_s = answer_tokens * busy_token_s
+    beside_s = work.answer_tokens * busy_token_s
     if beside_s <= backlog_s:
-        return beside_s
-    left = answer_tokens - backlog_s / busy_token_s
-    return backlog_s + left * (known.token_s + known.busy_ratio * known.chunk_s)
+        return first_s, first_s + beside_s
+    left = work.answer_tokens - backlog_s / busy_token_s
+    token_s = known.token_s + known.busy_ratio * known.chunk_s
+    return first_s, first_s + backlog_s + left * token_s
--- a/packages/coordination/lacewingdrum_coordination/outliers.py
+++ b/packages/coordination/lacewingdrum_coordination/outliers.py
@@ -32,6 +32,7 @@
     def __init__(self) -> None:
         """Start with nothing ejected."""
         self._records: dict[ids.RunnerId, _Record] = {}
+        self._marked: set[ids.RunnerId] = set()
 
     def set_runners(self, runner_ids: tuple[ids.RunnerId, ...]) -> None:
         """Forget runners that are gone and start new ones clean."""
@@ -39,6 +40,7 @@
             runner_id: self._records.get(runner_id, _Record())
             for runner_id in runner_ids
         }
+        self._marked &= self._records.keys()
 
     def observe_rate(
         self, runner_id: ids.RunnerId, tokens_per_s: float, now_s: float
@@ -54,27 +56,33 @@
         record.tokens_per_s = tokens_per_s
         median = self._median_tokens_per_s()
         if median is not None and tokens_per_s < SLOW_RATIO * median:
-            self._strike(record, now_s)
+            self._strike(runner_id, record, now_s)
         else:
-            self._recover(record, now_s)
+            self._recover(runner_id, record, now_s)
 
     def observe_failure(self, runner_id: ids.RunnerId, now_s: float) -> None:
         """Count an attempt that the runner lost."""
-        self._strike(self._records.setdefault(runner_id, _Record()), now_s)
+        record = self._records.setdefault(runner_id, _Record())
+        self._strike(runner_id, record, now_s)
 
     def observe_success(self, runner_id: ids.RunnerId, now_s: float) -> None:
         """Count an attempt that the runner answered in full."""
-        self._recover(self._records.setdefault(runner_id, _Record()), now_s)
+        record = self._records.setdefault(runner_id, _Record())
+        self._recover(runner_id, record, now_s)
 
     def ejected(self, now_s: float) -> frozenset[ids.RunnerId]:
         """Returns: runners that get no new work now."""
+        # Only records that were ejected are looked at, so that a decision
+        # costs nothing by the number of healthy runners.
+        if not self._marked:
+            return frozenset()
         return frozenset(
             runner_id
-            for runner_id, record in self._records.items()
-            if record.ejected_until_s is not None and now_s < record.ejected_until_s
+            for runner_id in self._marked
+            if now_s < (self._records[runner_id].ejected_until_s or 0.0)
         )
 
-    def _strike(self, record: _Record, now_s: float) -> None:
+    def _strike(self, runner_id: ids.RunnerId, record: _Record, now_s: float) -> None:
         if record.ejected_until_s is not None and now_s < record.ejected_until_s:
             return
         probing = record.ejected_until_s is not None
@@ -88,11 +96,13 @@
         record.ejections += 1
         record.strikes = 0
         record.ejected_until_s = now_s + duration_s
+        self._marked.add(runner_id)
 
-    def _recover(self, record: _Record, now_s: float) -> None:
+    def _recover(self, runner_id: ids.RunnerId, record: _Record, now_s: float) -> None:
         record.strikes = 0
         if record.ejected_until_s is not None and now_s >= record.ejected_until_s:
             record.ejected_until_s = None
+            self._marked.discard(runner_id)
             record.ejections = 0
 
     def _median_tokens_per_s(self) -> float | None:
--- a/packages/coordination/lacewingdrum_coordination/pools.py
+++ b/packages/coordination/lacewingdrum_coordination/pools.py
@@ -15,7 +15,6 @@
 SCAN_ALL_COUNT = 32
 SAMPLE_COUNT = 20
 MAX_HOLDERS = 4
-PRIORITIES = (priorities.SHORT, priorities.MID, priorities.LONG)
 
 
 class RunnerPool:
@@ -88,11 +87,7 @@
         """
         if not self.runners:
             return 0.0
-        rates = [self.demand.tokens_per_s(each, now_s) for each in PRIORITIES]
-        whole = sum(rates)
-        if not whole:
-            return 0.0
-        share = sum(rates[: priority + 1]) / whole
+        share = self.demand.share(priority, now_s)
         return share * self._busy_sum / len(self.runners)
 
     def kept_free_count(self, ratio: float, short_utilisation: float) -> int:
--- a/packages/coordination/lacewingdrum_coordination/routing.py
+++ b/packages/coordination/lacewingdrum_coordination/routing.py
@@ -24,6 +24,7 @@
 
 Estimate = estimates.Estimate
 MAX_CHOSEN = 1_000
+SHOWN_ESTIMATES = 4
 
 
 class Reason(enum.Enum):
@@ -233,7 +234,9 @@
             return Decision(None, (), priority, Reason.NO_RUNNER, ())
         cached = self._prefixes.cached_tokens(request.block_hashes)
         out = excluded | self.ejections(request.service).ejected(now_s)
-        kept_free = self._kept_free(pool, weights, now_s)
+        kept_free = 0
+        if priority == priorities.LONG:
+            kept_free = self._kept_free(pool, weights, now_s)
         seen = pool.candidates(self._rng, priority, kept_free, out, cached)
         if not seen:
             return Decision(None, (), priority, Reason.NO_RUNNER, ())
@@ -251,15 +254,16 @@
         cached: dict[ids.RunnerId, int],
         now_s: float,
     ) -> Decision:
-        left_s = request.deadline_s - now_s
+        usable_s = self._usable_s(request, now_s)
         work = self._work(request, pool, now_s)
-        found = self._estimates(candidates, work, cached, now_s)
-        if not self._in_time(found, left_s) and _may_raise(request, pool, now_s):
+        found = _times(candidates, work, cached, now_s)
+        is_late = min(complete_s for _, complete_s in found) > usable_s
+        if is_late and _may_raise(request, pool, now_s):
             work = self._work(request, pool, now_s, priorities.MID)
-            found = self._estimates(candidates, work, cached, now_s)
-        kept_free = self._kept_free(pool, weights, now_s)
-        scores = self._scores(candidates, found, weights, work.priority, kept_free)
-        chosen = candidates[self._pick(found, scores, left_s)]
+            found = _times(candidates, work, cached, now_s)
+        scores = self._scores(candidates, found, weights, work.priority, pool, now_s)
+        position = self._pick(found, scores, usable_s)
+        chosen = candidates[position]
         hit_tokens = cached.get(chosen.runner.runner_id, 0)
         reason = Reason.NEAR_BEST
         if len(candidates) == 1:
@@ -267,41 +271,30 @@
         elif hit_tokens:
             reason = Reason.CACHED_PREFIX
         self._remember(request.request_id, work.priority, cached)
-        return Decision(chosen.runner, (), work.priority, reason, found, (), hit_tokens)
+        shown = _shown(candidates, found, scores, position)
+        return Decision(chosen.runner, (), work.priority, reason, shown, (), hit_tokens)
 
-    def _estimates(
-        self,
-        candidates: list[_Known],
-        work: estimates.Work,
-        cached: dict[ids.RunnerId, int],
-        now_s: float,
-    ) -> tuple[Estimate, ...]:
-        return tuple(
-            estimates.estimate(
-                known, work, cached.get(known.runner.runner_id, 0), now_s
-            )
-            for known in candidates
-        )
-
-    def _in_time(self, found: tuple[Estimate, ...], left_s: float) -> list[int]:
-        """Returns: positions of the runners that finish in the time left."""
-        usable_s = left_s * (1 - self._policy.patience_margin_ratio)
-        return [
-            position
-            for position, each in enumerate(found)
-            if each.complete_s <= usable_s
-        ]
+    def _usable_s(self, request: requests.Request, now_s: float) -> float:
+        """Returns: the time left of the patience, less a margin."""
+        left_s = request.deadline_s - now_s
+        return left_s * (1 - self._policy.patience_margin_ratio)
 
     def _pick(
-        self, found: tuple[Estimate, ...], scores: list[float], left_s: float
+        self,
+        found: list[tuple[float, float]],
+        scores: list[float],
+        usable_s: float,
     ) -> int:
         """Draw among the near-best of those that finish in the time left."""
-        policy = self._policy
-        in_time = self._in_time(found, left_s)
+        in_time = [
+            position
+            for position, (_, complete_s) in enumerate(found)
+            if complete_s <= usable_s
+        ]
         if not in_time:
-            return min(range(len(found)), key=lambda each: found[each].complete_s)
-        best = min(scores[position] for position in in_time)
-        bound_s = best * policy.near_best_ratio + policy.near_best_s
+            return min(range(len(found)), key=lambda position: found[position][1])
+        best = min([scores[position] for position in in_time])
+        bound_s = best * self._policy.near_best_ratio + self._policy.near_best_s
         return self._rng.choice(
             [position for position in in_time if scores[position] <= bound_s]
         )
@@ -309,20 +302,25 @@
     def _scores(
         self,
         candidates: list[_Known],
-        found: tuple[Estimate, ...],
+        found: list[tuple[float, float]],
         weights: documents.Weights,
         priority: int,
-        kept_free: int,
+        pool: pools.RunnerPool,
+        now_s: float,
     ) -> list[float]:
-        kept_free_mid_s = self._policy.kept_free_mid_s * 2 * weights.short_slowdown
-        scores = []
-        for known, each in zip(candidates, found, strict=True):
-            score = each.first_token_s
-            if known.link_delay_s:
-                score += self._policy.remote_cost_s
-            if priority == priorities.MID and known.rank < kept_free:
-                score += kept_free_mid_s
-            scores.append(score)
+        """Weigh the estimates: data centres apart, kept-free runners."""
+        policy = self._policy
+        scores = [
+            first_s + (policy.remote_cost_s if known.link_delay_s else 0.0)
+            for known, (first_s, _) in zip(candidates, found, strict=True)
+        ]
+        if priority != priorities.MID:
+            return scores
+        kept_free = self._kept_free(pool, weights, now_s)
+        penalty_s = policy.kept_free_mid_s * 2 * weights.short_slowdown
+        for position, known in enumerate(candidates):
+            if known.rank < kept_free:
+                scores[position] += penalty_s
         return scores
 
     def _usable(
@@ -334,14 +332,14 @@
     ) -> list[_Known]:
         """Leave out runners without memory or without a fresh report."""
         needed = request.total_tokens
+        spare = 0 if priority == priorities.SHORT else self._policy.headroom_tokens
         fitting = [known for known in seen if known.kv_capacity_tokens >= needed]
         heard = [known for known in fitting if known.is_known(now_s)] or fitting
-        spare = 0 if priority == priorities.SHORT else self._policy.headroom_tokens
-        roomy = [known for known in heard if known.free_tokens() >= needed + spare]
+        free = [(known, known.free_tokens() - needed) for known in heard]
+        roomy = [known for known, left in free if left >= spare]
         if roomy:
             return roomy
-        free = [known for known in heard if known.free_tokens() >= needed]
-        return free or heard
+        return [known for known, left in free if left >= 0] or heard
 
     def _choose_group(
         self,
@@ -354,18 +352,18 @@
         plan = groups.plan(seen, request.total_tokens, now_s)
         if plan is None:
             return Decision(None, (), work.priority, Reason.NO_MEMORY, ())
-        found = estimates.estimate(plan.lead, work, 0, now_s)
-        left_s = request.deadline_s - now_s
-        if not self._in_time((found,), left_s) and _may_raise(request, pool, now_s):
+        found = estimates.times_s(plan.lead, work, 0, now_s)
+        is_late = found[1] > self._usable_s(request, now_s)
+        if is_late and _may_raise(request, pool, now_s):
             work = self._work(request, pool, now_s, priorities.MID)
-            found = estimates.estimate(plan.lead, work, 0, now_s)
+            found = estimates.times_s(plan.lead, work, 0, now_s)
         self._remember(request.request_id, work.priority, {})
         return Decision(
             plan.lead.runner,
             tuple(self._known[part.runner_id].runner for part in plan.parts),
             work.priority,
             Reason.GROUP,
-            (found,),
+            (Estimate(plan.lead.runner.runner_id, *found),),
             tuple(part.tokens for part in plan.parts),
         )
 
@@ -412,6 +410,33 @@
         return self._policy.remote_link_delay_s
 
 
+def _times(
+    candidates: list[_Known],
+    work: estimates.Work,
+    cached: dict[ids.RunnerId, int],
+    now_s: float,
+) -> list[tuple[float, float]]:
+    return [
+        estimates.times_s(known, work, cached.get(known.runner.runner_id, 0), now_s)
+        for known in candidates
+    ]
+
+
+def _shown(
+    candidates: list[_Known],
+    found: list[tuple[float, float]],
+    scores: list[float],
+    chosen: int,
+) -> tuple[Estimate, ...]:
+    """Returns: the chosen runner's estimate and then those of the best."""
+    best = sorted(range(len(scores)), key=scores.__getitem__)[:SHOWN_ESTIMATES]
+    positions = [chosen, *(position for position in best if position != chosen)]
+    return tuple(
+        Estimate(candidates[position].runner.runner_id, *found[position])
+        for position in positions
+    )
+
+
 def _may_raise(request: requests.Request, pool: pools.RunnerPool, now_s: float) -> bool:
     """Returns: whether a late long prompt is worth what it would delay."""
     if priorities.of_prompt(request.prompt_tokens) != priorities.LONG:
