The HTTP client asks h11 for events once, in one place

Cause: the client parsed h11's buffer again after it had said that more must come, and told ends of message apart in two places. Also a test that far daemons hear every second heartbeat.

--- a/packages/daemon/lacewingdrum_daemon/peering_test.py
+++ b/packages/daemon/lacewingdrum_daemon/peering_test.py
@@ -139,3 +139,19 @@
         members.vms = members.vms[:2]
         await until(lambda: first.socket.peers == (second.vm_id,))
         assert not first.peering.send(third.vm_id, grant("a"))
+
+
+async def test_daemons_far_away_hear_every_second_heartbeat():
+    async with fleet_of_three() as ((first, second, third), _):
+        counts = {second.vm_id: 0, third.vm_id: 0}
+
+        def counter_of(node):
+            def count(sender, body):
+                counts[node.vm_id] += sender == first.vm_id
+
+            return count
+
+        second.peering.on(peer_messages.Heartbeat, counter_of(second))
+        third.peering.on(peer_messages.Heartbeat, counter_of(third))
+        await until(lambda: counts[second.vm_id] >= 40)
+        assert 17 <= counts[third.vm_id] <= 23
--- a/packages/transport/lacewingdrum_transport/client_connection.py
+++ b/packages/transport/lacewingdrum_transport/client_connection.py
@@ -68,6 +68,7 @@
         self.h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=header_bytes)
         self.clock = clock
         self.idle_since_s = 0.0
+        self._is_drained = False
 
     @property
     def reusable(self) -> bool:
@@ -91,20 +92,31 @@
             The part, or why none came.
         """
         while True:
-            try:
-                event = self.h11.next_event()
-            except h11.RemoteProtocolError as error:
-                lost = self.channel.ended and not self.channel.has_unread
-                reason = ClientErrorReason.LOST if lost else ClientErrorReason.MALFORMED
-                return HttpClientError(reason, True, str(error))
-            if event is not h11.NEED_DATA:
-                if isinstance(event, h11.Event):
-                    return event
-                return HttpClientError(ClientErrorReason.MALFORMED, True, "paused")
+            event = self.event_at_hand()
+            if event is not None:
+                return event
             failed = await self._receive(deadline_s)
             if failed is not None:
                 return failed
 
+    def event_at_hand(self) -> h11.Event | HttpClientError | None:
+        """Returns: a part of the response, or None if more must come."""
+        if self._is_drained:
+            # It would parse what is left of its buffer once more.
+            return None
+        try:
+            event = self.h11.next_event()
+        except h11.RemoteProtocolError as error:
+            lost = self.channel.ended and not self.channel.has_unread
+            reason = ClientErrorReason.LOST if lost else ClientErrorReason.MALFORMED
+            return HttpClientError(reason, True, str(error))
+        if event is h11.NEED_DATA:
+            self._is_drained = True
+            return None
+        if isinstance(event, h11.Event):
+            return event
+        return HttpClientError(ClientErrorReason.MALFORMED, True, "paused")
+
     async def _receive(self, deadline_s: float) -> HttpClientError | None:
         wait_s = max(deadline_s - self.clock(), 0.0)
         data = await self.channel.read(wait_s)
@@ -114,6 +126,7 @@
             detail = "connection ended before the response"
             return HttpClientError(ClientErrorReason.LOST, True, detail)
         self.h11.receive_data(data)
+        self._is_drained = False
         return None
 
     def send_request(
@@ -172,13 +185,7 @@
             event = await connection.next_event(deadline_s)
             if isinstance(event, h11.Data):
                 return Ok(self._with_what_follows(bytes(event.data)))
-            if isinstance(event, h11.EndOfMessage):
-                self._end(None)
-            elif isinstance(event, HttpClientError):
-                self._end(event)
-            else:
-                detail = "connection ended inside the response"
-                self._end(HttpClientError(ClientErrorReason.LOST, True, detail))
+            self._take_end(event)
         if self._error is not None:
             return Err(self._error)
         return Ok(b"")
@@ -191,20 +198,25 @@
     def _with_what_follows(self, data: bytes) -> bytes:
         """Join parts that have come already, to be passed on in one piece."""
         parts = [data]
-        while True:
-            try:
-                event = self._connection.h11.next_event()
-            except h11.RemoteProtocolError as error:
-                detail = str(error)
-                self._end(HttpClientError(ClientErrorReason.MALFORMED, True, detail))
-                break
-            if not isinstance(event, h11.Data):
-                if isinstance(event, h11.EndOfMessage):
-                    self._end(None)
+        while not self._ended:
+            event = self._connection.event_at_hand()
+            if isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+            elif event is None:
                 break
-            parts.append(bytes(event.data))
+            else:
+                self._take_end(event)
         return data if len(parts) == 1 else b"".join(parts)
 
+    def _take_end(self, event: h11.Event | HttpClientError) -> None:
+        if isinstance(event, h11.EndOfMessage):
+            self._end(None)
+        elif isinstance(event, HttpClientError):
+            self._end(event)
+        else:
+            detail = "connection ended inside the response"
+            self._end(HttpClientError(ClientErrorReason.LOST, True, detail))
+
     def _end(self, error: HttpClientError | None) -> None:
         self._ended = True
         self._error = error
