Kill daemons while they hold memory in the memory trial

Change: the victim is the one daemon with an open request while engines hold memory; answers are longer.

--- a/standins/memory_trial.py
+++ b/standins/memory_trial.py
@@ -34,11 +34,12 @@
 )
 LEAST_TOKENS = 2 * ENGINE_TOKENS + 4_000
 MOST_TOKENS = 2 * ENGINE_TOKENS + 40_000
-ANSWER_TOKENS = 16
+ANSWER_TOKENS = 200
 PATIENCE_MS = 12_000
 CALLERS = 3
 TRIES = 8
 PAUSE_S = 0.2
+LOOK_S = 0.05
 RETRY_PAUSE_S = 0.5
 LOSE_CANCELS = 0.3
 LOSE_IMPORT_REPLIES = 0.05
@@ -85,6 +86,7 @@
         self._http = http_client.HttpClient()
         self._balancer = load.Balancer(deployment, self._rng)
         self._service = self._document()
+        self._open: collections.Counter[str] = collections.Counter()
         self.ends: collections.Counter[str] = collections.Counter()
         self.wrong: list[str] = []
 
@@ -110,15 +112,23 @@
         return Report(self.ends, held, free_s, tuple(self.wrong))
 
     async def _kill_in_turn(self, kills: int, count: int) -> None:
-        plans = self._deployment.plan.daemons
         for number in range(kills):
             due = count - (number + 1) * count // (kills + 1)
             while self._left > due:
                 await asyncio.sleep(PAUSE_S)
-            victim = plans[number % len(plans)]
-            await self._deployment.kill_daemon(victim.vm_id)
+            vm_id = await self._holding_daemon()
+            plan = self._deployment.daemons[vm_id].plan
+            await self._deployment.kill_daemon(vm_id)
             await asyncio.sleep(RESTART_S)
-            await self._deployment.start_daemon(victim)
+            await self._deployment.start_daemon(plan)
+
+    async def _holding_daemon(self) -> str:
+        """Returns: a daemon with a request whose parts are held now."""
+        while True:
+            open_counts = +self._open
+            if len(open_counts) == 1 and await verdict.held_tokens(self._deployment):
+                return next(iter(open_counts))
+            await asyncio.sleep(LOOK_S)
 
     async def _caller(self) -> None:
         while self._left > 0:
@@ -147,7 +157,11 @@
         if vm_id is None:
             return False
         address = self._deployment.daemons[vm_id].callers
-        outcome = await calls.complete(self._http, address, request)
+        self._open[vm_id] += 1
+        try:
+            outcome = await calls.complete(self._http, address, request)
+        finally:
+            self._open[vm_id] -= 1
         self.ends[f"{outcome.end.value} {outcome.code}".strip()] += 1
         if outcome.end is calls.End.WRONG:
             self.wrong.append(f"{outcome.request_id}: {outcome.detail}")
