--- a/packages/coordination/lacewingdrum_coordination/leases_test.py
+++ b/packages/coordination/lacewingdrum_coordination/leases_test.py
@@ -223,6 +223,24 @@
     assert world.daemons[1].lease.mine == 2
 
 
+def test_a_renewal_found_later_does_not_lengthen_the_term():
+    machine = _held_by_first()
+    world = machine.world
+    machine.pass_time(leases.RENEW_S)
+    machine.tick(0, 1)
+    machine.reach_table(0, "reply_lost")
+    machine.answer(0)
+    machine.whole_tick(1)
+    machine.pass_time(leases.TERM_S - 1.0)
+    machine.tick(0, 1)
+    machine.reach_table(0, "good")
+    machine.answer(0)
+    assert world.holders() == []
+    machine.pass_time(1.0)
+    machine.whole_tick(1)
+    assert world.holders() == [world.daemons[1]]
+
+
 def test_a_table_outage_ends_orders_and_the_same_holder_goes_on():
     machine = _held_by_first()
     world = machine.world
--- a/packages/daemon/lacewingdrum_daemon/placement_keeper_test.py
+++ b/packages/daemon/lacewingdrum_daemon/placement_keeper_test.py
@@ -33,6 +33,8 @@
         self.seen = {r.runner_id: runner_api.DesiredAnswer(0, "") for r in RUNNERS}
         self.orders = []
         self.silent = set()
+        self.pause = None
+        self.check = None
 
     async def desired(self, runner, timeout_s):
         await asyncio.sleep(0.01)
@@ -40,9 +42,13 @@
             await asyncio.sleep(timeout_s)
             reason = runner_client.RunnerErrorReason.TIMEOUT
             return Err(runner_client.RunnerError(reason))
+        if self.pause is not None:
+            self.pause()
         return Ok(self.seen[runner.runner_id])
 
     async def order_desired(self, runner, call, timeout_s):
+        if self.check is not None:
+            assert self.check(), "sent after the lease had lapsed"
         await asyncio.sleep(0.01)
         seen = self.seen[runner.runner_id]
         self.orders.append((runner.runner_id, call))
@@ -171,6 +177,23 @@
     _paused_holder_goes_on(checks=False)
 
 
+def test_a_holder_paused_between_its_decision_and_the_send_does_not_send():
+    async def main(loop):
+        site = Site(loop, checks=False)
+        site.elect(0)
+        await asyncio.sleep(3.0)
+        count = len(site.engines.orders)
+        site.documents[0].model = "m@4"
+        site.engines.check = lambda: site.keepers[0].holds(SERVICE)
+        site.engines.pause = lambda: loop.freeze(leases.TERM_S)
+        site.table.is_down = True
+        await asyncio.sleep(1.0)
+        assert len(site.engines.orders) == count
+        await site.close()
+
+    virtual_time.run(main)
+
+
 def test_without_a_table_the_holder_stops_ordering():
     async def main(loop):
         site = Site(loop, checks=False)
