--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -18,7 +18,7 @@
 from lacewingdrum_protocol import members_api
 from lacewingdrum_state import fleet, ids, states
 from lacewingdrum_transport import http_client, http_messages
-from standins import ports, processes
+from standins import ports, processes, settings_text
 
 OPERATOR_CREDENTIAL = "demo-operator"
 READY_TIMEOUT_S = 30.0
@@ -134,7 +134,7 @@
         self._incarnations[plan.vm_id] = incarnation
         addresses = [fleet.Address(ports.HOST, self._ports.next()) for _ in range(3)]
         path = self.folder / f"{plan.vm_id}-{incarnation}.toml"
-        path.write_text(self._settings(plan, incarnation, addresses))
+        path.write_text(self._settings(plan, addresses))
         arguments = ["-m", "lacewingdrum_daemon.main", "--settings", str(path)]
         child = await processes.start(plan.vm_id, arguments, self.folder, False)
         self._children.append(child)
@@ -278,9 +278,7 @@
         )
         return members_api.MembersAnswer(vms, runners)
 
-    def _settings(
-        self, plan: DaemonPlan, incarnation: int, addresses: list[fleet.Address]
-    ) -> str:
+    def _settings(self, plan: DaemonPlan, addresses: list[fleet.Address]) -> str:
         digest = hashlib.sha256(OPERATOR_CREDENTIAL.encode()).hexdigest()
         platform = {name: str(self.platform[name].address) for name in self.platform}
         sections: dict[str, dict[str, str | int]] = {
@@ -296,8 +294,4 @@
             "operators": {"credential_sha256": digest},
             "limits": dict(plan.limits),
         }
-        lines = []
-        for section, values in sections.items():
-            lines.append(f"[{section}]")
-            lines += [f"{key} = {json.dumps(value)}" for key, value in values.items()]
-        return "\n".join(lines) + "\n"
+        return settings_text.toml_text(sections)
