--- a/packages/coordination/lacewingdrum_coordination/estimates.py
+++ b/packages/coordination/lacewingdrum_coordination/estimates.py
@@ -22,23 +22,41 @@
 class Work:
     """What a request asks of a runner.
 
-    ``urgent_utilisation`` is the share of a runner's time that work of
-    earlier priorities takes, and ``utilisation`` that of all work.
+    ``rate_share`` is the share of a runner's time left beside work of
+    earlier priorities, and ``drain_share`` the share that drains a backlog
+    while work keeps arriving.
     """
 
     priority: int
     prompt_tokens: int
     answer_tokens: int
-    urgent_utilisation: float = 0.0
-    utilisation: float = 0.0
+    rate_share: float = 1.0
+    drain_share: float = 1.0
 
-    def left_beside_urgent(self) -> float:
-        """Returns: the share of a runner's time left for this priority."""
-        return 1 - min(MAX_UTILISATION, URGENT_RATIO * self.urgent_utilisation)
 
-    def left_beside_all(self) -> float:
-        """Returns: the share of a runner's time that drains its backlog."""
-        return 1 - min(MAX_UTILISATION, self.utilisation)
+def work_of(
+    priority: int,
+    prompt_tokens: int,
+    answer_tokens: int,
+    urgent_utilisation: float,
+    utilisation: float,
+) -> Work:
+    """Sum up a request.
+
+    Args:
+        priority: the priority it would queue at.
+        prompt_tokens: the prompt's length.
+        answer_tokens: the answer's largest length.
+        urgent_utilisation: share of the runners' time that work of earlier
+            priorities takes.
+        utilisation: share of their time that all work takes.
+
+    Returns:
+        The request's work.
+    """
+    urgent = min(MAX_UTILISATION, URGENT_RATIO * urgent_utilisation)
+    drain_share = 1 - min(MAX_UTILISATION, utilisation)
+    return Work(priority, prompt_tokens, answer_tokens, 1 - urgent, drain_share)
 
 
 def times_s(
@@ -74,11 +92,11 @@
         ahead, behind = short + mid + long, 0.0
     own = work.prompt_tokens - cached_tokens
     rate = known.prefill_tokens_per_s
-    first_s = (ahead + own) / (rate * work.left_beside_urgent())
+    first_s = (ahead + own) / (rate * work.rate_share)
     if behind and not ahead:
         first_s += known.chunk_s / 2
     first_s += 2 * known.link_delay_s
-    backlog_s = behind / (rate * work.left_beside_all())
+    backlog_s = behind / (rate * work.drain_share)
     busy_token_s = known.token_s + known.chunk_s
     beside_s = work.answer_tokens * busy_token_s
     if beside_s <= backlog_s:
--- a/packages/coordination/lacewingdrum_coordination/pools.py
+++ b/packages/coordination/lacewingdrum_coordination/pools.py
@@ -9,11 +9,17 @@
 import random
 from collections.abc import Iterable
 
-from lacewingdrum_coordination import demand, homes, priorities, runner_estimates
+from lacewingdrum_coordination import (
+    demand,
+    homes,
+    prefixes,
+    priorities,
+    runner_estimates,
+)
 from lacewingdrum_state import fleet, ids
 
 SCAN_ALL_COUNT = 32
-SAMPLE_COUNT = 20
+SAMPLE_COUNT = 16
 MAX_HOLDERS = 4
 
 
@@ -101,7 +107,7 @@
         priority: int,
         kept_free: int,
         excluded: frozenset[ids.RunnerId],
-        holders: Iterable[ids.RunnerId],
+        hits: prefixes.Hits,
     ) -> list[runner_estimates.RunnerEstimate]:
         """Choose the runners that a decision looks at.
 
@@ -110,12 +116,12 @@
             priority: the request's priority.
             kept_free: how many runners take no long prompt.
             excluded: runners that must not be looked at.
-            holders: runners that hold the prompt's start.
+            hits: which runners hold the prompt's start.
 
         Returns:
             Runners, none of them twice.
         """
-        seen = self._seen(rng, priority, kept_free, holders)
+        seen = self._seen(rng, priority, kept_free, hits)
         if excluded:
             seen = [known for known in seen if known.runner.runner_id not in excluded]
             if not seen:
@@ -131,22 +137,24 @@
         rng: random.Random,
         priority: int,
         kept_free: int,
-        holders: Iterable[ids.RunnerId],
+        hits: prefixes.Hits,
     ) -> list[runner_estimates.RunnerEstimate]:
         eligible = self._ranked
         if priority == priorities.LONG and kept_free:
             eligible = self._ranked[kept_free:]
         if len(eligible) <= SCAN_ALL_COUNT:
             return eligible
-        sample = rng.sample(eligible, SAMPLE_COUNT)
+        # Neighbours in the ranked order are strangers to each other, so a
+        # stretch of it from a random place is as good as a drawn sample.
+        start = int(rng.random() * len(eligible))
+        sample = eligible[start : start + SAMPLE_COUNT]
+        sample += eligible[: SAMPLE_COUNT - len(sample)]
         first_rank = kept_free if priority == priorities.LONG else 0
         extra = {}
-        for runner_id in holders:
+        for runner_id in hits.best(MAX_HOLDERS):
             known = self._by_id.get(runner_id)
             if known is not None and known.rank >= first_rank:
                 extra[runner_id] = known
-            if len(extra) == MAX_HOLDERS:
-                break
         for known in sample:
             extra[known.runner.runner_id] = known
         return list(extra.values())
--- a/packages/coordination/lacewingdrum_coordination/prefixes.py
+++ b/packages/coordination/lacewingdrum_coordination/prefixes.py
@@ -1,17 +1,19 @@
 """Which runners hold the start of a prompt in their prefix caches.
 
-Built from cache events that come late and with gaps: an event that was
-missed leaves an entry that is wrong for a while, so each entry is dropped
-when its runner has not been heard to hold it for long.
+Built from cache events that come late and with gaps. A missed event leaves an
+entry that is wrong for a while; it costs time on the engine and no more, and
+goes when its runner has stored enough since.
 """
 
 import dataclasses
-from collections.abc import Sequence
+import types
+from collections.abc import Mapping, Sequence
 
 from lacewingdrum_state import ids
 
 BLOCK_TOKENS = 256
 MAX_BLOCKS_A_RUNNER = 4_096
+_NO_BITS: Mapping[ids.RunnerId, int] = types.MappingProxyType({})
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -22,6 +24,58 @@
     is_stored: bool
 
 
+class Hits:
+    """Who holds how much of one prompt's start.
+
+    Kept as steps of bits, the deepest first: a start that all prompts share
+    is held by every runner, and a list of them would cost by the fleet.
+    """
+
+    __slots__ = ("_steps", "_bits", "_runner_of_bit")
+
+    def __init__(
+        self,
+        steps: Sequence[tuple[int, int]] = (),
+        bits: Mapping[ids.RunnerId, int] = _NO_BITS,
+        runner_of_bit: Sequence[ids.RunnerId | None] = (),
+    ):
+        """Keep what a lookup found.
+
+        Args:
+            steps: tokens and the runners that hold as many, as bits.
+            bits: each runner's bit.
+            runner_of_bit: the runner at each bit's position.
+        """
+        self._steps = steps
+        self._bits = bits
+        self._runner_of_bit = runner_of_bit
+
+    def tokens(self, runner_id: ids.RunnerId) -> int:
+        """Returns: tokens of the prompt that a runner is thought to hold."""
+        if not self._steps:
+            return 0
+        bit = self._bits.get(runner_id, 0)
+        for tokens, holders in self._steps:
+            if holders & bit:
+                return tokens
+        return 0
+
+    def best(self, limit: int) -> list[ids.RunnerId]:
+        """Returns: some runners that hold the most, at most ``limit``."""
+        found: list[ids.RunnerId] = []
+        for _, holders in self._steps:
+            while holders and len(found) < limit:
+                lowest = holders & -holders
+                runner_id = self._runner_of_bit[lowest.bit_length() - 1]
+                if runner_id is not None and runner_id not in found:
+                    found.append(runner_id)
+                holders ^= lowest
+        return found
+
+
+NO_HITS = Hits()
+
+
 class PrefixIndex:
     """Block fingerprints and the runners that hold them.
 
@@ -69,35 +123,29 @@
             self._clear(bit, block_hash)
         self._runner_of_bit[bit.bit_length() - 1] = None
 
-    def cached_tokens(self, block_hashes: Sequence[int]) -> dict[ids.RunnerId, int]:
+    def lookup(self, block_hashes: Sequence[int]) -> Hits:
         """Find who holds how much of a prompt's start.
 
         Args:
             block_hashes: chained fingerprints of the prompt's blocks.
 
         Returns:
-            Tokens by runner, of those that hold the first block at least.
+            What the runners are thought to hold.
         """
-        found: dict[ids.RunnerId, int] = {}
+        steps: list[tuple[int, int]] = []
         holding = -1
         for depth, block_hash in enumerate(block_hashes):
             still = holding & self._holders.get(block_hash, 0)
             if depth and still != holding:
-                self._note(found, holding & ~still, depth)
+                steps.append((depth * BLOCK_TOKENS, holding))
             holding = still
             if not holding:
-                return found
-        if block_hashes:
-            self._note(found, holding, len(block_hashes))
-        return found
-
-    def _note(self, found: dict[ids.RunnerId, int], bits: int, depth: int) -> None:
-        while bits:
-            lowest = bits & -bits
-            runner_id = self._runner_of_bit[lowest.bit_length() - 1]
-            if runner_id is not None:
-                found[runner_id] = depth * BLOCK_TOKENS
-            bits ^= lowest
+                break
+        if holding and block_hashes:
+            steps.append((len(block_hashes) * BLOCK_TOKENS, holding))
+        if not steps:
+            return NO_HITS
+        return Hits(steps[::-1], self._bits, self._runner_of_bit)
 
     def _bit(self, runner_id: ids.RunnerId) -> int:
         bit = self._bits.get(runner_id)
--- /dev/null
+++ b/packages/coordination/lacewingdrum_coordination/prefixes_test.py
@@ -0,0 +1,52 @@
+"""Tests of the prefix index."""
+
+import random
+
+from lacewingdrum_coordination import prefixes
+from lacewingdrum_state import ids
+
+A, B = ids.RunnerId("a"), ids.RunnerId("b")
+
+
+def stored(*blocks):
+    return [prefixes.BlockChange(block, True) for block in blocks]
+
+
+def test_the_longest_held_start_counts():
+    index = prefixes.PrefixIndex()
+    index.observe(A, stored(1, 2, 3))
+    index.observe(B, stored(1, 3))
+    hits = index.lookup((1, 2, 3, 4))
+    assert hits.tokens(A) == 3 * prefixes.BLOCK_TOKENS
+    assert hits.tokens(B) == prefixes.BLOCK_TOKENS
+    assert hits.best(2) == [A, B]
+    assert index.lookup((9,)).tokens(A) == 0
+
+
+def test_an_evicted_block_and_a_forgotten_runner_are_gone():
+    index = prefixes.PrefixIndex()
+    index.observe(A, stored(1, 2))
+    index.observe(B, stored(1, 2))
+    index.observe(A, [prefixes.BlockChange(2, False)])
+    assert index.lookup((1, 2)).tokens(A) == prefixes.BLOCK_TOKENS
+    index.forget(B)
+    assert index.lookup((1, 2)).tokens(B) == 0
+    index.forget(A)
+    assert len(index) == 0
+
+
+def test_missed_evictions_do_not_grow_the_index_without_bound():
+    index = prefixes.PrefixIndex()
+    rng = random.Random(1)
+    for _ in range(200):
+        index.observe(A, stored(*(rng.getrandbits(60) for _ in range(100))))
+    assert len(index) == prefixes.MAX_BLOCKS_A_RUNNER
+
+
+def test_a_new_runner_takes_the_place_of_a_forgotten_one():
+    index = prefixes.PrefixIndex()
+    index.observe(A, stored(1))
+    index.forget(A)
+    index.observe(B, stored(2))
+    assert index.lookup((1,)).tokens(B) == 0
+    assert index.lookup((2,)).best(4) == [B]
--- a/packages/coordination/lacewingdrum_coordination/routing.py
+++ b/packages/coordination/lacewingdrum_coordination/routing.py
@@ -120,7 +120,7 @@
         self._pools: dict[ids.ServiceName, pools.RunnerPool] = {}
         self._ejections: dict[ids.ServiceName, outliers.Ejections] = {}
         self._prefixes = prefixes.PrefixIndex()
-        self._chosen: dict[ids.RequestId, tuple[int, dict[ids.RunnerId, int]]] = {}
+        self._chosen: dict[ids.RequestId, tuple[int, prefixes.Hits]] = {}
         self._runner_of: dict[ids.AttemptId, ids.RunnerId] = {}
 
     def set_runners(self, runners: Iterable[fleet.Runner]) -> None:
@@ -183,11 +183,13 @@
     def sent(self, request: requests.Request, in_flight: requests.InFlight) -> None:
         """Count an attempt that was sent to a runner."""
         usual = priorities.of_prompt(request.prompt_tokens)
-        priority, cached = self._chosen.pop(request.request_id, (usual, {}))
+        priority, cached = self._chosen.pop(
+            request.request_id, (usual, prefixes.NO_HITS)
+        )
         known = self._known.get(in_flight.runner_id)
         if known is None:
             return
-        work = in_flight.prompt_tokens - cached.get(in_flight.runner_id, 0)
+        work = in_flight.prompt_tokens - cached.tokens(in_flight.runner_id)
         known.sent(in_flight, priority, max(1, work))
         self._runner_of[in_flight.attempt_id] = in_flight.runner_id
         pool = self._pools.get(request.service)
@@ -232,7 +234,7 @@
         pool = self._pools.get(request.service)
         if pool is None:
             return Decision(None, (), priority, Reason.NO_RUNNER, ())
-        cached = self._prefixes.cached_tokens(request.block_hashes)
+        cached = self._prefixes.lookup(request.block_hashes)
         out = excluded | self.ejections(request.service).ejected(now_s)
         kept_free = 0
         if priority == priorities.LONG:
@@ -251,7 +253,7 @@
         weights: documents.Weights,
         pool: pools.RunnerPool,
         candidates: list[_Known],
-        cached: dict[ids.RunnerId, int],
+        cached: prefixes.Hits,
         now_s: float,
     ) -> Decision:
         usable_s = self._usable_s(request, now_s)
@@ -264,7 +266,7 @@
         scores = self._scores(candidates, found, weights, work.priority, pool, now_s)
         position = self._pick(found, scores, usable_s)
         chosen = candidates[position]
-        hit_tokens = cached.get(chosen.runner.runner_id, 0)
+        hit_tokens = cached.tokens(chosen.runner.runner_id)
         reason = Reason.NEAR_BEST
         if len(candidates) == 1:
             reason = Reason.ONLY_CANDIDATE
@@ -357,7 +359,7 @@
         if is_late and _may_raise(request, pool, now_s):
             work = self._work(request, pool, now_s, priorities.MID)
             found = estimates.times_s(plan.lead, work, 0, now_s)
-        self._remember(request.request_id, work.priority, {})
+        self._remember(request.request_id, work.priority, prefixes.NO_HITS)
         return Decision(
             plan.lead.runner,
             tuple(self._known[part.runner_id].runner for part in plan.parts),
@@ -382,7 +384,7 @@
         if priority > priorities.SHORT:
             urgent = pool.utilisation(priority - 1, now_s)
         whole = pool.utilisation(priorities.LONG, now_s)
-        return estimates.Work(
+        return estimates.work_of(
             priority, request.prompt_tokens, request.max_tokens, urgent, whole
         )
 
@@ -397,7 +399,7 @@
         self,
         request_id: ids.RequestId,
         priority: int,
-        cached: dict[ids.RunnerId, int],
+        cached: prefixes.Hits,
     ) -> None:
         """Keep what a choice went by until the request is sent."""
         self._chosen[request_id] = (priority, cached)
@@ -413,11 +415,11 @@
 def _times(
     candidates: list[_Known],
     work: estimates.Work,
-    cached: dict[ids.RunnerId, int],
+    cached: prefixes.Hits,
     now_s: float,
 ) -> list[tuple[float, float]]:
     return [
-        estimates.times_s(known, work, cached.get(known.runner.runner_id, 0), now_s)
+        estimates.times_s(known, work, cached.tokens(known.runner.runner_id), now_s)
         for known in candidates
     ]
 
--- a/standins/replay.py
+++ b/standins/replay.py
@@ -13,6 +13,7 @@
 
 from standins import replay_fleet, replay_measures, replay_policies, traces
 
+MAX_SLOWDOWN_LOAD = 1.0
 LOADS = (0.6, 0.9, 1.0, 1.3, 2.0)
 PROCESSES = 6
 QUICK_REQUESTS = 1_000
@@ -49,8 +50,10 @@
     trace = traces.Trace(whole.header, whole.rows[: task.request_count])
     plan = replay_fleet.Plan(trace, task.load, task.policy, seed=task.seed)
     fates = replay_fleet.Replay(plan).run()
-    bare = dataclasses.replace(plan, without_long=True)
-    without_long = replay_fleet.Replay(bare).run()
+    without_long = []
+    if task.load <= MAX_SLOWDOWN_LOAD:
+        bare = dataclasses.replace(plan, without_long=True)
+        without_long = replay_fleet.Replay(bare).run()
     return task, replay_measures.measure(trace.header, fates, without_long)
 
 
@@ -169,7 +172,8 @@
     results = run_all(tasks, PROCESSES)
     print(f"seed {arguments.seed}; short/mid/long s: p95 time to first token")
     print("done s: p95 time to the last token of shorts")
-    print("first x, done x: p95 of shorts against the same trace without longs")
+    print("first x, done x: p95 of shorts against the same trace without longs,")
+    print("up to a load of 1.0")
     for header in traces.WORKLOADS:
         if header.workload not in (arguments.trace or names):
             continue
--- a/standins/replay_fleet.py
+++ b/standins/replay_fleet.py
@@ -117,6 +117,10 @@
             action(at_s)
         return self.fates
 
+    def held_memory(self) -> dict[ids.RunnerId, dict[str, int]]:
+        """Returns: what each engine still holds, by attempt."""
+        return {runner_id: engine.held for runner_id, engine in self._engines.items()}
+
     def _schedule_arrivals(self) -> None:
         for index, row in enumerate(self._plan.trace.rows):
             kind = self._header.kinds[row.kind]
@@ -320,6 +324,8 @@
     def _cache_changes(
         self, runner_id: ids.RunnerId, now_s: float
     ) -> tuple[prefixes.BlockChange, ...]:
+        if self._plan.policy is not replay_policies.PolicyName.OURS:
+            return ()
         since = self._cache_seqs.get(runner_id, 0)
         answer = self._engines[runner_id].cache_events(since, now_s)
         self._cache_seqs[runner_id] = answer.last_seq
