Find a silent connection by asking the runner over another one

Cause: with an engine's open connections silent, a prompt of 900,000 tokens held out its whole patience of 25 s, and shorts theirs of 4 s: the limits for the first part (four estimates, 5 s at least) were longer than what was left. Ruled out: TCP keepalive, which is on, since it sees only the network; lower limits, since a slow engine would be taken for a silent one. Change: when no part came for the estimated time, the runner's load is asked for over another connection; an attempt that it does not list has ended and is continued on a new connection. A load report lists waiting attempts too. An admitted request waits up to 4 s for memory before its next attempt. One attempt moved to attempt_runner.py.

--- a/packages/daemon/lacewingdrum_daemon/callers.py
+++ b/packages/daemon/lacewingdrum_daemon/callers.py
@@ -13,6 +13,7 @@
 from lacewingdrum_coordination import directory, limits
 from lacewingdrum_daemon import (
     answers,
+    attempt_runner,
     completions,
     decision_log,
     metrics,
@@ -143,7 +144,7 @@
         received: http_messages.HttpRequest,
         request_id: ids.RequestId,
         received_s: float,
-    ) -> completions.Call | Failure:
+    ) -> attempt_runner.Call | Failure:
         if received.method != "POST":
             return Failure(ErrorCode.MALFORMED, "method: allowed POST")
         closed = self._gate.not_admitting_reason()
@@ -173,7 +174,7 @@
         over = self._spend(request)
         if over is not None:
             return over
-        return completions.Call(request, body, caller.document.weights)
+        return attempt_runner.Call(request, body, caller.document.weights)
 
     async def _service_call(
         self, received: http_messages.HttpRequest, responder: http_server.Responder
--- a/packages/daemon/lacewingdrum_daemon/completions.py
+++ b/packages/daemon/lacewingdrum_daemon/completions.py
@@ -7,67 +7,24 @@
 
 import asyncio
 import dataclasses
-import logging
 import random
 from collections.abc import Callable
 
-from result import Err
-
 from lacewingdrum_coordination import admission, attempts, retries, routing, streams
 from lacewingdrum_daemon import (
     answers,
+    attempt_runner,
     decision_log,
     group_memory,
     in_flight,
-    members_keeper,
-    metrics,
 )
-from lacewingdrum_protocol import callers_api, runner_api
-from lacewingdrum_state import documents, fleet, ids, requests, states
+from lacewingdrum_protocol import callers_api
+from lacewingdrum_state import ids, requests, states
 from lacewingdrum_transport import runner_client
 
-FIRST_PART_FLOOR_S = 5.0
-FIRST_PART_FACTOR = 4.0
-NEXT_PART_S = 3.0
-CONNECT_S = 2.0
 MAX_ATTEMPTS = 6
-
-_log = logging.getLogger(__name__)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Call:
-    """A parsed request together with what the document says of it."""
-
-    request: requests.Request
-    body: callers_api.CompletionBody
-    weights: documents.Weights
-
-
-@dataclasses.dataclass(slots=True)
-class Progress:
-    """How far a call has come; owned by the one task that runs it."""
-
-    stream: streams.Stream
-    tried: list[attempts.Attempt] = dataclasses.field(default_factory=list)
-    excluded: set[ids.RunnerId] = dataclasses.field(default_factory=set)
-    first_part_s: float | None = None
-
-    def move(self, state: states.AttemptState) -> None:
-        """Change the latest attempt's state; the first outcome stands."""
-        latest = self.tried[-1]
-        self.tried[-1] = attempts.move(latest, state).unwrap_or(latest)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Broken:
-    """An attempt that did not bring the whole answer.
-
-    ``may_retry`` is false where no other runner can do better.
-    """
-
-    reason: runner_client.RunnerErrorReason
-    may_retry: bool = True
+FULL_WAIT_S = 4.0
+FULL_PAUSE_S = (0.2, 0.4)
 
 
 class Completions:
@@ -76,31 +33,27 @@
     def __init__(
         self,
         router: routing.Router,
-        runners: runner_client.RunnerClient,
+        runner: attempt_runner.AttemptRunner,
         table: in_flight.InFlightTable,
-        members: members_keeper.MembersKeeper,
         groups: group_memory.GroupMemory,
         budget: retries.Budget,
         decisions: decision_log.DecisionLog,
-        figures: metrics.Metrics,
         pressure: Callable[[], admission.Pressure],
         clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
         self._router = router
-        self._runners = runners
+        self._runner = runner
         self._in_flight = table
-        self._members = members
         self._groups = groups
         self._budget = budget
         self._decisions = decisions
-        self._figures = figures
         self._pressure = pressure
         self._clock = clock
         self._rng = rng
 
     async def run(
-        self, call: Call, answer: answers.Answer
+        self, call: attempt_runner.Call, answer: answers.Answer
     ) -> callers_api.Failure | None:
         """Answer a call by its deadline, whole or with a failure.
 
@@ -111,7 +64,7 @@
         Returns:
             The failure that the caller was given; ``None`` for an answer.
         """
-        progress = Progress(streams.begin(ids.AttemptId("")))
+        progress = attempt_runner.Progress(streams.begin(ids.AttemptId("")))
         self._budget.note_request()
         try:
             async with asyncio.timeout_at(call.request.deadline_s):
@@ -132,7 +85,7 @@
             await answer.fail(failure)
         return failure
 
-    def _expired(self, progress: Progress) -> callers_api.Failure:
+    def _expired(self, progress: attempt_runner.Progress) -> callers_api.Failure:
         return callers_api.Failure(
             callers_api.ErrorCode.PATIENCE_OVER,
             "the patience is over",
@@ -141,10 +94,13 @@
         )
 
     async def _attempt_until_done(
-        self, call: Call, answer: answers.Answer, progress: Progress
+        self,
+        call: attempt_runner.Call,
+        answer: answers.Answer,
+        progress: attempt_runner.Progress,
     ) -> callers_api.Failure | None:
         while len(progress.tried) < MAX_ATTEMPTS:
-            decision = self._choose(call, progress)
+            decision = await self._choose_again_if_full(call, progress)
             verdict = self._admit(call, decision, progress)
             if verdict is not None:
                 return verdict
@@ -152,9 +108,11 @@
             broken = await self._attempt(call, decision, answer, progress)
             if broken is None:
                 return None
-            if not broken.may_retry or not self._budget.take(self._clock()):
+            if not self._budget.take(self._clock()):
                 break
-            progress.excluded.add(decision.runner.runner_id)
+            if broken.reason is not runner_client.RunnerErrorReason.SILENT:
+                # A runner whose connection went silent works on new ones.
+                progress.excluded.add(decision.runner.runner_id)
         ran = attempts.ran(progress.tried)
         return callers_api.Failure(
             callers_api.ErrorCode.RUNNER_LOST,
@@ -163,7 +121,27 @@
             retry_after_ms=int(1000 * self._rng.uniform(0.5, 2.0)),
         )
 
-    def _choose(self, call: Call, progress: Progress) -> routing.Decision:
+    async def _choose_again_if_full(
+        self, call: attempt_runner.Call, progress: attempt_runner.Progress
+    ) -> routing.Decision:
+        """Choose; an admitted request waits a little for memory.
+
+        The memory of its own broken attempt is among what is given back.
+        """
+        until_s = self._clock() + FULL_WAIT_S
+        decision = self._choose(call, progress)
+        while (
+            progress.tried
+            and decision.reason is routing.Reason.NO_MEMORY
+            and self._clock() < until_s
+        ):
+            await asyncio.sleep(self._rng.uniform(*FULL_PAUSE_S))
+            decision = self._choose(call, progress)
+        return decision
+
+    def _choose(
+        self, call: attempt_runner.Call, progress: attempt_runner.Progress
+    ) -> routing.Decision:
         decision = self._router.choose(
             call.request, call.weights, self._clock(), frozenset(progress.excluded)
         )
@@ -178,7 +156,10 @@
         return decision
 
     def _admit(
-        self, call: Call, decision: routing.Decision, progress: Progress
+        self,
+        call: attempt_runner.Call,
+        decision: routing.Decision,
+        progress: attempt_runner.Progress,
     ) -> callers_api.Failure | None:
         if progress.tried and decision.runner is not None:
             # A request that was admitted is kept: refusing it now would
@@ -209,11 +190,11 @@
 
     async def _attempt(
         self,
-        call: Call,
+        call: attempt_runner.Call,
         decision: routing.Decision,
         answer: answers.Answer,
-        progress: Progress,
-    ) -> Broken | None:
+        progress: attempt_runner.Progress,
+    ) -> attempt_runner.Broken | None:
         assert decision.runner is not None
         runner = decision.runner
         request = call.request
@@ -233,143 +214,17 @@
         try:
             async with self._groups.held(decision.group, runner, request, attempt_id):
                 progress.move(states.AttemptState.SENT)
-                broken = await self._stream(call, decision, answer, progress)
+                broken = await self._runner.run(call, decision, answer, progress)
             ended = broken is None or broken.reason in _ENDED_BY_RUNNER
             return broken
         except group_memory.NoMemory:
-            return Broken(runner_client.RunnerErrorReason.REFUSED)
+            return attempt_runner.Broken(runner_client.RunnerErrorReason.REFUSED)
         finally:
             if ended:
                 self._in_flight.end(runner, attempt_id)
             else:
                 self._in_flight.abandon(runner, attempt_id)
 
-    async def _stream(
-        self,
-        call: Call,
-        decision: routing.Decision,
-        answer: answers.Answer,
-        progress: Progress,
-    ) -> Broken | None:
-        assert decision.runner is not None
-        opened = await self._runners.complete(
-            decision.runner,
-            self._call_message(call, decision, answer, progress),
-            self._first_part_limit_s(decision),
-        )
-        if isinstance(opened, Err):
-            return self._failed(opened.err_value, decision.runner, progress)
-        stream = opened.ok_value
-        limit_s = self._first_part_limit_s(decision)
-        try:
-            while True:
-                received = await stream.next(limit_s)
-                if self._clock() >= call.request.deadline_s:
-                    # After a pause of this process, parts and the expiry
-                    # are due together; the expiry comes first.
-                    raise TimeoutError
-                if isinstance(received, Err):
-                    return self._failed(received.err_value, decision.runner, progress)
-                if received.ok_value is None:
-                    return self._ended(progress)
-                await self._take(call, received.ok_value, answer, progress)
-                limit_s = NEXT_PART_S
-        finally:
-            await stream.close()
-
-    async def _take(
-        self,
-        call: Call,
-        received: runner_api.CompletionPart,
-        answer: answers.Answer,
-        progress: Progress,
-    ) -> None:
-        part = streams.Part(
-            ids.AttemptId(received.attempt_id),
-            received.offset,
-            received.token_count,
-            received.text,
-            received.finish_reason,
-        )
-        progress.stream, passed, dropped = streams.take(progress.stream, part)
-        for found in dropped:
-            _log.warning(
-                "part dropped",
-                extra={
-                    "request_id": call.request.request_id,
-                    "reason": found.reason.value,
-                },
-            )
-        if passed and progress.first_part_s is None:
-            progress.first_part_s = self._clock()
-            self._figures.time(
-                metrics.Timing.FIRST_TOKEN,
-                call.request.service,
-                requests.length_class(call.request.prompt_tokens),
-                progress.first_part_s - call.request.received_s,
-            )
-        for ready in passed:
-            await answer.pass_on(ready)
-
-    def _ended(self, progress: Progress) -> Broken | None:
-        if progress.stream.is_whole:
-            progress.move(states.AttemptState.ANSWERED)
-            return None
-        progress.move(states.AttemptState.UNKNOWN)
-        return Broken(runner_client.RunnerErrorReason.MALFORMED)
-
-    def _failed(
-        self,
-        error: runner_client.RunnerError,
-        runner: fleet.Runner,
-        progress: Progress,
-    ) -> Broken:
-        match error.reason:
-            case runner_client.RunnerErrorReason.REFUSED:
-                progress.move(states.AttemptState.REFUSED_BY_RUNNER)
-                if error.refusal is runner_api.RefusalReason.LEAVING:
-                    self._members.mark_runner_leaving(
-                        runner.runner_id, runner.incarnation
-                    )
-            case runner_client.RunnerErrorReason.UNSENT:
-                # No byte left, so the runner cannot have started it; the
-                # attempt was moved to sent before the call and a refusal
-                # is the outcome that says the same.
-                progress.move(states.AttemptState.REFUSED_BY_RUNNER)
-            case _:
-                progress.move(states.AttemptState.UNKNOWN)
-        return Broken(error.reason)
-
-    def _call_message(
-        self,
-        call: Call,
-        decision: routing.Decision,
-        answer: answers.Answer,
-        progress: Progress,
-    ) -> runner_api.CompletionCall:
-        request = call.request
-        left_s = request.deadline_s - self._clock()
-        return runner_api.CompletionCall(
-            attempt_id=progress.tried[-1].attempt_id,
-            prompt=call.body.prompt + answer.text,
-            prompt_tokens=request.prompt_tokens,
-            max_tokens=request.max_tokens,
-            priority=runner_api.Priority(decision.priority),
-            patience_ms=max(1, int(1000 * left_s)),
-            resume_offset=progress.stream.next_offset,
-            resume_text=answer.text,
-            group=tuple(str(runner.runner_id) for runner in decision.group),
-            block_hashes=request.block_hashes,
-        )
-
-    def _first_part_limit_s(self, decision: routing.Decision) -> float:
-        assert decision.runner is not None
-        for estimate in decision.estimates:
-            if estimate.runner_id == decision.runner.runner_id:
-                expected_s = FIRST_PART_FACTOR * estimate.first_token_s
-                return max(FIRST_PART_FLOOR_S, expected_s)
-        return FIRST_PART_FLOOR_S
-
 
 _ENDED_BY_RUNNER = {
     runner_client.RunnerErrorReason.UNSENT,
--- a/packages/daemon/lacewingdrum_daemon/completions_test.py
+++ b/packages/daemon/lacewingdrum_daemon/completions_test.py
@@ -8,7 +8,13 @@
 from result import Err, Ok
 
 from lacewingdrum_coordination import admission, retries, routing
-from lacewingdrum_daemon import completions, group_memory, in_flight, metrics
+from lacewingdrum_daemon import (
+    attempt_runner,
+    completions,
+    group_memory,
+    in_flight,
+    metrics,
+)
 from lacewingdrum_protocol import callers_api, runner_api
 from lacewingdrum_state import documents, fleet, ids, requests, states
 from lacewingdrum_transport import runner_client
@@ -84,6 +90,7 @@
         self.loop, self.scripts = loop, list(scripts)
         self.lost_cancels = lost_cancels
         self.started, self.held, self.calls = [], set(), []
+        self.over = set()
 
     async def complete(self, target, call, timeout_s):
         script = self.scripts.pop(0)
@@ -94,6 +101,8 @@
             )
         self.started.append(call.attempt_id)
         self.held.add((target.runner_id, call.attempt_id))
+        if script.then == "over_unheard":
+            self.over.add(call.attempt_id)
         return Ok(FakeStream(script, call, self.loop))
 
     async def cancel(self, target, attempt_id, timeout_s):
@@ -105,6 +114,19 @@
         state = runner_api.CancelState.CANCELLED
         return Ok(runner_api.CancelAnswer(attempt_id, state))
 
+    async def load(self, target, timeout_s):
+        held = tuple(
+            fleet.HeldMemory(attempt_id, 1)
+            for runner_id, attempt_id in self.held
+            if runner_id == target.runner_id and attempt_id not in self.over
+        )
+        now_s = self.loop.time()
+        return Ok(
+            fleet.RunnerLoad(
+                target.runner_id, now_s, 0, 0, 0, 0, 0, 400_000, 1e4, 50.0, held
+            )
+        )
+
     async def import_kv(self, target, call, timeout_s):
         self.held.add((target.runner_id, call.attempt_id))
         script = self.scripts.pop(0)
@@ -149,13 +171,13 @@
         self.groups = group_memory.GroupMemory(self.runners, self.table, loop.time, rng)
         self.completions = completions.Completions(
             router,
-            self.runners,
+            attempt_runner.AttemptRunner(
+                self.runners, members, metrics.Metrics(), loop.time
+            ),
             self.table,
-            members,
             self.groups,
             retries.Budget(),
             log,
-            metrics.Metrics(),
             admission.Pressure,
             loop.time,
             rng,
@@ -175,7 +197,7 @@
         )
         self.deadline_s = request.deadline_s
         body = callers_api.CompletionBody("m", "p", len(TEXT), True)
-        call = completions.Call(request, body, documents.Weights())
+        call = attempt_runner.Call(request, body, documents.Weights())
         return await self.completions.run(call, self.answer)
 
     async def settle(self):
@@ -227,6 +249,16 @@
     on_bench(main, Script(parts=3, then="cut"), Script())
 
 
+def test_a_silent_connection_is_found_out_by_asking_the_runner():
+    async def main(bench):
+        began_s = bench.loop.time()
+        assert await bench.run() is None
+        assert bench.answer.text == "".join(TEXT)
+        assert bench.answer.finished_s - began_s < 3.0
+
+    on_bench(main, Script(parts=2, then="over_unheard"), Script())
+
+
 def test_an_end_without_the_last_part_is_not_whole():
     async def main(bench):
         assert await bench.run() is None
--- a/packages/daemon/lacewingdrum_daemon/daemon.py
+++ b/packages/daemon/lacewingdrum_daemon/daemon.py
@@ -11,6 +11,7 @@
 
 from lacewingdrum_coordination import admission, limits, retries, routing
 from lacewingdrum_daemon import (
+    attempt_runner,
     budget_keeper,
     callers,
     completions,
@@ -195,15 +196,16 @@
         groups = group_memory.GroupMemory(
             self._runners, self._in_flight, self._clock, self._rng
         )
+        runner = attempt_runner.AttemptRunner(
+            self._runners, self._members, self._figures, self._clock
+        )
         return completions.Completions(
             self._router,
-            self._runners,
+            runner,
             self._in_flight,
-            self._members,
             groups,
             retries.Budget(),
             self._decisions,
-            self._figures,
             self._pressure,
             self._clock,
             self._rng,
--- /dev/null
+++ b/packages/daemon/lacewingdrum_daemon/silence_watch.py
@@ -0,0 +1,87 @@
+"""Finds out that a connection to a runner went silent.
+
+A connection can go silent for good while new ones work. So when no part of
+an answer came for a while, the runner is asked over another connection. If
+it does not hold the attempt any more, nothing can come on the old one.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from result import Err
+
+from lacewingdrum_state import fleet, ids
+from lacewingdrum_transport import runner_client
+
+PROBE_FLOOR_S = 1.0
+PROBE_TIMEOUT_S = 1.0
+ARRIVAL_S = 0.5
+
+
+class SilenceWatch:
+    """Watches the stream of one attempt.
+
+    Args:
+        runners: asks the runner.
+        runner: where the attempt is.
+        attempt_id: the attempt.
+        guard: is made to expire when the attempt has ended unheard.
+        first_part_s: how long the first part may take without a question.
+        clock: monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        runners: runner_client.RunnerClient,
+        runner: fleet.Runner,
+        attempt_id: ids.AttemptId,
+        guard: asyncio.Timeout,
+        first_part_s: float,
+        clock: Callable[[], float],
+    ) -> None:
+        self._runners = runners
+        self._runner = runner
+        self._attempt_id = attempt_id
+        self._guard = guard
+        self._patience_s = max(PROBE_FLOOR_S, first_part_s)
+        self._clock = clock
+        self._heard_s = clock()
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to watch."""
+        self._task = asyncio.get_running_loop().create_task(self._watch())
+
+    async def close(self) -> None:
+        """Stop watching."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def heard(self) -> None:
+        """Note that a part has come."""
+        self._heard_s = self._clock()
+        self._patience_s = PROBE_FLOOR_S
+
+    async def _watch(self) -> None:
+        while True:
+            silent_s = self._clock() - self._heard_s
+            if silent_s < self._patience_s:
+                await asyncio.sleep(self._patience_s - silent_s)
+                continue
+            heard_s = self._heard_s
+            if await self._is_over() and self._heard_s == heard_s:
+                self._guard.reschedule(asyncio.get_running_loop().time())
+                return
+            await asyncio.sleep(PROBE_FLOOR_S)
+
+    async def _is_over(self) -> bool:
+        found = await self._runners.load(self._runner, PROBE_TIMEOUT_S)
+        if isinstance(found, Err):
+            return False
+        load = found.ok_value
+        # A report from about the time of the sending can be older than the
+        # attempt's arrival and says nothing of its end.
+        if load.as_of_s <= self._heard_s + ARRIVAL_S:
+            return False
+        return all(memory.attempt_id != self._attempt_id for memory in load.held)
--- a/packages/protocol/lacewingdrum_protocol/runner_api.py
+++ b/packages/protocol/lacewingdrum_protocol/runner_api.py
@@ -121,14 +121,18 @@
 
 
 class HeldEntry(msgspec.Struct, frozen=True, array_like=True):
-    """Memory that an engine holds for one attempt."""
+    """Memory that an engine holds for one attempt; 0 while it waits."""
 
     attempt_id: str
     tokens: int
 
 
 class LoadAnswer(msgspec.Struct, frozen=True):
-    """A runner's load as it was ``age_ms`` ago."""
+    """A runner's load as it was ``age_ms`` ago.
+
+    ``held`` lists every attempt that the runner has, so that one that is
+    missing has ended there.
+    """
 
     runner_id: str
     age_ms: int
--- a/packages/transport/lacewingdrum_transport/runner_errors.py
+++ b/packages/transport/lacewingdrum_transport/runner_errors.py
@@ -17,13 +17,18 @@
 
 
 class RunnerErrorReason(enum.Enum):
-    """How far a call came; only the first two mean that it did not start."""
+    """How far a call came; only the first two mean that it did not start.
+
+    ``SILENT`` is a connection on which nothing comes any more, while the
+    runner answers on others.
+    """
 
     UNSENT = "unsent"
     REFUSED = "refused"
     LOST = "lost"
     MALFORMED = "malformed"
     TIMEOUT = "timeout"
+    SILENT = "silent"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/standins/runner_model.py
+++ b/standins/runner_model.py
@@ -293,6 +293,8 @@
     def _load(self) -> runner_api.LoadAnswer:
         """Returns: the load at this moment."""
         entries = (*self._waiting.values(), *self._batch.values())
+        # What still waits is listed too, with no memory yet.
+        held = dict.fromkeys(self._waiting, 0) | self.held
         return load_report.load_of(
-            self.config, entries, len(self._batch), self._kv_used, self.held
+            self.config, entries, len(self._batch), self._kv_used, held
         )
