--- a/packages/coordination/lacewingdrum_coordination/prefixes.py
+++ b/packages/coordination/lacewingdrum_coordination/prefixes.py
@@ -93,6 +93,9 @@
     def __len__(self) -> int:
         return len(self._holders)
 
+    def __bool__(self) -> bool:
+        return True
+
     def observe(self, runner_id: ids.RunnerId, changes: Sequence[BlockChange]) -> None:
         """Take in cache events of a runner, in their order.
 
@@ -114,6 +117,9 @@
         while len(blocks) > MAX_BLOCKS_A_RUNNER:
             self._drop(runner_id, bit, next(iter(blocks)))
 
+    def sent(self, runner_id: ids.RunnerId, block_hashes: Sequence[int]) -> None:
+        """Hear of a prompt that this daemon sent; only events count here."""
+
     def forget(self, runner_id: ids.RunnerId) -> None:
         """Drop all that is known of a runner that ended or started anew."""
         bit = self._bits.pop(runner_id, None)
--- a/packages/coordination/lacewingdrum_coordination/routing.py
+++ b/packages/coordination/lacewingdrum_coordination/routing.py
@@ -105,6 +105,7 @@
         data_centre: ids.DataCentre,
         rng: random.Random,
         policy: Policy = Policy(),
+        prefix_index: prefixes.PrefixIndex | None = None,
     ):
         """Start without runners.
 
@@ -112,6 +113,7 @@
             data_centre: where this daemon is.
             rng: for the choice among near-best runners.
             policy: the constants.
+            prefix_index: an empty index in place of the usual one.
         """
         self._data_centre = data_centre
         self._rng = rng
@@ -119,7 +121,7 @@
         self._known: dict[ids.RunnerId, _Known] = {}
         self._pools: dict[ids.ServiceName, pools.RunnerPool] = {}
         self._ejections: dict[ids.ServiceName, outliers.Ejections] = {}
-        self._prefixes = prefixes.PrefixIndex()
+        self._prefixes = prefix_index or prefixes.PrefixIndex()
         self._chosen: dict[ids.RequestId, tuple[int, prefixes.Hits]] = {}
         self._runner_of: dict[ids.AttemptId, ids.RunnerId] = {}
 
@@ -192,6 +194,7 @@
         work = in_flight.prompt_tokens - cached.tokens(in_flight.runner_id)
         known.sent(in_flight, priority, max(1, work))
         self._runner_of[in_flight.attempt_id] = in_flight.runner_id
+        self._prefixes.sent(in_flight.runner_id, request.block_hashes)
         pool = self._pools.get(request.service)
         if pool is not None:
             pool.demand.note(usual, work, request.worth, in_flight.sent_s)
--- a/standins/replay_fleet.py
+++ b/standins/replay_fleet.py
@@ -36,6 +36,7 @@
     without_long: bool = False
     seed: int = 7
     constants: routing.Policy = routing.Policy()
+    make_index: Callable[[], prefixes.PrefixIndex] = prefixes.PrefixIndex
 
 
 @dataclasses.dataclass(slots=True)
@@ -86,14 +87,14 @@
             )
             for number in range(header.runner_count)
         )
-        self._engines = {
+        self.engines = {
             runner.runner_id: runner_model.RunnerModel(
                 runner_model.RunnerConfig(runner.runner_id), 0.0
             )
             for runner in self._runners
         }
-        self._wakes = dict.fromkeys(self._engines, 0)
-        self._in_flight = replay_policies.InFlightCounts(tuple(self._engines))
+        self._wakes = dict.fromkeys(self.engines, 0)
+        self._in_flight = replay_policies.InFlightCounts(tuple(self.engines))
         self._daemons = [
             self._dispatcher(number) for number in range(header.daemon_count)
         ]
@@ -119,7 +120,7 @@
 
     def held_memory(self) -> dict[ids.RunnerId, dict[str, int]]:
         """Returns: what each engine still holds, by attempt."""
-        return {runner_id: engine.held for runner_id, engine in self._engines.items()}
+        return {runner_id: engine.held for runner_id, engine in self.engines.items()}
 
     def _schedule_arrivals(self) -> None:
         for index, row in enumerate(self._plan.trace.rows):
@@ -216,10 +217,10 @@
         attempt_id = _attempt_id(index)
         held: list[ids.RunnerId] = []
         for runner_id, tokens in sorted(group):
-            engine = self._engines[runner_id]
+            engine = self.engines[runner_id]
             if not isinstance(engine.import_kv(attempt_id, tokens, now_s), Ok):
                 for holder in held:
-                    self._engines[holder].cancel(attempt_id, now_s)
+                    self.engines[holder].cancel(attempt_id, now_s)
                 return runner_id
             held.append(runner_id)
         return None
@@ -228,7 +229,7 @@
         self, attempt: _Attempt, job: runner_model.Job
     ) -> Callable[[float], None]:
         def deliver(now_s: float) -> None:
-            engine = self._engines[attempt.in_flight.runner_id]
+            engine = self.engines[attempt.in_flight.runner_id]
             if isinstance(engine.submit(job, now_s), Ok):
                 self._wake(attempt.in_flight.runner_id)
                 return
@@ -242,7 +243,7 @@
             if not attempt.open:
                 return
             runner_id = attempt.in_flight.runner_id
-            self._engines[runner_id].cancel(attempt.in_flight.attempt_id, now_s)
+            self.engines[runner_id].cancel(attempt.in_flight.attempt_id, now_s)
             self._wake(runner_id)
             self._end(attempt, now_s)
             self._close(attempt.fate, "")
@@ -253,14 +254,14 @@
         """Plan the next look at an engine; an earlier plan is void."""
         self._wakes[runner_id] += 1
         number = self._wakes[runner_id]
-        event_s = self._engines[runner_id].next_event_s()
+        event_s = self.engines[runner_id].next_event_s()
         if event_s is None:
             return
 
         def look(now_s: float) -> None:
             if self._wakes[runner_id] != number:
                 return
-            for progress in self._engines[runner_id].advance(now_s):
+            for progress in self.engines[runner_id].advance(now_s):
                 self._progress(runner_id, progress)
             self._wake(runner_id)
 
@@ -288,7 +289,7 @@
         self._in_flight.counts[in_flight.runner_id] -= 1
         del self._attempts[in_flight.attempt_id]
         for holder, _ in attempt.group:
-            self._engines[holder].cancel(in_flight.attempt_id, now_s)
+            self.engines[holder].cancel(in_flight.attempt_id, now_s)
             self._wake(holder)
         self._daemons[attempt.daemon].ended(in_flight, now_s)
 
@@ -302,7 +303,7 @@
         def poll(now_s: float) -> None:
             if not self._open_count:
                 return
-            answer = self._engines[runner_id].load(now_s)
+            answer = self.engines[runner_id].load(now_s)
             load = fleet.RunnerLoad(
                 runner_id,
                 now_s - answer.age_ms / 1000,
@@ -327,7 +328,7 @@
         if self._plan.policy is not replay_policies.PolicyName.OURS:
             return ()
         since = self._cache_seqs.get(runner_id, 0)
-        answer = self._engines[runner_id].cache_events(since, now_s)
+        answer = self.engines[runner_id].cache_events(since, now_s)
         self._cache_seqs[runner_id] = answer.last_seq
         return tuple(
             prefixes.BlockChange(
@@ -374,6 +375,7 @@
                         ids.CustomerId(f"c{number}"): share
                         for number, share in enumerate(self._header.shares)
                     },
+                    self._plan.make_index(),
                 )
 
     def _data_centre(self, number: int) -> ids.DataCentre:
--- /dev/null
+++ b/standins/replay_flood.py
@@ -0,0 +1,87 @@
+"""Measures what one customer's flood costs the others.
+
+Run as ``python -m standins.replay_flood``: each trace at its load, and again
+with one customer that sends as much as the whole fleet can do besides.
+"""
+
+import multiprocessing
+
+import msgspec
+
+from lacewingdrum_state import states
+from standins import replay_fleet, replay_measures, replay_policies, traces
+
+LOAD = 0.6
+FLOOD_LOAD = 1.0
+FLOODING_CUSTOMER = 9
+BOUND = 1.2
+
+
+def flooded(trace: traces.Trace) -> traces.Trace:
+    """Add the rows of another trace of the workload, sent by one customer.
+
+    Args:
+        trace: the trace at a load of 1.0.
+
+    Returns:
+        The trace with the flood's rows among its own.
+    """
+    header = msgspec.structs.replace(trace.header, seed=trace.header.seed + 100)
+    flood = traces.generate(header, int(len(trace.rows) * FLOOD_LOAD / LOAD))
+    span_ms = trace.rows[-1].at_ms
+    factor = span_ms / flood.rows[-1].at_ms
+    rows = [
+        msgspec.structs.replace(
+            row,
+            at_ms=round(row.at_ms * factor),
+            customer=FLOODING_CUSTOMER,
+            session=-row.session,
+        )
+        for row in flood.rows
+    ]
+    merged = sorted([*trace.rows, *rows], key=lambda row: row.at_ms)
+    return traces.Trace(trace.header, tuple(merged))
+
+
+def run(task: tuple[str, replay_policies.PolicyName, bool]) -> list[float]:
+    """Returns: the others' p95 by length, and the share of their worth."""
+    workload, policy, with_flood = task
+    trace = traces.load(traces.path_of(workload))
+    if with_flood:
+        trace = flooded(trace)
+    fates = replay_fleet.Replay(replay_fleet.Plan(trace, LOAD, policy)).run()
+    others = [fate for fate in fates if fate.row.customer != FLOODING_CUSTOMER]
+    found = replay_measures.measure(trace.header, others, ())
+    return [*found.first_token_p95_s, found.worth_share]
+
+
+def main() -> None:
+    """Print the others' figures without and with the flood."""
+    ours, fewest = replay_policies.PolicyName.OURS, replay_policies.PolicyName.FEWEST
+    tasks = [
+        (header.workload, policy, with_flood)
+        for header in traces.WORKLOADS
+        for policy in (fewest, ours)
+        for with_flood in (False, True)
+    ]
+    with multiprocessing.Pool(4) as pool:
+        results = dict(zip(tasks, pool.map(run, tasks, chunksize=1), strict=True))
+    names = [each.value for each in states.LengthClass]
+    print(f"load {LOAD} and a flood of {FLOOD_LOAD}; p95 to first token of the others")
+    for workload, policy, with_flood in tasks:
+        if with_flood:
+            continue
+        bare = results[(workload, policy, False)]
+        flood = results[(workload, policy, True)]
+        times = "  ".join(
+            f"{name} {before:.2f} -> {after:.2f} s ({after / before:.2f} x)"
+            for name, before, after in zip(names, bare, flood, strict=False)
+        )
+        print(
+            f"{workload:<11} {policy.value:<17} {times}  "
+            f"worth {bare[3]:.3f} -> {flood[3]:.3f}"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/replay_ours.py
+++ b/standins/replay_ours.py
@@ -19,10 +19,11 @@
         policy: routing.Policy,
         daemon_count: int,
         shares: dict[ids.CustomerId, float],
+        prefix_index: prefixes.PrefixIndex | None = None,
     ) -> None:
         self._rng = rng
         self._weights = weights
-        self._router = routing.Router(data_centre, rng, policy)
+        self._router = routing.Router(data_centre, rng, policy, prefix_index)
         self._router.set_runners(runners)
         self._overload = overload.OverloadControl()
         self._daemon_count = daemon_count
--- /dev/null
+++ b/standins/replay_prefixes.py
@@ -0,0 +1,229 @@
+"""Compares ways to know which runner holds a prompt's start.
+
+Run as ``python -m standins.replay_prefixes``. ``index`` is the product's:
+all blocks, from the engines' cache events. ``sketch`` follows Algorithm 1 of
+the paper on cluster deduplication: the k smallest fingerprints of a prompt
+stand for it, name its candidates by their remainder, and are compared with
+those of prompts sent before; it needs no events.
+"""
+
+import collections
+import dataclasses
+import multiprocessing
+import time
+from collections.abc import Callable, Sequence
+
+from lacewingdrum_coordination import prefixes
+from lacewingdrum_state import ids
+from standins import (
+    prefix_cache,
+    replay_fleet,
+    replay_measures,
+    replay_policies,
+    traces,
+)
+
+LOAD = 0.9
+PROCESSES = 6
+SKETCH_ENTRIES = 16_384
+FINGERPRINT_BYTES = 8
+EVENT_BYTES = 11
+
+
+class CountingCache(prefix_cache.PrefixCache):
+    """An engine's cache that sums what it saved."""
+
+    hit_tokens = 0
+
+    def cached_tokens(self, block_hashes: Sequence[int]) -> int:
+        """Count the tokens that need no prefill."""
+        tokens = super().cached_tokens(block_hashes)
+        self.hit_tokens += tokens
+        return tokens
+
+
+class TimedIndex(prefixes.PrefixIndex):
+    """An index that measures its own time, bytes and events."""
+
+    def __init__(self) -> None:
+        """Start with nothing known."""
+        super().__init__()
+        self.lookup_s = 0.0
+        self.lookups = 0
+        self.events = 0
+
+    def observe(
+        self, runner_id: ids.RunnerId, changes: Sequence[prefixes.BlockChange]
+    ) -> None:
+        """Take in cache events."""
+        self.events += len(changes)
+        super().observe(runner_id, changes)
+
+    def lookup(self, block_hashes: Sequence[int]) -> prefixes.Hits:
+        """Find who holds how much."""
+        began_s = time.perf_counter()
+        found = self.find(block_hashes)
+        self.lookup_s += time.perf_counter() - began_s
+        self.lookups += 1
+        return found
+
+    def find(self, block_hashes: Sequence[int]) -> prefixes.Hits:
+        """Returns: what a lookup gives."""
+        return super().lookup(block_hashes)
+
+    def entry_count(self) -> int:
+        """Returns: fingerprints kept."""
+        return len(self)
+
+
+class BlindIndex(TimedIndex):
+    """Knows nothing; the base of the comparison."""
+
+    def observe(
+        self, runner_id: ids.RunnerId, changes: Sequence[prefixes.BlockChange]
+    ) -> None:
+        """Leave the events aside."""
+
+
+class SendsIndex(TimedIndex):
+    """The index, which also takes own sends for stored at once."""
+
+    def sent(self, runner_id: ids.RunnerId, block_hashes: Sequence[int]) -> None:
+        """Take a sent prompt's blocks for stored."""
+        changes = [prefixes.BlockChange(block, True) for block in block_hashes]
+        prefixes.PrefixIndex.observe(self, runner_id, changes)
+
+
+class SketchIndex(TimedIndex):
+    """The k smallest fingerprints of the prompts that this daemon sent."""
+
+    k = 8
+
+    def __init__(self) -> None:
+        """Start with nothing sent."""
+        super().__init__()
+        self._seen: collections.OrderedDict[int, set[ids.RunnerId]] = (
+            collections.OrderedDict()
+        )
+        self._names: list[ids.RunnerId] = []
+
+    def observe(
+        self, runner_id: ids.RunnerId, changes: Sequence[prefixes.BlockChange]
+    ) -> None:
+        """Learn the runner's name only."""
+        if runner_id not in self._names:
+            self._names = sorted([*self._names, runner_id])
+
+    def sent(self, runner_id: ids.RunnerId, block_hashes: Sequence[int]) -> None:
+        """Remember a prompt's sketch."""
+        for fingerprint in sorted(block_hashes)[: self.k]:
+            self._seen.setdefault(fingerprint, set()).add(runner_id)
+            self._seen.move_to_end(fingerprint)
+        while len(self._seen) > SKETCH_ENTRIES:
+            self._seen.popitem(last=False)
+
+    def find(self, block_hashes: Sequence[int]) -> prefixes.Hits:
+        """Estimate what is held by the share of fingerprints in common."""
+        sketch = sorted(block_hashes)[: self.k]
+        counts: dict[ids.RunnerId, float] = {}
+        for fingerprint in sketch:
+            for runner_id in self._seen.get(fingerprint, ()):
+                counts[runner_id] = counts.get(runner_id, 0.0) + 1 / len(sketch)
+            if self._names:
+                candidate = self._names[fingerprint % len(self._names)]
+                counts.setdefault(candidate, 1 / (4 * self.k))
+        whole = len(block_hashes) * prefixes.BLOCK_TOKENS
+        bits = {runner_id: 1 << n for n, runner_id in enumerate(counts)}
+        steps = sorted(
+            ((int(whole * share), bits[key]) for key, share in counts.items()),
+            reverse=True,
+        )
+        return prefixes.Hits(steps, bits, list(counts))
+
+    def entry_count(self) -> int:
+        """Returns: fingerprints kept."""
+        return len(self._seen)
+
+
+class Sketch32(SketchIndex):
+    """The same with 32 fingerprints a prompt."""
+
+    k = 32
+
+
+VARIANTS: dict[str, type[TimedIndex]] = {
+    "none": BlindIndex,
+    "index": TimedIndex,
+    "index and sends": SendsIndex,
+    "sketch k=8": SketchIndex,
+    "sketch k=32": Sketch32,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Task:
+    """One line of the table."""
+
+    workload: str
+    variant: str
+
+
+def run(task: Task) -> str:
+    """Returns: the line of one variant on one workload."""
+    trace = traces.load(traces.path_of(task.workload))
+    made: list[TimedIndex] = []
+
+    def make() -> prefixes.PrefixIndex:
+        made.append(VARIANTS[task.variant]())
+        return made[-1]
+
+    maker: Callable[[], prefixes.PrefixIndex] = make
+    plan = replay_fleet.Plan(
+        trace, LOAD, replay_policies.PolicyName.OURS, make_index=maker
+    )
+    played = replay_fleet.Replay(plan)
+    caches = _count_hits(played)
+    fates = played.run()
+    measures = replay_measures.measure(trace.header, fates, ())
+    prompt_tokens = sum(fate.row.prompt_tokens for fate in fates if not fate.refusal)
+    hit_tokens = sum(cache.hit_tokens for cache in caches)
+    span_s = fates[-1].arrived_s
+    lookup_us = sum(index.lookup_s for index in made) * 1e6
+    lookup_us /= sum(index.lookups for index in made)
+    index_bytes = max(index.entry_count() for index in made) * 2 * FINGERPRINT_BYTES
+    event_bytes = max(index.events for index in made) * EVENT_BYTES / span_s
+    short_s, mid_s, _ = measures.first_token_p95_s
+    return (
+        f"{task.workload:<12} {task.variant:<16} {hit_tokens / 1e6:>8.2f}"
+        f" {hit_tokens / prompt_tokens:>7.3f} {index_bytes:>10} {event_bytes:>8.0f}"
+        f" {lookup_us:>8.1f} {short_s:>8.3f} {mid_s:>7.2f} {measures.worth_share:>7.3f}"
+    )
+
+
+def _count_hits(played: replay_fleet.Replay) -> list[CountingCache]:
+    caches = []
+    for engine in played.engines.values():
+        config = engine.config
+        cache = CountingCache(
+            config.cache_tokens, config.cache_event_lag_s, config.cache_gap_every
+        )
+        engine._cache = cache
+        caches.append(cache)
+    return caches
+
+
+def main() -> None:
+    """Print the table."""
+    names = [header.workload for header in traces.WORKLOADS]
+    tasks = [Task(name, variant) for name in names for variant in VARIANTS]
+    print(
+        f"{'trace':<12} {'variant':<16} {'hits, M':>8} {'share':>7} {'bytes':>10}"
+        f" {'B/s':>8} {'us':>8} {'short s':>8} {'mid s':>7} {'worth':>7}"
+    )
+    with multiprocessing.Pool(PROCESSES) as pool:
+        for line in pool.imap(run, tasks):
+            print(line)
+
+
+if __name__ == "__main__":
+    main()
