A paused placement holder's send is caught by its test

The former version asserted inside the call, where the failure was only logged: with the check before the send taken out it passed.

--- a/packages/daemon/lacewingdrum_daemon/placement_keeper_test.py
+++ b/packages/daemon/lacewingdrum_daemon/placement_keeper_test.py
@@ -34,7 +34,6 @@
         self.orders = []
         self.silent = set()
         self.pause = None
-        self.check = None
 
     async def desired(self, runner, timeout_s):
         await asyncio.sleep(0.01)
@@ -47,11 +46,9 @@
         return Ok(self.seen[runner.runner_id])
 
     async def order_desired(self, runner, call, timeout_s):
-        if self.check is not None:
-            assert self.check(), "sent after the lease had lapsed"
+        self.orders.append((runner.runner_id, call))
         await asyncio.sleep(0.01)
         seen = self.seen[runner.runner_id]
-        self.orders.append((runner.runner_id, call))
         if not self.checks or call.fencing_number >= seen.fencing_number:
             seen = runner_api.DesiredAnswer(call.fencing_number, call.model)
             self.seen[runner.runner_id] = seen
@@ -184,10 +181,16 @@
         await asyncio.sleep(3.0)
         count = len(site.engines.orders)
         site.documents[0].model = "m@4"
-        site.engines.check = lambda: site.keepers[0].holds(SERVICE)
-        site.engines.pause = lambda: loop.freeze(leases.TERM_S)
         site.table.is_down = True
-        await asyncio.sleep(1.0)
+        pauses = []
+
+        def pause():
+            pauses.append(loop.time())
+            loop.freeze(leases.TERM_S)
+
+        site.engines.pause = pause
+        await asyncio.sleep(3.0)
+        assert pauses and not site.keepers[0].holds(SERVICE)
         assert len(site.engines.orders) == count
         await site.close()
 
