--- a/packages/daemon/lacewingdrum_daemon/order_calls.py
+++ b/packages/daemon/lacewingdrum_daemon/order_calls.py
@@ -36,6 +36,7 @@
         self._tasks = tasks.TaskSet()
         self._calls: dict[order_rows.OrderId, set[_Call]] = {}
         self._call_count = 0
+        self._is_closed = False
 
     @property
     def open_count(self) -> int:
@@ -63,6 +64,8 @@
         Returns:
             The runner's answer, or why there is none and whether it ran.
         """
+        if self._is_closed:
+            return orders.NotSent(states.Ran.NO, orders.NotSentReason.STOPPING)
         if self._call_count >= MAX_CALLS:
             return orders.NotSent(states.Ran.NO, orders.NotSentReason.NO_TABLE)
         attempt = orders.Attempt(order_id, fingerprint, attempt_id, deadline_s)
@@ -72,11 +75,12 @@
         return await call.result()
 
     async def close(self, grace_s: float) -> None:
-        """Wait for what is still to be recorded, then end.
+        """Take no new order, and wait for what is still to be recorded.
 
         Args:
             grace_s: how long to wait before the rest is given up.
         """
+        self._is_closed = True
         await self._tasks.close(grace_s)
 
     def _open(self, call: "_Call") -> None:
--- a/packages/daemon/lacewingdrum_daemon/order_calls_test.py
+++ b/packages/daemon/lacewingdrum_daemon/order_calls_test.py
@@ -137,6 +137,23 @@
     virtual_time.run(main)
 
 
+def test_closing_waits_for_the_record_and_takes_nothing_new():
+    async def main(loop):
+        site = Site(loop)
+        caller = asyncio.create_task(site.run(0))
+        await asyncio.sleep(0.06)
+        closing = asyncio.create_task(site.calls[0].close(5.0))
+        await asyncio.sleep(0.0)
+        refused = await site.run(0)
+        assert refused.reason is orders.NotSentReason.STOPPING
+        assert refused.ran is states.Ran.NO
+        await closing
+        assert await caller == orders.Done(ANSWER, replayed=False)
+        assert site.row().state is states.OrderState.ANSWERED
+
+    virtual_time.run(main)
+
+
 def test_a_send_that_fails_in_code_counts_as_lost():
     async def broken():
         raise ValueError("bug")
