A daemon that was cut off catches up before it admits again

Cause: a daemon reached again after a silence took work at once, with the versions from before; may_admit looked only at the last contact.

Change: contact after STALE_S of silence counts like a start: the table has to answer, or all peers are heard for PEERS_WAIT_S and nothing they name is missing; meanwhile the table is asked each second.

The test of a daemon cut off now waits for the catching up, asserts that nothing is admitted before, and has a document, as an empty fleet names none.

--- a/packages/coordination/lacewingdrum_coordination/document_versions.py
+++ b/packages/coordination/lacewingdrum_coordination/document_versions.py
@@ -18,7 +18,9 @@
 QUIET_S = 2.0
 BACKSTOP_S = 30.0
 JITTER_S = 1.0
-STALE_S = 5.0
+# A heartbeat tells what its sender had when it was sent. One that is late
+# adds its delay to this bound, and both have to stay below 5 s.
+STALE_S = 4.0
 PEERS_WAIT_S = 2.5
 
 
@@ -70,15 +72,18 @@
 class Freshness:
     """When a daemon last heard of versions, on its monotonic clock.
 
-    ``table_s`` is when the last whole answer of the table was asked for.
-    ``peer_s`` is when a listed peer was last heard. ``sourced`` says that a
-    peer which is ready itself has named its versions.
+    ``since_s`` is when it started, or was reached again after it had heard
+    nothing for ``STALE_S``. ``table_s`` is when the last whole answer of the
+    table was asked for. ``peer_s`` is when a listed peer was last heard.
+    ``sourced`` says that a peer which is ready itself has named its versions
+    since ``since_s``, and ``caught_up`` that nothing newer can be known.
     """
 
-    started_s: float
+    since_s: float
     table_s: float | None = None
     peer_s: float | None = None
     sourced: bool = False
+    caught_up: bool = False
     was_ready: bool = False
     tried_s: float | None = None
     jitter_s: float = 0.0
@@ -86,7 +91,7 @@
 
 def heard_table(state: Freshness, asked_s: float) -> Freshness:
     """Args: asked_s: when the table was asked. Returns: the state after."""
-    return dataclasses.replace(state, table_s=asked_s, was_ready=True)
+    return dataclasses.replace(state, table_s=asked_s, caught_up=True, was_ready=True)
 
 
 def heard_peer(state: Freshness, now_s: float, names_versions: bool) -> Freshness:
@@ -101,6 +106,12 @@
     Returns:
         The state after.
     """
+    was_heard = _last_heard_s(state) > float("-inf")
+    if was_heard and is_stale(state, now_s):
+        # What was accepted meanwhile is not known, as after a start.
+        state = dataclasses.replace(
+            state, since_s=now_s, sourced=False, caught_up=False
+        )
     sourced = state.sourced or names_versions
     return dataclasses.replace(state, peer_s=now_s, sourced=sourced)
 
@@ -108,8 +119,8 @@
 def check_ready(state: Freshness, now_s: float, missing: bool) -> Freshness:
     """Find out whether peers alone have made this daemon ready.
 
-    Any one peer may lag behind, so a fresh daemon that has no answer of the
-    table first hears all of them for more than a heartbeat's interval.
+    Any one peer may lag behind, so a daemon that has no answer of the table
+    first hears all of them for more than a heartbeat's interval.
 
     Args:
         state: the state before.
@@ -119,14 +130,20 @@
     Returns:
         The state after; once ready, a daemon stays so.
     """
-    waited = now_s >= state.started_s + PEERS_WAIT_S
-    ready = state.sourced and waited and not missing
-    return dataclasses.replace(state, was_ready=state.was_ready or ready)
+    waited = now_s >= state.since_s + PEERS_WAIT_S
+    if state.caught_up or missing or not (state.sourced and waited):
+        return state
+    return dataclasses.replace(state, caught_up=True, was_ready=True)
+
+
+def is_stale(state: Freshness, now_s: float) -> bool:
+    """Returns: whether neither table nor listed peer was reached lately."""
+    return now_s - _last_heard_s(state) >= STALE_S
 
 
 def may_admit(state: Freshness, now_s: float) -> bool:
-    """Returns: whether the table or a listed peer was reached lately."""
-    return state.was_ready and now_s - _last_heard_s(state) < STALE_S
+    """Returns: whether the versions held are fresh enough to act on."""
+    return state.caught_up and not is_stale(state, now_s)
 
 
 def poll_due(state: Freshness, now_s: float, is_poller: bool) -> bool:
@@ -144,7 +161,7 @@
     if state.tried_s is None:
         return True
     since_try_s = now_s - state.tried_s
-    if is_poller or not state.was_ready:
+    if is_poller or not state.caught_up:
         return since_try_s >= POLL_S
     quiet_s = min(since_try_s, now_s - _last_heard_s(state))
     if quiet_s >= QUIET_S + state.jitter_s:
--- a/packages/daemon/lacewingdrum_daemon/document_keeper.py
+++ b/packages/daemon/lacewingdrum_daemon/document_keeper.py
@@ -113,16 +113,18 @@
 
     def ready(self) -> bool:
         """Returns: whether this daemon knows the versions in force."""
+        self._check_ready()
+        return self._freshness.was_ready
+
+    def _check_ready(self) -> None:
         self._freshness = document_versions.check_ready(
             self._freshness, self._clock(), self._misses_any()
         )
-        return self._freshness.was_ready
 
     def may_admit(self) -> bool:
-        """Returns: whether the table or a listed peer was reached lately."""
-        return self.ready() and document_versions.may_admit(
-            self._freshness, self._clock()
-        )
+        """Returns: whether the versions in force here are fresh enough."""
+        self._check_ready()
+        return document_versions.may_admit(self._freshness, self._clock())
 
     async def submit(
         self,
--- a/packages/daemon/lacewingdrum_daemon/document_keeper_test.py
+++ b/packages/daemon/lacewingdrum_daemon/document_keeper_test.py
@@ -151,6 +151,7 @@
 def test_a_daemon_cut_off_stops_admitting_and_resumes():
     async def main(loop):
         site, daemons = await started(8)
+        await submit(daemons[0], 0, "a")
         site.table.is_down = True
         await asyncio.sleep(2 * document_versions.STALE_S)
         assert all(daemon.keeper.may_admit() for daemon in daemons)
@@ -158,7 +159,10 @@
         await asyncio.sleep(document_versions.STALE_S + 0.1)
         assert [d.keeper.may_admit() for d in daemons] == [False, True, True, True]
         site.network.cut.clear()
+        # What was accepted meanwhile has to be heard first, from all peers.
         await asyncio.sleep(1.0)
+        assert not daemons[0].keeper.may_admit()
+        await asyncio.sleep(document_versions.PEERS_WAIT_S)
         assert daemons[0].keeper.may_admit()
         loop.freeze(30.0)
         assert not daemons[0].keeper.may_admit()
