The placement proof watches holders, senders and checked numbers

It now also counts two holders at once, orders sent without the lease, and older orders taken where numbers are checked.

--- a/packages/daemon/lacewingdrum_daemon/placement_keeper_test.py
+++ b/packages/daemon/lacewingdrum_daemon/placement_keeper_test.py
@@ -87,7 +87,6 @@
 
     def __init__(self, loop, checks):
         self.loop = loop
-        self.service = SERVICE
         self.table = faulty_table.FaultyTable(random.Random(7))
         self.links = [faulty_table.Link(self.table) for _ in VMS]
         self.engines = Engines(checks)
--- a/tests/guarantee_placement.py
+++ b/tests/guarantee_placement.py
@@ -2,8 +2,10 @@
 
 Two daemons order the runners of one service, each another model. Now and then
 either is paused, cut off from the table or told that it shall hold the lease,
-and orders reach their runner long after they were sent. Once that is over the
-runners must be, and stay, in the later holder's state.
+and orders reach their runner long after they were sent. At no time may two
+hold the lease or one order that does not, and runners that check numbers may
+never take an older holder's order. Once that is over the runners must be, and
+stay, in the later holder's state.
 """
 
 import asyncio
@@ -16,66 +18,115 @@
 TRIAL_COUNT = 200
 TROUBLES = 12
 SETTLE_S = leases.TERM_S + 10.0
+WATCH_S = 0.1
+STOP_CHANCE = 0.002
 TEST_FILE = "packages/daemon/lacewingdrum_daemon/placement_keeper_test.py"
 FAULTS = faulty_table.Faults(
     refused=0.1, dropped=0.1, reply_lost=0.15, late=0.15, read_lost=0.1
 )
 
 
-async def _disturb(site, rng: random.Random) -> None:  # type: ignore[no-untyped-def]
-    """Cause one trouble, and wait a while."""
-    number = rng.randrange(len(site.keepers))
-    kind = rng.choice(["elect", "elect", "pause", "cut", "late order"])
-    wait_s = rng.uniform(0.0, 1.5 * leases.TERM_S)
-    if kind == "elect":
-        site.elect(number, seen_by=rng.choice([(0,), (1,), (0, 1)]))
-    elif kind == "pause":
-        site.links[number].thawed.clear()
-    elif kind == "cut":
-        site.links[number].is_cut = True
-    elif site.engines.orders:
-        runner_id, call = rng.choice(site.engines.orders)
-        runner = next(r for r in site.runners if r.runner_id == runner_id)
-        await site.engines.order_desired(runner, call, 1.0)
-    await asyncio.sleep(wait_s)
-    site.links[number].is_cut = False
-    site.links[number].thawed.set()
+class Trial:
+    """One run; ``violations`` are in a few words."""
+
+    def __init__(
+        self, module: types.ModuleType, loop: virtual_time.VirtualLoop, seed: int
+    ) -> None:
+        self._rng = random.Random(seed)
+        self._loop = loop
+        self._site = module.Site(loop, checks=bool(seed % 2))
+        self._runners = {runner.runner_id: runner for runner in module.RUNNERS}
+        self._service = module.SERVICE
+        self._engines = self._site.engines
+        self._take_order = self._engines.order_desired
+        self._engines.order_desired = self._order
+        self._engines.pause = self._maybe_stop
+        self.violations: list[str] = []
+
+    async def run(self) -> None:
+        """Cause the troubles, end them, and look at the runners."""
+        watching = asyncio.ensure_future(self._watch())
+        self._site.table.faults = FAULTS
+        self._site.elect(0)
+        for _ in range(TROUBLES):
+            await self._disturb()
+        self._engines.pause = None
+        self._site.table.faults = faulty_table.Faults()
+        last = self._rng.randrange(len(self._site.keepers))
+        self._site.elect(last)
+        await asyncio.sleep(SETTLE_S + faulty_table.LATE_S)
+        self._check_end(last)
+        for _ in range(3):
+            await self._stale_order()
+        await asyncio.sleep(3.0)
+        self._check_end(last)
+        watching.cancel()
+        await self._site.close()
+
+    async def _disturb(self) -> None:
+        """Cause one trouble, and wait a while."""
+        number = self._rng.randrange(len(self._site.keepers))
+        link = self._site.links[number]
+        match self._rng.choice(["elect", "elect", "pause", "cut", "stale order"]):
+            case "elect":
+                believers = self._rng.choice([(0,), (1,), (0, 1)])
+                self._site.elect(number, seen_by=believers)
+            case "pause":
+                link.thawed.clear()
+            case "cut":
+                link.is_cut = True
+            case "stale order":
+                await self._stale_order()
+        await asyncio.sleep(self._rng.uniform(0.0, 1.5 * leases.TERM_S))
+        link.is_cut = False
+        link.thawed.set()
+
+    def _maybe_stop(self) -> None:
+        """Stop the whole process between a decision and its order."""
+        if self._rng.random() < STOP_CHANCE:
+            self._loop.freeze(leases.TERM_S)
+
+    async def _order(self, runner, call, timeout_s: float):  # type: ignore[no-untyped-def]
+        """Note who orders, on the way to the runners."""
+        sender = int(call.model.removeprefix("m@")) - 1
+        if not self._site.keepers[sender].holds(self._service):
+            self.violations.append(f"{sender} ordered without the lease")
+        return await self._take_order(runner, call, timeout_s)
+
+    async def _stale_order(self) -> None:
+        """Let an order of before reach its runner once more."""
+        if not self._engines.orders:
+            return
+        runner_id, call = self._rng.choice(self._engines.orders)
+        before = self._engines.seen[runner_id]
+        await self._take_order(self._runners[runner_id], call, 1.0)
+        is_older = call.model != before.model
+        taken = self._engines.seen[runner_id].model == call.model
+        if self._engines.checks and is_older and taken:
+            self.violations.append(f"an older order was taken after {before}")
+
+    async def _watch(self) -> None:
+        while True:
+            holders = [keeper.holds(self._service) for keeper in self._site.keepers]
+            if sum(holders) > 1:
+                self.violations.append("two holders at once")
+            await asyncio.sleep(WATCH_S)
+
+    def _check_end(self, last: int) -> None:
+        holding = [keeper.holds(self._service) for keeper in self._site.keepers]
+        if holding != [number == last for number in range(len(holding))]:
+            self.violations.append(f"held by {holding}, wanted by {last}")
+        if self._engines.models() != {f"m@{last + 1}"}:
+            self.violations.append(f"runners have {self._engines.models()}")
 
 
 async def _try(
     module: types.ModuleType, loop: virtual_time.VirtualLoop, seed: int
 ) -> list[str]:
-    rng = random.Random(seed)
-    checks = bool(seed % 2)
-    site = module.Site(loop, checks)
-    site.runners = module.RUNNERS
-    site.table.faults = FAULTS
-    site.elect(0)
-    for _ in range(TROUBLES):
-        await _disturb(site, rng)
-    site.table.faults = faulty_table.Faults()
-    last = rng.randrange(len(site.keepers))
-    site.elect(last)
-    await asyncio.sleep(SETTLE_S + faulty_table.LATE_S)
-    found = _violations(site, last, "after the faults")
-    stale = [call for call in site.engines.orders if call[1].model != f"m@{last + 1}"]
-    for runner_id, call in stale[-3:]:
-        runner = next(r for r in site.runners if r.runner_id == runner_id)
-        await site.engines.order_desired(runner, call, 1.0)
-    await asyncio.sleep(3.0)
-    found.extend(_violations(site, last, "after a stale order"))
-    await site.close()
-    return [f"seed {seed}, numbers checked {checks}: {line}" for line in found]
-
-
-def _violations(site, last: int, when: str) -> list[str]:  # type: ignore[no-untyped-def]
-    holding = [keeper.holds(site.service) for keeper in site.keepers]
-    found = []
-    if holding != [number == last for number in range(len(holding))]:
-        found.append(f"{when}: held by {holding}, wanted by {last}")
-    if site.engines.models() != {f"m@{last + 1}"}:
-        found.append(f"{when}: runners have {site.engines.models()}")
-    return found
+    trial = Trial(module, loop, seed)
+    await trial.run()
+    checks = "checked" if seed % 2 else "ignored"
+    return [f"seed {seed}, numbers {checks}: {line}" for line in trial.violations]
 
 
 def run_trials(seed: int, count: int = TRIAL_COUNT) -> proofs.Outcome:
