Overload control, ejections and reservations decide in the daemon

A group's shares were equal although the decision shares out by free memory. Ruled out: releasing a used reservation at once; the home's next report is up to two seconds old and would grant the memory twice. It lapses instead. Change: pressure.py, reservation_keeper.py, shares by the decision, failures and successes told to the ejections; not ready without a document; a request that surely did not run ends as overloaded, not runner_lost.

--- a/packages/coordination/lacewingdrum_coordination/routing.py
+++ b/packages/coordination/lacewingdrum_coordination/routing.py
@@ -208,6 +208,11 @@
         if known is not None:
             known.ended(attempt_id)
 
+    def free_tokens(self, runner_id: ids.RunnerId) -> int:
+        """Returns: a runner's free memory; 0 for one that is not known."""
+        known = self._known.get(runner_id)
+        return 0 if known is None else known.free_tokens()
+
     def supply(self, service: ids.ServiceName) -> Supply:
         """Returns: rate and backlog of a service's runners."""
         pool = self._pools.get(service)
--- a/packages/daemon/lacewingdrum_daemon/attempt_runner.py
+++ b/packages/daemon/lacewingdrum_daemon/attempt_runner.py
@@ -22,11 +22,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Call:
-    """A parsed request together with what the document says of it."""
+    """A parsed request together with what the document says of it.
+
+    ``share`` weighs its customer against the service's others.
+    """
 
     request: requests.Request
     body: callers_api.CompletionBody
     weights: documents.Weights
+    share: float = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -244,6 +248,7 @@
             resume_offset=progress.stream.next_offset,
             resume_text=answer.text,
             group=tuple(str(runner.runner_id) for runner in decision.group),
+            group_tokens=decision.group_tokens,
             block_hashes=request.block_hashes,
         )
 
--- a/packages/daemon/lacewingdrum_daemon/callers.py
+++ b/packages/daemon/lacewingdrum_daemon/callers.py
@@ -174,7 +174,9 @@
         over = self._spend(request)
         if over is not None:
             return over
-        return attempt_runner.Call(request, body, caller.document.weights)
+        return attempt_runner.Call(
+            request, body, caller.document.weights, caller.customer.share
+        )
 
     async def _service_call(
         self, received: http_messages.HttpRequest, responder: http_server.Responder
--- a/packages/daemon/lacewingdrum_daemon/completions.py
+++ b/packages/daemon/lacewingdrum_daemon/completions.py
@@ -17,6 +17,7 @@
     decision_log,
     group_memory,
     in_flight,
+    pressure,
 )
 from lacewingdrum_protocol import callers_api
 from lacewingdrum_state import ids, requests, states
@@ -38,7 +39,7 @@
         groups: group_memory.GroupMemory,
         budget: retries.Budget,
         decisions: decision_log.DecisionLog,
-        pressure: Callable[[], admission.Pressure],
+        gauge: pressure.PressureGauge,
         clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
@@ -48,7 +49,7 @@
         self._groups = groups
         self._budget = budget
         self._decisions = decisions
-        self._pressure = pressure
+        self._gauge = gauge
         self._clock = clock
         self._rng = rng
 
@@ -114,8 +115,11 @@
                 # A runner whose connection went silent works on new ones.
                 progress.excluded.add(decision.runner.runner_id)
         ran = attempts.ran(progress.tried)
+        code = callers_api.ErrorCode.RUNNER_LOST
+        if ran is states.Ran.NO:
+            code = callers_api.ErrorCode.OVERLOADED
         return callers_api.Failure(
-            callers_api.ErrorCode.RUNNER_LOST,
+            code,
             "no runner brought the whole answer",
             ran,
             retry_after_ms=int(1000 * self._rng.uniform(0.5, 2.0)),
@@ -166,7 +170,7 @@
             # give up work already done.
             return None
         verdict = admission.decide(
-            call.request, decision, self._pressure(), self._clock(), self._rng
+            call.request, decision, self._gauge.read(call), self._clock(), self._rng
         )
         match verdict:
             case admission.Admitted():
@@ -205,17 +209,18 @@
             attempt_id,
             runner.runner_id,
             request.prompt_tokens,
-            request.total_tokens,
+            request.total_tokens - sum(decision.group_tokens),
             self._clock(),
         )
         self._in_flight.add(entry)
-        self._router.sent(request, entry)
         ended = False
         try:
-            async with self._groups.held(decision.group, runner, request, attempt_id):
+            async with self._groups.held(decision, request, attempt_id):
                 progress.move(states.AttemptState.SENT)
+                self._router.sent(request, entry)
                 broken = await self._runner.run(call, decision, answer, progress)
             ended = broken is None or broken.reason in _ENDED_BY_RUNNER
+            self._judge(request.service, runner.runner_id, broken)
             return broken
         except group_memory.NoMemory:
             return attempt_runner.Broken(runner_client.RunnerErrorReason.REFUSED)
@@ -225,7 +230,26 @@
             else:
                 self._in_flight.abandon(runner, attempt_id)
 
+    def _judge(
+        self,
+        service: ids.ServiceName,
+        runner_id: ids.RunnerId,
+        broken: attempt_runner.Broken | None,
+    ) -> None:
+        """Let a runner that loses attempts be ejected for a while."""
+        ejections = self._router.ejections(service)
+        if broken is None:
+            ejections.observe_success(runner_id, self._clock())
+        elif broken.reason in _RUNNERS_FAULT:
+            ejections.observe_failure(runner_id, self._clock())
+
 
+_RUNNERS_FAULT = {
+    runner_client.RunnerErrorReason.UNSENT,
+    runner_client.RunnerErrorReason.LOST,
+    runner_client.RunnerErrorReason.TIMEOUT,
+    runner_client.RunnerErrorReason.MALFORMED,
+}
 _ENDED_BY_RUNNER = {
     runner_client.RunnerErrorReason.UNSENT,
     runner_client.RunnerErrorReason.REFUSED,
--- a/packages/daemon/lacewingdrum_daemon/completions_test.py
+++ b/packages/daemon/lacewingdrum_daemon/completions_test.py
@@ -163,12 +163,15 @@
         router.set_runners([runner(name) for name in names])
         self.table = in_flight.InFlightTable(self.runners, lambda attempt_id: None)
         self.leaving = []
+        self.reservations = []
         members = types.SimpleNamespace(
             mark_runner_leaving=lambda *mark: self.leaving.append(mark)
         )
         log = types.SimpleNamespace(record=lambda *line, **fields: None)
         self.answer = FakeAnswer(loop)
-        self.groups = group_memory.GroupMemory(self.runners, self.table, loop.time, rng)
+        self.groups = group_memory.GroupMemory(
+            self.runners, self.table, self, loop.time, rng
+        )
         self.completions = completions.Completions(
             router,
             attempt_runner.AttemptRunner(
@@ -178,14 +181,21 @@
             self.groups,
             retries.Budget(),
             log,
-            admission.Pressure,
+            types.SimpleNamespace(read=lambda call: admission.Pressure()),
             loop.time,
             rng,
         )
 
-    async def run(self, patience_s=PATIENCE_S, prompt_tokens=1_000):
+    async def reserve(self, reservation_id, parts):
+        self.reservations.append(reservation_id)
+        return True
+
+    def release(self, reservation_id, parts):
+        self.reservations.remove(reservation_id)
+
+    def request(self, patience_s, prompt_tokens):
         now_s = self.loop.time()
-        request = requests.Request(
+        return requests.Request(
             ids.RequestId("req"),
             SERVICE,
             ids.CustomerId("c"),
@@ -195,6 +205,9 @@
             now_s,
             now_s + patience_s,
         )
+
+    async def run(self, patience_s=PATIENCE_S, prompt_tokens=1_000):
+        request = self.request(patience_s, prompt_tokens)
         self.deadline_s = request.deadline_s
         body = callers_api.CompletionBody("m", "p", len(TEXT), True)
         call = attempt_runner.Call(request, body, documents.Weights())
@@ -306,22 +319,17 @@
 def test_a_lost_import_reply_frees_the_whole_group():
     async def main(bench):
         lead, *members = (runner(name) for name in "abc")
-        request = requests.Request(
-            ids.RequestId("req"),
-            SERVICE,
-            ids.CustomerId("c"),
-            ids.KindName("k"),
-            1_000_000,
-            10,
-            bench.loop.time(),
-            bench.loop.time() + 4.0,
+        request = bench.request(4.0, 1_000_000)
+        decision = routing.Decision(
+            lead, tuple(members), 2, routing.Reason.GROUP, (), (300_000, 300_000)
         )
         attempt_id = ids.AttemptId("req.1")
         try:
-            async with bench.groups.held((*members,), lead, request, attempt_id):
+            async with bench.groups.held(decision, request, attempt_id):
                 raise AssertionError("not all members were had")
         except group_memory.NoMemory:
             pass
+        assert bench.reservations == []
         await bench.settle()
 
     scripts = [Script(), Script(refuse=Reason.TIMEOUT)] * 30
--- a/packages/daemon/lacewingdrum_daemon/daemon.py
+++ b/packages/daemon/lacewingdrum_daemon/daemon.py
@@ -9,7 +9,7 @@
 import random
 import time
 
-from lacewingdrum_coordination import admission, limits, retries, routing
+from lacewingdrum_coordination import limits, retries, routing
 from lacewingdrum_daemon import (
     attempt_runner,
     budget_keeper,
@@ -28,7 +28,9 @@
     order_calls,
     peering,
     placement_keeper,
+    pressure,
     probes,
+    reservation_keeper,
     service_calls,
     settings,
     tasks,
@@ -157,7 +159,7 @@
             self._rng,
         )
         self._gate = callers.Gate(
-            lambda: self._knows_fleet, self._documents.ready, self._documents.may_admit
+            lambda: self._knows_fleet, self._knows_documents, self._documents.may_admit
         )
         health = probes.Probes(self._gate.not_ready_reason, self._figures)
         edge = callers.Callers(
@@ -193,8 +195,19 @@
         )
 
     def _make_completions(self) -> completions.Completions:
+        gauge = pressure.PressureGauge(
+            self._router,
+            self._lag,
+            self._members,
+            lambda: self._callers_server.busy_count,
+            self._own.limits.streams,
+            self._clock,
+        )
+        reservations = reservation_keeper.ReservationKeeper(
+            self._peering, self._members, self._router.free_tokens, self._clock
+        )
         groups = group_memory.GroupMemory(
-            self._runners, self._in_flight, self._clock, self._rng
+            self._runners, self._in_flight, reservations, self._clock, self._rng
         )
         runner = attempt_runner.AttemptRunner(
             self._runners, self._members, self._figures, self._clock
@@ -206,7 +219,7 @@
             groups,
             retries.Budget(),
             self._decisions,
-            self._pressure,
+            gauge,
             self._clock,
             self._rng,
         )
@@ -300,6 +313,10 @@
             self._knows_fleet = True
             await asyncio.sleep(FLEET_SYNC_S)
 
+    def _knows_documents(self) -> bool:
+        # Without any document every caller would be unknown, rightly or not.
+        return self._documents.ready() and bool(self._documents.services())
+
     def _attempt_ended(self, attempt_id: ids.AttemptId) -> None:
         self._router.ended(attempt_id, self._clock())
 
@@ -312,13 +329,6 @@
             gone_runners=self._members.gone_runners(),
         )
 
-    def _pressure(self) -> admission.Pressure:
-        return admission.Pressure(
-            loop_lag_s=self._lag.lag_s,
-            open_streams=self._callers_server.busy_count,
-            stream_limit=self._own.limits.streams,
-        )
-
 
 def _server_limits(
     found: settings.LimitsSettings, connections: int
--- a/packages/daemon/lacewingdrum_daemon/group_memory.py
+++ b/packages/daemon/lacewingdrum_daemon/group_memory.py
@@ -1,18 +1,20 @@
 """Holds memory on a group of engines for a prompt larger than one engine.
 
-All or nothing: engines are asked in the order of their ids, an engine that
-has no room refuses at once, and then everything taken is given back before
-the next try. Nobody waits while holding, so two groups cannot deadlock.
+All or nothing: homes, then engines are asked in the order of the engines'
+ids, one that has no room refuses at once, and then everything taken is given
+back before the next try. Nobody waits while holding, so two groups cannot
+deadlock.
 """
 
 import asyncio
 import contextlib
 import random
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterable
 
 from result import Err
 
-from lacewingdrum_daemon import in_flight
+from lacewingdrum_coordination import groups, routing
+from lacewingdrum_daemon import in_flight, reservation_keeper
 from lacewingdrum_protocol import runner_api
 from lacewingdrum_state import fleet, ids, requests
 from lacewingdrum_transport import runner_client
@@ -34,86 +36,95 @@
         self,
         runners: runner_client.RunnerClient,
         table: in_flight.InFlightTable,
+        reservations: reservation_keeper.ReservationKeeper,
         clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
         self._runners = runners
         self._in_flight = table
+        self._reservations = reservations
         self._clock = clock
         self._rng = rng
 
     @contextlib.asynccontextmanager
     async def held(
         self,
-        group: tuple[fleet.Runner, ...],
-        lead: fleet.Runner,
+        decision: routing.Decision,
         request: requests.Request,
         attempt_id: ids.AttemptId,
     ) -> AsyncIterator[None]:
-        """Hold an equal share of the prompt on each member but the lead.
+        """Hold each member's part of the prompt while an attempt runs.
 
         Args:
-            group: the engines that share the prompt; empty for one engine.
-            lead: the engine that runs the attempt.
-            request: the request whose prompt is shared.
+            decision: names the members and their parts; nothing is held
+                where one engine is enough.
+            request: the request whose prompt is shared out.
             attempt_id: the attempt that owns the memory.
 
         Raises:
             NoMemory: when the memory was not free for a part of the
                 patience; nothing is held then.
         """
-        members = sorted(
-            (runner for runner in group if runner.runner_id != lead.runner_id),
-            key=lambda runner: runner.runner_id,
-        )
-        share_tokens = -(-request.prompt_tokens // (len(members) + 1))
-        if members:
-            await self._take_all(members, lead, request, attempt_id, share_tokens)
+        assert decision.runner is not None
+        shares = dict(zip(decision.group, decision.group_tokens, strict=True))
+        if shares:
+            patience_s = request.deadline_s - self._clock()
+            wait_until_s = self._clock() + WAIT_SHARE * patience_s
+            while not await self._try_all(shares, decision.runner, request, attempt_id):
+                if self._clock() >= wait_until_s:
+                    raise NoMemory
+                await asyncio.sleep(self._rng.uniform(PAUSE_MIN_S, PAUSE_MAX_S))
         try:
             yield
         finally:
-            for member in members:
-                self._in_flight.abandon(member, attempt_id)
+            self._give_back(shares, attempt_id)
 
-    async def _take_all(
+    async def _try_all(
         self,
-        members: list[fleet.Runner],
+        shares: dict[fleet.Runner, int],
         lead: fleet.Runner,
         request: requests.Request,
         attempt_id: ids.AttemptId,
-        share_tokens: int,
-    ) -> None:
-        patience_s = request.deadline_s - self._clock()
-        wait_until_s = self._clock() + WAIT_SHARE * patience_s
-        call = runner_api.ImportCall(attempt_id, share_tokens, lead.runner_id)
-        while not await self._try_all(members, call):
-            if self._clock() >= wait_until_s:
-                raise NoMemory
-            await asyncio.sleep(self._rng.uniform(PAUSE_MIN_S, PAUSE_MAX_S))
-
-    async def _try_all(
-        self, members: list[fleet.Runner], call: runner_api.ImportCall
     ) -> bool:
-        attempt_id = ids.AttemptId(call.attempt_id)
-        asked: list[fleet.Runner] = []
+        parts = [
+            groups.Part(member.runner_id, tokens) for member, tokens in shares.items()
+        ]
+        lead_tokens = request.total_tokens - sum(shares.values())
+        parts.append(groups.Part(lead.runner_id, max(1, lead_tokens)))
+        reservation_id = ids.ReservationId(attempt_id)
+        if not await self._reservations.reserve(reservation_id, parts):
+            return False
         complete = False
         try:
-            for member in members:
-                asked.append(member)
-                self._in_flight.add(self._entry(member, call))
-                answer = await self._runners.import_kv(member, call, IMPORT_TIMEOUT_S)
-                if isinstance(answer, Err):
-                    # The engine may hold the part even so, where only the
-                    # reply was lost; the cancel below covers it.
-                    return False
-            complete = True
-            return True
+            complete = await self._import_all(shares, lead, attempt_id)
         finally:
             if not complete:
-                self._give_back(asked, attempt_id)
+                self._reservations.release(reservation_id, parts)
+                self._give_back(shares, attempt_id)
+        # A reservation that was used lapses; by then the engines' reports
+        # show the memory as taken.
+        return complete
 
-    def _give_back(self, asked: list[fleet.Runner], attempt_id: ids.AttemptId) -> None:
-        for member in asked:
+    async def _import_all(
+        self,
+        shares: dict[fleet.Runner, int],
+        lead: fleet.Runner,
+        attempt_id: ids.AttemptId,
+    ) -> bool:
+        for member in sorted(shares, key=lambda runner: runner.runner_id):
+            call = runner_api.ImportCall(attempt_id, shares[member], lead.runner_id)
+            self._in_flight.add(self._entry(member, call))
+            answer = await self._runners.import_kv(member, call, IMPORT_TIMEOUT_S)
+            if isinstance(answer, Err):
+                # The engine may hold the part even so, where only the reply
+                # was lost; giving all back covers it.
+                return False
+        return True
+
+    def _give_back(
+        self, members: Iterable[fleet.Runner], attempt_id: ids.AttemptId
+    ) -> None:
+        for member in members:
             self._in_flight.abandon(member, attempt_id)
 
     def _entry(
--- a/packages/protocol/lacewingdrum_protocol/runner_api.py
+++ b/packages/protocol/lacewingdrum_protocol/runner_api.py
@@ -59,7 +59,8 @@
     ``prompt`` is the caller's prompt followed by what was passed on already
     (``resume_text``); the first part that answers it has the offset
     ``resume_offset``. ``group`` names the runners that hold the rest of a
-    prompt larger than this engine's memory, after ``/kv/import`` there.
+    prompt larger than this engine's memory, after ``/kv/import`` there, and
+    ``group_tokens`` what each of them holds.
     """
 
     attempt_id: str
@@ -71,6 +72,7 @@
     resume_offset: int = 0
     resume_text: str = ""
     group: tuple[str, ...] = ()
+    group_tokens: tuple[int, ...] = ()
     block_hashes: tuple[int, ...] = ()
 
 
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -149,10 +149,7 @@
     ) -> runner_api.RefusalReason | None:
         if self.stand_in.faults.refuse:
             return runner_api.RefusalReason(self.stand_in.faults.refuse)
-        # The group's other members and this engine hold equal shares.
-        others = len(set(call.group) - {self.model.config.runner_id})
-        share_tokens = -(-call.prompt_tokens // (others + 1))
-        elsewhere_tokens = min(others * share_tokens, call.prompt_tokens)
+        elsewhere_tokens = min(sum(call.group_tokens), call.prompt_tokens)
         job = runner_model.Job(
             attempt_id=call.attempt_id,
             prompt_tokens=call.prompt_tokens,
