--- a/packages/cli/lacewingdrum_cli/command_base.py
+++ b/packages/cli/lacewingdrum_cli/command_base.py
@@ -10,7 +10,7 @@
 from cleo.io.outputs.output import Type
 
 from lacewingdrum_cli import daemon_client, exit_codes
-from lacewingdrum_protocol import document_text, operators_api, toml_keys
+from lacewingdrum_protocol import document_text, operators_api, toml_rules
 from lacewingdrum_state import documents, fleet
 from lacewingdrum_transport import http_client
 
@@ -121,8 +121,6 @@
         self.complain(f"error: {failure.detail}")
         if failure.code is not None:
             return EXIT_OF_CODE[failure.code]
-        if failure.reason is daemon_client.FailureReason.LOST:
-            return Exit.UNSETTLED
         return Exit.NO_DAEMON
 
     async def _with_daemons(self, work: Work) -> Exit:
@@ -142,7 +140,7 @@
             raise UsageError(f"no daemon: give --daemon IP:PORT or {DAEMONS_VARIABLE}")
         addresses = []
         for text in texts:
-            address = toml_keys.address(text)
+            address = toml_rules.address(text)
             if address is None:
                 raise UsageError(f"daemon: found {text!r}, allowed: ip:port")
             addresses.append(address)
--- a/packages/daemon/lacewingdrum_daemon/settings.py
+++ b/packages/daemon/lacewingdrum_daemon/settings.py
@@ -9,7 +9,7 @@
 import tomllib
 from typing import Any
 
-from lacewingdrum_protocol import toml_keys
+from lacewingdrum_protocol import toml_keys, toml_rules
 from lacewingdrum_state import fleet, ids
 
 KIB = 1024
@@ -17,22 +17,22 @@
 SECOND_MS = 1_000
 MINUTE_MS = 60 * SECOND_MS
 
-NAME = toml_keys.Text(
+NAME = toml_rules.Text(
     r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}",
     "a name of 1 to 63 letters, digits, dots, dashes and underscores",
 )
-SHA256_HEX = toml_keys.Text(
+SHA256_HEX = toml_rules.Text(
     r"[0-9a-f]{64}", "a SHA-256 digest, 64 hex digits in lower case", secret=True
 )
-CURVE_KEY = toml_keys.Text(
+CURVE_KEY = toml_rules.Text(
     r"[!-~]{40}|", "a CURVE key of 40 characters, or empty", secret=True
 )
-PORT = toml_keys.Whole(0, toml_keys.PORT_MAX)
+PORT = toml_rules.Whole(0, toml_rules.PORT_MAX)
 REQUIRED = toml_keys.REQUIRED
 
 
 def _ms(default: int, low: int, high: int, meaning: str) -> Any:
-    return toml_keys.field(toml_keys.Whole(low, high), default, meaning)
+    return toml_keys.field(toml_rules.Whole(low, high), default, meaning)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,7 +46,7 @@
         NAME, REQUIRED, "the data centre that this VM is in"
     )
     host: str = toml_keys.field(
-        toml_keys.Host(), REQUIRED, "the address that all three ports listen on"
+        toml_rules.Host(), REQUIRED, "the address that all three ports listen on"
     )
     caller_port: int = toml_keys.field(
         PORT, REQUIRED, "port for callers, health and metrics; 0 picks one"
@@ -64,13 +64,13 @@
     """Where the platform's services are."""
 
     table: fleet.Address = toml_keys.field(
-        toml_keys.HostPort(), REQUIRED, "the table service"
+        toml_rules.HostPort(), REQUIRED, "the table service"
     )
     objects: fleet.Address = toml_keys.field(
-        toml_keys.HostPort(), REQUIRED, "the object store"
+        toml_rules.HostPort(), REQUIRED, "the object store"
     )
     members: fleet.Address = toml_keys.field(
-        toml_keys.HostPort(), REQUIRED, "the membership list"
+        toml_rules.HostPort(), REQUIRED, "the membership list"
     )
 
 
@@ -94,7 +94,7 @@
         CURVE_KEY, "", "this daemon's secret CURVE key"
     )
     allowed_public_keys: tuple[str, ...] = toml_keys.field(
-        toml_keys.TextList(CURVE_KEY), (), "public CURVE keys of daemons let in"
+        toml_rules.TextList(CURVE_KEY), (), "public CURVE keys of daemons let in"
     )
 
 
@@ -103,19 +103,19 @@
     """Bounds and intervals; each name ends in its unit."""
 
     body_bytes: int = toml_keys.field(
-        toml_keys.Whole(KIB, 1024 * MIB), 16 * MIB, "largest body of a request"
+        toml_rules.Whole(KIB, 1024 * MIB), 16 * MIB, "largest body of a request"
     )
     header_bytes: int = toml_keys.field(
-        toml_keys.Whole(KIB, MIB), 16 * KIB, "largest header of a request"
+        toml_rules.Whole(KIB, MIB), 16 * KIB, "largest header of a request"
     )
     connections: int = toml_keys.field(
-        toml_keys.Whole(1, 65_536), 1_024, "callers' connections open at once"
+        toml_rules.Whole(1, 65_536), 1_024, "callers' connections open at once"
     )
     operator_connections: int = toml_keys.field(
-        toml_keys.Whole(1, 1_024), 32, "operators' connections open at once"
+        toml_rules.Whole(1, 1_024), 32, "operators' connections open at once"
     )
     streams: int = toml_keys.field(
-        toml_keys.Whole(1, 65_536), 512, "requests in flight at once"
+        toml_rules.Whole(1, 65_536), 512, "requests in flight at once"
     )
     header_timeout_ms: int = _ms(
         10 * SECOND_MS, 100, 10 * MINUTE_MS, "longest wait for a request's header"
@@ -148,7 +148,7 @@
         2 * SECOND_MS, 50, MINUTE_MS, "longest wait for one call to the platform"
     )
     explain_lines: int = toml_keys.field(
-        toml_keys.Whole(100, 1_000_000), 20_000, "log lines kept for explain"
+        toml_rules.Whole(100, 1_000_000), 20_000, "log lines kept for explain"
     )
 
 
--- a/packages/daemon/lacewingdrum_daemon/settings_test.py
+++ b/packages/daemon/lacewingdrum_daemon/settings_test.py
@@ -1,7 +1,7 @@
 """Tests of the settings file."""
 
 from lacewingdrum_daemon import settings
-from lacewingdrum_protocol import toml_keys
+from lacewingdrum_protocol import toml_keys, toml_rules
 from lacewingdrum_state import fleet
 from tests import pages
 
@@ -80,7 +80,7 @@
     expected = set()
     for section, made in settings.SECTIONS.items():
         for key in toml_keys.keys_of(made):
-            words = toml_keys.allowed(key.rule)
+            words = toml_rules.allowed(key.rule)
             name = f"{section}.{key.name}"
             expected.add((name, toml_keys.default_text(key), words))
     assert pages.rows("Settings") == expected
--- a/packages/protocol/lacewingdrum_protocol/document_text_test.py
+++ b/packages/protocol/lacewingdrum_protocol/document_text_test.py
@@ -6,7 +6,13 @@
 
 from hypothesis import given, settings, strategies
 
-from lacewingdrum_protocol import document_lines, document_text, toml_keys
+from lacewingdrum_protocol import (
+    document_keys,
+    document_lines,
+    document_text,
+    toml_keys,
+    toml_rules,
+)
 from lacewingdrum_state import states
 from tests import collection, pages
 
@@ -151,8 +157,8 @@
 
 
 NAMES = strategies.sampled_from(
-    [key.name for keys in document_text.TABLES.values() for key in keys]
-    + list(document_text.TABLES)
+    [key.name for keys in document_keys.TABLES.values() for key in keys]
+    + list(document_keys.TABLES)
     + ["other", "a.b"]
 )
 LEAVES = strategies.one_of(
@@ -214,10 +220,10 @@
 
 def test_page_lists_the_document_keys_of_the_code():
     expected = set()
-    for table, keys in document_text.TABLES.items():
+    for table, keys in document_keys.TABLES.items():
         for key in keys:
             name = f"{table}.{key.name}" if table else key.name
             expected.add(
-                (name, toml_keys.default_text(key), toml_keys.allowed(key.rule))
+                (name, toml_keys.default_text(key), toml_rules.allowed(key.rule))
             )
     assert pages.rows("Document keys") == expected
--- a/packages/protocol/lacewingdrum_protocol/toml_keys.py
+++ b/packages/protocol/lacewingdrum_protocol/toml_keys.py
@@ -1,22 +1,15 @@
-"""Rules for keys of a TOML table, as data, and the check against them.
+"""Keys of a TOML table, as data, and the check of a table against them.
 
 Settings and service documents are both checked whole: every fault is found
 in one go and named by its key, what was found and what is allowed.
 """
 
 import dataclasses
-import datetime
 import enum
-import ipaddress
-import math
-import re
 from collections.abc import Mapping
 from typing import Any
 
-from lacewingdrum_state import fleet
-
-SHOWN_CHARACTERS = 60
-PORT_MAX = 65_535
+from lacewingdrum_protocol import toml_rules
 
 
 class _Required(enum.Enum):
@@ -26,72 +19,12 @@
 REQUIRED = _Required.REQUIRED
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Whole:
-    """A whole number from ``low`` to ``high``, both allowed."""
-
-    low: int
-    high: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Number:
-    """A number from ``low`` to ``high``, both allowed."""
-
-    low: float
-    high: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Flag:
-    """True or false."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Text:
-    """A text that matches ``pattern`` whole; ``words`` says it in words.
-
-    A ``secret`` text is never shown in a fault.
-    """
-
-    pattern: str
-    words: str
-    secret: bool = False
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Choice:
-    """The value of one member of an enumeration."""
-
-    members: type[enum.Enum]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class TextList:
-    """A list of texts, each of which holds to ``item``."""
-
-    item: Text
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Host:
-    """An IP address as a number, not a name."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class HostPort:
-    """An IP address and a port as ``ip:port``."""
-
-
-Rule = Whole | Number | Flag | Text | Choice | TextList | Host | HostPort
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Key:
     """One key of a table: its rule, its default and its meaning."""
 
     name: str
-    rule: Rule
+    rule: toml_rules.Rule
     default: object
     meaning: str
 
@@ -121,27 +54,6 @@
     return text
 
 
-def allowed(rule: Rule) -> str:
-    """Args: rule: a key's rule. Returns: in words, what it allows."""
-    match rule:
-        case Whole(low, high):
-            return f"a whole number, {low} to {high}"
-        case Number(low, high):
-            return f"a number, {low:g} to {high:g}"
-        case Flag():
-            return "true or false"
-        case Text(_, words):
-            return words
-        case Choice(members):
-            return "one of " + ", ".join(f'"{member.value}"' for member in members)
-        case TextList(item):
-            return f"a list, each of it {item.words}"
-        case Host():
-            return "an IP address as a number"
-        case HostPort():
-            return f"an IP address and a port, ip:port, port 1 to {PORT_MAX}"
-
-
 def default_text(key: Key) -> str:
     """Args: key: any. Returns: its default as the operators' page says it."""
     match key.default:
@@ -150,74 +62,7 @@
         case () | "":
             return "empty"
         case _:
-            return f"`{shown(key.default)}`"
-
-
-def shown(value: object) -> str:
-    """Args: value: a TOML value. Returns: it, shortened, as TOML has it."""
-    match value:
-        case bool():
-            text = "true" if value else "false"
-        case str():
-            text = f'"{value[:SHOWN_CHARACTERS]}"'.encode("unicode_escape").decode()
-        case int():
-            bits = value.bit_length()
-            text = str(value) if bits <= 64 else f"a whole number of {bits} bits"
-        case float():
-            text = repr(value)
-        case dict():
-            text = f"a table of {len(value)} keys"
-        case list():
-            text = f"a list of {len(value)}"
-        case datetime.date() | datetime.time():
-            text = "a date or time"
-        case _:
-            text = f"a {type(value).__name__}"
-    return text if len(text) <= SHOWN_CHARACTERS else text[:SHOWN_CHARACTERS] + "..."
-
-
-def read(rule: Rule, value: object) -> object | None:
-    """Turn a TOML value into the value that the code uses.
-
-    Args:
-        rule: what the value is held to.
-        value: as read from TOML.
-
-    Returns:
-        The value, or None where the rule does not allow it.
-    """
-    match rule:
-        case Whole(low, high):
-            is_whole = isinstance(value, int) and not isinstance(value, bool)
-            return value if is_whole and low <= value <= high else None  # type: ignore[operator]
-        case Number(low, high):
-            return _number(low, high, value)
-        case Flag():
-            return value if isinstance(value, bool) else None
-        case Text(pattern, _):
-            return _text(pattern, value)
-        case Choice(members):
-            names = {member.value: member for member in members}
-            return names.get(value) if isinstance(value, str) else None
-        case TextList(item):
-            return _texts(item, value)
-        case Host():
-            return value if isinstance(value, str) and _is_ip(value) else None
-        case HostPort():
-            return address(value) if isinstance(value, str) else None
-
-
-def address(text: str) -> fleet.Address | None:
-    """Args: text: ``ip:port``. Returns: the address, None if it is none."""
-    host, colon, port = text.rpartition(":")
-    host = host.removeprefix("[").removesuffix("]")
-    if not colon or not _is_ip(host):
-        return None
-    if not re.fullmatch(r"[0-9]{1,5}", port, re.ASCII):
-        return None
-    if not 1 <= int(port) <= PORT_MAX:
-        return None
-    return fleet.Address(host, int(port))
+            return f"`{toml_rules.shown(key.default)}`"
 
 
 def check_table(
@@ -238,21 +83,23 @@
         The values by key, defaults filled in, and every fault.
     """
     if not isinstance(found, Mapping):
-        return {}, [Fault(at, shown(found), "a table")]
+        return {}, [Fault(at, toml_rules.shown(found), "a table")]
     values: dict[str, object] = {}
     faults: list[Fault] = []
     for key in keys:
         if key.name not in found:
             if key.default is REQUIRED:
-                words = allowed(key.rule)
+                words = toml_rules.allowed(key.rule)
                 faults.append(Fault((*at, key.name), "nothing", words))
             else:
                 values[key.name] = key.default
             continue
-        value = read(key.rule, found[key.name])
+        value = toml_rules.read(key.rule, found[key.name])
         if value is None:
-            shown_value = _shown_unless_secret(key.rule, found[key.name])
-            faults.append(Fault((*at, key.name), shown_value, allowed(key.rule)))
+            shown_value = toml_rules.shown_unless_secret(key.rule, found[key.name])
+            faults.append(
+                Fault((*at, key.name), shown_value, toml_rules.allowed(key.rule))
+            )
         else:
             values[key.name] = value
     names = [key.name for key in keys] + list(tables)
@@ -263,7 +110,7 @@
     return values, faults
 
 
-def field(rule: Rule, default: object, meaning: str) -> Any:
+def field(rule: toml_rules.Rule, default: object, meaning: str) -> Any:
     """Declare a dataclass field together with its key.
 
     Args:
@@ -287,40 +134,3 @@
         rule, default = item.metadata["rule"], item.metadata["default"]
         found.append(Key(item.name, rule, default, item.metadata["meaning"]))
     return tuple(found)
-
-
-def _number(low: float, high: float, value: object) -> float | None:
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        return None
-    if not math.isfinite(value) or not low <= value <= high:
-        return None
-    return float(value)
-
-
-def _text(pattern: str, value: object) -> str | None:
-    if not isinstance(value, str) or not re.fullmatch(pattern, value, re.ASCII):
-        return None
-    return value
-
-
-def _texts(item: Text, value: object) -> tuple[str, ...] | None:
-    if not isinstance(value, list):
-        return None
-    texts = [_text(item.pattern, entry) for entry in value]
-    return None if None in texts else tuple(str(text) for text in texts)
-
-
-def _is_ip(text: str) -> bool:
-    try:
-        ipaddress.ip_address(text)
-    except ValueError:
-        return False
-    return True
-
-
-def _shown_unless_secret(rule: Rule, value: object) -> str:
-    item = rule.item if isinstance(rule, TextList) else rule
-    if isinstance(item, Text) and item.secret:
-        size = f"{len(value)} characters" if isinstance(value, str) else "no text"
-        return f"{size}, not shown"
-    return shown(value)
