Floods are bounded before a queue builds up; own sends count as cached

Cause: a flood was only shed once the backlog reached 7 s, so the others' p95 time to first token doubled (kazvintage shorts 0.47 to 0.96 s).

--- a/packages/coordination/lacewingdrum_coordination/overload.py
+++ b/packages/coordination/lacewingdrum_coordination/overload.py
@@ -19,7 +19,10 @@
 TARGET_BACKLOG_S = 12.0
 BACKLOG_SPAN_S = 5.0
 MIN_SUPPLY_RATIO = 0.3
-FLOOD_RATIO = 1.5
+FLOOD_RATIO = 3.0
+FLOOD_REQUESTS = 20
+FLOOD_REQUEST_TOKENS = 20_000
+FLOOD_LOAD = 0.7
 REQUEST_TOKENS = 500
 MAX_OFFERS = 2_000
 
@@ -91,32 +94,52 @@
         """Set the floors of worth from the last window's offers."""
         self._floors, self._floor = {}, 0.0
         span_s = max(MIN_WINDOW_S, now_s - self._offers[0].at_s)
-        affordable = affordable_tokens_per_s(supply) / daemon_count * span_s
+        if span_s <= MIN_WINDOW_S:
+            return
+        scale = span_s / daemon_count
         offered: dict[ids.CustomerId, float] = collections.defaultdict(float)
         for offer in self._offers:
             offered[offer.customer] += offer.tokens
-        total = sum(offered.values())
-        if total <= affordable or span_s <= MIN_WINDOW_S:
-            return
-        for customer, granted in self._floods(offered, affordable).items():
-            self._floors[customer] = self._floor_for(granted / offered[customer])
-            affordable -= granted
-            total -= offered[customer]
+        granted = self._grant_floods(offered, supply.rate_tokens_per_s * scale)
+        for customer, tokens in granted.items():
+            self._floors[customer] = self._floor_for(tokens / offered[customer])
+        affordable = affordable_tokens_per_s(supply) * scale
+        affordable -= sum(granted.values())
+        total = sum(offered.values()) - sum(offered[each] for each in granted)
         if total > affordable:
-            self._floor = self._floor_for(affordable / total)
+            self._floor = self._floor_for(max(0.0, affordable) / total)
 
-    def _floods(
-        self, offered: dict[ids.CustomerId, float], affordable: float
+    def _grant_floods(
+        self, offered: dict[ids.CustomerId, float], rate_tokens: float
     ) -> dict[ids.CustomerId, float]:
-        """Find customers far above their share, and what each is granted."""
-        granted = fair_grants(offered, self._shares, affordable)
-        shares = sum(self._shares[customer] for customer in offered)
-        floods = {}
-        for customer, tokens in offered.items():
-            fair = affordable * self._shares[customer] / shares
-            if tokens > FLOOD_RATIO * fair and tokens > granted[customer]:
-                floods[customer] = granted[customer]
-        return floods if len(floods) < len(offered) else {}
+        """Bound customers far above their share before a queue builds up."""
+        floods = self._floods()
+        if not floods or sum(offered.values()) <= FLOOD_LOAD * rate_tokens:
+            return {}
+        granted = fair_grants(offered, self._shares, FLOOD_LOAD * rate_tokens)
+        return {
+            customer: granted[customer]
+            for customer in floods
+            if granted[customer] < offered[customer]
+        }
+
+    def _floods(self) -> list[ids.CustomerId]:
+        """Find customers far above their share.
+
+        Each request counts up to a bound, since one long prompt is no flood.
+        """
+        counts: dict[ids.CustomerId, int] = collections.defaultdict(int)
+        tokens: dict[ids.CustomerId, int] = collections.defaultdict(int)
+        for offer in self._offers:
+            counts[offer.customer] += 1
+            tokens[offer.customer] += min(offer.tokens, FLOOD_REQUEST_TOKENS)
+        per_share = sum(tokens.values()) / sum(self._shares[each] for each in tokens)
+        return [
+            customer
+            for customer, count in counts.items()
+            if count >= FLOOD_REQUESTS
+            and tokens[customer] > FLOOD_RATIO * per_share * self._shares[customer]
+        ]
 
     def _floor_for(self, kept_ratio: float) -> float:
         """Returns: the worth per token above which that much work lies."""
--- a/packages/coordination/lacewingdrum_coordination/prefixes.py
+++ b/packages/coordination/lacewingdrum_coordination/prefixes.py
@@ -9,10 +9,14 @@
 import types
 from collections.abc import Mapping, Sequence
 
+import xxhash
+
 from lacewingdrum_state import ids
 
 BLOCK_TOKENS = 256
-MAX_BLOCKS_A_RUNNER = 4_096
+BLOCK_BYTES = 4 * BLOCK_TOKENS
+MAX_BLOCKS_A_RUNNER = 1_024
+MAX_SENT_BLOCKS = 256
 _NO_BITS: Mapping[ids.RunnerId, int] = types.MappingProxyType({})
 
 
@@ -118,7 +122,17 @@
             self._drop(runner_id, bit, next(iter(blocks)))
 
     def sent(self, runner_id: ids.RunnerId, block_hashes: Sequence[int]) -> None:
-        """Hear of a prompt that this daemon sent; only events count here."""
+        """Take a sent prompt's blocks for stored, before events say so.
+
+        Args:
+            runner_id: where it was sent.
+            block_hashes: chained fingerprints of the prompt's blocks.
+        """
+        changes = [
+            BlockChange(block_hash, True)
+            for block_hash in block_hashes[:MAX_SENT_BLOCKS]
+        ]
+        self.observe(runner_id, changes)
 
     def forget(self, runner_id: ids.RunnerId) -> None:
         """Drop all that is known of a runner that ended or started anew."""
@@ -176,3 +190,24 @@
             self._holders[block_hash] = left
         else:
             self._holders.pop(block_hash, None)
+
+
+def fingerprints(prompt: bytes) -> tuple[int, ...]:
+    """Make the chained fingerprints of a prompt's first blocks.
+
+    Args:
+        prompt: the prompt's bytes.
+
+    Returns:
+        One number for each whole block, which stands for all bytes up to
+        the block's end.
+    """
+    found: list[int] = []
+    chained = 0
+    last = min(len(prompt) // BLOCK_BYTES, MAX_SENT_BLOCKS)
+    view = memoryview(prompt)
+    for block in range(last):
+        part = view[block * BLOCK_BYTES : (block + 1) * BLOCK_BYTES]
+        chained = xxhash.xxh3_64_intdigest(part, seed=chained)
+        found.append(chained)
+    return tuple(found)
--- a/standins/replay_prefixes.py
+++ b/standins/replay_prefixes.py
@@ -1,12 +1,14 @@
 """Compares ways to know which runner holds a prompt's start.
 
 Run as ``python -m standins.replay_prefixes``. ``index`` is the product's:
-all blocks, from the engines' cache events. ``sketch`` follows Algorithm 1 of
+all blocks, from the engines' cache events and from own sends; ``events`` and
+``sends`` are its halves. ``sketch`` follows Algorithm 1 of
 the paper on cluster deduplication: the k smallest fingerprints of a prompt
 stand for it, name its candidates by their remainder, and are compared with
 those of prompts sent before; it needs no events.
 """
 
+import argparse
 import collections
 import dataclasses
 import multiprocessing
@@ -59,6 +61,12 @@
         self.events += len(changes)
         super().observe(runner_id, changes)
 
+    def sent(self, runner_id: ids.RunnerId, block_hashes: Sequence[int]) -> None:
+        """Take a sent prompt's blocks for stored; they are no events."""
+        counted = self.events
+        super().sent(runner_id, block_hashes)
+        self.events = counted
+
     def lookup(self, block_hashes: Sequence[int]) -> prefixes.Hits:
         """Find who holds how much."""
         began_s = time.perf_counter()
@@ -76,7 +84,14 @@
         return len(self)
 
 
-class BlindIndex(TimedIndex):
+class EventsIndex(TimedIndex):
+    """The index by events alone."""
+
+    def sent(self, runner_id: ids.RunnerId, block_hashes: Sequence[int]) -> None:
+        """Leave own sends aside."""
+
+
+class BlindIndex(EventsIndex):
     """Knows nothing; the base of the comparison."""
 
     def observe(
@@ -85,13 +100,23 @@
         """Leave the events aside."""
 
 
-class SendsIndex(TimedIndex):
-    """The index, which also takes own sends for stored at once."""
+class SendsAlone(TimedIndex):
+    """Own sends without any events."""
+
+    _is_sending = False
 
     def sent(self, runner_id: ids.RunnerId, block_hashes: Sequence[int]) -> None:
         """Take a sent prompt's blocks for stored."""
-        changes = [prefixes.BlockChange(block, True) for block in block_hashes]
-        prefixes.PrefixIndex.observe(self, runner_id, changes)
+        self._is_sending = True
+        super().sent(runner_id, block_hashes)
+        self._is_sending = False
+
+    def observe(
+        self, runner_id: ids.RunnerId, changes: Sequence[prefixes.BlockChange]
+    ) -> None:
+        """Leave the events of engines aside."""
+        if self._is_sending:
+            super().observe(runner_id, changes)
 
 
 class SketchIndex(TimedIndex):
@@ -153,8 +178,9 @@
 
 VARIANTS: dict[str, type[TimedIndex]] = {
     "none": BlindIndex,
+    "events": EventsIndex,
     "index": TimedIndex,
-    "index and sends": SendsIndex,
+    "sends": SendsAlone,
     "sketch k=8": SketchIndex,
     "sketch k=32": Sketch32,
 }
@@ -215,7 +241,10 @@
 def main() -> None:
     """Print the table."""
     names = [header.workload for header in traces.WORKLOADS]
-    tasks = [Task(name, variant) for name in names for variant in VARIANTS]
+    parser = argparse.ArgumentParser(prog="python -m standins.replay_prefixes")
+    parser.add_argument("--variant", choices=list(VARIANTS), action="append")
+    chosen = parser.parse_args().variant or list(VARIANTS)
+    tasks = [Task(name, variant) for name in names for variant in chosen]
     print(
         f"{'trace':<12} {'variant':<16} {'hits, M':>8} {'share':>7} {'bytes':>10}"
         f" {'B/s':>8} {'us':>8} {'short s':>8} {'mid s':>7} {'worth':>7}"
