--- a/packages/coordination/lacewingdrum_coordination/prefixes.py
+++ b/packages/coordination/lacewingdrum_coordination/prefixes.py
@@ -9,12 +9,9 @@
 import types
 from collections.abc import Mapping, Sequence
 
-import xxhash
-
 from lacewingdrum_state import ids
 
 BLOCK_TOKENS = 256
-BLOCK_BYTES = 4 * BLOCK_TOKENS
 MAX_BLOCKS_A_RUNNER = 1_024
 MAX_SENT_BLOCKS = 256
 _NO_BITS: Mapping[ids.RunnerId, int] = types.MappingProxyType({})
@@ -190,24 +187,3 @@
             self._holders[block_hash] = left
         else:
             self._holders.pop(block_hash, None)
-
-
-def fingerprints(prompt: bytes) -> tuple[int, ...]:
-    """Make the chained fingerprints of a prompt's first blocks.
-
-    Args:
-        prompt: the prompt's bytes.
-
-    Returns:
-        One number for each whole block, which stands for all bytes up to
-        the block's end.
-    """
-    found: list[int] = []
-    chained = 0
-    last = min(len(prompt) // BLOCK_BYTES, MAX_SENT_BLOCKS)
-    view = memoryview(prompt)
-    for block in range(last):
-        part = view[block * BLOCK_BYTES : (block + 1) * BLOCK_BYTES]
-        chained = xxhash.xxh3_64_intdigest(part, seed=chained)
-        found.append(chained)
-    return tuple(found)
--- a/packages/coordination/lacewingdrum_coordination/prefixes_test.py
+++ b/packages/coordination/lacewingdrum_coordination/prefixes_test.py
@@ -58,14 +58,3 @@
     assert index.lookup((1, 2)).tokens(A) == 2 * prefixes.BLOCK_TOKENS
     index.observe(A, [prefixes.BlockChange(2, False)])
     assert index.lookup((1, 2)).tokens(A) == prefixes.BLOCK_TOKENS
-
-
-def test_fingerprints_agree_up_to_the_first_block_that_differs():
-    start = b"a" * prefixes.BLOCK_BYTES * 3
-    one = prefixes.fingerprints(start + b"b" * prefixes.BLOCK_BYTES)
-    other = prefixes.fingerprints(start + b"c" * prefixes.BLOCK_BYTES)
-    assert len(one) == len(other) == 4
-    assert one[:3] == other[:3]
-    assert one[3] != other[3]
-    assert len(set(one)) == 4
-    assert prefixes.fingerprints(b"short") == ()
