--- a/packages/coordination/lacewingdrum_coordination/routing.py
+++ b/packages/coordination/lacewingdrum_coordination/routing.py
@@ -6,12 +6,11 @@
 Long prompts stay off a few runners whose number follows the short demand.
 """
 
-import dataclasses
-import enum
 import random
 from collections.abc import Iterable, Sequence
 
 from lacewingdrum_coordination import (
+    decisions,
     estimates,
     groups,
     outliers,
@@ -19,79 +18,16 @@
     prefixes,
     priorities,
     runner_estimates,
+    selection,
 )
 from lacewingdrum_state import documents, fleet, ids, requests, states
 
+Reason = decisions.Reason
+Policy = decisions.Policy
 Estimate = estimates.Estimate
+Decision = decisions.Decision
+Supply = decisions.Supply
 MAX_CHOSEN = 1_000
-SHOWN_ESTIMATES = 4
-
-
-class Reason(enum.Enum):
-    """Why a decision came out as it did."""
-
-    NEAR_BEST = "near_best"
-    CACHED_PREFIX = "cached_prefix"
-    ONLY_CANDIDATE = "only_candidate"
-    GROUP = "group"
-    NO_RUNNER = "no_runner"
-    NO_MEMORY = "no_memory"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Policy:
-    """Constants of the decision.
-
-    ``kept_free_ratio`` is the number of runners kept free of long prompts,
-    in multiples of the short demand, and ``kept_free_mid_s`` what a mid
-    prompt pays in its score to go there. Both grow with the document's weight
-    of the short slowdown.
-    """
-
-    near_best_ratio: float = 1.05
-    near_best_s: float = 0.02
-    remote_link_delay_s: float = 0.005
-    remote_cost_s: float = 0.005
-    kept_free_ratio: float = 2.0
-    headroom_tokens: int = 40_000
-    kept_free_mid_s: float = 1.0
-    patience_margin_ratio: float = 0.05
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Decision:
-    """The runner picked for a request, and what it was picked from.
-
-    ``group`` holds the further runners whose memory a prompt above one
-    engine's memory needs, in the order of their ids, and ``group_tokens``
-    what each of them has to hold.
-    """
-
-    runner: fleet.Runner | None
-    group: tuple[fleet.Runner, ...]
-    priority: int
-    reason: Reason
-    estimates: tuple[Estimate, ...]
-    group_tokens: tuple[int, ...] = ()
-    cached_tokens: int = 0
-
-    @property
-    def estimate(self) -> Estimate | None:
-        """The estimate of the runner that was picked."""
-        if self.runner is None:
-            return None
-        for each in self.estimates:
-            if each.runner_id == self.runner.runner_id:
-                return each
-        return None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Supply:
-    """What a service's runners can do and have to do."""
-
-    rate_tokens_per_s: float
-    backlog_s: float
 
 
 _Known = runner_estimates.RunnerEstimate
@@ -104,7 +40,7 @@
         self,
         data_centre: ids.DataCentre,
         rng: random.Random,
-        policy: Policy = Policy(),
+        policy: Policy = decisions.DEFAULT_POLICY,
         prefix_index: prefixes.PrefixIndex | None = None,
     ):
         """Start without runners.
@@ -252,7 +188,8 @@
             return Decision(None, (), priority, Reason.NO_RUNNER, ())
         if all(known.kv_capacity_tokens < request.total_tokens for known in seen):
             return self._choose_group(request, pool, seen, now_s)
-        candidates = self._usable(seen, request, priority, now_s)
+        headroom_tokens = self._policy.headroom_tokens
+        candidates = selection.usable(seen, request, priority, headroom_tokens, now_s)
         return self._choose_one(request, weights, pool, candidates, cached, now_s)
 
     def _choose_one(
@@ -266,13 +203,13 @@
     ) -> Decision:
         usable_s = self._usable_s(request, now_s)
         work = self._work(request, pool, now_s)
-        found = _times(candidates, work, cached, now_s)
+        found = selection.times(candidates, work, cached, now_s)
         is_late = min(complete_s for _, complete_s in found) > usable_s
         if is_late and _may_raise(request, pool, now_s):
             work = self._work(request, pool, now_s, priorities.MID)
-            found = _times(candidates, work, cached, now_s)
+            found = selection.times(candidates, work, cached, now_s)
         scores = self._scores(candidates, found, weights, work.priority, pool, now_s)
-        position = self._pick(found, scores, usable_s)
+        position = selection.pick(found, scores, usable_s, self._policy, self._rng)
         chosen = candidates[position]
         hit_tokens = cached.tokens(chosen.runner.runner_id)
         reason = Reason.NEAR_BEST
@@ -281,7 +218,7 @@
         elif hit_tokens:
             reason = Reason.CACHED_PREFIX
         self._remember(request.request_id, work.priority, cached)
-        shown = _shown(candidates, found, scores, position)
+        shown = selection.shown(candidates, found, scores, position)
         return Decision(chosen.runner, (), work.priority, reason, shown, (), hit_tokens)
 
     def _usable_s(self, request: requests.Request, now_s: float) -> float:
@@ -289,26 +226,6 @@
         left_s = request.deadline_s - now_s
         return left_s * (1 - self._policy.patience_margin_ratio)
 
-    def _pick(
-        self,
-        found: list[tuple[float, float]],
-        scores: list[float],
-        usable_s: float,
-    ) -> int:
-        """Draw among the near-best of those that finish in the time left."""
-        in_time = [
-            position
-            for position, (_, complete_s) in enumerate(found)
-            if complete_s <= usable_s
-        ]
-        if not in_time:
-            return min(range(len(found)), key=lambda position: found[position][1])
-        best = min([scores[position] for position in in_time])
-        bound_s = best * self._policy.near_best_ratio + self._policy.near_best_s
-        return self._rng.choice(
-            [position for position in in_time if scores[position] <= bound_s]
-        )
-
     def _scores(
         self,
         candidates: list[_Known],
@@ -318,38 +235,11 @@
         pool: pools.RunnerPool,
         now_s: float,
     ) -> list[float]:
-        """Weigh the estimates: data centres apart, kept-free runners."""
-        policy = self._policy
-        scores = [
-            first_s + (policy.remote_cost_s if known.link_delay_s else 0.0)
-            for known, (first_s, _) in zip(candidates, found, strict=True)
-        ]
-        if priority != priorities.MID:
-            return scores
-        kept_free = self._kept_free(pool, weights, now_s)
-        penalty_s = policy.kept_free_mid_s * 2 * weights.short_slowdown
-        for position, known in enumerate(candidates):
-            if known.rank < kept_free:
-                scores[position] += penalty_s
-        return scores
-
-    def _usable(
-        self,
-        seen: list[_Known],
-        request: requests.Request,
-        priority: int,
-        now_s: float,
-    ) -> list[_Known]:
-        """Leave out runners without memory or without a fresh report."""
-        needed = request.total_tokens
-        spare = 0 if priority == priorities.SHORT else self._policy.headroom_tokens
-        fitting = [known for known in seen if known.kv_capacity_tokens >= needed]
-        heard = [known for known in fitting if known.is_known(now_s)] or fitting
-        free = [(known, known.free_tokens() - needed) for known in heard]
-        roomy = [known for known, left in free if left >= spare]
-        if roomy:
-            return roomy
-        return [known for known, left in free if left >= 0] or heard
+        kept_free, penalty_s = 0, 0.0
+        if priority == priorities.MID:
+            kept_free = self._kept_free(pool, weights, now_s)
+            penalty_s = self._policy.kept_free_mid_s * 2 * weights.short_slowdown
+        return selection.scores(candidates, found, self._policy, kept_free, penalty_s)
 
     def _choose_group(
         self,
@@ -420,33 +310,6 @@
         return self._policy.remote_link_delay_s
 
 
-def _times(
-    candidates: list[_Known],
-    work: estimates.Work,
-    cached: prefixes.Hits,
-    now_s: float,
-) -> list[tuple[float, float]]:
-    return [
-        estimates.times_s(known, work, cached.tokens(known.runner.runner_id), now_s)
-        for known in candidates
-    ]
-
-
-def _shown(
-    candidates: list[_Known],
-    found: list[tuple[float, float]],
-    scores: list[float],
-    chosen: int,
-) -> tuple[Estimate, ...]:
-    """Returns: the chosen runner's estimate and then those of the best."""
-    best = sorted(range(len(scores)), key=scores.__getitem__)[:SHOWN_ESTIMATES]
-    positions = [chosen, *(position for position in best if position != chosen)]
-    return tuple(
-        Estimate(candidates[position].runner.runner_id, *found[position])
-        for position in positions
-    )
-
-
 def _may_raise(request: requests.Request, pool: pools.RunnerPool, now_s: float) -> bool:
     """Returns: whether a late long prompt is worth what it would delay."""
     if priorities.of_prompt(request.prompt_tokens) != priorities.LONG:
