--- a/standins/replay_fleet.py
+++ b/standins/replay_fleet.py
@@ -13,44 +13,24 @@
 
 from result import Ok
 
-from lacewingdrum_coordination import prefixes, routing
+from lacewingdrum_coordination import prefixes
 from lacewingdrum_protocol import runner_api
-from lacewingdrum_state import documents, fleet, ids, requests
-from standins import replay_ours, replay_policies, runner_model, traces
+from lacewingdrum_state import fleet, ids, requests
+from standins import (
+    replay_daemons,
+    replay_plan,
+    replay_policies,
+    runner_model,
+    traces,
+)
 
 POLL_S = 1.0
 LOCAL_DELAY_S = 0.0005
 GROUP_TRIES = 4
 ADDRESS = fleet.Address("127.0.0.1", 1)
 
-Dispatcher = replay_policies.Baseline | replay_ours.Ours
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Plan:
-    """One run: what is replayed, how fast, and against what."""
-
-    trace: traces.Trace
-    load: float
-    policy: replay_policies.PolicyName
-    without_long: bool = False
-    seed: int = 7
-    constants: routing.Policy = routing.Policy()
-    make_index: Callable[[], prefixes.PrefixIndex] = prefixes.PrefixIndex
-
-
-@dataclasses.dataclass(slots=True)
-class Fate:
-    """What became of one request; times are absolute."""
-
-    row: traces.Row
-    arrived_s: float
-    deadline_s: float
-    refusal: str = ""
-    first_token_s: float | None = None
-    finished_s: float | None = None
-    expected_complete_s: float = 0.0
-    runner_id: str = ""
+Plan = replay_plan.Plan
+Fate = replay_plan.Fate
 
 
 @dataclasses.dataclass(slots=True)
@@ -96,7 +76,10 @@
         self._wakes = dict.fromkeys(self.engines, 0)
         self._in_flight = replay_policies.InFlightCounts(tuple(self.engines))
         self._daemons = [
-            self._dispatcher(number) for number in range(header.daemon_count)
+            replay_daemons.make(
+                plan, self._runners, self._in_flight, number, self._data_centre(number)
+            )
+            for number in range(header.daemon_count)
         ]
         self._attempts: dict[str, _Attempt] = {}
         self._cache_seqs: dict[ids.RunnerId, int] = {}
@@ -347,37 +330,6 @@
 
         return tell
 
-    def _dispatcher(self, number: int) -> Dispatcher:
-        rng = random.Random(self._plan.seed * 1_000 + number)
-        delay_s = self._header.link_delay_s
-        match self._plan.policy:
-            case replay_policies.PolicyName.ROUND_ROBIN:
-                return replay_policies.RoundRobin(self._runners, rng, delay_s)
-            case replay_policies.PolicyName.FEWEST:
-                return replay_policies.FewestInFlight(
-                    self._runners, rng, delay_s, self._in_flight
-                )
-            case replay_policies.PolicyName.SHORTEST:
-                return replay_policies.ShortestWait(self._runners, rng, delay_s)
-            case replay_policies.PolicyName.OURS:
-                weights = documents.Weights(
-                    self._header.weight_time_to_first_token,
-                    self._header.weight_short_slowdown,
-                )
-                return replay_ours.Ours(
-                    self._runners,
-                    self._data_centre(number),
-                    rng,
-                    weights,
-                    self._plan.constants,
-                    self._header.daemon_count,
-                    {
-                        ids.CustomerId(f"c{number}"): share
-                        for number, share in enumerate(self._header.shares)
-                    },
-                    self._plan.make_index(),
-                )
-
     def _data_centre(self, number: int) -> ids.DataCentre:
         names = self._header.data_centres
         return ids.DataCentre(names[number % len(names)])
--- /dev/null
+++ b/standins/replay_plan.py
@@ -0,0 +1,34 @@
+"""What is replayed, and what becomes of each request."""
+
+import dataclasses
+from collections.abc import Callable
+
+from lacewingdrum_coordination import decisions, prefixes
+from standins import replay_policies, traces
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """One run: what is replayed, how fast, and against what."""
+
+    trace: traces.Trace
+    load: float
+    policy: replay_policies.PolicyName
+    without_long: bool = False
+    seed: int = 7
+    constants: decisions.Policy = decisions.DEFAULT_POLICY
+    make_index: Callable[[], prefixes.PrefixIndex] = prefixes.PrefixIndex
+
+
+@dataclasses.dataclass(slots=True)
+class Fate:
+    """What became of one request; times are absolute."""
+
+    row: traces.Row
+    arrived_s: float
+    deadline_s: float
+    refusal: str = ""
+    first_token_s: float | None = None
+    finished_s: float | None = None
+    expected_complete_s: float = 0.0
+    runner_id: str = ""
