--- /dev/null
+++ b/tests/guarantee_processes.py
@@ -0,0 +1,295 @@
+"""The proofs on real processes, as ``make guarantees`` runs them.
+
+Each starts deployments of its own and takes minutes. With
+``LACEWINGDRUM_QUICK=1`` in the environment each is run in its shortest form.
+"""
+
+import asyncio
+import os
+import pathlib
+import random
+import tempfile
+from collections.abc import Callable, Coroutine
+
+from lacewingdrum_state import documents
+from lacewingdrum_transport import http_client
+from standins import calls, cluster, load, memory_trial, verdict
+from tests import (
+    guarantee_documents,
+    guarantee_faults,
+    guarantee_leaving,
+    guarantee_stop,
+    proofs,
+    whole_system,
+)
+
+QUICK_ENVIRONMENT = "LACEWINGDRUM_QUICK"
+IS_QUICK = os.environ.get(QUICK_ENVIRONMENT) == "1"
+QUICK_PAIRS = 8
+STREAM_S = 3.0 if IS_QUICK else 60.0
+SUBMISSIONS = 30 if IS_QUICK else 200
+PROMPTS = 12 if IS_QUICK else 200
+KILLS = 1 if IS_QUICK else 4
+LOST_REPLIES = 0.3
+STEP_S = 1.0
+NEW_CONNECTION_CALLERS = 12
+CALLS_AT_ONCE = 40
+TOLD_ROUNDS = 20
+SERVICE_LOAD = load.LoadPlan(
+    duration_s=6.0,
+    completions_per_s=5.0,
+    service_calls_per_s=20.0,
+    mid_share=0.0,
+    long_share=0.0,
+    first_tokens=(),
+)
+
+Trial = Callable[[pathlib.Path], Coroutine[None, None, proofs.Outcome]]
+
+
+def _in_folder(trial: Trial) -> proofs.Outcome:
+    with tempfile.TemporaryDirectory(prefix="lacewingdrum-proof-") as name:
+        return asyncio.run(trial(pathlib.Path(name)))
+
+
+def run_fault_pairs(seed: int) -> proofs.Outcome:
+    """Args: seed: of each load. Returns: what all pairs of faults broke."""
+    assert seed == guarantee_faults.SEED
+    pairs = guarantee_faults.all_pairs()
+    if IS_QUICK:
+        # Evenly spread, so that most faults are among them.
+        pairs = pairs[:: len(pairs) // QUICK_PAIRS]
+    trials = guarantee_faults.run_all(pairs)
+    found = [
+        f"{trial.pair[0].value} + {trial.pair[1].value}: {violation}"
+        for trial in trials
+        for violation in trial.violations
+    ]
+    return proofs.Outcome(len(trials), tuple(found))
+
+
+async def _lose_service_replies(folder: pathlib.Path, seed: int) -> proofs.Outcome:
+    services = whole_system.write_documents(folder, guarantee_faults.PATIENCES_MS)
+    plan = whole_system.plan(1, 2, guarantee_faults.ENGINE_OPTIONS)
+    async with whole_system.running(plan, folder, folder) as found:
+        callers = load.Load(found, services, SERVICE_LOAD, seed)
+        await callers.start()
+        try:
+            disturbing = asyncio.ensure_future(_disturb_service(found))
+            await callers.run()
+            await disturbing
+            judged = await verdict.judge(found, callers.result, frozenset())
+        finally:
+            await callers.close()
+    calls = len(callers.result.outcomes)
+    calls += sum(map(len, callers.result.orders.values()))
+    return proofs.Outcome(calls, judged.violations)
+
+
+async def _disturb_service(found: cluster.Cluster) -> None:
+    """Lose replies after the effect, freeze one runner, silence another.
+
+    The one engine cuts all its streams.
+    """
+    first, second = found.runners["ledger-0"], found.runners["ledger-1"]
+    await asyncio.sleep(STEP_S)
+    await found.fault(found.runners["engine-0"], cut_streams=1.0)
+    for process in (first, second):
+        await found.fault(process, lose_replies=LOST_REPLIES)
+    await asyncio.sleep(STEP_S)
+    first.child.freeze()
+    await asyncio.sleep(STEP_S)
+    await found.silence(second)
+    await asyncio.sleep(STEP_S)
+    first.child.thaw()
+    await asyncio.sleep(STEP_S)
+    for process in (first, second):
+        await found.fault(process, lose_replies=0.0)
+
+
+def run_service_faults(seed: int) -> proofs.Outcome:
+    """Args: seed: of the load. Returns: calls, and what was told wrongly."""
+    return _in_folder(lambda folder: _lose_service_replies(folder, seed))
+
+
+def run_stops(seed: int) -> proofs.Outcome:
+    """Args: seed: of the balancer. Returns: calls, and those not answered."""
+    assert seed == guarantee_stop.SEED
+
+    async def trial(folder: pathlib.Path) -> proofs.Outcome:
+        report = await guarantee_stop.run(STREAM_S, folder)
+        found = report.details
+        if any(code != 0 for code in report.exit_codes):
+            found = (f"exit codes {report.exit_codes}", *found)
+        return proofs.Outcome(sum(report.ends.values()), found)
+
+    return _in_folder(trial)
+
+
+async def _stop_under_new_connections(
+    folder: pathlib.Path, seed: int
+) -> proofs.Outcome:
+    """Stop each daemon in turn while each call has a connection of its own."""
+    service, _ = whole_system.write_documents(folder, {})
+    limits = (("drain_notice_ms", guarantee_stop.NOTICE_MS),)
+    plan = whole_system.plan(3, 1, (), limits)
+    outcomes: list[calls.Outcome] = []
+    async with whole_system.running(plan, folder, folder) as found:
+        balancer = load.Balancer(found, random.Random(seed))
+        await balancer.start()
+        callers = [
+            asyncio.ensure_future(_call_anew(found, balancer, service, outcomes))
+            for _ in range(NEW_CONNECTION_CALLERS)
+        ]
+        for daemon in plan.daemons:
+            await asyncio.sleep(STEP_S)
+            child = found.daemons[daemon.vm_id].child
+            await found.stop_daemon(daemon.vm_id)
+            await child.wait(guarantee_stop.STOP_TIMEOUT_S)
+            await found.start_daemon(daemon)
+            await found.wait_for("/readyz")
+        for caller in callers:
+            caller.cancel()
+        await asyncio.gather(*callers, return_exceptions=True)
+        await balancer.close()
+    bad = tuple(
+        f"{outcome.daemon}: {outcome.end.value} {outcome.detail}"
+        for outcome in outcomes
+        if outcome.end is not calls.End.ANSWERED
+    )
+    return proofs.Outcome(len(outcomes), bad)
+
+
+async def _call_anew(
+    found: cluster.Cluster,
+    balancer: load.Balancer,
+    service: documents.ServiceDocument,
+    outcomes: list[calls.Outcome],
+) -> None:
+    while True:
+        vm_id = balancer.pick()
+        if vm_id is None:
+            await asyncio.sleep(load.BALANCER_POLL_S)
+            continue
+        address = found.daemons[vm_id].callers
+        http = http_client.HttpClient()
+        outcome = await calls.complete(http, address, _short_call(service, vm_id))
+        outcome.daemon = vm_id
+        outcomes.append(outcome)
+        await http.close()
+
+
+def run_stops_anew(seed: int) -> proofs.Outcome:
+    """Args: seed: of the balancer. Returns: calls, and those not answered."""
+    return _in_folder(lambda folder: _stop_under_new_connections(folder, seed))
+
+
+def run_leaving(seed: int) -> proofs.Outcome:
+    """Args: seed: of the balancer. Returns: signs, and attempts too late."""
+    assert seed == guarantee_leaving.SEED
+    found: list[str] = []
+    for sign in guarantee_leaving.Sign:
+
+        async def trial(
+            folder: pathlib.Path, sign: guarantee_leaving.Sign = sign
+        ) -> proofs.Outcome:
+            report = await guarantee_leaving.run(sign, folder)
+            is_bad = report.after_bound or report.failed
+            return proofs.Outcome(1, (str(report),) if is_bad else ())
+
+        found += _in_folder(trial).violations
+    return proofs.Outcome(len(guarantee_leaving.Sign), tuple(found))
+
+
+async def _leave_unheard(folder: pathlib.Path) -> proofs.Outcome:
+    """Only the refused daemon can tell the others, as the list lags."""
+    service, _ = whole_system.write_documents(folder, {})
+    async with whole_system.running(whole_system.plan(), folder, folder) as found:
+        engine = found.runners[guarantee_leaving.LEAVING]
+        await found.fault(found.platform["members"], list_lag_ms=600_000)
+        await found.fault(engine, leaving=True)
+        refused = 0
+        for _ in range(TOLD_ROUNDS):
+            await _call_at_once(found, service, "vm-0")
+            refused = len((await found.record(engine))["refused"])
+            if refused:
+                break
+        if not refused:
+            return proofs.Outcome(0, ("no daemon called the engine",))
+        await asyncio.sleep(guarantee_leaving.BOUND_S)
+        refused = len((await found.record(engine))["refused"])
+        for vm_id in found.daemons:
+            await _call_at_once(found, service, vm_id)
+        late = len((await found.record(engine))["refused"]) - refused
+    return proofs.Outcome(
+        CALLS_AT_ONCE * len(found.daemons),
+        (f"{late} attempts after the bound",) if late else (),
+    )
+
+
+async def _call_at_once(
+    found: cluster.Cluster, service: documents.ServiceDocument, vm_id: str
+) -> None:
+    http = http_client.HttpClient()
+    plans = [
+        _short_call(service, f"{number} of {vm_id}") for number in range(CALLS_AT_ONCE)
+    ]
+    address = found.daemons[vm_id].callers
+    await asyncio.gather(*(calls.complete(http, address, plan) for plan in plans))
+    await http.close()
+
+
+def _short_call(service: documents.ServiceDocument, name: str) -> calls.CompletionPlan:
+    return calls.CompletionPlan(
+        service,
+        service.kinds[0],
+        whole_system.CUSTOMER_TOKEN,
+        f"call {name}",
+        4,
+        True,
+    )
+
+
+def run_leaving_unheard(seed: int) -> proofs.Outcome:
+    """Args: seed: nothing is drawn. Returns: calls, and attempts too late."""
+    del seed
+    return _in_folder(_leave_unheard)
+
+
+def run_documents(seed: int) -> proofs.Outcome:
+    """Args: seed: of daemons and pauses. Returns: what was broken."""
+
+    async def trial(folder: pathlib.Path) -> proofs.Outcome:
+        history = await guarantee_documents.run(SUBMISSIONS, folder, seed)
+        return proofs.Outcome(SUBMISSIONS, tuple(history.violations))
+
+    return _in_folder(trial)
+
+
+def run_memory(seed: int) -> proofs.Outcome:
+    """Args: seed: of lengths and faults. Returns: what was not given back."""
+
+    async def trial(folder: pathlib.Path) -> proofs.Outcome:
+        report = await memory_trial.run(folder, PROMPTS, KILLS, seed)
+        found = report.wrong
+        if report.free_s == float("inf"):
+            found = (*found, f"{report.held_at_end_tokens} tokens held at the end")
+        return proofs.Outcome(PROMPTS, found)
+
+    return _in_folder(trial)
+
+
+PROOFS = (
+    proofs.Proof(
+        "processes: what callers are told, pairs of faults", 1, run_fault_pairs
+    ),
+    proofs.Proof(
+        "processes: not run, replies lost and streams cut", 1, run_service_faults
+    ),
+    proofs.Proof("processes: memory of groups comes back", 1, run_memory),
+    proofs.Proof("processes: a leaving engine gets no new work", 1, run_leaving),
+    proofs.Proof("processes: daemons tell of a leaving engine", 0, run_leaving_unheard),
+    proofs.Proof("processes: planned stops cut nothing", 1, run_stops),
+    proofs.Proof("processes: planned stops, each call connects", 1, run_stops_anew),
+    proofs.Proof("processes: documents under faults", 1, run_documents),
+)
