--- a/packages/daemon/lacewingdrum_daemon/document_keeper.py
+++ b/packages/daemon/lacewingdrum_daemon/document_keeper.py
@@ -25,7 +25,7 @@
     tables,
     tasks,
 )
-from lacewingdrum_protocol import peer_messages
+from lacewingdrum_protocol import document_messages, peer_messages
 from lacewingdrum_state import documents as document_types, ids
 
 TICK_S = 0.25
@@ -109,7 +109,9 @@
         if not self.ready():
             return ()
         served = (entry.served for entry in self._entries.values())
-        return tuple(_digest(stored) for stored in served if stored is not None)
+        return tuple(
+            document_messages.digest(stored) for stored in served if stored is not None
+        )
 
     def ready(self) -> bool:
         """Returns: whether this daemon knows the versions in force."""
@@ -152,7 +154,7 @@
         match result:
             case documents.Accepted(stored):
                 self._learn(stored)
-                self._peers.broadcast(_push(stored))
+                self._peers.broadcast(document_messages.push(stored))
             case documents.Conflict():
                 return documents.Conflict(await self._newest(service))
         return result
@@ -234,7 +236,7 @@
         self._note_reachable(True, "")
         self._freshness = document_versions.heard_table(self._freshness, asked_s)
         for stored in found:
-            self._peers.broadcast(_push(stored), self._data_centre())
+            self._peers.broadcast(document_messages.push(stored), self._data_centre())
 
     def _note_reachable(self, is_reachable: bool, detail: str) -> None:
         if is_reachable != self._is_reachable:
@@ -271,24 +273,18 @@
         )
 
     def _on_push(self, sender: ids.VmId, body: peer_messages.DocumentPush) -> None:
-        self._learn(
-            document_types.StoredDocument(
-                service=ids.ServiceName(body.service),
-                version=ids.DocumentVersion(body.version),
-                submission_id=ids.SubmissionId(body.submission_id),
-                digest=body.digest,
-                text=body.text,
-            )
-        )
+        self._learn(document_messages.stored_from(body))
 
     def _on_ask(self, sender: ids.VmId, body: peer_messages.DocumentAsk) -> None:
         theirs = {digest.service: digest.version for digest in body.documents}
         for service, entry in self._entries.items():
             if entry.held.version > theirs.get(service, 0):
-                self._peers.send(sender, _push(entry.held))
+                self._peers.send(sender, document_messages.push(entry.held))
 
     def _held_digests(self) -> tuple[peer_messages.Digest, ...]:
-        return tuple(_digest(entry.held) for entry in self._entries.values())
+        return tuple(
+            document_messages.digest(entry.held) for entry in self._entries.values()
+        )
 
     def _misses(self, digest: peer_messages.Digest) -> bool:
         return digest.version > self._held_version(ids.ServiceName(digest.service))
@@ -312,17 +308,3 @@
         )
         poller = homes.rendezvous("documents", [vm.vm_id for vm in near])
         return poller in (self._vm_id, None)
-
-
-def _digest(stored: document_types.StoredDocument) -> peer_messages.Digest:
-    return peer_messages.Digest(stored.service, stored.version, stored.digest)
-
-
-def _push(stored: document_types.StoredDocument) -> peer_messages.DocumentPush:
-    return peer_messages.DocumentPush(
-        stored.service,
-        stored.version,
-        stored.submission_id,
-        stored.digest,
-        stored.text,
-    )
