Large prompts wait for memory; daemons learn of the prefix caches

Ruled out: refusing with Retry-After; the caller's return is no likelier to meet free memory than a wait here. Change: a request that lacks only memory waits up to a quarter of its patience before it is refused; homes read cache events each second and tell their data centre.

--- a/packages/daemon/lacewingdrum_daemon/completions.py
+++ b/packages/daemon/lacewingdrum_daemon/completions.py
@@ -24,8 +24,8 @@
 from lacewingdrum_transport import runner_client
 
 MAX_ATTEMPTS = 6
-FULL_WAIT_S = 4.0
-FULL_PAUSE_S = (0.2, 0.4)
+MEMORY_WAIT_SHARE = 0.25
+MEMORY_PAUSE_S = (0.2, 0.4)
 
 
 class Completions:
@@ -101,7 +101,7 @@
         progress: attempt_runner.Progress,
     ) -> callers_api.Failure | None:
         while len(progress.tried) < MAX_ATTEMPTS:
-            decision = await self._choose_again_if_full(call, progress)
+            decision = await self._choose_with_memory(call, progress)
             verdict = self._admit(call, decision, progress)
             if verdict is not None:
                 return verdict
@@ -125,30 +125,33 @@
             retry_after_ms=int(1000 * self._rng.uniform(0.5, 2.0)),
         )
 
-    async def _choose_again_if_full(
+    async def _choose_with_memory(
         self, call: attempt_runner.Call, progress: attempt_runner.Progress
     ) -> routing.Decision:
-        """Choose; an admitted request waits a little for memory.
+        """Choose; where only memory is short, wait a part of the patience.
 
-        The memory of its own broken attempt is among what is given back.
+        A large prompt can wait for the memory of others, or for that of its
+        own broken attempt, and still be in time.
         """
-        until_s = self._clock() + FULL_WAIT_S
+        left_s = call.request.deadline_s - self._clock()
+        until_s = self._clock() + MEMORY_WAIT_SHARE * left_s
         decision = self._choose(call, progress)
-        while (
-            progress.tried
-            and decision.reason is routing.Reason.NO_MEMORY
-            and self._clock() < until_s
-        ):
-            await asyncio.sleep(self._rng.uniform(*FULL_PAUSE_S))
+        while decision.reason is routing.Reason.NO_MEMORY and self._clock() < until_s:
+            await asyncio.sleep(self._rng.uniform(*MEMORY_PAUSE_S))
             decision = self._choose(call, progress)
+        self._record_choice(call, decision)
         return decision
 
     def _choose(
         self, call: attempt_runner.Call, progress: attempt_runner.Progress
     ) -> routing.Decision:
-        decision = self._router.choose(
+        return self._router.choose(
             call.request, call.weights, self._clock(), frozenset(progress.excluded)
         )
+
+    def _record_choice(
+        self, call: attempt_runner.Call, decision: routing.Decision
+    ) -> None:
         self._decisions.record(
             decision_log.DecisionEvent.ROUTED,
             call.request.request_id,
@@ -157,7 +160,6 @@
             reason=decision.reason.value,
             estimates=[dataclasses.astuple(found) for found in decision.estimates],
         )
-        return decision
 
     def _admit(
         self,
--- a/packages/daemon/lacewingdrum_daemon/daemon.py
+++ b/packages/daemon/lacewingdrum_daemon/daemon.py
@@ -13,6 +13,7 @@
 from lacewingdrum_daemon import (
     attempt_runner,
     budget_keeper,
+    cache_keeper,
     callers,
     completions,
     decision_log,
@@ -126,6 +127,14 @@
             self._router.observe_load,
             self._clock,
         )
+        self._caches = cache_keeper.CacheKeeper(
+            self._runners,
+            self._peering,
+            self._members,
+            (own.vm.vm_id, own.vm.data_centre),
+            self._router.observe_cache,
+            self._clock,
+        )
         self._placement = placement_keeper.PlacementKeeper(
             self._table,
             self._runners,
@@ -239,6 +248,7 @@
         self._peering.start()
         self._documents.start()
         self._loads.start()
+        self._caches.start()
         self._placement.start()
         self._budgets.start()
         self._tasks.spawn(self._sync_fleet())
@@ -286,6 +296,7 @@
         await self._tasks.close()
         await self._budgets.close()
         await self._placement.close()
+        await self._caches.close()
         await self._loads.close()
         await self._documents.close()
         await self._peering.close()
--- a/packages/protocol/lacewingdrum_protocol/peer_messages.py
+++ b/packages/protocol/lacewingdrum_protocol/peer_messages.py
@@ -81,6 +81,15 @@
     entries: tuple[InFlightEntry, ...]
 
 
+class CacheSummary(msgspec.Struct, frozen=True, array_like=True, tag="cache"):
+    """Blocks that entered (``stored``) or left a runner's prefix cache."""
+
+    runner_id: str
+    incarnation: int
+    stored: tuple[int, ...]
+    evicted: tuple[int, ...]
+
+
 class ReserveAsk(msgspec.Struct, frozen=True, array_like=True, tag="rsv"):
     """Asks a runner's home to set memory aside until it lapses."""
 
@@ -129,6 +138,7 @@
     | DocumentAsk
     | LoadSummary
     | InFlightReport
+    | CacheSummary
     | ReserveAsk
     | ReserveAnswer
     | ReserveRelease
