Limits in requests a second are held, for both kinds of service

Cause: documents could state limit_requests_per_s and no code read it. Ruled out: a second message pair; a budget's resource is one field of the message, and requests in thousandths fit the same slices. Change: customer_limits.py holds a budget for tokens and one for requests; calls of plain services are charged too. Figures: eight daemons, skewed arrival, five times the limit of 40 requests/s offered: within 10 % over 10 s; the test failed before for want of the code.

--- /dev/null
+++ b/packages/coordination/lacewingdrum_coordination/customer_limits_test.py
@@ -0,0 +1,56 @@
+"""Tests of both limits of a customer over several daemons."""
+
+import random
+
+from lacewingdrum_coordination import customer_limits, limits
+from lacewingdrum_state import documents, ids
+
+SERVICE = ids.ServiceName("s")
+NAME = ids.CustomerId("c")
+DAEMONS = 8
+WINDOW_S = 10.0
+STEP_S = 0.025
+DEVIATION = 0.1
+
+
+def granted_in_window(customer, tokens, offered_per_s):
+    """Requests granted in a window at eight daemons with skewed arrival."""
+    rng = random.Random(1)
+    home = customer_limits.HomeLimits()
+    daemons = [customer_limits.CustomerLimits() for _ in range(DAEMONS)]
+    for daemon in daemons:
+        daemon.set_limits(SERVICE, customer)
+    skew = [1 / (place + 1) for place in range(DAEMONS)]
+    granted = 0
+    window_steps = round(WINDOW_S / STEP_S)
+    for step in range(2 * window_steps):
+        now_s = step * STEP_S
+        for _ in range(round(offered_per_s * STEP_S)):
+            daemon = rng.choices(daemons, skew)[0]
+            verdict = daemon.charge(SERVICE, NAME, tokens, now_s)
+            if isinstance(verdict, limits.Granted) and step >= window_steps:
+                granted += 1
+        for daemon in daemons:
+            for resource, ask in daemon.asks(now_s):
+                grant = home.ask(resource, ask, customer, now_s)
+                daemon.granted(resource, grant, now_s)
+    return granted
+
+
+def test_requests_are_held_to_their_limit():
+    customer = documents.Customer(NAME, "", limit_requests_per_s=40.0)
+    granted = granted_in_window(customer, 100, 200)
+    assert abs(granted - 40 * WINDOW_S) <= DEVIATION * 40 * WINDOW_S
+
+
+def test_tokens_are_held_to_their_limit_beside_a_loose_request_limit():
+    customer = documents.Customer(
+        NAME, "", limit_tokens_per_s=20_000, limit_requests_per_s=1_000.0
+    )
+    granted = granted_in_window(customer, 200, 400)
+    assert abs(granted - 100 * WINDOW_S) <= DEVIATION * 100 * WINDOW_S
+
+
+def test_a_customer_without_limits_is_never_refused():
+    customer = documents.Customer(NAME, "")
+    assert granted_in_window(customer, 1_000, 400) == 400 * WINDOW_S
--- a/packages/daemon/lacewingdrum_daemon/budget_keeper.py
+++ b/packages/daemon/lacewingdrum_daemon/budget_keeper.py
@@ -6,10 +6,16 @@
 import asyncio
 from collections.abc import Callable
 
-from lacewingdrum_coordination import directory, homes, limits, membership
+from lacewingdrum_coordination import (
+    customer_limits,
+    directory,
+    homes,
+    limits,
+    membership,
+)
 from lacewingdrum_daemon import members_keeper, peering, tasks
 from lacewingdrum_protocol import peer_messages
-from lacewingdrum_state import ids
+from lacewingdrum_state import documents, ids
 
 ROUND_S = 0.025
 
@@ -28,7 +34,7 @@
 
     def __init__(
         self,
-        budget: limits.DaemonBudget,
+        budget: customer_limits.CustomerLimits,
         peers: peering.Peering,
         members: members_keeper.MembersKeeper,
         vm_id: ids.VmId,
@@ -36,7 +42,7 @@
         clock: Callable[[], float],
     ) -> None:
         self._budget = budget
-        self._home = limits.HomeBudget()
+        self._home = customer_limits.HomeLimits()
         self._peers = peers
         self._members = members
         self._vm_id = vm_id
@@ -65,24 +71,30 @@
         if not asks:
             return
         live = [vm.vm_id for vm in membership.live_vms(self._members.view, now_s)]
-        for ask in asks:
+        for resource, ask in asks:
             home = homes.home_of_customer(ask.service, ask.customer, live)
             if home is not None:
-                self._peers.send(home, _message(ask))
+                self._peers.send(home, _message(resource, ask))
 
     def _asked(self, sender: ids.VmId, body: peer_messages.BudgetAsk) -> None:
         ask = limits.Ask(
             ids.ServiceName(body.service),
             ids.CustomerId(body.customer),
-            body.wanted_tokens,
-            body.used_tokens,
+            body.wanted,
+            body.used,
         )
-        limit_tokens_per_s = self._limit_tokens_per_s(ask.service, ask.customer)
-        if limit_tokens_per_s <= 0:
+        customer = self._customer(ask.service, ask.customer)
+        if customer is None:
+            return
+        grant = self._home.ask(body.resource, ask, customer, self._clock())
+        if grant is None:
             return
-        grant = self._home.ask(ask, limit_tokens_per_s, self._clock())
         answer = peer_messages.BudgetGrant(
-            grant.service, grant.customer, grant.granted_tokens, grant.lapse_ms
+            grant.service,
+            grant.customer,
+            grant.granted_tokens,
+            grant.lapse_ms,
+            body.resource,
         )
         self._peers.send(sender, answer)
 
@@ -90,24 +102,26 @@
         grant = limits.Grant(
             ids.ServiceName(body.service),
             ids.CustomerId(body.customer),
-            body.granted_tokens,
+            body.granted,
             body.lapse_ms,
         )
-        self._budget.granted(grant, self._clock())
+        self._budget.granted(body.resource, grant, self._clock())
 
-    def _limit_tokens_per_s(
+    def _customer(
         self, service: ids.ServiceName, customer: ids.CustomerId
-    ) -> int:
+    ) -> documents.Customer | None:
         document = self._current().services.get(service)
         if document is None:
-            return 0
+            return None
         for found in document.customers:
             if found.customer == customer:
-                return found.limit_tokens_per_s
-        return 0
+                return found
+        return None
 
 
-def _message(ask: limits.Ask) -> peer_messages.BudgetAsk:
+def _message(
+    resource: customer_limits.Resource, ask: limits.Ask
+) -> peer_messages.BudgetAsk:
     return peer_messages.BudgetAsk(
-        ask.service, ask.customer, ask.wanted_tokens, ask.used_tokens
+        ask.service, ask.customer, ask.wanted_tokens, ask.used_tokens, resource
     )
--- a/packages/daemon/lacewingdrum_daemon/callers.py
+++ b/packages/daemon/lacewingdrum_daemon/callers.py
@@ -10,7 +10,7 @@
 
 from result import Err
 
-from lacewingdrum_coordination import directory, limits
+from lacewingdrum_coordination import customer_limits, directory, limits
 from lacewingdrum_daemon import (
     answers,
     attempt_runner,
@@ -89,7 +89,7 @@
         health: probes.Probes,
         model_calls: completions.Completions,
         app_calls: service_calls.ServiceCalls,
-        budget: limits.DaemonBudget,
+        budget: customer_limits.CustomerLimits,
         decisions: decision_log.DecisionLog,
         figures: metrics.Metrics,
         clock: Callable[[], float],
@@ -171,7 +171,7 @@
             received_s=received_s,
             block_hashes=callers_api.block_hashes(prompt),
         )
-        over = self._spend(request)
+        over = self._charge(request)
         if over is not None:
             return over
         return attempt_runner.Call(
@@ -228,6 +228,9 @@
         request = self._request(received, request_id, caller, kind, 0, 0)
         if isinstance(request, Failure):
             return request
+        over = self._charge(request)
+        if over is not None:
+            return over
         if request.idempotent:
             return await self._app_calls.call(request, own)
         key = received.headers.get(callers_api.KEY_HEADER, "")
@@ -283,8 +286,8 @@
             idempotent=kind.idempotent,
         )
 
-    def _spend(self, request: requests.Request) -> Failure | None:
-        spent = self._budget.spend(
+    def _charge(self, request: requests.Request) -> Failure | None:
+        spent = self._budget.charge(
             request.service, request.customer, request.total_tokens, self._clock()
         )
         match spent:
--- a/packages/daemon/lacewingdrum_daemon/daemon.py
+++ b/packages/daemon/lacewingdrum_daemon/daemon.py
@@ -9,7 +9,7 @@
 import random
 import time
 
-from lacewingdrum_coordination import limits, retries, routing
+from lacewingdrum_coordination import customer_limits, retries, routing
 from lacewingdrum_daemon import (
     attempt_runner,
     budget_keeper,
@@ -143,7 +143,7 @@
             own.vm.vm_id,
             self._clock,
         )
-        self._budget = limits.DaemonBudget()
+        self._budget = customer_limits.CustomerLimits()
         self._directory = directory_cache.DirectoryCache(self._documents, self._budget)
         self._budgets = budget_keeper.BudgetKeeper(
             self._budget,
--- a/packages/daemon/lacewingdrum_daemon/directory_cache.py
+++ b/packages/daemon/lacewingdrum_daemon/directory_cache.py
@@ -1,6 +1,6 @@
 """Keeps the callers' directory in step with the documents in force."""
 
-from lacewingdrum_coordination import directory, limits
+from lacewingdrum_coordination import customer_limits, directory
 from lacewingdrum_daemon import document_keeper
 from lacewingdrum_protocol import peer_messages
 
@@ -14,7 +14,9 @@
     """
 
     def __init__(
-        self, keeper: document_keeper.DocumentKeeper, budget: limits.DaemonBudget
+        self,
+        keeper: document_keeper.DocumentKeeper,
+        budget: customer_limits.CustomerLimits,
     ) -> None:
         self._keeper = keeper
         self._budget = budget
@@ -34,6 +36,4 @@
         self._current = directory.build(d for d in parsed if d is not None)
         for document in self._current.services.values():
             for customer in document.customers:
-                self._budget.set_limit(
-                    document.service, customer.customer, customer.limit_tokens_per_s
-                )
+                self._budget.set_limits(document.service, customer)
--- a/packages/protocol/lacewingdrum_protocol/peer_messages.py
+++ b/packages/protocol/lacewingdrum_protocol/peer_messages.py
@@ -7,6 +7,8 @@
 import msgspec
 from result import Err, Ok, Result
 
+from lacewingdrum_coordination import customer_limits
+
 WIRE_VERSION = 1
 
 
@@ -115,12 +117,16 @@
 
 
 class BudgetAsk(msgspec.Struct, frozen=True, array_like=True, tag="bga"):
-    """Asks a customer's home for a slice of the customer's budget."""
+    """Asks a customer's home for a slice of one of the customer's budgets.
+
+    ``resource`` says what the budget counts; requests are in thousandths.
+    """
 
     service: str
     customer: str
-    wanted_tokens: int
-    used_tokens: int
+    wanted: int
+    used: int
+    resource: customer_limits.Resource = customer_limits.Resource.TOKENS
 
 
 class BudgetGrant(msgspec.Struct, frozen=True, array_like=True, tag="bgg"):
@@ -128,8 +134,9 @@
 
     service: str
     customer: str
-    granted_tokens: int
+    granted: int
     lapse_ms: int
+    resource: customer_limits.Resource = customer_limits.Resource.TOKENS
 
 
 Body = (
