Orders' large answers go to the object store

Cause: an answer above 64 KiB was not kept, so a repeat of its order could only be told that it may have run; the object store's client had no user. Ruled out: larger rows; the table's writes are the scarce part. Change: large_answers.py stores the body before the row is recorded; a repeat reads it back, and is told that the order ran where it cannot be read now. Orders moved from service_calls.py to service_orders.py.

--- a/packages/daemon/lacewingdrum_daemon/callers.py
+++ b/packages/daemon/lacewingdrum_daemon/callers.py
@@ -19,6 +19,7 @@
     metrics,
     probes,
     service_calls,
+    service_orders,
 )
 from lacewingdrum_protocol import callers_api
 from lacewingdrum_state import documents, ids, requests, states
@@ -89,6 +90,7 @@
         health: probes.Probes,
         model_calls: completions.Completions,
         app_calls: service_calls.ServiceCalls,
+        app_orders: service_orders.ServiceOrders,
         budget: customer_limits.CustomerLimits,
         decisions: decision_log.DecisionLog,
         figures: metrics.Metrics,
@@ -99,6 +101,7 @@
         self._health = health
         self._model_calls = model_calls
         self._app_calls = app_calls
+        self._app_orders = app_orders
         self._budget = budget
         self._decisions = decisions
         self._figures = figures
@@ -237,7 +240,7 @@
         if not 1 <= len(key) <= callers_api.MAX_KEY_CHARACTERS:
             message = "Idempotency-Key: an order needs one of 1 to 200 characters"
             return Failure(ErrorCode.KEY_MISSING, message)
-        return await self._app_calls.order(request, own, ids.IdempotencyKey(key))
+        return await self._app_orders.order(request, own, ids.IdempotencyKey(key))
 
     def _caller(
         self, received: http_messages.HttpRequest, service: ids.ServiceName | None
--- a/packages/daemon/lacewingdrum_daemon/daemon.py
+++ b/packages/daemon/lacewingdrum_daemon/daemon.py
@@ -21,6 +21,7 @@
     document_keeper,
     group_memory,
     in_flight,
+    large_answers,
     load_keeper,
     loop_lag,
     members_keeper,
@@ -33,6 +34,7 @@
     probes,
     reservation_keeper,
     service_calls,
+    service_orders,
     settings,
     tasks,
 )
@@ -42,6 +44,7 @@
     http_client,
     http_server,
     members_client,
+    objects_client,
     peer_socket,
     runner_client,
     table_client,
@@ -156,17 +159,26 @@
 
     def _make_servers(self) -> None:
         own = self._own
-        self._orders = order_calls.OrderCalls(self._table, self._clock)
         self._app_calls = service_calls.ServiceCalls(
             self._http,
             self._members,
             self._in_flight,
-            self._orders,
             retries.Budget(),
             self._decisions,
             self._clock,
             self._rng,
         )
+        objects = objects_client.ObjectsClient(
+            self._http,
+            own.platform.objects,
+            own.limits.platform_timeout_ms / MS_PER_S,
+        )
+        self._orders = service_orders.ServiceOrders(
+            self._app_calls,
+            order_calls.OrderCalls(self._table, self._clock),
+            large_answers.LargeAnswers(objects),
+            self._decisions,
+        )
         self._gate = callers.Gate(
             lambda: self._knows_fleet, self._knows_documents, self._documents.may_admit
         )
@@ -177,6 +189,7 @@
             health,
             self._make_completions(),
             self._app_calls,
+            self._orders,
             self._budget,
             self._decisions,
             self._figures,
@@ -290,7 +303,6 @@
             grace_s: how long orders and cancels may still take.
         """
         await self._callers_server.close()
-        await self._app_calls.close(grace_s)
         await self._orders.close(grace_s)
         await self._in_flight.close(min(grace_s, CANCEL_GRACE_S))
         await self._tasks.close()
--- a/packages/daemon/lacewingdrum_daemon/service_calls.py
+++ b/packages/daemon/lacewingdrum_daemon/service_calls.py
@@ -1,27 +1,23 @@
-"""Runs calls of plain services: reads, and orders that may run only once."""
+"""Sends calls of plain services to their runners."""
 
 import asyncio
-import hashlib
 import random
 from collections.abc import Callable
 
 from result import Err, Ok
 
-from lacewingdrum_coordination import attempts, orders, retries
+from lacewingdrum_coordination import attempts, retries
 from lacewingdrum_daemon import (
     decision_log,
     in_flight,
     members_keeper,
-    order_calls,
-    tasks,
 )
 from lacewingdrum_protocol import callers_api, runner_api
-from lacewingdrum_state import fleet, ids, orders as order_rows, requests, states
+from lacewingdrum_state import fleet, ids, requests, states
 from lacewingdrum_transport import http_client, http_messages
 
 MAX_ATTEMPTS = 4
 MIN_TIMEOUT_S = 0.001
-STOP_GRACE_S = 30.0
 _PASSED_ON = ("content-type", "accept", "accept-language")
 
 Result = http_messages.HttpResponse | callers_api.Failure
@@ -35,7 +31,6 @@
         http: http_client.HttpClient,
         members: members_keeper.MembersKeeper,
         table: in_flight.InFlightTable,
-        order_table: order_calls.OrderCalls,
         budget: retries.Budget,
         decisions: decision_log.DecisionLog,
         clock: Callable[[], float],
@@ -44,16 +39,10 @@
         self._http = http
         self._members = members
         self._in_flight = table
-        self._orders = order_table
         self._budget = budget
         self._decisions = decisions
         self._clock = clock
         self._rng = rng
-        self._order_tasks = tasks.TaskSet()
-
-    async def close(self, grace_s: float = STOP_GRACE_S) -> None:
-        """Let orders in progress run to their end."""
-        await self._order_tasks.close(grace_s)
 
     async def call(
         self, request: requests.Request, received: http_messages.HttpRequest
@@ -71,7 +60,7 @@
         self._budget.note_request()
         try:
             async with asyncio.timeout_at(request.deadline_s):
-                return await self._try_runners(request, received, tried, True)
+                return await self.try_runners(request, received, tried, True)
         except TimeoutError:
             return callers_api.Failure(
                 callers_api.ErrorCode.PATIENCE_OVER,
@@ -80,69 +69,25 @@
                 self._retry_after_ms(),
             )
 
-    async def order(
+    async def try_runners(
         self,
         request: requests.Request,
         received: http_messages.HttpRequest,
-        key: ids.IdempotencyKey,
+        tried: list[attempts.Attempt],
+        may_repeat: bool,
     ) -> Result:
-        """Carry out a call that may take effect only once.
-
-        The order runs to its end and is recorded even when the task that
-        asked for it is cancelled, as when its caller goes away.
+        """Send a call until a runner answers it.
 
         Args:
             request: who asks, and by when.
             received: what is asked.
-            key: the caller's key, which makes repeats the same order.
+            tried: takes each attempt.
+            may_repeat: whether it may be sent again after an attempt that
+                may have run.
 
         Returns:
-            The runner's answer, stored or new, or an honest failure.
+            The runner's answer, or the failure of the last attempt.
         """
-        work = self._run_order(request, received, key)
-        return await asyncio.shield(self._order_tasks.spawn(work))
-
-    async def _run_order(
-        self,
-        request: requests.Request,
-        received: http_messages.HttpRequest,
-        key: ids.IdempotencyKey,
-    ) -> Result:
-        tried: list[attempts.Attempt] = []
-
-        async def send() -> orders.SendOutcome:
-            return _send_outcome(
-                await self._try_runners(request, received, tried, False), tried
-            )
-
-        result = await self._orders.run(
-            order_rows.OrderId(request.service, request.customer, key),
-            fingerprint(received),
-            ids.new_attempt_id(request.request_id, 1),
-            request.deadline_s,
-            send,
-        )
-        self._decisions.record(
-            decision_log.DecisionEvent.ORDER_ANSWERED,
-            request.request_id,
-            outcome=type(result).__name__,
-            reason=result.reason.value if isinstance(result, orders.NotSent) else "",
-        )
-        match result:
-            case orders.Done(answer, _):
-                headers = (("Content-Type", answer.content_type),)
-                return http_messages.HttpResponse(answer.status, headers, answer.body)
-            case orders.NotSent(ran, reason, retry_after_ms):
-                code = _CODE_OF[reason]
-                return callers_api.Failure(code, reason.value, ran, retry_after_ms)
-
-    async def _try_runners(
-        self,
-        request: requests.Request,
-        received: http_messages.HttpRequest,
-        tried: list[attempts.Attempt],
-        may_repeat: bool,
-    ) -> Result:
         excluded: set[ids.RunnerId] = set()
         failure = self._no_runner(tried)
         while len(tried) < MAX_ATTEMPTS:
@@ -262,14 +207,6 @@
         return int(1000 * self._rng.uniform(0.5, 2.0))
 
 
-def fingerprint(received: http_messages.HttpRequest) -> str:
-    """Returns: hex SHA-256 of method, target and body."""
-    digest = hashlib.sha256()
-    digest.update(f"{received.method} {received.target}\n".encode())
-    digest.update(received.body)
-    return digest.hexdigest()
-
-
 def _moved(attempt: attempts.Attempt, state: states.AttemptState) -> attempts.Attempt:
     return attempts.move(attempt, state).unwrap_or(attempt)
 
@@ -291,30 +228,3 @@
     if key is not None:
         kept.append((callers_api.KEY_HEADER, key))
     return tuple(kept)
-
-
-def _send_outcome(result: Result, tried: list[attempts.Attempt]) -> orders.SendOutcome:
-    match result:
-        case http_messages.HttpResponse(status, _, body):
-            content_type = result.header("content-type") or "application/octet-stream"
-            return orders.Answered(order_rows.OrderAnswer(status, content_type, body))
-        case callers_api.Failure():
-            if result.ran is not states.Ran.NO:
-                return orders.Lost()
-            return orders.RefusedNotStarted() if tried else orders.Unsent()
-
-
-_CODE_OF = {
-    orders.NotSentReason.NO_TABLE: callers_api.ErrorCode.STORE_DOWN,
-    orders.NotSentReason.UNSETTLED: callers_api.ErrorCode.STORE_DOWN,
-    orders.NotSentReason.UNREADABLE_ROW: callers_api.ErrorCode.ORDER_MAY_HAVE_RUN,
-    orders.NotSentReason.KEY_REUSED: callers_api.ErrorCode.KEY_REUSED,
-    orders.NotSentReason.IN_PROGRESS: callers_api.ErrorCode.ORDER_IN_PROGRESS,
-    orders.NotSentReason.MAY_HAVE_RUN: callers_api.ErrorCode.ORDER_MAY_HAVE_RUN,
-    orders.NotSentReason.ANSWER_NOT_KEPT: callers_api.ErrorCode.ORDER_MAY_HAVE_RUN,
-    orders.NotSentReason.DEADLINE: callers_api.ErrorCode.PATIENCE_OVER,
-    orders.NotSentReason.RUNNER_REFUSED: callers_api.ErrorCode.NO_RUNNER,
-    orders.NotSentReason.RUNNER_UNREACHED: callers_api.ErrorCode.NO_RUNNER,
-    orders.NotSentReason.ANSWER_LOST: callers_api.ErrorCode.RUNNER_LOST,
-    orders.NotSentReason.STOPPING: callers_api.ErrorCode.LEAVING,
-}
--- a/packages/state/lacewingdrum_state/orders.py
+++ b/packages/state/lacewingdrum_state/orders.py
@@ -16,11 +16,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OrderAnswer:
-    """The runner's answer to an order, as repeats see it."""
+    """The runner's answer to an order, as repeats see it.
+
+    A body too large for the row lies in the object store under
+    ``object_key``; ``body`` is empty then.
+    """
 
     status: int
     content_type: str
     body: bytes
+    object_key: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
