--- a/packages/coordination/lacewingdrum_coordination/limits.py
+++ b/packages/coordination/lacewingdrum_coordination/limits.py
@@ -121,6 +121,11 @@
             One ask for each customer whose slice runs low or lapsed.
         """
         due: list[Ask] = []
+        idle = [key for key, lent in self._slices.items() if _is_idle(lent)]
+        for key in idle:
+            # A slice with nothing lent or owed is as good as none, and a
+            # round shall cost by the customers that are active.
+            del self._slices[key]
         for (service, customer), lent in self._slices.items():
             limit = self._limits.get((service, customer), 0.0)
             if limit <= 0 or not self._is_due(lent, limit, now_s):
@@ -168,6 +173,10 @@
             lent.next_ask_s = now_s + EMPTY_PAUSE_S
 
 
+def _is_idle(lent: _Slice) -> bool:
+    return lent.balance_tokens == 0 and lent.asked_s is None
+
+
 @dataclasses.dataclass(slots=True)
 class _Bucket:
     level_tokens: float
--- a/packages/daemon/lacewingdrum_daemon/cache_keeper.py
+++ b/packages/daemon/lacewingdrum_daemon/cache_keeper.py
@@ -10,7 +10,7 @@
 
 from result import Err
 
-from lacewingdrum_coordination import homes, membership, prefixes
+from lacewingdrum_coordination import membership, prefixes, runner_homes
 from lacewingdrum_daemon import members_keeper, peering, tasks
 from lacewingdrum_protocol import peer_messages, runner_api
 from lacewingdrum_state import fleet, ids
@@ -51,6 +51,7 @@
         self._peers = peers
         self._members = members
         self._vm_id, self._data_centre = own
+        self._homes = runner_homes.RunnerHomes(*own)
         self._on_cache = on_cache
         self._clock = clock
         self._seen: dict[tuple[ids.RunnerId, ids.Incarnation], int] = {}
@@ -84,14 +85,12 @@
 
     def _own_runners(self) -> list[fleet.Runner]:
         view = self._members.view
-        live = membership.live_vms(view, self._clock())
-        near = {vm.vm_id for vm in live if vm.data_centre == self._data_centre}
-        candidates = sorted(near | {self._vm_id})
+        self._homes.set_live(membership.live_vms(view, self._clock()))
         return [
             runner
             for runner in view.runners
             if runner.data_centre == self._data_centre
-            and homes.home_of_runner(runner.runner_id, candidates) == self._vm_id
+            and self._homes.home_of(runner) == self._vm_id
         ]
 
     async def _read(self, runner: fleet.Runner) -> None:
--- a/packages/daemon/lacewingdrum_daemon/daemon.py
+++ b/packages/daemon/lacewingdrum_daemon/daemon.py
@@ -226,7 +226,11 @@
             self._clock,
         )
         reservations = reservation_keeper.ReservationKeeper(
-            self._peering, self._members, self._router.free_tokens, self._clock
+            self._peering,
+            self._members,
+            (self._own.vm.vm_id, self._own.vm.data_centre),
+            self._router.free_tokens,
+            self._clock,
         )
         groups = group_memory.GroupMemory(
             self._runners, self._in_flight, reservations, self._clock, self._rng
--- a/packages/daemon/lacewingdrum_daemon/reservation_keeper.py
+++ b/packages/daemon/lacewingdrum_daemon/reservation_keeper.py
@@ -7,7 +7,7 @@
 import asyncio
 from collections.abc import Callable, Sequence
 
-from lacewingdrum_coordination import groups, homes, membership, memory_book
+from lacewingdrum_coordination import groups, membership, memory_book, runner_homes
 from lacewingdrum_daemon import members_keeper, peering
 from lacewingdrum_protocol import peer_messages
 from lacewingdrum_state import fleet, ids
@@ -26,6 +26,7 @@
     Args:
         peers: carries the messages.
         members: says where a runner is and which VMs are live.
+        own: this daemon's VM and data centre.
         free_tokens: a runner's free memory by its last report.
         clock: monotonic seconds.
     """
@@ -34,11 +35,13 @@
         self,
         peers: peering.Peering,
         members: members_keeper.MembersKeeper,
+        own: tuple[ids.VmId, ids.DataCentre],
         free_tokens: FreeTokens,
         clock: Callable[[], float],
     ) -> None:
         self._peers = peers
         self._members = members
+        self._homes = runner_homes.RunnerHomes(*own)
         self._free_tokens = free_tokens
         self._clock = clock
         self._book = memory_book.MemoryBook()
@@ -128,9 +131,8 @@
         runner = _runner(view.runners, runner_id)
         if runner is None:
             return None
-        live = membership.live_vms(view, self._clock())
-        near = [vm.vm_id for vm in live if vm.data_centre == runner.data_centre]
-        return homes.home_of_runner(runner_id, near or [vm.vm_id for vm in live])
+        self._homes.set_live(membership.live_vms(view, self._clock()))
+        return self._homes.home_of(runner)
 
     def _asked(self, sender: ids.VmId, body: peer_messages.ReserveAsk) -> None:
         now_s = self._clock()
