--- a/standins/replay_fleet.py
+++ b/standins/replay_fleet.py
@@ -75,12 +75,7 @@
         }
         self._wakes = dict.fromkeys(self.engines, 0)
         self._in_flight = replay_policies.InFlightCounts(tuple(self.engines))
-        self._daemons = [
-            replay_daemons.make(
-                plan, self._runners, self._in_flight, number, self._data_centre(number)
-            )
-            for number in range(header.daemon_count)
-        ]
+        self._daemons = self._new_daemons()
         self._attempts: dict[str, _Attempt] = {}
         self._cache_seqs: dict[ids.RunnerId, int] = {}
         self._open_count = 0
@@ -96,11 +91,31 @@
         for position, runner in enumerate(self._runners):
             first_s = POLL_S * position / len(self._runners)
             self._at(first_s, self._poll(runner.runner_id))
+        if self._plan.restart_every_s:
+            self._at(self._plan.restart_every_s, self._restart)
         while self._events:
             at_s, _, action = heapq.heappop(self._events)
             action(at_s)
         return self.fates
 
+    def _new_daemons(self) -> list[replay_daemons.Dispatcher]:
+        return [
+            replay_daemons.make(
+                self._plan,
+                self._runners,
+                self._in_flight,
+                number,
+                self._data_centre(number),
+            )
+            for number in range(self._header.daemon_count)
+        ]
+
+    def _restart(self, now_s: float) -> None:
+        """Replace all daemons; what they sent goes on."""
+        if self._open_count:
+            self._daemons = self._new_daemons()
+            self._at(now_s + self._plan.restart_every_s, self._restart)
+
     def held_memory(self) -> dict[ids.RunnerId, dict[str, int]]:
         """Returns: what each engine still holds, by attempt."""
         return {runner_id: engine.held for runner_id, engine in self.engines.items()}
--- a/standins/replay_plan.py
+++ b/standins/replay_plan.py
@@ -9,7 +9,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Plan:
-    """One run: what is replayed, how fast, and against what."""
+    """One run: what is replayed, how fast, and against what.
+
+    All daemons are replaced by new ones that know nothing each
+    ``restart_every_s``; 0 is never.
+    """
 
     trace: traces.Trace
     load: float
@@ -18,6 +22,7 @@
     seed: int = 7
     constants: decisions.Policy = decisions.DEFAULT_POLICY
     make_index: Callable[[], prefixes.PrefixIndex] = prefixes.PrefixIndex
+    restart_every_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
--- /dev/null
+++ b/standins/replay_recovery.py
@@ -0,0 +1,64 @@
+"""Measures how long decisions are worse after all daemons were replaced.
+
+Run as ``python -m standins.replay_recovery``: every 30 s all daemons start
+anew and know nothing; requests are grouped by the time since then.
+"""
+
+import multiprocessing
+from collections.abc import Sequence
+
+from standins import replay_fleet, replay_measures, replay_policies, traces
+
+LOAD = 0.9
+RESTART_EVERY_S = 30.0
+STEPS_S = (0.0, 1.0, 2.0, 3.0, 5.0, 10.0, 30.0)
+
+
+def run(workload: str) -> str:
+    """Returns: the lines of one workload."""
+    trace = traces.load(traces.path_of(workload))
+    ours = replay_policies.PolicyName.OURS
+    plan = replay_fleet.Plan(trace, LOAD, ours, restart_every_s=RESTART_EVERY_S)
+    fates = replay_fleet.Replay(plan).run()
+    whole = replay_measures.measure(trace.header, fates, ())
+    lines = [
+        f"trace {workload}: worth {whole.worth_share:.3f}, refused {whole.refused},"
+        f" late {whole.late}"
+    ]
+    for from_s, to_s in zip(STEPS_S, STEPS_S[1:], strict=False):
+        group = [
+            fate
+            for fate in fates
+            if from_s <= fate.arrived_s % RESTART_EVERY_S < to_s
+            and fate.arrived_s >= RESTART_EVERY_S
+        ]
+        lines.append(_line(trace.header, from_s, to_s, group))
+    return "\n".join(lines)
+
+
+def _line(
+    header: traces.Header,
+    from_s: float,
+    to_s: float,
+    fates: Sequence[replay_fleet.Fate],
+) -> str:
+    found = replay_measures.measure(header, fates, ())
+    short_s, mid_s, _ = found.first_token_p95_s
+    return (
+        f"  {from_s:>4.0f} to {to_s:>2.0f} s  requests {len(fates):>5}"
+        f"  short {short_s:6.3f} s  mid {mid_s:6.2f} s  late {found.late:>3}"
+    )
+
+
+def main() -> None:
+    """Print the figures of both workloads."""
+    print(f"load {LOAD}, all daemons replaced every {RESTART_EVERY_S:.0f} s;")
+    print("p95 time to first token by the time since then")
+    names = [header.workload for header in traces.WORKLOADS]
+    with multiprocessing.Pool(len(names)) as pool:
+        for lines in pool.imap(run, names):
+            print(lines)
+
+
+if __name__ == "__main__":
+    main()
