--- a/standins/memory_trial.py
+++ b/standins/memory_trial.py
@@ -45,6 +45,7 @@
 LOSE_IMPORT_REPLIES = 0.05
 RESTART_S = 3.0
 FREE_TIMEOUT_S = 60.0
+TRIAL_TIMEOUT_S = 1_200.0
 BYTES_PER_TOKEN = 4
 
 
@@ -191,13 +192,17 @@
 
     Returns:
         What was found.
+
+    Raises:
+        TimeoutError: when it did not end in time.
     """
     async with cluster.Cluster(dataclasses.replace(plan(), seed=seed), folder) as made:
         path = str(demo.example(SERVICE))
         if await demo.command(made, "submit", "--wait", path) != 0:
             raise RuntimeError("the document was not accepted")
         await made.wait_for("/readyz")
-        return await Trial(made, count, seed).run(kills)
+        async with asyncio.timeout(TRIAL_TIMEOUT_S):
+            return await Trial(made, count, seed).run(kills)
 
 
 def main() -> int:
