--- a/packages/coordination/lacewingdrum_coordination/pools.py
+++ b/packages/coordination/lacewingdrum_coordination/pools.py
@@ -19,7 +19,7 @@
 from lacewingdrum_state import fleet, ids
 
 SCAN_ALL_COUNT = 32
-SAMPLE_COUNT = 16
+SAMPLE_COUNT = 10
 MAX_HOLDERS = 4
 
 
