--- a/standins/replay.py
+++ b/standins/replay.py
@@ -11,6 +11,8 @@
 import time
 from collections.abc import Sequence
 
+import msgspec
+
 from standins import replay_fleet, replay_measures, replay_policies, traces
 
 MAX_SLOWDOWN_LOAD = 1.0
@@ -35,6 +37,7 @@
     policy: replay_policies.PolicyName
     request_count: int
     seed: int
+    trace_seed: int = 0
 
 
 def run(task: Task) -> tuple[Task, replay_measures.Measures]:
@@ -47,6 +50,9 @@
         The task and its figures.
     """
     whole = traces.load(traces.path_of(task.workload))
+    if task.trace_seed:
+        header = msgspec.structs.replace(whole.header, seed=task.trace_seed)
+        whole = traces.generate(header, len(whole.rows))
     trace = traces.Trace(whole.header, whole.rows[: task.request_count])
     plan = replay_fleet.Plan(trace, task.load, task.policy, seed=task.seed)
     fates = replay_fleet.Replay(plan).run()
@@ -154,6 +160,8 @@
     parser.add_argument("--policy", choices=policies, action="append")
     parser.add_argument("--load", type=float, action="append")
     parser.add_argument("--seed", type=int, default=SEED)
+    text = "make a trace of this seed in place of the file"
+    parser.add_argument("--trace-seed", type=int, default=0, help=text)
     parser.add_argument("--quick", action="store_true")
     arguments = parser.parse_args()
     loads: tuple[float, ...] = LOADS
@@ -161,7 +169,14 @@
     if arguments.quick:
         loads, count = (0.9,), QUICK_REQUESTS
     tasks = [
-        Task(name, load, replay_policies.PolicyName(policy), count, arguments.seed)
+        Task(
+            name,
+            load,
+            replay_policies.PolicyName(policy),
+            count,
+            arguments.seed,
+            arguments.trace_seed,
+        )
         for name, load, policy in itertools.product(
             arguments.trace or names,
             arguments.load or loads,
