--- /dev/null
+++ b/packages/daemon/lacewingdrum_daemon/caller_requests.py
@@ -0,0 +1,215 @@
+"""Makes a request of what a caller sent: who, for what, until when.
+
+Everything that can be refused without a runner is refused here, so that a
+malformed or unknown request is never forwarded.
+"""
+
+import dataclasses
+from collections.abc import Callable
+
+from result import Err
+
+from lacewingdrum_coordination import customer_limits, directory, limits
+from lacewingdrum_daemon import attempt_runner
+from lacewingdrum_protocol import callers_api
+from lacewingdrum_state import documents, ids, requests, states
+from lacewingdrum_transport import http_messages
+
+Failure = callers_api.Failure
+ErrorCode = callers_api.ErrorCode
+
+MS_PER_S = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Caller:
+    """A customer of a service, as the document in force has it."""
+
+    document: documents.ServiceDocument
+    customer: documents.Customer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceCall:
+    """A call of a plain service.
+
+    ``own`` is what was received, with the application's own path. ``key`` is
+    set for an order, which may take effect only once.
+    """
+
+    request: requests.Request
+    own: http_messages.HttpRequest
+    key: ids.IdempotencyKey | None
+
+
+class RequestMaker:
+    """Reads requests by the documents in force.
+
+    Args:
+        current: the directory of those documents.
+        budget: what each customer may still use.
+        clock: monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        current: Callable[[], directory.Directory],
+        budget: customer_limits.CustomerLimits,
+        clock: Callable[[], float],
+    ) -> None:
+        self._current = current
+        self._budget = budget
+        self._clock = clock
+
+    def completion(
+        self, received: http_messages.HttpRequest, request_id: ids.RequestId
+    ) -> attempt_runner.Call | Failure:
+        """Read a model request and charge it to its customer.
+
+        Args:
+            received: what the caller sent.
+            request_id: the id that the caller is told.
+
+        Returns:
+            The call, or why there is none.
+        """
+        received_s = self._clock()
+        if received.method != "POST":
+            return Failure(ErrorCode.MALFORMED, "method: allowed POST")
+        parsed = callers_api.parse_completion(received.body)
+        if isinstance(parsed, Err):
+            return parsed.err_value
+        body = parsed.ok_value
+        caller = self._caller(received, self._current().by_model.get(body.model))
+        if isinstance(caller, Failure):
+            return caller
+        prompt = body.prompt.encode("utf-8", "surrogatepass")
+        prompt_tokens = callers_api.prompt_tokens(prompt)
+        kind = directory.prompt_kind(caller.document, prompt_tokens)
+        request = _request(received, request_id, caller, kind, received_s)
+        if isinstance(request, Failure):
+            return request
+        request = dataclasses.replace(
+            request,
+            prompt_tokens=prompt_tokens,
+            max_tokens=body.max_tokens,
+            block_hashes=callers_api.block_hashes(prompt),
+        )
+        over = self._charge(request)
+        if over is not None:
+            return over
+        return attempt_runner.Call(
+            request, body, caller.document.weights, caller.customer.share
+        )
+
+    def service_call(
+        self, received: http_messages.HttpRequest, request_id: ids.RequestId
+    ) -> ServiceCall | Failure:
+        """Read a call of a plain service and charge it to its customer.
+
+        Args:
+            received: what the caller sent.
+            request_id: the id that the caller is told.
+
+        Returns:
+            The call, or why there is none.
+        """
+        received_s = self._clock()
+        service, own = _own_call(received)
+        document = self._current().services.get(service)
+        is_app = (
+            document is not None
+            and document.service_type is states.ServiceType.APPLICATION
+        )
+        caller = self._caller(received, service if is_app else None)
+        if isinstance(caller, Failure):
+            return caller
+        kind = directory.call_kind(caller.document, own.method, own.path)
+        request = _request(received, request_id, caller, kind, received_s)
+        if isinstance(request, Failure):
+            return request
+        key = None if request.idempotent else _key(received)
+        if isinstance(key, Failure):
+            return key
+        over = self._charge(request)
+        return over or ServiceCall(request, own, key)
+
+    def _caller(
+        self, received: http_messages.HttpRequest, service: ids.ServiceName | None
+    ) -> Caller | Failure:
+        current = self._current()
+        authorization = received.headers.get("authorization", "")
+        digest = directory.credential_sha256(authorization)
+        if digest is None or digest not in current.credentials:
+            return Failure(ErrorCode.UNKNOWN_CREDENTIAL, "Authorization: not known")
+        if service is None:
+            return Failure(ErrorCode.NOT_FOUND, "no such service or model")
+        customer = current.customers.get((service, digest))
+        if customer is None:
+            message = "the service's document does not name this customer"
+            return Failure(ErrorCode.CUSTOMER_NOT_SERVED, message)
+        return Caller(current.services[service], customer)
+
+    def _charge(self, request: requests.Request) -> Failure | None:
+        spent = self._budget.charge(
+            request.service, request.customer, request.total_tokens, self._clock()
+        )
+        match spent:
+            case limits.Granted():
+                return None
+            case limits.Exhausted(retry_after_ms):
+                message = "the customer's limit is reached"
+                return Failure(
+                    ErrorCode.LIMIT_REACHED, message, retry_after_ms=retry_after_ms
+                )
+
+
+def _own_call(
+    received: http_messages.HttpRequest,
+) -> tuple[ids.ServiceName, http_messages.HttpRequest]:
+    """Returns: the service named in the path, and the call without it."""
+    name, _, _ = received.path[len(callers_api.SERVICES_PREFIX) :].partition("/")
+    prefix_length = len(callers_api.SERVICES_PREFIX) + len(name)
+    own = dataclasses.replace(
+        received,
+        path=received.path[prefix_length:] or "/",
+        target=received.target[prefix_length:] or "/",
+    )
+    return ids.ServiceName(name), own
+
+
+def _key(received: http_messages.HttpRequest) -> ids.IdempotencyKey | Failure:
+    key = received.headers.get(callers_api.KEY_HEADER, "")
+    if 1 <= len(key) <= callers_api.MAX_KEY_CHARACTERS:
+        return ids.IdempotencyKey(key)
+    message = "Idempotency-Key: an order needs one of 1 to 200 characters"
+    return Failure(ErrorCode.KEY_MISSING, message)
+
+
+def _request(
+    received: http_messages.HttpRequest,
+    request_id: ids.RequestId,
+    caller: Caller,
+    kind: documents.RequestKind | None,
+    received_s: float,
+) -> requests.Request | Failure:
+    if kind is None:
+        message = "the service's document has no kind for this request"
+        return Failure(ErrorCode.KIND_NOT_SERVED, message)
+    asked = received.headers.get(callers_api.PATIENCE_HEADER, "")
+    patience_ms = directory.patience_ms(kind, asked)
+    if patience_ms is None:
+        message = "Lacewingdrum-Patience-Ms: allowed a positive whole number"
+        return Failure(ErrorCode.MALFORMED, message)
+    return requests.Request(
+        request_id=request_id,
+        service=caller.document.service,
+        customer=caller.customer.customer,
+        kind=kind.kind,
+        prompt_tokens=0,
+        max_tokens=0,
+        received_s=received_s,
+        deadline_s=received_s + patience_ms / MS_PER_S,
+        worth=kind.worth,
+        idempotent=kind.idempotent,
+    )
--- /dev/null
+++ b/packages/daemon/lacewingdrum_daemon/parts.py
@@ -0,0 +1,281 @@
+"""The composition root: makes the parts of a daemon and wires them."""
+
+import logging
+import random
+import time
+
+from lacewingdrum_coordination import customer_limits, retries, routing
+from lacewingdrum_daemon import (
+    attempt_runner,
+    budget_keeper,
+    cache_keeper,
+    caller_requests,
+    callers,
+    completions,
+    decision_log,
+    directory_cache,
+    document_keeper,
+    fleet_sync,
+    gate,
+    group_memory,
+    in_flight,
+    large_answers,
+    load_keeper,
+    loop_lag,
+    members_keeper,
+    metrics,
+    operators,
+    order_calls,
+    peering,
+    placement_keeper,
+    pressure,
+    probes,
+    reservation_keeper,
+    service_calls,
+    service_orders,
+    settings,
+)
+from lacewingdrum_protocol import document_text, peer_messages
+from lacewingdrum_state import ids
+from lacewingdrum_transport import (
+    http_client,
+    http_server,
+    members_client,
+    objects_client,
+    peer_socket,
+    runner_client,
+    table_client,
+)
+
+MS_PER_S = 1000
+
+
+class Parts:
+    """Everything that a daemon is made of, not started yet.
+
+    Args:
+        own: the checked settings.
+        logger: takes the decision lines.
+    """
+
+    def __init__(self, own: settings.Settings, logger: logging.Logger) -> None:
+        self.own = own
+        self.clock = time.monotonic
+        self.rng = random.Random()
+        self.incarnation = ids.Incarnation(time.time_ns() // 1_000_000)
+        self.decisions = decision_log.DecisionLog(
+            logger, self.clock, own.limits.explain_lines
+        )
+        self.figures = metrics.Metrics()
+        self.lag = loop_lag.LoopLag(self.clock)
+        self._make_clients()
+        self._make_keepers()
+        self._make_servers()
+
+    def _make_clients(self) -> None:
+        own = self.own
+        timeout_s = own.limits.platform_timeout_ms / MS_PER_S
+        self.http = http_client.HttpClient(clock=self.clock)
+        self.runners = runner_client.RunnerClient(self.http, self.clock)
+        self.table = table_client.TableClient(self.http, own.platform.table, timeout_s)
+        self.members_list = members_client.MembersClient(
+            self.http, own.platform.members, timeout_s
+        )
+        self.socket = peer_socket.PeerSocket(
+            own.vm.vm_id, _curve_keys(own.peers), self.clock
+        )
+
+    def _make_keepers(self) -> None:
+        own = self.own
+        self.router = routing.Router(own.vm.data_centre, self.rng)
+        self.in_flight = in_flight.InFlightTable(self.runners, self._attempt_ended)
+        self.members = members_keeper.MembersKeeper(
+            self.members_list, own.limits.members_poll_ms / MS_PER_S, self.clock
+        )
+        self.peering = peering.Peering(
+            self.socket,
+            self.members,
+            self._heartbeat,
+            self.clock,
+            period_s=own.limits.heartbeat_ms / MS_PER_S,
+        )
+        self.fleet = fleet_sync.FleetSync(self.members, self.router)
+        self.documents = document_keeper.DocumentKeeper(
+            self.table,
+            self.peering,
+            document_text.parse,
+            self.clock,
+            vm_id=own.vm.vm_id,
+            members=self.members,
+            rng=self.rng,
+        )
+        self.loads = load_keeper.LoadKeeper(
+            self.runners,
+            self.peering,
+            self.members,
+            (own.vm.vm_id, own.vm.data_centre),
+            self.in_flight.entries,
+            self.router.observe_load,
+            self.clock,
+        )
+        self.caches = cache_keeper.CacheKeeper(
+            self.runners,
+            self.peering,
+            self.members,
+            (own.vm.vm_id, own.vm.data_centre),
+            self.router.observe_cache,
+            self.clock,
+        )
+        self.placement = placement_keeper.PlacementKeeper(
+            self.table,
+            self.runners,
+            self.members,
+            self.documents,
+            own.vm.vm_id,
+            self.clock,
+        )
+        self.budget = customer_limits.CustomerLimits()
+        self.directory = directory_cache.DirectoryCache(self.documents, self.budget)
+        self.budgets = budget_keeper.BudgetKeeper(
+            self.budget,
+            self.peering,
+            self.members,
+            own.vm.vm_id,
+            self.directory.current,
+            self.clock,
+        )
+
+    def _make_servers(self) -> None:
+        own = self.own
+        self.app_calls = service_calls.ServiceCalls(
+            self.http,
+            self.members,
+            self.in_flight,
+            retries.Budget(),
+            self.decisions,
+            self.clock,
+            self.rng,
+        )
+        objects = objects_client.ObjectsClient(
+            self.http,
+            own.platform.objects,
+            own.limits.platform_timeout_ms / MS_PER_S,
+        )
+        self.orders = service_orders.ServiceOrders(
+            self.app_calls,
+            order_calls.OrderCalls(self.table, self.clock),
+            large_answers.LargeAnswers(objects),
+            self.decisions,
+        )
+        self.gate = gate.Gate(
+            lambda: self.fleet.knows_fleet,
+            self._knows_documents,
+            self.documents.may_admit,
+        )
+        health = probes.Probes(self.gate.not_ready_reason, self.figures)
+        maker = caller_requests.RequestMaker(
+            self.directory.current, self.budget, self.clock
+        )
+        edge = callers.Callers(
+            self.gate,
+            health,
+            maker,
+            self._make_completions(),
+            self.app_calls,
+            self.orders,
+            self.decisions,
+            self.figures,
+            self.clock,
+        )
+        desk = operators.Operators(
+            self.documents,
+            lambda: self.members.view.vms,
+            self.decisions,
+            self.peering,
+            own,
+            health,
+            self.clock,
+        )
+        self.callers_server = http_server.HttpServer(
+            edge.handle, _server_limits(own.limits, own.limits.connections)
+        )
+        self.operators_server = http_server.HttpServer(
+            desk.handle, _server_limits(own.limits, own.limits.operator_connections)
+        )
+        self.figures.gauge("loop_lag_seconds", lambda: self.lag.lag_s)
+        self.figures.gauge("in_flight", lambda: len(self.in_flight.entries()))
+        self.figures.gauge("connections", lambda: self.callers_server.connection_count)
+
+    def _make_completions(self) -> completions.Completions:
+        gauge = pressure.PressureGauge(
+            self.router,
+            self.lag,
+            self.members,
+            lambda: self.callers_server.busy_count,
+            self.own.limits.streams,
+            self.clock,
+        )
+        reservations = reservation_keeper.ReservationKeeper(
+            self.peering,
+            self.members,
+            (self.own.vm.vm_id, self.own.vm.data_centre),
+            self.router.free_tokens,
+            self.clock,
+        )
+        groups = group_memory.GroupMemory(
+            self.runners, self.in_flight, reservations, self.clock, self.rng
+        )
+        runner = attempt_runner.AttemptRunner(
+            self.runners, self.members, self.figures, self.clock
+        )
+        return completions.Completions(
+            self.router,
+            runner,
+            self.in_flight,
+            groups,
+            retries.Budget(),
+            self.decisions,
+            gauge,
+            self.clock,
+            self.rng,
+        )
+
+    def _knows_documents(self) -> bool:
+        # Without any document every caller would be unknown, rightly or not.
+        return self.documents.ready() and bool(self.documents.services())
+
+    def _attempt_ended(self, attempt_id: ids.AttemptId) -> None:
+        self.router.ended(attempt_id, self.clock())
+
+    def _heartbeat(self) -> peer_messages.Heartbeat:
+        return peer_messages.Heartbeat(
+            incarnation=self.incarnation,
+            data_centre=self.own.vm.data_centre,
+            leaving=self.gate.is_leaving,
+            documents=self.documents.digests(),
+            gone_runners=self.members.gone_runners(),
+        )
+
+
+def _server_limits(
+    found: settings.LimitsSettings, connections: int
+) -> http_server.ServerLimits:
+    return http_server.ServerLimits(
+        header_bytes=found.header_bytes,
+        body_bytes=found.body_bytes,
+        connections=connections,
+        header_timeout_s=found.header_timeout_ms / MS_PER_S,
+        body_timeout_s=found.body_timeout_ms / MS_PER_S,
+        idle_timeout_s=found.idle_timeout_ms / MS_PER_S,
+        write_timeout_s=found.write_timeout_ms / MS_PER_S,
+    )
+
+
+def _curve_keys(found: settings.PeersSettings) -> peer_socket.CurveKeys | None:
+    if not found.curve_public_key:
+        return None
+    return peer_socket.CurveKeys(
+        found.curve_public_key,
+        found.curve_secret_key,
+        found.allowed_public_keys,
+    )
