Homes count what peers sent; one reading of a runner's refusal

Cause: Router.observe_peers had no caller, so a home decided on its lagged report alone; transport and protocol each decoded refusals. Ruled out: telling every daemon of every peer's attempt; only homes hear the reports, and the bytes of control are too many already. Change: fleet_sync hands the reports to the router; read_refusal serves both.

--- a/packages/daemon/lacewingdrum_daemon/fleet_sync.py
+++ b/packages/daemon/lacewingdrum_daemon/fleet_sync.py
@@ -1,25 +1,40 @@
-"""Keeps the router's runners in step with the membership view."""
+"""Tells the router of the runners there are and of what peers sent them."""
 
 import asyncio
+from collections.abc import Callable
 
 from lacewingdrum_coordination import routing
-from lacewingdrum_daemon import members_keeper, tasks
-from lacewingdrum_state import fleet
+from lacewingdrum_daemon import (
+    load_messages,
+    members_keeper,
+    peering,
+    tasks,
+)
+from lacewingdrum_protocol import peer_messages
+from lacewingdrum_state import fleet, ids
 
 PERIOD_S = 0.2
 
 
 class FleetSync:
-    """Tells the router of runners that come and go.
+    """Keeps the router in step with the membership view.
 
     Args:
         members: has the view.
         router: takes the runners.
+        peers: bring what peers sent to runners whose home this daemon is.
+        clock: monotonic seconds.
     """
 
     def __init__(
-        self, members: members_keeper.MembersKeeper, router: routing.Router
+        self,
+        members: members_keeper.MembersKeeper,
+        router: routing.Router,
+        peers: peering.Peering,
+        clock: Callable[[], float],
     ) -> None:
+        self._clock = clock
+        peers.on(peer_messages.InFlightReport, self._peer_reported)
         self._members = members
         self._router = router
         self._tasks = tasks.TaskSet()
@@ -43,3 +58,11 @@
                 seen = runners
             self.knows_fleet = True
             await asyncio.sleep(PERIOD_S)
+
+    def _peer_reported(
+        self, sender: ids.VmId, body: peer_messages.InFlightReport
+    ) -> None:
+        now_s = self._clock()
+        self._router.observe_peers(
+            load_messages.in_flight(entry, now_s) for entry in body.entries
+        )
--- a/packages/daemon/lacewingdrum_daemon/load_messages.py
+++ b/packages/daemon/lacewingdrum_daemon/load_messages.py
@@ -49,3 +49,14 @@
         prefill_tokens_per_s=entry.prefill_tokens_per_s,
         decode_tokens_per_s=entry.decode_tokens_per_s,
     )
+
+
+def in_flight(entry: peer_messages.InFlightEntry, now_s: float) -> requests.InFlight:
+    """Returns: a peer's attempt on our own clock."""
+    return requests.InFlight(
+        ids.AttemptId(entry.attempt_id),
+        ids.RunnerId(entry.runner_id),
+        entry.prompt_tokens,
+        entry.total_tokens,
+        now_s - entry.age_ms / MS_PER_S,
+    )
--- a/packages/daemon/lacewingdrum_daemon/parts.py
+++ b/packages/daemon/lacewingdrum_daemon/parts.py
@@ -99,7 +99,9 @@
             self.clock,
             period_s=own.limits.heartbeat_ms / MS_PER_S,
         )
-        self.fleet = fleet_sync.FleetSync(self.members, self.router)
+        self.fleet = fleet_sync.FleetSync(
+            self.members, self.router, self.peering, self.clock
+        )
         self.documents = document_keeper.DocumentKeeper(
             self.table,
             self.peering,
--- a/packages/transport/lacewingdrum_transport/runner_errors.py
+++ b/packages/transport/lacewingdrum_transport/runner_errors.py
@@ -3,18 +3,14 @@
 import dataclasses
 import enum
 
-import msgspec
 from result import Err
 
 from lacewingdrum_protocol import runner_api
 from lacewingdrum_transport import http_client
 
 JSON_HEADERS = (("Content-Type", "application/json"),)
-REFUSAL_STATUSES = frozenset((429, 503))
 REFUSAL_BYTES = 65_536
 
-_refusal_decoder = msgspec.json.Decoder(runner_api.RefusalAnswer)
-
 
 class RunnerErrorReason(enum.Enum):
     """How far a call came; only the first two mean that it did not start.
@@ -69,11 +65,7 @@
         A refusal only if the runner says that the call was not started.
     """
     detail = f"status {status}"
-    if status in REFUSAL_STATUSES:
-        try:
-            refusal = _refusal_decoder.decode(body)
-        except (msgspec.MsgspecError, UnicodeDecodeError):
-            return RunnerError(RunnerErrorReason.MALFORMED, None, detail)
-        if not refusal.started:
-            return RunnerError(RunnerErrorReason.REFUSED, refusal.reason, detail)
-    return RunnerError(RunnerErrorReason.MALFORMED, None, detail)
+    refusal = runner_api.read_refusal(status, body)
+    if refusal is None:
+        return RunnerError(RunnerErrorReason.MALFORMED, None, detail)
+    return RunnerError(RunnerErrorReason.REFUSED, refusal.reason, detail)
