--- a/packages/coordination/lacewingdrum_coordination/customer_limits.py
+++ b/packages/coordination/lacewingdrum_coordination/customer_limits.py
@@ -76,6 +76,14 @@
             for ask in budget.asks(now_s)
         )
 
+    def give_back(self) -> tuple[tuple[Resource, limits.Ask], ...]:
+        """Returns: asks that give every unspent slice back, before an end."""
+        return tuple(
+            (resource, ask)
+            for resource, budget in self._budgets.items()
+            for ask in budget.give_back()
+        )
+
     def granted(self, resource: Resource, grant: limits.Grant, now_s: float) -> None:
         """Take over a slice that a home lent."""
         self._budgets[resource].granted(grant, now_s)
--- a/packages/coordination/lacewingdrum_coordination/customer_limits_test.py
+++ b/packages/coordination/lacewingdrum_coordination/customer_limits_test.py
@@ -54,3 +54,19 @@
 def test_a_customer_without_limits_is_never_refused():
     customer = documents.Customer(NAME, "")
     assert granted_in_window(customer, 1_000, 400) == 400 * WINDOW_S
+
+
+def test_a_stopping_daemon_gives_its_slices_back():
+    customer = documents.Customer(NAME, "", limit_tokens_per_s=100_000)
+    home = customer_limits.HomeLimits()
+    daemon = customer_limits.CustomerLimits()
+    daemon.set_limits(SERVICE, customer)
+    tokens = customer_limits.Resource.TOKENS
+    daemon.charge(SERVICE, NAME, 1, 0.0)
+    for now_s in (0.0, 1.0):
+        for resource, ask in daemon.asks(now_s):
+            daemon.granted(resource, home.ask(resource, ask, customer, now_s), now_s)
+    given = daemon.give_back()
+    assert [(resource, ask.wanted_tokens) for resource, ask in given] == [(tokens, 0)]
+    assert given[0][1].used_tokens < 0
+    assert daemon.give_back() == ()
--- a/packages/coordination/lacewingdrum_coordination/limits.py
+++ b/packages/coordination/lacewingdrum_coordination/limits.py
@@ -159,6 +159,16 @@
         wanted = int(limit * SLICE_S - min(0.0, lent.balance_tokens))
         return Ask(service, customer, wanted, 0)
 
+    def give_back(self) -> tuple[Ask, ...]:
+        """Returns: asks that give every unspent slice back, before an end."""
+        unspent = [
+            Ask(service, customer, 0, -int(lent.balance_tokens))
+            for (service, customer), lent in self._slices.items()
+            if lent.balance_tokens >= 1
+        ]
+        self._slices.clear()
+        return tuple(unspent)
+
     def granted(self, grant: Grant, now_s: float) -> None:
         """Take over a slice that the home lent."""
         lent = self._slices.get((grant.service, grant.customer))
--- a/packages/daemon/lacewingdrum_daemon/budget_keeper.py
+++ b/packages/daemon/lacewingdrum_daemon/budget_keeper.py
@@ -57,8 +57,9 @@
         self._tasks.spawn(self._run())
 
     async def close(self) -> None:
-        """End the asking."""
+        """End the asking, and give back what was lent and not spent."""
         await self._tasks.close()
+        self._send(self._budget.give_back())
 
     async def _run(self) -> None:
         while True:
@@ -67,9 +68,14 @@
 
     def _send_asks(self) -> None:
         now_s = self._clock()
-        asks = self._budget.asks(now_s)
+        self._send(self._budget.asks(now_s))
+
+    def _send(
+        self, asks: tuple[tuple[customer_limits.Resource, limits.Ask], ...]
+    ) -> None:
         if not asks:
             return
+        now_s = self._clock()
         live = [vm.vm_id for vm in membership.live_vms(self._members.view, now_s)]
         for resource, ask in asks:
             home = homes.home_of_customer(ask.service, ask.customer, live)
