A prompt that can never fit is refused at once; order_ran for a lost answer

Cause: a prompt larger than all engines together waited a quarter of its patience; on three engines one of 900,000 tokens found no memory for ever, since runners kept free of long prompts were left out; a repeat of an order that ran read order_may_have_run beside Ran: yes.

--- a/packages/coordination/lacewingdrum_coordination/admission.py
+++ b/packages/coordination/lacewingdrum_coordination/admission.py
@@ -24,6 +24,7 @@
     PATIENCE = "patience"
     NO_RUNNER = "no_runner"
     NO_MEMORY = "no_memory"
+    TOO_LARGE = "too_large"
     DAEMON_BUSY = "daemon_busy"
     OVERLOAD = "overload"
 
@@ -76,9 +77,7 @@
         Admitted, or the refusal with the time for a later try.
     """
     if decision.runner is None:
-        reason = RefusalReason.NO_RUNNER
-        if decision.reason is routing.Reason.NO_MEMORY:
-            reason = RefusalReason.NO_MEMORY
+        reason = _REASON_OF.get(decision.reason, RefusalReason.NO_RUNNER)
         return Refused(reason, retry_after_ms(pressure.drain_s, rng))
     if pressure.open_streams >= pressure.stream_limit:
         return Refused(RefusalReason.DAEMON_BUSY, retry_after_ms(1.0, rng))
@@ -116,3 +115,9 @@
         if estimate.runner_id == decision.runner.runner_id:
             return estimate.complete_s
     return 0.0
+
+
+_REASON_OF = {
+    routing.Reason.NO_MEMORY: RefusalReason.NO_MEMORY,
+    routing.Reason.TOO_LARGE: RefusalReason.TOO_LARGE,
+}
--- a/packages/coordination/lacewingdrum_coordination/decisions.py
+++ b/packages/coordination/lacewingdrum_coordination/decisions.py
@@ -10,7 +10,10 @@
 
 
 class Reason(enum.Enum):
-    """Why a decision came out as it did."""
+    """Why a decision came out as it did.
+
+    ``NO_MEMORY`` can pass when others end; ``TOO_LARGE`` cannot.
+    """
 
     NEAR_BEST = "near_best"
     CACHED_PREFIX = "cached_prefix"
@@ -18,6 +21,7 @@
     GROUP = "group"
     NO_RUNNER = "no_runner"
     NO_MEMORY = "no_memory"
+    TOO_LARGE = "too_large"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/coordination/lacewingdrum_coordination/groups.py
+++ b/packages/coordination/lacewingdrum_coordination/groups.py
@@ -33,6 +33,15 @@
     parts: tuple[Part, ...]
 
 
+def capacity_tokens(
+    candidates: Sequence[runner_estimates.RunnerEstimate],
+) -> int:
+    """Returns: what all candidates could hold together if they were idle."""
+    return sum(
+        max(0, known.kv_capacity_tokens - HEADROOM_TOKENS) for known in candidates
+    )
+
+
 def plan(
     candidates: Sequence[runner_estimates.RunnerEstimate],
     total_tokens: int,
--- a/packages/coordination/lacewingdrum_coordination/routing.py
+++ b/packages/coordination/lacewingdrum_coordination/routing.py
@@ -187,6 +187,9 @@
         if not seen:
             return Decision(None, (), priority, Reason.NO_RUNNER, ())
         if all(known.kv_capacity_tokens < request.total_tokens for known in seen):
+            if groups.capacity_tokens(seen) < request.total_tokens:
+                # Runners kept free of long prompts are the only way then.
+                seen = [k for k in pool.runners if k.runner.runner_id not in out]
             return self._choose_group(request, pool, seen, now_s)
         headroom_tokens = self._policy.headroom_tokens
         candidates = selection.usable(seen, request, priority, headroom_tokens, now_s)
@@ -249,6 +252,8 @@
         now_s: float,
     ) -> Decision:
         work = self._work(request, pool, now_s)
+        if groups.capacity_tokens(seen) < request.total_tokens:
+            return Decision(None, (), work.priority, Reason.TOO_LARGE, ())
         plan = groups.plan(seen, request.total_tokens, now_s)
         if plan is None:
             return Decision(None, (), work.priority, Reason.NO_MEMORY, ())
--- a/packages/coordination/lacewingdrum_coordination/routing_test.py
+++ b/packages/coordination/lacewingdrum_coordination/routing_test.py
@@ -200,3 +200,17 @@
     assert len(seen) <= 20
     used = {chosen(made, request(2_000, str(n))).runner.runner_id for n in range(2_000)}
     assert len(used) > 500
+
+
+def test_a_prompt_that_fits_only_with_all_runners_takes_them_all():
+    made = router([load(number) for number in range(3)])
+    decision = chosen(made, request(900_000))
+    assert decision.reason is routing.Reason.GROUP
+    assert len(decision.group) == 2
+
+
+def test_what_can_never_fit_is_told_from_what_does_not_fit_now():
+    idle = router([load(number) for number in range(3)])
+    assert chosen(idle, request(1_300_000)).reason is routing.Reason.TOO_LARGE
+    full = router([load(number, kv_used=300_000) for number in range(3)])
+    assert chosen(full, request(900_000)).reason is routing.Reason.NO_MEMORY
--- a/packages/daemon/lacewingdrum_daemon/completions.py
+++ b/packages/daemon/lacewingdrum_daemon/completions.py
@@ -259,6 +259,7 @@
 _CODE_OF = {
     admission.RefusalReason.NO_RUNNER: callers_api.ErrorCode.NO_RUNNER,
     admission.RefusalReason.NO_MEMORY: callers_api.ErrorCode.OVERLOADED,
+    admission.RefusalReason.TOO_LARGE: callers_api.ErrorCode.PROMPT_TOO_LARGE,
     admission.RefusalReason.PATIENCE: callers_api.ErrorCode.TOO_LATE,
     admission.RefusalReason.DAEMON_BUSY: callers_api.ErrorCode.OVERLOADED,
     admission.RefusalReason.OVERLOAD: callers_api.ErrorCode.OVERLOADED,
--- a/packages/daemon/lacewingdrum_daemon/service_orders.py
+++ b/packages/daemon/lacewingdrum_daemon/service_orders.py
@@ -148,7 +148,7 @@
     orders.NotSentReason.KEY_REUSED: callers_api.ErrorCode.KEY_REUSED,
     orders.NotSentReason.IN_PROGRESS: callers_api.ErrorCode.ORDER_IN_PROGRESS,
     orders.NotSentReason.MAY_HAVE_RUN: callers_api.ErrorCode.ORDER_MAY_HAVE_RUN,
-    orders.NotSentReason.ANSWER_NOT_KEPT: callers_api.ErrorCode.ORDER_MAY_HAVE_RUN,
+    orders.NotSentReason.ANSWER_NOT_KEPT: callers_api.ErrorCode.ORDER_RAN,
     orders.NotSentReason.DEADLINE: callers_api.ErrorCode.PATIENCE_OVER,
     orders.NotSentReason.RUNNER_REFUSED: callers_api.ErrorCode.NO_RUNNER,
     orders.NotSentReason.RUNNER_UNREACHED: callers_api.ErrorCode.NO_RUNNER,
--- a/packages/protocol/lacewingdrum_protocol/callers_api.py
+++ b/packages/protocol/lacewingdrum_protocol/callers_api.py
@@ -38,8 +38,10 @@
     KEY_REUSED = "idempotency_key_reused"
     ORDER_IN_PROGRESS = "order_in_progress"
     ORDER_MAY_HAVE_RUN = "order_may_have_run"
+    ORDER_RAN = "order_ran"
     LIMIT_REACHED = "limit_reached"
     OVERLOADED = "overloaded"
+    PROMPT_TOO_LARGE = "prompt_too_large"
     TOO_LATE = "too_late"
     NO_RUNNER = "no_runner"
     NOT_READY = "not_ready"
@@ -59,8 +61,10 @@
     ErrorCode.KEY_REUSED: 422,
     ErrorCode.ORDER_IN_PROGRESS: 409,
     ErrorCode.ORDER_MAY_HAVE_RUN: 409,
+    ErrorCode.ORDER_RAN: 409,
     ErrorCode.LIMIT_REACHED: 429,
     ErrorCode.OVERLOADED: 503,
+    ErrorCode.PROMPT_TOO_LARGE: 503,
     ErrorCode.TOO_LATE: 503,
     ErrorCode.NO_RUNNER: 503,
     ErrorCode.NOT_READY: 503,
