--- a/packages/daemon/lacewingdrum_daemon/document_status.py
+++ b/packages/daemon/lacewingdrum_daemon/document_status.py
@@ -1,7 +1,8 @@
 """Which daemon has which document version in force, from heartbeats."""
 
 import dataclasses
-from collections.abc import Iterable
+import types
+from collections.abc import Iterable, Mapping
 
 from lacewingdrum_protocol import operators_api, peer_messages
 from lacewingdrum_state import fleet, ids, states
@@ -42,6 +43,7 @@
         listed: Iterable[fleet.Vm],
         own: tuple[peer_messages.Digest, ...],
         now_s: float,
+        listed_since_s: Mapping[ids.VmId, float] = types.MappingProxyType({}),
     ) -> tuple[operators_api.VmStatus, ...]:
         """Describe every VM.
 
@@ -49,21 +51,34 @@
             listed: the membership list's VMs.
             own: this daemon's own documents in force.
             now_s: the present, monotonic.
+            listed_since_s: when each VM came onto the list.
 
         Returns:
             One entry for each listed VM, by data centre and name.
         """
         by_id = {vm.vm_id: vm for vm in listed}
         self._forget(set(by_id), now_s)
-        entries = [self._vm(vm, own, now_s) for vm in by_id.values()]
+        entries = [
+            self._vm(vm, own, now_s, listed_since_s.get(vm.vm_id))
+            for vm in by_id.values()
+        ]
         return tuple(sorted(entries, key=lambda vm: (vm.data_centre, vm.vm_id)))
 
     def _vm(
-        self, vm: fleet.Vm, own: tuple[peer_messages.Digest, ...], now_s: float
+        self,
+        vm: fleet.Vm,
+        own: tuple[peer_messages.Digest, ...],
+        now_s: float,
+        listed_since_s: float | None,
     ) -> operators_api.VmStatus:
         heard = self._heard.get(vm.vm_id)
         age_ms, digests = NEVER_HEARD_MS, ()  # type: int, tuple
         leaving = vm.state is states.MemberState.LEAVING
+        # A VM that is new on the list has had no time to be heard, and must
+        # not be passed over by those who wait for all daemons.
+        is_new = listed_since_s is not None and (
+            now_s - listed_since_s <= SILENT_AFTER_S
+        )
         if vm.vm_id == self._vm_id:
             age_ms, digests = 0, own
         elif heard is not None:
@@ -74,7 +89,7 @@
             vm.vm_id,
             vm.data_centre,
             str(vm.operator_address),
-            _state(age_ms, leaving),
+            _state(age_ms, leaving, is_new),
             age_ms,
             tuple(
                 operators_api.DocumentInForce(item.service, item.version, item.digest)
@@ -104,8 +119,9 @@
     return tuple(_service(name, vms) for name in names)
 
 
-def _state(age_ms: int, leaving: bool) -> operators_api.VmState:
-    if age_ms < 0 or age_ms > SILENT_AFTER_S * MS_A_SECOND:
+def _state(age_ms: int, leaving: bool, is_new: bool) -> operators_api.VmState:
+    was_never_heard = age_ms < 0
+    if was_never_heard and not is_new or age_ms > SILENT_AFTER_S * MS_A_SECOND:
         return operators_api.VmState.SILENT
     if leaving:
         return operators_api.VmState.LEAVING
--- a/packages/daemon/lacewingdrum_daemon/document_status_test.py
+++ b/packages/daemon/lacewingdrum_daemon/document_status_test.py
@@ -53,6 +53,15 @@
     assert vms[0].state is operators_api.VmState.SILENT
 
 
+def test_a_vm_that_is_new_on_the_list_must_confirm():
+    board = document_status.DocumentStatus(ids.VmId("a"), NORTH)
+    since = {ids.VmId("b"): 8.0, ids.VmId("c"): 1.0}
+    vms = board.vms(VMS, (digest(1),), 10.0, since)
+    states_now = {item.vm_id: item.state.value for item in vms}
+    assert states_now == {"a": "live", "b": "live", "c": "silent"}
+    assert not document_status.services(vms)[0].in_force_everywhere
+
+
 def test_two_texts_with_one_number_are_shown(board):
     board.hear(ids.VmId("c"), heartbeat(digest(2, "other")), 10.0)
     (service,) = document_status.services(board.vms(VMS, (digest(2),), 11.0))
--- a/packages/daemon/lacewingdrum_daemon/operators.py
+++ b/packages/daemon/lacewingdrum_daemon/operators.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from lacewingdrum_coordination import documents
+from lacewingdrum_coordination import documents, membership
 from lacewingdrum_daemon import (
     decision_log,
     document_keeper,
@@ -20,7 +20,7 @@
     settings as settings_types,
 )
 from lacewingdrum_protocol import document_text, operators_api, peer_messages
-from lacewingdrum_state import documents as document_types, fleet, ids, states
+from lacewingdrum_state import documents as document_types, ids, states
 from lacewingdrum_transport import http_messages, http_server
 
 if typing.TYPE_CHECKING:
@@ -42,7 +42,7 @@
     def __init__(
         self,
         keeper: document_keeper.DocumentKeeper,
-        listed_vms: Callable[[], tuple[fleet.Vm, ...]],
+        view: Callable[[], membership.View],
         decisions: decision_log.DecisionLog,
         peers: "peering.Peering",
         own: settings_types.Settings,
@@ -53,7 +53,7 @@
 
         Args:
             keeper: submits documents and has those in force.
-            listed_vms: the membership list's VMs.
+            view: the fleet as this daemon sees it.
             decisions: has the lines of explanations.
             peers: brings heartbeats.
             own: this daemon's settings.
@@ -61,7 +61,7 @@
             clock: monotonic seconds.
         """
         self._keeper = keeper
-        self._listed_vms = listed_vms
+        self._view = view
         self._decisions = decisions
         self._own = own
         self._health = health
@@ -110,8 +110,9 @@
 
     def status(self) -> operators_api.StatusAnswer:
         """Returns: this daemon, all documents and all VMs."""
+        view = self._view()
         vms = self._status.vms(
-            self._listed_vms(), self._keeper.digests(), self._clock()
+            view.vms, self._keeper.digests(), self._clock(), view.listed_since_s
         )
         return operators_api.StatusAnswer(
             self._own.vm.vm_id,
--- a/packages/daemon/lacewingdrum_daemon/parts.py
+++ b/packages/daemon/lacewingdrum_daemon/parts.py
@@ -191,7 +191,7 @@
         )
         desk = operators.Operators(
             self.documents,
-            lambda: self.members.view.vms,
+            lambda: self.members.view,
             self.decisions,
             self.peering,
             own,
--- a/tests/operator_fakes.py
+++ b/tests/operator_fakes.py
@@ -8,7 +8,7 @@
 
 from result import Err, Ok, Result
 
-from lacewingdrum_coordination import documents
+from lacewingdrum_coordination import documents, membership
 from lacewingdrum_daemon import (
     decision_log,
     metrics,
@@ -138,7 +138,7 @@
         health = probes.Probes(lambda: self.not_ready, metrics.Metrics())
         self._operators = operators.Operators(
             cast(Any, self.keeper),
-            lambda: (vm,),
+            lambda: membership.View(vms=(vm,)),
             self._decisions,
             cast(Any, _Peers()),
             own,
