One load question a runner at a time, however many streams are silent

Cause: each silent stream asked its runner every second over a connection of its own; an engine that stands still would be asked by all of them at once. Ruled out: fewer questions by a longer pause; a short request's patience is only seconds. Change: LoadProbes shares one open question among all who ask meanwhile; NoMemoryError is named as an error.

--- a/packages/daemon/lacewingdrum_daemon/attempt_runner.py
+++ b/packages/daemon/lacewingdrum_daemon/attempt_runner.py
@@ -66,6 +66,7 @@
         clock: Callable[[], float],
     ) -> None:
         self._runners = runners
+        self._probes = silence_watch.LoadProbes(runners)
         self._members = members
         self._figures = figures
         self._clock = clock
@@ -110,7 +111,7 @@
         try:
             async with asyncio.timeout(None) as guard:
                 watch = silence_watch.SilenceWatch(
-                    self._runners,
+                    self._probes,
                     decision.runner,
                     progress.tried[-1].attempt_id,
                     guard,
--- a/packages/daemon/lacewingdrum_daemon/completions.py
+++ b/packages/daemon/lacewingdrum_daemon/completions.py
@@ -224,7 +224,7 @@
             ended = broken is None or broken.reason in _ENDED_BY_RUNNER
             self._judge(request.service, runner.runner_id, broken)
             return broken
-        except group_memory.NoMemory:
+        except group_memory.NoMemoryError:
             return attempt_runner.Broken(runner_client.RunnerErrorReason.REFUSED)
         finally:
             if ended:
--- a/packages/daemon/lacewingdrum_daemon/completions_test.py
+++ b/packages/daemon/lacewingdrum_daemon/completions_test.py
@@ -14,6 +14,7 @@
     group_memory,
     in_flight,
     metrics,
+    silence_watch,
 )
 from lacewingdrum_protocol import callers_api, runner_api
 from lacewingdrum_state import documents, fleet, ids, requests, states
@@ -272,6 +273,27 @@
     on_bench(main, Script(parts=2, then="over_unheard"), Script())
 
 
+def test_one_question_serves_all_streams_of_a_runner():
+    async def main(loop):
+        asked = []
+
+        async def load(target, timeout_s):
+            asked.append(target.runner_id)
+            await asyncio.sleep(0.5)
+            return Err(runner_client.RunnerError(Reason.TIMEOUT))
+
+        probes = silence_watch.LoadProbes(types.SimpleNamespace(load=load))
+        waiting = [asyncio.ensure_future(probes.load(runner("a"))) for _ in range(9)]
+        await asyncio.sleep(0.1)
+        waiting[0].cancel()
+        await asyncio.gather(*waiting, return_exceptions=True)
+        assert asked == ["a"]
+        await probes.load(runner("a"))
+        assert asked == ["a", "a"]
+
+    virtual_time.run(main)
+
+
 def test_an_end_without_the_last_part_is_not_whole():
     async def main(bench):
         assert await bench.run() is None
@@ -327,7 +349,7 @@
         try:
             async with bench.groups.held(decision, request, attempt_id):
                 raise AssertionError("not all members were had")
-        except group_memory.NoMemory:
+        except group_memory.NoMemoryError:
             pass
         assert bench.reservations == []
         await bench.settle()
--- a/packages/daemon/lacewingdrum_daemon/group_memory.py
+++ b/packages/daemon/lacewingdrum_daemon/group_memory.py
@@ -25,7 +25,7 @@
 WAIT_SHARE = 0.25
 
 
-class NoMemory(Exception):  # noqa: N818 - it is an outcome, not a fault.
+class NoMemoryError(Exception):
     """The group's memory could not be had in time."""
 
 
@@ -62,7 +62,7 @@
             attempt_id: the attempt that owns the memory.
 
         Raises:
-            NoMemory: when the memory was not free for a part of the
+            NoMemoryError: when the memory was not free for a part of the
                 patience; nothing is held then.
         """
         assert decision.runner is not None
@@ -72,7 +72,7 @@
             wait_until_s = self._clock() + WAIT_SHARE * patience_s
             while not await self._try_all(shares, decision.runner, request, attempt_id):
                 if self._clock() >= wait_until_s:
-                    raise NoMemory
+                    raise NoMemoryError
                 await asyncio.sleep(self._rng.uniform(PAUSE_MIN_S, PAUSE_MAX_S))
         try:
             yield
--- a/packages/daemon/lacewingdrum_daemon/silence_watch.py
+++ b/packages/daemon/lacewingdrum_daemon/silence_watch.py
@@ -8,8 +8,9 @@
 import asyncio
 from collections.abc import Callable
 
-from result import Err
+from result import Err, Result
 
+from lacewingdrum_daemon import tasks
 from lacewingdrum_state import fleet, ids
 from lacewingdrum_transport import runner_client
 
@@ -18,11 +19,39 @@
 ARRIVAL_S = 0.5
 
 
+LoadResult = Result[fleet.RunnerLoad, runner_client.RunnerError]
+
+
+class LoadProbes:
+    """Asks runners for their load, one question a runner at a time.
+
+    Many streams of a runner fall silent together, and a question from each
+    of them would add to the trouble.
+
+    Args:
+        runners: speaks to the runners.
+    """
+
+    def __init__(self, runners: runner_client.RunnerClient) -> None:
+        self._runners = runners
+        self._open: dict[ids.RunnerId, asyncio.Task[LoadResult]] = {}
+        self._tasks = tasks.TaskSet()
+
+    async def load(self, runner: fleet.Runner) -> LoadResult:
+        """Returns: the runner's load; shared by all who ask meanwhile."""
+        task = self._open.get(runner.runner_id)
+        if task is None or task.done():
+            work = self._runners.load(runner, PROBE_TIMEOUT_S)
+            task = self._open[runner.runner_id] = self._tasks.spawn(work)
+            task.add_done_callback(lambda _: self._open.pop(runner.runner_id, None))
+        return await asyncio.shield(task)
+
+
 class SilenceWatch:
     """Watches the stream of one attempt.
 
     Args:
-        runners: asks the runner.
+        probes: ask the runner.
         runner: where the attempt is.
         attempt_id: the attempt.
         guard: is made to expire when the attempt has ended unheard.
@@ -32,14 +61,14 @@
 
     def __init__(
         self,
-        runners: runner_client.RunnerClient,
+        probes: LoadProbes,
         runner: fleet.Runner,
         attempt_id: ids.AttemptId,
         guard: asyncio.Timeout,
         first_part_s: float,
         clock: Callable[[], float],
     ) -> None:
-        self._runners = runners
+        self._probes = probes
         self._runner = runner
         self._attempt_id = attempt_id
         self._guard = guard
@@ -76,7 +105,7 @@
             await asyncio.sleep(PROBE_FLOOR_S)
 
     async def _is_over(self) -> bool:
-        found = await self._runners.load(self._runner, PROBE_TIMEOUT_S)
+        found = await self._probes.load(self._runner)
         if isinstance(found, Err):
             return False
         load = found.ok_value
