Return times follow the backlog; callers that left are counted apart

Cause: failures after admission named return times drawn from fixed ranges, and a caller that closed its connection was counted as patience over. Ruled out: a longer fixed range; admission already has the drain time with its spread. Change: one function gives every Retry-After; the outcome caller_gone.

--- a/packages/daemon/lacewingdrum_daemon/callers.py
+++ b/packages/daemon/lacewingdrum_daemon/callers.py
@@ -157,7 +157,7 @@
         await asyncio.wait({task, gone}, return_when=asyncio.FIRST_COMPLETED)
         if task.done():
             return task.result()
-        return Failure(ErrorCode.PATIENCE_OVER, "the caller is gone", states.Ran.MAYBE)
+        return Failure(ErrorCode.CALLER_GONE, "the caller is gone", states.Ran.MAYBE)
     finally:
         gone.cancel()
         if not task.done():
--- a/packages/daemon/lacewingdrum_daemon/completions.py
+++ b/packages/daemon/lacewingdrum_daemon/completions.py
@@ -73,12 +73,12 @@
                 if failure is None:
                     await answer.finish(progress.stream)
         except TimeoutError:
-            failure = self._expired(progress)
+            failure = self._expired(call, progress)
         except ConnectionError:
             # The caller is gone: nobody reads this failure, but it is
             # counted and logged like any other.
             failure = callers_api.Failure(
-                callers_api.ErrorCode.PATIENCE_OVER,
+                callers_api.ErrorCode.CALLER_GONE,
                 "the caller closed the connection",
                 attempts.ran(progress.tried),
             )
@@ -86,14 +86,20 @@
             await answer.fail(failure)
         return failure
 
-    def _expired(self, progress: attempt_runner.Progress) -> callers_api.Failure:
+    def _expired(
+        self, call: attempt_runner.Call, progress: attempt_runner.Progress
+    ) -> callers_api.Failure:
         return callers_api.Failure(
             callers_api.ErrorCode.PATIENCE_OVER,
             "the patience is over",
             attempts.ran(progress.tried),
-            retry_after_ms=int(1000 * self._rng.uniform(1.0, 3.0)),
+            retry_after_ms=self._retry_after_ms(call),
         )
 
+    def _retry_after_ms(self, call: attempt_runner.Call) -> int:
+        supply = self._router.supply(call.request.service)
+        return admission.retry_after_ms(supply.backlog_s, self._rng)
+
     async def _attempt_until_done(
         self,
         call: attempt_runner.Call,
@@ -122,7 +128,7 @@
             code,
             "no runner brought the whole answer",
             ran,
-            retry_after_ms=int(1000 * self._rng.uniform(0.5, 2.0)),
+            retry_after_ms=self._retry_after_ms(call),
         )
 
     async def _choose_with_memory(
--- a/packages/daemon/lacewingdrum_daemon/service_calls.py
+++ b/packages/daemon/lacewingdrum_daemon/service_calls.py
@@ -6,7 +6,7 @@
 
 from result import Err, Ok
 
-from lacewingdrum_coordination import attempts, retries
+from lacewingdrum_coordination import admission, attempts, retries
 from lacewingdrum_daemon import (
     decision_log,
     in_flight,
@@ -204,7 +204,7 @@
         )
 
     def _retry_after_ms(self) -> int:
-        return int(1000 * self._rng.uniform(0.5, 2.0))
+        return admission.retry_after_ms(0.0, self._rng)
 
 
 def _moved(attempt: attempts.Attempt, state: states.AttemptState) -> attempts.Attempt:
--- a/packages/protocol/lacewingdrum_protocol/callers_api.py
+++ b/packages/protocol/lacewingdrum_protocol/callers_api.py
@@ -47,6 +47,7 @@
     NOT_READY = "not_ready"
     LEAVING = "leaving"
     PATIENCE_OVER = "patience_over"
+    CALLER_GONE = "caller_gone"
     RUNNER_LOST = "runner_lost"
     STORE_DOWN = "store_down"
 
@@ -70,6 +71,7 @@
     ErrorCode.NOT_READY: 503,
     ErrorCode.LEAVING: 503,
     ErrorCode.PATIENCE_OVER: 504,
+    ErrorCode.CALLER_GONE: 499,
     ErrorCode.RUNNER_LOST: 502,
     ErrorCode.STORE_DOWN: 503,
 }
