Trials of fault pairs print the latest end against its patience

Cause: the proofs on processes allow 100 ms and 400 ms of measuring; how much of that was used was not shown. Ruled out: a tighter bound; the machine runs callers, daemons and engines. Change: each trial prints the latest end at daemons neither killed nor frozen.

--- a/tests/guarantee_faults.py
+++ b/tests/guarantee_faults.py
@@ -16,7 +16,7 @@
 import sys
 import tempfile
 
-from standins import cluster, load, verdict
+from standins import calls, cluster, load, verdict
 from tests import faults, whole_system
 
 PARALLEL = 4
@@ -25,6 +25,7 @@
 HEAL_S = 4.0
 FREE_TIMEOUT_S = 45.0
 SEED = 1
+MS_PER_S = 1000
 ENGINE_OPTIONS = ("--prefill-tokens-per-s", "100000", "--decode-step-s", "0.01")
 PATIENCES_MS = {"15000": "4000", "60000": "9000", "600000": "25000", "10000": "3000"}
 LOAD = load.LoadPlan(
@@ -42,7 +43,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Trial:
-    """What one trial showed."""
+    """What one trial showed.
+
+    ``latest_s`` is the latest end against its request's patience, at daemons
+    that were neither killed nor frozen; negative if all were earlier.
+    """
 
     pair: Pair
     request_count: int
@@ -50,6 +55,7 @@
     order_count: int
     freed_s: float
     violations: tuple[str, ...]
+    latest_s: float = 0.0
 
 
 def all_pairs() -> list[Pair]:
@@ -98,6 +104,16 @@
         judged.orders_sent,
         freed_s,
         tuple(violations),
+        _latest_s(outcomes, damage),
+    )
+
+
+def _latest_s(outcomes: list[calls.Outcome], damage: faults.Damage) -> float:
+    disturbed = damage.killed | damage.thawed_s.keys()
+    return max(
+        outcome.total_s - outcome.plan.kind.patience_ms / MS_PER_S
+        for outcome in outcomes
+        if outcome.daemon not in disturbed
     )
 
 
@@ -136,6 +152,7 @@
     text = (
         f"{names}: {trial.request_count} requests, {trial.answered_count} answered, "
         f"{trial.order_count} orders, memory free after {trial.freed_s:.1f} s, "
+        f"latest end {trial.latest_s:+.3f} s to its patience, "
         f"{len(trial.violations)} violations"
     )
     return "\n  ".join([text, *trial.violations[:5]])
