Sums of an engine's work follow its changes; sets of many engines from a short list

Cause: a choice among engines looked at every writer of every engine for each of nine divisions of a prompt, and at each set's readers again for each engine that could write. Ruled out: a shortlist for undivided prompts too (it would have to know the harm that it saves working out); numpy (20 MB and a slower start for arrays of 20). Change: EngineLoad keeps writers, context, memory and losses by pause limit as work comes and goes; harm reads three groups at most. What all sets of a division share is worked out once. Among more than 34 engines, divided prompts look at the 34 best. Places in the order of a group are kept.

--- a/packages/coordination/lacewingdrum_coordination/engine_book.py
+++ b/packages/coordination/lacewingdrum_coordination/engine_book.py
@@ -3,39 +3,20 @@
 import collections
 import dataclasses
 
+from lacewingdrum_coordination import engine_load
 from lacewingdrum_state import ids
 
 LAPSE_MARGIN_S = 1.0
 ARRIVALS_S = 1.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Work:
-    """One engine's part of a request.
-
-    ``read_ms`` is the part's reading. ``writes`` is set on the engine that
-    makes the events. ``loss`` is the worth lost when a pause exceeds
-    ``pause_limit_ms`` or the first event comes after ``first_due_ms`` from
-    the start. ``memory_tokens`` is what it holds of the engine's memory.
-    """
-
-    runner_id: ids.RunnerId
-    read_ms: float
-    writes: bool
-    pause_limit_ms: float
-    first_due_ms: float
-    loss: float
-    context_tokens: float
-    memory_tokens: int
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Started:
     """The work of one request that a daemon has sent."""
 
     work_id: str
     daemon: ids.VmId
-    parts: tuple[Work, ...]
+    parts: tuple[engine_load.Work, ...]
     left_ms: float
 
 
@@ -48,34 +29,11 @@
     loss: float
 
 
-@dataclasses.dataclass(slots=True)
-class _Entry:
-    work: Work
-    started_s: float
-    lapses_s: float
-    has_first: bool = False
-
-
-@dataclasses.dataclass(slots=True)
-class EngineLoad:
-    """The work of one engine at one moment."""
-
-    entries: dict[str, _Entry] = dataclasses.field(default_factory=dict)
-    read_free_s: float = 0.0
-
-    def backlog_ms(self, now_s: float) -> float:
-        """Returns: how long the engine still reads what it has."""
-        return max(0.0, self.read_free_s - now_s) * 1_000
-
-
-_IDLE = EngineLoad()
-
-
 class EngineBook:
     """Work by engine; entries lapse when their end was never heard."""
 
     def __init__(self) -> None:
-        self._loads: dict[ids.RunnerId, EngineLoad] = {}
+        self._loads: dict[ids.RunnerId, engine_load.EngineLoad] = {}
         self._by_id: dict[str, Started] = {}
         self._by_daemon: dict[ids.VmId, set[str]] = {}
         self._arrivals: collections.deque[Arrival] = collections.deque()
@@ -85,9 +43,9 @@
         """Requests that are at work."""
         return len(self._by_id)
 
-    def load(self, runner_id: ids.RunnerId) -> EngineLoad:
+    def load(self, runner_id: ids.RunnerId) -> engine_load.EngineLoad:
         """Returns: the engine's work; not to be changed."""
-        return self._loads.get(runner_id, _IDLE)
+        return self._loads.get(runner_id, engine_load.IDLE)
 
     def arrivals(self, now_s: float) -> collections.deque[Arrival]:
         """Returns: the requests of the last second; not to be changed."""
@@ -104,10 +62,10 @@
         for work in started.parts:
             if work.writes:
                 self._arrivals.append(Arrival(now_s, work.first_due_ms, work.loss))
-            load = self._loads.setdefault(work.runner_id, EngineLoad())
-            load.entries[started.work_id] = _Entry(work, now_s, lapses_s)
-            begins_s = max(load.read_free_s, now_s)
-            load.read_free_s = begins_s + work.read_ms / 1_000
+            load = self._loads.get(work.runner_id)
+            if load is None:
+                load = self._loads[work.runner_id] = engine_load.EngineLoad()
+            load.add(started.work_id, engine_load.Entry(work, now_s, lapses_s))
 
     def work_of(self, daemon: ids.VmId, now_s: float) -> tuple[Started, ...]:
         """Sum up a daemon's work for one that has heard nothing of it yet.
@@ -150,11 +108,7 @@
         if started is None:
             return
         for work in started.parts:
-            load = self._loads[work.runner_id]
-            load.entries[work_id].has_first = True
-            unread = [entry for entry in load.entries.values() if not entry.has_first]
-            most_s = sum(entry.work.read_ms for entry in unread) / 1_000
-            load.read_free_s = min(load.read_free_s, now_s + most_s)
+            self._loads[work.runner_id].note_first(work_id, now_s)
 
     def end(self, work_id: str) -> None:
         """Args: work_id: work that has ended, or is unknown."""
@@ -164,9 +118,7 @@
         self._by_daemon[started.daemon].discard(work_id)
         for work in started.parts:
             load = self._loads[work.runner_id]
-            entry = load.entries.pop(work_id)
-            if not entry.has_first:
-                load.read_free_s -= work.read_ms / 1_000
+            load.remove(work_id)
             if not load.entries:
                 del self._loads[work.runner_id]
 
--- a/packages/coordination/lacewingdrum_coordination/engine_book_test.py
+++ b/packages/coordination/lacewingdrum_coordination/engine_book_test.py
@@ -1,4 +1,4 @@
-from lacewingdrum_coordination import engine_book
+from lacewingdrum_coordination import engine_book, engine_load
 from lacewingdrum_state import ids
 
 ENGINE = ids.RunnerId("e1")
@@ -9,11 +9,11 @@
 
 def part(
     runner_id: ids.RunnerId = ENGINE, read_ms: float = 100.0, writes: bool = True
-) -> engine_book.Work:
-    return engine_book.Work(runner_id, read_ms, writes, 200.0, 300.0, 1.0, 5e3, 5_000)
+) -> engine_load.Work:
+    return engine_load.Work(runner_id, read_ms, writes, 200.0, 300.0, 1.0, 5e3, 5_000)
 
 
-def started(work_id: str, *parts: engine_book.Work, daemon: ids.VmId = NORTH):
+def started(work_id: str, *parts: engine_load.Work, daemon: ids.VmId = NORTH):
     return engine_book.Started(work_id, daemon, parts or (part(),), 10_000.0)
 
 
--- a/packages/coordination/lacewingdrum_coordination/engine_choice.py
+++ b/packages/coordination/lacewingdrum_coordination/engine_choice.py
@@ -7,10 +7,17 @@
 """
 
 import dataclasses
+import heapq
+import math
 import random
 from collections.abc import Collection, Sequence
 
-from lacewingdrum_coordination import engine_book, engine_costs, engine_times
+from lacewingdrum_coordination import (
+    engine_book,
+    engine_costs,
+    engine_load,
+    engine_times,
+)
 from lacewingdrum_state import configurations, runner_entries
 
 PART_COUNTS = (1, 2, 3, 4, 6, 8, 10, 13, 17)
@@ -19,6 +26,8 @@
 # A larger prompt is spread over the memory of several engines.
 SPREAD_ABOVE = 0.9
 TIE_NOISE = 0.005
+# Of many engines, sets of several are made of the best ones.
+SHORTLIST = 2 * PART_COUNTS[-1]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,7 +41,7 @@
     """
 
     entries: tuple[runner_entries.RunnerEntry, ...]
-    work: tuple[engine_book.Work, ...]
+    work: tuple[engine_load.Work, ...]
     helper_memory_tokens: int
     first_event_ms: float
     lost: float
@@ -50,12 +59,28 @@
     held_tokens: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class _Reader:
-    """An engine that could read a part, and what that costs others."""
+    """An engine that could read a part, and what that costs others.
+
+    ``cost`` is the harm with the engine's own penalty.
+    """
 
     state: engine_costs.EngineState
-    harm: float
+    cost: float
+    ready_ms: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Readers:
+    """Engines that read, the one that also writes first.
+
+    ``read_ms`` is until all have read; ``cost`` that of all of them.
+    """
+
+    readers: tuple[_Reader, ...]
+    read_ms: float
+    cost: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,7 +89,7 @@
 
     split: _Split
     first: engine_costs.EngineState
-    helpers: tuple[engine_costs.EngineState, ...]
+    readers: tuple[engine_costs.EngineState, ...]
     first_event_ms: float
     lost: float
     rank: float
@@ -91,21 +116,23 @@
     Returns:
         The choice, or None if no set can hold the prompt.
     """
-    states = [
-        engine_costs.engine_state(model, demand, item, now_s) for item in candidates
-    ]
+    states = [engine_costs.engine_state(model, item, now_s) for item in candidates]
+    shortest_due_ms = min((item.first_due_ms for item in arrivals), default=math.inf)
+    splits = _splits(model, demand, len(states))
+    several = _shortlist(model, demand, states, splits, now_s)
     best: _Set | None = None
-    for split in _splits(model, demand, len(states)):
-        found = _best_set(model, demand, states, split, now_s, rng)
+    for split in splits:
+        among = states if split.parts == 1 else several
+        found = _best_set(model, demand, among, split, now_s, rng)
         if found is None:
             continue
-        blocked = (found.first, *found.helpers)
-        blocking = engine_costs.blocking_cost(
-            model, arrivals, blocked, states, split.part_ms
-        )
-        found = dataclasses.replace(
-            found, lost=found.lost + blocking, rank=found.rank + blocking
-        )
+        if split.part_ms > shortest_due_ms:
+            blocking = engine_costs.blocking_cost(
+                model, arrivals, found.readers, states, split.part_ms
+            )
+            found = dataclasses.replace(
+                found, lost=found.lost + blocking, rank=found.rank + blocking
+            )
         if best is None or found.rank < best.rank:
             best = found
     if best is None:
@@ -139,6 +166,29 @@
     return found
 
 
+def _shortlist(
+    model: configurations.EngineModel,
+    demand: engine_costs.Demand,
+    states: list[engine_costs.EngineState],
+    splits: list[_Split],
+    now_s: float,
+) -> list[engine_costs.EngineState]:
+    """Returns: the engines worth a look for sets of several."""
+    if len(states) <= SHORTLIST or not splits or splits[-1].parts == 1:
+        return states
+    middle = splits[len(splits) // 2]
+
+    def cost(state: engine_costs.EngineState) -> float:
+        ready_ms = engine_costs.read_end_ms(state, middle.part_ms)
+        harm = engine_costs.harm(state, middle.part_ms, now_s)
+        lost = harm + engine_costs.delay_cost(demand, ready_ms)
+        if not _has_memory(model, state, middle):
+            lost += demand.loss
+        return lost + state.candidate.penalty
+
+    return heapq.nsmallest(SHORTLIST, states, key=cost)
+
+
 def _best_set(
     model: configurations.EngineModel,
     demand: engine_costs.Demand,
@@ -151,17 +201,22 @@
     if len(readers) < split.parts:
         return None
     if split.parts == 1:
-        sets = (_set(model, demand, split, item.state, [item]) for item in readers)
-        return min(sets, key=lambda item: item.rank)
+        sets = [_Readers((item,), item.ready_ms, item.cost) for item in readers]
+        return _best_first(model, demand, split, sets)
     # The slowest part decides, so a set is made of engines that are fast too.
     readers.sort(
-        key=lambda item: (
-            item.harm + engine_costs.delay_cost(demand, item.state, split.part_ms)
-        )
+        key=lambda item: item.cost + engine_costs.delay_cost(demand, item.ready_ms)
     )
     chosen = readers[: split.parts]
-    sets = (_set(model, demand, split, item.state, chosen) for item in chosen)
-    return min(sets, key=lambda item: item.rank)
+    read_ms = max(item.ready_ms for item in chosen)
+    cost = sum(item.cost for item in chosen)
+    sets = [
+        _Readers(
+            (item, *(other for other in chosen if other is not item)), read_ms, cost
+        )
+        for item in chosen
+    ]
+    return _best_first(model, demand, split, sets)
 
 
 def _readers(
@@ -172,51 +227,64 @@
     rng: random.Random,
 ) -> list[_Reader]:
     """Returns: the engines that have the memory for a part."""
-    usable_tokens = MEMORY_USABLE * model.kv_capacity_tokens
     readers: list[_Reader] = []
     for state in states:
-        if (
-            split.held_tokens
-            and state.memory_tokens + split.held_tokens > usable_tokens
-        ):
+        if not _has_memory(model, state, split):
             continue
         harm = engine_costs.harm(state, split.part_ms, now_s)
         noise = rng.random() * TIE_NOISE
-        readers.append(_Reader(state, harm + state.candidate.penalty + noise))
+        cost = harm + state.candidate.penalty + noise
+        ready_ms = engine_costs.read_end_ms(state, split.part_ms)
+        readers.append(_Reader(state, cost, ready_ms))
     return readers
 
 
-def _set(
+def _has_memory(
+    model: configurations.EngineModel,
+    state: engine_costs.EngineState,
+    split: _Split,
+) -> bool:
+    """Returns: whether an engine can set a part's memory aside."""
+    if not split.held_tokens:
+        return True
+    usable_tokens = MEMORY_USABLE * model.kv_capacity_tokens
+    return state.load.memory_tokens + split.held_tokens <= usable_tokens
+
+
+def _best_first(
     model: configurations.EngineModel,
     demand: engine_costs.Demand,
     split: _Split,
-    first: engine_costs.EngineState,
-    chosen: list[_Reader],
+    sets: Sequence[_Readers],
 ) -> _Set:
-    read_by = [item.state for item in chosen]
-    own = engine_costs.own_cost(
-        model, demand, first, read_by, split.part_ms, split.context_tokens
-    )
-    lost = own.lost + sum(item.harm for item in chosen)
+    """Returns: of sets that differ by the engine that writes, the best one."""
     usable_tokens = MEMORY_USABLE * model.kv_capacity_tokens
-    if first.memory_tokens + split.first_tokens > usable_tokens:
-        # The engine lets it wait, or preempts it later.
-        lost += demand.loss
-    return _Set(
-        split=split,
-        first=first,
-        helpers=tuple(state for state in read_by if state is not first),
-        first_event_ms=own.first_event_ms,
-        lost=lost,
-        rank=lost + own.haste + engine_costs.room_cost(model, first),
-    )
+    best: tuple[float, float, float, _Readers] | None = None
+    for item in sets:
+        first = item.readers[0].state
+        room_cost = engine_costs.room_cost(model, demand, first)
+        if best is not None and item.cost + room_cost >= best[0]:
+            continue
+        own = engine_costs.own_cost(
+            model, demand, first, item.read_ms, split.context_tokens
+        )
+        lost = own.lost + item.cost
+        if first.load.memory_tokens + split.first_tokens > usable_tokens:
+            # The engine lets it wait, or preempts it later.
+            lost += demand.loss
+        rank = lost + own.haste + room_cost
+        if best is None or rank < best[0]:
+            best = (rank, lost, own.first_event_ms, item)
+    assert best is not None
+    rank, lost, first_event_ms, chosen = best
+    readers = tuple(item.state for item in chosen.readers)
+    return _Set(split, readers[0], readers, first_event_ms, lost, rank)
 
 
 def _choice(demand: engine_costs.Demand, best: _Set, busy_read_ms: float) -> Choice:
     split = best.split
-    ordered = (best.first, *best.helpers)
     work = tuple(
-        engine_book.Work(
+        engine_load.Work(
             runner_id=state.candidate.entry.runner_id,
             read_ms=split.part_ms,
             writes=state is best.first,
@@ -228,10 +296,10 @@
                 split.first_tokens if state is best.first else split.held_tokens
             ),
         )
-        for state in ordered
+        for state in best.readers
     )
     return Choice(
-        entries=tuple(state.candidate.entry for state in ordered),
+        entries=tuple(state.candidate.entry for state in best.readers),
         work=work,
         helper_memory_tokens=split.held_tokens,
         first_event_ms=best.first_event_ms,
--- a/packages/coordination/lacewingdrum_coordination/engine_choice_test.py
+++ b/packages/coordination/lacewingdrum_coordination/engine_choice_test.py
@@ -1,6 +1,11 @@
 import random
 
-from lacewingdrum_coordination import engine_book, engine_choice, engine_costs
+from lacewingdrum_coordination import (
+    engine_book,
+    engine_choice,
+    engine_costs,
+    engine_load,
+)
 from lacewingdrum_state import configurations, fleet, ids, runner_entries, states
 
 MODEL = configurations.EngineModel(
@@ -35,7 +40,7 @@
     book = engine_book.EngineBook()
     for number, count in enumerate(per_engine):
         for index in range(count):
-            work = engine_book.Work(
+            work = engine_load.Work(
                 entry(number).runner_id, 20.0, True, 200.0, 300.0, 1.0, 5e3, 5_300
             )
             work_id = f"{number}.{index}"
@@ -78,7 +83,7 @@
 
 def test_short_keeps_away_from_an_engine_that_reads():
     book = book_with_shorts(4, 4, 0, 0, 0, 0, 0, 0, 0)
-    work = engine_book.Work(ids.RunnerId("e0"), 900.0, False, 800.0, 3e3, 16.0, 2e5, 0)
+    work = engine_load.Work(ids.RunnerId("e0"), 900.0, False, 800.0, 3e3, 16.0, 2e5, 0)
     book.start(engine_book.Started("l", ids.VmId("vm"), (work,), 9e3), NOW_S)
     assert choose(SHORT, book).entries[0].runner_id == "e1"
 
@@ -102,7 +107,7 @@
     calm = choose(demand, engine_book.EngineBook())
     busy_book = book_with_shorts(6, 6, 6, 6, 6, 6, 6, 6, 6)
     for number in range(60):
-        work = engine_book.Work(
+        work = engine_load.Work(
             ids.RunnerId("e0"), 0.0, True, 200.0, 300.0, 1.0, 5e3, 0
         )
         started = engine_book.Started(f"x{number}", ids.VmId("vm"), (work,), 1e3)
--- a/packages/coordination/lacewingdrum_coordination/engine_costs.py
+++ b/packages/coordination/lacewingdrum_coordination/engine_costs.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections.abc import Collection
 
-from lacewingdrum_coordination import engine_book, engine_times
+from lacewingdrum_coordination import engine_book, engine_load, engine_times
 from lacewingdrum_state import configurations, runner_entries
 
 # A time that reaches the first share of its limit may be late, and one that
@@ -54,26 +54,23 @@
     """
 
     entry: runner_entries.RunnerEntry
-    load: engine_book.EngineLoad
+    load: engine_load.EngineLoad
     penalty: float = 0.0
     order: float = 0.0
     pace: float = 1.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class EngineState:
     """A candidate and its work, as one request sees it.
 
-    ``is_open`` is set where requests of the same kind write already.
+    ``pass_ms`` is a pass without reading; 0 where nobody writes.
     """
 
     candidate: Candidate
+    load: engine_load.EngineLoad
     backlog_ms: float
-    writers: int
-    context_tokens: float
-    memory_tokens: int
     pass_ms: float
-    is_open: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -89,58 +86,39 @@
 
 
 def engine_state(
-    model: configurations.EngineModel,
-    demand: Demand,
-    candidate: Candidate,
-    now_s: float,
+    model: configurations.EngineModel, candidate: Candidate, now_s: float
 ) -> EngineState:
     """Sum up what is at work on a candidate.
 
     Args:
         model: what the operators state of the engines.
-        demand: the request.
         candidate: the engine.
         now_s: the time, as the book's.
 
     Returns:
         Its state.
     """
-    writers = 0
-    context_tokens = 0.0
-    memory_tokens = 0
-    is_open = False
-    same_kind_ms = demand.pause_limit_ms * SAME_KIND_PAUSE
-    for entry in candidate.load.entries.values():
-        work = entry.work
-        memory_tokens += work.memory_tokens
-        if work.writes:
-            writers += 1
-            context_tokens += work.context_tokens
-            is_open = is_open or work.pause_limit_ms <= same_kind_ms
+    load = candidate.load
     pass_ms = 0.0
-    if writers:
-        pass_ms = engine_times.pass_ms(model, writers, context_tokens)
+    if load.writers:
+        pass_ms = engine_times.pass_ms(model, load.writers, load.context_tokens)
     return EngineState(
-        candidate=candidate,
-        backlog_ms=candidate.load.backlog_ms(now_s) * candidate.pace,
-        writers=writers,
-        context_tokens=context_tokens,
-        memory_tokens=memory_tokens,
-        pass_ms=pass_ms * candidate.pace,
-        is_open=is_open,
+        candidate,
+        load,
+        load.backlog_ms(now_s) * candidate.pace,
+        pass_ms * candidate.pace,
     )
 
 
 def busy_share(model: configurations.EngineModel, state: EngineState) -> float:
     """Returns: the share of an engine's room that is taken, 0 to 1."""
     reading = state.backlog_ms / BACKLOG_FULL_MS
-    return min(1.0, state.writers / model.slots + reading)
+    return min(1.0, state.load.writers / model.slots + reading)
 
 
-def delay_cost(demand: Demand, state: EngineState, part_ms: float) -> float:
-    """Returns: what it costs the request if this part is the last one."""
-    own_ms = part_ms * state.candidate.pace
-    ratio = (state.backlog_ms + state.pass_ms + own_ms) / demand.objective_left_ms
+def delay_cost(demand: Demand, ready_ms: float) -> float:
+    """Returns: what it costs the request if the last part is read by then."""
+    ratio = ready_ms / demand.objective_left_ms
     return demand.loss * (_lateness(ratio) + HASTE * ratio)
 
 
@@ -155,17 +133,21 @@
     Returns:
         The worth that they lose by it.
     """
+    load = state.load
+    if not load.writers:
+        return 0.0
     lost = 0.0
     added_ms *= state.candidate.pace
     before_ms = state.pass_ms + state.backlog_ms
-    for entry in state.candidate.load.entries.values():
+    after_ms = before_ms + added_ms
+    if after_ms > LATE_FROM * load.shortest_pause_ms:
+        for group in load.pauses.values():
+            after = _pause_loss(after_ms, group.limit_ms)
+            lost += group.loss * (after - _pause_loss(before_ms, group.limit_ms))
+    for entry in load.unread.values():
         work = entry.work
         if not work.writes:
             continue
-        if entry.has_first:
-            after = _pause_loss(before_ms + added_ms, work.pause_limit_ms)
-            lost += work.loss * (after - _pause_loss(before_ms, work.pause_limit_ms))
-            continue
         waited_ms = (now_s - entry.started_s) * 1_000
         first_ms = waited_ms + before_ms + state.pass_ms / 2
         due_ms = max(work.first_due_ms, 1.0)
@@ -198,7 +180,7 @@
         return 0.0
     taken = {id(state) for state in blocked}
     free_slots = sum(
-        max(model.slots - state.writers, 0)
+        max(model.slots - state.load.writers, 0)
         for state in states
         if id(state) not in taken and state.backlog_ms < part_ms
     )
@@ -207,12 +189,17 @@
     return without_slot * sum(urgent) / len(urgent)
 
 
+def read_end_ms(state: EngineState, part_ms: float) -> float:
+    """Returns: when an engine is expected to have read a part."""
+    own_ms = part_ms * state.candidate.pace
+    return state.backlog_ms + state.pass_ms / 2 + own_ms
+
+
 def own_cost(
     model: configurations.EngineModel,
     demand: Demand,
     first: EngineState,
-    read_by: list[EngineState],
-    part_ms: float,
+    read_ms: float,
     context_tokens: float,
 ) -> OwnCost:
     """Estimate what a set costs the request itself.
@@ -221,23 +208,19 @@
         model: what the operators state of the engines.
         demand: the request.
         first: the engine that writes.
-        read_by: all engines that read, the first one too.
-        part_ms: the reading of each.
+        read_ms: until the last part has been read.
         context_tokens: of the request, at each step of the first.
 
     Returns:
         Its cost, and when its first event is expected.
     """
+    load = first.load
     own_pass_ms = engine_times.pass_ms(
-        model, first.writers + 1, first.context_tokens + context_tokens
+        model, load.writers + 1, load.context_tokens + context_tokens
     )
     own_pass_ms *= first.candidate.pace
-    slowest_ms = max(
-        state.backlog_ms + state.pass_ms / 2 + part_ms * state.candidate.pace
-        for state in read_by
-    )
-    first_ms = slowest_ms + own_pass_ms
-    waiting = first.writers + 1 - model.slots
+    first_ms = read_ms + own_pass_ms
+    waiting = load.writers + 1 - model.slots
     if waiting > 0:
         first_ms += waiting * QUEUE_STEP_MS
     ratio = first_ms / demand.objective_left_ms
@@ -246,12 +229,15 @@
     return OwnCost(lost, HASTE * demand.loss * ratio, first_ms)
 
 
-def room_cost(model: configurations.EngineModel, first: EngineState) -> float:
+def room_cost(
+    model: configurations.EngineModel, demand: Demand, first: EngineState
+) -> float:
     """Returns: what it costs later requests that a slot here is taken."""
     cost = 0.0
-    if not first.is_open:
+    load = first.load
+    if load.shortest_pause_ms > demand.pause_limit_ms * SAME_KIND_PAUSE:
         cost += OPENING_COST + OPENING_ORDER_COST * first.candidate.order
-    if first.writers + LAST_SLOTS >= model.slots:
+    if load.writers + LAST_SLOTS >= model.slots:
         cost += LAST_SLOT_COST
     return cost
 
--- a/packages/gateway/lacewingdrum_gateway/routing.py
+++ b/packages/gateway/lacewingdrum_gateway/routing.py
@@ -8,6 +8,7 @@
     engine_book,
     engine_choice,
     engine_costs,
+    engine_load,
     engine_owners,
     engine_times,
     homes,
@@ -30,6 +31,7 @@
 # Worth lost on an engine where a daemon that is cut off may be at work.
 FOREIGN_COST = 0.4
 HASH_RANGE = 1 << 64
+ORDERS_MAX = 10_000
 PRIORITY_MAX = 9
 PRIORITY_STEP = 3
 URGENT_OBJECTIVE_MS = 500.0
@@ -58,7 +60,7 @@
 
     entry: runner_entries.RunnerEntry
     helpers: tuple[runner_entries.RunnerEntry, ...]
-    work: tuple[engine_book.Work, ...]
+    work: tuple[engine_load.Work, ...]
     helper_memory_tokens: int
     priority: int | None
     first_ms: float
@@ -100,6 +102,8 @@
         self._rng = rng
         self._worth = request_worth.RequestWorth()
         self.in_flight: dict[ids.RunnerId, int] = {}
+        self._ordered_by = ids.VmId("")
+        self._orders: dict[ids.RunnerId, float] = {}
 
     def clean_pass_ms(self, target: Target, plan: Plan) -> float:
         """Returns: a pass without reading on the writing engine, as stated."""
@@ -161,6 +165,20 @@
             cost += OTHER_DATA_CENTRE_COST
         return cost
 
+    def _order(self, group: ids.VmId, runner_id: ids.RunnerId) -> float:
+        """Returns: the engine's place, 0 to 1, in the order of a group.
+
+        Daemons that hear nothing of each other fill other engines first.
+        """
+        if group != self._ordered_by or len(self._orders) > ORDERS_MAX:
+            self._ordered_by = group
+            self._orders.clear()
+        order = self._orders.get(runner_id)
+        if order is None:
+            order = homes.weight_of(f"{group}\x1f{runner_id}") / HASH_RANGE
+            self._orders[runner_id] = order
+        return order
+
     def _foreign_cost(self, entry: runner_entries.RunnerEntry) -> float:
         return FOREIGN_COST if self._owners.is_foreign(entry.runner_id) else 0.0
 
@@ -217,7 +235,7 @@
                 entry,
                 self._book.load(entry.runner_id),
                 self._penalty(entry, worth, now_s) + self._foreign_cost(entry),
-                _order(group, entry),
+                self._order(group, entry.runner_id),
                 self._share.pace(entry.runner_id),
             )
             for entry in entries
@@ -243,14 +261,6 @@
         )
 
 
-def _order(group: ids.VmId, entry: runner_entries.RunnerEntry) -> float:
-    """Returns: the engine's place, 0 to 1, in an order of a group of daemons.
-
-    Daemons that hear nothing of each other fill other engines first.
-    """
-    return homes.weight_of(f"{group}\x1f{entry.runner_id}") / HASH_RANGE
-
-
 def _priority(target: Target, objective_ms: float) -> int:
     """Returns: the engine's priority, 0 for the most urgent."""
     rank = target.route.priority
--- a/packages/gateway/lacewingdrum_gateway/work_share.py
+++ b/packages/gateway/lacewingdrum_gateway/work_share.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from lacewingdrum_coordination import engine_book, engine_paces
+from lacewingdrum_coordination import engine_book, engine_load, engine_paces
 from lacewingdrum_daemon import metrics
 from lacewingdrum_gateway import peers as peer_list
 from lacewingdrum_protocol import peer_messages
@@ -69,7 +69,7 @@
             self._flush()
 
     def begin(
-        self, work_id: str, parts: tuple[engine_book.Work, ...], left_ms: float
+        self, work_id: str, parts: tuple[engine_load.Work, ...], left_ms: float
     ) -> None:
         """Args: own work that is sent now; left_ms: until its deadline."""
         started = engine_book.Started(work_id, self._peers.own_address, parts, left_ms)
@@ -168,7 +168,7 @@
     return peer_messages.WorkStarted(started.work_id, parts, started.left_ms)
 
 
-def _message(work: engine_book.Work) -> peer_messages.WorkPart:
+def _message(work: engine_load.Work) -> peer_messages.WorkPart:
     return peer_messages.WorkPart(
         runner_id=work.runner_id,
         read_ms=work.read_ms,
@@ -181,8 +181,8 @@
     )
 
 
-def _work(part: peer_messages.WorkPart) -> engine_book.Work:
-    return engine_book.Work(
+def _work(part: peer_messages.WorkPart) -> engine_load.Work:
+    return engine_load.Work(
         runner_id=ids.RunnerId(part.runner_id),
         read_ms=part.read_ms,
         writes=part.writes,
--- a/standins/slope_engine_choice.py
+++ b/standins/slope_engine_choice.py
@@ -9,7 +9,12 @@
 
 from hdrh import histogram
 
-from lacewingdrum_coordination import engine_book, engine_choice, engine_costs
+from lacewingdrum_coordination import (
+    engine_book,
+    engine_choice,
+    engine_costs,
+    engine_load,
+)
 from lacewingdrum_state import configurations, fleet, ids, runner_entries, states
 
 MODEL = configurations.EngineModel(
@@ -41,7 +46,7 @@
     for number in range(count):
         runner_id = ids.RunnerId(f"e{number}")
         for writer in range(WRITERS):
-            work = engine_book.Work(
+            work = engine_load.Work(
                 runner_id, 0.0, True, 200.0, 300.0, 1.0, 5_000, 5_300
             )
             name = f"{number}.{writer}"
