Lists of runners travel as changes; groups of daemons are kept, not worked out anew

Each daemon that starts reads the list of 1,000 runners and told it whole to all others; and each question for the near daemons looked at all daemons for each daemon. Ruled out: the store's rates (6,000 reads a second; 100 daemons make 300). Change: a list is named by a digest of what it says, and told as what changed since the list held before; who lacks that one asks, naming its own. Live and near daemons are kept as they come and go.

--- a/packages/gateway/lacewingdrum_gateway/peer_table.py
+++ b/packages/gateway/lacewingdrum_gateway/peer_table.py
@@ -43,6 +43,9 @@
         self.own_address = own_address
         self._data_centre = data_centre
         self._peers: dict[ids.VmId, Peer] = {}
+        self._live: dict[ids.VmId, Peer] = {}
+        self._near: tuple[Peer, ...] | None = None
+        self._group: frozenset[ids.VmId] | None = None
         self._seeds: set[ids.VmId] = set()
         self._forgotten_s: dict[ids.VmId, float] = {}
         self._most_live = 1
@@ -53,14 +56,14 @@
         return tuple(self._peers.values())
 
     @property
-    def live(self) -> list[Peer]:
+    def live(self) -> tuple[Peer, ...]:
         """Daemons that were heard lately, this one left out."""
-        return [peer for peer in self._peers.values() if peer.is_live]
+        return tuple(self._live.values())
 
     @property
     def hears_all(self) -> bool:
         """Whether all daemons hear of all work, not those near each other."""
-        return len(self.live) <= ALL_HEAR_MAX
+        return len(self._live) <= ALL_HEAR_MAX
 
     @property
     def scale(self) -> float:
@@ -70,7 +73,7 @@
     @property
     def rank(self) -> int:
         """How many live daemons come before this one in a fixed order."""
-        return sum(peer.address < self.own_address for peer in self.live)
+        return sum(address < self.own_address for address in self._live)
 
     @property
     def daemon_count(self) -> int:
@@ -119,10 +122,22 @@
             Whether it was not live before.
         """
         peer.heard_s = now_s
-        is_new = not peer.is_live
+        if peer.is_live:
+            return False
         peer.is_live = True
-        self._most_live = max(self._most_live, len(self.live) + 1)
-        return is_new
+        self._live[peer.address] = peer
+        self._most_live = max(self._most_live, len(self._live) + 1)
+        self._forget_groups()
+        return True
+
+    def lost(self, peer: Peer) -> None:
+        """Args: peer: who fell silent, or was started anew."""
+        peer.is_live = False
+        self._live.pop(peer.address, None)
+        self._forget_groups()
+
+    def _forget_groups(self) -> None:
+        self._near = self._group = None
 
     def forget_unheard(self, now_s: float) -> list[ids.VmId]:
         """Args: now_s: the time. Returns: addresses dropped as unheard."""
@@ -137,9 +152,13 @@
             del self._peers[address]
         return dropped
 
-    def near(self) -> list[Peer]:
+    def near(self) -> tuple[Peer, ...]:
         """Returns: live daemons that share their work with this one."""
-        return [peer for peer in self.live if self.is_near(peer)]
+        if self._near is None:
+            self._near = tuple(
+                peer for peer in self._live.values() if self.is_near(peer)
+            )
+        return self._near
 
     def is_near(self, peer: Peer) -> bool:
         """Returns: whether this daemon and the peer share their work."""
@@ -151,10 +170,15 @@
 
     def group(self) -> frozenset[ids.VmId]:
         """Returns: this daemon and those whose work it hears of."""
-        return frozenset((self.own_address, *(peer.address for peer in self.near())))
+        if self._group is None:
+            heard = (peer.address for peer in self.near())
+            self._group = frozenset((self.own_address, *heard))
+        return self._group
 
     def cut_off(self, now_s: float) -> frozenset[ids.VmId]:
         """Returns: daemons near this one that may be cut off and at work."""
+        if len(self._live) == len(self._peers):
+            return frozenset()
         return frozenset(
             peer.address
             for peer in self._peers.values()
--- a/packages/gateway/lacewingdrum_gateway/peer_table_test.py
+++ b/packages/gateway/lacewingdrum_gateway/peer_table_test.py
@@ -26,7 +26,8 @@
 def test_silent_daemon_counts_as_cut_off_for_a_while():
     table = table_with(NORTH, NORTH)
     first, second = table.known
-    first.is_live = second.is_live = False
+    table.lost(first)
+    table.lost(second)
     second.is_leaving = True
     assert table.cut_off(10.0) == {first.address}
     assert not table.cut_off(16.0)
@@ -51,3 +52,16 @@
     assert table.rank == 0
     table.heard(table.learn(ids.VmId("10.0.0.1:7"), 1.0), 1.0)
     assert table.rank == 1
+
+
+def test_groups_follow_every_change_of_the_live_daemons():
+    table = table_with(*[NORTH] * 8, *[SOUTH] * 9)
+    gone = table.near()[0]
+    table.lost(gone)
+    assert gone not in table.near() and gone.address not in table.group()
+    for peer in table.live[4:]:
+        table.lost(peer)
+    assert table.hears_all and len(table.near()) == 4
+    assert table.cut_off(1.0) and table.heard(gone, 2.0)
+    assert gone in table.near() and gone.address in table.group()
+    assert not table.heard(gone, 3.0) and len(table.live) == 5
--- a/packages/gateway/lacewingdrum_gateway/peers.py
+++ b/packages/gateway/lacewingdrum_gateway/peers.py
@@ -194,7 +194,7 @@
             self._socket.disconnect(address)
 
     def _lost(self, peer: Peer, reason: str) -> None:
-        peer.is_live = False
+        self.table.lost(peer)
         self._counts.count("peers_lost", reason=reason)
         self._decisions.record(
             decision_log.DecisionEvent.PEER_LOST,
--- a/packages/gateway/lacewingdrum_gateway/runner_keeper.py
+++ b/packages/gateway/lacewingdrum_gateway/runner_keeper.py
@@ -8,10 +8,13 @@
 import asyncio
 from collections.abc import Callable
 
-import msgspec
 from result import Err
 
-from lacewingdrum_coordination import homes, runner_health, runner_roster
+from lacewingdrum_coordination import (
+    runner_health,
+    runner_list_history,
+    runner_roster,
+)
 from lacewingdrum_daemon import decision_log, metrics, tasks
 from lacewingdrum_gateway import peers as peer_list, store_client
 from lacewingdrum_platform import runner_rows, store_calls
@@ -50,7 +53,7 @@
         self._decisions = decisions
         self._counts = counts
         self._lapse_s: float | None = None
-        self._digest_sent = 0
+        self._history = runner_list_history.RunnerListHistory()
         self._asked_s = float("-inf")
         self._faults_seen: set[str] = set()
         self._tasks = tasks.TaskSet()
@@ -99,8 +102,10 @@
         if listed.version < self._roster.version:
             # A store that lags; a peer has told something newer.
             return False
+        # Who holds what was held here needs the changes alone; others ask.
+        before = self._history.digest
         self._take(listed, asked_s, "store")
-        self._push()
+        self._peers.broadcast(self._message_since(before or self._history.digest))
         return True
 
     def _entry(self, row: store_calls.Row) -> runner_entries.RunnerEntry | None:
@@ -125,7 +130,10 @@
     ) -> None:
         if as_of_s - self._roster.as_of_s > OUTAGE_S and self.is_known:
             self._lapse_s = as_of_s + runner_roster.RETURN_S
-        for change in self._roster.take(listed, as_of_s, self._lapse_s):
+        changes = self._roster.take(listed, as_of_s, self._lapse_s)
+        if changes:
+            self._history.note(self._roster.entries)
+        for change in changes:
             if change.what in ("born_again", "gone"):
                 self._health.forget(change.runner_id)
             self._counts.count("runner_changes", change=change.what)
@@ -138,54 +146,55 @@
                 list_version=change.list_version,
             )
 
-    def _push(self) -> None:
-        digest = self._digest()
-        entries = None
-        if digest != self._digest_sent:
-            entries = tuple(_message(entry) for entry in self._roster.entries)
-        self._digest_sent = digest
-        self._peers.broadcast(self._push_message(digest, entries))
-
-    def _push_message(
-        self,
-        digest: int,
-        entries: tuple[peer_messages.RunnerListEntry, ...] | None,
-    ) -> peer_messages.RunnerListPush:
-        age_ms = int((self._clock() - self._roster.as_of_s) * 1_000)
+    def _message_since(self, base: int) -> peer_messages.RunnerListPush:
+        change = self._history.change_since(base)
         return peer_messages.RunnerListPush(
-            self._roster.version, age_ms, digest, entries
+            version=self._roster.version,
+            age_ms=int((self._clock() - self._roster.as_of_s) * 1_000),
+            digest=change.digest,
+            base=change.base,
+            changed=tuple(_message(entry) for entry in change.changed),
+            removed=change.removed,
         )
 
-    def _digest(self) -> int:
-        entries = [_message(entry) for entry in self._roster.entries]
-        entries.sort(key=lambda entry: entry.runner_id)
-        return homes.weight_of(msgspec.json.encode(entries).decode()) >> 1
-
     def _heard(self, peer: peer_list.Peer) -> None:
         """Ask a peer while no list is known, as the store may be away."""
-        if not self.is_known and self._clock() - self._asked_s > ASK_AGAIN_S:
-            self._asked_s = self._clock()
-            self._peers.send(peer.address, peer_messages.RunnerListAsk())
+        if not self.is_known:
+            self._ask(peer.address)
+
+    def _ask(self, address: ids.VmId) -> None:
+        now_s = self._clock()
+        if now_s - self._asked_s > ASK_AGAIN_S:
+            self._asked_s = now_s
+            self._peers.send(address, peer_messages.RunnerListAsk(self._history.digest))
 
     def _pushed(self, sender: ids.VmId, push: peer_messages.RunnerListPush) -> None:
         as_of_s = self._clock() - push.age_ms / 1_000
-        if push.entries is None:
-            if self._digest() == push.digest:
-                self._roster.confirm(push.version, as_of_s)
-            else:
-                self._peers.send(sender, peer_messages.RunnerListAsk())
+        if push.version < self._roster.version:
+            return
+        if push.digest == self._history.digest:
+            self._roster.confirm(push.version, as_of_s)
             return
-        entries = [_entry(message) for message in push.entries]
-        known = tuple(entry for entry in entries if entry is not None)
-        listed = runner_entries.RunnerList(push.version, known)
+        entries = self._history.applied(_change(push))
+        if entries is None:
+            self._ask(sender)
+            return
+        listed = runner_entries.RunnerList(push.version, entries)
         self._take(listed, as_of_s, f"peer {sender}")
 
     def _asked(self, sender: ids.VmId, ask: peer_messages.RunnerListAsk) -> None:
-        del ask
-        if not self.is_known:
-            return
-        entries = tuple(_message(entry) for entry in self._roster.entries)
-        self._peers.send(sender, self._push_message(self._digest(), entries))
+        if self.is_known:
+            self._peers.send(sender, self._message_since(ask.digest))
+
+
+def _change(push: peer_messages.RunnerListPush) -> runner_list_history.ListChange:
+    entries = (_entry(message) for message in push.changed)
+    return runner_list_history.ListChange(
+        base=push.base,
+        digest=push.digest,
+        changed=tuple(entry for entry in entries if entry is not None),
+        removed=tuple(ids.RunnerId(name) for name in push.removed),
+    )
 
 
 def _message(entry: runner_entries.RunnerEntry) -> peer_messages.RunnerListEntry:
--- a/packages/gateway/lacewingdrum_gateway/work_share.py
+++ b/packages/gateway/lacewingdrum_gateway/work_share.py
@@ -45,9 +45,7 @@
         waited_s = self._clock() - self._started_s
         if waited_s > INFORMED_S:
             return True
-        near = [
-            peer for peer in self._peers.table.live if self._peers.table.is_near(peer)
-        ]
+        near = self._peers.table.near()
         return bool(near) and all(peer.address in self._told for peer in near)
 
     def start(self) -> None:
--- a/packages/protocol/lacewingdrum_protocol/peer_messages.py
+++ b/packages/protocol/lacewingdrum_protocol/peer_messages.py
@@ -173,17 +173,22 @@
 class RunnerListPush(msgspec.Struct, frozen=True, array_like=True, tag="run"):
     """The runners as of a version of the platform's store, ``age_ms`` ago.
 
-    ``entries`` is None where ``digest`` is that of the list sent before.
+    ``digest`` is that of the whole list. ``changed`` and ``removed`` lead
+    there from the list of the digest ``base``, which is 0 for no list.
     """
 
     version: int
     age_ms: int
     digest: int
-    entries: tuple[RunnerListEntry, ...] | None
+    base: int
+    changed: tuple[RunnerListEntry, ...] = ()
+    removed: tuple[str, ...] = ()
 
 
 class RunnerListAsk(msgspec.Struct, frozen=True, array_like=True, tag="rua"):
-    """Asks for the whole list, as the receiver's last push left it out."""
+    """Asks for what the sender lacks; ``digest`` is that of its own list."""
+
+    digest: int
 
 
 class WorkPart(msgspec.Struct, frozen=True, array_like=True):
