Engines that refuse to read for others are remembered, and told to all

Change: an engine that refuses to help is not asked for 5 s by any daemon; it still writes, as a draining engine does. Attempts count runners, so a set may be made anew around the same first runner, within the allowance for repeats.

--- a/packages/coordination/lacewingdrum_coordination/engine_costs.py
+++ b/packages/coordination/lacewingdrum_coordination/engine_costs.py
@@ -50,7 +50,8 @@
     ``penalty`` is the worth its failures and distance cost; ``order``, 0 to
     1, is the same at all daemons that hear of each other's work, so that they
     fill the same engines first; ``pace`` is how many times slower it is than
-    stated.
+    stated. ``writes`` and ``helps`` are unset where it may not write, or
+    would refuse to read a part for another engine.
     """
 
     entry: runner_entries.RunnerEntry
@@ -58,6 +59,8 @@
     penalty: float = 0.0
     order: float = 0.0
     pace: float = 1.0
+    writes: bool = True
+    helps: bool = True
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/coordination/lacewingdrum_coordination/runner_health.py
+++ b/packages/coordination/lacewingdrum_coordination/runner_health.py
@@ -7,6 +7,9 @@
 
 HALF_LIFE_S = 4.0
 PRIOR_TOTAL = 4.0
+# An engine that refused to read for another one drains, as a rule; the list
+# tells of that as soon as the store can be reached.
+HELP_REFUSED_S = 5.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -16,6 +19,7 @@
     as_of_s: float = 0.0
     suspect_since_s: float | None = None
     heard_s: float = float("-inf")
+    help_refused_s: float = float("-inf")
 
 
 class RunnerHealth:
@@ -59,6 +63,26 @@
         seen = self._seen.get(runner_id)
         return now_s - seen.heard_s if seen is not None else float("inf")
 
+    def refuse_help(self, runner_id: ids.RunnerId, now_s: float) -> bool:
+        """Note that an engine would not read a part for another one.
+
+        Args:
+            runner_id: the engine.
+            now_s: the time.
+
+        Returns:
+            Whether that is news.
+        """
+        is_new = self.helps(runner_id, now_s)
+        seen = self._seen.setdefault(runner_id, _Seen(as_of_s=now_s))
+        seen.help_refused_s = now_s
+        return is_new
+
+    def helps(self, runner_id: ids.RunnerId, now_s: float) -> bool:
+        """Returns: whether an engine is expected to read for others."""
+        seen = self._seen.get(runner_id)
+        return seen is None or now_s - seen.help_refused_s >= HELP_REFUSED_S
+
     def clear(self, runner_id: ids.RunnerId) -> None:
         """Args: runner_id: could be reached again."""
         seen = self._seen.get(runner_id)
--- a/packages/coordination/lacewingdrum_coordination/runner_health_test.py
+++ b/packages/coordination/lacewingdrum_coordination/runner_health_test.py
@@ -37,3 +37,13 @@
     assert health.silent_s(RUNNER, 9.0) == 4.0
     health.forget(RUNNER)
     assert health.silent_s(RUNNER, 9.0) == float("inf")
+
+
+def test_refused_help_is_remembered_for_a_while():
+    health = runner_health.RunnerHealth()
+    assert health.helps(RUNNER, 1.0) and health.refuse_help(RUNNER, 1.0)
+    assert not health.refuse_help(RUNNER, 3.0)
+    assert not health.helps(RUNNER, 7.9) and health.helps(RUNNER, 8.0)
+    assert health.refuse_help(RUNNER, 9.0)
+    health.forget(RUNNER)
+    assert health.helps(RUNNER, 9.0)
--- a/packages/daemon/lacewingdrum_daemon/decision_log.py
+++ b/packages/daemon/lacewingdrum_daemon/decision_log.py
@@ -54,6 +54,7 @@
     CONFIGURATION_TAKEN = "configuration_taken"
     RUNNER_CHANGED = "runner_changed"
     RUNNER_SUSPECTED = "runner_suspected"
+    HELP_REFUSED = "help_refused"
     RUNNER_CLEARED = "runner_cleared"
     PEER_JOINED = "peer_joined"
     PEER_LOST = "peer_lost"
--- a/packages/gateway/lacewingdrum_gateway/exchange.py
+++ b/packages/gateway/lacewingdrum_gateway/exchange.py
@@ -161,7 +161,7 @@
     def _could_repeat(self, work: request_work.RequestWork) -> bool:
         """Returns: whether another runner may be asked after this one."""
         route = work.target.route
-        return route.is_repeatable and work.sent_count + 1 < route.max_attempts
+        return route.is_repeatable and len(work.sent_to) + 1 < route.max_attempts
 
     async def _pass_whole(
         self, work: request_work.RequestWork, reader: http_client.ResponseReader
--- a/packages/gateway/lacewingdrum_gateway/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/forwarding.py
@@ -11,8 +11,9 @@
     peers as peer_list,
     request_work,
     routing,
+    work_share,
 )
-from lacewingdrum_state import states
+from lacewingdrum_state import ids, states
 from lacewingdrum_transport import http_messages
 
 # Tries that never reached a runner cost nothing but time.
@@ -34,6 +35,7 @@
         planner: routing.Planner,
         exchange: exchanges.Exchange,
         allowance: retry_allowance.RetryAllowance,
+        share: work_share.WorkShare,
         peers: peer_list.Peers,
         roster: runner_roster.RunnerRoster,
         health: runner_health.RunnerHealth,
@@ -46,6 +48,7 @@
         self._planner = planner
         self._exchange = exchange
         self._allowance = allowance
+        self._share = share
         self._peers = peers
         self._roster = roster
         self._health = health
@@ -65,12 +68,12 @@
         """
         self._allowance.note_request(work.target.service.name, self._clock())
         while work.left_s(self._clock()) > 0:
-            plan = self._planner.plan(work.target, work.tried)
+            plan = self._planner.plan(work.target, work.tried, work.only_first)
             if isinstance(plan, routing.TooCostly):
                 return await self._refuse(work, plan)
             if plan is None:
                 break
-            if work.sent_count and not self._take_repeat(work):
+            if work.sent_to and not self._take_repeat(work):
                 break
             sent_s = self._clock()
             work.try_count += 1
@@ -125,7 +128,7 @@
     ) -> None:
         work.tried.add(plan.entry.runner_id)
         if end.state is not states.AttemptState.UNSENT:
-            work.sent_count += 1
+            work.sent_to.add(plan.entry.runner_id)
         if self._health.is_suspect(plan.entry.runner_id):
             work.dead_count += 1
         if end.at_fault is None:
@@ -135,6 +138,9 @@
                 work.tried.add(helper.runner_id)
                 # The set fell by its helper; the first runner is as it was.
                 work.tried.discard(plan.entry.runner_id)
+                if end.reason is attempt.EndReason.HELPER_FAILED:
+                    self._share.note_help_refused(helper.runner_id)
+                    work.only_first = self._only_first(work, plan)
 
     def _may_go_on(
         self, work: request_work.RequestWork, end: attempt.AttemptEnd
@@ -147,7 +153,7 @@
             return False
         if end.state is states.AttemptState.UNSENT:
             return True
-        if not self._has_attempts(work):
+        if not self._has_attempts(work) and work.only_first is None:
             return False
         if end.state is states.AttemptState.REFUSED_BY_RUNNER:
             return True
@@ -156,7 +162,13 @@
     def _has_attempts(self, work: request_work.RequestWork) -> bool:
         # A runner that has died meanwhile takes no attempt from the request.
         limit = work.target.route.max_attempts + min(work.dead_count, 1)
-        return work.sent_count < limit
+        return len(work.sent_to) < limit
+
+    def _only_first(
+        self, work: request_work.RequestWork, plan: routing.Plan
+    ) -> ids.RunnerId | None:
+        """Returns: the runner to stay with, where no other may get it."""
+        return None if self._has_attempts(work) else plan.entry.runner_id
 
     def _take_repeat(self, work: request_work.RequestWork) -> bool:
         service = work.target.service.name
--- a/packages/gateway/lacewingdrum_gateway/parts.py
+++ b/packages/gateway/lacewingdrum_gateway/parts.py
@@ -101,7 +101,9 @@
             self.roster, self.health, clock, self.decisions
         )
         self.book = engine_book.EngineBook()
-        self.share = work_share.WorkShare(self.book, self.peers, clock, self.counts)
+        self.share = work_share.WorkShare(
+            self.book, self.health, self.peers, clock, self.decisions, self.counts
+        )
         self.runner_client = http_client.HttpClient(
             http_client.ClientLimits(
                 idle_s=RUNNER_IDLE_S,
@@ -140,6 +142,7 @@
             planner,
             exchange.Exchange(sender, planner, self.memory, self.share, clock),
             allowance,
+            self.share,
             self.peers,
             self.roster,
             self.health,
--- a/packages/gateway/lacewingdrum_gateway/request_work.py
+++ b/packages/gateway/lacewingdrum_gateway/request_work.py
@@ -23,7 +23,12 @@
 
 @dataclasses.dataclass(slots=True)
 class RequestWork:
-    """One request on its way."""
+    """One request on its way.
+
+    ``sent_to`` are the runners it was sent to, refusals counted too;
+    ``only_first`` is the one of them that may get it again, after another
+    engine would not help there.
+    """
 
     target: routing.Target
     outgoing: attempt.Outgoing
@@ -33,7 +38,8 @@
     tried: set[ids.RunnerId] = dataclasses.field(default_factory=set)
     ends: list[attempt.AttemptEnd] = dataclasses.field(default_factory=list)
     try_count: int = 0
-    sent_count: int = 0
+    sent_to: set[ids.RunnerId] = dataclasses.field(default_factory=set)
+    only_first: ids.RunnerId | None = None
     dead_count: int = 0
     first_event_s: float | None = None
     last_event_s: float = 0.0
--- a/packages/gateway/lacewingdrum_gateway/routing.py
+++ b/packages/gateway/lacewingdrum_gateway/routing.py
@@ -123,12 +123,18 @@
         load = self._book.load(plan.entry.runner_id)
         return load.backlog_ms(self._clock()) / 1_000
 
-    def plan(self, target: Target, tried: set[ids.RunnerId]) -> Plan | TooCostly | None:
+    def plan(
+        self,
+        target: Target,
+        tried: set[ids.RunnerId],
+        only_first: ids.RunnerId | None = None,
+    ) -> Plan | TooCostly | None:
         """Plan the next attempt of a request.
 
         Args:
             target: the request.
             tried: runners that had their attempt.
+            only_first: the one that it may still be sent to, if any may not.
 
         Returns:
             The plan, or why there is none: others would lose too much, or
@@ -140,7 +146,7 @@
         engine = target.service.engine
         if engine is None or not target.marks.prompt_tokens:
             return self._plain(target, entries)
-        return self._engines(target, engine, entries, tried)
+        return self._engines(target, engine, entries, tried, only_first)
 
     def _usable(
         self, service: ids.ServiceName, tried: set[ids.RunnerId]
@@ -212,6 +218,7 @@
         engine: configurations.EngineModel,
         entries: list[runner_entries.RunnerEntry],
         tried: set[ids.RunnerId],
+        only_first: ids.RunnerId | None,
     ) -> Plan | TooCostly | None:
         now_s = self._clock()
         route, prompt_tokens = target.route.name, target.marks.prompt_tokens
@@ -237,6 +244,8 @@
                 self._penalty(entry, worth, now_s) + self._foreign_cost(entry),
                 self._order(group, entry.runner_id),
                 self._share.pace(entry.runner_id),
+                only_first in (None, entry.runner_id),
+                self._health.helps(entry.runner_id, now_s),
             )
             for entry in entries
         ]
--- a/packages/gateway/lacewingdrum_gateway/work_share.py
+++ b/packages/gateway/lacewingdrum_gateway/work_share.py
@@ -3,8 +3,13 @@
 import asyncio
 from collections.abc import Callable
 
-from lacewingdrum_coordination import engine_book, engine_load, engine_paces
-from lacewingdrum_daemon import metrics
+from lacewingdrum_coordination import (
+    engine_book,
+    engine_load,
+    engine_paces,
+    runner_health,
+)
+from lacewingdrum_daemon import decision_log, metrics
 from lacewingdrum_gateway import peers as peer_list
 from lacewingdrum_protocol import peer_messages
 from lacewingdrum_state import ids
@@ -21,18 +26,23 @@
     def __init__(
         self,
         book: engine_book.EngineBook,
+        health: runner_health.RunnerHealth,
         peers: peer_list.Peers,
         clock: Callable[[], float],
+        decisions: decision_log.DecisionLog,
         counts: metrics.Metrics,
     ) -> None:
         self._book = book
+        self._health = health
         self._peers = peers
         self._clock = clock
+        self._decisions = decisions
         self._counts = counts
         self._started: list[peer_messages.WorkStarted] = []
         self._first_events: list[str] = []
         self._ended: list[str] = []
         self._paces: dict[ids.RunnerId, float] = {}
+        self._help_refused: list[ids.RunnerId] = []
         self._known_paces = engine_paces.EnginePaces()
         self._told: set[ids.VmId] = set()
         self._started_s = float("-inf")
@@ -97,6 +107,25 @@
             self._paces[runner_id] = pace
             self._flush_soon()
 
+    def note_help_refused(self, runner_id: ids.RunnerId) -> None:
+        """Args: runner_id: an engine that would not read for another one."""
+        if self._take_help_refused(runner_id, "own attempt"):
+            self._help_refused.append(runner_id)
+            self._flush_soon()
+
+    def _take_help_refused(self, runner_id: ids.RunnerId, source: str) -> bool:
+        if not self._health.refuse_help(runner_id, self._clock()):
+            return False
+        self._counts.count("helps_refused")
+        self._decisions.record(
+            decision_log.DecisionEvent.HELP_REFUSED,
+            None,
+            runner_id=runner_id,
+            source=source,
+            for_s=runner_health.HELP_REFUSED_S,
+        )
+        return True
+
     def _flush_soon(self) -> None:
         if self._flush_timer is None:
             loop = asyncio.get_running_loop()
@@ -112,9 +141,10 @@
                 peer_messages.EnginePace(runner_id, round(pace, 2))
                 for runner_id, pace in self._paces.items()
             ),
+            tuple(self._help_refused),
         )
         self._started, self._first_events, self._ended = [], [], []
-        self._paces = {}
+        self._paces, self._help_refused = {}, []
         self._peers.broadcast_near(news)
 
     def _heard(self, sender: ids.VmId, news: peer_messages.WorkNews) -> None:
@@ -131,6 +161,8 @@
             self._book.end(work_id)
         for seen in news.paces:
             self._known_paces.note(ids.RunnerId(seen.runner_id), seen.pace, now_s)
+        for name in news.help_refused:
+            self._take_help_refused(ids.RunnerId(name), f"peer {sender}")
 
     def _beaten(self, peer: peer_list.Peer) -> None:
         """Ask a daemon for its work until it has told it."""
--- a/packages/protocol/lacewingdrum_protocol/peer_messages.py
+++ b/packages/protocol/lacewingdrum_protocol/peer_messages.py
@@ -222,13 +222,15 @@
 class WorkNews(msgspec.Struct, frozen=True, array_like=True, tag="wrk"):
     """Work that began, whose first event came, and that ended, in order.
 
-    ``paces`` tells of engines that are slow, or are so no more.
+    ``paces`` tells of engines that are slow, or are so no more;
+    ``help_refused`` names engines that would not read for another one.
     """
 
     started: tuple[WorkStarted, ...]
     first_events: tuple[str, ...]
     ended: tuple[str, ...]
     paces: tuple[EnginePace, ...] = ()
+    help_refused: tuple[str, ...] = ()
 
 
 class WorkAsk(msgspec.Struct, frozen=True, array_like=True, tag="wra"):
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -73,6 +73,8 @@
         self.reserved: dict[str, Reserved] = {}
         self.order_count = 0
         self.refuse_orders = False
+        # Addresses of engines that help nobody, as draining ones.
+        self.unwilling_helpers: set[str] = set()
         self.port = 0
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -179,6 +181,10 @@
         fault = self.faults.pop(0) if self.faults else Fault.NONE
         attempt_id = headers.get("attempt-id", "")
         own: Headers = (("Attempt-Id", attempt_id), ("Instance-Id", self.runner_id))
+        helpers = _helpers(headers)
+        unwilling = next((one for one in helpers if one in self.unwilling_helpers), "")
+        if unwilling:
+            fault = Fault.HELPER_FAILED
         expected = headers.get("expect-instance", self.runner_id)
         not_run = (Fault.SHED, Fault.OTHER_RUNNER, Fault.HELPER_FAILED)
         if expected != self.runner_id:
@@ -192,8 +198,8 @@
                 _answer(connection, writer, 503, marked, b"full")
                 return True
             case Fault.HELPER_FAILED:
-                helper = headers.get("helpers", "").split(",")[0].partition("/")[0]
-                marked = (*own, ("Not-Executed", "1"), ("At-Server", helper))
+                at_fault = unwilling or helpers[0]
+                marked = (*own, ("Not-Executed", "1"), ("At-Server", at_fault))
                 _answer(connection, writer, 503, marked, b"helper")
                 return True
             case Fault.OTHER_RUNNER:
@@ -305,6 +311,12 @@
             return None, b""
 
 
+def _helpers(headers: dict[str, str]) -> list[str]:
+    """Returns: the addresses of the engines that shall help."""
+    listed = headers.get("helpers", "")
+    return [one.partition("/")[0] for one in listed.split(",")]
+
+
 def _answer(
     connection: h11.Connection,
     writer: asyncio.StreamWriter,
