Heartbeats follow the near daemons; dead code gone; one copy of units and of the engine model

Cause: heartbeats between near daemons grew rarer with the number of all daemons: 1.2 s at 60, 7.2 s at 360, so a dead daemon's work stood in the book for 6 and 36 s. Ruled out: the number of far beats as a multiple of near ones (data centres of unequal size would take each other for silent). Change: near beats follow the daemons that share work (0.57 s at 20 a data centre), far beats the number of all daemons, alike everywhere. Gone: has_ready, service_calls._ran, a clock that nothing read; MS_PER_S stands once, the engine model of tests and slopes too.

--- a/packages/cli/lacewingdrum_cli/rendering.py
+++ b/packages/cli/lacewingdrum_cli/rendering.py
@@ -4,9 +4,9 @@
 
 from lacewingdrum_cli import causes
 from lacewingdrum_protocol import document_text, operators_api
+from lacewingdrum_state import units
 
 NEVER = "never heard"
-MS_A_SECOND = 1_000
 DIGEST_CHARACTERS = 12
 
 
@@ -41,7 +41,7 @@
         lines.extend(_service_lines(service))
     lines.append("VMs:")
     for vm in answer.vms:
-        age = f"heard {vm.heard_age_ms / MS_A_SECOND:.1f} s ago"
+        age = f"heard {vm.heard_age_ms / units.MS_PER_S:.1f} s ago"
         if vm.heard_age_ms < 0:
             age = NEVER
         versions = ", ".join(f"{item.service} {item.version}" for item in vm.documents)
--- a/packages/coordination/lacewingdrum_coordination/engine_choice_test.py
+++ b/packages/coordination/lacewingdrum_coordination/engine_choice_test.py
@@ -6,19 +6,9 @@
     engine_costs,
     engine_load,
 )
-from lacewingdrum_state import configurations, fleet, ids, runner_entries, states
-
-MODEL = configurations.EngineModel(
-    slots=8,
-    kv_capacity_tokens=450_000,
-    step_ms=0.925,
-    step_ms_per_writer=0.00966,
-    step_ms_per_context_token=0.00000254,
-    read_tokens_per_ms=256.0,
-    read_ms_per_pair=0.0917e-6,
-    chunk_tokens=2_048,
-    steps_per_pass=46,
-)
+from lacewingdrum_state import fleet, ids, runner_entries, states
+from standins import engine_model
+
 SHORT = engine_costs.Demand(5_000, 300, 300.0, 200.0, 1.0)
 LONG = engine_costs.Demand(210_000, 300, 3_000.0, 800.0, 16.0)
 COUNT = 9
@@ -62,7 +52,12 @@
         for number in range(count)
     ]
     return engine_choice.choose(
-        MODEL, demand, candidates, book.arrivals(NOW_S), NOW_S, random.Random(1)
+        engine_model.MODEL,
+        demand,
+        candidates,
+        book.arrivals(NOW_S),
+        NOW_S,
+        random.Random(1),
     )
 
 
--- a/packages/coordination/lacewingdrum_coordination/request_worth_test.py
+++ b/packages/coordination/lacewingdrum_coordination/request_worth_test.py
@@ -1,6 +1,7 @@
-from lacewingdrum_coordination import engine_choice_test, engine_times, request_worth
+from lacewingdrum_coordination import engine_times, request_worth
+from standins import engine_model
 
-MODEL = engine_choice_test.MODEL
+MODEL = engine_model.MODEL
 SHORT_MS, LONG_MS = 300.0, 3_000.0
 
 
--- a/packages/daemon/lacewingdrum_daemon/caller_requests.py
+++ b/packages/daemon/lacewingdrum_daemon/caller_requests.py
@@ -12,14 +12,12 @@
 from lacewingdrum_coordination import customer_limits, directory, limits
 from lacewingdrum_daemon import attempt_runner
 from lacewingdrum_protocol import callers_api
-from lacewingdrum_state import documents, ids, requests, states
+from lacewingdrum_state import documents, ids, requests, states, units
 from lacewingdrum_transport import http_messages
 
 Failure = callers_api.Failure
 ErrorCode = callers_api.ErrorCode
 
-MS_PER_S = 1000
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Caller:
@@ -209,7 +207,7 @@
         prompt_tokens=0,
         max_tokens=0,
         received_s=received_s,
-        deadline_s=received_s + patience_ms / MS_PER_S,
+        deadline_s=received_s + patience_ms / units.MS_PER_S,
         worth=kind.worth,
         idempotent=kind.idempotent,
     )
--- a/packages/daemon/lacewingdrum_daemon/callers.py
+++ b/packages/daemon/lacewingdrum_daemon/callers.py
@@ -15,14 +15,12 @@
     service_orders,
 )
 from lacewingdrum_protocol import callers_api
-from lacewingdrum_state import ids, requests, states
+from lacewingdrum_state import ids, requests, states, units
 from lacewingdrum_transport import http_messages, http_server
 
 Failure = callers_api.Failure
 ErrorCode = callers_api.ErrorCode
 
-MS_PER_S = 1000
-
 
 class Callers:
     """Handles the requests of callers."""
@@ -141,7 +139,7 @@
             customer=request.customer,
             kind=request.kind,
             prompt_tokens=request.prompt_tokens,
-            elapsed_ms=int(MS_PER_S * (self._clock() - request.received_s)),
+            elapsed_ms=int(units.MS_PER_S * (self._clock() - request.received_s)),
             outcome="ok" if failure is None else failure.code.value,
             ran="yes" if failure is None else failure.ran.value,
         )
--- a/packages/daemon/lacewingdrum_daemon/daemon.py
+++ b/packages/daemon/lacewingdrum_daemon/daemon.py
@@ -8,8 +8,8 @@
 import logging
 
 from lacewingdrum_daemon import decision_log, parts as daemon_parts, settings
+from lacewingdrum_state import units
 
-MS_PER_S = 1000
 POLL_S = 0.05
 CANCEL_GRACE_S = 2.0
 ORDER_GRACE_S = 30.0
@@ -67,7 +67,7 @@
         parts.peering.set_leaving()
         parts.callers_server.set_leaving()
         parts.decisions.record(decision_log.DecisionEvent.LEAVING, None)
-        await self._wait_cut(parts.own.limits.drain_notice_ms / MS_PER_S)
+        await self._wait_cut(parts.own.limits.drain_notice_ms / units.MS_PER_S)
         parts.callers_server.stop_accepting()
         while parts.callers_server.busy_count and not self._cut_requested.is_set():
             await asyncio.sleep(POLL_S)
--- a/packages/daemon/lacewingdrum_daemon/document_status.py
+++ b/packages/daemon/lacewingdrum_daemon/document_status.py
@@ -5,9 +5,8 @@
 from collections.abc import Iterable, Mapping
 
 from lacewingdrum_protocol import operators_api, peer_messages
-from lacewingdrum_state import fleet, ids, states
+from lacewingdrum_state import fleet, ids, states, units
 
-MS_A_SECOND = 1_000
 SILENT_AFTER_S = 5.0
 NEVER_HEARD_MS = -1
 
@@ -82,7 +81,7 @@
         if vm.vm_id == self._vm_id:
             age_ms, digests = 0, own
         elif heard is not None:
-            age_ms = int((now_s - heard.at_s) * MS_A_SECOND)
+            age_ms = int((now_s - heard.at_s) * units.MS_PER_S)
             digests = heard.heartbeat.documents
             leaving = leaving or heard.heartbeat.leaving
         return operators_api.VmStatus(
@@ -121,7 +120,7 @@
 
 def _state(age_ms: int, leaving: bool, is_new: bool) -> operators_api.VmState:
     was_never_heard = age_ms < 0
-    if was_never_heard and not is_new or age_ms > SILENT_AFTER_S * MS_A_SECOND:
+    if was_never_heard and not is_new or age_ms > SILENT_AFTER_S * units.MS_PER_S:
         return operators_api.VmState.SILENT
     if leaving:
         return operators_api.VmState.LEAVING
--- a/packages/daemon/lacewingdrum_daemon/load_messages.py
+++ b/packages/daemon/lacewingdrum_daemon/load_messages.py
@@ -1,9 +1,7 @@
 """Turns loads and attempts into peer messages and back."""
 
 from lacewingdrum_protocol import peer_messages
-from lacewingdrum_state import fleet, ids, requests
-
-MS_PER_S = 1000
+from lacewingdrum_state import fleet, ids, requests, units
 
 
 def in_flight_entry(
@@ -15,7 +13,7 @@
         runner_id=flight.runner_id,
         prompt_tokens=flight.prompt_tokens,
         total_tokens=flight.total_tokens,
-        age_ms=int(MS_PER_S * (now_s - flight.sent_s)),
+        age_ms=int(units.MS_PER_S * (now_s - flight.sent_s)),
     )
 
 
@@ -23,7 +21,7 @@
     """Returns: what peers are told of a runner's load."""
     return peer_messages.LoadEntry(
         runner_id=load.runner_id,
-        age_ms=int(MS_PER_S * (now_s - load.as_of_s)),
+        age_ms=int(units.MS_PER_S * (now_s - load.as_of_s)),
         queued_short_tokens=load.queued_short_tokens,
         queued_mid_tokens=load.queued_mid_tokens,
         queued_long_tokens=load.queued_long_tokens,
@@ -39,7 +37,7 @@
     """Returns: a peer's entry on our own clock."""
     return fleet.RunnerLoad(
         runner_id=ids.RunnerId(entry.runner_id),
-        as_of_s=now_s - entry.age_ms / MS_PER_S,
+        as_of_s=now_s - entry.age_ms / units.MS_PER_S,
         queued_short_tokens=entry.queued_short_tokens,
         queued_mid_tokens=entry.queued_mid_tokens,
         queued_long_tokens=entry.queued_long_tokens,
@@ -58,5 +56,5 @@
         ids.RunnerId(entry.runner_id),
         entry.prompt_tokens,
         entry.total_tokens,
-        now_s - entry.age_ms / MS_PER_S,
+        now_s - entry.age_ms / units.MS_PER_S,
     )
--- a/packages/daemon/lacewingdrum_daemon/parts.py
+++ b/packages/daemon/lacewingdrum_daemon/parts.py
@@ -36,7 +36,7 @@
     settings,
 )
 from lacewingdrum_protocol import document_text, peer_messages
-from lacewingdrum_state import ids
+from lacewingdrum_state import ids, units
 from lacewingdrum_transport import (
     http_client,
     http_server,
@@ -47,8 +47,6 @@
     table_client,
 )
 
-MS_PER_S = 1000
-
 
 class Parts:
     """Everything that a daemon is made of, not started yet.
@@ -74,7 +72,7 @@
 
     def _make_clients(self) -> None:
         own = self.own
-        timeout_s = own.limits.platform_timeout_ms / MS_PER_S
+        timeout_s = own.limits.platform_timeout_ms / units.MS_PER_S
         self.http = http_client.HttpClient(clock=self.clock)
         self.runners = runner_client.RunnerClient(self.http, self.clock)
         self.table = table_client.TableClient(self.http, own.platform.table, timeout_s)
@@ -90,14 +88,14 @@
         self.router = routing.Router(own.vm.data_centre, self.rng)
         self.in_flight = in_flight.InFlightTable(self.runners, self._attempt_ended)
         self.members = members_keeper.MembersKeeper(
-            self.members_list, own.limits.members_poll_ms / MS_PER_S, self.clock
+            self.members_list, own.limits.members_poll_ms / units.MS_PER_S, self.clock
         )
         self.peering = peering.Peering(
             self.socket,
             self.members,
             self._heartbeat,
             self.clock,
-            period_s=own.limits.heartbeat_ms / MS_PER_S,
+            period_s=own.limits.heartbeat_ms / units.MS_PER_S,
         )
         self.fleet = fleet_sync.FleetSync(
             self.members, self.router, self.peering, self.clock
@@ -161,7 +159,7 @@
         objects = objects_client.ObjectsClient(
             self.http,
             own.platform.objects,
-            own.limits.platform_timeout_ms / MS_PER_S,
+            own.limits.platform_timeout_ms / units.MS_PER_S,
         )
         self.orders = service_orders.ServiceOrders(
             self.app_calls,
@@ -266,10 +264,10 @@
         header_bytes=found.header_bytes,
         body_bytes=found.body_bytes,
         connections=connections,
-        header_timeout_s=found.header_timeout_ms / MS_PER_S,
-        body_timeout_s=found.body_timeout_ms / MS_PER_S,
-        idle_timeout_s=found.idle_timeout_ms / MS_PER_S,
-        write_timeout_s=found.write_timeout_ms / MS_PER_S,
+        header_timeout_s=found.header_timeout_ms / units.MS_PER_S,
+        body_timeout_s=found.body_timeout_ms / units.MS_PER_S,
+        idle_timeout_s=found.idle_timeout_ms / units.MS_PER_S,
+        write_timeout_s=found.write_timeout_ms / units.MS_PER_S,
     )
 
 
--- a/packages/daemon/lacewingdrum_daemon/reservation_keeper.py
+++ b/packages/daemon/lacewingdrum_daemon/reservation_keeper.py
@@ -10,11 +10,10 @@
 from lacewingdrum_coordination import groups, membership, memory_book, runner_homes
 from lacewingdrum_daemon import members_keeper, peering
 from lacewingdrum_protocol import peer_messages
-from lacewingdrum_state import fleet, ids
+from lacewingdrum_state import fleet, ids, units
 
 ANSWER_TIMEOUT_S = 0.5
 LAPSE_MS = 4_000
-MS_PER_S = 1000
 
 FreeTokens = Callable[[ids.RunnerId], int]
 _Answers = dict[tuple[ids.ReservationId, ids.RunnerId], asyncio.Future[bool]]
@@ -142,7 +141,7 @@
             ids.ReservationId(body.reservation_id),
             body.tokens,
             self._free_tokens(runner_id),
-            now_s + body.lapse_ms / MS_PER_S,
+            now_s + body.lapse_ms / units.MS_PER_S,
             now_s,
         )
         answer = peer_messages.ReserveAnswer(
--- a/packages/daemon/lacewingdrum_daemon/service_calls.py
+++ b/packages/daemon/lacewingdrum_daemon/service_calls.py
@@ -65,7 +65,7 @@
             return callers_api.Failure(
                 callers_api.ErrorCode.PATIENCE_OVER,
                 "the patience is over",
-                _ran(tried),
+                attempts.ran(tried),
                 self._retry_after_ms(),
             )
 
@@ -167,7 +167,7 @@
         return callers_api.Failure(
             outcome,
             "the runner did not answer in full",
-            _ran(tried),
+            attempts.ran(tried),
             self._retry_after_ms(),
         )
 
@@ -199,7 +199,7 @@
         return callers_api.Failure(
             callers_api.ErrorCode.NO_RUNNER,
             "no runner takes this call now",
-            _ran(tried),
+            attempts.ran(tried),
             self._retry_after_ms(),
         )
 
@@ -211,10 +211,6 @@
     return attempts.move(attempt, state).unwrap_or(attempt)
 
 
-def _ran(tried: list[attempts.Attempt]) -> states.Ran:
-    return attempts.ran(tried)
-
-
 def _headers(
     received: http_messages.HttpRequest, attempt_id: ids.AttemptId
 ) -> tuple[tuple[str, str], ...]:
--- a/packages/gateway/lacewingdrum_gateway/engine_memory.py
+++ b/packages/gateway/lacewingdrum_gateway/engine_memory.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 
 from result import Err, Ok, Result
 
@@ -75,13 +75,11 @@
         self,
         client: http_client.HttpClient,
         lease_max_ms: float,
-        clock: Callable[[], float],
         decisions: decision_log.DecisionLog,
         counts: metrics.Metrics,
     ) -> None:
         self._client = client
         self._lease_ms = int(min(LEASE_MS, lease_max_ms))
-        self._clock = clock
         self._decisions = decisions
         self._counts = counts
         self._tasks = tasks.TaskSet()
--- a/packages/gateway/lacewingdrum_gateway/parts.py
+++ b/packages/gateway/lacewingdrum_gateway/parts.py
@@ -29,7 +29,7 @@
     store_client,
     work_share,
 )
-from lacewingdrum_state import ids
+from lacewingdrum_state import ids, units
 from lacewingdrum_transport import http_client, http_messages, http_server, responder
 
 RUNNER_CONNECT_TIMEOUT_S = 0.5
@@ -42,8 +42,6 @@
 CALLERS_A_MB = 4
 # Runners may drop a resting connection sooner than they say.
 RUNNER_IDLE_S = 4.0
-MS_PER_S = 1_000
-NS_PER_MS = 1_000_000
 EXPLAIN_LINES = 2_000
 
 
@@ -77,7 +75,7 @@
         self.peers = peers.Peers(
             table,
             vm.data_centre,
-            time.time_ns() // NS_PER_MS,
+            time.time_ns() // units.NS_PER_MS,
             self.store,
             clock,
             self.decisions,
@@ -115,7 +113,6 @@
         self.memory = engine_memory.EngineMemory(
             self.runner_client,
             own.bounds.lease_max_ms,
-            clock,
             self.decisions,
             self.counts,
         )
@@ -195,8 +192,8 @@
             body_bytes=stated.body_bytes,
             held_body_bytes=held_bytes,
             connections=connections,
-            header_timeout_s=stated.header_timeout_ms / MS_PER_S,
-            idle_timeout_s=stated.idle_timeout_ms / MS_PER_S,
+            header_timeout_s=stated.header_timeout_ms / units.MS_PER_S,
+            idle_timeout_s=stated.idle_timeout_ms / units.MS_PER_S,
         )
 
     async def _ready(
--- a/packages/gateway/lacewingdrum_gateway/peers.py
+++ b/packages/gateway/lacewingdrum_gateway/peers.py
@@ -20,14 +20,16 @@
 
 TABLE = "daemons"
 BEAT_MIN_S = 0.25
-# With many peers beats are rarer, so that their cost stays flat.
-BEAT_S_A_PEER = 0.02
+# With many near peers beats are rarer, so that their cost stays flat.
+BEAT_S_A_PEER = 0.03
+# Far daemons, where there are many, hear a beat at a pace that follows the
+# number of all, which is the same for every daemon.
+FAR_BEAT_MIN_S = 1.0
+FAR_BEAT_S_A_PEER = 0.02
 # So are the times at which messages are taken.
 RECEIVE_S_A_PEER = 0.0004
 SILENT_BEATS = 5
 LINK_SILENCE_S = 2.0
-# Far daemons hear one beat of so many, where there are many daemons.
-FAR_BEAT_INTERVAL = 4
 NAMES_EVERY_BEATS = 8
 READ_EVERY_S = 10.0
 RETRY_S = 0.7
@@ -64,6 +66,7 @@
         self._is_leaving = False
         self._tells_all = True
         self._beat_count = 0
+        self._far_beat_s = float("-inf")
         self._handlers: dict[type, Callable[[ids.VmId, Any], None]] = {}
         self._on_heartbeat: list[Callable[[Peer], None]] = []
         self._on_lost: list[Callable[[ids.VmId], None]] = []
@@ -159,16 +162,21 @@
     def _beat_targets(self) -> list[ids.VmId]:
         """Returns: whom this beat goes to; what is new goes to all."""
         table = self.table
-        is_far_turn = self._beat_count % FAR_BEAT_INTERVAL == 1
+        now_s = self._clock()
+        is_far_turn = now_s >= self._far_beat_s + self._far_interval_s()
         to_all = is_far_turn or table.hears_all or self._tells_all
         if to_all:
             self._tells_all = False
+            self._far_beat_s = now_s
         return [
             peer.address for peer in table.known if to_all or not table.is_far(peer)
         ]
 
     def _beat_interval_s(self) -> float:
-        return max(BEAT_MIN_S, BEAT_S_A_PEER * len(self.table.known))
+        return max(BEAT_MIN_S, BEAT_S_A_PEER * len(self.table.near()))
+
+    def _far_interval_s(self) -> float:
+        return max(FAR_BEAT_MIN_S, FAR_BEAT_S_A_PEER * len(self.table.known))
 
     async def _beat_for_ever(self) -> None:
         while True:
@@ -183,10 +191,9 @@
     def _drop_silent(self) -> None:
         now_s = self._clock()
         near_silent_s = SILENT_BEATS * self._beat_interval_s()
+        far_silent_s = SILENT_BEATS * (self._far_interval_s() + self._beat_interval_s())
         for peer in self.table.live:
-            silent_s = near_silent_s
-            if not self.table.is_near(peer):
-                silent_s *= FAR_BEAT_INTERVAL
+            silent_s = near_silent_s if self.table.is_near(peer) else far_silent_s
             self._socket.set_silence(peer.address, max(silent_s, LINK_SILENCE_S))
             if now_s - peer.heard_s > silent_s:
                 self._lost(peer, "silent")
--- a/packages/transport/lacewingdrum_transport/completion_stream.py
+++ b/packages/transport/lacewingdrum_transport/completion_stream.py
@@ -24,11 +24,6 @@
         self._done = False
         self._error: runner_errors.RunnerError | None = None
 
-    @property
-    def has_ready(self) -> bool:
-        """Whether ``next`` has a part at once, so that parts can be joined."""
-        return bool(self._parts)
-
     async def next(
         self, timeout_s: float
     ) -> Result[runner_api.CompletionPart | None, runner_errors.RunnerError]:
--- a/standins/slope_engine_choice.py
+++ b/standins/slope_engine_choice.py
@@ -15,19 +15,9 @@
     engine_costs,
     engine_load,
 )
-from lacewingdrum_state import configurations, fleet, ids, runner_entries, states
+from lacewingdrum_state import fleet, ids, runner_entries, states
+from standins import engine_model
 
-MODEL = configurations.EngineModel(
-    slots=8,
-    kv_capacity_tokens=450_000,
-    step_ms=0.925,
-    step_ms_per_writer=0.00966,
-    step_ms_per_context_token=0.00000254,
-    read_tokens_per_ms=256.0,
-    read_ms_per_pair=0.0917e-6,
-    chunk_tokens=2_048,
-    steps_per_pass=46,
-)
 DEMANDS = {
     "short": engine_costs.Demand(5_000, 300, 300.0, 200.0, 1.0),
     "middle": engine_costs.Demand(45_000, 300, 1_500.0, 500.0, 2.3),
@@ -59,7 +49,7 @@
             ids.ServiceName("model"),
             ids.DataCentre("north"),
             fleet.Address("10.0.0.1", 1_000 + number),
-            MODEL.slots,
+            engine_model.MODEL.slots,
             states.MemberState.LIVE,
         )
         candidates.append(engine_costs.Candidate(entry, book.load(runner_id)))
@@ -80,7 +70,7 @@
             for _ in range(arguments.choices):
                 begun_s = time.perf_counter()
                 engine_choice.choose(
-                    MODEL, demand, candidates, book.arrivals(1.0), 1.0, rng
+                    engine_model.MODEL, demand, candidates, book.arrivals(1.0), 1.0, rng
                 )
                 times.record_value(
                     max(int((time.perf_counter() - begun_s) * US_A_SECOND), 1)
