A request cut short by a suspension is not told as not run

Cause: when a VM wakes after a suspension, overdue requests are ended at once by cutting their attempt. A cut attempt left no end behind, so a request that was at a runner was answered 503 with 'not run'. For an order that is a false promise: the caller sends it again. Ruled out: the end of the attempt itself (an attempt that times out is recorded as unknown, and gave 504 before and after). Change: an attempt under way counts as one that may have run until its end is known.

--- a/packages/cli/lacewingdrum_cli/log_search.py
+++ b/packages/cli/lacewingdrum_cli/log_search.py
@@ -17,6 +17,7 @@
         "runner_changed",
         "runner_suspected",
         "runner_cleared",
+        "help_refused",
         "dependency_lost",
         "dependency_regained",
         "configuration_taken",
--- a/packages/gateway/lacewingdrum_gateway/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/forwarding.py
@@ -78,7 +78,9 @@
             sent_s = self._clock()
             work.try_count += 1
             self._record_plan(work, plan)
+            work.is_attempted = True
             end = await self._exchange.run(work, plan)
+            work.is_attempted = False
             self._sender.note(plan.entry, end, sent_s)
             self._record_end(work, plan, end)
             if end is None:
--- a/packages/gateway/lacewingdrum_gateway/request_work.py
+++ b/packages/gateway/lacewingdrum_gateway/request_work.py
@@ -25,6 +25,8 @@
 class RequestWork:
     """One request on its way.
 
+    ``is_attempted`` is set while an attempt is under way, and stays set if
+    that is cut short, as what was sent may run all the same.
     ``sent_to`` are the runners it was sent to, refusals counted too;
     ``only_first`` is the one of them that may get it again, after another
     engine would not help there.
@@ -38,6 +40,7 @@
     tried: set[ids.RunnerId] = dataclasses.field(default_factory=set)
     ends: list[attempt.AttemptEnd] = dataclasses.field(default_factory=list)
     try_count: int = 0
+    is_attempted: bool = False
     sent_to: set[ids.RunnerId] = dataclasses.field(default_factory=set)
     only_first: ids.RunnerId | None = None
     dead_count: int = 0
@@ -61,4 +64,4 @@
     def may_have_run(self) -> bool:
         """Whether some attempt may have run."""
         unrun = (states.AttemptState.UNSENT, states.AttemptState.REFUSED_BY_RUNNER)
-        return any(end.state not in unrun for end in self.ends)
+        return self.is_attempted or any(end.state not in unrun for end in self.ends)
