Of entries with one address the last born alone gets work

Runners that crash behind a cut start again at their address under a new id; the old entry stays for a while. Sets then named one address twice, which an engine takes for a malformed request, and plain choices named the dead id. Change: the roster gives work to the last born of the entries with one address, whatever their services. A runner that answers for another id is suspected until it is probed.

--- a/packages/coordination/lacewingdrum_coordination/runner_roster.py
+++ b/packages/coordination/lacewingdrum_coordination/runner_roster.py
@@ -6,8 +6,9 @@
 """
 
 import dataclasses
+from collections.abc import Iterable
 
-from lacewingdrum_state import ids, runner_entries, states
+from lacewingdrum_state import fleet, ids, runner_entries, states
 
 RETURN_S = 2.2
 
@@ -97,12 +98,30 @@
 
     def _index(self) -> None:
         by_service: dict[ids.ServiceName, list[runner_entries.RunnerEntry]] = {}
+        last_born = _last_born(self._entries.values())
         for entry in self._entries.values():
-            if entry.state is states.MemberState.LIVE:
+            is_at_address = last_born[entry.address] is entry
+            if is_at_address and entry.state is states.MemberState.LIVE:
                 by_service.setdefault(entry.service, []).append(entry)
         self._by_service = {name: tuple(some) for name, some in by_service.items()}
 
 
+def _last_born(
+    entries: Iterable[runner_entries.RunnerEntry],
+) -> dict[fleet.Address, runner_entries.RunnerEntry]:
+    """Returns: by address the entry that is true of it.
+
+    The entry of a runner that crashed stays for a while, also when another
+    one, perhaps of another service, was started at its address.
+    """
+    found: dict[fleet.Address, runner_entries.RunnerEntry] = {}
+    for entry in entries:
+        other = found.get(entry.address)
+        if other is None or entry.born_ms > other.born_ms:
+            found[entry.address] = entry
+    return found
+
+
 def _difference(
     before: runner_entries.RunnerEntry | None, after: runner_entries.RunnerEntry
 ) -> str:
--- a/packages/gateway/lacewingdrum_gateway/attempt.py
+++ b/packages/gateway/lacewingdrum_gateway/attempt.py
@@ -144,9 +144,8 @@
             self._health.note(entry.runner_id, False, now_s)
             return
         silent_s = min(self._health.silent_s(entry.runner_id, now_s), now_s - sent_s)
-        if end.reason is EndReason.NOT_CONNECTED or (
-            end.reason is EndReason.SILENT and silent_s > SILENT_MIN_S
-        ):
+        is_dead = end.reason is EndReason.SILENT and silent_s > SILENT_MIN_S
+        if is_dead or end.reason in (EndReason.NOT_CONNECTED, EndReason.OTHER_RUNNER):
             self._suspect(entry.runner_id, end)
         if end.reason in (EndReason.HELPER_FAILED, EndReason.NO_MEMORY):
             return
