A runner that one daemon suspects is probed by the others before they use it

Change: suspicions are told with the news of work. A daemon that has heard nothing from the runner for 0.3 s suspects it too and probes it at once, so a runner that it can reach is back within a round trip.

--- a/packages/gateway/lacewingdrum_gateway/attempt.py
+++ b/packages/gateway/lacewingdrum_gateway/attempt.py
@@ -8,6 +8,7 @@
 
 from lacewingdrum_coordination import runner_health
 from lacewingdrum_daemon import decision_log, metrics
+from lacewingdrum_gateway import work_share
 from lacewingdrum_platform import headers as platform_headers
 from lacewingdrum_state import fleet, ids, requests, runner_entries, states
 from lacewingdrum_transport import http_client, http_messages
@@ -68,12 +69,14 @@
         self,
         client: http_client.HttpClient,
         health: runner_health.RunnerHealth,
+        share: work_share.WorkShare,
         clock: Callable[[], float],
         decisions: decision_log.DecisionLog,
         counts: metrics.Metrics,
     ) -> None:
         self._client = client
         self._health = health
+        self._share = share
         self._clock = clock
         self._decisions = decisions
         self._counts = counts
@@ -153,6 +156,7 @@
 
     def _suspect(self, runner_id: ids.RunnerId, end: AttemptEnd) -> None:
         if self._health.suspect(runner_id, self._clock()):
+            self._share.note_suspected(runner_id)
             self._counts.count("runner_suspicions", reason=end.reason.value)
             self._decisions.record(
                 decision_log.DecisionEvent.RUNNER_SUSPECTED,
--- a/packages/gateway/lacewingdrum_gateway/parts.py
+++ b/packages/gateway/lacewingdrum_gateway/parts.py
@@ -117,7 +117,12 @@
             self.counts,
         )
         sender = attempt.Sender(
-            self.runner_client, self.health, clock, self.decisions, self.counts
+            self.runner_client,
+            self.health,
+            self.share,
+            clock,
+            self.decisions,
+            self.counts,
         )
         planner = routing.Planner(
             self.roster,
@@ -163,6 +168,7 @@
         self.metrics_server = http_server.HttpServer(self._metrics, clock=clock)
         self.is_leaving = False
         self.configurations.on_taken(self._configuration_taken)
+        self.share.on_hint(self.probe.look_at)
 
     @property
     def is_ready(self) -> bool:
--- a/packages/gateway/lacewingdrum_gateway/runner_probe.py
+++ b/packages/gateway/lacewingdrum_gateway/runner_probe.py
@@ -35,6 +35,10 @@
         """End probing."""
         await self._tasks.close()
 
+    def look_at(self, runner_id: ids.RunnerId) -> None:
+        """Args: runner_id: a suspect, probed at once."""
+        self._tasks.spawn(self._probe(runner_id))
+
     async def _probe_for_ever(self) -> None:
         while True:
             await asyncio.sleep(PROBE_S)
--- a/packages/gateway/lacewingdrum_gateway/work_share.py
+++ b/packages/gateway/lacewingdrum_gateway/work_share.py
@@ -16,6 +16,8 @@
 
 GATHER_S = 0.004
 LAPSE_CHECK_S = 1.0
+# What a runner said so lately counts for more than what a peer did not hear.
+HEARD_LATELY_S = 0.3
 # A daemon alone does not wait longer for others to tell of their work.
 INFORMED_S = 1.0
 
@@ -43,6 +45,8 @@
         self._ended: list[str] = []
         self._paces: dict[ids.RunnerId, float] = {}
         self._help_refused: list[ids.RunnerId] = []
+        self._suspected: list[ids.RunnerId] = []
+        self._on_hint: list[Callable[[ids.RunnerId], None]] = []
         self._known_paces = engine_paces.EnginePaces()
         self._told: set[ids.VmId] = set()
         self._started_s = float("-inf")
@@ -113,6 +117,31 @@
             self._help_refused.append(runner_id)
             self._flush_soon()
 
+    def note_suspected(self, runner_id: ids.RunnerId) -> None:
+        """Args: runner_id: a runner that did not answer this daemon."""
+        self._suspected.append(runner_id)
+        self._flush_soon()
+
+    def on_hint(self, handler: Callable[[ids.RunnerId], None]) -> None:
+        """Args: handler: gets each runner suspected on a peer's word."""
+        self._on_hint.append(handler)
+
+    def _take_hint(self, runner_id: ids.RunnerId, sender: ids.VmId) -> None:
+        """Suspect what a peer suspects, until it is known here."""
+        now_s = self._clock()
+        silent_s = self._health.silent_s(runner_id, now_s)
+        if silent_s < HEARD_LATELY_S or not self._health.suspect(runner_id, now_s):
+            return
+        self._counts.count("runner_suspicions", reason="peer")
+        self._decisions.record(
+            decision_log.DecisionEvent.RUNNER_SUSPECTED,
+            None,
+            runner_id=runner_id,
+            reason=f"peer {sender}",
+        )
+        for handler in self._on_hint:
+            handler(runner_id)
+
     def _take_help_refused(self, runner_id: ids.RunnerId, source: str) -> bool:
         if not self._health.refuse_help(runner_id, self._clock()):
             return False
@@ -142,9 +171,10 @@
                 for runner_id, pace in self._paces.items()
             ),
             tuple(self._help_refused),
+            tuple(self._suspected),
         )
         self._started, self._first_events, self._ended = [], [], []
-        self._paces, self._help_refused = {}, []
+        self._paces, self._help_refused, self._suspected = {}, [], []
         self._peers.broadcast_near(news)
 
     def _heard(self, sender: ids.VmId, news: peer_messages.WorkNews) -> None:
@@ -163,6 +193,8 @@
             self._known_paces.note(ids.RunnerId(seen.runner_id), seen.pace, now_s)
         for name in news.help_refused:
             self._take_help_refused(ids.RunnerId(name), f"peer {sender}")
+        for name in news.suspected:
+            self._take_hint(ids.RunnerId(name), sender)
 
     def _beaten(self, peer: peer_list.Peer) -> None:
         """Ask a daemon for its work until it has told it."""
--- a/packages/protocol/lacewingdrum_protocol/peer_messages.py
+++ b/packages/protocol/lacewingdrum_protocol/peer_messages.py
@@ -223,7 +223,8 @@
     """Work that began, whose first event came, and that ended, in order.
 
     ``paces`` tells of engines that are slow, or are so no more;
-    ``help_refused`` names engines that would not read for another one.
+    ``help_refused`` names engines that would not read for another one,
+    ``suspected`` runners that did not answer the sender.
     """
 
     started: tuple[WorkStarted, ...]
@@ -231,6 +232,7 @@
     ended: tuple[str, ...]
     paces: tuple[EnginePace, ...] = ()
     help_refused: tuple[str, ...] = ()
+    suspected: tuple[str, ...] = ()
 
 
 class WorkAsk(msgspec.Struct, frozen=True, array_like=True, tag="wra"):
