Prompts that cost others too much are refused at later attempts too

Change: a request that has not run is weighed at every attempt. All engines that do not answer an order to set memory aside are suspected at once. Tests: refusal at a later attempt; a giant prompt over eight engines of which four are dead takes two attempts; both failed before.

--- a/packages/gateway/lacewingdrum_gateway/attempt.py
+++ b/packages/gateway/lacewingdrum_gateway/attempt.py
@@ -10,7 +10,7 @@
 from lacewingdrum_daemon import decision_log, metrics
 from lacewingdrum_gateway import work_share
 from lacewingdrum_platform import headers as platform_headers
-from lacewingdrum_state import fleet, ids, requests, runner_entries, states
+from lacewingdrum_state import fleet, requests, runner_entries, states
 from lacewingdrum_transport import http_client, http_messages
 
 FAILURE_TIMEOUT_S = 1.0
@@ -149,21 +149,28 @@
         silent_s = min(self._health.silent_s(entry.runner_id, now_s), now_s - sent_s)
         is_dead = end.reason is EndReason.SILENT and silent_s > SILENT_MIN_S
         if is_dead or end.reason in (EndReason.NOT_CONNECTED, EndReason.OTHER_RUNNER):
-            self._suspect(entry.runner_id, end)
+            self._suspect(entry, end.reason, end.detail)
         if end.reason in (EndReason.HELPER_FAILED, EndReason.NO_MEMORY):
             return
         self._health.note(entry.runner_id, True, now_s)
 
-    def _suspect(self, runner_id: ids.RunnerId, end: AttemptEnd) -> None:
+    def unreachable(self, entry: runner_entries.RunnerEntry, detail: str) -> None:
+        """Args: entry: a runner that did not answer an order; detail: how."""
+        self._suspect(entry, EndReason.NO_MEMORY, detail)
+
+    def _suspect(
+        self, entry: runner_entries.RunnerEntry, reason: EndReason, detail: str
+    ) -> None:
+        runner_id = entry.runner_id
         if self._health.suspect(runner_id, self._clock()):
             self._share.note_suspected(runner_id)
-            self._counts.count("runner_suspicions", reason=end.reason.value)
+            self._counts.count("runner_suspicions", reason=reason.value)
             self._decisions.record(
                 decision_log.DecisionEvent.RUNNER_SUSPECTED,
                 None,
                 runner_id=runner_id,
-                reason=end.reason,
-                detail=end.detail,
+                reason=reason,
+                detail=detail,
             )
 
 
--- a/packages/gateway/lacewingdrum_gateway/engine_memory.py
+++ b/packages/gateway/lacewingdrum_gateway/engine_memory.py
@@ -32,6 +32,7 @@
 
     entry: runner_entries.RunnerEntry
     detail: str
+    is_unreachable: bool = False
 
 
 class HeldMemory:
@@ -94,7 +95,7 @@
         reservation_id: str,
         entries: Sequence[runner_entries.RunnerEntry],
         tokens: int,
-    ) -> Result[HeldMemory, MemoryRefused]:
+    ) -> Result[HeldMemory, tuple[MemoryRefused, ...]]:
         """Set memory aside on all engines, or on none.
 
         Args:
@@ -104,17 +105,17 @@
             tokens: how much on each.
 
         Returns:
-            The memory, to be closed by the caller, or who refused.
+            The memory, to be closed by the caller, or all who refused.
         """
         held = HeldMemory(self, reservation_id, entries, tokens)
         try:
-            refusals = await asyncio.gather(
+            answers = await asyncio.gather(
                 *(self.set_aside(entry, held) for entry in entries)
             )
         except asyncio.CancelledError:
             held.close()
             raise
-        refused = next((item for item in refusals if item is not None), None)
+        refusals = tuple(item for item in answers if item is not None)
         self._decisions.record(
             decision_log.DecisionEvent.MEMORY_RESERVED,
             request_id,
@@ -122,13 +123,13 @@
             tokens=tokens,
             lease_ms=self._lease_ms,
             runners=[entry.runner_id for entry in entries],
-            refused_by=refused.entry.runner_id if refused else "",
-            detail=refused.detail if refused else "",
+            refused_by=[item.entry.runner_id for item in refusals],
+            details=[item.detail for item in refusals],
         )
-        if refused is not None:
+        if refusals:
             self._counts.count("memory_reservations", outcome="refused")
             held.close()
-            return Err(refused)
+            return Err(refusals)
         self._counts.count("memory_reservations", outcome="granted")
         held.start()
         return Ok(held)
@@ -148,7 +149,7 @@
         call = engine_calls.reserve(held.reservation_id, held.tokens, self._lease_ms)
         answer = await self._order(entry, call)
         if isinstance(answer, Err):
-            return MemoryRefused(entry, answer.err_value)
+            return MemoryRefused(entry, answer.err_value, is_unreachable=True)
         if answer.ok_value != http_client.http_messages.STATUS_OK:
             return MemoryRefused(entry, f"status {answer.ok_value}")
         return None
--- a/packages/gateway/lacewingdrum_gateway/exchange.py
+++ b/packages/gateway/lacewingdrum_gateway/exchange.py
@@ -84,7 +84,11 @@
             plan.helper_memory_tokens,
         )
         if isinstance(reserved, Err):
-            refused = reserved.err_value
+            refusals = reserved.err_value
+            for refused in refusals:
+                if refused.is_unreachable:
+                    self._sender.unreachable(refused.entry, refused.detail)
+            refused = refusals[0]
             return attempt.AttemptEnd(
                 states.AttemptState.UNSENT,
                 attempt.EndReason.NO_MEMORY,
--- a/packages/gateway/lacewingdrum_gateway/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/forwarding.py
@@ -68,7 +68,9 @@
         """
         self._allowance.note_request(work.target.service.name, self._clock())
         while work.left_s(self._clock()) > 0:
-            plan = self._planner.plan(work.target, work.tried, work.only_first)
+            plan = self._planner.plan(
+                work.target, work.tried, work.only_first, not work.may_have_run
+            )
             if isinstance(plan, routing.TooCostly):
                 return await self._refuse(work, plan)
             if plan is None:
--- a/packages/gateway/lacewingdrum_gateway/helpers_test.py
+++ b/packages/gateway/lacewingdrum_gateway/helpers_test.py
@@ -1,4 +1,5 @@
 import asyncio
+import re
 
 from standins import platform_site, platform_store
 
@@ -6,6 +7,9 @@
 ENGINES = 8
 UNWILLING = 4
 NEWS_S = 0.3
+GIANT = platform_site.prompt(900_000)
+# One that finds the dead ones, and one without them.
+GIANT_ATTEMPTS = 2
 
 
 def refuse_help(site) -> set[str]:
@@ -46,3 +50,18 @@
         answer = await site.call("/digest/x", "d2", headers=DIGEST, on=site.gateways[1])
         assert answer.status == 200
         assert not set(helper_addresses(site)) & refused
+
+
+async def test_all_engines_that_cannot_be_reached_are_left_out_at_once():
+    async with platform_site.running_site(engines=ENGINES) as site:
+        site.store.mode = platform_store.StoreMode.BUSY
+        for engine in site.engines[:UNWILLING]:
+            await engine.close()
+        answer = await site.call("/digest/x", "d1", headers=GIANT)
+        assert answer.status == 200
+        vm = site.gateways[0].own.vm
+        address = platform_site.fleet.Address(vm.host, vm.metrics_port)
+        metrics = await site.client.request(address, "GET", "/metrics")
+        text = metrics.ok_value.body.decode()
+        (count,) = re.findall(r'attempts_total{service="model"} (\d+)', text)
+        assert int(count) <= GIANT_ATTEMPTS
--- a/packages/gateway/lacewingdrum_gateway/routing.py
+++ b/packages/gateway/lacewingdrum_gateway/routing.py
@@ -79,6 +79,20 @@
     first_ms: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Costed:
+    """A plan for engines, with what it costs all and what it is worth."""
+
+    plan: Plan
+    lost: float
+    worth: float
+    is_large: bool
+
+    @property
+    def is_too_costly(self) -> bool:
+        return self.is_large and self.lost > REFUSE_LOSS * self.worth
+
+
 class Planner:
     """Plans attempts from what is known of runners."""
 
@@ -130,6 +144,7 @@
         target: Target,
         tried: set[ids.RunnerId],
         only_first: ids.RunnerId | None = None,
+        may_refuse: bool = True,
     ) -> Plan | TooCostly | None:
         """Plan the next attempt of a request.
 
@@ -137,6 +152,7 @@
             target: the request.
             tried: runners that had their attempt.
             only_first: the one that it may still be sent to, if any may not.
+            may_refuse: whether it has not run, so that it may be refused.
 
         Returns:
             The plan, or why there is none: others would lose too much, or
@@ -148,7 +164,12 @@
         engine = target.service.engine
         if engine is None or not target.marks.prompt_tokens:
             return self._plain(target, entries)
-        return self._engines(target, engine, entries, tried, only_first)
+        planned = self._engines(target, engine, entries, tried, only_first)
+        if planned is None:
+            return None
+        if may_refuse and planned.is_too_costly:
+            return TooCostly(planned.lost, planned.worth, planned.plan.first_ms)
+        return planned.plan
 
     def _usable(
         self, service: ids.ServiceName, tried: set[ids.RunnerId]
@@ -222,7 +243,7 @@
         entries: list[runner_entries.RunnerEntry],
         tried: set[ids.RunnerId],
         only_first: ids.RunnerId | None,
-    ) -> Plan | TooCostly | None:
+    ) -> _Costed | None:
         now_s = self._clock()
         route, prompt_tokens = target.route.name, target.marks.prompt_tokens
         objective_ms = target.route.objective_ms or DEFAULT_OBJECTIVE_MS
@@ -258,10 +279,7 @@
         if choice is None:
             return None
         lost = choice.lost + request_worth.PER_READ_MS * choice.busy_read_ms
-        is_large = engine_times.read_ms(engine, prompt_tokens, 1) > REFUSE_READ_MS
-        if is_large and lost > REFUSE_LOSS * worth and not tried:
-            return TooCostly(lost, worth, choice.first_event_ms)
-        return Plan(
+        plan = Plan(
             entry=choice.entries[0],
             helpers=choice.entries[1:],
             work=choice.work,
@@ -271,6 +289,8 @@
             cost=choice.lost,
             candidate_count=len(entries),
         )
+        is_large = engine_times.read_ms(engine, prompt_tokens, 1) > REFUSE_READ_MS
+        return _Costed(plan, lost, worth, is_large)
 
 
 def _priority(target: Target, objective_ms: float) -> int:
--- /dev/null
+++ b/packages/gateway/lacewingdrum_gateway/routing_test.py
@@ -0,0 +1,99 @@
+import random
+
+from lacewingdrum_coordination import (
+    engine_book,
+    engine_load,
+    runner_health,
+    runner_roster,
+    runner_roster_test,
+)
+from lacewingdrum_gateway import peer_table, routing
+from lacewingdrum_state import configurations, ids, requests
+from standins import engine_model
+
+MODEL = runner_roster_test.MODEL
+NOW_S = 100.0
+ENGINES = 8
+LARGE_TOKENS = 576_744
+
+
+class EvenPaces:
+    """Engines that all work as stated."""
+
+    def pace(self, runner_id: ids.RunnerId) -> float:
+        return 1.0
+
+
+def planner(book: engine_book.EngineBook) -> routing.Planner:
+    roster = runner_roster.RunnerRoster()
+    entries = [runner_roster_test.entry(f"e{number}") for number in range(ENGINES)]
+    roster.take(runner_roster_test.listed(1, *entries), NOW_S)
+    return routing.Planner(
+        roster,
+        runner_health.RunnerHealth(),
+        book,
+        EvenPaces(),
+        ids.DataCentre("north"),
+        lambda: NOW_S,
+        random.Random(1),
+        peer_table.PeerTable(ids.VmId("10.0.0.1:7"), ids.DataCentre("north")),
+    )
+
+
+def large_target() -> routing.Target:
+    marks = requests.CallerMarks(
+        attempt_id="a1",
+        patience_ms=15_000,
+        credential="",
+        prompt_tokens=LARGE_TOKENS,
+        answer_tokens=800,
+        last_event_id="",
+    )
+    route = configurations.Route(
+        name="digest",
+        host="site.example",
+        path_prefix="/digest/",
+        kind=configurations.RouteKind.STREAM,
+        objective_ms=3_000.0,
+        pause_objective_ms=800.0,
+        timeout_ms=15_000.0,
+        priority=1,
+        shares=(configurations.ServiceShare(MODEL, 1.0),),
+        max_attempts=2,
+        is_public=True,
+        is_resumable=True,
+    )
+    service = configurations.Service(MODEL, engine_model.MODEL)
+    return routing.Target(service, route, None, marks, NOW_S, NOW_S + 15.0)
+
+
+def busy_book() -> engine_book.EngineBook:
+    """Every engine writes as many short answers as it can."""
+    book = engine_book.EngineBook()
+    for number in range(ENGINES):
+        for index in range(8):
+            work = engine_load.Work(
+                ids.RunnerId(f"e{number}"), 20.0, True, 200.0, 300.0, 2.0, 5e3, 5_300
+            )
+            name = f"{number}.{index}"
+            started = engine_book.Started(name, ids.VmId("vm"), (work,), 9_000.0)
+            book.start(started, NOW_S - 1)
+            book.first_event(name, NOW_S - 1)
+    return book
+
+
+def test_prompt_that_costs_others_too_much_is_refused_at_later_attempts_too():
+    busy = planner(busy_book())
+    for tried in (set(), {ids.RunnerId("e0")}):
+        assert isinstance(busy.plan(large_target(), tried), routing.TooCostly)
+
+
+def test_prompt_that_may_have_run_is_not_refused():
+    busy = planner(busy_book())
+    plan = busy.plan(large_target(), {ids.RunnerId("e0")}, may_refuse=False)
+    assert isinstance(plan, routing.Plan)
+
+
+def test_prompt_that_costs_nobody_anything_is_planned():
+    idle = planner(engine_book.EngineBook())
+    assert isinstance(idle.plan(large_target(), set()), routing.Plan)
