A request that is sent again is no further arrival; divisions of prompts and plans split off

Change: arrivals are kept by request, and a request's own is left out. Test: a request sent three times counts once, and not for itself.

--- a/packages/coordination/lacewingdrum_coordination/engine_book.py
+++ b/packages/coordination/lacewingdrum_coordination/engine_book.py
@@ -1,6 +1,5 @@
 """What is at work on each engine, as far as daemons have told each other."""
 
-import collections
 import dataclasses
 
 from lacewingdrum_coordination import engine_load
@@ -8,6 +7,7 @@
 
 LAPSE_MARGIN_S = 1.0
 ARRIVALS_S = 1.0
+TRY_MARK = ":"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,6 +29,16 @@
     loss: float
 
 
+def work_id(request_id: str, try_number: int) -> str:
+    """Returns: the id of the work of one try of a request."""
+    return f"{request_id}{TRY_MARK}{try_number}"
+
+
+def request_of(name: str) -> str:
+    """Args: name: of work. Returns: the request that it is done for."""
+    return name.rpartition(TRY_MARK)[0] or name
+
+
 class EngineBook:
     """Work by engine; entries lapse when their end was never heard."""
 
@@ -36,7 +46,7 @@
         self._loads: dict[ids.RunnerId, engine_load.EngineLoad] = {}
         self._by_id: dict[str, Started] = {}
         self._by_daemon: dict[ids.VmId, set[str]] = {}
-        self._arrivals: collections.deque[Arrival] = collections.deque()
+        self._arrivals: dict[str, Arrival] = {}
 
     @property
     def work_count(self) -> int:
@@ -47,11 +57,22 @@
         """Returns: the engine's work; not to be changed."""
         return self._loads.get(runner_id, engine_load.IDLE)
 
-    def arrivals(self, now_s: float) -> collections.deque[Arrival]:
-        """Returns: the requests of the last second; not to be changed."""
-        while self._arrivals and self._arrivals[0].started_s < now_s - ARRIVALS_S:
-            self._arrivals.popleft()
-        return self._arrivals
+    def arrivals(self, now_s: float, without: str = "") -> list[Arrival]:
+        """Tell what has come in the last second.
+
+        Args:
+            now_s: the time.
+            without: a request that is left out.
+
+        Returns:
+            An entry a request, however often it was sent.
+        """
+        while self._arrivals:
+            oldest = next(iter(self._arrivals))
+            if self._arrivals[oldest].started_s >= now_s - ARRIVALS_S:
+                break
+            del self._arrivals[oldest]
+        return [item for name, item in self._arrivals.items() if name != without]
 
     def start(self, started: Started, now_s: float) -> None:
         """Args: started: work that begins; now_s: the time."""
@@ -61,7 +82,9 @@
         lapses_s = now_s + started.left_ms / 1_000 + LAPSE_MARGIN_S
         for work in started.parts:
             if work.writes:
-                self._arrivals.append(Arrival(now_s, work.first_due_ms, work.loss))
+                name = request_of(started.work_id)
+                self._arrivals.pop(name, None)
+                self._arrivals[name] = Arrival(now_s, work.first_due_ms, work.loss)
             load = self._loads.get(work.runner_id)
             if load is None:
                 load = self._loads[work.runner_id] = engine_load.EngineLoad()
--- a/packages/coordination/lacewingdrum_coordination/engine_book_test.py
+++ b/packages/coordination/lacewingdrum_coordination/engine_book_test.py
@@ -69,3 +69,15 @@
     book.start(started("b"), 1.8)
     assert len(book.arrivals(1.9)) == 2
     assert [item.started_s for item in book.arrivals(2.1)] == [1.8]
+
+
+def test_request_that_is_sent_again_counts_once_and_not_for_itself():
+    book = engine_book.EngineBook()
+    for number in (1, 2, 3):
+        name = engine_book.work_id("a", number)
+        book.start(started(name), 1.0 + number / 10)
+        book.end(name)
+    book.start(started(engine_book.work_id("b", 1)), 1.0)
+    assert len(book.arrivals(1.5)) == 2
+    (other,) = book.arrivals(1.5, "a")
+    assert other.started_s == 1.0
--- a/packages/coordination/lacewingdrum_coordination/engine_choice.py
+++ b/packages/coordination/lacewingdrum_coordination/engine_choice.py
@@ -17,17 +17,13 @@
     engine_costs,
     engine_load,
     engine_times,
+    prompt_splits,
 )
 from lacewingdrum_state import configurations, runner_entries
 
-PART_COUNTS = (1, 2, 3, 4, 6, 8, 10, 13, 17)
-PART_MIN_MS = 12.0
-MEMORY_USABLE = 0.97
-# A larger prompt is spread over the memory of several engines.
-SPREAD_ABOVE = 0.9
 TIE_NOISE = 0.005
 # Of many engines, sets of several are made of the best ones.
-SHORTLIST = 2 * PART_COUNTS[-1]
+SHORTLIST = 2 * prompt_splits.PART_COUNTS[-1]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,17 +44,6 @@
     busy_read_ms: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Split:
-    """One way to divide a prompt; what each engine reads and holds."""
-
-    parts: int
-    part_ms: float
-    context_tokens: int
-    first_tokens: int
-    held_tokens: int
-
-
 @dataclasses.dataclass(slots=True)
 class _Reader:
     """An engine that could read a part, and what that costs others.
@@ -87,7 +72,7 @@
 class _Set:
     """A set of engines; ``rank`` is its cost, haste and room included."""
 
-    split: _Split
+    split: prompt_splits.Split
     first: engine_costs.EngineState
     readers: tuple[engine_costs.EngineState, ...]
     first_event_ms: float
@@ -118,7 +103,7 @@
     """
     states = [engine_costs.engine_state(model, item, now_s) for item in candidates]
     shortest_due_ms = min((item.first_due_ms for item in arrivals), default=math.inf)
-    splits = _splits(model, demand, len(states))
+    splits = prompt_splits.splits(model, demand, len(states))
     several = _shortlist(model, demand, states, splits, now_s)
     best: _Set | None = None
     for split in splits:
@@ -142,35 +127,11 @@
     return _choice(demand, best, busy * whole_ms)
 
 
-def _splits(
-    model: configurations.EngineModel, demand: engine_costs.Demand, most: int
-) -> list[_Split]:
-    """Returns: the ways to divide a prompt that engines' memory allows."""
-    spreads = demand.prompt_tokens > SPREAD_ABOVE * model.kv_capacity_tokens
-    found: list[_Split] = []
-    for parts in PART_COUNTS:
-        part_ms = engine_times.read_ms(model, demand.prompt_tokens, parts)
-        if parts > most or (parts > 1 and part_ms < PART_MIN_MS):
-            break
-        share_tokens = -(-demand.prompt_tokens // parts)
-        split = _Split(
-            parts=parts,
-            part_ms=part_ms,
-            context_tokens=share_tokens,
-            first_tokens=(share_tokens if spreads else demand.prompt_tokens)
-            + demand.answer_tokens,
-            held_tokens=share_tokens + 1 if spreads else 0,
-        )
-        if split.first_tokens <= MEMORY_USABLE * model.kv_capacity_tokens:
-            found.append(split)
-    return found
-
-
 def _shortlist(
     model: configurations.EngineModel,
     demand: engine_costs.Demand,
     states: list[engine_costs.EngineState],
-    splits: list[_Split],
+    splits: list[prompt_splits.Split],
     now_s: float,
 ) -> list[engine_costs.EngineState]:
     """Returns: the engines worth a look for sets of several."""
@@ -182,7 +143,8 @@
         ready_ms = engine_costs.read_end_ms(state, middle.part_ms)
         harm = engine_costs.harm(state, middle.part_ms, now_s)
         lost = harm + engine_costs.delay_cost(demand, ready_ms)
-        if not state.candidate.helps or not _has_memory(model, state, middle):
+        has_memory = prompt_splits.has_memory(model, state, middle)
+        if not (state.candidate.helps and has_memory):
             lost += demand.loss
         return lost + state.candidate.penalty
 
@@ -193,7 +155,7 @@
     model: configurations.EngineModel,
     demand: engine_costs.Demand,
     states: list[engine_costs.EngineState],
-    split: _Split,
+    split: prompt_splits.Split,
     now_s: float,
     rng: random.Random,
 ) -> _Set | None:
@@ -247,14 +209,14 @@
 def _readers(
     model: configurations.EngineModel,
     states: list[engine_costs.EngineState],
-    split: _Split,
+    split: prompt_splits.Split,
     now_s: float,
     rng: random.Random,
 ) -> list[_Reader]:
     """Returns: the engines that have the memory for a part."""
     readers: list[_Reader] = []
     for state in states:
-        if not _has_memory(model, state, split):
+        if not prompt_splits.has_memory(model, state, split):
             continue
         harm = engine_costs.harm(state, split.part_ms, now_s)
         noise = rng.random() * TIE_NOISE
@@ -264,26 +226,14 @@
     return readers
 
 
-def _has_memory(
-    model: configurations.EngineModel,
-    state: engine_costs.EngineState,
-    split: _Split,
-) -> bool:
-    """Returns: whether an engine can set a part's memory aside."""
-    if not split.held_tokens:
-        return True
-    usable_tokens = MEMORY_USABLE * model.kv_capacity_tokens
-    return state.load.memory_tokens + split.held_tokens <= usable_tokens
-
-
 def _best_first(
     model: configurations.EngineModel,
     demand: engine_costs.Demand,
-    split: _Split,
+    split: prompt_splits.Split,
     sets: Sequence[_Readers],
 ) -> _Set | None:
     """Returns: of sets that differ by the engine that writes, the best one."""
-    usable_tokens = MEMORY_USABLE * model.kv_capacity_tokens
+    usable_tokens = prompt_splits.MEMORY_USABLE * model.kv_capacity_tokens
     best: tuple[float, float, float, _Readers] | None = None
     for item in sets:
         first = item.readers[0].state
--- /dev/null
+++ b/packages/coordination/lacewingdrum_coordination/prompt_splits.py
@@ -0,0 +1,59 @@
+"""The ways to divide a prompt between engines that read it together."""
+
+import dataclasses
+
+from lacewingdrum_coordination import engine_costs, engine_times
+from lacewingdrum_state import configurations
+
+PART_COUNTS = (1, 2, 3, 4, 6, 8, 10, 13, 17)
+PART_MIN_MS = 12.0
+MEMORY_USABLE = 0.97
+# A larger prompt is spread over the memory of several engines.
+SPREAD_ABOVE = 0.9
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Split:
+    """One way to divide a prompt; what each engine reads and holds."""
+
+    parts: int
+    part_ms: float
+    context_tokens: int
+    first_tokens: int
+    held_tokens: int
+
+
+def splits(
+    model: configurations.EngineModel, demand: engine_costs.Demand, most: int
+) -> list[Split]:
+    """Returns: the ways to divide a prompt that engines' memory allows."""
+    spreads = demand.prompt_tokens > SPREAD_ABOVE * model.kv_capacity_tokens
+    found: list[Split] = []
+    for parts in PART_COUNTS:
+        part_ms = engine_times.read_ms(model, demand.prompt_tokens, parts)
+        if parts > most or (parts > 1 and part_ms < PART_MIN_MS):
+            break
+        share_tokens = -(-demand.prompt_tokens // parts)
+        split = Split(
+            parts=parts,
+            part_ms=part_ms,
+            context_tokens=share_tokens,
+            first_tokens=(share_tokens if spreads else demand.prompt_tokens)
+            + demand.answer_tokens,
+            held_tokens=share_tokens + 1 if spreads else 0,
+        )
+        if split.first_tokens <= MEMORY_USABLE * model.kv_capacity_tokens:
+            found.append(split)
+    return found
+
+
+def has_memory(
+    model: configurations.EngineModel,
+    state: engine_costs.EngineState,
+    split: Split,
+) -> bool:
+    """Returns: whether an engine can set a part's memory aside."""
+    if not split.held_tokens:
+        return True
+    usable_tokens = MEMORY_USABLE * model.kv_capacity_tokens
+    return state.load.memory_tokens + split.held_tokens <= usable_tokens
--- a/packages/gateway/lacewingdrum_gateway/entry.py
+++ b/packages/gateway/lacewingdrum_gateway/entry.py
@@ -11,8 +11,8 @@
     attempt,
     configuration_keeper,
     forwarding,
+    plans,
     request_work,
-    routing,
     runner_keeper,
 )
 from lacewingdrum_platform import headers as platform_headers
@@ -106,7 +106,7 @@
         if service is None:
             await self._refuse(marks, responder, "no_service", NOT_READY_RETRY_S)
             return
-        target = routing.Target(
+        target = plans.Target(
             service=service,
             route=found.route,
             customer=found.customer,
--- a/packages/gateway/lacewingdrum_gateway/exchange.py
+++ b/packages/gateway/lacewingdrum_gateway/exchange.py
@@ -4,9 +4,11 @@
 
 from result import Err, Ok
 
+from lacewingdrum_coordination import engine_book
 from lacewingdrum_gateway import (
     attempt,
     engine_memory,
+    plans,
     request_work,
     routing,
     work_share,
@@ -44,7 +46,7 @@
         self._clock = clock
 
     async def run(
-        self, work: request_work.RequestWork, plan: routing.Plan
+        self, work: request_work.RequestWork, plan: plans.Plan
     ) -> attempt.AttemptEnd | None:
         """Make one attempt.
 
@@ -55,7 +57,7 @@
         Returns:
             None if the caller has the whole answer, else how it ended.
         """
-        work_id = f"{work.outgoing.attempt_id}:{work.try_count}"
+        work_id = engine_book.work_id(work.outgoing.attempt_id, work.try_count)
         runner_id = plan.entry.runner_id
         in_flight = self._planner.in_flight
         in_flight[runner_id] = in_flight.get(runner_id, 0) + 1
@@ -74,7 +76,7 @@
                 del in_flight[runner_id]
 
     async def _exchange_with_memory(
-        self, work: request_work.RequestWork, plan: routing.Plan, work_id: str
+        self, work: request_work.RequestWork, plan: plans.Plan, work_id: str
     ) -> attempt.AttemptEnd | None:
         """Set the helpers' memory aside before, and give it back after."""
         reserved = await self._memory.reserve(
@@ -108,7 +110,7 @@
     async def _exchange(
         self,
         work: request_work.RequestWork,
-        plan: routing.Plan,
+        plan: plans.Plan,
         work_id: str,
         helpers: tuple[requests.Helper, ...],
     ) -> attempt.AttemptEnd | None:
@@ -138,7 +140,7 @@
                 return await self._pass_whole(work, reader)
 
     def _first_patience_s(
-        self, work: request_work.RequestWork, plan: routing.Plan
+        self, work: request_work.RequestWork, plan: plans.Plan
     ) -> float:
         """Returns: how long a runner may show nothing at all."""
         left_s = work.left_s(self._clock())
@@ -153,7 +155,7 @@
         return min(left_s, silence_s + plan.first_ms / 1_000)
 
     def _pause_patience_s(
-        self, work: request_work.RequestWork, plan: routing.Plan
+        self, work: request_work.RequestWork, plan: plans.Plan
     ) -> float:
         left_s = work.left_s(self._clock())
         if not self._could_repeat(work):
@@ -184,7 +186,7 @@
     async def _pass_events(
         self,
         work: request_work.RequestWork,
-        plan: routing.Plan,
+        plan: plans.Plan,
         work_id: str,
         reader: http_client.ResponseReader,
     ) -> attempt.AttemptEnd | None:
@@ -241,7 +243,7 @@
             return _CALLER_GONE
         return None
 
-    def _note_event(self, work: request_work.RequestWork, plan: routing.Plan) -> None:
+    def _note_event(self, work: request_work.RequestWork, plan: plans.Plan) -> None:
         now_s = self._clock()
         if work.first_event_s is None:
             work.first_event_s = now_s
--- a/packages/gateway/lacewingdrum_gateway/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/forwarding.py
@@ -9,6 +9,7 @@
     attempt,
     exchange as exchanges,
     peers as peer_list,
+    plans,
     request_work,
     routing,
     work_share,
@@ -71,7 +72,7 @@
             plan = self._planner.plan(
                 work.target, work.tried, work.only_first, not work.may_have_run
             )
-            if isinstance(plan, routing.TooCostly):
+            if isinstance(plan, plans.TooCostly):
                 return await self._refuse(work, plan)
             if plan is None:
                 break
@@ -96,7 +97,7 @@
         return await self.give_up(work)
 
     async def _refuse(
-        self, work: request_work.RequestWork, reason: routing.TooCostly
+        self, work: request_work.RequestWork, reason: plans.TooCostly
     ) -> request_work.Outcome:
         """Refuse before anything was sent, and say when to come back."""
         retry_s = REFUSED_RETRY_S * (1.0 + self._rng.random())
@@ -127,7 +128,7 @@
     def _note_end(
         self,
         work: request_work.RequestWork,
-        plan: routing.Plan,
+        plan: plans.Plan,
         end: attempt.AttemptEnd,
     ) -> None:
         work.tried.add(plan.entry.runner_id)
@@ -169,7 +170,7 @@
         return len(work.sent_to) < limit
 
     def _only_first(
-        self, work: request_work.RequestWork, plan: routing.Plan
+        self, work: request_work.RequestWork, plan: plans.Plan
     ) -> ids.RunnerId | None:
         """Returns: the runner to stay with, where no other may get it."""
         return None if self._has_attempts(work) else plan.entry.runner_id
@@ -231,7 +232,7 @@
             request_work.Outcome.TIME_OVER if time_over else request_work.Outcome.LOST
         )
 
-    def _record_plan(self, work: request_work.RequestWork, plan: routing.Plan) -> None:
+    def _record_plan(self, work: request_work.RequestWork, plan: plans.Plan) -> None:
         target = work.target
         self._counts.count("attempts", service=target.service.name)
         self._decisions.record(
@@ -257,7 +258,7 @@
     def _record_end(
         self,
         work: request_work.RequestWork,
-        plan: routing.Plan,
+        plan: plans.Plan,
         end: attempt.AttemptEnd | None,
     ) -> None:
         outcome = "whole" if end is None else end.reason.value
--- a/packages/gateway/lacewingdrum_gateway/request_work.py
+++ b/packages/gateway/lacewingdrum_gateway/request_work.py
@@ -3,7 +3,7 @@
 import dataclasses
 import enum
 
-from lacewingdrum_gateway import attempt, routing
+from lacewingdrum_gateway import attempt, plans
 from lacewingdrum_protocol import event_stream
 from lacewingdrum_state import ids, states
 from lacewingdrum_transport import responder as responders
@@ -32,7 +32,7 @@
     engine would not help there.
     """
 
-    target: routing.Target
+    target: plans.Target
     outgoing: attempt.Outgoing
     responder: responders.Responder
     events: event_stream.EventStream
--- a/packages/gateway/lacewingdrum_gateway/routing.py
+++ b/packages/gateway/lacewingdrum_gateway/routing.py
@@ -8,7 +8,6 @@
     engine_book,
     engine_choice,
     engine_costs,
-    engine_load,
     engine_owners,
     engine_times,
     homes,
@@ -17,8 +16,8 @@
     runner_roster,
     service_choice,
 )
-from lacewingdrum_gateway import peer_table, work_share
-from lacewingdrum_state import configurations, ids, requests, runner_entries
+from lacewingdrum_gateway import peer_table, plans, work_share
+from lacewingdrum_state import configurations, ids, runner_entries
 
 LATE_SHARE = 0.75
 OTHER_DATA_CENTRE_COST = 0.01
@@ -40,50 +39,11 @@
 MIDDLE_OBJECTIVE_MS = 2_000.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Target:
-    """What a request asks for, as far as routing needs it."""
-
-    service: configurations.Service
-    route: configurations.Route
-    customer: configurations.Customer | None
-    marks: requests.CallerMarks
-    begun_s: float
-    deadline_s: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Plan:
-    """One attempt to be made.
-
-    ``work`` is empty for plain services. ``first_ms`` is when the first event
-    or the answer is expected; ``cost`` the worth expected to be lost.
-    """
-
-    entry: runner_entries.RunnerEntry
-    helpers: tuple[runner_entries.RunnerEntry, ...]
-    work: tuple[engine_load.Work, ...]
-    helper_memory_tokens: int
-    priority: int | None
-    first_ms: float
-    cost: float
-    candidate_count: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class TooCostly:
-    """A request that would cost others more than it is worth."""
-
-    lost: float
-    worth: float
-    first_ms: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Costed:
     """A plan for engines, with what it costs all and what it is worth."""
 
-    plan: Plan
+    plan: plans.Plan
     lost: float
     worth: float
     is_large: bool
@@ -121,31 +81,26 @@
         self._ordered_by = ids.VmId("")
         self._orders: dict[ids.RunnerId, float] = {}
 
-    def clean_pass_ms(self, target: Target, plan: Plan) -> float:
+    def clean_pass_ms(self, target: plans.Target, plan: plans.Plan) -> float:
         """Returns: a pass without reading on the writing engine, as stated."""
         engine = target.service.engine
         if engine is None:
             return float("inf")
-        works = [
-            entry.work
-            for entry in self._book.load(plan.entry.runner_id).entries.values()
-            if entry.work.writes
-        ]
-        context_tokens = sum(work.context_tokens for work in works)
-        return engine_times.pass_ms(engine, len(works), context_tokens)
+        load = self._book.load(plan.entry.runner_id)
+        return engine_times.pass_ms(engine, load.writers, load.context_tokens)
 
-    def backlog_s(self, plan: Plan) -> float:
+    def backlog_s(self, plan: plans.Plan) -> float:
         """Returns: how long the writing engine of a plan still has to read."""
         load = self._book.load(plan.entry.runner_id)
         return load.backlog_ms(self._clock()) / 1_000
 
     def plan(
         self,
-        target: Target,
+        target: plans.Target,
         tried: set[ids.RunnerId],
         only_first: ids.RunnerId | None = None,
         may_refuse: bool = True,
-    ) -> Plan | TooCostly | None:
+    ) -> plans.Plan | plans.TooCostly | None:
         """Plan the next attempt of a request.
 
         Args:
@@ -168,7 +123,7 @@
         if planned is None:
             return None
         if may_refuse and planned.is_too_costly:
-            return TooCostly(planned.lost, planned.worth, planned.plan.first_ms)
+            return plans.TooCostly(planned.lost, planned.worth, planned.plan.first_ms)
         return planned.plan
 
     def _usable(
@@ -213,8 +168,8 @@
         return FOREIGN_COST if self._owners.is_foreign(entry.runner_id) else 0.0
 
     def _plain(
-        self, target: Target, entries: list[runner_entries.RunnerEntry]
-    ) -> Plan | None:
+        self, target: plans.Target, entries: list[runner_entries.RunnerEntry]
+    ) -> plans.Plan | None:
         now_s = self._clock()
         candidates = [
             service_choice.Candidate(
@@ -225,7 +180,7 @@
             for entry in entries
         ]
         chosen = service_choice.choose(candidates, self._rng)
-        return Plan(
+        return plans.Plan(
             entry=chosen.entry,
             helpers=(),
             work=(),
@@ -238,7 +193,7 @@
 
     def _engines(
         self,
-        target: Target,
+        target: plans.Target,
         engine: configurations.EngineModel,
         entries: list[runner_entries.RunnerEntry],
         tried: set[ids.RunnerId],
@@ -273,13 +228,15 @@
             )
             for entry in entries
         ]
+        # A request that is sent again is no further one that comes.
+        arrivals = self._book.arrivals(now_s, target.marks.attempt_id)
         choice = engine_choice.choose(
-            engine, demand, candidates, self._book.arrivals(now_s), now_s, self._rng
+            engine, demand, candidates, arrivals, now_s, self._rng
         )
         if choice is None:
             return None
         lost = choice.lost + request_worth.PER_READ_MS * choice.busy_read_ms
-        plan = Plan(
+        plan = plans.Plan(
             entry=choice.entries[0],
             helpers=choice.entries[1:],
             work=choice.work,
@@ -293,7 +250,7 @@
         return _Costed(plan, lost, worth, is_large)
 
 
-def _priority(target: Target, objective_ms: float) -> int:
+def _priority(target: plans.Target, objective_ms: float) -> int:
     """Returns: the engine's priority, 0 for the most urgent."""
     rank = target.route.priority
     if target.customer is not None and target.customer.priority is not None:
--- a/packages/gateway/lacewingdrum_gateway/routing_test.py
+++ b/packages/gateway/lacewingdrum_gateway/routing_test.py
@@ -7,7 +7,7 @@
     runner_roster,
     runner_roster_test,
 )
-from lacewingdrum_gateway import peer_table, routing
+from lacewingdrum_gateway import peer_table, plans, routing
 from lacewingdrum_state import configurations, ids, requests
 from standins import engine_model
 
@@ -40,7 +40,7 @@
     )
 
 
-def large_target() -> routing.Target:
+def large_target() -> plans.Target:
     marks = requests.CallerMarks(
         attempt_id="a1",
         patience_ms=15_000,
@@ -64,7 +64,7 @@
         is_resumable=True,
     )
     service = configurations.Service(MODEL, engine_model.MODEL)
-    return routing.Target(service, route, None, marks, NOW_S, NOW_S + 15.0)
+    return plans.Target(service, route, None, marks, NOW_S, NOW_S + 15.0)
 
 
 def busy_book() -> engine_book.EngineBook:
@@ -85,15 +85,15 @@
 def test_prompt_that_costs_others_too_much_is_refused_at_later_attempts_too():
     busy = planner(busy_book())
     for tried in (set(), {ids.RunnerId("e0")}):
-        assert isinstance(busy.plan(large_target(), tried), routing.TooCostly)
+        assert isinstance(busy.plan(large_target(), tried), plans.TooCostly)
 
 
 def test_prompt_that_may_have_run_is_not_refused():
     busy = planner(busy_book())
     plan = busy.plan(large_target(), {ids.RunnerId("e0")}, may_refuse=False)
-    assert isinstance(plan, routing.Plan)
+    assert isinstance(plan, plans.Plan)
 
 
 def test_prompt_that_costs_nobody_anything_is_planned():
     idle = planner(engine_book.EngineBook())
-    assert isinstance(idle.plan(large_target(), set()), routing.Plan)
+    assert isinstance(idle.plan(large_target(), set()), plans.Plan)
