make platform-demo: the path on the users' platform as processes

Cause: make demo plays the first design alone; a newcomer saw nothing of what the users run. Change: three gateways as processes before stand-ins in the demo's process, callers of all kinds for ten seconds, a row a kind, exit 0 only if every answer was whole and no order ran twice. The slopes of gateways start theirs by the same module. Ruled out: the soak's site (tests may import stand-ins, not the other way).

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 	packages/transport packages/daemon packages/cli packages/gateway platform
 PY := .venv/bin/python
 
-.PHONY: setup test demo replay guarantees slopes soak format
+.PHONY: setup test demo platform-demo replay guarantees slopes soak format
 
 setup: $(STAMP)
 
@@ -26,6 +26,9 @@
 demo: setup
 	$(PY) -m standins.demo
 
+platform-demo: setup
+	$(PY) -m standins.platform_demo
+
 replay: setup
 	$(PY) -m standins.replay
 
--- /dev/null
+++ b/standins/platform_demo.py
@@ -0,0 +1,209 @@
+"""The path on the users' platform: ``python -m standins.platform_demo``.
+
+Three gateways as processes, stand-ins of the store, of engines and of plain
+runners, and callers of all kinds. Exits 0 if every answer was whole and no
+order ran twice.
+"""
+
+import argparse
+import asyncio
+import collections
+import dataclasses
+import pathlib
+import random
+import sys
+import tempfile
+
+from hdrh import histogram
+from result import Ok
+
+from lacewingdrum_state import fleet
+from lacewingdrum_transport import http_client, http_messages
+from standins import (
+    platform_processes,
+    platform_runner,
+    platform_site,
+    platform_store,
+)
+
+GATEWAYS = 3
+ENGINES = 4
+LEDGERS = 3
+EVENTS = 8
+CALLERS = 10
+LENGTH_S = 10.0
+THINK_S = 0.1
+READY_S = 10.0
+CALL_TIMEOUT_S = 8.0
+PATIENCE_MS = 4_000
+# The last is larger than one engine's memory.
+PROMPTS = {"ask": (5_000,), "digest": (*(45_000,) * 6, 210_000, 500_000)}
+# About half of what the four engines could read.
+WEIGHTS = {"ask": 60, "digest": 2, "read": 20, "order": 20}
+HIGHEST_MS = 60_000
+MS_A_SECOND = 1_000
+STATUS_REFUSED = 503
+
+
+@dataclasses.dataclass(slots=True)
+class KindSeen:
+    """What callers saw of one kind of request."""
+
+    sent: int = 0
+    whole: int = 0
+    refused: int = 0
+    failed: int = 0
+    broken: int = 0
+    times: histogram.HdrHistogram = dataclasses.field(
+        default_factory=lambda: histogram.HdrHistogram(1, HIGHEST_MS, 3)
+    )
+
+
+class Demo:
+    """Stand-ins, gateways and callers of one run."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.seen: dict[str, KindSeen] = collections.defaultdict(KindSeen)
+        self.runners: list[platform_runner.PlatformRunner] = []
+        self._store = platform_store.PlatformStore()
+        self._rng = rng
+        self._number = 0
+
+    async def run(self, folder: pathlib.Path, length_s: float) -> None:
+        """Args: folder: for settings; length_s: of the load."""
+        store_port = await self._store.start()
+        self._store.put_json("op", "config", platform_site.configuration())
+        gateways = platform_processes.GatewayProcesses(folder, store_port)
+        try:
+            for number in range(ENGINES + LEDGERS):
+                await self._add_runner(number)
+            await gateways.start(GATEWAYS)
+            await _until_ready(gateways)
+            loop = asyncio.get_running_loop()
+            end_s = loop.time() + length_s
+            await asyncio.gather(
+                *(self._caller(gateways, end_s) for _ in range(CALLERS))
+            )
+        finally:
+            await gateways.close()
+            for runner in self.runners:
+                await runner.close()
+            await self._store.close()
+
+    def orders_run_twice(self) -> int:
+        """Returns: orders that more than one run was made of."""
+        runs = collections.Counter(
+            run for runner in self.runners for run in runner.runs
+        )
+        return sum(count > 1 for run, count in runs.items() if run.startswith("order"))
+
+    async def _add_runner(self, number: int) -> None:
+        service = platform_site.MODEL if number < ENGINES else platform_site.LEDGER
+        runner = platform_runner.PlatformRunner(f"r{number}", EVENTS)
+        await runner.start()
+        self.runners.append(runner)
+        self._store.put_json("servers", runner.runner_id, runner.entry(service))
+
+    async def _caller(
+        self, gateways: platform_processes.GatewayProcesses, end_s: float
+    ) -> None:
+        client = http_client.HttpClient()
+        loop = asyncio.get_running_loop()
+        try:
+            while loop.time() < end_s:
+                number = self._rng.randrange(GATEWAYS)
+                port = gateways.caller_ports[number]
+                address = fleet.Address(gateways.host(number), port)
+                await self._request(client, address)
+                await asyncio.sleep(self._rng.uniform(0, 2 * THINK_S))
+        finally:
+            await client.close()
+
+    async def _request(
+        self, client: http_client.HttpClient, address: fleet.Address
+    ) -> None:
+        (kind,) = self._rng.choices(tuple(WEIGHTS), tuple(WEIGHTS.values()))
+        self._number += 1
+        headers: http_messages.Headers = (
+            ("Host", "site.example"),
+            ("Attempt-Id", f"{kind}-{self._number}"),
+            ("Key", platform_site.CREDENTIAL),
+        )
+        if kind in PROMPTS:
+            tokens = self._rng.choice(PROMPTS[kind])
+            headers += platform_site.prompt(tokens, PATIENCE_MS)
+        loop = asyncio.get_running_loop()
+        sent_s = loop.time()
+        answer = await client.request(
+            address, "POST", f"/{kind}/x", headers, b"body", CALL_TIMEOUT_S
+        )
+        seen = self.seen[kind]
+        seen.sent += 1
+        if not isinstance(answer, Ok):
+            seen.broken += 1
+            return
+        response = answer.ok_value
+        if response.status == http_messages.STATUS_OK:
+            is_whole = kind not in PROMPTS or _is_whole(response.body)
+            seen.whole += is_whole
+            seen.broken += not is_whole
+            elapsed_ms = int((loop.time() - sent_s) * MS_A_SECOND)
+            seen.times.record_value(max(elapsed_ms, 1))
+        elif response.status == STATUS_REFUSED:
+            seen.refused += 1
+        else:
+            seen.failed += 1
+
+
+def _is_whole(body: bytes) -> bool:
+    """Returns: whether a stream has each event once and in order."""
+    wanted = "".join(
+        f"id: {number}\ndata: piece {number}\n\n" for number in range(1, EVENTS + 1)
+    )
+    return body == wanted.encode()
+
+
+async def _until_ready(gateways: platform_processes.GatewayProcesses) -> None:
+    client = http_client.HttpClient()
+    try:
+        async with asyncio.timeout(READY_S):
+            for number, port in enumerate(gateways.ready_ports):
+                address = fleet.Address(gateways.host(number), port)
+                while not await _is_ready(client, address):
+                    await asyncio.sleep(THINK_S)
+    finally:
+        await client.close()
+
+
+async def _is_ready(client: http_client.HttpClient, address: fleet.Address) -> bool:
+    answer = await client.request(address, "GET", "/", (), b"", 1.0)
+    if not isinstance(answer, Ok):
+        return False
+    return answer.ok_value.status == http_messages.STATUS_OK
+
+
+def main() -> int:
+    """Print a row for each kind of request. Returns: 0 if all is well."""
+    parser = argparse.ArgumentParser(prog="python -m standins.platform_demo")
+    parser.add_argument("--length", type=float, default=LENGTH_S, metavar="S")
+    parser.add_argument("--seed", type=int, default=1)
+    arguments = parser.parse_args()
+    demo = Demo(random.Random(arguments.seed))
+    with tempfile.TemporaryDirectory() as name:
+        asyncio.run(demo.run(pathlib.Path(name), arguments.length))
+    print("kind    sent  whole  refused  failed  broken  p50 ms  p95 ms")
+    for kind, seen in sorted(demo.seen.items()):
+        p50 = seen.times.get_value_at_percentile(50)
+        p95 = seen.times.get_value_at_percentile(95)
+        print(
+            f"{kind:6} {seen.sent:5}  {seen.whole:5}  {seen.refused:7}  "
+            f"{seen.failed:6}  {seen.broken:6}  {p50:6}  {p95:6}"
+        )
+    twice = demo.orders_run_twice()
+    broken = sum(seen.broken for seen in demo.seen.values())
+    print(f"orders run twice: {twice}; answers broken: {broken}")
+    return 1 if twice or broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/standins/platform_processes.py
@@ -0,0 +1,75 @@
+"""Real gateways as processes before the stand-in of the platform's store."""
+
+import asyncio
+import pathlib
+import sys
+
+from standins import ports
+
+SEED_COUNT = 3
+DATA_CENTRES = 3
+
+
+class GatewayProcesses:
+    """Starts gateways, each on a loopback address of its own.
+
+    Args:
+        folder: for their settings.
+        store_port: of the stand-in of the store.
+    """
+
+    def __init__(self, folder: pathlib.Path, store_port: int) -> None:
+        self.processes: list[asyncio.subprocess.Process] = []
+        self.caller_ports: list[int] = []
+        self.ready_ports: list[int] = []
+        self._folder = folder
+        self._store_port = store_port
+        self._picker = ports.PortPicker()
+        self._peer_port = self._picker.next()
+
+    def host(self, number: int) -> str:
+        """Returns: a gateway's own loopback address."""
+        return f"127.0.2.{number + 1}"
+
+    async def start(self, count: int) -> None:
+        """Args: count: of the gateways; they may not be ready yet."""
+        for number in range(count):
+            path = self._folder / f"{count}-{number}.toml"
+            path.write_text(self._settings(number))
+            self.processes.append(
+                await asyncio.create_subprocess_exec(
+                    sys.executable,
+                    "-m",
+                    "lacewingdrum_gateway.main",
+                    "--settings",
+                    str(path),
+                    stdin=asyncio.subprocess.DEVNULL,
+                    stdout=asyncio.subprocess.DEVNULL,
+                )
+            )
+
+    async def close(self) -> None:
+        """End the processes that were started here."""
+        for process in self.processes:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+
+    def _settings(self, number: int) -> str:
+        host = self.host(number)
+        self.caller_ports.append(self._picker.next())
+        self.ready_ports.append(self._picker.next())
+        seeds = [f"{self.host(seed)}:1" for seed in range(SEED_COUNT)]
+        return f"""
+[vm]
+vm_id = "vm-{number}"
+data_centre = "dc-{number % DATA_CENTRES}"
+host = "{host}"
+caller_address = "{host}:{self.caller_ports[number]}"
+ready_address = "{host}:{self.ready_ports[number]}"
+peer_port = {self._peer_port}
+metrics_port = 0
+seeds = {seeds}
+[store]
+address = "127.0.0.1:{self._store_port}"
+"""
--- a/standins/slope_gateways.py
+++ b/standins/slope_gateways.py
@@ -8,10 +8,9 @@
 import asyncio
 import os
 import pathlib
-import sys
 import tempfile
 
-from standins import platform_site, platform_store, ports
+from standins import platform_processes, platform_site, platform_store
 
 SETTLE_S = 6.0
 MEASURE_S = 10.0
@@ -30,46 +29,15 @@
     return int(pages) * BYTES_A_PAGE / BYTES_PER_MB
 
 
-def _settings(number: int, picker: ports.PortPicker, peer_port: int, store: int) -> str:
-    host = f"127.0.2.{number + 1}"
-    return f"""
-[vm]
-vm_id = "vm-{number}"
-data_centre = "dc-{number % 3}"
-host = "{host}"
-caller_address = "{host}:{picker.next()}"
-ready_address = "{host}:{picker.next()}"
-peer_port = {peer_port}
-metrics_port = 0
-seeds = ["127.0.2.1:1", "127.0.2.2:1", "127.0.2.3:1"]
-[store]
-address = "127.0.0.1:{store}"
-"""
-
-
 async def _measure(count: int, folder: pathlib.Path) -> tuple[float, float, float]:
     """Returns: processor ms/s and MB a gateway, store calls a second."""
     store = platform_store.PlatformStore()
     store_port = await store.start()
     store.put_json("op", "config", platform_site.configuration())
-    picker = ports.PortPicker()
-    peer_port = picker.next()
-    processes = []
+    gateways = platform_processes.GatewayProcesses(folder, store_port)
     try:
-        for number in range(count):
-            path = folder / f"{count}-{number}.toml"
-            path.write_text(_settings(number, picker, peer_port, store_port))
-            processes.append(
-                await asyncio.create_subprocess_exec(
-                    sys.executable,
-                    "-m",
-                    "lacewingdrum_gateway.main",
-                    "--settings",
-                    str(path),
-                    stdin=asyncio.subprocess.DEVNULL,
-                    stdout=asyncio.subprocess.DEVNULL,
-                )
-            )
+        await gateways.start(count)
+        processes = gateways.processes
         await asyncio.sleep(SETTLE_S)
         before_s = [_processor_s(process.pid) for process in processes]
         calls_before = store.call_count
@@ -82,9 +50,7 @@
         memory_mb = sum(_memory_mb(process.pid) for process in processes) / count
         return sum(used_s) / count / MEASURE_S * 1_000, memory_mb, calls
     finally:
-        for process in processes:
-            process.kill()
-            await process.wait()
+        await gateways.close()
         await store.close()
 
 
