One probe of whether a runner takes a connection

Cause: a last read of the change: engine_memory opened, timed and ended a connection just as runner_probe does. Ruled out: probing through RunnerProbe's own loop (it clears suspicions, which the renewal of a lease must not). Change: runner_probe.takes_connection serves both; timeouts and number of tries stay as they were. Conclusion: behaviour unchanged.

--- a/packages/gateway/lacewingdrum_gateway/engine_memory.py
+++ b/packages/gateway/lacewingdrum_gateway/engine_memory.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from lacewingdrum_daemon import decision_log, metrics, tasks
+from lacewingdrum_gateway import runner_probe
 from lacewingdrum_platform import (
     engine_calls,
     headers as platform_headers,
@@ -158,15 +159,8 @@
             Whether it took a connection.
         """
         for _ in range(WRITER_TRIES):
-            try:
-                async with asyncio.timeout(WRITER_TIMEOUT_S):
-                    _, stream = await asyncio.open_connection(
-                        writer.address.host, writer.address.port
-                    )
-            except (OSError, TimeoutError):
-                continue
-            stream.transport.abort()
-            return True
+            if await runner_probe.takes_connection(writer.address, WRITER_TIMEOUT_S):
+                return True
         self._counts.count("memory_leases_ended")
         self._decisions.record(
             decision_log.DecisionEvent.MEMORY_LAPSES,
--- a/packages/gateway/lacewingdrum_gateway/runner_probe.py
+++ b/packages/gateway/lacewingdrum_gateway/runner_probe.py
@@ -5,12 +5,31 @@
 
 from lacewingdrum_coordination import runner_health, runner_roster
 from lacewingdrum_daemon import decision_log, tasks
-from lacewingdrum_state import ids
+from lacewingdrum_state import fleet, ids
 
 PROBE_S = 0.7
 CONNECT_TIMEOUT_S = 0.5
 
 
+async def takes_connection(address: fleet.Address, timeout_s: float) -> bool:
+    """Find out whether something listens at an address.
+
+    Args:
+        address: of a runner.
+        timeout_s: until the connection must be there.
+
+    Returns:
+        Whether it was; it is ended at once.
+    """
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, writer = await asyncio.open_connection(address.host, address.port)
+    except (OSError, TimeoutError):
+        return False
+    writer.transport.abort()
+    return True
+
+
 class RunnerProbe:
     """Opens a connection to each suspected runner from time to time."""
 
@@ -51,14 +70,8 @@
         if entry is None:
             self._health.forget(runner_id)
             return
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, writer = await asyncio.open_connection(
-                    entry.address.host, entry.address.port
-                )
-        except (OSError, TimeoutError):
+        if not await takes_connection(entry.address, CONNECT_TIMEOUT_S):
             return
-        writer.transport.abort()
         self._health.clear(runner_id)
         self._decisions.record(
             decision_log.DecisionEvent.RUNNER_CLEARED, None, runner_id=runner_id
