Mend the two tests that were listed as known to fail

Cause of the first: RunnerModel.next_event_s returned None when the last job had ended inside submit, cancel or load, so a loop from event to event never collected its report.

A listed test that fails only in some runs is shown as such, where it was said to be mended whenever it passed.

--- a/packages/gateway/lacewingdrum_gateway/helpers_test.py
+++ b/packages/gateway/lacewingdrum_gateway/helpers_test.py
@@ -7,6 +7,9 @@
 ENGINES = 8
 REFUSING_HELPERS = 4
 BROADCAST_S = 0.3
+# The choice of engines is random; each request names one refusing helper or
+# more with a probability of over a half.
+REQUESTS_MAX = 20
 LARGE_PROMPT = platform_site.prompt_headers(900_000)
 # One attempt finds all dead helpers, one finds a dead decoding engine, where
 # no memory is reserved, and one avoids them all.
@@ -42,13 +45,19 @@
 
 async def test_helper_that_refused_one_daemon_is_not_used_by_its_peers():
     async with platform_site.running_site(engines=ENGINES, gateways=2) as site:
-        refusing = refuse_help(site)
-        await site.call("/digest/x", "d1", headers=DIGEST)
+        refuse_help(site)
+        for number in range(REQUESTS_MAX):
+            await site.call("/digest/x", f"d{number}", headers=DIGEST)
+            # An engine names one of its refusing helpers. The others have
+            # refused nothing that a gateway could know of.
+            refused = set().union(*(engine.named_helpers for engine in site.engines))
+            if refused:
+                break
+        assert refused
         await asyncio.sleep(BROADCAST_S)
-        refused = set(helper_addresses(site)) & refusing
         for engine in site.engines:
             engine.arrivals.clear()
-        answer = await site.call("/digest/x", "d2", headers=DIGEST, on=site.gateways[1])
+        answer = await site.call("/digest/x", "x", headers=DIGEST, on=site.gateways[1])
         assert answer.status == 200
         assert not set(helper_addresses(site)) & refused
 
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -75,6 +75,8 @@
         self.refuse_commands = False
         # Addresses of engines that refuse to help, as draining engines do.
         self.refusing_helpers: set[str] = set()
+        # Those of them that an answer of this engine has named.
+        self.named_helpers: set[str] = set()
         self.port = 0
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -216,6 +218,7 @@
                 return True
             case Fault.HELPER_FAILED:
                 at_fault = refusing_helper or helpers[0]
+                self.named_helpers.add(at_fault)
                 not_run_headers = (
                     *id_headers,
                     ("Not-Executed", "1"),
--- a/standins/runner_model.py
+++ b/standins/runner_model.py
@@ -154,7 +154,13 @@
         return reports
 
     def next_event_s(self) -> float | None:
-        """Return the time of the next first token or end, without new jobs."""
+        """Return the time of the next first token or end, without new jobs.
+
+        If another call has advanced the model past such an event, its report
+        still waits for ``advance``, and this is the model's present time.
+        """
+        if self._pending_reports:
+            return self._now_s
         if self._event_s is None and self._iteration is not None:
             self._event_s = self._find_event_s(self._iteration)
         return self._event_s
--- a/standins/runner_model_test.py
+++ b/standins/runner_model_test.py
@@ -43,6 +43,20 @@
     assert first.at_s < 5.0 + 0.2048 + 0.1 + 1e-9
 
 
+def test_a_job_that_ended_inside_another_call_is_still_reported():
+    for end_inside in (
+        lambda model: model.cancel("other", 1.0),
+        lambda model: model.submit(job("large", 500_000), 1.0),
+        lambda model: model.load(1.0),
+    ):
+        model = runner_model.RunnerModel(CONFIG, 0.0)
+        model.submit(job("a", 1, max_tokens=1), 0.0)
+        end_inside(model)
+        assert [(p.attempt_id, p.finished) for p in run_until_idle(model)] == [
+            ("a", True)
+        ]
+
+
 def test_memory_limits_the_batch_and_a_cancel_frees_it():
     model = runner_model.RunnerModel(CONFIG, 0.0)
     model.submit(job("a", 300_000), 0.0)
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -1,29 +1,57 @@
 """Runs test functions: ``python -m tests [PATH ...] [--only NAME]``.
 
 Tests listed in KNOWN-RED.txt run and are printed, whether they fail or pass,
-but do not affect the exit code. The last line counts the tests.
+but do not affect the exit code. An entry with the line ``fails: sometimes`` is
+not said to be mended when it passes. The last line counts the tests.
 """
 
 import argparse
+import enum
 import sys
 import unittest
 
 from tests import collection
 
 KNOWN_RED = collection.ROOT / "KNOWN-RED.txt"
+_SOMETIMES_LINE = "fails: sometimes"
 
 
-def known_red() -> set[str]:
-    """Return the ids of tests that are listed as failing for a real fault."""
-    if not KNOWN_RED.exists():
-        return set()
-    entries = set()
-    for line in KNOWN_RED.read_text().splitlines():
+class KnownRed(enum.Enum):
+    """How often a test that is listed as failing does fail."""
+
+    ALWAYS = "always"
+    SOMETIMES = "sometimes"
+
+
+def parse_known_red(text: str) -> dict[str, KnownRed]:
+    """Return the tests that are listed as failing for a real fault.
+
+    Args:
+        text: the content of KNOWN-RED.txt.
+
+    Returns:
+        How often each listed test fails, by its id.
+    """
+    entries: dict[str, KnownRed] = {}
+    test_id = ""
+    for line in text.splitlines():
         if line.startswith("test: "):
-            entries.add(line.removeprefix("test: ").strip())
+            test_id = line.removeprefix("test: ").strip()
+            entries[test_id] = KnownRed.ALWAYS
+        elif line.strip() == _SOMETIMES_LINE and test_id:
+            entries[test_id] = KnownRed.SOMETIMES
     return entries
 
 
+def known_red_status(listed: KnownRed, has_failed: bool) -> str:
+    """Return what is printed of a listed test after its run."""
+    if has_failed:
+        return "failed, passed over"
+    if listed is KnownRed.SOMETIMES:
+        return "passed this time, fails sometimes"
+    return "passes now: unlist it"
+
+
 def select(paths: list[str], only: str) -> unittest.TestSuite:
     """Collect the tests below ``paths`` whose id contains ``only``."""
     folders = tuple(paths) or collection.TEST_FOLDERS
@@ -46,11 +74,10 @@
     ran_ids = {test.id() for test in _flat(suite)}
     result = unittest.TextTestRunner(stream=sys.stdout).run(suite)
     failed = {test.id() for test, _ in result.failures + result.errors}
-    listed = known_red()
-    for name in sorted(listed & ran_ids):
-        status = "failed, passed over" if name in failed else "passes now: unlist it"
-        print(f"KNOWN-RED {name}: {status}")
-    unlisted = failed - listed
+    listed = parse_known_red(KNOWN_RED.read_text() if KNOWN_RED.exists() else "")
+    for name in sorted(listed.keys() & ran_ids):
+        print(f"KNOWN-RED {name}: {known_red_status(listed[name], name in failed)}")
+    unlisted = failed - listed.keys()
     print(f"{result.testsRun - len(failed)} passed, {len(unlisted)} failed")
     return 1 if unlisted else 0
 
