Memory of a request that no engine starts is not renewed without end

An engine that accepts a request and never starts it, or leaves it in its queue, keeps the attempt open for twice its objective and the expected time, 9 s and more for large prompts, and the memory was held that long for nobody.

Ruled out: renewals that cross a release (they last one lease, 3.6 s); a daemon that died (the same); an engine that is dark (its probe fails).

Change: before a renewal that could end after the operators' limit for unused memory (new setting, filled in from the platform's bounds), an engine that holds a part is asked once whether the request uses it. If it does not, the lease is left to expire; the log says why. The first event of the answer also shows use.

--- a/packages/gateway/lacewingdrum_gateway/components.py
+++ b/packages/gateway/lacewingdrum_gateway/components.py
@@ -119,6 +119,8 @@
         self.memory = engine_memory.EngineMemory(
             self.runner_client,
             own_settings.bounds.lease_max_ms,
+            own_settings.bounds.memory_unused_max_ms,
+            clock,
             self.decisions,
             self.counts,
         )
--- a/packages/gateway/lacewingdrum_gateway/engine_memory.py
+++ b/packages/gateway/lacewingdrum_gateway/engine_memory.py
@@ -1,12 +1,15 @@
 """Reserves memory on engines for prompts that no engine can hold alone.
 
 Each part is held under a short lease that is renewed while it is used, so that
-the memory is soon free again if this daemon dies or is partitioned.
+the memory is soon free again if this daemon dies or is partitioned. The lease
+of a request that has not begun to run is not renewed beyond a limit, because
+an engine may accept a request and never start it.
 """
 
 import asyncio
 import dataclasses
-from collections.abc import Sequence
+import enum
+from collections.abc import Callable, Sequence
 
 from result import Err, Ok, Result
 
@@ -17,8 +20,8 @@
     headers as platform_headers,
     store_calls,
 )
-from lacewingdrum_state import ids, runner_entries
-from lacewingdrum_transport import http_client
+from lacewingdrum_state import ids, runner_entries, units
+from lacewingdrum_transport import http_client, http_messages
 
 LEASE_MS = 3_600
 RENEW_INTERVAL_S = 1.6
@@ -28,6 +31,10 @@
 # delay one probe, but hardly ever both.
 DECODER_PROBE_ATTEMPTS = 2
 DECODER_PROBE_TIMEOUT_S = 0.4
+# The longest time from the decision to renew a lease until it is renewed.
+RENEWAL_MAX_S = DECODER_PROBE_ATTEMPTS * DECODER_PROBE_TIMEOUT_S + CALL_TIMEOUT_S
+# A lost packet may delay one report, but hardly ever those of two engines.
+REPORTING_ENGINES = 2
 RELEASE_ATTEMPTS = 3
 RELEASE_RETRY_S = 0.4
 
@@ -41,8 +48,18 @@
     is_unreachable: bool = False
 
 
+class LeaseEndReason(enum.Enum):
+    """Why the lease of memory is no longer renewed."""
+
+    DECODER_UNREACHABLE = "decoder_unreachable"
+    UNUSED = "unused"
+
+
 class HeldMemory:
-    """Memory on several engines under one id, renewed until it is closed."""
+    """Memory on several engines under one id, renewed until it is closed.
+
+    ``is_used`` is set once the request is known to have begun to run.
+    """
 
     def __init__(
         self,
@@ -51,12 +68,15 @@
         reservation_id: str,
         entries: Sequence[runner_entries.RunnerEntry],
         tokens: int,
+        reserved_s: float,
     ) -> None:
         self.reservation_id = reservation_id
+        self.decoder = decoder
         self.entries = tuple(entries)
         self.tokens = tokens
+        self.reserved_s = reserved_s
+        self.is_used = False
         self._owner = owner
-        self._decoder = decoder
         self._renewal: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -72,9 +92,7 @@
     async def _renew(self) -> None:
         while True:
             await asyncio.sleep(RENEW_INTERVAL_S)
-            if not await self._owner.is_decoder_reachable(
-                self._decoder, self.reservation_id
-            ):
+            if not await self._owner.may_renew(self):
                 return
             await asyncio.gather(
                 *(self._owner.reserve_part(entry, self) for entry in self.entries)
@@ -88,13 +106,18 @@
         self,
         client: http_client.HttpClient,
         lease_max_ms: float,
+        unused_max_ms: float,
+        clock: Callable[[], float],
         decisions: decision_log.DecisionLog,
         counts: metrics.Metrics,
     ) -> None:
         self._client = client
         self._lease_ms = int(min(LEASE_MS, lease_max_ms))
+        self._unused_max_s = unused_max_ms / units.MS_PER_S
+        self._clock = clock
         self._decisions = decisions
         self._counts = counts
+        self._held: dict[str, HeldMemory] = {}
         self._tasks = tasks.TaskSet()
 
     async def close(self) -> None:
@@ -121,7 +144,7 @@
         Returns:
             The memory, which the caller closes, or all refusals.
         """
-        held = HeldMemory(self, decoder, reservation_id, entries, tokens)
+        held = HeldMemory(self, decoder, reservation_id, entries, tokens, self._clock())
         try:
             answers = await asyncio.gather(
                 *(self.reserve_part(entry, held) for entry in entries)
@@ -145,35 +168,67 @@
             held.close()
             return Err(refusals)
         self._counts.count("memory_reservations", outcome="granted")
+        self._held[reservation_id] = held
         held.start()
         return Ok(held)
 
-    async def is_decoder_reachable(
-        self, decoder: runner_entries.RunnerEntry, reservation_id: str
-    ) -> bool:
-        """Probe whether the decoding engine accepts a connection.
+    def record_use(self, reservation_id: str) -> None:
+        """Record that the request of a reservation has begun to run."""
+        held = self._held.get(reservation_id)
+        if held is not None:
+            held.is_used = True
+
+    async def may_renew(self, held: HeldMemory) -> bool:
+        """Return whether the lease of held memory is to be renewed.
 
         Args:
-            decoder: the engine.
-            reservation_id: the reservation to be renewed, for the log.
+            held: the memory.
 
         Returns:
-            Whether one of the probes succeeded.
+            False if the decoding engine is unreachable, or if a renewed lease
+            could exceed the limit for memory that no request uses.
         """
+        if not held.is_used and self._could_exceed_unused_limit(held):
+            held.is_used = await self._is_reported_used(held)
+            if not held.is_used:
+                self._record_lease_end(held, LeaseEndReason.UNUSED)
+                return False
         for _ in range(DECODER_PROBE_ATTEMPTS):
             if await runner_probe.accepts_connection(
-                decoder.address, DECODER_PROBE_TIMEOUT_S
+                held.decoder.address, DECODER_PROBE_TIMEOUT_S
             ):
                 return True
+        self._record_lease_end(held, LeaseEndReason.DECODER_UNREACHABLE)
+        return False
+
+    def _could_exceed_unused_limit(self, held: HeldMemory) -> bool:
+        """Return whether a lease renewed now may end after the limit."""
+        held_s = self._clock() - held.reserved_s
+        lease_s = self._lease_ms / units.MS_PER_S
+        return held_s + RENEWAL_MAX_S + lease_s > self._unused_max_s
+
+    async def _is_reported_used(self, held: HeldMemory) -> bool:
+        """Ask engines that hold a part whether its request runs."""
+        for entry in held.entries[:REPORTING_ENGINES]:
+            answer = await self._call_engine(entry, engine_calls.report())
+            if isinstance(answer, Err):
+                continue
+            used_ids = engine_calls.decode_used_reservations(answer.ok_value.body)
+            if isinstance(used_ids, Ok):
+                return held.reservation_id in used_ids.ok_value
+        return False
+
+    def _record_lease_end(self, held: HeldMemory, reason: LeaseEndReason) -> None:
         self._counts.count("memory_leases_ended")
         self._decisions.record(
             decision_log.DecisionEvent.MEMORY_LAPSES,
             None,
-            reservation_id=reservation_id,
-            runner_id=decoder.runner_id,
+            reservation_id=held.reservation_id,
+            runner_id=held.decoder.runner_id,
+            reason=reason,
+            held_ms=round((self._clock() - held.reserved_s) * units.MS_PER_S),
             lease_ms=self._lease_ms,
         )
-        return False
 
     async def reserve_part(
         self, entry: runner_entries.RunnerEntry, held: HeldMemory
@@ -191,12 +246,14 @@
         answer = await self._call_engine(entry, call)
         if isinstance(answer, Err):
             return MemoryRefused(entry, answer.err_value, is_unreachable=True)
-        if answer.ok_value != http_client.http_messages.STATUS_OK:
-            return MemoryRefused(entry, f"status {answer.ok_value}")
+        status = answer.ok_value.status
+        if status != http_messages.STATUS_OK:
+            return MemoryRefused(entry, f"status {status}")
         return None
 
     def release_in_background(self, held: HeldMemory) -> None:
         """Release memory in the background, with retries."""
+        self._held.pop(held.reservation_id, None)
         for entry in held.entries:
             self._tasks.spawn(self._release(entry, held.reservation_id))
 
@@ -213,7 +270,7 @@
 
     async def _call_engine(
         self, entry: runner_entries.RunnerEntry, call: store_calls.Call
-    ) -> Result[int, str]:
+    ) -> Result[http_messages.HttpResponse, str]:
         answer = await self._client.request(
             entry.address,
             call.method,
@@ -223,5 +280,5 @@
             CALL_TIMEOUT_S,
         )
         if isinstance(answer, Ok):
-            return Ok(answer.ok_value.status)
+            return Ok(answer.ok_value)
         return Err(answer.err_value.reason.value)
--- a/packages/gateway/lacewingdrum_gateway/engine_memory_test.py
+++ b/packages/gateway/lacewingdrum_gateway/engine_memory_test.py
@@ -1,6 +1,6 @@
 import asyncio
 
-from lacewingdrum_gateway import engine_memory
+from lacewingdrum_gateway import engine_memory, settings
 from standins import platform_runner, platform_site
 
 PATIENCE_MS = 15_000
@@ -9,20 +9,66 @@
 RELEASE_MAX_S = 4.0
 
 
+# Operators allow memory that no request has used to be held for this long.
+UNUSED_MAX_MS = 5_200
+# An engine's own account of time, beside the daemon's.
+CLOCK_TOLERANCE_S = 0.1
+
+
+async def serve_long_digests(site) -> None:
+    """Configure a route whose requests wait long for their first event."""
+    digest = platform_site.make_route(
+        "digest", "stream", platform_site.MODEL, timeout_ms=PATIENCE_MS
+    )
+    site.store.put_json(
+        "op", "config", platform_site.make_configuration(2, routes=[digest])
+    )
+    gateway = site.gateways[0].daemon
+    await site.wait_until(lambda: gateway.configuration_version == 2)
+
+
+async def hold_memory_at_silent_engines(site, is_used: bool) -> asyncio.Future:
+    """Send a prompt that an engine accepts and never answers."""
+    await serve_long_digests(site)
+    for engine in site.engines:
+        engine.faults = [platform_runner.Fault.SILENT]
+    call = asyncio.ensure_future(site.call("/digest/x", "d1", headers=LARGE_PROMPT))
+    await site.wait_until(lambda: any(one.arrivals for one in site.engines))
+    for engine in site.engines:
+        for reservation in engine.reserved.values():
+            reservation.is_used = is_used
+    return call
+
+
+def longest_hold_s(site) -> float:
+    return max(
+        item.until_s - item.reserved_s
+        for one in site.engines
+        for item in one.reserved.values()
+    )
+
+
+async def test_memory_of_a_request_that_an_engine_does_not_start_is_not_renewed():
+    bounds = settings.BoundsSettings(memory_unused_max_ms=UNUSED_MAX_MS)
+    async with platform_site.running_site(engines=4, bounds=bounds) as site:
+        call = await hold_memory_at_silent_engines(site, is_used=False)
+        await asyncio.sleep(UNUSED_MAX_MS / 1_000)
+        assert longest_hold_s(site) < UNUSED_MAX_MS / 1_000 + CLOCK_TOLERANCE_S
+        call.cancel()
+
+
+async def test_memory_that_a_running_request_uses_is_renewed_beyond_the_limit():
+    bounds = settings.BoundsSettings(memory_unused_max_ms=UNUSED_MAX_MS)
+    async with platform_site.running_site(engines=4, bounds=bounds) as site:
+        call = await hold_memory_at_silent_engines(site, is_used=True)
+        await asyncio.sleep(UNUSED_MAX_MS / 1_000)
+        assert reservation_count(site) > 0
+        call.cancel()
+
+
 async def test_memory_expires_when_the_decoding_engine_stops_accepting_connections():
     async with platform_site.running_site(engines=4) as site:
-        digest = platform_site.make_route(
-            "digest", "stream", platform_site.MODEL, timeout_ms=PATIENCE_MS
-        )
-        site.store.put_json(
-            "op", "config", platform_site.make_configuration(2, routes=[digest])
-        )
-        gateway = site.gateways[0].daemon
-        await site.wait_until(lambda: gateway.configuration_version == 2)
-        for engine in site.engines:
-            engine.faults = [platform_runner.Fault.SILENT]
-        call = asyncio.ensure_future(site.call("/digest/x", "d1", headers=LARGE_PROMPT))
-        await site.wait_until(lambda: any(one.arrivals for one in site.engines))
+        call = await hold_memory_at_silent_engines(site, is_used=True)
         (decoder,) = [one for one in site.engines if one.arrivals]
         # Leases are renewed while the decoding engine accepts connections.
         await asyncio.sleep(engine_memory.LEASE_MS / 1_000)
--- a/packages/gateway/lacewingdrum_gateway/exchange.py
+++ b/packages/gateway/lacewingdrum_gateway/exchange.py
@@ -227,6 +227,7 @@
                 if data and not has_events:
                     has_events = True
                     self._work_updates.record_first_event(work_id)
+                    self._memory.record_use(work_id)
                 if data:
                     self._record_event_time(active, plan)
                 if data and not await self._write_events(active, reader, data):
--- a/packages/gateway/lacewingdrum_gateway/settings.py
+++ b/packages/gateway/lacewingdrum_gateway/settings.py
@@ -82,6 +82,12 @@
     lease_max_ms: float = _number(
         20_000.0, 100.0, 600_000.0, "longest lease of memory on an engine"
     )
+    memory_unused_max_ms: float = _number(
+        9_000.0,
+        1_000.0,
+        600_000.0,
+        "longest time that memory is held on an engine before it is used",
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -55,6 +55,8 @@
 
     tokens: int
     until_s: float
+    reserved_s: float = 0.0
+    is_used: bool = False
 
 
 class PlatformRunner:
@@ -151,6 +153,8 @@
             path = request.target.decode()
             if path == "/-/order":
                 self._handle_command(connection, writer, body)
+            elif path == "/-/report":
+                self._report(connection, writer)
             else:
                 is_reusable = await self._answer_request(
                     connection, writer, path, headers, body
@@ -173,13 +177,28 @@
                 status = 409
             else:
                 expires_s = now_s + command["hold_ms"] / 1_000
-                self.reserved[command["id"]] = MemoryReservation(
-                    command["tokens"], expires_s
-                )
+                held = self.reserved.get(command["id"])
+                if held is not None and held.until_s > now_s:
+                    held.until_s = expires_s
+                else:
+                    self.reserved[command["id"]] = MemoryReservation(
+                        command["tokens"], expires_s, now_s
+                    )
         else:
             self.reserved.pop(command["id"], None)
         _respond(connection, writer, status, (), b'{"free":0}')
 
+    def _report(self, connection: h11.Connection, writer: asyncio.StreamWriter) -> None:
+        """Report the reservations that have not expired."""
+        now_s = asyncio.get_running_loop().time()
+        tickets = [
+            {"id": name, "state": "used" if item.is_used else "held"}
+            for name, item in self.reserved.items()
+            if item.until_s > now_s
+        ]
+        body = json.dumps({"phase": "colocated", "tickets": tickets}).encode()
+        _respond(connection, writer, 200, (), body)
+
     async def _answer_request(
         self,
         connection: h11.Connection,
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -18,6 +18,7 @@
 CREDENTIAL = "key-of-alice"
 CUSTOMER = "alice"
 WAIT_TIMEOUT_S = 5.0
+STOP_GRACE_S = 4.0
 POLL_S = 0.02
 ENGINE = {
     "slots": 8,
@@ -99,7 +100,8 @@
 class PlatformSite:
     """A store, runners of two services, and gateways that know seeds."""
 
-    def __init__(self) -> None:
+    def __init__(self, bounds: settings.BoundsSettings | None = None) -> None:
+        self.bounds = bounds or settings.BoundsSettings()
         self.store = platform_store.PlatformStore()
         self.engines: list[platform_runner.PlatformRunner] = []
         self.ledgers: list[platform_runner.PlatformRunner] = []
@@ -165,7 +167,7 @@
                 seeds=seeds,
             ),
             store=settings.StoreSettings(fleet.Address(HOST, self._store_port)),
-            bounds=settings.BoundsSettings(stop_grace_s=4.0),
+            bounds=dataclasses.replace(self.bounds, stop_grace_s=STOP_GRACE_S),
         )
         logger = logging.getLogger("lacewingdrum.site")
         running = RunningGateway(
@@ -264,9 +266,14 @@
 
 
 @contextlib.asynccontextmanager
-async def running_site(gateways: int = 1, engines: int = 2, ledgers: int = 2):  # type: ignore[no-untyped-def]
+async def running_site(  # type: ignore[no-untyped-def]
+    gateways: int = 1,
+    engines: int = 2,
+    ledgers: int = 2,
+    bounds: settings.BoundsSettings | None = None,
+):
     """Yield a site with ready gateways, and close it afterwards."""
-    site = PlatformSite()
+    site = PlatformSite(bounds)
     try:
         await site.start(engines, ledgers)
         for _ in range(gateways):
