A store that returns from an older copy is followed from its new era on

Ruled out: versions of the configuration itself, which operators number and which only rise.

Change: store versions carry the era that the platform states in each answer, and are compared with it, in lists that peers push too. Answers of an older era are discarded, a read over two eras is repeated, the feed begins anew in a new one. Daemons write their rows again at a return, and when a read shows that the row is missing. What is known of leaving runners outlasts the store's memory of it: a runner that drained stays without work in that incarnation, and one that was gone gets work again only when its old entry would have expired. No daemon writes under a condition, so there is no such write to hold back.

--- a/packages/coordination/lacewingdrum_coordination/runner_roster.py
+++ b/packages/coordination/lacewingdrum_coordination/runner_roster.py
@@ -1,15 +1,17 @@
 """Tracks the runners that may get work, by the newest known runner list.
 
 The list is read from the platform's store. A list replaces an older one.
-Runners that it marks as leaving get no further work. A runner that is missing
-from the list is removed. For a while after an outage of the store it is kept
-instead, because entries that expired during the outage come back then.
+Runners that it marks as leaving get no further work, and neither do runners
+that are known to leave although the list does not show it. A runner that is
+missing from the list is removed. For a while after an outage of the store it
+is kept instead, because entries that expired during the outage come back then.
 """
 
 import dataclasses
 from collections.abc import Iterable
 
-from lacewingdrum_state import fleet, ids, runner_entries, states
+from lacewingdrum_coordination import runner_departures
+from lacewingdrum_state import fleet, ids, runner_entries, states, store_versions
 
 # Expired entries may come back for this long after an outage of the store.
 RETURN_WINDOW_S = 2.2
@@ -25,7 +27,7 @@
 
     runner_id: ids.RunnerId
     kind: str
-    list_version: int
+    list_version: store_versions.StoreVersion
 
 
 class RunnerRoster:
@@ -35,8 +37,9 @@
     """
 
     def __init__(self) -> None:
-        self.version = 0
+        self.version = store_versions.NO_VERSION
         self.as_of_s = float("-inf")
+        self._departures = runner_departures.RunnerDepartures()
         self._entries: dict[ids.RunnerId, runner_entries.RunnerEntry] = {}
         self._by_service: dict[
             ids.ServiceName, tuple[runner_entries.RunnerEntry, ...]
@@ -76,8 +79,7 @@
         """
         if listed.version < self.version:
             return ()
-        self.version = listed.version
-        self.as_of_s = max(self.as_of_s, as_of_s)
+        self._record_list(listed.version, as_of_s)
         changes: list[RosterChange] = []
         found = {entry.runner_id: entry for entry in listed.entries}
         for runner_id, entry in found.items():
@@ -91,18 +93,53 @@
                 found[runner_id] = entry
                 continue
             changes.append(RosterChange(runner_id, "gone", listed.version))
+            self._departures.record_gone(entry, listed.version.era, as_of_s)
         self._entries = found
+        self._departures.forget_unlisted(found, self.as_of_s)
         self._index()
         return tuple(changes)
 
-    def confirm(self, version: int, as_of_s: float) -> None:
+    def confirm(self, version: store_versions.StoreVersion, as_of_s: float) -> None:
         """Record that a newer list has the same entries.
 
         Args:
             version: the version of that list.
             as_of_s: the time as of which it is valid.
         """
-        self.version = max(self.version, version)
+        self._record_list(max(self.version, version), as_of_s)
+        if self._departures.may_have_ended:
+            self._index()
+
+    def record_leaving(self, runner_id: ids.RunnerId, born_ms: int) -> bool:
+        """Record that an incarnation of a runner leaves, whatever lists show.
+
+        Args:
+            runner_id: the runner.
+            born_ms: distinguishes its incarnations.
+
+        Returns:
+            Whether this was not known yet.
+        """
+        if not self._departures.record_leaving(runner_id, born_ms, self.as_of_s):
+            return False
+        self._index()
+        return True
+
+    def unlisted_leaving(self) -> tuple[tuple[ids.RunnerId, int], ...]:
+        """Return the incarnations that leave and are listed as ready."""
+        return tuple(
+            (entry.runner_id, entry.born_ms)
+            for entry in self._entries.values()
+            if entry.state is states.MemberState.LIVE
+            and self._departures.is_leaving(entry)
+        )
+
+    def _record_list(
+        self, version: store_versions.StoreVersion, as_of_s: float
+    ) -> None:
+        if version.era > self.version.era:
+            self._departures.record_era(version.era, as_of_s)
+        self.version = version
         self.as_of_s = max(self.as_of_s, as_of_s)
 
     def _index(self) -> None:
@@ -110,7 +147,11 @@
         latest = _latest_by_address(self._entries.values())
         for entry in self._entries.values():
             is_at_address = latest[entry.address] is entry
-            if is_at_address and entry.state is states.MemberState.LIVE:
+            if entry.state is states.MemberState.LEAVING:
+                self._departures.record_leaving(
+                    entry.runner_id, entry.born_ms, self.as_of_s
+                )
+            elif is_at_address and self._departures.may_get_work(entry, self.as_of_s):
                 by_service.setdefault(entry.service, []).append(entry)
         self._by_service = {name: tuple(some) for name, some in by_service.items()}
 
--- a/packages/coordination/lacewingdrum_coordination/runner_roster_test.py
+++ b/packages/coordination/lacewingdrum_coordination/runner_roster_test.py
@@ -1,5 +1,5 @@
-from lacewingdrum_coordination import runner_roster
-from lacewingdrum_state import fleet, ids, runner_entries, states
+from lacewingdrum_coordination import runner_departures, runner_roster
+from lacewingdrum_state import fleet, ids, runner_entries, states, store_versions
 
 MODEL = ids.ServiceName("model")
 
@@ -18,7 +18,12 @@
 
 
 def listed(version: int, *entries) -> runner_entries.RunnerList:
-    return runner_entries.RunnerList(version, entries)
+    return of_era(1, version, *entries)
+
+
+def of_era(era: int, version: int, *entries) -> runner_entries.RunnerList:
+    store_version = store_versions.StoreVersion(era, version)
+    return runner_entries.RunnerList(store_version, entries)
 
 
 def names(roster) -> list[str]:
@@ -45,6 +50,67 @@
     assert names(roster) == ["a"] and roster.as_of_s == 5.0
 
 
+def test_list_of_a_newer_era_replaces_a_higher_version_and_not_the_reverse():
+    roster = runner_roster.RunnerRoster()
+    roster.apply(of_era(1, 500, entry("a"), entry("b")), 1.0)
+    roster.apply(of_era(2, 60, entry("a")), 2.0)
+    assert names(roster) == ["a"]
+    # A daemon that has not heard of the return pushes its old list.
+    assert roster.apply(of_era(1, 510, entry("a"), entry("b")), 3.0) == ()
+    assert names(roster) == ["a"]
+
+
+def test_leaving_runner_gets_no_work_though_lists_call_it_ready():
+    roster = runner_roster.RunnerRoster()
+    roster.apply(listed(1, entry("a"), entry("b")), 1.0)
+    assert roster.record_leaving(ids.RunnerId("a"), born_ms=1)
+    assert not roster.record_leaving(ids.RunnerId("a"), born_ms=1)
+    assert names(roster) == ["b"] and roster.unlisted_leaving() == (("a", 1),)
+    roster.apply(listed(2, entry("a"), entry("b"), entry("c")), 2.0)
+    assert names(roster) == ["b", "c"]
+    roster.apply(listed(3, entry("a", born_ms=2), entry("b")), 3.0)
+    assert names(roster) == ["a", "b"] and roster.unlisted_leaving() == ()
+
+
+def test_drain_that_the_store_has_lost_stays_known():
+    roster = runner_roster.RunnerRoster()
+    leaving = entry("a", state=states.MemberState.LEAVING)
+    roster.apply(of_era(1, 9, leaving, entry("b")), 1.0)
+    roster.apply(of_era(2, 5, entry("a"), entry("b")), 2.0)
+    assert names(roster) == ["b"]
+
+
+def test_runner_that_was_gone_before_a_return_must_outlast_its_old_entry():
+    roster = runner_roster.RunnerRoster()
+    roster.apply(of_era(1, 8, entry("a"), entry("b")), 1.0)
+    roster.apply(of_era(1, 9, entry("b")), 2.0)
+    roster.apply(of_era(2, 5, entry("a"), entry("b")), 3.0)
+    assert names(roster) == ["b"]
+    # Its entry was renewed, so it is alive.
+    later_s = 3.0 + runner_departures.ENTRY_EXPIRY_S
+    roster.confirm(store_versions.StoreVersion(2, 6), later_s)
+    assert names(roster) == ["a", "b"]
+
+
+def test_runner_that_is_listed_again_without_a_return_gets_work_at_once():
+    roster = runner_roster.RunnerRoster()
+    roster.apply(listed(1, entry("a"), entry("b")), 1.0)
+    roster.apply(listed(2, entry("b")), 2.0)
+    roster.apply(listed(3, entry("a"), entry("b")), 3.0)
+    assert names(roster) == ["a", "b"]
+
+
+def test_departures_of_unlisted_runners_are_forgotten():
+    roster = runner_roster.RunnerRoster()
+    roster.apply(listed(1, entry("a"), entry("b")), 1.0)
+    roster.record_leaving(ids.RunnerId("a"), born_ms=1)
+    roster.apply(listed(2, entry("b")), 2.0)
+    later_s = 3.0 + runner_departures.UNLISTED_KEPT_S
+    roster.apply(listed(3, entry("b")), later_s)
+    roster.apply(listed(4, entry("a"), entry("b")), later_s + 1.0)
+    assert names(roster) == ["a", "b"]
+
+
 def test_missing_entries_are_kept_until_the_return_window_ends():
     roster = runner_roster.RunnerRoster()
     roster.apply(listed(1, entry("a"), entry("b")), 1.0)
@@ -64,8 +130,9 @@
 def test_confirm_updates_version_and_time():
     roster = runner_roster.RunnerRoster()
     roster.apply(listed(1, entry("a")), 1.0)
-    roster.confirm(7, 3.0)
-    assert (roster.version, roster.as_of_s) == (7, 3.0)
+    later = store_versions.StoreVersion(1, 7)
+    roster.confirm(later, 3.0)
+    assert (roster.version, roster.as_of_s) == (later, 3.0)
 
 
 def test_only_the_latest_entry_of_an_address_is_offered():
--- a/packages/daemon/lacewingdrum_daemon/decision_log.py
+++ b/packages/daemon/lacewingdrum_daemon/decision_log.py
@@ -52,6 +52,7 @@
     RELOADED = "reloaded"
     DEPENDENCY_LOST = "dependency_lost"
     DEPENDENCY_REGAINED = "dependency_regained"
+    STORE_RETURNED = "store_returned"
     CONFIGURATION_TAKEN = "configuration_taken"
     RUNNER_CHANGED = "runner_changed"
     RUNNER_SUSPECTED = "runner_suspected"
--- a/packages/gateway/lacewingdrum_gateway/configuration_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/configuration_sync.py
@@ -1,6 +1,7 @@
 """Synchronizes the configuration with the store and the peers.
 
-A daemon never returns to an older version. It follows the feed of the store.
+A daemon never returns to an older version, also if the store does. It follows
+the feed of the store, and reads the whole table where the feed has a gap.
 Heartbeats show which peers have a newer version; it is requested from one of
 them if the feed does not deliver it soon.
 """
@@ -15,7 +16,7 @@
 from lacewingdrum_gateway import peering, store_client
 from lacewingdrum_platform import desired_state, store_calls
 from lacewingdrum_protocol import peer_messages
-from lacewingdrum_state import ids
+from lacewingdrum_state import ids, store_versions
 
 FEED_WAIT_S = 2.5
 FEED_WAIT_MAX_S = 15.0
@@ -104,18 +105,18 @@
             handler(self.table)
 
     async def _follow_store(self) -> None:
-        after_version: int | None = None
+        after: store_versions.StoreVersion | None = None
         retry_s = RETRY_MIN_S
         while True:
-            if after_version is None:
+            if after is None:
                 answer = await self._store.read(store_calls.CONFIGURATION_TABLE)
             else:
                 answer = await self._store.follow(
-                    store_calls.CONFIGURATION_TABLE, after_version, self._feed_wait_s()
+                    store_calls.CONFIGURATION_TABLE, after, self._feed_wait_s()
                 )
             match answer:
                 case Ok(rows):
-                    after_version = rows.version
+                    after = rows.version
                     retry_s = RETRY_MIN_S
                     if rows.rows:
                         self._apply_rows(rows.rows)
@@ -123,7 +124,7 @@
                 case Err(error):
                     # The feed may not repeat changes of the meantime, so the
                     # whole table is read again.
-                    after_version = None
+                    after = None
                     if error.reason is store_client.StoreErrorReason.HISTORY_GONE:
                         continue
                     await asyncio.sleep(retry_s)
--- a/packages/gateway/lacewingdrum_gateway/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/forwarding.py
@@ -269,7 +269,7 @@
             cost=round(plan.cost, 3),
             left_ms=round(active.left_s(self._clock()) * 1_000),
             configuration_version=active.config_version,
-            list_version=self._roster.version,
+            list_version=self._roster.version.version,
             list_age_s=round(self._clock() - self._roster.as_of_s, 3),
             last_event_id=active.events.last_event_id,
         )
--- a/packages/gateway/lacewingdrum_gateway/peering.py
+++ b/packages/gateway/lacewingdrum_gateway/peering.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from result import Ok
+from result import Err, Ok
 
 from lacewingdrum_daemon import decision_log, metrics, tasks
 from lacewingdrum_gateway import peer_table, store_client
@@ -76,6 +76,7 @@
         self._message_handlers: dict[type, Callable[[ids.VmId, Any], None]] = {}
         self._heartbeat_handlers: list[Callable[[Peer], None]] = []
         self._lost_handlers: list[Callable[[ids.VmId], None]] = []
+        self._registration_due = asyncio.Event()
         self._tasks = tasks.TaskSet()
 
     async def start(self, host: str, port: int, seeds: tuple[ids.VmId, ...]) -> None:
@@ -95,7 +96,9 @@
         self._tasks.spawn_loop(self._receive_messages)
         self._tasks.spawn_loop(self._send_heartbeats)
         self._tasks.spawn_loop(self._poll_daemons_table)
-        self._tasks.spawn(self._register())
+        self._store.on_new_era(self._registration_due.set)
+        self._registration_due.set()
+        self._tasks.spawn_loop(self._register)
 
     async def close(self) -> None:
         """Cancel all tasks and close the socket."""
@@ -294,19 +297,25 @@
             handler(peer)
 
     async def _register(self) -> None:
-        """Write the row of this daemon to the store, until it succeeds."""
+        """Write the row of this daemon to the store whenever it is due."""
+        value = str(self._incarnation).encode("ascii")
         while True:
-            value = str(self._incarnation).encode("ascii")
+            await self._registration_due.wait()
+            self._registration_due.clear()
             written = await self._store.put(DAEMONS_TABLE, self.own_address, value)
-            if isinstance(written, Ok):
-                return
-            await asyncio.sleep(RETRY_S * self.table.fleet_size_factor)
+            if isinstance(written, Err):
+                self._registration_due.set()
+                await asyncio.sleep(RETRY_S * self.table.fleet_size_factor)
 
     async def _poll_daemons_table(self) -> None:
         while True:
             rows = await self._store.read(DAEMONS_TABLE)
             if isinstance(rows, Ok):
-                for row in rows.ok_value.rows:
+                found = rows.ok_value.rows
+                if self.own_address not in {row.key for row in found}:
+                    # The store has lost the row with its latest writes.
+                    self._registration_due.set()
+                for row in found:
                     if self.table.may_retry(ids.VmId(row.key), self._clock()):
                         self._add_address(row.key)
             wait_s = TABLE_READ_INTERVAL_S if isinstance(rows, Ok) else RETRY_S
--- a/packages/gateway/lacewingdrum_gateway/runner_list_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/runner_list_sync.py
@@ -20,7 +20,7 @@
 from lacewingdrum_gateway import peering, store_client
 from lacewingdrum_platform import runner_rows, store_calls
 from lacewingdrum_protocol import peer_messages, toml_rules
-from lacewingdrum_state import fleet, ids, runner_entries, states
+from lacewingdrum_state import fleet, ids, runner_entries, states, store_versions
 
 # The age of the list is checked at least every four ticks.
 TICK_S = 0.05
@@ -32,7 +32,8 @@
 REQUEST_INTERVAL_S = 0.3
 # If the newer of two lists is more than this much later, entries may have
 # expired during an outage of the store. Runners that are missing from the list
-# are then kept for ``runner_roster.RETURN_WINDOW_S``.
+# are then kept for ``runner_roster.RETURN_WINDOW_S``; so they are after a
+# return of the store from an older copy, which may lack the latest entries.
 OUTAGE_S = 2.5
 
 
@@ -66,7 +67,7 @@
     @property
     def is_known(self) -> bool:
         """Whether a list has been received."""
-        return self._roster.version > 0
+        return self._roster.version > store_versions.NO_VERSION
 
     def start(self) -> None:
         """Register the message handlers and begin to read in turn."""
@@ -143,7 +144,9 @@
     def _apply(
         self, listed: runner_entries.RunnerList, as_of_s: float, source: str
     ) -> None:
-        if as_of_s - self._roster.as_of_s > OUTAGE_S and self.is_known:
+        is_after_outage = as_of_s - self._roster.as_of_s > OUTAGE_S
+        is_after_return = listed.version.era > self._roster.version.era
+        if self.is_known and (is_after_outage or is_after_return):
             self._missing_kept_until_s = as_of_s + runner_roster.RETURN_WINDOW_S
         changes = self._roster.apply(listed, as_of_s, self._missing_kept_until_s)
         if changes:
@@ -158,18 +161,20 @@
                 runner_id=change.runner_id,
                 change=change.kind,
                 source=source,
-                list_version=change.list_version,
+                list_version=change.list_version.version,
+                list_era=change.list_version.era,
             )
 
     def _push_since(self, base: int) -> peer_messages.RunnerListPush:
         change = self._history.change_since(base)
         return peer_messages.RunnerListPush(
-            version=self._roster.version,
+            version=self._roster.version.version,
             age_ms=int((self._clock() - self._roster.as_of_s) * 1_000),
             digest=change.digest,
             base=change.base,
             changed=tuple(_message_from_entry(entry) for entry in change.changed),
             removed=change.removed,
+            era=self._roster.version.era,
         )
 
     def _on_heartbeat(self, peer: peering.Peer) -> None:
@@ -189,17 +194,18 @@
         self, sender: ids.VmId, push: peer_messages.RunnerListPush
     ) -> None:
         as_of_s = self._clock() - push.age_ms / 1_000
-        if push.version < self._roster.version:
+        version = store_versions.StoreVersion(push.era, push.version)
+        if version < self._roster.version:
             return
         self._last_reader = sender
         if push.digest == self._history.digest:
-            self._roster.confirm(push.version, as_of_s)
+            self._roster.confirm(version, as_of_s)
             return
         entries = self._history.apply(_change_from_push(push))
         if entries is None:
             self._request_list(sender)
             return
-        listed = runner_entries.RunnerList(push.version, entries)
+        listed = runner_entries.RunnerList(version, entries)
         self._apply(listed, as_of_s, f"peer {sender}")
 
     def _on_list_request(
--- a/packages/gateway/lacewingdrum_gateway/store_client.py
+++ b/packages/gateway/lacewingdrum_gateway/store_client.py
@@ -1,4 +1,9 @@
-"""The client of the platform's store."""
+"""The client of the platform's store.
+
+Each answer states the era of the store. An era that is newer than the known
+one means that the store has lost its latest writes. Answers of an older era
+are discarded, because they may arrive late.
+"""
 
 import dataclasses
 import enum
@@ -9,7 +14,7 @@
 
 from lacewingdrum_daemon import decision_log, metrics
 from lacewingdrum_platform import store_calls
-from lacewingdrum_state import fleet
+from lacewingdrum_state import fleet, store_versions
 from lacewingdrum_transport import http_client
 
 CONNECT_TIMEOUT_S = 0.6
@@ -25,6 +30,7 @@
     NOT_DONE = "not_done"
     HISTORY_GONE = "history_gone"
     NO_ANSWER = "no_answer"
+    OLD_ERA = "old_era"
     MALFORMED = "malformed"
 
 
@@ -36,6 +42,14 @@
     detail: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    """The body of a successful answer and the era in which it was given."""
+
+    body: bytes
+    era: int
+
+
 class StoreClient:
     """Reads and follows tables and writes rows."""
 
@@ -57,6 +71,12 @@
         self._decisions = decisions
         self._counts = counts
         self._failed_since_s: float | None = None
+        self._era: int | None = None
+        self._new_era_handlers: list[Callable[[], None]] = []
+
+    def on_new_era(self, handler: Callable[[], None]) -> None:
+        """Register a handler for returns of the store from an older copy."""
+        self._new_era_handlers.append(handler)
 
     async def close(self) -> None:
         """Close every connection to the store."""
@@ -72,7 +92,7 @@
             All rows with the version of the first page, or the error.
         """
         rows: list[store_calls.Row] = []
-        version: int | None = None
+        version: store_versions.StoreVersion | None = None
         start = ""
         while True:
             answer = await self._rows(store_calls.read(table, start), CALL_TIMEOUT_S)
@@ -82,26 +102,34 @@
             # Later pages may be newer than the first. Its version is returned,
             # so that changes in the meantime are read again.
             version = page.version if version is None else version
+            if page.version.era != version.era:
+                detail = f"era {page.version.era} within a read of {version.era}"
+                return Err(StoreError(StoreErrorReason.OLD_ERA, detail))
             rows.extend(page.rows)
             if not page.has_more or not page.rows:
                 return Ok(store_calls.Rows(tuple(rows), version, False))
             start = page.rows[-1].key + "\x00"
 
     async def follow(
-        self, table: str, after_version: int, wait_s: float
+        self, table: str, after: store_versions.StoreVersion, wait_s: float
     ) -> Result[store_calls.Rows, StoreError]:
         """Wait for changes of a table.
 
         Args:
             table: the name of the table.
-            after_version: the version that is already known.
+            after: the version that is already known.
             wait_s: how long the store waits for a change.
 
         Returns:
-            The changed rows, which may be none, or the error.
+            The changed rows, which may be none, or the error. After a return
+            of the store from an older copy this is ``HISTORY_GONE``, because
+            the changes of the new era may have lower versions.
         """
-        call = store_calls.feed(table, after_version, int(wait_s * 1_000))
-        return await self._rows(call, wait_s + CALL_TIMEOUT_S)
+        call = store_calls.feed(table, after.version, int(wait_s * 1_000))
+        answer = await self._rows(call, wait_s + CALL_TIMEOUT_S)
+        if isinstance(answer, Ok) and answer.ok_value.version.era != after.era:
+            return Err(StoreError(StoreErrorReason.HISTORY_GONE, "new era"))
+        return answer
 
     async def put(self, table: str, key: str, value: bytes) -> Result[None, StoreError]:
         """Write a row.
@@ -123,7 +151,9 @@
         answer = await self._call(call, timeout_s)
         if isinstance(answer, Err):
             return answer
-        rows, faults = store_calls.decode_rows(answer.ok_value)
+        rows, faults = store_calls.decode_rows(
+            answer.ok_value.body, answer.ok_value.era
+        )
         for fault in faults:
             self._counts.count("store_faults", kind="row")
             _log.warning("store: %s", fault)
@@ -133,7 +163,7 @@
 
     async def _call(
         self, call: store_calls.Call, timeout_s: float
-    ) -> Result[bytes, StoreError]:
+    ) -> Result[_Answer, StoreError]:
         headers = (("Content-Type", "application/json"),) if call.body else ()
         answer = await self._client.request(
             self._address, call.method, call.path, headers, call.body, timeout_s
@@ -143,6 +173,7 @@
             detail = f"{error.reason.value} {error.detail}".strip()
             return self._record_failure(StoreErrorReason.NO_ANSWER, detail)
         response = answer.ok_value
+        era = self._take_era(store_calls.parse_era(response.headers))
         if response.status == store_calls.HISTORY_GONE_STATUS:
             # The store works; only the requested history is missing.
             self._record_success()
@@ -152,11 +183,33 @@
                 StoreErrorReason.NOT_DONE, f"status {response.status}"
             )
         self._record_success()
-        return Ok(response.body)
+        if era < (self._era or 0):
+            return Err(StoreError(StoreErrorReason.OLD_ERA, f"era {era}"))
+        return Ok(_Answer(response.body, era))
+
+    def _take_era(self, stated: int | None) -> int:
+        """Return the era of an answer, and tell if it is a new one.
+
+        An answer that states no era is taken to be of the known one.
+        """
+        known = self._era
+        if stated is None:
+            return known or 0
+        if known is None or stated > known:
+            self._era = stated
+        if known is not None and stated > known:
+            self._counts.count("store_returns")
+            self._decisions.record(
+                decision_log.DecisionEvent.STORE_RETURNED,
+                None,
+                era=stated,
+                era_before=known,
+            )
+            for handler in self._new_era_handlers:
+                handler()
+        return stated
 
-    def _record_failure(
-        self, reason: StoreErrorReason, detail: str
-    ) -> Result[bytes, StoreError]:
+    def _record_failure(self, reason: StoreErrorReason, detail: str) -> Err[StoreError]:
         self._counts.count("store_calls", outcome=reason.value)
         if self._failed_since_s is None:
             self._failed_since_s = self._clock()
--- a/packages/protocol/lacewingdrum_protocol/peer_messages.py
+++ b/packages/protocol/lacewingdrum_protocol/peer_messages.py
@@ -180,6 +180,8 @@
 class RunnerListPush(msgspec.Struct, frozen=True, array_like=True, tag="run"):
     """The runner list at a version of the store, as changes from another list.
 
+    ``version`` counts within ``era``; see ``store_versions.StoreVersion``.
+
     The list was read from the platform's store ``age_ms`` ago and has the
     digest ``digest``. ``changed`` and ``removed`` are relative to the list
     with the digest ``base``. If ``base`` is 0, ``changed`` is the whole list.
@@ -191,6 +193,7 @@
     base: int
     changed: tuple[RunnerListEntry, ...] = ()
     removed: tuple[str, ...] = ()
+    era: int = 0
 
 
 class RunnerListRequest(msgspec.Struct, frozen=True, array_like=True, tag="rua"):
--- a/packages/state/lacewingdrum_state/runner_entries.py
+++ b/packages/state/lacewingdrum_state/runner_entries.py
@@ -5,7 +5,7 @@
 
 import dataclasses
 
-from lacewingdrum_state import fleet, ids, states
+from lacewingdrum_state import fleet, ids, states, store_versions
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,5 +30,5 @@
 class RunnerList:
     """All runners at one version of the platform's table."""
 
-    version: int
+    version: store_versions.StoreVersion
     entries: tuple[RunnerEntry, ...]
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -12,6 +12,7 @@
 HISTORY_ROWS = 1_000
 SILENT_CALL_S = 60.0
 JSON = (("Content-Type", "application/json"),)
+ERA_HEADER = "Store-Era"
 
 
 class StoreMode(enum.Enum):
@@ -32,14 +33,28 @@
     value: bytes | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """The content of a store at a moment, from which it can be restored."""
+
+    version: int
+    rows: dict[tuple[str, str], tuple[bytes, int]]
+    history: tuple[_Change, ...]
+    history_start_version: int
+
+
 class PlatformStore:
-    """Holds rows in memory and serves the platform's calls."""
+    """Holds rows in memory and serves the platform's calls.
+
+    ``era`` rises with each return from an older copy.
+    """
 
     def __init__(self) -> None:
         self.mode = StoreMode.HEALTHY
         self.delay_s = 0.0
         self.call_count = 0
         self.version = 1
+        self.era = 1
         self._rows: dict[tuple[str, str], tuple[bytes, int]] = {}
         self._history: list[_Change] = []
         self._history_start_version = 1
@@ -76,6 +91,25 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the present content."""
+        return StoreCopy(
+            self.version,
+            dict(self._rows),
+            tuple(self._history),
+            self._history_start_version,
+        )
+
+    def restore(self, copied: StoreCopy) -> None:
+        """Return from a copy; what was written since then is gone."""
+        self.era += 1
+        self.version = copied.version
+        self._rows = dict(copied.rows)
+        self._history = list(copied.history)
+        self._history_start_version = copied.history_start_version
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def keys(self, table: str) -> list[str]:
         """Return the keys of a table in order."""
         return sorted(key for name, key in self._rows if name == table)
@@ -113,7 +147,8 @@
         if self.mode is StoreMode.LOSING_ANSWERS:
             answer.abort()
             return
-        await answer.send(http_messages.HttpResponse(status, JSON, body))
+        headers = (*JSON, (ERA_HEADER, str(self.era)))
+        await answer.send(http_messages.HttpResponse(status, headers, body))
 
     async def _execute(self, request: http_messages.HttpRequest) -> tuple[int, bytes]:
         query = dict(urllib.parse.parse_qsl(request.target.partition("?")[2]))
@@ -144,7 +179,8 @@
         loop = asyncio.get_running_loop()
         end_s = loop.time() + int(query["wait_ms"]) / 1_000
         while True:
-            if after_version < self._history_start_version - 1:
+            has_history = after_version >= self._history_start_version - 1
+            if not has_history or after_version > self.version:
                 return 410, b"{}"
             rows = [
                 self._row_fields(change.table, change.key, change.value, change.version)
