Runners that say in an answer that they leave, or want a pause, are obeyed

Change: the headers are decoded in the platform's adapter, also those of answers to memory orders. A leaving incarnation gets no work from the daemon that saw the answer, nor helps, whatever lists show; heartbeats tell all daemons, at once and until the list shows it, so daemons that start later learn it too. If all runners of a service want a pause, a request that has not run is refused at once with the end of the shortest one.

Ruled out: a change of the list that peers exchange; its digest must agree with what the store shows.

Split: the row of a daemon in the store (daemon_registry), the runners that a request may be sent to (runner_candidates), conversion of work (work_codec) and the messages of work (work_messages) stand in modules of their own.

--- a/packages/coordination/lacewingdrum_coordination/runner_health.py
+++ b/packages/coordination/lacewingdrum_coordination/runner_health.py
@@ -1,4 +1,4 @@
-"""Tracks runner failures, last contacts, suspicions and refused help."""
+"""Tracks runner failures, contacts, suspicions, pauses and refused help."""
 
 import dataclasses
 import math
@@ -21,6 +21,8 @@
     suspect_since_s: float | None = None
     last_contact_s: float = float("-inf")
     help_refused_at_s: float = float("-inf")
+    paused_until_s: float = float("-inf")
+    peer_paused_until_s: float = float("-inf")
 
 
 class RunnerHealth:
@@ -96,6 +98,32 @@
             or now_s - observed.help_refused_at_s >= HELP_REFUSAL_PAUSE_S
         )
 
+    def pause(self, runner_id: ids.RunnerId, until_s: float, now_s: float) -> None:
+        """Record that a runner wants no request from this daemon for now."""
+        observed = self._by_runner.setdefault(
+            runner_id, _RunnerObservations(as_of_s=now_s)
+        )
+        observed.paused_until_s = max(observed.paused_until_s, until_s)
+
+    def record_peer_pause(
+        self, runner_id: ids.RunnerId, until_s: float, now_s: float
+    ) -> None:
+        """Record that a runner wants no request from a peer for a while."""
+        observed = self._by_runner.setdefault(
+            runner_id, _RunnerObservations(as_of_s=now_s)
+        )
+        observed.peer_paused_until_s = max(observed.peer_paused_until_s, until_s)
+
+    def pause_left_s(self, runner_id: ids.RunnerId, now_s: float) -> float:
+        """Return how long a runner still wants no request, or 0."""
+        observed = self._by_runner.get(runner_id)
+        return max(observed.paused_until_s - now_s, 0.0) if observed else 0.0
+
+    def is_paused_for_peers(self, runner_id: ids.RunnerId, now_s: float) -> bool:
+        """Return whether a runner wants no request from some peer."""
+        observed = self._by_runner.get(runner_id)
+        return observed is not None and now_s < observed.peer_paused_until_s
+
     def clear_suspicion(self, runner_id: ids.RunnerId) -> None:
         """End the suspicion of a runner that could be reached again."""
         observed = self._by_runner.get(runner_id)
--- a/packages/daemon/lacewingdrum_daemon/decision_log.py
+++ b/packages/daemon/lacewingdrum_daemon/decision_log.py
@@ -56,6 +56,7 @@
     CONFIGURATION_TAKEN = "configuration_taken"
     RUNNER_CHANGED = "runner_changed"
     RUNNER_SUSPECTED = "runner_suspected"
+    RUNNER_PAUSED = "runner_paused"
     HELP_REFUSED = "help_refused"
     RUNNER_CLEARED = "runner_cleared"
     PEER_JOINED = "peer_joined"
--- a/packages/gateway/lacewingdrum_gateway/attempt.py
+++ b/packages/gateway/lacewingdrum_gateway/attempt.py
@@ -8,7 +8,7 @@
 
 from lacewingdrum_coordination import runner_health
 from lacewingdrum_daemon import decision_log, metrics
-from lacewingdrum_gateway import work_sync
+from lacewingdrum_gateway import runner_notices, work_sync
 from lacewingdrum_platform import headers as platform_headers
 from lacewingdrum_state import fleet, requests, runner_entries, states
 from lacewingdrum_transport import http_client, http_messages
@@ -72,6 +72,7 @@
         self,
         client: http_client.HttpClient,
         health: runner_health.RunnerHealth,
+        notices: runner_notices.RunnerNotices,
         work_updates: work_sync.WorkSync,
         clock: Callable[[], float],
         decisions: decision_log.DecisionLog,
@@ -79,6 +80,7 @@
     ) -> None:
         self._client = client
         self._health = health
+        self._notices = notices
         self._work_updates = work_updates
         self._clock = clock
         self._decisions = decisions
@@ -123,6 +125,8 @@
             reader.status, reader.headers
         )
         end = _head_failure(outgoing, reader.status, answer_headers)
+        if end is None or end.reason is not EndReason.FOREIGN_ANSWER:
+            self._notices.observe(entry, answer_headers)
         if end is not None:
             await reader.close()
             return Err(end)
--- a/packages/gateway/lacewingdrum_gateway/components.py
+++ b/packages/gateway/lacewingdrum_gateway/components.py
@@ -16,6 +16,7 @@
 from lacewingdrum_gateway import (
     attempt,
     configuration_sync,
+    daemon_registry,
     engine_memory,
     exchange,
     forwarding,
@@ -23,7 +24,9 @@
     peering,
     request_handler,
     routing,
+    runner_candidates,
     runner_list_sync,
+    runner_notices,
     runner_probe,
     settings,
     store_client,
@@ -73,14 +76,12 @@
         table = peer_table.PeerTable(
             ids.VmId(f"{vm.host}:{vm.peer_port}"), vm.data_centre
         )
+        incarnation = time.time_ns() // units.NS_PER_MS
         self.peers = peering.Peering(
-            table,
-            vm.data_centre,
-            time.time_ns() // units.NS_PER_MS,
-            self.store,
-            clock,
-            self.decisions,
-            self.counts,
+            table, vm.data_centre, incarnation, clock, self.decisions, self.counts
+        )
+        self.daemon_registry = daemon_registry.DaemonRegistry(
+            self.store, self.peers, incarnation, clock
         )
         self.roster = runner_roster.RunnerRoster()
         self.health = runner_health.RunnerHealth()
@@ -108,6 +109,15 @@
             self.decisions,
             self.counts,
         )
+        self.notices = runner_notices.RunnerNotices(
+            self.roster,
+            self.health,
+            self.work_sync,
+            self.peers,
+            clock,
+            self.decisions,
+            self.counts,
+        )
         self.runner_client = http_client.HttpClient(
             http_client.ClientLimits(
                 idle_s=RUNNER_IDLE_S,
@@ -118,6 +128,7 @@
         )
         self.memory = engine_memory.EngineMemory(
             self.runner_client,
+            self.notices,
             own_settings.bounds.lease_max_ms,
             own_settings.bounds.memory_unused_max_ms,
             clock,
@@ -127,17 +138,20 @@
         sender = attempt.AttemptSender(
             self.runner_client,
             self.health,
+            self.notices,
             self.work_sync,
             clock,
             self.decisions,
             self.counts,
         )
+        candidates = runner_candidates.RunnerCandidates(
+            self.roster, self.health, table, vm.data_centre, clock
+        )
         planner = routing.Planner(
-            self.roster,
+            candidates,
             self.health,
             self.engine_work,
             self.work_sync,
-            vm.data_centre,
             clock,
             rng,
             table,
--- a/packages/gateway/lacewingdrum_gateway/engine_memory.py
+++ b/packages/gateway/lacewingdrum_gateway/engine_memory.py
@@ -14,7 +14,7 @@
 from result import Err, Ok, Result
 
 from lacewingdrum_daemon import decision_log, metrics, tasks
-from lacewingdrum_gateway import runner_probe
+from lacewingdrum_gateway import runner_notices, runner_probe
 from lacewingdrum_platform import (
     engine_calls,
     headers as platform_headers,
@@ -105,6 +105,7 @@
     def __init__(
         self,
         client: http_client.HttpClient,
+        notices: runner_notices.RunnerNotices,
         lease_max_ms: float,
         unused_max_ms: float,
         clock: Callable[[], float],
@@ -112,6 +113,7 @@
         counts: metrics.Metrics,
     ) -> None:
         self._client = client
+        self._notices = notices
         self._lease_ms = int(min(LEASE_MS, lease_max_ms))
         self._unused_max_s = unused_max_ms / units.MS_PER_S
         self._clock = clock
@@ -279,6 +281,11 @@
             call.body,
             CALL_TIMEOUT_S,
         )
-        if isinstance(answer, Ok):
-            return Ok(answer.ok_value)
-        return Err(answer.err_value.reason.value)
+        if isinstance(answer, Err):
+            return Err(answer.err_value.reason.value)
+        response = answer.ok_value
+        self._notices.observe(
+            entry,
+            platform_headers.parse_runner_headers(response.status, response.headers),
+        )
+        return Ok(response)
--- a/packages/gateway/lacewingdrum_gateway/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/forwarding.py
@@ -224,7 +224,9 @@
             return active_request.Outcome.RUNNER_FAILURE
         time_over = active.left_s(self._clock()) <= 0
         if not active.may_have_run:
-            retry_s = RETRY_AFTER_MIN_S + RETRY_AFTER_JITTER_S * self._rng.random()
+            pause_s = self._planner.candidates.pause_left_s(active.routed.service.name)
+            spread_s = RETRY_AFTER_JITTER_S * self._rng.random()
+            retry_s = max(pause_s, RETRY_AFTER_MIN_S) + spread_s
             code = "no_runner" if not active.ends else "runners_refused"
             response = http_messages.error_response(
                 503,
--- a/packages/gateway/lacewingdrum_gateway/gateway.py
+++ b/packages/gateway/lacewingdrum_gateway/gateway.py
@@ -78,7 +78,9 @@
         components.work_sync.start()
         components.configurations.start()
         components.runner_list.start()
+        components.notices.start()
         await components.peers.start(vm.host, vm.peer_port, seeds)
+        components.daemon_registry.start()
         components.probe.start()
         await components.callers_server.start(
             vm.caller_address.host, vm.caller_address.port
@@ -166,6 +168,7 @@
         await components.configurations.close()
         await components.memory.close()
         await components.work_sync.close()
+        await components.daemon_registry.close()
         await components.peers.close()
         await components.runner_client.close()
         await components.store.close()
--- a/packages/gateway/lacewingdrum_gateway/peer_table.py
+++ b/packages/gateway/lacewingdrum_gateway/peer_table.py
@@ -33,6 +33,8 @@
     configuration_version: int = 0
     is_leaving: bool = False
     is_live: bool = False
+    # Ids and incarnations of runners that leave by what the peer knows.
+    leaving_runners: tuple[tuple[str, int], ...] = ()
 
 
 class PeerTable:
--- a/packages/gateway/lacewingdrum_gateway/peering.py
+++ b/packages/gateway/lacewingdrum_gateway/peering.py
@@ -1,8 +1,8 @@
 """Exchanges messages and heartbeats with the other daemons.
 
-Addresses of daemons come from the seeds in the settings, from the rows that
-daemons write to the store at their start, and from heartbeats, which list the
-live peers of their sender.
+Addresses of daemons come from the seeds in the settings, from the store (see
+``daemon_registry``), and from heartbeats, which list the live peers of their
+sender.
 """
 
 import asyncio
@@ -10,15 +10,12 @@
 from collections.abc import Callable
 from typing import Any
 
-from result import Err, Ok
-
 from lacewingdrum_daemon import decision_log, metrics, tasks
-from lacewingdrum_gateway import peer_table, store_client
+from lacewingdrum_gateway import peer_table
 from lacewingdrum_protocol import peer_messages, toml_rules
 from lacewingdrum_state import ids
 from lacewingdrum_transport import peer_socket
 
-DAEMONS_TABLE = "daemons"
 HEARTBEAT_MIN_S = 0.25
 # The interval grows with the number of work peers, so that the cost of
 # heartbeats stays constant.
@@ -37,8 +34,6 @@
 # A connection is rebuilt after its peer was silent for at least this time.
 CONNECTION_SILENCE_MIN_S = 2.0
 PEER_LIST_EVERY_HEARTBEATS = 8
-TABLE_READ_INTERVAL_S = 10.0
-RETRY_S = 0.7
 
 Peer = peer_table.Peer
 _log = logging.getLogger(__name__)
@@ -52,7 +47,6 @@
         table: peer_table.PeerTable,
         data_centre: ids.DataCentre,
         incarnation: int,
-        store: store_client.StoreClient,
         clock: Callable[[], float],
         decisions: decision_log.DecisionLog,
         counts: metrics.Metrics,
@@ -62,7 +56,6 @@
         self._configuration_version = 0
         self._data_centre = data_centre
         self._incarnation = incarnation
-        self._store = store
         self._clock = clock
         self._decisions = decisions
         self._counts = counts
@@ -76,7 +69,9 @@
         self._message_handlers: dict[type, Callable[[ids.VmId, Any], None]] = {}
         self._heartbeat_handlers: list[Callable[[Peer], None]] = []
         self._lost_handlers: list[Callable[[ids.VmId], None]] = []
-        self._registration_due = asyncio.Event()
+        self._leaving_runners: Callable[[], tuple[tuple[ids.RunnerId, int], ...]] = (
+            tuple
+        )
         self._tasks = tasks.TaskSet()
 
     async def start(self, host: str, port: int, seeds: tuple[ids.VmId, ...]) -> None:
@@ -95,10 +90,6 @@
             self._connect(self.table.add_seed(seed, self._clock()))
         self._tasks.spawn_loop(self._receive_messages)
         self._tasks.spawn_loop(self._send_heartbeats)
-        self._tasks.spawn_loop(self._poll_daemons_table)
-        self._store.on_new_era(self._registration_due.set)
-        self._registration_due.set()
-        self._tasks.spawn_loop(self._register)
 
     async def close(self) -> None:
         """Cancel all tasks and close the socket."""
@@ -134,6 +125,20 @@
     def set_leaving(self) -> None:
         """Announce to all daemons that this one is leaving."""
         self._is_leaving = True
+        self.announce()
+
+    def set_leaving_runners_source(
+        self, source: Callable[[], tuple[tuple[ids.RunnerId, int], ...]]
+    ) -> None:
+        """Set what returns the leaving runners that heartbeats name.
+
+        Args:
+            source: returns ids and incarnations.
+        """
+        self._leaving_runners = source
+
+    def announce(self) -> None:
+        """Send a heartbeat to all daemons now, because its content is new."""
         self._next_heartbeat_to_all = True
         self._send_heartbeat()
 
@@ -143,15 +148,19 @@
         It is sent without waiting for the next regular heartbeat.
         """
         self._configuration_version = version
-        self._next_heartbeat_to_all = True
-        self._send_heartbeat()
+        self.announce()
 
     def _connect(self, peer: Peer | None) -> None:
         address = toml_rules.parse_address(peer.address) if peer is not None else None
         if peer is not None and address is not None:
             self._socket.connect(peer.address, address)
 
-    def _add_address(self, name: str) -> None:
+    def add_address(self, name: str) -> None:
+        """Connect to a daemon whose address was learnt elsewhere.
+
+        Args:
+            name: the address; an unreadable one is ignored.
+        """
         if toml_rules.parse_address(name) is not None:
             self._connect(self.table.add_address(ids.VmId(name), self._clock()))
 
@@ -171,6 +180,7 @@
             data_centre=self._data_centre,
             leaving=self._is_leaving,
             documents=(),
+            gone_runners=self._leaving_runners(),
             configuration_version=self._configuration_version,
             peers=addresses,
         )
@@ -272,7 +282,7 @@
     ) -> None:
         is_unknown = self.table.get(sender) is None
         if is_unknown:
-            self._add_address(sender)
+            self.add_address(sender)
         peer = self.table.get(sender)
         if peer is None:
             return
@@ -282,6 +292,7 @@
         peer.incarnation = heartbeat.incarnation
         peer.configuration_version = heartbeat.configuration_version
         peer.is_leaving = heartbeat.leaving
+        peer.leaving_runners = heartbeat.gone_runners
         if self.table.seen(peer, self._clock()):
             self._decisions.record(
                 decision_log.DecisionEvent.PEER_JOINED,
@@ -292,31 +303,6 @@
         if is_unknown:
             self._socket.send(sender, self._heartbeat_message(with_peers=True))
         for name in heartbeat.peers:
-            self._add_address(name)
+            self.add_address(name)
         for handler in self._heartbeat_handlers:
             handler(peer)
-
-    async def _register(self) -> None:
-        """Write the row of this daemon to the store whenever it is due."""
-        value = str(self._incarnation).encode("ascii")
-        while True:
-            await self._registration_due.wait()
-            self._registration_due.clear()
-            written = await self._store.put(DAEMONS_TABLE, self.own_address, value)
-            if isinstance(written, Err):
-                self._registration_due.set()
-                await asyncio.sleep(RETRY_S * self.table.fleet_size_factor)
-
-    async def _poll_daemons_table(self) -> None:
-        while True:
-            rows = await self._store.read(DAEMONS_TABLE)
-            if isinstance(rows, Ok):
-                found = rows.ok_value.rows
-                if self.own_address not in {row.key for row in found}:
-                    # The store has lost the row with its latest writes.
-                    self._registration_due.set()
-                for row in found:
-                    if self.table.may_retry(ids.VmId(row.key), self._clock()):
-                        self._add_address(row.key)
-            wait_s = TABLE_READ_INTERVAL_S if isinstance(rows, Ok) else RETRY_S
-            await asyncio.sleep(wait_s * self.table.fleet_size_factor)
--- a/packages/gateway/lacewingdrum_gateway/routing.py
+++ b/packages/gateway/lacewingdrum_gateway/routing.py
@@ -13,16 +13,13 @@
     engine_work_registry,
     request_worth,
     runner_health,
-    runner_roster,
     service_choice,
 )
-from lacewingdrum_gateway import peer_table, plans, work_sync
+from lacewingdrum_gateway import peer_table, plans, runner_candidates, work_sync
 from lacewingdrum_state import configurations, ids, runner_entries
 
 # The share of a request's worth that is lost if its first event is late.
 LATE_LOSS_SHARE = 0.75
-# In units of worth.
-OTHER_DATA_CENTRE_COST = 0.01
 # The least time until the objective that attempts are planned with.
 OBJECTIVE_LEFT_MIN_MS = 20.0
 DEFAULT_OBJECTIVE_MS = 1_000.0
@@ -37,8 +34,6 @@
 PEER_OWNED_COST = 0.4
 HASH_RANGE = 1 << 64
 CACHED_FILL_ORDERS_MAX = 10_000
-# Above this number, runners of other data centres are not considered.
-CANDIDATES_MAX = 150
 PRIORITY_MAX = 9
 PRIORITY_STEP = 3
 URGENT_OBJECTIVE_MS = 500.0
@@ -68,11 +63,10 @@
 
     def __init__(
         self,
-        roster: runner_roster.RunnerRoster,
+        candidates: runner_candidates.RunnerCandidates,
         health: runner_health.RunnerHealth,
         engine_work: engine_work_registry.EngineWorkRegistry,
         work_updates: work_sync.WorkSync,
-        data_centre: ids.DataCentre,
         clock: Callable[[], float],
         rng: random.Random,
         peers: peer_table.PeerTable,
@@ -80,10 +74,9 @@
         self._peers = peers
         self._owners = engine_owners.EngineOwners()
         self._work_updates = work_updates
-        self._roster = roster
+        self.candidates = candidates
         self._health = health
         self._engine_work = engine_work
-        self._data_centre = data_centre
         self._clock = clock
         self._rng = rng
         self._worth = request_worth.RequestWorth()
@@ -124,7 +117,7 @@
             The plan, ``TooCostly`` if other requests would lose too much
             worth, or None if no runner can serve the request.
         """
-        entries = self._candidate_runners(routed.service.name, excluded)
+        entries = self.candidates.of_service(routed.service.name, excluded)
         if not entries:
             return None
         engine = routed.service.engine
@@ -139,33 +132,6 @@
             )
         return planned.plan
 
-    def _candidate_runners(
-        self, service: ids.ServiceName, excluded: set[ids.RunnerId]
-    ) -> list[runner_entries.RunnerEntry]:
-        """Return the runners that are not excluded.
-
-        Suspects are included only if there are no others.
-        """
-        listed = self._roster.of_service(service)
-        remaining = [entry for entry in listed if entry.runner_id not in excluded]
-        healthy = [
-            entry for entry in remaining if not self._health.is_suspect(entry.runner_id)
-        ]
-        if self._peers.exchanges_all_work_reports and len(healthy) <= CANDIDATES_MAX:
-            return healthy or remaining
-        # Either daemons in other data centres do not report their work here,
-        # or there are too many runners to evaluate all of them.
-        local = [entry for entry in healthy if entry.data_centre == self._data_centre]
-        return local or healthy or remaining
-
-    def _penalty(
-        self, entry: runner_entries.RunnerEntry, worth: float, now_s: float
-    ) -> float:
-        cost = worth * self._health.failure_share(entry.runner_id, now_s)
-        if entry.data_centre != self._data_centre:
-            cost += OTHER_DATA_CENTRE_COST
-        return cost
-
     def _fill_order(self, group_id: ids.VmId, runner_id: ids.RunnerId) -> float:
         """Return the place of an engine, 0 to 1, in a work group's fill order.
 
@@ -201,7 +167,7 @@
             service_choice.Candidate(
                 entry,
                 self.in_flight.get(entry.runner_id, 0),
-                self._penalty(entry, 1.0, now_s),
+                self.candidates.penalty(entry, 1.0, now_s),
             )
             for entry in entries
         ]
@@ -246,7 +212,8 @@
             engine_costs.Candidate(
                 entry,
                 self._engine_work.load(entry.runner_id),
-                self._penalty(entry, worth, now_s) + self._peer_owned_cost(entry),
+                self.candidates.penalty(entry, worth, now_s)
+                + self._peer_owned_cost(entry),
                 self._fill_order(group_id, entry.runner_id),
                 self._work_updates.slowdown(entry.runner_id),
                 only_runner in (None, entry.runner_id),
--- a/packages/gateway/lacewingdrum_gateway/routing_test.py
+++ b/packages/gateway/lacewingdrum_gateway/routing_test.py
@@ -7,7 +7,7 @@
     runner_roster,
     runner_roster_test,
 )
-from lacewingdrum_gateway import peer_table, plans, routing
+from lacewingdrum_gateway import peer_table, plans, routing, runner_candidates
 from lacewingdrum_state import configurations, ids, requests
 from standins import engine_model
 
@@ -28,15 +28,20 @@
     roster = runner_roster.RunnerRoster()
     entries = [runner_roster_test.entry(f"e{number}") for number in range(ENGINES)]
     roster.apply(runner_roster_test.listed(1, *entries), NOW_S)
+    data_centre = ids.DataCentre("north")
+    peers = peer_table.PeerTable(ids.VmId("10.0.0.1:7"), data_centre)
+    health = runner_health.RunnerHealth()
+    candidates = runner_candidates.RunnerCandidates(
+        roster, health, peers, data_centre, lambda: NOW_S
+    )
     return routing.Planner(
-        roster,
-        runner_health.RunnerHealth(),
+        candidates,
+        health,
         engine_work,
         StatedSpeeds(),
-        ids.DataCentre("north"),
         lambda: NOW_S,
         random.Random(1),
-        peer_table.PeerTable(ids.VmId("10.0.0.1:7"), ids.DataCentre("north")),
+        peers,
     )
 
 
--- /dev/null
+++ b/packages/gateway/lacewingdrum_gateway/runner_candidates.py
@@ -0,0 +1,94 @@
+"""Selects the runners that a request may be sent to."""
+
+from collections.abc import Callable
+
+from lacewingdrum_coordination import runner_health, runner_roster
+from lacewingdrum_gateway import peer_table
+from lacewingdrum_state import ids, runner_entries
+
+# In units of worth.
+OTHER_DATA_CENTRE_COST = 0.01
+# The share of a request's worth that is added to the cost of a runner which
+# wants no request from some peer.
+PAUSED_FOR_PEERS_COST_SHARE = 0.4
+# Above this number, runners of other data centres are not considered.
+CANDIDATES_MAX = 150
+
+
+class RunnerCandidates:
+    """The runners of each service that may get a request now."""
+
+    def __init__(
+        self,
+        roster: runner_roster.RunnerRoster,
+        health: runner_health.RunnerHealth,
+        peers: peer_table.PeerTable,
+        data_centre: ids.DataCentre,
+        clock: Callable[[], float],
+    ) -> None:
+        self._roster = roster
+        self._health = health
+        self._peers = peers
+        self._data_centre = data_centre
+        self._clock = clock
+
+    def pause_left_s(self, service: ids.ServiceName) -> float:
+        """Return how long all runners of a service still want no request.
+
+        Returns:
+            The shortest pause that is left; 0 if some runner takes requests,
+            or if the service has no runner.
+        """
+        now_s = self._clock()
+        return min(
+            (
+                self._health.pause_left_s(entry.runner_id, now_s)
+                for entry in self._roster.of_service(service)
+            ),
+            default=0.0,
+        )
+
+    def of_service(
+        self, service: ids.ServiceName, excluded: set[ids.RunnerId]
+    ) -> list[runner_entries.RunnerEntry]:
+        """Return the runners that are not excluded and want no pause.
+
+        Suspects are included only if there are no others.
+        """
+        now_s = self._clock()
+        listed = self._roster.of_service(service)
+        remaining = [
+            entry
+            for entry in listed
+            if entry.runner_id not in excluded
+            and not self._health.pause_left_s(entry.runner_id, now_s)
+        ]
+        healthy = [
+            entry for entry in remaining if not self._health.is_suspect(entry.runner_id)
+        ]
+        if self._peers.exchanges_all_work_reports and len(healthy) <= CANDIDATES_MAX:
+            return healthy or remaining
+        # Either daemons in other data centres do not report their work here,
+        # or there are too many runners to evaluate all of them.
+        local = [entry for entry in healthy if entry.data_centre == self._data_centre]
+        return local or healthy or remaining
+
+    def penalty(
+        self, entry: runner_entries.RunnerEntry, worth: float, now_s: float
+    ) -> float:
+        """Return the cost of what is known against a runner.
+
+        Args:
+            entry: the runner.
+            worth: the worth of the request.
+            now_s: the current time.
+
+        Returns:
+            The cost in units of worth.
+        """
+        cost = worth * self._health.failure_share(entry.runner_id, now_s)
+        if self._health.is_paused_for_peers(entry.runner_id, now_s):
+            cost += worth * PAUSED_FOR_PEERS_COST_SHARE
+        if entry.data_centre != self._data_centre:
+            cost += OTHER_DATA_CENTRE_COST
+        return cost
--- a/packages/gateway/lacewingdrum_gateway/work_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/work_sync.py
@@ -14,9 +14,9 @@
     runner_health,
 )
 from lacewingdrum_daemon import decision_log, metrics
-from lacewingdrum_gateway import peering
-from lacewingdrum_protocol import peer_messages
-from lacewingdrum_state import ids
+from lacewingdrum_gateway import peering, work_codec
+from lacewingdrum_protocol import work_messages
+from lacewingdrum_state import ids, units
 
 BATCH_DELAY_S = 0.004
 EXPIRY_CHECK_S = 1.0
@@ -46,12 +46,13 @@
         self._clock = clock
         self._decisions = decisions
         self._counts = counts
-        self._new_started: list[peer_messages.WorkStarted] = []
+        self._new_started: list[work_messages.WorkStarted] = []
         self._new_first_events: list[str] = []
         self._new_ended: list[str] = []
         self._new_slowdowns: dict[ids.RunnerId, float] = {}
         self._new_help_refused: list[ids.RunnerId] = []
         self._new_suspected: list[ids.RunnerId] = []
+        self._new_pauses: list[work_messages.RunnerPause] = []
         self._suspicion_handlers: list[Callable[[ids.RunnerId], None]] = []
         self._slowdowns = engine_slowdowns.EngineSlowdowns()
         self._synced: set[ids.VmId] = set()
@@ -72,10 +73,10 @@
 
     def start(self) -> None:
         """Register message handlers and begin to drop expired work."""
-        self._peers.on_message(peer_messages.WorkUpdate, self._on_work_update)
+        self._peers.on_message(work_messages.WorkUpdate, self._on_work_update)
         self._peers.on_peer_lost(self._on_peer_lost)
-        self._peers.on_message(peer_messages.WorkRequest, self._on_work_request)
-        self._peers.on_message(peer_messages.WorkSnapshot, self._on_work_snapshot)
+        self._peers.on_message(work_messages.WorkRequest, self._on_work_request)
+        self._peers.on_message(work_messages.WorkSnapshot, self._on_work_snapshot)
         self._peers.on_heartbeat(self._on_heartbeat)
         self._start_s = self._clock()
         self._drop_expired()
@@ -102,7 +103,7 @@
             work_id, self._peers.own_address, parts, left_ms
         )
         self._engine_work.start(started, self._clock())
-        self._new_started.append(_started_message(started))
+        self._new_started.append(work_codec.to_message(started))
         self._flush_soon()
 
     def record_first_event(self, work_id: str) -> None:
@@ -141,6 +142,17 @@
         self._new_suspected.append(runner_id)
         self._flush_soon()
 
+    def report_pause(self, runner_id: ids.RunnerId, pause_s: float) -> None:
+        """Tell the peers that a runner wants no request from this daemon.
+
+        Args:
+            runner_id: the runner.
+            pause_s: for how long.
+        """
+        left_ms = int(pause_s * units.MS_PER_S)
+        self._new_pauses.append(work_messages.RunnerPause(runner_id, left_ms))
+        self._flush_soon()
+
     def on_peer_suspicion(self, handler: Callable[[ids.RunnerId], None]) -> None:
         """Register a handler for runners that are suspected by a peer."""
         self._suspicion_handlers.append(handler)
@@ -181,27 +193,29 @@
 
     def _flush(self) -> None:
         self._flush_timer = None
-        update = peer_messages.WorkUpdate(
+        update = work_messages.WorkUpdate(
             tuple(self._new_started),
             tuple(self._new_first_events),
             tuple(self._new_ended),
             tuple(
-                peer_messages.EngineSlowdown(runner_id, round(slowdown, 2))
+                work_messages.EngineSlowdown(runner_id, round(slowdown, 2))
                 for runner_id, slowdown in self._new_slowdowns.items()
             ),
             tuple(self._new_help_refused),
             tuple(self._new_suspected),
+            tuple(self._new_pauses),
         )
         self._new_started, self._new_first_events, self._new_ended = [], [], []
         self._new_slowdowns, self._new_help_refused, self._new_suspected = {}, [], []
+        self._new_pauses = []
         self._peers.broadcast_to_work_peers(update)
 
     def _on_work_update(
-        self, sender: ids.VmId, update: peer_messages.WorkUpdate
+        self, sender: ids.VmId, update: work_messages.WorkUpdate
     ) -> None:
         now_s = self._clock()
         for started in update.started:
-            parts = tuple(_work_part(part) for part in started.parts)
+            parts = tuple(work_codec.part_from_message(part) for part in started.parts)
             self._engine_work.start(
                 engine_work_registry.StartedWork(
                     started.work_id, sender, parts, started.left_ms
@@ -220,6 +234,11 @@
             self._apply_help_refused(ids.RunnerId(name), f"peer {sender}")
         for name in update.suspected:
             self._apply_peer_suspicion(ids.RunnerId(name), sender)
+        for pause in update.paused:
+            until_s = now_s + pause.left_ms / units.MS_PER_S
+            self._health.record_peer_pause(
+                ids.RunnerId(pause.runner_id), until_s, now_s
+            )
 
     def _on_heartbeat(self, peer: peering.Peer) -> None:
         """Request the work of a peer until its snapshot has arrived."""
@@ -227,15 +246,15 @@
             peer.address not in self._synced
             and self._peers.table.exchanges_work_reports(peer)
         ):
-            self._peers.send(peer.address, peer_messages.WorkRequest())
+            self._peers.send(peer.address, work_messages.WorkRequest())
 
     def _on_work_request(
-        self, sender: ids.VmId, request: peer_messages.WorkRequest
+        self, sender: ids.VmId, request: work_messages.WorkRequest
     ) -> None:
         del request
         works = self._engine_work.remaining_work(self._peers.own_address, self._clock())
-        snapshot = peer_messages.WorkSnapshot(
-            tuple(_started_message(work) for work in works),
+        snapshot = work_messages.WorkSnapshot(
+            tuple(work_codec.to_message(work) for work in works),
             tuple(
                 work.work_id
                 for work in works
@@ -245,10 +264,10 @@
         self._peers.send(sender, snapshot)
 
     def _on_work_snapshot(
-        self, sender: ids.VmId, snapshot: peer_messages.WorkSnapshot
+        self, sender: ids.VmId, snapshot: work_messages.WorkSnapshot
     ) -> None:
         self._synced.add(sender)
-        update = peer_messages.WorkUpdate(snapshot.started, snapshot.first_events, ())
+        update = work_messages.WorkUpdate(snapshot.started, snapshot.first_events, ())
         self._on_work_update(sender, update)
 
     def _on_peer_lost(self, address: ids.VmId) -> None:
@@ -259,36 +278,3 @@
         self._counts.count("work_lapsed", self._engine_work.drop_expired(self._clock()))
         loop = asyncio.get_running_loop()
         self._expiry_timer = loop.call_later(EXPIRY_CHECK_S, self._drop_expired)
-
-
-def _started_message(
-    started: engine_work_registry.StartedWork,
-) -> peer_messages.WorkStarted:
-    parts = tuple(_part_message(part) for part in started.parts)
-    return peer_messages.WorkStarted(started.work_id, parts, started.left_ms)
-
-
-def _part_message(work: engine_load.Work) -> peer_messages.WorkPart:
-    return peer_messages.WorkPart(
-        runner_id=work.runner_id,
-        read_ms=work.read_ms,
-        writes=work.writes,
-        pause_limit_ms=work.pause_limit_ms,
-        first_due_ms=work.first_due_ms,
-        loss=work.loss,
-        context_tokens=work.context_tokens,
-        memory_tokens=work.memory_tokens,
-    )
-
-
-def _work_part(part: peer_messages.WorkPart) -> engine_load.Work:
-    return engine_load.Work(
-        runner_id=ids.RunnerId(part.runner_id),
-        read_ms=part.read_ms,
-        writes=part.writes,
-        pause_limit_ms=part.pause_limit_ms,
-        first_due_ms=part.first_due_ms,
-        loss=part.loss,
-        context_tokens=part.context_tokens,
-        memory_tokens=part.memory_tokens,
-    )
--- a/packages/protocol/lacewingdrum_protocol/peer_messages.py
+++ b/packages/protocol/lacewingdrum_protocol/peer_messages.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from lacewingdrum_coordination import customer_limits
+from lacewingdrum_protocol import work_messages
 
 WIRE_VERSION = 1
 
@@ -24,9 +25,10 @@
     """Reports that a daemon is alive and which documents it has in force.
 
     ``gone_runners`` lists ids and incarnations of leaving runners that the
-    platform's list does not show as leaving yet. ``peers`` contains addresses
-    of other daemons, so that daemons discover each other if the platform has
-    no list of them.
+    platform's list does not show as leaving yet. The incarnation of a runner
+    on the users' platform is the millisecond of its start. ``peers`` contains
+    addresses of other daemons, so that daemons discover each other if the
+    platform has no list of them.
     """
 
     incarnation: int
@@ -202,77 +204,15 @@
     digest: int
 
 
-class WorkPart(msgspec.Struct, frozen=True, array_like=True):
-    """One engine's part of a request.
-
-    The fields have the meaning that ``engine_load.Work`` explains.
-    """
-
-    runner_id: str
-    read_ms: float
-    writes: bool
-    pause_limit_ms: float
-    first_due_ms: float
-    loss: float
-    context_tokens: float
-    memory_tokens: int
-
-
-class WorkStarted(msgspec.Struct, frozen=True, array_like=True):
-    """The work of a request that the sender assigned to engines."""
-
-    work_id: str
-    parts: tuple[WorkPart, ...]
-    left_ms: float
-
-
-class EngineSlowdown(msgspec.Struct, frozen=True, array_like=True):
-    """How many times slower than configured an engine is, as last measured."""
-
-    runner_id: str
-    pace: float
-
-
-class WorkUpdate(msgspec.Struct, frozen=True, array_like=True, tag="wrk"):
-    """Changes of the sender's work, applied in the order of the fields.
-
-    ``first_events`` and ``ended`` contain work ids. ``paces`` lists engines
-    that are slow or no longer slow, ``help_refused`` engines that refused to
-    prefill for another engine, and ``suspected`` runners that did not answer
-    the sender.
-    """
-
-    started: tuple[WorkStarted, ...]
-    first_events: tuple[str, ...]
-    ended: tuple[str, ...]
-    paces: tuple[EngineSlowdown, ...] = ()
-    help_refused: tuple[str, ...] = ()
-    suspected: tuple[str, ...] = ()
-
-
-class WorkRequest(msgspec.Struct, frozen=True, array_like=True, tag="wra"):
-    """Requests a peer's ``WorkSnapshot``; repeated until it arrives."""
-
-
-class WorkSnapshot(msgspec.Struct, frozen=True, array_like=True, tag="wrs"):
-    """All work of the sender.
-
-    ``first_events`` contains the ids of work whose first event has arrived.
-    """
-
-    started: tuple[WorkStarted, ...]
-    first_events: tuple[str, ...]
-
-
 Body = (
     Heartbeat
     | ConfigurationRequest
     | ConfigurationPush
     | RunnerListPush
     | RunnerListRequest
-    | WorkUpdate
-    | WorkRequest
-    | WorkSnapshot
+    | work_messages.WorkUpdate
+    | work_messages.WorkRequest
+    | work_messages.WorkSnapshot
     | DocumentPush
     | DocumentRequest
     | LoadSummary
--- a/packages/state/lacewingdrum_state/requests.py
+++ b/packages/state/lacewingdrum_state/requests.py
@@ -90,7 +90,9 @@
     receipt header. ``is_encoded`` is set if the answer has a content encoding.
     A successful answer without a receipt, or with an encoding, is not
     forwarded. ``at_fault`` is the address of an engine that failed its part
-    of the work.
+    of the work. ``is_leaving`` is set if the runner is about to stop.
+    ``pause_s`` is how long it wants no further request from this daemon, or
+    None if it did not say.
     """
 
     attempt_id: str
@@ -99,3 +101,5 @@
     is_other_runner: bool
     is_encoded: bool
     at_fault: fleet.Address | None
+    is_leaving: bool = False
+    pause_s: float | None = None
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -75,6 +75,10 @@
         self.reserved: dict[str, MemoryReservation] = {}
         self.command_count = 0
         self.refuse_commands = False
+        # Whether each answer says that the runner leaves.
+        self.is_leaving = False
+        # The time to stay away that a refused request is answered with.
+        self.retry_after = ""
         # Addresses of engines that refuse to help, as draining engines do.
         self.refusing_helpers: set[str] = set()
         # Those of them that an answer of this engine has named.
@@ -186,7 +190,7 @@
                     )
         else:
             self.reserved.pop(command["id"], None)
-        _respond(connection, writer, status, (), b'{"free":0}')
+        _respond(connection, writer, status, self._notices(), b'{"free":0}')
 
     def _report(self, connection: h11.Connection, writer: asyncio.StreamWriter) -> None:
         """Report the reservations that have not expired."""
@@ -197,7 +201,11 @@
             if item.until_s > now_s
         ]
         body = json.dumps({"phase": "colocated", "tickets": tickets}).encode()
-        _respond(connection, writer, 200, (), body)
+        _respond(connection, writer, 200, self._notices(), body)
+
+    def _notices(self) -> Headers:
+        """Return the headers that each answer carries."""
+        return (("Server-Leaving", "1"),) if self.is_leaving else ()
 
     async def _answer_request(
         self,
@@ -213,6 +221,7 @@
         id_headers: Headers = (
             ("Attempt-Id", attempt_id),
             ("Instance-Id", self.runner_id),
+            *self._notices(),
         )
         helpers = _helper_addresses(headers)
         refusing_helper = next(
@@ -233,6 +242,8 @@
         match fault:
             case Fault.SHED:
                 not_run_headers = (*id_headers, ("Not-Executed", "1"))
+                if self.retry_after:
+                    not_run_headers += (("Retry-After", self.retry_after),)
                 _respond(connection, writer, 503, not_run_headers, b"full")
                 return True
             case Fault.HELPER_FAILED:
