Failed repeatable requests are run again at their runners; a shorter start

Cause of the first: a route limits the runners of a request, and after a failure at each of them the request was given up, though it may run more than once. Now it goes to them again, in turn, twice at most and within the retry allowance. Ruled out: a third runner, which the route forbids; orders, which run once. The decision stands in a module of its own, retry_limits.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -12,3 +12,5 @@
     cp -R "$package" "$deps/"
 done
 find "$deps"/lacewingdrum_* -name "*_test.py" -delete
+# Processes may start from a read-only copy, where compiling would not be kept.
+python3 -m compileall -q "$deps"/lacewingdrum_*
--- a/packages/gateway/lacewingdrum_gateway/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/forwarding.py
@@ -11,20 +11,18 @@
     exchange as exchanges,
     peering,
     plans,
+    retry_limits,
     routing,
     work_sync,
 )
-from lacewingdrum_state import ids, states
+from lacewingdrum_state import states
 from lacewingdrum_transport import http_messages
 
-# Includes attempts that did not reach a runner, which cost nothing but time.
-ATTEMPTS_MAX = 8
 RETRY_AFTER_MIN_S = 0.15
 RETRY_AFTER_JITTER_S = 0.35
 REFUSED_RETRY_AFTER_S = 1.5
 # Callers are asked to wait no longer than this share of their time left.
 RETRY_AFTER_TIME_LEFT_SHARE = 0.3
-RETRY_MIN_LEFT_S = 0.03
 
 
 class Forwarder:
@@ -96,8 +94,11 @@
             active.ends.append(end)
             if active.responder.disconnected.is_set():
                 return active_request.Outcome.CALLER_GONE
-            self._apply_end(active, plan, end)
-            if not self._may_retry(active, end):
+            is_suspect = self._health.is_suspect(plan.entry.runner_id)
+            refused_help = retry_limits.apply_end(active, plan, end, is_suspect)
+            if refused_help is not None:
+                self._work_updates.record_help_refused(refused_help)
+            if not retry_limits.may_retry(active, end, active.left_s(self._clock())):
                 break
         return await self.give_up(active)
 
@@ -132,62 +133,6 @@
         )
         return active_request.Outcome.REFUSED
 
-    def _apply_end(
-        self,
-        active: active_request.ActiveRequest,
-        plan: plans.Plan,
-        end: attempt.AttemptEnd,
-    ) -> None:
-        active.excluded.add(plan.entry.runner_id)
-        if end.state is not states.AttemptState.UNSENT:
-            active.sent_to.add(plan.entry.runner_id)
-        if self._health.is_suspect(plan.entry.runner_id):
-            active.suspect_attempt_count += 1
-        if end.at_fault is None:
-            return
-        for helper in plan.helpers:
-            if helper.address == end.at_fault:
-                active.excluded.add(helper.runner_id)
-                # The attempt failed because of its helper; the runner that the
-                # request was sent to remains usable.
-                active.excluded.discard(plan.entry.runner_id)
-                if end.reason is attempt.EndReason.HELPER_FAILED:
-                    self._work_updates.record_help_refused(helper.runner_id)
-                    active.only_runner = self._only_runner(active, plan)
-
-    def _may_retry(
-        self, active: active_request.ActiveRequest, end: attempt.AttemptEnd
-    ) -> bool:
-        """Return whether the request may be sent again."""
-        if (
-            active.attempt_count >= ATTEMPTS_MAX
-            or active.left_s(self._clock()) < RETRY_MIN_LEFT_S
-        ):
-            return False
-        if end.state is states.AttemptState.UNSENT:
-            return True
-        if not self._has_attempts_left(active) and active.only_runner is None:
-            return False
-        if end.state is states.AttemptState.REFUSED_BY_RUNNER:
-            return True
-        return active.routed.route.is_retryable
-
-    def _has_attempts_left(self, active: active_request.ActiveRequest) -> bool:
-        # One attempt at a runner that became suspect is not counted towards
-        # the route's limit.
-        limit = active.routed.route.max_attempts + min(active.suspect_attempt_count, 1)
-        return len(active.sent_to) < limit
-
-    def _only_runner(
-        self, active: active_request.ActiveRequest, plan: plans.Plan
-    ) -> ids.RunnerId | None:
-        """Return the runner to which retries are restricted, or None.
-
-        This is the runner of the plan if the route's limit allows no further
-        one.
-        """
-        return None if self._has_attempts_left(active) else plan.entry.runner_id
-
     def _acquire_retry(self, active: active_request.ActiveRequest) -> bool:
         service = active.routed.service.name
         is_allowed = self._allowance.take(
--- /dev/null
+++ b/packages/gateway/lacewingdrum_gateway/retry_limits.py
@@ -0,0 +1,103 @@
+"""Decides whether and where a request may be sent again after an attempt.
+
+A route limits the number of runners that a request is sent to. A request that
+may run more than once and failed at all of them can still go to one of them
+again, because a failure is often particular to one run.
+"""
+
+from lacewingdrum_gateway import active_request, attempt, plans
+from lacewingdrum_state import ids, states
+
+# Includes attempts that did not reach a runner, which cost nothing but time.
+ATTEMPTS_MAX = 8
+# How often a request is sent again to runners that have answered it already.
+REPEATS_MAX = 2
+RETRY_MIN_LEFT_S = 0.03
+
+
+def apply_end(
+    active: active_request.ActiveRequest,
+    plan: plans.Plan,
+    end: attempt.AttemptEnd,
+    is_suspect: bool,
+) -> ids.RunnerId | None:
+    """Restrict the next attempt by how the last one ended.
+
+    Args:
+        active: the request.
+        plan: the plan of the last attempt.
+        end: the end of that attempt.
+        is_suspect: whether the runner of the attempt is suspect now.
+
+    Returns:
+        The helper that refused to prefill its part, or None.
+    """
+    runner_id = plan.entry.runner_id
+    active.excluded.add(runner_id)
+    if end.state is not states.AttemptState.UNSENT:
+        active.sent_to.add(runner_id)
+    if end.state is states.AttemptState.ANSWERED:
+        active.failed_at.append(runner_id)
+    if is_suspect:
+        active.suspect_attempt_count += 1
+    helper = next((item for item in plan.helpers if item.address == end.at_fault), None)
+    if helper is None:
+        _allow_repeat(active, end)
+        return None
+    active.excluded.add(helper.runner_id)
+    # The attempt failed because of its helper; the runner that the request was
+    # sent to remains usable.
+    active.excluded.discard(runner_id)
+    if end.reason is not attempt.EndReason.HELPER_FAILED:
+        return None
+    active.only_runner = None if _has_runners_left(active) else runner_id
+    return helper.runner_id
+
+
+def may_retry(
+    active: active_request.ActiveRequest, end: attempt.AttemptEnd, left_s: float
+) -> bool:
+    """Return whether a request may be sent again.
+
+    Args:
+        active: the request, after ``apply_end``.
+        end: the end of its last attempt.
+        left_s: the time until its deadline.
+    """
+    if active.attempt_count >= ATTEMPTS_MAX or left_s < RETRY_MIN_LEFT_S:
+        return False
+    if end.state is states.AttemptState.UNSENT:
+        return True
+    if not _has_runners_left(active) and active.only_runner is None:
+        return False
+    if end.state is states.AttemptState.REFUSED_BY_RUNNER:
+        return True
+    return active.routed.route.is_retryable
+
+
+def _allow_repeat(
+    active: active_request.ActiveRequest, end: attempt.AttemptEnd
+) -> None:
+    """Allow a runner that answered with a failure once more.
+
+    Runners take turns, because one of them may fail more than another.
+    """
+    active.only_runner = None
+    if (
+        end.state is not states.AttemptState.ANSWERED
+        or not active.routed.route.is_retryable
+        or _has_runners_left(active)
+        or active.repeat_count >= REPEATS_MAX
+    ):
+        return
+    active.repeat_count += 1
+    active.only_runner = active.failed_at.pop(0)
+    active.excluded.discard(active.only_runner)
+
+
+def _has_runners_left(active: active_request.ActiveRequest) -> bool:
+    """Return whether the request may be sent to a further runner."""
+    # One attempt at a runner that became suspect is not counted towards the
+    # route's limit.
+    limit = active.routed.route.max_attempts + min(active.suspect_attempt_count, 1)
+    return len(active.sent_to) < limit
--- a/packages/gateway/lacewingdrum_gateway/routing.py
+++ b/packages/gateway/lacewingdrum_gateway/routing.py
@@ -122,7 +122,7 @@
             return None
         engine = routed.service.engine
         if engine is None or not routed.caller_headers.prompt_tokens:
-            return self._plan_service(routed, entries)
+            return self._plan_service(routed, entries, only_runner)
         planned = self._plan_engines(routed, engine, entries, excluded, only_runner)
         if planned is None:
             return None
@@ -160,7 +160,10 @@
         )
 
     def _plan_service(
-        self, routed: plans.RoutedRequest, entries: list[runner_entries.RunnerEntry]
+        self,
+        routed: plans.RoutedRequest,
+        entries: list[runner_entries.RunnerEntry],
+        only_runner: ids.RunnerId | None,
     ) -> plans.Plan | None:
         now_s = self._clock()
         candidates = [
@@ -170,7 +173,10 @@
                 self.candidates.penalty(entry, 1.0, now_s),
             )
             for entry in entries
+            if only_runner in (None, entry.runner_id)
         ]
+        if not candidates:
+            return None
         chosen = service_choice.choose(candidates, self._rng)
         return plans.Plan(
             entry=chosen.entry,
--- a/standins/platform_processes.py
+++ b/standins/platform_processes.py
@@ -40,7 +40,7 @@
                 await asyncio.create_subprocess_exec(
                     sys.executable,
                     "-m",
-                    "lacewingdrum_gateway.main",
+                    "lacewingdrum_gateway.start",
                     "--settings",
                     str(path),
                     stdin=asyncio.subprocess.DEVNULL,
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -159,7 +159,7 @@
             return await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                "lacewingdrum_gateway.main",
+                "lacewingdrum_gateway.start",
                 "--settings",
                 str(self._folder / f"gateway-{number}.toml"),
                 stdin=asyncio.subprocess.DEVNULL,
