In a large fleet a few daemons follow the store's feed

Cause: each daemon followed the feed of configurations by itself, so a change cost two calls a daemon and a quiet fleet one call a daemon each 15 s.

Change: with more than 12 peers, three daemons of each data centre follow the feed, chosen by hash among those that are heard; the others read the table once when a heartbeat shows a newer version, spread over a quarter of a second, or after 30 s. A daemon that hears nobody follows itself. An era that a pushed list names is acted on by daemons that do not call the store themselves.

Weighed: pushing the configuration from daemon to daemon (300 KB to each of 195 over 20 Mbit/s links takes longer than it may); one reader for the whole fleet (its loss is seen only after five heartbeats). Small fleets are as before.

--- a/packages/gateway/lacewingdrum_gateway/configuration_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/configuration_sync.py
@@ -1,7 +1,9 @@
 """Synchronizes the configuration with the store and the peers.
 
 A daemon never returns to an older version, also if the store does. It follows
-the feed of the store, and reads the whole table where the feed has a gap.
+the feed of the store, and reads the whole table where the feed has a gap. In a
+large fleet only a few daemons follow it, see ``store_followers``; the others
+read the table when a heartbeat shows that there is a newer version.
 Heartbeats show which peers have a newer version; it is requested from one of
 them if the feed does not deliver it soon.
 """
@@ -11,7 +13,7 @@
 
 from result import Err, Ok
 
-from lacewingdrum_coordination import route_table
+from lacewingdrum_coordination import route_table, store_followers
 from lacewingdrum_daemon import decision_log, metrics, tasks
 from lacewingdrum_gateway import peering, store_client
 from lacewingdrum_platform import desired_state, store_calls
@@ -24,6 +26,8 @@
 RETRY_MAX_S = 1.0
 # Changes that follow each other within this time are read in one call.
 FEED_PAUSE_S = 0.25
+# A daemon that does not follow the feed reads the table at least this often.
+UNFOLLOWED_READ_S = 30.0
 # The time that the feed has to deliver a version before a peer is asked.
 PEER_REQUEST_DELAY_S = 0.5
 REQUEST_INTERVAL_S = 0.4
@@ -48,6 +52,7 @@
         self._decisions = decisions
         self._counts = counts
         self._last_request_s = float("-inf")
+        self._newer_announced = asyncio.Event()
         self._applied_handlers: list[Callable[[route_table.RouteTable], None]] = []
         self._tasks = tasks.TaskSet()
 
@@ -108,6 +113,9 @@
         after: store_versions.StoreVersion | None = None
         retry_s = RETRY_MIN_S
         while True:
+            if after is not None and not self._is_follower():
+                await self._wait_for_newer_version()
+                after = None
             if after is None:
                 answer = await self._store.read(store_calls.CONFIGURATION_TABLE)
             else:
@@ -132,6 +140,22 @@
                         2 * retry_s, RETRY_MAX_S * self._peers.table.fleet_size_factor
                     )
 
+    def _is_follower(self) -> bool:
+        table = self._peers.table
+        return table.exchanges_all_work_reports or store_followers.is_follower(
+            self._peers.own_address, table.work_group()
+        )
+
+    async def _wait_for_newer_version(self) -> None:
+        """Wait until a peer has a newer version, for a limited time."""
+        self._newer_announced.clear()
+        try:
+            async with asyncio.timeout(UNFOLLOWED_READ_S):
+                await self._newer_announced.wait()
+        except TimeoutError:
+            return
+        await asyncio.sleep(store_followers.read_delay_s(self._peers.own_address))
+
     def _feed_wait_s(self) -> float:
         # In a large fleet, this daemon learns of a change from the heartbeat
         # of some peer even if its own feed stays silent, so the feed may wait
@@ -145,6 +169,7 @@
 
     def _on_heartbeat(self, peer: peering.Peer) -> None:
         if peer.configuration_version > self.version:
+            self._newer_announced.set()
             delay_s = PEER_REQUEST_DELAY_S if self.table else 0.0
             loop = asyncio.get_running_loop()
             loop.call_later(delay_s, self._request_configuration, peer.address)
--- a/packages/gateway/lacewingdrum_gateway/configuration_sync_test.py
+++ b/packages/gateway/lacewingdrum_gateway/configuration_sync_test.py
@@ -1,5 +1,8 @@
 import asyncio
+import unittest.mock
 
+from lacewingdrum_coordination import store_followers
+from lacewingdrum_gateway import configuration_sync, peer_table
 from standins import platform_site
 
 VERSIONS = 25
@@ -7,6 +10,8 @@
 # Includes the reads of the runner list during the burst of one second.
 CALLS_MAX = 12
 APPLIED_TIMEOUT_S = 1.0
+# Operators allow two seconds from an acknowledged change until it is in force.
+TAKE_OVER_S = 2.0
 
 
 async def test_versions_in_quick_succession_are_read_in_few_calls():
@@ -22,3 +27,44 @@
             lambda: daemon.configuration_version == VERSIONS + 1, APPLIED_TIMEOUT_S
         )
         assert site.store.call_count - before <= CALLS_MAX
+
+
+async def test_change_reaches_daemons_that_do_not_follow_the_store():
+    limit = unittest.mock.patch.object(peer_table, "EXCHANGE_ALL_PEERS_MAX", 1)
+    few = unittest.mock.patch.object(store_followers, "FOLLOWERS_MAX", 1)
+    with limit, few:
+        async with platform_site.running_site(gateways=5) as site:
+            site.store.put_json("op", "config", platform_site.make_configuration(2))
+            await wait_for_version(site, 2, APPLIED_TIMEOUT_S)
+            await asyncio.sleep(2 * configuration_sync.FEED_PAUSE_S)
+            feeds = site.store.waiting_feeds
+            assert feeds == 1, f"{feeds} daemons follow the store"
+
+
+async def test_other_daemons_follow_the_store_when_the_follower_has_ended():
+    limit = unittest.mock.patch.object(peer_table, "EXCHANGE_ALL_PEERS_MAX", 1)
+    few = unittest.mock.patch.object(store_followers, "FOLLOWERS_MAX", 1)
+    with limit, few:
+        async with platform_site.running_site(gateways=4) as site:
+            addresses = [one.daemon.peer_address for one in site.gateways]
+            (ended,) = [
+                one
+                for one in site.gateways
+                if store_followers.is_follower(one.daemon.peer_address, addresses)
+            ]
+            site.gateways.remove(ended)
+            await ended.daemon.close()
+            await site.wait_until(
+                lambda: all(one.daemon.peer_count == 2 for one in site.gateways)
+            )
+            site.store.put_json("op", "config", platform_site.make_configuration(2))
+            await wait_for_version(site, 2, TAKE_OVER_S)
+
+
+async def wait_for_version(site, version: int, timeout_s: float) -> None:
+    await site.wait_until(
+        lambda: all(
+            one.daemon.configuration_version == version for one in site.gateways
+        ),
+        timeout_s,
+    )
--- a/packages/gateway/lacewingdrum_gateway/gateway.py
+++ b/packages/gateway/lacewingdrum_gateway/gateway.py
@@ -54,6 +54,16 @@
         """
         return self._components.engine_work.work_count
 
+    @property
+    def peer_address(self) -> ids.VmId:
+        """The address that identifies this daemon to its peers."""
+        return self._components.peers.own_address
+
+    @property
+    def peer_count(self) -> int:
+        """The number of other daemons that are heard."""
+        return len(self._components.peers.table.live)
+
     @property
     def configuration_version(self) -> int:
         """The version in force, or 0 if there is none."""
--- a/packages/gateway/lacewingdrum_gateway/store_client.py
+++ b/packages/gateway/lacewingdrum_gateway/store_client.py
@@ -74,6 +74,10 @@
         self._era: int | None = None
         self._new_era_handlers: list[Callable[[], None]] = []
 
+    def record_era(self, era: int) -> None:
+        """Record an era of which a peer has told."""
+        self._take_era(era)
+
     def on_new_era(self, handler: Callable[[], None]) -> None:
         """Register a handler for returns of the store from an older copy."""
         self._new_era_handlers.append(handler)
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -53,6 +53,8 @@
         self.mode = StoreMode.HEALTHY
         self.delay_s = 0.0
         self.call_count = 0
+        # Calls of the feed that wait for a change.
+        self.waiting_feeds = 0
         self.version = 1
         self.era = 1
         self._rows: dict[tuple[str, str], tuple[bytes, int]] = {}
@@ -191,11 +193,14 @@
             if rows or remaining_s <= 0 or self.mode is not StoreMode.HEALTHY:
                 return 200, self._encode_rows(rows)
             changed = self._changed
+            self.waiting_feeds += 1
             try:
                 async with asyncio.timeout(remaining_s):
                     await changed.wait()
             except TimeoutError:
                 continue
+            finally:
+                self.waiting_feeds -= 1
 
     def _encode_rows(self, rows: list[dict[str, object]]) -> bytes:
         fields = {"rows": rows, "has_more": False, "ver": self.version, "now_ms": 0}
