Streams that only trickle go on elsewhere; malformed rows harm nobody

What operators of similar systems met, looked for here; each shown by a test that failed first: - A stream whose engine sends a byte now and then was waited for until its deadline, as each byte began the wait anew. Only whole events count now, and the stream goes on at another engine. A slow but steady one is not touched (a test that passed before). - The late second copy of an answer never reached the next caller (the attempt's id is compared), but that caller got a 502 where no other runner was left, though its request may run again. It goes to the same runner on a new connection. - A runner's row with a port of thousands of digits ended every read of the table with an error, so one row hid the whole list; ports out of range were taken.

--- a/packages/cli/lacewingdrum_cli/command_base.py
+++ b/packages/cli/lacewingdrum_cli/command_base.py
@@ -10,8 +10,8 @@
 from cleo.io.outputs.output import Type
 
 from lacewingdrum_cli import daemon_client, exit_codes
-from lacewingdrum_protocol import document_text, operators_api, toml_rules
-from lacewingdrum_state import documents, fleet
+from lacewingdrum_protocol import document_text, operators_api
+from lacewingdrum_state import addresses, documents, fleet
 from lacewingdrum_transport import http_client
 
 DAEMONS_VARIABLE = "LACEWINGDRUM_DAEMONS"
@@ -149,13 +149,13 @@
         texts = [text.strip() for text in address_options if text.strip()]
         if not texts:
             raise UsageError(f"no daemon: give --daemon IP:PORT or {DAEMONS_VARIABLE}")
-        addresses = []
+        daemons = []
         for text in texts:
-            address = toml_rules.parse_address(text)
+            address = addresses.parse_address(text)
             if address is None:
                 raise UsageError(f"invalid daemon address {text!r}: expected ip:port")
-            addresses.append(address)
-        return tuple(addresses)
+            daemons.append(address)
+        return tuple(daemons)
 
     def _credential(self) -> str:
         path = self.option("credential-file")
--- a/packages/gateway/lacewingdrum_gateway/active_request.py
+++ b/packages/gateway/lacewingdrum_gateway/active_request.py
@@ -32,8 +32,8 @@
     that refused it. ``only_runner`` is set if a helper failed and the route
     allows no further runner; the request may then be retried only at that
     runner, with other helpers, or if a runner that answered with a failure is
-    asked again. ``failed_at`` holds the runners that answered so, the next to
-    be asked first, and ``repeat_count`` counts such repeats.
+    asked again. ``failed_at`` holds the runners that may be asked again, the
+    next one first, and ``repeat_count`` counts such repeats.
     ``suspect_attempt_count`` counts the failed attempts after which their
     runner was suspect.
     """
--- a/packages/gateway/lacewingdrum_gateway/configuration_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/configuration_sync.py
@@ -28,6 +28,8 @@
 FEED_PAUSE_S = 0.25
 # A daemon that does not follow the feed reads the table at least this often.
 UNFOLLOWED_READ_S = 30.0
+# The longest time until a daemon notices that it has to follow the feed.
+FOLLOWER_CHECK_S = 0.5
 # The time that the feed has to deliver a version before a peer is asked.
 PEER_REQUEST_DELAY_S = 0.5
 REQUEST_INTERVAL_S = 0.4
@@ -147,14 +149,20 @@
         )
 
     async def _wait_for_newer_version(self) -> None:
-        """Wait until a peer has a newer version, for a limited time."""
+        """Wait until a peer has a newer version, for a limited time.
+
+        The wait also ends when this daemon has to follow the feed.
+        """
         self._newer_announced.clear()
-        try:
-            async with asyncio.timeout(UNFOLLOWED_READ_S):
-                await self._newer_announced.wait()
-        except TimeoutError:
+        end_s = self._clock() + UNFOLLOWED_READ_S
+        while self._clock() < end_s and not self._is_follower():
+            try:
+                async with asyncio.timeout(FOLLOWER_CHECK_S):
+                    await self._newer_announced.wait()
+            except TimeoutError:
+                continue
+            await asyncio.sleep(store_followers.read_delay_s(self._peers.own_address))
             return
-        await asyncio.sleep(store_followers.read_delay_s(self._peers.own_address))
 
     def _feed_wait_s(self) -> float:
         # In a large fleet, this daemon learns of a change from the heartbeat
--- a/packages/gateway/lacewingdrum_gateway/exchange.py
+++ b/packages/gateway/lacewingdrum_gateway/exchange.py
@@ -208,6 +208,9 @@
         events = active.events
         events.discard_partial_event()
         has_events = False
+        # Only whole events count as progress, so that a stream which sends
+        # single bytes of one is not waited for without end.
+        progress_s = self._clock()
         try:
             while True:
                 timeout_s = (
@@ -215,7 +218,8 @@
                     if has_events
                     else self._first_event_timeout_s(active, plan)
                 )
-                part = await reader.read(timeout_s)
+                stalled_s = self._clock() - progress_s
+                part = await reader.read(max(timeout_s - stalled_s, 0.0))
                 if isinstance(part, Err):
                     return attempt.body_failure(part.err_value)
                 self._sender.record_contact(plan.entry)
@@ -229,6 +233,7 @@
                     self._work_updates.record_first_event(work_id)
                     self._memory.record_use(work_id)
                 if data:
+                    progress_s = self._clock()
                     self._record_event_time(active, plan)
                 if data and not await self._write_events(active, reader, data):
                     return _CALLER_DISCONNECTED
--- a/packages/gateway/lacewingdrum_gateway/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/forwarding.py
@@ -78,6 +78,8 @@
             if isinstance(plan, plans.TooCostly):
                 return await self._refuse(active, plan)
             if plan is None:
+                if active.only_runner is None and retry_limits.allow_repeat(active):
+                    continue
                 break
             if active.sent_to and not self._acquire_retry(active):
                 break
--- a/packages/gateway/lacewingdrum_gateway/gateway.py
+++ b/packages/gateway/lacewingdrum_gateway/gateway.py
@@ -6,8 +6,7 @@
 
 from lacewingdrum_daemon import decision_log, tasks
 from lacewingdrum_gateway import components as gateway_components, settings
-from lacewingdrum_protocol import toml_rules
-from lacewingdrum_state import ids
+from lacewingdrum_state import addresses, ids
 
 _log = logging.getLogger(__name__)
 
@@ -83,7 +82,7 @@
         seeds = tuple(
             ids.VmId(f"{address.host}:{vm.peer_port}")
             for seed in vm.seeds
-            if (address := toml_rules.parse_address(seed)) is not None
+            if (address := addresses.parse_address(seed)) is not None
         )
         components.work_sync.start()
         components.configurations.start()
--- a/packages/gateway/lacewingdrum_gateway/gateway_test.py
+++ b/packages/gateway/lacewingdrum_gateway/gateway_test.py
@@ -1,12 +1,16 @@
 import asyncio
 import json
+import time
 import unittest.mock
 
-from standins import platform_site, platform_store
+from standins import platform_runner, platform_site, platform_store
 from standins.platform_runner import Fault
 
 EVENTS = "".join(f"id: {n}\ndata: piece {n}\n\n" for n in range(1, 6)).encode()
 ASK = platform_site.prompt_headers(5_000)
+# A stream is given up after a silence of four times its objective for pauses,
+# and not before 0.8 s.
+STALL_NOTICED_S = 2.0
 
 
 def run_ids(site) -> list[str]:
@@ -160,6 +164,38 @@
         assert answer.status == 200 and answer.body.endswith(b"to r2")
 
 
+async def test_late_second_copy_of_an_answer_reaches_no_later_request():
+    async with platform_site.running_site(ledgers=1) as site:
+        (runner,) = site.ledgers
+        runner.faults = [Fault.LATE_SECOND_COPY]
+        assert (await site.call("/read/x", "r1")).status == 200
+        # The copy arrives while the next request waits on the same connection.
+        runner.answer_s = 2 * platform_runner.SECOND_COPY_DELAY_S
+        answer = await site.call("/read/x", "r2")
+        assert answer.status == 200 and answer.body.endswith(b"to r2")
+        assert runner.connection_count == 2
+
+
+async def test_stream_that_stalls_but_sends_bytes_goes_on_elsewhere():
+    async with platform_site.running_site() as site:
+        shared = [Fault.TRICKLE]
+        for runner in site.engines:
+            runner.faults = shared
+        start_s = time.monotonic()
+        answer = await site.call("/ask/x", "a1", headers=ASK)
+        assert answer.status == 200 and answer.body == EVENTS
+        assert time.monotonic() - start_s < STALL_NOTICED_S
+
+
+async def test_slow_but_steady_stream_is_not_interrupted():
+    async with platform_site.running_site() as site:
+        for runner in site.engines:
+            runner.event_interval_s = 0.6
+        answer = await site.call("/ask/x", "a1", headers=ASK)
+        assert answer.status == 200 and answer.body == EVENTS
+        assert run_ids(site) == ["a1"]
+
+
 async def test_request_is_answered_with_504_at_its_deadline():
     async with platform_site.running_site() as site:
         for runner in site.ledgers:
@@ -210,6 +246,9 @@
         good = site.ledgers[0].entry(platform_site.LEDGER)
         site.store.put_json("servers", "asleep", {**good, "state": "asleep"})
         site.store.put_json("servers", "nowhere", {**good, "address": "name:x"})
+        for number, port in enumerate(("0", "65536", "9" * 5_000)):
+            address = f"127.0.0.1:{port}"
+            site.store.put_json("servers", f"p{number}", {**good, "address": address})
         await asyncio.sleep(1.0)
         for number in range(8):
             assert (await site.call("/read/x", f"r{number}")).status == 200
--- a/packages/gateway/lacewingdrum_gateway/peering.py
+++ b/packages/gateway/lacewingdrum_gateway/peering.py
@@ -12,8 +12,8 @@
 
 from lacewingdrum_daemon import decision_log, metrics, tasks
 from lacewingdrum_gateway import peer_table
-from lacewingdrum_protocol import peer_messages, toml_rules
-from lacewingdrum_state import ids
+from lacewingdrum_protocol import peer_messages
+from lacewingdrum_state import addresses, ids
 from lacewingdrum_transport import peer_socket
 
 HEARTBEAT_MIN_S = 0.25
@@ -151,7 +151,7 @@
         self.announce()
 
     def _connect(self, peer: Peer | None) -> None:
-        address = toml_rules.parse_address(peer.address) if peer is not None else None
+        address = addresses.parse_address(peer.address) if peer is not None else None
         if peer is not None and address is not None:
             self._socket.connect(peer.address, address)
 
@@ -161,7 +161,7 @@
         Args:
             name: the address; an unreadable one is ignored.
         """
-        if toml_rules.parse_address(name) is not None:
+        if addresses.parse_address(name) is not None:
             self._connect(self.table.add_address(ids.VmId(name), self._clock()))
 
     def _send_heartbeat(self) -> None:
--- a/packages/gateway/lacewingdrum_gateway/retry_limits.py
+++ b/packages/gateway/lacewingdrum_gateway/retry_limits.py
@@ -13,6 +13,10 @@
 # How often a request is sent again to runners that have answered it already.
 REPEATS_MAX = 2
 RETRY_MIN_LEFT_S = 0.03
+# Ends after which the runner itself is known to be alive.
+REPEATABLE_REASONS = frozenset(
+    (attempt.EndReason.FAILED_STATUS, attempt.EndReason.FOREIGN_ANSWER)
+)
 
 
 def apply_end(
@@ -36,13 +40,15 @@
     active.excluded.add(runner_id)
     if end.state is not states.AttemptState.UNSENT:
         active.sent_to.add(runner_id)
-    if end.state is states.AttemptState.ANSWERED:
+    if end.reason in REPEATABLE_REASONS:
         active.failed_at.append(runner_id)
     if is_suspect:
         active.suspect_attempt_count += 1
     helper = next((item for item in plan.helpers if item.address == end.at_fault), None)
     if helper is None:
-        _allow_repeat(active, end)
+        active.only_runner = None
+        if end.reason in REPEATABLE_REASONS and not _has_runners_left(active):
+            allow_repeat(active)
         return None
     active.excluded.add(helper.runner_id)
     # The attempt failed because of its helper; the runner that the request was
@@ -75,24 +81,27 @@
     return active.routed.route.is_retryable
 
 
-def _allow_repeat(
-    active: active_request.ActiveRequest, end: attempt.AttemptEnd
-) -> None:
-    """Allow a runner that answered with a failure once more.
+def allow_repeat(active: active_request.ActiveRequest) -> bool:
+    """Allow a runner at which the request failed once more, if there is one.
 
     Runners take turns, because one of them may fail more than another.
+
+    Args:
+        active: a request for which no further runner may be or is left.
+
+    Returns:
+        Whether the next attempt may go to such a runner.
     """
-    active.only_runner = None
     if (
-        end.state is not states.AttemptState.ANSWERED
-        or not active.routed.route.is_retryable
-        or _has_runners_left(active)
+        not active.routed.route.is_retryable
+        or not active.failed_at
         or active.repeat_count >= REPEATS_MAX
     ):
-        return
+        return False
     active.repeat_count += 1
     active.only_runner = active.failed_at.pop(0)
     active.excluded.discard(active.only_runner)
+    return True
 
 
 def _has_runners_left(active: active_request.ActiveRequest) -> bool:
--- a/packages/gateway/lacewingdrum_gateway/runner_list_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/runner_list_sync.py
@@ -19,8 +19,14 @@
 from lacewingdrum_daemon import decision_log, metrics, tasks
 from lacewingdrum_gateway import peering, store_client
 from lacewingdrum_platform import runner_rows, store_calls
-from lacewingdrum_protocol import peer_messages, toml_rules
-from lacewingdrum_state import fleet, ids, runner_entries, states, store_versions
+from lacewingdrum_protocol import peer_messages
+from lacewingdrum_state import (
+    addresses,
+    ids,
+    runner_entries,
+    states,
+    store_versions,
+)
 
 # The age of the list is checked at least every four ticks.
 TICK_S = 0.05
@@ -245,7 +251,7 @@
 def _entry(
     message: peer_messages.RunnerListEntry,
 ) -> runner_entries.RunnerEntry | None:
-    address: fleet.Address | None = toml_rules.parse_address(message.address)
+    address = addresses.parse_address(message.address)
     if address is None:
         return None
     leaving = states.MemberState.LEAVING
--- a/packages/protocol/lacewingdrum_protocol/toml_rules.py
+++ b/packages/protocol/lacewingdrum_protocol/toml_rules.py
@@ -3,14 +3,13 @@
 import dataclasses
 import datetime
 import enum
-import ipaddress
 import math
 import re
 
-from lacewingdrum_state import fleet
+from lacewingdrum_state import addresses
 
 SHOWN_CHARACTERS_MAX = 60
-PORT_MAX = 65_535
+PORT_MAX = addresses.PORT_MAX
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -148,22 +147,9 @@
         case TextList(item):
             return _texts(item, value)
         case Host():
-            return value if isinstance(value, str) and _is_ip(value) else None
+            return value if isinstance(value, str) and addresses.is_ip(value) else None
         case HostPort():
-            return parse_address(value) if isinstance(value, str) else None
-
-
-def parse_address(text: str) -> fleet.Address | None:
-    """Parse ``ip:port``; return None if ``text`` is not of this form."""
-    host, colon, port = text.rpartition(":")
-    host = host.removeprefix("[").removesuffix("]")
-    if not colon or not _is_ip(host):
-        return None
-    if not re.fullmatch(r"[0-9]{1,5}", port, re.ASCII):
-        return None
-    if not 1 <= int(port) <= PORT_MAX:
-        return None
-    return fleet.Address(host, int(port))
+            return addresses.parse_address(value) if isinstance(value, str) else None
 
 
 def _number(low: float, high: float, value: object) -> float | None:
@@ -187,14 +173,6 @@
     return None if None in texts else tuple(str(text) for text in texts)
 
 
-def _is_ip(text: str) -> bool:
-    try:
-        ipaddress.ip_address(text)
-    except ValueError:
-        return False
-    return True
-
-
 def format_unless_secret(rule: Rule, value: object) -> str:
     """Return the value as ``format_value`` does, unless it is secret."""
     item = rule.item if isinstance(rule, TextList) else rule
--- a/packages/state/lacewingdrum_state/fleet.py
+++ b/packages/state/lacewingdrum_state/fleet.py
@@ -2,18 +2,9 @@
 
 import dataclasses
 
-from lacewingdrum_state import ids, states
+from lacewingdrum_state import addresses, ids, states
 
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Address:
-    """An IP address and port."""
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        return f"{self.host}:{self.port}"
+Address = addresses.Address
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -16,6 +16,9 @@
 
 READ_BYTES = 65_536
 EVENT_INTERVAL_S = 0.005
+# When the late second copy of an answer is sent.
+SECOND_COPY_DELAY_S = 0.05
+TRICKLE_INTERVAL_S = 0.15
 RUNNER_VERSION = "1"
 
 
@@ -33,6 +36,8 @@
     NO_RECEIPT = "no_receipt"
     OTHER_ATTEMPT_ANSWER = "foreign_answer"
     EXTRA_BYTES = "extra_bytes"
+    LATE_SECOND_COPY = "late_second_copy"
+    TRICKLE = "trickle"
     CLOSE_DELIMITED = "unmarked_end"
     GARBLED = "garbled"
     HELPER_FAILED = "helper_failed"
@@ -326,6 +331,10 @@
         _respond(connection, writer, 200, headers, body)
         if fault is Fault.EXTRA_BYTES:
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra")
+        if fault is Fault.LATE_SECOND_COPY:
+            self._tasks.add(
+                asyncio.ensure_future(_write_copy_late(writer, headers, body))
+            )
         return True
 
     async def _send_stream(
@@ -347,6 +356,8 @@
         data = connection.send(head) or b""
         for number in range(first, self.event_count + 1):
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            if fault is Fault.TRICKLE and number == first + 2:
+                await _trickle(connection, writer, event)
             if fault is Fault.ABORT_INSIDE_ANSWER and number == first + 2:
                 data += connection.send(h11.Data(data=event[:7])) or b""
                 writer.write(data)
@@ -361,6 +372,29 @@
         return True
 
 
+async def _write_copy_late(
+    writer: asyncio.StreamWriter, headers: Headers, body: bytes
+) -> None:
+    """Write a whole answer again after a delay."""
+    await asyncio.sleep(SECOND_COPY_DELAY_S)
+    lines = "".join(f"{name}: {value}\r\n" for name, value in headers)
+    head = f"HTTP/1.1 200 OK\r\n{lines}Content-Length: {len(body)}\r\n\r\n"
+    writer.write(head.encode() + body)
+
+
+async def _trickle(
+    connection: h11.Connection, writer: asyncio.StreamWriter, event: bytes
+) -> None:
+    """Write single bytes of an event that never becomes complete."""
+    while True:
+        for position in range(len(event) - 2):
+            piece = event[position : position + 1]
+            writer.write(connection.send(h11.Data(data=piece)) or b"")
+            await writer.drain()
+            await asyncio.sleep(TRICKLE_INTERVAL_S)
+        event = b"x" * len(event)
+
+
 async def _read_request(
     connection: h11.Connection, reader: asyncio.StreamReader
 ) -> tuple[h11.Request | None, bytes]:
--- a/tests/layers.py
+++ b/tests/layers.py
@@ -33,6 +33,8 @@
     "response-seal",
     "not-executed",
     "at-server",
+    "server-leaving",
+    "store-era",
     "token-count",
     "prompt-prefix",
     "length-hint",
