--- a/packages/gateway/lacewingdrum_gateway/peer_table.py
+++ b/packages/gateway/lacewingdrum_gateway/peer_table.py
@@ -108,6 +108,19 @@
         own = sort_key(self.own_address)
         return sum(sort_key(address) < own for address in self._live)
 
+    def in_turn(self, turn: int, count: int) -> tuple[ids.VmId, ...]:
+        """Return some known daemons; consecutive turns reach all of them.
+
+        Args:
+            turn: the number of the turn.
+            count: the most daemons to return.
+        """
+        addresses = tuple(self._peers)
+        if len(addresses) <= count:
+            return addresses
+        start = turn * count % len(addresses)
+        return (addresses + addresses)[start : start + count]
+
     def get(self, address: ids.VmId) -> Peer | None:
         """Return a known daemon, or None."""
         return self._peers.get(address)
--- a/packages/gateway/lacewingdrum_gateway/peer_table_test.py
+++ b/packages/gateway/lacewingdrum_gateway/peer_table_test.py
@@ -74,3 +74,13 @@
     assert table.maybe_partitioned(1.0) and table.seen(lost_peer, 2.0)
     assert lost_peer in table.work_peers() and lost_peer.address in table.work_group()
     assert not table.seen(lost_peer, 3.0) and len(table.live) == 5
+
+
+def test_each_daemon_has_its_turn_and_a_small_fleet_is_reached_at_once():
+    table = table_with(*[NORTH] * 30)
+    turns = [table.in_turn(turn, 8) for turn in range(4)]
+    assert all(len(set(turn)) == 8 for turn in turns)
+    assert {address for turn in turns for address in turn} == {
+        peer.address for peer in table.known
+    }
+    assert len(table_with(*[NORTH] * 5).in_turn(3, 8)) == 5
--- a/packages/gateway/lacewingdrum_gateway/peering.py
+++ b/packages/gateway/lacewingdrum_gateway/peering.py
@@ -10,30 +10,19 @@
 from collections.abc import Callable
 from typing import Any
 
+from lacewingdrum_coordination import heartbeat_intervals
 from lacewingdrum_daemon import decision_log, metrics, tasks
 from lacewingdrum_gateway import peer_table
 from lacewingdrum_protocol import peer_messages
 from lacewingdrum_state import addresses, ids
 from lacewingdrum_transport import peer_socket
 
-HEARTBEAT_MIN_S = 0.25
-# The interval grows with the number of work peers, so that the cost of
-# heartbeats stays constant.
-HEARTBEAT_S_PER_PEER = 0.03
-# In a large fleet, heartbeats to other data centres are sent at an interval
-# that grows with the number of all daemons. This number is the same for every
-# daemon, unlike the number of work peers, so a receiver can derive from its
-# own interval when a sender is silent.
-REMOTE_HEARTBEAT_MIN_S = 1.0
-REMOTE_HEARTBEAT_S_PER_PEER = 0.02
-# The interval between reads of the socket grows with the number of all
-# daemons too.
-RECEIVE_INTERVAL_S_PER_PEER = 0.0004
-# A peer is lost after a silence of this many heartbeat intervals.
-MISSED_HEARTBEATS_MAX = 5
 # A connection is rebuilt after its peer was silent for at least this time.
 CONNECTION_SILENCE_MIN_S = 2.0
 PEER_LIST_EVERY_HEARTBEATS = 8
+# A list of all peers goes to this many daemons, each time to others. It grows
+# with the fleet, and one list is enough to find all others.
+PEER_LIST_TARGETS = 8
 
 Peer = peer_table.Peer
 _log = logging.getLogger(__name__)
@@ -166,15 +155,18 @@
 
     def _send_heartbeat(self) -> None:
         self._heartbeat_count += 1
-        with_peers = self._heartbeat_count % PEER_LIST_EVERY_HEARTBEATS == 1
-        self._socket.send_many(
-            self._heartbeat_targets(), self._heartbeat_message(with_peers)
-        )
+        targets = self._heartbeat_targets()
+        turn, heartbeats_ago = divmod(self._heartbeat_count, PEER_LIST_EVERY_HEARTBEATS)
+        if heartbeats_ago == 1:
+            told = self.table.in_turn(turn, PEER_LIST_TARGETS)
+            self._socket.send_many(told, self._heartbeat_message(with_peers=True))
+            targets = [address for address in targets if address not in told]
+        self._socket.send_many(targets, self._heartbeat_message(with_peers=False))
 
     def _heartbeat_message(self, with_peers: bool) -> peer_messages.Heartbeat:
-        addresses: tuple[str, ...] = ()
+        known: tuple[str, ...] = ()
         if with_peers:
-            addresses = tuple(peer.address for peer in self.table.live)
+            known = tuple(peer.address for peer in self.table.live)
         return peer_messages.Heartbeat(
             incarnation=self._incarnation,
             data_centre=self._data_centre,
@@ -182,16 +174,15 @@
             documents=(),
             gone_runners=self._leaving_runners(),
             configuration_version=self._configuration_version,
-            peers=addresses,
+            peers=known,
         )
 
     def _heartbeat_targets(self) -> list[ids.VmId]:
         """Return the receivers of a heartbeat; changes go to all daemons."""
         table = self.table
         now_s = self._clock()
-        is_remote_due = (
-            now_s >= self._last_remote_heartbeat_s + self._remote_heartbeat_interval_s()
-        )
+        intervals = self._intervals()
+        is_remote_due = now_s >= self._last_remote_heartbeat_s + intervals.remote_s
         to_all = (
             is_remote_due
             or table.exchanges_all_work_reports
@@ -206,35 +197,29 @@
             if to_all or not table.is_live_in_other_data_centre(peer)
         ]
 
-    def _heartbeat_interval_s(self) -> float:
-        return max(HEARTBEAT_MIN_S, HEARTBEAT_S_PER_PEER * len(self.table.work_peers()))
-
-    def _remote_heartbeat_interval_s(self) -> float:
-        return max(
-            REMOTE_HEARTBEAT_MIN_S, REMOTE_HEARTBEAT_S_PER_PEER * len(self.table.known)
-        )
-
     async def _send_heartbeats(self) -> None:
         while True:
             self._send_heartbeat()
             self._check_silent_peers()
+            intervals = self._intervals()
             self._socket.receive_interval_s = max(
-                peer_socket.RECEIVE_INTERVAL_S,
-                RECEIVE_INTERVAL_S_PER_PEER * len(self.table.known),
+                peer_socket.RECEIVE_INTERVAL_S, intervals.receive_s
             )
-            await asyncio.sleep(self._heartbeat_interval_s())
+            await asyncio.sleep(intervals.work_peers_s)
+
+    def _intervals(self) -> heartbeat_intervals.Intervals:
+        return heartbeat_intervals.intervals(
+            len(self.table.work_peers()), len(self.table.known)
+        )
 
     def _check_silent_peers(self) -> None:
         now_s = self._clock()
-        work_peer_silence_s = MISSED_HEARTBEATS_MAX * self._heartbeat_interval_s()
-        remote_silence_s = MISSED_HEARTBEATS_MAX * (
-            self._remote_heartbeat_interval_s() + self._heartbeat_interval_s()
-        )
+        intervals = self._intervals()
         for peer in self.table.live:
             silent_s = (
-                work_peer_silence_s
+                intervals.work_peer_silence_s
                 if self.table.exchanges_work_reports(peer)
-                else remote_silence_s
+                else intervals.remote_silence_s
             )
             self._socket.set_silence_limit(
                 peer.address, max(silent_s, CONNECTION_SILENCE_MIN_S)
