Repeats after a runner's failure are taken back; they gained nothing

The failures belong to the request, not to the run, so the repeats only cost the runners work. A request is repeated at its runner only after an answer of another request, where the runner itself is well.

--- a/packages/gateway/lacewingdrum_gateway/active_request.py
+++ b/packages/gateway/lacewingdrum_gateway/active_request.py
@@ -31,11 +31,10 @@
     ``sent_to`` holds the runners that the request was sent to, including those
     that refused it. ``only_runner`` is set if a helper failed and the route
     allows no further runner; the request may then be retried only at that
-    runner, with other helpers, or if a runner that answered with a failure is
-    asked again. ``failed_at`` holds the runners that may be asked again, the
-    next one first, and ``repeat_count`` counts such repeats.
-    ``suspect_attempt_count`` counts the failed attempts after which their
-    runner was suspect.
+    runner, with other helpers, or if the request is repeated there.
+    ``repeat_at`` is a runner that the request may be sent to again, and
+    ``repeat_count`` counts such repeats. ``suspect_attempt_count`` counts the
+    failed attempts after which their runner was suspect.
     """
 
     routed: plans.RoutedRequest
@@ -49,7 +48,7 @@
     has_open_attempt: bool = False
     sent_to: set[ids.RunnerId] = dataclasses.field(default_factory=set)
     only_runner: ids.RunnerId | None = None
-    failed_at: list[ids.RunnerId] = dataclasses.field(default_factory=list)
+    repeat_at: ids.RunnerId | None = None
     repeat_count: int = 0
     suspect_attempt_count: int = 0
     first_event_s: float | None = None
--- a/packages/gateway/lacewingdrum_gateway/retry_limits.py
+++ b/packages/gateway/lacewingdrum_gateway/retry_limits.py
@@ -1,8 +1,8 @@
 """Decides whether and where a request may be sent again after an attempt.
 
 A route limits the number of runners that a request is sent to. A request that
-may run more than once and failed at all of them can still go to one of them
-again, because a failure is often particular to one run.
+may run more than once can still go again to a runner whose connection brought
+the answer of another request, because that runner itself is well.
 """
 
 from lacewingdrum_gateway import active_request, attempt, plans
@@ -10,13 +10,9 @@
 
 # Includes attempts that did not reach a runner, which cost nothing but time.
 ATTEMPTS_MAX = 8
-# How often a request is sent again to runners that have answered it already.
+# How often a request is sent again to a runner that it was sent to.
 REPEATS_MAX = 2
 RETRY_MIN_LEFT_S = 0.03
-# Ends after which the runner itself is known to be alive.
-REPEATABLE_REASONS = frozenset(
-    (attempt.EndReason.FAILED_STATUS, attempt.EndReason.FOREIGN_ANSWER)
-)
 
 
 def apply_end(
@@ -40,14 +36,14 @@
     active.excluded.add(runner_id)
     if end.state is not states.AttemptState.UNSENT:
         active.sent_to.add(runner_id)
-    if end.reason in REPEATABLE_REASONS:
-        active.failed_at.append(runner_id)
+    if end.reason is attempt.EndReason.FOREIGN_ANSWER:
+        active.repeat_at = runner_id
     if is_suspect:
         active.suspect_attempt_count += 1
     helper = next((item for item in plan.helpers if item.address == end.at_fault), None)
     if helper is None:
         active.only_runner = None
-        if end.reason in REPEATABLE_REASONS and not _has_runners_left(active):
+        if not _has_runners_left(active):
             allow_repeat(active)
         return None
     active.excluded.add(helper.runner_id)
@@ -82,24 +78,22 @@
 
 
 def allow_repeat(active: active_request.ActiveRequest) -> bool:
-    """Allow a runner at which the request failed once more, if there is one.
-
-    Runners take turns, because one of them may fail more than another.
+    """Allow a runner that the request was sent to once more, if it is well.
 
     Args:
-        active: a request for which no further runner may be or is left.
+        active: a request for which no further runner may be asked or is left.
 
     Returns:
-        Whether the next attempt may go to such a runner.
+        Whether the next attempt goes to such a runner.
     """
     if (
         not active.routed.route.is_retryable
-        or not active.failed_at
+        or active.repeat_at is None
         or active.repeat_count >= REPEATS_MAX
     ):
         return False
     active.repeat_count += 1
-    active.only_runner = active.failed_at.pop(0)
+    active.only_runner, active.repeat_at = active.repeat_at, None
     active.excluded.discard(active.only_runner)
     return True
 
