A stalled stream that cannot go on elsewhere is kept until its deadline

A list that a peer pushes without an era no longer sets the era that is known, which would have told of a return at the first answer of the store.

--- a/packages/gateway/lacewingdrum_gateway/exchange.py
+++ b/packages/gateway/lacewingdrum_gateway/exchange.py
@@ -137,7 +137,7 @@
             plan.entry,
             active.outgoing,
             attempt_headers,
-            self._first_event_timeout_s(active, plan),
+            min(left_s, self._first_event_silence_s(active, plan)),
             on_new_connection=not active.routed.route.is_retryable,
         )
         match opened:
@@ -148,30 +148,31 @@
                     return await self._forward_events(active, plan, work_id, reader)
                 return await self._forward_whole(active, reader)
 
-    def _first_event_timeout_s(
+    def _first_event_silence_s(
         self, active: active_request.ActiveRequest, plan: plans.Plan
     ) -> float:
-        """Return how long a runner may stay silent before it answers."""
-        left_s = active.left_s(self._clock())
+        """Return how long a runner may stay silent before its first event.
+
+        It is infinite if the request cannot be retried elsewhere.
+        """
         if not self._can_retry_elsewhere(active):
-            return left_s
+            return float("inf")
         route = active.routed.route
         objective_s = route.objective_ms / 1_000
         if route.kind is not configurations.RouteKind.STREAM:
-            silence_s = max(SERVICE_SILENCE_RATIO * objective_s, SERVICE_SILENCE_MIN_S)
-            return min(left_s, silence_s)
+            return max(SERVICE_SILENCE_RATIO * objective_s, SERVICE_SILENCE_MIN_S)
         silence_s = max(FIRST_EVENT_SILENCE_RATIO * objective_s, SILENCE_MIN_S)
-        return min(left_s, silence_s + plan.first_event_ms / 1_000)
+        return silence_s + plan.first_event_ms / 1_000
 
-    def _pause_timeout_s(
+    def _pause_silence_s(
         self, active: active_request.ActiveRequest, plan: plans.Plan
     ) -> float:
-        left_s = active.left_s(self._clock())
+        """Return how long a runner may stay silent between two events."""
         if not self._can_retry_elsewhere(active):
-            return left_s
+            return float("inf")
         pause_s = active.routed.route.pause_objective_ms / 1_000
         silence_s = max(PAUSE_SILENCE_RATIO * pause_s, SILENCE_MIN_S)
-        return min(left_s, silence_s + self._planner.prefill_backlog_s(plan))
+        return silence_s + self._planner.prefill_backlog_s(plan)
 
     def _can_retry_elsewhere(self, active: active_request.ActiveRequest) -> bool:
         """Return whether the request may be retried at another runner."""
@@ -213,13 +214,14 @@
         progress_s = self._clock()
         try:
             while True:
-                timeout_s = (
-                    self._pause_timeout_s(active, plan)
+                silence_s = (
+                    self._pause_silence_s(active, plan)
                     if has_events
-                    else self._first_event_timeout_s(active, plan)
+                    else self._first_event_silence_s(active, plan)
                 )
-                stalled_s = self._clock() - progress_s
-                part = await reader.read(max(timeout_s - stalled_s, 0.0))
+                now_s = self._clock()
+                timeout_s = min(active.left_s(now_s), progress_s + silence_s - now_s)
+                part = await reader.read(max(timeout_s, 0.0))
                 if isinstance(part, Err):
                     return attempt.body_failure(part.err_value)
                 self._sender.record_contact(plan.entry)
--- a/packages/gateway/lacewingdrum_gateway/gateway_test.py
+++ b/packages/gateway/lacewingdrum_gateway/gateway_test.py
@@ -176,6 +176,24 @@
         assert time.monotonic() - start_s < STALL_NOTICED_S
 
 
+async def test_stalled_stream_that_cannot_go_on_elsewhere_is_kept_until_its_deadline():
+    async with platform_site.running_site(engines=1) as site:
+        ask = platform_site.make_route(
+            "ask", "stream", platform_site.MODEL, resumable=False, max_attempts=1
+        )
+        site.store.put_json(
+            "op", "config", platform_site.make_configuration(2, routes=[ask])
+        )
+        daemon = site.gateways[0].daemon
+        await site.wait_until(lambda: daemon.configuration_version == 2)
+        site.engines[0].faults = [Fault.TRICKLE]
+        start_s = time.monotonic()
+        headers = platform_site.prompt_headers(5_000, patience_ms=1_500)
+        answer = await site.call("/ask/x", "a1", headers=headers)
+        assert answer.status == 0
+        assert 1.4 < time.monotonic() - start_s < 2.0
+
+
 async def test_slow_but_steady_stream_is_not_interrupted():
     async with platform_site.running_site() as site:
         for runner in site.engines:
--- a/packages/gateway/lacewingdrum_gateway/runner_list_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/runner_list_sync.py
@@ -201,7 +201,8 @@
     ) -> None:
         as_of_s = self._clock() - push.age_ms / 1_000
         version = store_versions.StoreVersion(push.era, push.version)
-        self._store.record_era(push.era)
+        if push.era:
+            self._store.record_era(push.era)
         if version < self._roster.version:
             return
         self._last_reader = sender
