Soak: a store that returns from a copy, runners that say they leave or want a pause

Runners that left are registered again as a new incarnation, since a departure holds for an incarnation.

--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -89,6 +89,8 @@
         # Those of them that an answer of this engine has named.
         self.named_helpers: set[str] = set()
         self.port = 0
+        # Distinguishes the incarnations of the runner.
+        self.born_ms = 1
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -113,7 +115,7 @@
             "state": state,
             "cold_left_ms": 0,
             "seq": 1,
-            "born": 1,
+            "born": self.born_ms,
         }
 
     async def start(self, port: int = 0) -> None:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -57,6 +57,7 @@
             (
                 Injection(f"store {mode.value}", lambda: self._store(mode, span_s)),
                 Injection("store forgets", self._forget_history),
+                Injection("store returns", lambda: self._return_store(span_s)),
                 Injection(
                     f"store path {gateway} {path_fault.value}",
                     lambda: self._impair_path(store, path_fault, span_s),
@@ -77,6 +78,14 @@
                 Injection(
                     f"runner {runner} leaves", lambda: self._leave(runner, span_s)
                 ),
+                Injection(
+                    f"runner {runner} says it leaves",
+                    lambda: self._say_leaving(runner, span_s),
+                ),
+                Injection(
+                    f"runner {runner} wants a pause",
+                    lambda: self._want_pause(runner, span_s),
+                ),
                 Injection("configuration", self._configure),
                 Injection("credential withdrawn", self._rotate_credential),
             )
@@ -90,6 +99,11 @@
     async def _forget_history(self) -> None:
         self._site.store.forget_history()
 
+    async def _return_store(self, span_s: float) -> None:
+        copied = self._site.store.copy()
+        await asyncio.sleep(span_s)
+        self._site.return_store(copied)
+
     async def _impair_path(
         self, fault_proxy: proxy.FaultProxy, path_fault: proxy.PathFault, span_s: float
     ) -> None:
@@ -133,7 +147,19 @@
     async def _leave(self, runner: int, span_s: float) -> None:
         self._site.register(runner, "draining")
         await asyncio.sleep(span_s)
-        self._site.register(runner)
+        self._site.restart_runner(runner)
+
+    async def _say_leaving(self, runner: int, span_s: float) -> None:
+        self._site.runners[runner].is_leaving = True
+        await asyncio.sleep(span_s)
+        self._site.restart_runner(runner)
+
+    async def _want_pause(self, runner: int, span_s: float) -> None:
+        paused = self._site.runners[runner]
+        paused.retry_after = f"{span_s:.1f}"
+        paused.faults.append(Fault.SHED)
+        await asyncio.sleep(span_s)
+        paused.retry_after = ""
 
     async def _configure(self) -> None:
         self._site.write_configuration()
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -31,6 +31,8 @@
         self.faults: list[str] = []
         self.credentials = ["key-0"]
         self.version = 1
+        self._configuration: dict[str, object] = {}
+        self._states: dict[int, str] = {}
         self._folder = folder
         self._rng = rng
         picker = ports.PortPicker()
@@ -60,23 +62,35 @@
     def write_configuration(self) -> None:
         """Write a new configuration version with the current credentials."""
         self.version += self._rng.randint(1, 3)
-        self.store.put_json(
-            "op",
-            "config",
-            platform_site.make_configuration(
-                self.version,
-                tenants=[{"name": "alice", "api_keys": list(self.credentials)}],
-            ),
+        self._configuration = platform_site.make_configuration(
+            self.version,
+            tenants=[{"name": "alice", "api_keys": list(self.credentials)}],
         )
+        self.store.put_json("op", "config", self._configuration)
 
     def register(self, number: int, state: str = "ready") -> None:
         """Write a runner's entry with the address of its proxy."""
+        self._states[number] = state
         runner = self.runners[number]
         service = platform_site.MODEL if number < ENGINES else platform_site.LEDGER
         entry = runner.entry(service, state)
         entry["address"] = f"127.0.0.1:{self.runner_proxies[number].port}"
         self.store.put_json("servers", runner.runner_id, entry)
 
+    def restart_runner(self, number: int) -> None:
+        """Register a runner that was leaving as a new incarnation."""
+        runner = self.runners[number]
+        runner.is_leaving = False
+        runner.born_ms += 1
+        self.register(number)
+
+    def return_store(self, copied: platform_store.StoreCopy) -> None:
+        """Let the store return from a copy; others write their rows again."""
+        self.store.restore(copied)
+        self.store.put_json("op", "config", self._configuration)
+        for number, state in tuple(self._states.items()):
+            self.register(number, state)
+
     async def kill(self, number: int, stop_signal: signal.Signals) -> None:
         """Stop a gateway by a signal and restart it.
 
