--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -12,14 +12,11 @@
 
 import h11
 
-Headers = tuple[tuple[str, str], ...]
+from standins import platform_connection
 
-READ_BYTES = 65_536
+Headers = platform_connection.Headers
+SECOND_COPY_DELAY_S = platform_connection.SECOND_COPY_DELAY_S
 EVENT_INTERVAL_S = 0.005
-# When the late second copy of an answer is sent.
-SECOND_COPY_DELAY_S = 0.05
-TRICKLE_INTERVAL_S = 0.15
-RUNNER_VERSION = "1"
 
 
 class Fault(enum.Enum):
@@ -157,7 +154,7 @@
     ) -> None:
         connection = h11.Connection(h11.SERVER)
         while True:
-            request, body = await _read_request(connection, reader)
+            request, body = await platform_connection.read_request(connection, reader)
             if request is None:
                 return
             headers = {name.decode(): value.decode() for name, value in request.headers}
@@ -171,7 +168,7 @@
                     connection, writer, path, headers, body
                 )
                 if not is_reusable:
-                    await _close_after_drain(writer)
+                    await platform_connection.close_after_drain(writer)
                     return
             await writer.drain()
             connection.start_next_cycle()
@@ -197,7 +194,9 @@
                     )
         else:
             self.reserved.pop(command["id"], None)
-        _respond(connection, writer, status, self._notices(), b'{"free":0}')
+        platform_connection.respond(
+            connection, writer, status, self._notices(), b'{"free":0}'
+        )
 
     def _report(self, connection: h11.Connection, writer: asyncio.StreamWriter) -> None:
         """Report the reservations that have not expired."""
@@ -208,7 +207,7 @@
             if item.until_s > now_s
         ]
         body = json.dumps({"phase": "colocated", "tickets": tickets}).encode()
-        _respond(connection, writer, 200, self._notices(), body)
+        platform_connection.respond(connection, writer, 200, self._notices(), body)
 
     def _notices(self) -> Headers:
         """Return the headers that each answer carries."""
@@ -230,7 +229,7 @@
             ("Instance-Id", self.runner_id),
             *self._notices(),
         )
-        helpers = _helper_addresses(headers)
+        helpers = platform_connection.helper_addresses(headers)
         refusing_helper = next(
             (address for address in helpers if address in self.refusing_helpers), ""
         )
@@ -251,7 +250,9 @@
                 not_run_headers = (*id_headers, ("Not-Executed", "1"))
                 if self.retry_after:
                     not_run_headers += (("Retry-After", self.retry_after),)
-                _respond(connection, writer, 503, not_run_headers, b"full")
+                platform_connection.respond(
+                    connection, writer, 503, not_run_headers, b"full"
+                )
                 return True
             case Fault.HELPER_FAILED:
                 at_fault = refusing_helper or helpers[0]
@@ -261,16 +262,22 @@
                     ("Not-Executed", "1"),
                     ("At-Server", at_fault),
                 )
-                _respond(connection, writer, 503, not_run_headers, b"helper")
+                platform_connection.respond(
+                    connection, writer, 503, not_run_headers, b"helper"
+                )
                 return True
             case Fault.OTHER_RUNNER:
-                _respond(connection, writer, 421, id_headers, b"")
+                platform_connection.respond(connection, writer, 421, id_headers, b"")
                 return True
             case Fault.ERROR:
-                _respond(connection, writer, 500, sealed_headers, b"failed")
+                platform_connection.respond(
+                    connection, writer, 500, sealed_headers, b"failed"
+                )
                 return True
             case Fault.BUSY_WITHOUT_NOT_EXECUTED:
-                _respond(connection, writer, 503, id_headers, b"busy")
+                platform_connection.respond(
+                    connection, writer, 503, id_headers, b"busy"
+                )
                 return True
             case Fault.ABORT_BEFORE_ANSWER:
                 writer.transport.abort()
@@ -281,14 +288,16 @@
                 writer.write(b"\x16\x03\x01 no answer at all\r\n\r\n")
                 return False
             case Fault.NO_RECEIPT:
-                _respond(connection, writer, 200, id_headers, b"unsealed")
+                platform_connection.respond(
+                    connection, writer, 200, id_headers, b"unsealed"
+                )
                 return True
             case Fault.OTHER_ATTEMPT_ANSWER:
                 other_headers = (
                     ("Attempt-Id", "another"),
                     ("Response-Seal", "s"),
                 )
-                _respond(
+                platform_connection.respond(
                     connection,
                     writer,
                     200,
@@ -330,12 +339,14 @@
             lines = "".join(f"{name}: {value}\r\n" for name, value in headers)
             writer.write(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode() + body)
             return False
-        _respond(connection, writer, 200, headers, body)
+        platform_connection.respond(connection, writer, 200, headers, body)
         if fault is Fault.EXTRA_BYTES:
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra")
         if fault is Fault.LATE_SECOND_COPY:
             self._tasks.add(
-                asyncio.ensure_future(_write_copy_late(writer, headers, body))
+                asyncio.ensure_future(
+                    platform_connection.write_copy_late(writer, headers, body)
+                )
             )
         return True
 
@@ -359,7 +370,7 @@
         for number in range(first, self.event_count + 1):
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
             if fault is Fault.TRICKLE and number == first + 2:
-                await _trickle(connection, writer, event)
+                await platform_connection.trickle(connection, writer, event)
             if fault is Fault.ABORT_INSIDE_ANSWER and number == first + 2:
                 data += connection.send(h11.Data(data=event[:7])) or b""
                 writer.write(data)
@@ -372,74 +383,3 @@
             await asyncio.sleep(self.event_interval_s)
         writer.write(data + (connection.send(h11.EndOfMessage()) or b""))
         return True
-
-
-async def _write_copy_late(
-    writer: asyncio.StreamWriter, headers: Headers, body: bytes
-) -> None:
-    """Write a whole answer again after a delay."""
-    await asyncio.sleep(SECOND_COPY_DELAY_S)
-    lines = "".join(f"{name}: {value}\r\n" for name, value in headers)
-    head = f"HTTP/1.1 200 OK\r\n{lines}Content-Length: {len(body)}\r\n\r\n"
-    writer.write(head.encode() + body)
-
-
-async def _trickle(
-    connection: h11.Connection, writer: asyncio.StreamWriter, event: bytes
-) -> None:
-    """Write single bytes of an event that never becomes complete."""
-    while True:
-        for position in range(len(event) - 2):
-            piece = event[position : position + 1]
-            writer.write(connection.send(h11.Data(data=piece)) or b"")
-            await writer.drain()
-            await asyncio.sleep(TRICKLE_INTERVAL_S)
-        event = b"x" * len(event)
-
-
-async def _read_request(
-    connection: h11.Connection, reader: asyncio.StreamReader
-) -> tuple[h11.Request | None, bytes]:
-    request: h11.Request | None = None
-    body = b""
-    while True:
-        event = connection.next_event()
-        if event is h11.NEED_DATA:
-            connection.receive_data(await reader.read(READ_BYTES))
-        elif isinstance(event, h11.Request):
-            request = event
-        elif isinstance(event, h11.Data):
-            body += bytes(event.data)
-        elif isinstance(event, h11.EndOfMessage):
-            return request, body
-        else:
-            return None, b""
-
-
-def _helper_addresses(headers: dict[str, str]) -> list[str]:
-    """Return the addresses of the engines that are named as helpers."""
-    listed = headers.get("helpers", "")
-    return [address.partition("/")[0] for address in listed.split(",")]
-
-
-def _respond(
-    connection: h11.Connection,
-    writer: asyncio.StreamWriter,
-    status: int,
-    headers: Headers,
-    body: bytes,
-) -> None:
-    size = ("Content-Length", str(len(body)))
-    head = h11.Response(status_code=status, headers=[*headers, size])
-    data = connection.send(head) or b""
-    data += connection.send(h11.Data(data=body)) or b""
-    writer.write(data + (connection.send(h11.EndOfMessage()) or b""))
-
-
-async def _close_after_drain(writer: asyncio.StreamWriter) -> None:
-    """Close the connection after the written data is flushed."""
-    with contextlib.suppress(ConnectionError):
-        if not writer.transport.is_closing():
-            await writer.drain()
-            writer.close()
-            await writer.wait_closed()
