--- a/packages/coordination/lacewingdrum_coordination/routing.py
+++ b/packages/coordination/lacewingdrum_coordination/routing.py
@@ -21,6 +21,7 @@
     pools,
     prefixes,
     priorities,
+    request_priorities,
     runner_projections,
     selection,
 )
@@ -238,11 +239,11 @@
         now_s: float,
     ) -> Decision:
         usable_s = self._usable_s(request, now_s)
-        work = self._make_work(request, pool, now_s)
+        work = request_priorities.make_work(request, pool, now_s)
         times_s = selection.candidate_times_s(candidates, work, cached, now_s)
         is_late = min(complete_s for _, complete_s in times_s) > usable_s
-        if is_late and _may_raise_priority(request, pool, now_s):
-            work = self._make_work(request, pool, now_s, priorities.MID)
+        if is_late and request_priorities.may_raise(request, pool, now_s):
+            work = request_priorities.make_work(request, pool, now_s, priorities.MID)
             times_s = selection.candidate_times_s(candidates, work, cached, now_s)
         scores = self._scores(candidates, times_s, weights, work.priority, pool, now_s)
         position = selection.pick(times_s, scores, usable_s, self._policy, self._rng)
@@ -291,7 +292,7 @@
         considered: list[_Projection],
         now_s: float,
     ) -> Decision:
-        work = self._make_work(request, pool, now_s)
+        work = request_priorities.make_work(request, pool, now_s)
         if groups.capacity_tokens(considered) < request.total_tokens:
             return Decision(None, (), work.priority, Reason.TOO_LARGE, ())
         plan = groups.plan(considered, request.total_tokens, now_s)
@@ -299,8 +300,8 @@
             return Decision(None, (), work.priority, Reason.NO_MEMORY, ())
         times_s = estimates.token_times_s(plan.lead, work, 0, now_s)
         is_late = times_s[1] > self._usable_s(request, now_s)
-        if is_late and _may_raise_priority(request, pool, now_s):
-            work = self._make_work(request, pool, now_s, priorities.MID)
+        if is_late and request_priorities.may_raise(request, pool, now_s):
+            work = request_priorities.make_work(request, pool, now_s, priorities.MID)
             times_s = estimates.token_times_s(plan.lead, work, 0, now_s)
         self._store_choice(request.request_id, work.priority, prefixes.NO_HITS)
         return Decision(
@@ -312,29 +313,6 @@
             tuple(part.tokens for part in plan.parts),
         )
 
-    def _make_work(
-        self,
-        request: requests.Request,
-        pool: pools.RunnerPool,
-        now_s: float,
-        raised_to: int | None = None,
-    ) -> estimates.RequestWork:
-        """Describe a request's work, at a raised priority if one is given."""
-        priority = priorities.of_prompt(request.prompt_tokens)
-        if raised_to is not None:
-            priority = raised_to
-        higher_priority_utilisation = 0.0
-        if priority > priorities.SHORT:
-            higher_priority_utilisation = pool.utilisation(priority - 1, now_s)
-        utilisation_of_all = pool.utilisation(priorities.LONG, now_s)
-        return estimates.make_request_work(
-            priority,
-            request.prompt_tokens,
-            request.max_tokens,
-            higher_priority_utilisation,
-            utilisation_of_all,
-        )
-
     def _without_long_count(
         self, pool: pools.RunnerPool, weights: documents.Weights, now_s: float
     ) -> int:
@@ -358,17 +336,3 @@
         if runner.data_centre == self._data_centre:
             return 0.0
         return self._policy.remote_link_delay_s
-
-
-def _may_raise_priority(
-    request: requests.Request, pool: pools.RunnerPool, now_s: float
-) -> bool:
-    """Return whether a long prompt may run at a higher priority.
-
-    It may if its worth per token is at least the mean of recent work, which
-    it would delay.
-    """
-    if priorities.of_prompt(request.prompt_tokens) != priorities.LONG:
-        return False
-    worth_per_token = request.worth / request.prompt_tokens
-    return worth_per_token >= pool.demand.worth_per_token(now_s)
