--- a/packages/gateway/lacewingdrum_gateway/retry_limits.py
+++ b/packages/gateway/lacewingdrum_gateway/retry_limits.py
@@ -2,7 +2,7 @@
 
 A route limits the number of runners that a request is sent to. A request that
 may run more than once can still go again to a runner whose connection brought
-the answer of another request, because that runner itself is well.
+the answer of another request, because that runner itself is healthy.
 """
 
 from lacewingdrum_gateway import active_request, attempt, plans
@@ -78,7 +78,7 @@
 
 
 def allow_repeat(active: active_request.ActiveRequest) -> bool:
-    """Allow a runner that the request was sent to once more, if it is well.
+    """Allow a healthy runner that the request was sent to once more.
 
     Args:
         active: a request for which no further runner may be asked or is left.
