Logs say how a runner's answer ended

The logs could not tell whether a stream that was short at its caller had ended with its connection, by its framing or after a reset that went unnoticed. `finished`, `failed` and `attempt_ended` now say what marked the end of the answer, how the connection stood then and how many bytes of an incomplete event were left. No change of behaviour.

--- a/packages/gateway/lacewingdrum_gateway/active_request.py
+++ b/packages/gateway/lacewingdrum_gateway/active_request.py
@@ -6,7 +6,7 @@
 from lacewingdrum_gateway import attempt, plans
 from lacewingdrum_protocol import event_stream
 from lacewingdrum_state import ids, states
-from lacewingdrum_transport import responder as responders
+from lacewingdrum_transport import http_client, responder as responders
 
 
 class Outcome(enum.Enum):
@@ -32,6 +32,7 @@
     that refused it. ``only_runner`` is set if a helper failed and the route
     allows no further runner; the request may then be retried only at that
     runner, with other helpers, or if the request is repeated there.
+    ``answer`` is the runner's answer that was read last.
     ``repeat_at`` is a runner that the request may be sent to again, and
     ``repeat_count`` counts such repeats. ``suspect_attempt_count`` counts the
     failed attempts after which their runner was suspect.
@@ -50,6 +51,7 @@
     only_runner: ids.RunnerId | None = None
     repeat_at: ids.RunnerId | None = None
     repeat_count: int = 0
+    answer: http_client.ResponseReader | None = None
     suspect_attempt_count: int = 0
     first_event_s: float | None = None
     last_event_s: float = 0.0
@@ -67,6 +69,16 @@
         """Return the time until the deadline of the request."""
         return self.routed.deadline_s - now_s
 
+    def describe_answer_end(self) -> dict[str, object]:
+        """Return log fields that say how the last answer of a runner ended."""
+        if self.answer is None:
+            return {}
+        return {
+            "answer_end": self.answer.answer_end,
+            "channel_end": self.answer.channel_end,
+            "partial_event_bytes": len(self.events.partial_event),
+        }
+
     @property
     def may_have_run(self) -> bool:
         """Whether any attempt may have run."""
--- a/packages/gateway/lacewingdrum_gateway/exchange.py
+++ b/packages/gateway/lacewingdrum_gateway/exchange.py
@@ -133,6 +133,7 @@
             helpers=helpers,
             priority=plan.priority,
         )
+        active.answer = None
         opened = await self._sender.open(
             plan.entry,
             active.outgoing,
@@ -144,6 +145,7 @@
             case Err(end):
                 return end
             case Ok(reader):
+                active.answer = reader
                 if active.routed.route.kind is configurations.RouteKind.STREAM:
                     return await self._forward_events(active, plan, work_id, reader)
                 return await self._forward_whole(active, reader)
--- a/packages/gateway/lacewingdrum_gateway/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/forwarding.py
@@ -243,4 +243,5 @@
             detail=end.detail,
             at_fault=str(end.at_fault or ""),
             events_passed=active.events.event_count,
+            **active.describe_answer_end(),
         )
--- a/packages/gateway/lacewingdrum_gateway/request_handler.py
+++ b/packages/gateway/lacewingdrum_gateway/request_handler.py
@@ -192,6 +192,7 @@
             first_event_ms=first_ms,
             events=active.events.event_count,
             longest_pause_ms=round(active.longest_pause_s * 1_000, 1),
+            **active.describe_answer_end(),
         )
 
     def _is_too_late(self, route: configurations.Route) -> bool:
--- a/packages/transport/lacewingdrum_transport/byte_channel.py
+++ b/packages/transport/lacewingdrum_transport/byte_channel.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import enum
 import socket
 from collections.abc import Callable
 
@@ -18,12 +19,26 @@
 KEEPALIVE_PROBES = 3
 
 
+class ChannelEnd(enum.Enum):
+    """How the stream of bytes from the remote side ended.
+
+    ``REMOTE_CLOSED`` means that the remote side itself ended its stream, and
+    ``RESET`` that the connection was reset or its path broke.
+    """
+
+    OPEN = "open"
+    REMOTE_CLOSED = "remote_closed"
+    RESET = "reset"
+    CLOSED_HERE = "closed_here"
+
+
 class ByteChannel(asyncio.Protocol):
     """Reads and writes the bytes of one TCP connection.
 
     ``disconnected`` is set when the remote side has ended its stream or the
     connection is lost. ``was_reset`` is True if the connection was lost by a
     reset or a broken network path, and False if it was closed cleanly.
+    ``end`` says how the remote side's stream ended.
 
     Args:
         on_connected: called with the channel once it is connected.
@@ -41,6 +56,7 @@
     ) -> None:
         self.disconnected = asyncio.Event()
         self.was_reset = False
+        self.end = ChannelEnd.OPEN
         self.remote_address = ""
         self._on_connected = on_connected
         self._unacknowledged_limit_ms = unacknowledged_limit_ms
@@ -79,6 +95,7 @@
 
     def eof_received(self) -> bool:
         """Mark the read side as closed, and keep the write side open."""
+        self.end = ChannelEnd.REMOTE_CLOSED
         self._close_reading()
         return True
 
@@ -86,6 +103,10 @@
         """Mark the connection as lost and wake all waiters."""
         self._is_lost = True
         self.was_reset = exc is not None
+        if self.was_reset:
+            self.end = ChannelEnd.RESET
+        elif self.end is ChannelEnd.OPEN:
+            self.end = ChannelEnd.CLOSED_HERE
         self._close_reading()
         self._wake_drain_waiters(False)
 
--- a/packages/transport/lacewingdrum_transport/client_connection.py
+++ b/packages/transport/lacewingdrum_transport/client_connection.py
@@ -64,6 +64,14 @@
     detail: str = ""
 
 
+class AnswerEnd(enum.Enum):
+    """What marks the end of a response's body."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION_CLOSE = "connection_close"
+
+
 class ClientConnection:
     """A connection to one address, with its h11 state."""
 
@@ -166,7 +174,11 @@
 
 
 class ResponseReader:
-    """A response whose head was received; its body is read in parts."""
+    """A response whose head was received; its body is read in parts.
+
+    ``answer_end`` says what marks the end of the body. ``channel_end`` says
+    how the connection stood when the response ended.
+    """
 
     def __init__(
         self,
@@ -179,6 +191,8 @@
             (name.decode("ascii"), value.decode("latin-1"))
             for name, value in head.headers
         )
+        self.answer_end = answer_end(head)
+        self.channel_end = byte_channel.ChannelEnd.OPEN
         self._connection = connection
         self._connection.idle_limit_s = _idle_limit_s(self.headers)
         self._release = release
@@ -241,6 +255,7 @@
     def _finish(self, error: HttpClientError | None) -> None:
         self._ended = True
         self._error = error
+        self.channel_end = self._connection.channel.end
         timed_out = error is not None and error.reason is ClientErrorReason.TIMEOUT
         self._release(self._connection, timed_out)
 
@@ -295,10 +310,23 @@
     """
     if method == "HEAD" or head.status_code in STATUSES_WITHOUT_BODY:
         return True
+    return answer_end(head) is not AnswerEnd.CONNECTION_CLOSE
+
+
+def answer_end(head: h11.Response) -> AnswerEnd:
+    """Return what marks the end of a response's body, if it has one.
+
+    Args:
+        head: the response's head.
+    """
     names = {name for name, _ in head.headers}
     if b"transfer-encoding" in names:
-        return bool(head.http_version >= b"1.1")
-    return b"content-length" in names
+        if head.http_version >= b"1.1":
+            return AnswerEnd.CHUNKS
+        return AnswerEnd.CONNECTION_CLOSE
+    if b"content-length" in names:
+        return AnswerEnd.LENGTH
+    return AnswerEnd.CONNECTION_CLOSE
 
 
 def _idle_limit_s(headers: http_messages.Headers) -> float:
