Stand-in runners: sending an answer stands by itself, with more ends

Answers may have neither a length nor chunks, and may break off by a reset, by a properly ended framing inside an event, or before any event.

--- a/standins/platform_connection.py
+++ b/standins/platform_connection.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 
 import h11
 
@@ -13,14 +15,30 @@
 TRICKLE_INTERVAL_S = 0.15
 
 
+# SO_LINGER with no time to linger: the connection is reset when it is closed.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+def format_head(headers: Headers) -> bytes:
+    """Return the head of a successful answer with exactly these headers."""
+    lines = "".join(f"{name}: {value}\r\n" for name, value in headers)
+    return f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode()
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset the connection, as a crashed machine does."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    writer.transport.abort()
+
+
 async def write_copy_late(
     writer: asyncio.StreamWriter, headers: Headers, body: bytes
 ) -> None:
     """Write a whole answer again after a delay."""
     await asyncio.sleep(SECOND_COPY_DELAY_S)
-    lines = "".join(f"{name}: {value}\r\n" for name, value in headers)
-    head = f"HTTP/1.1 200 OK\r\n{lines}Content-Length: {len(body)}\r\n\r\n"
-    writer.write(head.encode() + body)
+    size = ("Content-Length", str(len(body)))
+    writer.write(format_head((*headers, size)) + body)
 
 
 async def trickle(
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -7,39 +7,18 @@
 import asyncio
 import contextlib
 import dataclasses
-import enum
 import json
 
 import h11
 
-from standins import platform_connection
+from standins import platform_answers, platform_connection
 
+Fault = platform_answers.Fault
 Headers = platform_connection.Headers
 SECOND_COPY_DELAY_S = platform_connection.SECOND_COPY_DELAY_S
 EVENT_INTERVAL_S = 0.005
 
 
-class Fault(enum.Enum):
-    """A fault of a runner in handling one request."""
-
-    NONE = "none"
-    SHED = "shed"
-    OTHER_RUNNER = "other_runner"
-    ERROR = "error"
-    BUSY_WITHOUT_NOT_EXECUTED = "busy_without_word"
-    ABORT_BEFORE_ANSWER = "cut_before_answer"
-    ABORT_INSIDE_ANSWER = "cut_inside_answer"
-    SILENT = "no_bytes"
-    NO_RECEIPT = "no_receipt"
-    OTHER_ATTEMPT_ANSWER = "foreign_answer"
-    EXTRA_BYTES = "extra_bytes"
-    LATE_SECOND_COPY = "late_second_copy"
-    TRICKLE = "trickle"
-    CLOSE_DELIMITED = "unmarked_end"
-    GARBLED = "garbled"
-    HELPER_FAILED = "helper_failed"
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReceivedRequest:
     """A request as the runner received it."""
@@ -70,6 +49,8 @@
         self.event_interval_s = EVENT_INTERVAL_S
         self.first_event_s = 0.0
         self.answer_s = 0.0
+        # Whether answers have neither a length nor chunks.
+        self.is_close_delimited = False
         self.faults: list[Fault] = []
         self.arrivals: list[ReceivedRequest] = []
         self.connection_count = 0
@@ -307,79 +288,20 @@
                 return True
         self.working_count += 1
         try:
+            answer = platform_answers.AnswerWriter(
+                connection, writer, sealed_headers, self.is_close_delimited
+            )
             if "token-count" in headers:
-                return await self._send_stream(
-                    connection, writer, headers, sealed_headers, fault
+                await asyncio.sleep(self.first_event_s)
+                return await platform_answers.send_events(
+                    answer,
+                    int(headers.get("last-event-id") or 0) + 1,
+                    self.event_count,
+                    self.event_interval_s,
+                    fault,
                 )
-            return await self._send_body(
-                connection, writer, sealed_headers, fault, attempt_id
-            )
+            await asyncio.sleep(self.answer_s)
+            body = f"answer of {self.runner_id} to {attempt_id}".encode()
+            return await platform_answers.send_body(answer, body, fault, self._tasks)
         finally:
             self.working_count -= 1
-
-    async def _send_body(
-        self,
-        connection: h11.Connection,
-        writer: asyncio.StreamWriter,
-        headers: Headers,
-        fault: Fault,
-        attempt_id: str,
-    ) -> bool:
-        if self.answer_s:
-            await asyncio.sleep(self.answer_s)
-        body = f"answer of {self.runner_id} to {attempt_id}".encode()
-        if fault is Fault.ABORT_INSIDE_ANSWER:
-            size = ("Content-Length", str(len(body)))
-            head = h11.Response(status_code=200, headers=[*headers, size])
-            writer.write(connection.send(head) or b"")
-            writer.write(connection.send(h11.Data(data=body[:5])) or b"")
-            await writer.drain()
-            return False
-        if fault is Fault.CLOSE_DELIMITED:
-            lines = "".join(f"{name}: {value}\r\n" for name, value in headers)
-            writer.write(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode() + body)
-            return False
-        platform_connection.respond(connection, writer, 200, headers, body)
-        if fault is Fault.EXTRA_BYTES:
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra")
-        if fault is Fault.LATE_SECOND_COPY:
-            self._tasks.add(
-                asyncio.ensure_future(
-                    platform_connection.write_copy_late(writer, headers, body)
-                )
-            )
-        return True
-
-    async def _send_stream(
-        self,
-        connection: h11.Connection,
-        writer: asyncio.StreamWriter,
-        headers: dict[str, str],
-        sealed_headers: Headers,
-        fault: Fault,
-    ) -> bool:
-        if self.first_event_s:
-            await asyncio.sleep(self.first_event_s)
-        first = int(headers.get("last-event-id") or 0) + 1
-        content_type = ("Content-Type", "text/event-stream")
-        chunked = ("Transfer-Encoding", "chunked")
-        head = h11.Response(
-            status_code=200, headers=[*sealed_headers, content_type, chunked]
-        )
-        data = connection.send(head) or b""
-        for number in range(first, self.event_count + 1):
-            event = f"id: {number}\ndata: piece {number}\n\n".encode()
-            if fault is Fault.TRICKLE and number == first + 2:
-                await platform_connection.trickle(connection, writer, event)
-            if fault is Fault.ABORT_INSIDE_ANSWER and number == first + 2:
-                data += connection.send(h11.Data(data=event[:7])) or b""
-                writer.write(data)
-                await writer.drain()
-                return False
-            data += connection.send(h11.Data(data=event)) or b""
-            writer.write(data)
-            await writer.drain()
-            data = b""
-            await asyncio.sleep(self.event_interval_s)
-        writer.write(data + (connection.send(h11.EndOfMessage()) or b""))
-        return True
