--- /dev/null
+++ b/packages/gateway/lacewingdrum_gateway/answer_end_test.py
@@ -0,0 +1,87 @@
+"""Tests of answers that end with their connection, and of ends too early."""
+
+from lacewingdrum_gateway.gateway_test import ASK, EVENTS, run_ids
+from standins import platform_site
+from standins.platform_runner import Fault
+
+NOT_ANSWERED = (0, 502)
+
+
+async def forbid_resuming(site) -> None:
+    """Put a configuration in force whose streams cannot be resumed."""
+    ask = platform_site.make_route(
+        "ask", "stream", platform_site.MODEL, resumable=False, max_attempts=1
+    )
+    order = platform_site.make_route("order", "non_idempotent", platform_site.LEDGER)
+    configuration = platform_site.make_configuration(2, routes=[ask, order])
+    site.store.put_json("op", "config", configuration)
+    daemon = site.gateways[0].daemon
+    await site.wait_until(lambda: daemon.configuration_version == 2)
+
+
+def set_close_delimited(site) -> None:
+    for runner in (*site.engines, *site.ledgers):
+        runner.is_close_delimited = True
+
+
+def set_next_fault(runners, fault: Fault) -> None:
+    """Give the fault to whichever runner answers first."""
+    shared = [fault]
+    for runner in runners:
+        runner.faults = shared
+
+
+async def test_whole_stream_that_ends_with_its_connection_is_complete():
+    async with platform_site.running_site() as site:
+        set_close_delimited(site)
+        answer = await site.call("/ask/x", "a1", headers=ASK)
+        assert answer.status == 200 and answer.body == EVENTS
+        assert run_ids(site) == ["a1"]
+
+
+async def test_stream_whose_connection_ends_inside_an_event_goes_on_elsewhere():
+    async with platform_site.running_site() as site:
+        set_close_delimited(site)
+        set_next_fault(site.engines, Fault.ABORT_INSIDE_ANSWER)
+        answer = await site.call("/ask/x", "a1", headers=ASK)
+        assert answer.status == 200 and answer.body == EVENTS
+        arrivals = [item for one in site.engines for item in one.arrivals]
+        resumed_after = [item.headers.get("last-event-id", "") for item in arrivals]
+        assert sorted(resumed_after) == ["", "2"]
+
+
+async def test_stream_whose_connection_ends_inside_an_event_does_not_look_complete():
+    async with platform_site.running_site() as site:
+        await forbid_resuming(site)
+        set_close_delimited(site)
+        set_next_fault(site.engines, Fault.ABORT_INSIDE_ANSWER)
+        answer = await site.call("/ask/x", "a1", headers=ASK)
+        assert answer.status in NOT_ANSWERED
+
+
+async def test_stream_whose_chunks_end_inside_an_event_does_not_look_complete():
+    async with platform_site.running_site() as site:
+        await forbid_resuming(site)
+        set_next_fault(site.engines, Fault.END_INSIDE_EVENT)
+        answer = await site.call("/ask/x", "a1", headers=ASK)
+        assert answer.status in NOT_ANSWERED
+
+
+async def test_stream_whose_connection_ends_before_any_event_does_not_look_complete():
+    async with platform_site.running_site() as site:
+        await forbid_resuming(site)
+        set_close_delimited(site)
+        set_next_fault(site.engines, Fault.END_BEFORE_EVENTS)
+        answer = await site.call("/ask/x", "a1", headers=ASK)
+        assert answer.status in NOT_ANSWERED
+
+
+async def test_reset_answers_without_length_or_chunks_do_not_look_complete():
+    async with platform_site.running_site() as site:
+        await forbid_resuming(site)
+        set_close_delimited(site)
+        set_next_fault(site.engines, Fault.RESET_INSIDE_ANSWER)
+        set_next_fault(site.ledgers, Fault.RESET_INSIDE_ANSWER)
+        stream = await site.call("/ask/x", "a1", headers=ASK)
+        order = await site.call("/order/x", "o1")
+        assert stream.status in NOT_ANSWERED and order.status == 502
--- a/packages/transport/lacewingdrum_transport/http_client_test.py
+++ b/packages/transport/lacewingdrum_transport/http_client_test.py
@@ -113,6 +113,17 @@
     assert await error_of(old) == (Reason.MALFORMED, True)
 
 
+async def test_close_delimited_response_cut_off_on_this_side_is_not_complete():
+    async with raw_server(b"HTTP/1.1 200 OK\r\n\r\npart") as (client, server):
+        opened = await client.open(
+            server.address, "GET", "/", allow_close_delimited=True
+        )
+        reader = opened.unwrap()
+        assert (await reader.read(TEST_TIMEOUT_S)).unwrap() == b"part"
+        await client.close()
+        assert (await reader.read(TEST_TIMEOUT_S)).is_err()
+
+
 async def test_malformed_responses_are_errors():
     assert await error_of(b"nonsense\r\n\r\n") == (Reason.MALFORMED, True)
     large_header = b"HTTP/1.1 200 OK\r\nA: %b\r\n\r\n" % (b"x" * 100_000)
