A stream that ends inside an event is broken off, not complete

Cause: at the end of a runner's answer the daemon passed the rest of its buffer on and ended its own answer, whatever the rest was. Where the answer has a length or chunks, a cut shows in the framing. Where it ends with its connection, a runner that crashes closes it in order, and only the incomplete event tells of it. The class: the absence of a sign of failure was taken for a proof of the end.

Ruled out by the logs: that the daemon broke off and its caller could not see it (outcome would be broken_off).

Change: a stream ends well only if its framing ended and no event is under way; else the attempt is lost, and goes on after the last whole event where that is allowed. A stream that ends with its connection before any event is lost too. Empty lines and comments after the last event are no event.

--- a/packages/gateway/lacewingdrum_gateway/exchange.py
+++ b/packages/gateway/lacewingdrum_gateway/exchange.py
@@ -227,11 +227,9 @@
                 if isinstance(part, Err):
                     return attempt.body_failure(part.err_value)
                 self._sender.record_contact(plan.entry)
-                data = (
-                    events.feed(part.ok_value)
-                    if part.ok_value
-                    else events.partial_event
-                )
+                if not part.ok_value:
+                    return await self._end_stream(active, reader)
+                data = events.feed(part.ok_value)
                 if data and not has_events:
                     has_events = True
                     self._work_updates.record_first_event(work_id)
@@ -241,8 +239,6 @@
                     self._record_event_time(active, plan)
                 if data and not await self._write_events(active, reader, data):
                     return _CALLER_DISCONNECTED
-                if not part.ok_value:
-                    return await self._end_stream(active, reader)
                 if events.is_event_too_large:
                     return _TOO_LARGE
         finally:
@@ -261,7 +257,18 @@
     async def _end_stream(
         self, active: active_request.ActiveRequest, reader: http_client.ResponseReader
     ) -> attempt.AttemptEnd | None:
+        """End the caller's answer, unless the stream was broken off."""
         responder = active.responder
+        events = active.events
+        if events.is_inside_event:
+            return _ENDED_INSIDE_EVENT
+        has_events = bool(events.event_count or events.last_event_id)
+        # Only its framing can say that a stream without events is whole.
+        if not has_events and reader.answer_end is _CONNECTION_CLOSE:
+            return _ENDED_BEFORE_EVENTS
+        rest = events.partial_event
+        if rest and not await self._write_events(active, reader, rest):
+            return _CALLER_DISCONNECTED
         if not responder.started:
             await responder.send(
                 http_messages.HttpResponse(reader.status, reader.headers)
@@ -290,9 +297,20 @@
             active.pause_count, active.shortest_pause_s = 0, float("inf")
 
 
+_CONNECTION_CLOSE = http_client.AnswerEnd.CONNECTION_CLOSE
 _CALLER_DISCONNECTED = attempt.AttemptEnd(
     states.AttemptState.UNKNOWN, attempt.EndReason.LOST, "the caller has gone"
 )
+_ENDED_INSIDE_EVENT = attempt.AttemptEnd(
+    states.AttemptState.UNKNOWN,
+    attempt.EndReason.LOST,
+    "the stream ended inside an event",
+)
+_ENDED_BEFORE_EVENTS = attempt.AttemptEnd(
+    states.AttemptState.UNKNOWN,
+    attempt.EndReason.LOST,
+    "the connection ended before any event",
+)
 _TOO_LARGE = attempt.AttemptEnd(
     states.AttemptState.UNKNOWN, attempt.EndReason.MALFORMED, "event too large"
 )
--- a/packages/protocol/lacewingdrum_protocol/event_stream.py
+++ b/packages/protocol/lacewingdrum_protocol/event_stream.py
@@ -7,6 +7,8 @@
 
 MAX_EVENT_BYTES = 4 * 1024 * 1024
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_LINE_END = re.compile(rb"\r\n|\n|\r")
+_COMMENT_MARK = b":"
 _EVENT_ID = re.compile(rb"(?:^|[\r\n])id:[ ]?([^\r\n]*)")
 
 
@@ -23,6 +25,15 @@
         """The bytes of an event that is not complete yet."""
         return self._partial_event
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether an event has begun and its end has not been received.
+
+        Empty lines and comments belong to no event.
+        """
+        lines = _LINE_END.split(self._partial_event)
+        return any(line and not line.startswith(_COMMENT_MARK) for line in lines)
+
     @property
     def is_event_too_large(self) -> bool:
         """Whether the incomplete event is larger than ``MAX_EVENT_BYTES``."""
--- a/packages/protocol/lacewingdrum_protocol/event_stream_test.py
+++ b/packages/protocol/lacewingdrum_protocol/event_stream_test.py
@@ -25,6 +25,17 @@
     assert stream.last_event_id == "8"
 
 
+def test_only_fields_without_an_empty_line_after_them_are_inside_an_event():
+    for rest in (b"id: 2", b"id: 2\n", b"id: 2\r\n\r", b": ping\nda"):
+        stream = event_stream.EventStream()
+        stream.feed(WHOLE + rest)
+        assert stream.is_inside_event
+    for rest in (b"", b"\n", b": ping", b": ping\n", b"\r\n: ping\r\n"):
+        stream = event_stream.EventStream()
+        stream.feed(WHOLE + rest)
+        assert not stream.is_inside_event
+
+
 def test_unterminated_event_over_the_limit_is_detected():
     stream = event_stream.EventStream()
     stream.feed(b"x" * (event_stream.MAX_EVENT_BYTES + 1))
--- a/packages/transport/lacewingdrum_transport/http_client.py
+++ b/packages/transport/lacewingdrum_transport/http_client.py
@@ -16,6 +16,7 @@
 from lacewingdrum_state import fleet
 from lacewingdrum_transport import byte_channel, client_connection, http_messages
 
+AnswerEnd = client_connection.AnswerEnd
 ClientErrorReason = client_connection.ClientErrorReason
 ClientLimits = client_connection.ClientLimits
 HttpClientError = client_connection.HttpClientError
