A connection closed on this side is no end of an answer

An answer without length or chunks whose connection this side aborts (a client that closes) read as complete.

Change: only an end that the server itself has sent ends such an answer; a reset, a broken path and an abort here are losses.

--- a/packages/transport/lacewingdrum_transport/byte_channel.py
+++ b/packages/transport/lacewingdrum_transport/byte_channel.py
@@ -36,9 +36,7 @@
     """Reads and writes the bytes of one TCP connection.
 
     ``disconnected`` is set when the remote side has ended its stream or the
-    connection is lost. ``was_reset`` is True if the connection was lost by a
-    reset or a broken network path, and False if it was closed cleanly.
-    ``end`` says how the remote side's stream ended.
+    connection is lost. ``end`` says how the remote side's stream ended.
 
     Args:
         on_connected: called with the channel once it is connected.
@@ -55,7 +53,6 @@
         unacknowledged_limit_ms: int = 0,
     ) -> None:
         self.disconnected = asyncio.Event()
-        self.was_reset = False
         self.end = ChannelEnd.OPEN
         self.remote_address = ""
         self._on_connected = on_connected
@@ -102,8 +99,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Mark the connection as lost and wake all waiters."""
         self._is_lost = True
-        self.was_reset = exc is not None
-        if self.was_reset:
+        if exc is not None:
             self.end = ChannelEnd.RESET
         elif self.end is ChannelEnd.OPEN:
             self.end = ChannelEnd.CLOSED_HERE
--- a/packages/transport/lacewingdrum_transport/client_connection.py
+++ b/packages/transport/lacewingdrum_transport/client_connection.py
@@ -142,8 +142,10 @@
         data = await self.channel.read(wait_s)
         if data is None:
             return HttpClientError(ClientErrorReason.TIMEOUT, True, "no data in time")
-        if not data and self.channel.was_reset:
-            return HttpClientError(ClientErrorReason.LOST, True, "connection reset")
+        if not data and self.channel.end is not byte_channel.ChannelEnd.REMOTE_CLOSED:
+            # Only the server itself can end a response by closing.
+            detail = f"connection {self.channel.end.value}"
+            return HttpClientError(ClientErrorReason.LOST, True, detail)
         if not data and self.h11.their_state is h11.SEND_RESPONSE:
             detail = "connection ended before the response"
             return HttpClientError(ClientErrorReason.LOST, True, detail)
