A stream broken off looks broken off to callers without chunks too

Where the daemon gave the stream up, at a failure or a forced stop, it aborted the connection, which the kernel shows as an orderly end. Such connections are reset now; the test failed before for both cases. With chunks nothing changes.

--- a/packages/transport/lacewingdrum_transport/byte_channel.py
+++ b/packages/transport/lacewingdrum_transport/byte_channel.py
@@ -9,6 +9,7 @@
 import contextlib
 import enum
 import socket
+import struct
 from collections.abc import Callable
 
 READ_BUFFER_BYTES = 256 * 1024
@@ -17,6 +18,8 @@
 KEEPALIVE_IDLE_S = 10
 KEEPALIVE_INTERVAL_S = 3
 KEEPALIVE_PROBES = 3
+# SO_LINGER with no time to linger makes the next close send a reset.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class ChannelEnd(enum.Enum):
@@ -227,6 +230,19 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def reset(self) -> None:
+        """Close the connection immediately, and show it as broken.
+
+        After ``abort`` the remote side may see an orderly end of the stream.
+        """
+        if self._transport is None or self._transport.is_closing():
+            return
+        sock: socket.socket | None = self._transport.get_extra_info("socket")
+        if sock is not None:
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        self._transport.abort()
+
     def _take_received(self) -> bytes:
         chunks = self._received_chunks
         self._received_chunks = []
--- a/packages/transport/lacewingdrum_transport/http_server.py
+++ b/packages/transport/lacewingdrum_transport/http_server.py
@@ -217,6 +217,10 @@
             responder.close_after_response()
         try:
             await self._handler(request, responder)
+        except asyncio.CancelledError:
+            if responder.started and not responder.finished:
+                responder.abort()
+            raise
         except Exception:
             # The body is not logged, since it may contain a customer's prompt.
             _logger.exception("handler failed: %s %s", request.method, request.path)
--- a/packages/transport/lacewingdrum_transport/http_server_test.py
+++ b/packages/transport/lacewingdrum_transport/http_server_test.py
@@ -306,6 +306,40 @@
     assert not (await exchange(port, get % b"/stream")).endswith(b"0\r\n\r\n")
 
 
+async def is_reset_without_chunks(handler, is_closed_meanwhile):
+    """Return whether a caller without chunks sees its stream broken off."""
+    async with serving(handler) as (server, port):
+        reader, writer = await asyncio.open_connection(HOST, port)
+        writer.write(b"GET / HTTP/1.0\r\nHost: h\r\n\r\n")
+        received = await reader.readuntil(b"part")
+        assert b"chunked" not in received
+        if is_closed_meanwhile:
+            await server.close()
+        try:
+            await reader.read(-1)
+        except ConnectionResetError:
+            return True
+        finally:
+            writer.close()
+        return False
+
+
+async def test_stream_broken_off_does_not_look_complete_to_a_caller_without_chunks():
+    async def abort_later(request, responder):
+        await responder.start_stream(200, ())
+        await responder.write(b"part")
+        await asyncio.sleep(0.05)
+        responder.abort()
+
+    async def wait(request, responder):
+        await responder.start_stream(200, ())
+        await responder.write(b"part")
+        await asyncio.Event().wait()
+
+    assert await is_reset_without_chunks(abort_later, False)
+    assert await is_reset_without_chunks(wait, True)
+
+
 async def test_leaving_server_closes_after_the_next_response():
     get = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
     async with serving(Recorder()) as (server, port):
--- a/packages/transport/lacewingdrum_transport/responder.py
+++ b/packages/transport/lacewingdrum_transport/responder.py
@@ -7,6 +7,8 @@
 from lacewingdrum_transport import byte_channel, http_messages
 
 STATUSES_WITHOUT_BODY = frozenset((204, 304))
+# Callers of older versions get streams without chunks.
+_SELF_DELIMITED_VERSION = b"1.1"
 
 
 class Responder:
@@ -33,6 +35,8 @@
         self._write_timeout_s = write_timeout_s
         self._method_allows_body = allows_body
         self._close_after_response = False
+        # Whether a body that is broken off differs from a complete one.
+        self._is_self_delimited = True
 
     def close_after_response(self) -> None:
         """Make this the last response, announced by ``Connection: close``."""
@@ -100,7 +104,10 @@
 
     def abort(self) -> None:
         """Abort the connection, so that the caller sees no clean end."""
-        self._channel.abort()
+        if self._is_self_delimited:
+            self._channel.abort()
+        else:
+            self._channel.reset()
 
     def _encode_headers(
         self, headers: http_messages.Headers
@@ -119,6 +126,8 @@
         head = h11.Response(status_code=status, headers=headers)
         data = self._connection.send(head) or b""
         self.started = True
+        version = self._connection.their_http_version or b""
+        self._is_self_delimited = version >= _SELF_DELIMITED_VERSION
         return data
 
     def _serialize_end(self) -> bytes:
@@ -142,5 +151,5 @@
 
     def _abort_stalled(self) -> bool:
         # A caller that never reads would otherwise occupy memory forever.
-        self._channel.abort()
+        self.abort()
         return False
