--- a/packages/transport/lacewingdrum_transport/byte_channel.py
+++ b/packages/transport/lacewingdrum_transport/byte_channel.py
@@ -8,18 +8,13 @@
 import asyncio
 import contextlib
 import enum
-import socket
-import struct
 from collections.abc import Callable
 
+from lacewingdrum_transport import socket_options
+
 READ_BUFFER_BYTES = 256 * 1024
 WRITE_BUFFER_BYTES = 64 * 1024
 UNACKNOWLEDGED_LIMIT_MS = 5_000
-KEEPALIVE_IDLE_S = 10
-KEEPALIVE_INTERVAL_S = 3
-KEEPALIVE_PROBES = 3
-# SO_LINGER with no time to linger makes the next close send a reset.
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class ChannelEnd(enum.Enum):
@@ -79,7 +74,7 @@
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self.remote_address = _format_remote_address(transport)
-        _set_socket_options(transport, self._unacknowledged_limit_ms)
+        socket_options.set_options(transport, self._unacknowledged_limit_ms)
         if self._on_connected is not None:
             self._on_connected(self)
 
@@ -237,10 +232,7 @@
         """
         if self._transport is None or self._transport.is_closing():
             return
-        sock: socket.socket | None = self._transport.get_extra_info("socket")
-        if sock is not None:
-            with contextlib.suppress(OSError):
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        socket_options.reset_on_close(self._transport)
         self._transport.abort()
 
     def _take_received(self) -> bytes:
@@ -287,25 +279,3 @@
 def _format_remote_address(transport: asyncio.Transport) -> str:
     name = transport.get_extra_info("peername")
     return f"{name[0]}:{name[1]}" if name else ""
-
-
-def _set_socket_options(
-    transport: asyncio.Transport, unacknowledged_limit_ms: int
-) -> None:
-    """Disable Nagle's algorithm, and enable detection of broken paths."""
-    sock: socket.socket | None = transport.get_extra_info("socket")
-    if sock is None:
-        return
-    options = (
-        (socket.IPPROTO_TCP, "TCP_NODELAY", 1),
-        (socket.SOL_SOCKET, "SO_KEEPALIVE", 1),
-        (socket.IPPROTO_TCP, "TCP_KEEPIDLE", KEEPALIVE_IDLE_S),
-        (socket.IPPROTO_TCP, "TCP_KEEPINTVL", KEEPALIVE_INTERVAL_S),
-        (socket.IPPROTO_TCP, "TCP_KEEPCNT", KEEPALIVE_PROBES),
-        (socket.IPPROTO_TCP, "TCP_USER_TIMEOUT", unacknowledged_limit_ms),
-    )
-    for level, name, value in options:
-        option = getattr(socket, name, None)
-        if option is not None:
-            with contextlib.suppress(OSError):
-                sock.setsockopt(level, option, value)
--- a/packages/transport/lacewingdrum_transport/http_client.py
+++ b/packages/transport/lacewingdrum_transport/http_client.py
@@ -14,13 +14,18 @@
 from result import Err, Ok, Result
 
 from lacewingdrum_state import fleet
-from lacewingdrum_transport import byte_channel, client_connection, http_messages
+from lacewingdrum_transport import (
+    byte_channel,
+    client_connection,
+    http_messages,
+    response_reader,
+)
 
-AnswerEnd = client_connection.AnswerEnd
+AnswerEnd = response_reader.AnswerEnd
 ClientErrorReason = client_connection.ClientErrorReason
 ClientLimits = client_connection.ClientLimits
 HttpClientError = client_connection.HttpClientError
-ResponseReader = client_connection.ResponseReader
+ResponseReader = response_reader.ResponseReader
 _Connection = client_connection.ClientConnection
 
 
@@ -167,7 +172,7 @@
             if not isinstance(event, h11.Response):
                 detail = "connection ended before the response"
                 return HttpClientError(ClientErrorReason.LOST, True, detail)
-            self_delimited = client_connection.is_self_delimited(
+            self_delimited = response_reader.is_self_delimited(
                 head.method.decode(), event
             )
             if self_delimited or allow_close_delimited:
--- /dev/null
+++ b/packages/transport/lacewingdrum_transport/response_reader.py
@@ -0,0 +1,156 @@
+"""Reads the bodies of responses and finds their ends."""
+
+import enum
+import re
+from collections.abc import Callable
+
+import h11
+from result import Err, Ok, Result
+
+from lacewingdrum_transport import byte_channel, client_connection, http_messages
+
+# A pooled connection is not reused this close to the end of the server's
+# keep-alive timeout.
+KEEP_ALIVE_MARGIN_S = 0.6
+_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d{1,6})")
+STATUSES_WITHOUT_BODY = frozenset((204, 304))
+ClientConnection = client_connection.ClientConnection
+ClientErrorReason = client_connection.ClientErrorReason
+HttpClientError = client_connection.HttpClientError
+
+
+class AnswerEnd(enum.Enum):
+    """What marks the end of a response's body."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION_CLOSE = "connection_close"
+
+
+class ResponseReader:
+    """A response whose head was received; its body is read in parts.
+
+    ``answer_end`` says what marks the end of the body. ``channel_end`` says
+    how the connection stood when the response ended.
+    """
+
+    def __init__(
+        self,
+        connection: ClientConnection,
+        head: h11.Response,
+        release: Callable[[ClientConnection, bool], None],
+    ) -> None:
+        self.status: int = head.status_code
+        self.headers: http_messages.Headers = tuple(
+            (name.decode("ascii"), value.decode("latin-1"))
+            for name, value in head.headers
+        )
+        self.answer_end = answer_end(head)
+        self.channel_end = byte_channel.ChannelEnd.OPEN
+        self._connection = connection
+        self._connection.idle_limit_s = _idle_limit_s(self.headers)
+        self._release = release
+        self._ended = False
+        self._error: HttpClientError | None = None
+
+    @property
+    def clock(self) -> Callable[[], float]:
+        """The clock that deadlines refer to."""
+        return self._connection.clock
+
+    async def read(self, timeout_s: float) -> Result[bytes, HttpClientError]:
+        """Wait for the next part of the body.
+
+        Args:
+            timeout_s: how long to wait for it.
+
+        Returns:
+            All data received so far, or ``b""`` at the clean end of the
+            message.
+        """
+        connection = self._connection
+        deadline_s = connection.clock() + timeout_s
+        while not self._ended:
+            event = await connection.next_event(deadline_s)
+            if isinstance(event, h11.Data):
+                return Ok(self._join_buffered_data(bytes(event.data)))
+            self._on_end(event)
+        if self._error is not None:
+            return Err(self._error)
+        return Ok(b"")
+
+    async def close(self) -> None:
+        """Release the connection; abort it if the message has not ended."""
+        if not self._ended:
+            self._finish(HttpClientError(ClientErrorReason.CLOSED, True, "closed here"))
+
+    def _join_buffered_data(self, data: bytes) -> bytes:
+        """Join the parts already received, to be forwarded in one write."""
+        parts = [data]
+        while not self._ended:
+            event = self._connection.buffered_event()
+            if isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+            elif event is None:
+                break
+            else:
+                self._on_end(event)
+        return data if len(parts) == 1 else b"".join(parts)
+
+    def _on_end(self, event: h11.Event | HttpClientError) -> None:
+        if isinstance(event, h11.EndOfMessage):
+            self._finish(None)
+        elif isinstance(event, HttpClientError):
+            self._finish(event)
+        else:
+            detail = "connection ended inside the response"
+            self._finish(HttpClientError(ClientErrorReason.LOST, True, detail))
+
+    def _finish(self, error: HttpClientError | None) -> None:
+        self._ended = True
+        self._error = error
+        self.channel_end = self._connection.channel.end
+        timed_out = error is not None and error.reason is ClientErrorReason.TIMEOUT
+        self._release(self._connection, timed_out)
+
+
+def is_self_delimited(method: str, head: h11.Response) -> bool:
+    """Return whether the response itself states where its body ends.
+
+    Args:
+        method: the request's method.
+        head: the response's head.
+
+    Returns:
+        False if only the close of the connection ends the body, so that an
+        interrupted response may look complete.
+    """
+    if method == "HEAD" or head.status_code in STATUSES_WITHOUT_BODY:
+        return True
+    return answer_end(head) is not AnswerEnd.CONNECTION_CLOSE
+
+
+def answer_end(head: h11.Response) -> AnswerEnd:
+    """Return what marks the end of a response's body, if it has one.
+
+    Args:
+        head: the response's head.
+    """
+    names = {name for name, _ in head.headers}
+    if b"transfer-encoding" in names:
+        if head.http_version >= b"1.1":
+            return AnswerEnd.CHUNKS
+        return AnswerEnd.CONNECTION_CLOSE
+    if b"content-length" in names:
+        return AnswerEnd.LENGTH
+    return AnswerEnd.CONNECTION_CLOSE
+
+
+def _idle_limit_s(headers: http_messages.Headers) -> float:
+    """Return how long the server's headers let the connection stay idle."""
+    timeout_match = _KEEP_ALIVE_TIMEOUT.search(
+        http_messages.header_value(headers, "keep-alive")
+    )
+    return (
+        float(timeout_match[1]) - KEEP_ALIVE_MARGIN_S if timeout_match else float("inf")
+    )
