--- a/packages/gateway/lacewingdrum_gateway/components.py
+++ b/packages/gateway/lacewingdrum_gateway/components.py
@@ -29,7 +29,9 @@
     runner_notices,
     runner_probe,
     settings,
+    silence_limits,
     store_client,
+    stream_forwarding,
     work_sync,
 )
 from lacewingdrum_state import ids, units
@@ -156,6 +158,10 @@
             rng,
             table,
         )
+        silence = silence_limits.SilenceLimits(planner)
+        streams = stream_forwarding.StreamForwarder(
+            sender, planner, silence, self.memory, self.work_sync, clock
+        )
         allowance = retry_allowance.RetryAllowance(
             own_settings.bounds.repeat_ratio,
             own_settings.bounds.repeat_slack,
@@ -164,7 +170,9 @@
         self.forwarder = forwarding.Forwarder(
             sender,
             planner,
-            exchange.Exchange(sender, planner, self.memory, self.work_sync, clock),
+            exchange.Exchange(
+                sender, planner, silence, streams, self.memory, self.work_sync, clock
+            ),
             allowance,
             self.work_sync,
             self.peers,
--- /dev/null
+++ b/packages/gateway/lacewingdrum_gateway/stream_forwarding.py
@@ -0,0 +1,160 @@
+"""Forwards the events of a runner's answer to the caller."""
+
+from collections.abc import Callable
+
+from result import Err
+
+from lacewingdrum_gateway import (
+    active_request,
+    attempt,
+    engine_memory,
+    plans,
+    routing,
+    silence_limits,
+    work_sync,
+)
+from lacewingdrum_state import states
+from lacewingdrum_transport import http_client, http_messages
+
+# The slowdown of an engine is taken from the shortest of this many pauses.
+SLOWDOWN_PAUSES = 5
+
+
+class StreamForwarder:
+    """Forwards complete events, and finds out whether a stream is complete."""
+
+    def __init__(
+        self,
+        sender: attempt.AttemptSender,
+        planner: routing.Planner,
+        silence: silence_limits.SilenceLimits,
+        memory: engine_memory.EngineMemory,
+        work_updates: work_sync.WorkSync,
+        clock: Callable[[], float],
+    ) -> None:
+        self._sender = sender
+        self._planner = planner
+        self._silence = silence
+        self._memory = memory
+        self._work_updates = work_updates
+        self._clock = clock
+
+    async def forward(
+        self,
+        active: active_request.ActiveRequest,
+        plan: plans.Plan,
+        work_id: str,
+        reader: http_client.ResponseReader,
+    ) -> attempt.AttemptEnd | None:
+        """Forward complete events until the stream ends or fails.
+
+        Returns:
+            None if the stream ended without an error, else the end of the
+            attempt.
+        """
+        events = active.events
+        events.discard_partial_event()
+        has_events = False
+        # Only whole events count as progress, so that a stream which sends
+        # single bytes of one is not waited for without end.
+        progress_s = self._clock()
+        try:
+            while True:
+                silence_s = (
+                    self._silence.pause_s(active, plan)
+                    if has_events
+                    else self._silence.first_event_s(active, plan)
+                )
+                now_s = self._clock()
+                timeout_s = min(active.left_s(now_s), progress_s + silence_s - now_s)
+                part = await reader.read(max(timeout_s, 0.0))
+                if isinstance(part, Err):
+                    return attempt.body_failure(part.err_value)
+                self._sender.record_contact(plan.entry)
+                if not part.ok_value:
+                    return await self._end_stream(active, reader)
+                data = events.feed(part.ok_value)
+                if data and not has_events:
+                    has_events = True
+                    self._work_updates.record_first_event(work_id)
+                    self._memory.record_use(work_id)
+                if data:
+                    progress_s = self._clock()
+                    self._record_event_time(active, plan)
+                if data and not await self._write_events(active, reader, data):
+                    return _CALLER_DISCONNECTED
+                if events.is_event_too_large:
+                    return _TOO_LARGE
+        finally:
+            await reader.close()
+
+    async def _write_events(
+        self,
+        active: active_request.ActiveRequest,
+        reader: http_client.ResponseReader,
+        data: bytes,
+    ) -> bool:
+        if active.responder.started:
+            return await active.responder.write(data)
+        return await active.responder.start_stream(reader.status, reader.headers, data)
+
+    async def _end_stream(
+        self, active: active_request.ActiveRequest, reader: http_client.ResponseReader
+    ) -> attempt.AttemptEnd | None:
+        """End the caller's answer, unless the stream was broken off."""
+        responder = active.responder
+        events = active.events
+        if events.is_inside_event:
+            return _ENDED_INSIDE_EVENT
+        has_events = bool(events.event_count or events.last_event_id)
+        # Only its framing can say that a stream without events is whole.
+        if not has_events and reader.answer_end is _CONNECTION_CLOSE:
+            return _ENDED_BEFORE_EVENTS
+        rest = events.partial_event
+        if rest and not await self._write_events(active, reader, rest):
+            return _CALLER_DISCONNECTED
+        if not responder.started:
+            await responder.send(
+                http_messages.HttpResponse(reader.status, reader.headers)
+            )
+            return None
+        if not await responder.finish():
+            return _CALLER_DISCONNECTED
+        return None
+
+    def _record_event_time(
+        self, active: active_request.ActiveRequest, plan: plans.Plan
+    ) -> None:
+        now_s = self._clock()
+        if active.first_event_s is None:
+            active.first_event_s = now_s
+        else:
+            pause_s = now_s - active.last_event_s
+            active.longest_pause_s = max(active.longest_pause_s, pause_s)
+            active.shortest_pause_s = min(active.shortest_pause_s, pause_s)
+            active.pause_count += 1
+        active.last_event_s = now_s
+        if plan.work and active.pause_count >= SLOWDOWN_PAUSES:
+            pass_ms = self._planner.stated_pass_ms(active.routed, plan)
+            slowdown = active.shortest_pause_s * 1_000 / pass_ms
+            self._work_updates.record_slowdown(plan.entry.runner_id, slowdown)
+            active.pause_count, active.shortest_pause_s = 0, float("inf")
+
+
+_CONNECTION_CLOSE = http_client.AnswerEnd.CONNECTION_CLOSE
+_CALLER_DISCONNECTED = attempt.AttemptEnd(
+    states.AttemptState.UNKNOWN, attempt.EndReason.LOST, "the caller has gone"
+)
+_ENDED_INSIDE_EVENT = attempt.AttemptEnd(
+    states.AttemptState.UNKNOWN,
+    attempt.EndReason.LOST,
+    "the stream ended inside an event",
+)
+_ENDED_BEFORE_EVENTS = attempt.AttemptEnd(
+    states.AttemptState.UNKNOWN,
+    attempt.EndReason.LOST,
+    "the connection ended before any event",
+)
+_TOO_LARGE = attempt.AttemptEnd(
+    states.AttemptState.UNKNOWN, attempt.EndReason.MALFORMED, "event too large"
+)
