Engines may answer commands without a length or chunks

What operators would see: an engine that answers a memory command by closing its connection counted as unreachable: suspected, told to all daemons, the prompt refused, and each release sent three times.

Such answers are taken now: the status is the whole answer of a command, and a report that is cut cannot be decoded. The store keeps to answers with a length, as it does.

--- a/packages/gateway/lacewingdrum_gateway/answer_end_test.py
+++ b/packages/gateway/lacewingdrum_gateway/answer_end_test.py
@@ -1,5 +1,8 @@
 """Tests of answers that end with their connection, and of ends too early."""
 
+import asyncio
+
+from lacewingdrum_gateway import engine_memory
 from lacewingdrum_gateway.gateway_test import ASK, EVENTS, run_ids
 from standins import platform_site
 from standins.platform_runner import Fault
@@ -76,6 +79,18 @@
         assert answer.status in NOT_ANSWERED
 
 
+async def test_engines_that_answer_commands_by_closing_grant_their_memory():
+    async with platform_site.running_site(engines=4) as site:
+        set_close_delimited(site)
+        headers = platform_site.prompt_headers(900_000)
+        answer = await site.call("/ask/x", "a1", headers=headers)
+        assert answer.status == 200 and answer.body == EVENTS
+        await site.wait_until(lambda: not any(one.reserved for one in site.engines))
+        await asyncio.sleep(engine_memory.RELEASE_RETRY_S + 0.1)
+        # One command reserves and one releases.
+        assert {one.command_count for one in site.engines} <= {0, 2}
+
+
 async def test_reset_answers_without_length_or_chunks_do_not_look_complete():
     async with platform_site.running_site() as site:
         await forbid_resuming(site)
--- a/packages/transport/lacewingdrum_transport/http_client.py
+++ b/packages/transport/lacewingdrum_transport/http_client.py
@@ -52,6 +52,7 @@
         headers: http_messages.Headers = (),
         body: bytes = b"",
         timeout_s: float = 10.0,
+        allow_close_delimited: bool = False,
     ) -> Result[http_messages.HttpResponse, HttpClientError]:
         """Send a request and read the complete response.
 
@@ -62,12 +63,21 @@
             headers: names and values.
             body: the complete body.
             timeout_s: for the whole exchange.
+            allow_close_delimited: as for ``open``.
 
         Returns:
             The response, or why the request failed.
         """
         deadline_s = self._clock() + timeout_s
-        open_result = await self.open(address, method, path, headers, body, timeout_s)
+        open_result = await self.open(
+            address,
+            method,
+            path,
+            headers,
+            body,
+            timeout_s,
+            allow_close_delimited=allow_close_delimited,
+        )
         if isinstance(open_result, Err):
             return open_result
         reader = open_result.ok_value
--- a/standins/platform_connection.py
+++ b/standins/platform_connection.py
@@ -19,10 +19,10 @@
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
-def format_head(headers: Headers) -> bytes:
-    """Return the head of a successful answer with exactly these headers."""
+def format_head(headers: Headers, status: int = 200) -> bytes:
+    """Return the head of an answer with exactly these headers."""
     lines = "".join(f"{name}: {value}\r\n" for name, value in headers)
-    return f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode()
+    return f"HTTP/1.1 {status} Any\r\n{lines}\r\n".encode()
 
 
 def reset(writer: asyncio.StreamWriter) -> None:
@@ -86,13 +86,18 @@
     status: int,
     headers: Headers,
     body: bytes,
-) -> None:
-    """Write a whole answer."""
+    is_close_delimited: bool = False,
+) -> bool:
+    """Write a whole answer and return whether the connection is reusable."""
+    if is_close_delimited:
+        writer.write(format_head(headers, status) + body)
+        return False
     size = ("Content-Length", str(len(body)))
     head = h11.Response(status_code=status, headers=[*headers, size])
     data = connection.send(head) or b""
     data += connection.send(h11.Data(data=body)) or b""
     writer.write(data + (connection.send(h11.EndOfMessage()) or b""))
+    return True
 
 
 async def close_after_drain(writer: asyncio.StreamWriter) -> None:
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -141,22 +141,23 @@
             headers = {name.decode(): value.decode() for name, value in request.headers}
             path = request.target.decode()
             if path == "/-/order":
-                self._handle_command(connection, writer, body)
+                is_reusable = self._handle_command(connection, writer, body)
             elif path == "/-/report":
-                self._report(connection, writer)
+                is_reusable = self._report(connection, writer)
             else:
                 is_reusable = await self._answer_request(
                     connection, writer, path, headers, body
                 )
-                if not is_reusable:
-                    await platform_connection.close_after_drain(writer)
-                    return
+            if not is_reusable:
+                await platform_connection.close_after_drain(writer)
+                return
             await writer.drain()
             connection.start_next_cycle()
 
     def _handle_command(
         self, connection: h11.Connection, writer: asyncio.StreamWriter, body: bytes
-    ) -> None:
+    ) -> bool:
+        """Answer a command and return whether the connection is reusable."""
         command = json.loads(body)
         self.command_count += 1
         status = 200
@@ -175,11 +176,16 @@
                     )
         else:
             self.reserved.pop(command["id"], None)
-        platform_connection.respond(
-            connection, writer, status, self._notices(), b'{"free":0}'
+        return platform_connection.respond(
+            connection,
+            writer,
+            status,
+            self._notices(),
+            b'{"free":0}',
+            self.is_close_delimited,
         )
 
-    def _report(self, connection: h11.Connection, writer: asyncio.StreamWriter) -> None:
+    def _report(self, connection: h11.Connection, writer: asyncio.StreamWriter) -> bool:
         """Report the reservations that have not expired."""
         now_s = asyncio.get_running_loop().time()
         tickets = [
@@ -188,7 +194,9 @@
             if item.until_s > now_s
         ]
         body = json.dumps({"phase": "colocated", "tickets": tickets}).encode()
-        platform_connection.respond(connection, writer, 200, self._notices(), body)
+        return platform_connection.respond(
+            connection, writer, 200, self._notices(), body, self.is_close_delimited
+        )
 
     def _notices(self) -> Headers:
         """Return the headers that each answer carries."""
