--- a/packages/gateway/lacewingdrum_gateway/active_request.py
+++ b/packages/gateway/lacewingdrum_gateway/active_request.py
@@ -3,7 +3,7 @@
 import dataclasses
 import enum
 
-from lacewingdrum_gateway import attempt, plans
+from lacewingdrum_gateway import attempt, attempt_ends, plans
 from lacewingdrum_protocol import event_stream
 from lacewingdrum_state import ids, states
 from lacewingdrum_transport import http_client, responder as responders
@@ -44,7 +44,7 @@
     events: event_stream.EventStream
     config_version: int
     excluded: set[ids.RunnerId] = dataclasses.field(default_factory=set)
-    ends: list[attempt.AttemptEnd] = dataclasses.field(default_factory=list)
+    ends: list[attempt_ends.AttemptEnd] = dataclasses.field(default_factory=list)
     attempt_count: int = 0
     has_open_attempt: bool = False
     sent_to: set[ids.RunnerId] = dataclasses.field(default_factory=set)
--- a/packages/gateway/lacewingdrum_gateway/attempt.py
+++ b/packages/gateway/lacewingdrum_gateway/attempt.py
@@ -1,16 +1,15 @@
-"""Sends an attempt to a runner and classifies how it ended."""
+"""Sends attempts to runners and reads their answers."""
 
 import dataclasses
-import enum
 from collections.abc import Callable
 
 from result import Err, Ok, Result
 
 from lacewingdrum_coordination import runner_health
 from lacewingdrum_daemon import decision_log, metrics
-from lacewingdrum_gateway import runner_notices, work_sync
+from lacewingdrum_gateway import attempt_ends, runner_notices, work_sync
 from lacewingdrum_platform import headers as platform_headers
-from lacewingdrum_state import fleet, requests, runner_entries, states
+from lacewingdrum_state import runner_entries, states
 from lacewingdrum_transport import http_client, http_messages
 
 FAILURE_BODY_TIMEOUT_S = 1.0
@@ -22,38 +21,6 @@
 STATUSES_NOT_FORWARDED = frozenset((408, 421, 429, 503))
 
 
-class EndReason(enum.Enum):
-    """Why an attempt ended without an answer to forward."""
-
-    NOT_CONNECTED = "not_connected"
-    REFUSED = "refused"
-    OTHER_RUNNER = "other_runner"
-    HELPER_FAILED = "helper_failed"
-    NO_MEMORY = "no_memory"
-    FAILED_STATUS = "failed_status"
-    LOST = "lost"
-    MALFORMED = "malformed"
-    SILENT = "silent"
-    FOREIGN_ANSWER = "foreign_answer"
-    NO_RECEIPT = "no_receipt"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class AttemptEnd:
-    """The end of an attempt without a successful answer.
-
-    ``state`` says whether the request may have run. ``answer`` is a failure
-    that the runner answered; it is forwarded if no later attempt succeeds.
-    ``at_fault`` is the address of the helper that failed, if known.
-    """
-
-    state: states.AttemptState
-    reason: EndReason
-    detail: str = ""
-    answer: http_messages.HttpResponse | None = None
-    at_fault: fleet.Address | None = None
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Outgoing:
     """A caller's request in the form that is sent to runners."""
@@ -93,7 +60,7 @@
         attempt_headers: platform_headers.AttemptHeaders,
         timeout_s: float,
         on_new_connection: bool,
-    ) -> Result[http_client.ResponseReader, AttemptEnd]:
+    ) -> Result[http_client.ResponseReader, attempt_ends.AttemptEnd]:
         """Send a request and wait for the head of a successful answer.
 
         Args:
@@ -119,13 +86,15 @@
             allow_close_delimited=True,
         )
         if isinstance(opened, Err):
-            return Err(_open_failure(opened.err_value))
+            return Err(attempt_ends.open_failure(opened.err_value))
         reader = opened.ok_value
         answer_headers = platform_headers.parse_runner_headers(
             reader.status, reader.headers
         )
-        end = _head_failure(outgoing, reader.status, answer_headers)
-        if end is None or end.reason is not EndReason.FOREIGN_ANSWER:
+        end = attempt_ends.head_failure(
+            outgoing.attempt_id, reader.status, answer_headers
+        )
+        if end is None or end.reason is not attempt_ends.EndReason.FOREIGN_ANSWER:
             self._notices.observe(entry, answer_headers)
         if end is not None:
             await reader.close()
@@ -141,7 +110,7 @@
     def record_end(
         self,
         entry: runner_entries.RunnerEntry,
-        end: AttemptEnd | None,
+        end: attempt_ends.AttemptEnd | None,
         sent_s: float,
     ) -> None:
         """Update the health of a runner after an attempt.
@@ -159,14 +128,17 @@
             return
         silent_s = min(self._health.silent_s(entry.runner_id, now_s), now_s - sent_s)
         is_silent_too_long = (
-            end.reason is EndReason.SILENT and silent_s > SUSPECT_SILENCE_S
+            end.reason is attempt_ends.EndReason.SILENT and silent_s > SUSPECT_SILENCE_S
         )
         if is_silent_too_long or end.reason in (
-            EndReason.NOT_CONNECTED,
-            EndReason.OTHER_RUNNER,
+            attempt_ends.EndReason.NOT_CONNECTED,
+            attempt_ends.EndReason.OTHER_RUNNER,
         ):
             self._suspect(entry, end.reason, end.detail)
-        if end.reason in (EndReason.HELPER_FAILED, EndReason.NO_MEMORY):
+        if end.reason in (
+            attempt_ends.EndReason.HELPER_FAILED,
+            attempt_ends.EndReason.NO_MEMORY,
+        ):
             return
         self._health.record_attempt(entry.runner_id, True, now_s)
 
@@ -174,10 +146,13 @@
         self, entry: runner_entries.RunnerEntry, detail: str
     ) -> None:
         """Suspect an engine that did not answer a memory reservation."""
-        self._suspect(entry, EndReason.NO_MEMORY, detail)
+        self._suspect(entry, attempt_ends.EndReason.NO_MEMORY, detail)
 
     def _suspect(
-        self, entry: runner_entries.RunnerEntry, reason: EndReason, detail: str
+        self,
+        entry: runner_entries.RunnerEntry,
+        reason: attempt_ends.EndReason,
+        detail: str,
     ) -> None:
         runner_id = entry.runner_id
         if self._health.suspect(runner_id, self._clock()):
@@ -192,14 +167,7 @@
             )
 
 
-def _open_failure(error: http_client.HttpClientError) -> AttemptEnd:
-    detail = f"{error.reason.value} {error.detail}".strip()
-    if not error.may_have_been_sent:
-        return AttemptEnd(states.AttemptState.UNSENT, EndReason.NOT_CONNECTED, detail)
-    return _unknown_outcome(error, detail)
-
-
-async def _read_failure(reader: http_client.ResponseReader) -> AttemptEnd:
+async def _read_failure(reader: http_client.ResponseReader) -> attempt_ends.AttemptEnd:
     """Read the body of a failure, which may be forwarded."""
     status = reader.status
     body = await read_whole(reader, FAILURE_BODY_TIMEOUT_S, FAILURE_BODY_MAX_BYTES)
@@ -209,16 +177,21 @@
     if status in STATUSES_NOT_FORWARDED:
         # The runner did not state that the request has not run, so an answer
         # from which the caller would conclude this is not forwarded.
-        return AttemptEnd(states.AttemptState.UNKNOWN, EndReason.FAILED_STATUS, detail)
+        return attempt_ends.AttemptEnd(
+            states.AttemptState.UNKNOWN, attempt_ends.EndReason.FAILED_STATUS, detail
+        )
     answer = http_messages.HttpResponse(status, reader.headers, body.ok_value)
-    return AttemptEnd(
-        states.AttemptState.ANSWERED, EndReason.FAILED_STATUS, detail, answer
+    return attempt_ends.AttemptEnd(
+        states.AttemptState.ANSWERED,
+        attempt_ends.EndReason.FAILED_STATUS,
+        detail,
+        answer,
     )
 
 
 async def read_whole(
     reader: http_client.ResponseReader, timeout_s: float, limit_bytes: int
-) -> Result[bytes, AttemptEnd]:
+) -> Result[bytes, attempt_ends.AttemptEnd]:
     """Read the whole body of an answer.
 
     Args:
@@ -237,60 +210,18 @@
         while True:
             part = await reader.read(max(deadline_s - clock(), 0.0))
             if isinstance(part, Err):
-                return Err(body_failure(part.err_value))
+                return Err(attempt_ends.body_failure(part.err_value))
             if not part.ok_value:
                 return Ok(b"".join(parts))
             size_bytes += len(part.ok_value)
             if size_bytes > limit_bytes:
                 detail = f"over {limit_bytes} bytes"
                 unknown = states.AttemptState.UNKNOWN
-                return Err(AttemptEnd(unknown, EndReason.MALFORMED, detail))
+                return Err(
+                    attempt_ends.AttemptEnd(
+                        unknown, attempt_ends.EndReason.MALFORMED, detail
+                    )
+                )
             parts.append(part.ok_value)
     finally:
         await reader.close()
-
-
-def body_failure(error: http_client.HttpClientError) -> AttemptEnd:
-    """Return the end of an attempt whose answer body failed."""
-    detail = f"in the body: {error.reason.value} {error.detail}".strip()
-    return _unknown_outcome(error, detail)
-
-
-def _unknown_outcome(error: http_client.HttpClientError, detail: str) -> AttemptEnd:
-    """Return the end of a sent attempt without a complete answer."""
-    reasons = {
-        http_client.ClientErrorReason.TIMEOUT: EndReason.SILENT,
-        http_client.ClientErrorReason.MALFORMED: EndReason.MALFORMED,
-    }
-    reason = reasons.get(error.reason, EndReason.LOST)
-    return AttemptEnd(states.AttemptState.UNKNOWN, reason, detail)
-
-
-def _head_failure(
-    outgoing: Outgoing, status: int, answer_headers: requests.RunnerHeaders
-) -> AttemptEnd | None:
-    """Return the end of the attempt if the head shows a failure."""
-    unknown = states.AttemptState.UNKNOWN
-    is_success = http_messages.is_success(status)
-    is_of_other_attempt = answer_headers.attempt_id not in ("", outgoing.attempt_id)
-    if is_of_other_attempt or (
-        is_success and answer_headers.attempt_id != outgoing.attempt_id
-    ):
-        return AttemptEnd(unknown, EndReason.FOREIGN_ANSWER, f"status {status}")
-    if answer_headers.says_not_run and not is_success:
-        reason = (
-            EndReason.OTHER_RUNNER
-            if answer_headers.is_other_runner
-            else EndReason.REFUSED
-        )
-        if answer_headers.at_fault is not None:
-            reason = EndReason.HELPER_FAILED
-        return AttemptEnd(
-            states.AttemptState.REFUSED_BY_RUNNER,
-            reason,
-            f"status {status}",
-            at_fault=answer_headers.at_fault,
-        )
-    if is_success and (not answer_headers.has_receipt or answer_headers.is_encoded):
-        return AttemptEnd(unknown, EndReason.NO_RECEIPT, f"status {status}")
-    return None
--- /dev/null
+++ b/packages/gateway/lacewingdrum_gateway/attempt_ends.py
@@ -0,0 +1,91 @@
+"""Classifies how an attempt at a runner ended."""
+
+import dataclasses
+import enum
+
+from lacewingdrum_state import fleet, requests, states
+from lacewingdrum_transport import http_client, http_messages
+
+
+class EndReason(enum.Enum):
+    """Why an attempt ended without an answer to forward."""
+
+    NOT_CONNECTED = "not_connected"
+    REFUSED = "refused"
+    OTHER_RUNNER = "other_runner"
+    HELPER_FAILED = "helper_failed"
+    NO_MEMORY = "no_memory"
+    FAILED_STATUS = "failed_status"
+    LOST = "lost"
+    MALFORMED = "malformed"
+    SILENT = "silent"
+    FOREIGN_ANSWER = "foreign_answer"
+    NO_RECEIPT = "no_receipt"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptEnd:
+    """The end of an attempt without a successful answer.
+
+    ``state`` says whether the request may have run. ``answer`` is a failure
+    that the runner answered; it is forwarded if no later attempt succeeds.
+    ``at_fault`` is the address of the helper that failed, if known.
+    """
+
+    state: states.AttemptState
+    reason: EndReason
+    detail: str = ""
+    answer: http_messages.HttpResponse | None = None
+    at_fault: fleet.Address | None = None
+
+
+def open_failure(error: http_client.HttpClientError) -> AttemptEnd:
+    """Return the end of an attempt that got no head of an answer."""
+    detail = f"{error.reason.value} {error.detail}".strip()
+    if not error.may_have_been_sent:
+        return AttemptEnd(states.AttemptState.UNSENT, EndReason.NOT_CONNECTED, detail)
+    return _unknown_outcome(error, detail)
+
+
+def body_failure(error: http_client.HttpClientError) -> AttemptEnd:
+    """Return the end of an attempt whose answer body failed."""
+    detail = f"in the body: {error.reason.value} {error.detail}".strip()
+    return _unknown_outcome(error, detail)
+
+
+def _unknown_outcome(error: http_client.HttpClientError, detail: str) -> AttemptEnd:
+    """Return the end of a sent attempt without a complete answer."""
+    reasons = {
+        http_client.ClientErrorReason.TIMEOUT: EndReason.SILENT,
+        http_client.ClientErrorReason.MALFORMED: EndReason.MALFORMED,
+    }
+    reason = reasons.get(error.reason, EndReason.LOST)
+    return AttemptEnd(states.AttemptState.UNKNOWN, reason, detail)
+
+
+def head_failure(
+    attempt_id: str, status: int, answer_headers: requests.RunnerHeaders
+) -> AttemptEnd | None:
+    """Return the end of the attempt if the head shows a failure."""
+    unknown = states.AttemptState.UNKNOWN
+    is_success = http_messages.is_success(status)
+    is_of_other_attempt = answer_headers.attempt_id not in ("", attempt_id)
+    if is_of_other_attempt or (is_success and answer_headers.attempt_id != attempt_id):
+        return AttemptEnd(unknown, EndReason.FOREIGN_ANSWER, f"status {status}")
+    if answer_headers.says_not_run and not is_success:
+        reason = (
+            EndReason.OTHER_RUNNER
+            if answer_headers.is_other_runner
+            else EndReason.REFUSED
+        )
+        if answer_headers.at_fault is not None:
+            reason = EndReason.HELPER_FAILED
+        return AttemptEnd(
+            states.AttemptState.REFUSED_BY_RUNNER,
+            reason,
+            f"status {status}",
+            at_fault=answer_headers.at_fault,
+        )
+    if is_success and (not answer_headers.has_receipt or answer_headers.is_encoded):
+        return AttemptEnd(unknown, EndReason.NO_RECEIPT, f"status {status}")
+    return None
--- a/packages/gateway/lacewingdrum_gateway/exchange.py
+++ b/packages/gateway/lacewingdrum_gateway/exchange.py
@@ -8,6 +8,7 @@
 from lacewingdrum_gateway import (
     active_request,
     attempt,
+    attempt_ends,
     engine_memory,
     plans,
     routing,
@@ -45,7 +46,7 @@
 
     async def run(
         self, active: active_request.ActiveRequest, plan: plans.Plan
-    ) -> attempt.AttemptEnd | None:
+    ) -> attempt_ends.AttemptEnd | None:
         """Make one attempt.
 
         Args:
@@ -80,7 +81,7 @@
 
     async def _run_with_memory(
         self, active: active_request.ActiveRequest, plan: plans.Plan, work_id: str
-    ) -> attempt.AttemptEnd | None:
+    ) -> attempt_ends.AttemptEnd | None:
         """Make an attempt while memory is reserved on its helpers."""
         reserved = await self._memory.reserve(
             active.request_id,
@@ -95,9 +96,9 @@
                 if refused.is_unreachable:
                     self._sender.report_unreachable(refused.entry, refused.detail)
             refused = refusals[0]
-            return attempt.AttemptEnd(
+            return attempt_ends.AttemptEnd(
                 states.AttemptState.UNSENT,
-                attempt.EndReason.NO_MEMORY,
+                attempt_ends.EndReason.NO_MEMORY,
                 f"{refused.entry.runner_id} {refused.detail}",
                 at_fault=refused.entry.address,
             )
@@ -117,7 +118,7 @@
         plan: plans.Plan,
         work_id: str,
         helpers: tuple[requests.Helper, ...],
-    ) -> attempt.AttemptEnd | None:
+    ) -> attempt_ends.AttemptEnd | None:
         left_s = active.left_s(self._clock())
         customer = active.routed.customer
         attempt_headers = platform_headers.AttemptHeaders(
@@ -147,7 +148,7 @@
 
     async def _forward_whole(
         self, active: active_request.ActiveRequest, reader: http_client.ResponseReader
-    ) -> attempt.AttemptEnd | None:
+    ) -> attempt_ends.AttemptEnd | None:
         body = await attempt.read_whole(
             reader, active.left_s(self._clock()), ANSWER_MAX_BYTES
         )
--- a/packages/gateway/lacewingdrum_gateway/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/forwarding.py
@@ -8,6 +8,7 @@
 from lacewingdrum_gateway import (
     active_request,
     attempt,
+    attempt_ends,
     exchange as exchanges,
     peering,
     plans,
@@ -227,7 +228,7 @@
         self,
         active: active_request.ActiveRequest,
         plan: plans.Plan,
-        end: attempt.AttemptEnd | None,
+        end: attempt_ends.AttemptEnd | None,
     ) -> None:
         outcome = "whole" if end is None else end.reason.value
         self._counts.count("attempt_ends", outcome=outcome)
--- a/packages/gateway/lacewingdrum_gateway/retry_limits.py
+++ b/packages/gateway/lacewingdrum_gateway/retry_limits.py
@@ -5,7 +5,7 @@
 the answer of another request, because that runner itself is healthy.
 """
 
-from lacewingdrum_gateway import active_request, attempt, plans
+from lacewingdrum_gateway import active_request, attempt_ends, plans
 from lacewingdrum_state import ids, states
 
 # Includes attempts that did not reach a runner, which cost nothing but time.
@@ -18,7 +18,7 @@
 def apply_end(
     active: active_request.ActiveRequest,
     plan: plans.Plan,
-    end: attempt.AttemptEnd,
+    end: attempt_ends.AttemptEnd,
     is_suspect: bool,
 ) -> ids.RunnerId | None:
     """Restrict the next attempt by how the last one ended.
@@ -36,7 +36,7 @@
     active.excluded.add(runner_id)
     if end.state is not states.AttemptState.UNSENT:
         active.sent_to.add(runner_id)
-    if end.reason is attempt.EndReason.FOREIGN_ANSWER:
+    if end.reason is attempt_ends.EndReason.FOREIGN_ANSWER:
         active.repeat_at = runner_id
     if is_suspect:
         active.suspect_attempt_count += 1
@@ -50,14 +50,14 @@
     # The attempt failed because of its helper; the runner that the request was
     # sent to remains usable.
     active.excluded.discard(runner_id)
-    if end.reason is not attempt.EndReason.HELPER_FAILED:
+    if end.reason is not attempt_ends.EndReason.HELPER_FAILED:
         return None
     active.only_runner = None if _has_runners_left(active) else runner_id
     return helper.runner_id
 
 
 def may_retry(
-    active: active_request.ActiveRequest, end: attempt.AttemptEnd, left_s: float
+    active: active_request.ActiveRequest, end: attempt_ends.AttemptEnd, left_s: float
 ) -> bool:
     """Return whether a request may be sent again.
 
--- a/packages/gateway/lacewingdrum_gateway/stream_forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/stream_forwarding.py
@@ -7,6 +7,7 @@
 from lacewingdrum_gateway import (
     active_request,
     attempt,
+    attempt_ends,
     engine_memory,
     plans,
     routing,
@@ -45,7 +46,7 @@
         plan: plans.Plan,
         work_id: str,
         reader: http_client.ResponseReader,
-    ) -> attempt.AttemptEnd | None:
+    ) -> attempt_ends.AttemptEnd | None:
         """Forward complete events until the stream ends or fails.
 
         Returns:
@@ -69,7 +70,7 @@
                 timeout_s = min(active.left_s(now_s), progress_s + silence_s - now_s)
                 part = await reader.read(max(timeout_s, 0.0))
                 if isinstance(part, Err):
-                    return attempt.body_failure(part.err_value)
+                    return attempt_ends.body_failure(part.err_value)
                 self._sender.record_contact(plan.entry)
                 if not part.ok_value:
                     return await self._end_stream(active, reader)
@@ -100,7 +101,7 @@
 
     async def _end_stream(
         self, active: active_request.ActiveRequest, reader: http_client.ResponseReader
-    ) -> attempt.AttemptEnd | None:
+    ) -> attempt_ends.AttemptEnd | None:
         """End the caller's answer, unless the stream was broken off."""
         responder = active.responder
         events = active.events
@@ -142,19 +143,19 @@
 
 
 _CONNECTION_CLOSE = http_client.AnswerEnd.CONNECTION_CLOSE
-_CALLER_DISCONNECTED = attempt.AttemptEnd(
-    states.AttemptState.UNKNOWN, attempt.EndReason.LOST, "the caller has gone"
+_CALLER_DISCONNECTED = attempt_ends.AttemptEnd(
+    states.AttemptState.UNKNOWN, attempt_ends.EndReason.LOST, "the caller has gone"
 )
-_ENDED_INSIDE_EVENT = attempt.AttemptEnd(
+_ENDED_INSIDE_EVENT = attempt_ends.AttemptEnd(
     states.AttemptState.UNKNOWN,
-    attempt.EndReason.LOST,
+    attempt_ends.EndReason.LOST,
     "the stream ended inside an event",
 )
-_ENDED_BEFORE_EVENTS = attempt.AttemptEnd(
+_ENDED_BEFORE_EVENTS = attempt_ends.AttemptEnd(
     states.AttemptState.UNKNOWN,
-    attempt.EndReason.LOST,
+    attempt_ends.EndReason.LOST,
     "the connection ended before any event",
 )
-_TOO_LARGE = attempt.AttemptEnd(
-    states.AttemptState.UNKNOWN, attempt.EndReason.MALFORMED, "event too large"
+_TOO_LARGE = attempt_ends.AttemptEnd(
+    states.AttemptState.UNKNOWN, attempt_ends.EndReason.MALFORMED, "event too large"
 )
--- /dev/null
+++ b/standins/endless_answers.py
@@ -0,0 +1,51 @@
+"""Answers of the stand-ins for runners that send bytes without end."""
+
+import asyncio
+
+from standins import platform_connection
+from standins.platform_answers import Fault
+
+Headers = platform_connection.Headers
+
+BLOCK = b"x" * 16_384
+# A connection that nobody closes ends after so much, so that a test fails.
+SENT_MAX_BYTES = 64 * 1024 * 1024
+FAULTS = frozenset(
+    (
+        Fault.ENDLESS_HEAD,
+        Fault.ENDLESS_INTERIM,
+        Fault.ENDLESS_BODY,
+        Fault.ENDLESS_FAILURE,
+    )
+)
+
+
+class EndlessAnswers:
+    """Sends answers without end, and counts what was taken of them."""
+
+    def __init__(self) -> None:
+        self.sent_bytes = 0
+        self.closed_count = 0
+
+    async def send(
+        self, writer: asyncio.StreamWriter, headers: Headers, fault: Fault
+    ) -> None:
+        """Send without end until the other side closes the connection."""
+        block = BLOCK
+        match fault:
+            case Fault.ENDLESS_HEAD:
+                writer.write(platform_connection.format_head(headers)[:-2] + b"X-A: ")
+            case Fault.ENDLESS_INTERIM:
+                block = b"HTTP/1.1 102 Processing\r\n\r\n" * 100
+            case Fault.ENDLESS_BODY:
+                writer.write(platform_connection.format_head(headers))
+            case Fault.ENDLESS_FAILURE:
+                writer.write(platform_connection.format_head(headers, 500))
+        try:
+            while self.sent_bytes < SENT_MAX_BYTES:
+                writer.write(block)
+                await writer.drain()
+                self.sent_bytes += len(block)
+                await asyncio.sleep(0)
+        except ConnectionError:
+            self.closed_count += 1
--- a/standins/platform_answers.py
+++ b/standins/platform_answers.py
@@ -23,7 +23,8 @@
     The faults inside an answer differ in its end: ``ABORT_INSIDE_ANSWER``
     closes the connection, ``RESET_INSIDE_ANSWER`` resets it, and
     ``END_INSIDE_EVENT`` ends the answer properly after a part of an event.
-    ``END_BEFORE_EVENTS`` does so right after the head.
+    ``END_BEFORE_EVENTS`` does so right after the head. The endless ones send
+    bytes until the connection is closed at the other side.
     """
 
     NONE = "none"
@@ -45,6 +46,10 @@
     CLOSE_DELIMITED = "unmarked_end"
     GARBLED = "garbled"
     HELPER_FAILED = "helper_failed"
+    ENDLESS_HEAD = "endless_head"
+    ENDLESS_INTERIM = "endless_interim"
+    ENDLESS_BODY = "endless_body"
+    ENDLESS_FAILURE = "endless_failure"
 
 
 class AnswerWriter:
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -11,10 +11,16 @@
 
 import h11
 
-from standins import platform_answers, platform_connection
+from standins import (
+    endless_answers,
+    platform_answers,
+    platform_connection,
+    platform_memory,
+)
 
 Fault = platform_answers.Fault
 Headers = platform_connection.Headers
+MemoryReservation = platform_memory.MemoryReservation
 SECOND_COPY_DELAY_S = platform_connection.SECOND_COPY_DELAY_S
 EVENT_INTERVAL_S = 0.005
 
@@ -30,16 +36,6 @@
     ran: bool
 
 
-@dataclasses.dataclass(slots=True)
-class MemoryReservation:
-    """Memory that is reserved under an id, until ``until_s``."""
-
-    tokens: int
-    until_s: float
-    reserved_s: float = 0.0
-    is_used: bool = False
-
-
 class PlatformRunner:
     """One runner; each request uses up the next of ``faults``."""
 
@@ -67,6 +63,8 @@
         # Those of them that an answer of this engine has named.
         self.named_helpers: set[str] = set()
         self.port = 0
+        # What answers without end have sent until their connection was closed.
+        self.endless = endless_answers.EndlessAnswers()
         # Distinguishes the incarnations of the runner.
         self.born_ms = 1
         self._server: asyncio.Server | None = None
@@ -161,21 +159,10 @@
         command = json.loads(body)
         self.command_count += 1
         status = 200
-        now_s = asyncio.get_running_loop().time()
-        if command["op"] == "reserve":
-            if self.refuse_commands:
-                status = 409
-            else:
-                expires_s = now_s + command["hold_ms"] / 1_000
-                held = self.reserved.get(command["id"])
-                if held is not None and held.until_s > now_s:
-                    held.until_s = expires_s
-                else:
-                    self.reserved[command["id"]] = MemoryReservation(
-                        command["tokens"], expires_s, now_s
-                    )
+        if self.refuse_commands and command["op"] == "reserve":
+            status = 409
         else:
-            self.reserved.pop(command["id"], None)
+            platform_memory.apply_command(self.reserved, command)
         return platform_connection.respond(
             connection,
             writer,
@@ -187,13 +174,7 @@
 
     def _report(self, connection: h11.Connection, writer: asyncio.StreamWriter) -> bool:
         """Report the reservations that have not expired."""
-        now_s = asyncio.get_running_loop().time()
-        tickets = [
-            {"id": name, "state": "used" if item.is_used else "held"}
-            for name, item in self.reserved.items()
-            if item.until_s > now_s
-        ]
-        body = json.dumps({"phase": "colocated", "tickets": tickets}).encode()
+        body = platform_memory.format_report(self.reserved)
         return platform_connection.respond(
             connection, writer, 200, self._notices(), body, self.is_close_delimited
         )
@@ -296,6 +277,9 @@
                 return True
         self.working_count += 1
         try:
+            if fault in endless_answers.FAULTS:
+                await self.endless.send(writer, sealed_headers, fault)
+                return False
             answer = platform_answers.AnswerWriter(
                 connection, writer, sealed_headers, self.is_close_delimited
             )
