A runner whose answer has no end is suspected

What callers saw: 502, as is right. But such a runner was treated like one whose answer had a wrong byte: its daemon went on using it and told nobody.

http_client_test: the check of a large head sent a complete one, which was refused for having no sure end of its body and never for its size. It now sends one without end and expects too_large.

--- a/packages/gateway/lacewingdrum_gateway/attempt.py
+++ b/packages/gateway/lacewingdrum_gateway/attempt.py
@@ -133,6 +133,7 @@
         if is_silent_too_long or end.reason in (
             attempt_ends.EndReason.NOT_CONNECTED,
             attempt_ends.EndReason.OTHER_RUNNER,
+            attempt_ends.EndReason.TOO_LARGE,
         ):
             self._suspect(entry, end.reason, end.detail)
         if end.reason in (
@@ -219,7 +220,7 @@
                 unknown = states.AttemptState.UNKNOWN
                 return Err(
                     attempt_ends.AttemptEnd(
-                        unknown, attempt_ends.EndReason.MALFORMED, detail
+                        unknown, attempt_ends.EndReason.TOO_LARGE, detail
                     )
                 )
             parts.append(part.ok_value)
--- a/packages/gateway/lacewingdrum_gateway/attempt_ends.py
+++ b/packages/gateway/lacewingdrum_gateway/attempt_ends.py
@@ -18,6 +18,7 @@
     FAILED_STATUS = "failed_status"
     LOST = "lost"
     MALFORMED = "malformed"
+    TOO_LARGE = "too_large"
     SILENT = "silent"
     FOREIGN_ANSWER = "foreign_answer"
     NO_RECEIPT = "no_receipt"
@@ -58,6 +59,7 @@
     reasons = {
         http_client.ClientErrorReason.TIMEOUT: EndReason.SILENT,
         http_client.ClientErrorReason.MALFORMED: EndReason.MALFORMED,
+        http_client.ClientErrorReason.TOO_LARGE: EndReason.TOO_LARGE,
     }
     reason = reasons.get(error.reason, EndReason.LOST)
     return AttemptEnd(states.AttemptState.UNKNOWN, reason, detail)
--- a/packages/gateway/lacewingdrum_gateway/stream_forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/stream_forwarding.py
@@ -157,5 +157,7 @@
     "the connection ended before any event",
 )
 _TOO_LARGE = attempt_ends.AttemptEnd(
-    states.AttemptState.UNKNOWN, attempt_ends.EndReason.MALFORMED, "event too large"
+    states.AttemptState.UNKNOWN,
+    attempt_ends.EndReason.TOO_LARGE,
+    "an event without end",
 )
--- a/packages/transport/lacewingdrum_transport/client_connection.py
+++ b/packages/transport/lacewingdrum_transport/client_connection.py
@@ -11,6 +11,8 @@
 from lacewingdrum_transport import byte_channel, http_messages
 
 BYTES_PER_MIB = 1024 * 1024
+# h11 gives this status to a head, or a line between chunks, without end.
+_HEADER_TOO_LARGE_STATUS = 431
 METHODS_WITH_BODY = frozenset(("POST", "PUT", "PATCH"))
 
 
@@ -113,6 +115,8 @@
         try:
             event = self.h11.next_event()
         except h11.RemoteProtocolError as error:
+            if error.error_status_hint == _HEADER_TOO_LARGE_STATUS:
+                return HttpClientError(ClientErrorReason.TOO_LARGE, True, str(error))
             lost = self.channel.read_closed and not self.channel.has_unread
             reason = ClientErrorReason.LOST if lost else ClientErrorReason.MALFORMED
             return HttpClientError(reason, True, str(error))
--- a/packages/transport/lacewingdrum_transport/http_client_test.py
+++ b/packages/transport/lacewingdrum_transport/http_client_test.py
@@ -126,8 +126,8 @@
 
 async def test_malformed_responses_are_errors():
     assert await error_of(b"nonsense\r\n\r\n") == (Reason.MALFORMED, True)
-    large_header = b"HTTP/1.1 200 OK\r\nA: %b\r\n\r\n" % (b"x" * 100_000)
-    assert await error_of(large_header) == (Reason.MALFORMED, True)
+    large_header = b"HTTP/1.1 200 OK\r\nA: %b" % (b"x" * 100_000)
+    assert await error_of(large_header) == (Reason.TOO_LARGE, True)
     bad_chunk = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"
     assert await error_of(bad_chunk) == (Reason.MALFORMED, True)
 
--- a/packages/transport/lacewingdrum_transport/runner_errors.py
+++ b/packages/transport/lacewingdrum_transport/runner_errors.py
@@ -10,6 +10,10 @@
 
 JSON_HEADERS = (("Content-Type", "application/json"),)
 REFUSAL_BYTES_MAX = 65_536
+_INVALID_ANSWER_REASONS = (
+    http_client.ClientErrorReason.MALFORMED,
+    http_client.ClientErrorReason.TOO_LARGE,
+)
 
 
 class RunnerErrorReason(enum.Enum):
@@ -51,7 +55,7 @@
         reason = RunnerErrorReason.UNSENT
     elif error.reason is http_client.ClientErrorReason.TIMEOUT:
         reason = RunnerErrorReason.TIMEOUT
-    elif error.reason is http_client.ClientErrorReason.MALFORMED:
+    elif error.reason in _INVALID_ANSWER_REASONS:
         reason = RunnerErrorReason.MALFORMED
     return RunnerError(reason, None, detail)
 
