Interim responses without end are not read without end

What would be seen: a runner that sends 1xx responses without end occupied the whole daemon until the request's deadline; in the test its other connections and the metrics got no answer within 8 s, and the caller none at all.

A response may have 16 interim ones before it; more end the attempt as too_large. The exchange of a request moved beside the reading of responses.

--- a/packages/gateway/lacewingdrum_gateway/endless_answers_test.py
+++ b/packages/gateway/lacewingdrum_gateway/endless_answers_test.py
@@ -44,6 +44,10 @@
     await check_endless_answer("/ask/x", Fault.ENDLESS_HEAD, headers=ASK)
 
 
+async def test_interim_responses_without_end_end_their_attempt():
+    await check_endless_answer("/order/x", Fault.ENDLESS_INTERIM)
+
+
 async def test_body_without_end_ends_its_attempt():
     await check_endless_answer("/order/x", Fault.ENDLESS_BODY)
     await check_endless_answer("/order/x", Fault.ENDLESS_FAILURE)
--- a/packages/transport/lacewingdrum_transport/http_client.py
+++ b/packages/transport/lacewingdrum_transport/http_client.py
@@ -10,7 +10,6 @@
 import time
 from collections.abc import Callable
 
-import h11
 from result import Err, Ok, Result
 
 from lacewingdrum_state import fleet
@@ -131,7 +130,7 @@
         is_handed_over = False
         failure: HttpClientError | None = None
         try:
-            answer = await self._exchange(
+            answer = await response_reader.exchange(
                 connection, head.ok_value, body, deadline_s, allow_close_delimited
             )
             if isinstance(answer, HttpClientError):
@@ -162,34 +161,6 @@
         """Return the number of pooled connections to ``address``."""
         return len(self._idle.get(address, ()))
 
-    async def _exchange(
-        self,
-        connection: _Connection,
-        head: h11.Request,
-        body: bytes,
-        deadline_s: float,
-        allow_close_delimited: bool,
-    ) -> h11.Response | HttpClientError:
-        send_result = connection.send_request(head, body)
-        if isinstance(send_result, Err):
-            return send_result.err_value
-        while True:
-            event = await connection.next_event(deadline_s)
-            if isinstance(event, h11.InformationalResponse):
-                continue
-            if isinstance(event, HttpClientError):
-                return event
-            if not isinstance(event, h11.Response):
-                detail = "connection ended before the response"
-                return HttpClientError(ClientErrorReason.LOST, True, detail)
-            self_delimited = response_reader.is_self_delimited(
-                head.method.decode(), event
-            )
-            if self_delimited or allow_close_delimited:
-                return event
-            detail = "a response without Content-Length or chunks has no sure end"
-            return HttpClientError(ClientErrorReason.MALFORMED, True, detail)
-
     async def _read_response(
         self, reader: ResponseReader, deadline_s: float
     ) -> Result[http_messages.HttpResponse, HttpClientError]:
--- a/packages/transport/lacewingdrum_transport/response_reader.py
+++ b/packages/transport/lacewingdrum_transport/response_reader.py
@@ -1,4 +1,4 @@
-"""Reads the bodies of responses and finds their ends."""
+"""Reads heads and bodies of responses and finds their ends."""
 
 import enum
 import re
@@ -14,6 +14,8 @@
 KEEP_ALIVE_MARGIN_S = 0.6
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d{1,6})")
 STATUSES_WITHOUT_BODY = frozenset((204, 304))
+# A server may send some responses before the final one, but not without end.
+INTERIM_RESPONSES_MAX = 16
 ClientConnection = client_connection.ClientConnection
 ClientErrorReason = client_connection.ClientErrorReason
 HttpClientError = client_connection.HttpClientError
@@ -114,6 +116,49 @@
         self._release(self._connection, timed_out)
 
 
+async def exchange(
+    connection: ClientConnection,
+    head: h11.Request,
+    body: bytes,
+    deadline_s: float,
+    allow_close_delimited: bool,
+) -> h11.Response | HttpClientError:
+    """Send a request and wait for the head of its final response.
+
+    Args:
+        connection: an idle connection.
+        head: the head of the request.
+        body: its complete body.
+        deadline_s: when to give up, as a time of the connection's clock.
+        allow_close_delimited: as for ``HttpClient.open``.
+
+    Returns:
+        The head of the response, or why there is none.
+    """
+    send_result = connection.send_request(head, body)
+    if isinstance(send_result, Err):
+        return send_result.err_value
+    interim_count = 0
+    while True:
+        event = await connection.next_event(deadline_s)
+        if isinstance(event, h11.InformationalResponse):
+            interim_count += 1
+            if interim_count <= INTERIM_RESPONSES_MAX:
+                continue
+            detail = "interim responses without end"
+            return HttpClientError(ClientErrorReason.TOO_LARGE, True, detail)
+        if isinstance(event, HttpClientError):
+            return event
+        if not isinstance(event, h11.Response):
+            detail = "connection ended before the response"
+            return HttpClientError(ClientErrorReason.LOST, True, detail)
+        self_delimited = is_self_delimited(head.method.decode(), event)
+        if self_delimited or allow_close_delimited:
+            return event
+        detail = "a response without Content-Length or chunks has no sure end"
+        return HttpClientError(ClientErrorReason.MALFORMED, True, detail)
+
+
 def is_self_delimited(method: str, head: h11.Response) -> bool:
     """Return whether the response itself states where its body ends.
 
