Unfinished answers of runners together occupy a bounded amount

What would be seen: with 30 answers without end at once a daemon took 254 MB, more than its VM may have, before each had met its own limit of 8 MB.

One event may have what one answer may have.

--- a/packages/gateway/lacewingdrum_gateway/active_request.py
+++ b/packages/gateway/lacewingdrum_gateway/active_request.py
@@ -76,7 +76,7 @@
         return {
             "answer_end": self.answer.answer_end,
             "channel_end": self.answer.channel_end,
-            "partial_event_bytes": len(self.events.partial_event),
+            "partial_event_bytes": self.events.partial_bytes,
         }
 
     @property
--- a/packages/gateway/lacewingdrum_gateway/attempt.py
+++ b/packages/gateway/lacewingdrum_gateway/attempt.py
@@ -7,7 +7,12 @@
 
 from lacewingdrum_coordination import runner_health
 from lacewingdrum_daemon import decision_log, metrics
-from lacewingdrum_gateway import attempt_ends, runner_notices, work_sync
+from lacewingdrum_gateway import (
+    answer_memory,
+    attempt_ends,
+    runner_notices,
+    work_sync,
+)
 from lacewingdrum_platform import headers as platform_headers
 from lacewingdrum_state import runner_entries, states
 from lacewingdrum_transport import http_client, http_messages
@@ -16,7 +21,6 @@
 # A silent runner is suspected only if it has been silent towards all requests
 # for this long, because one request may wait while the runner serves others.
 SUSPECT_SILENCE_S = 0.7
-FAILURE_BODY_MAX_BYTES = 1024 * 1024
 # Callers take these statuses to mean that the request has not run.
 STATUSES_NOT_FORWARDED = frozenset((408, 421, 429, 503))
 
@@ -41,6 +45,7 @@
         health: runner_health.RunnerHealth,
         notices: runner_notices.RunnerNotices,
         work_updates: work_sync.WorkSync,
+        answers: answer_memory.AnswerMemory,
         clock: Callable[[], float],
         decisions: decision_log.DecisionLog,
         counts: metrics.Metrics,
@@ -49,6 +54,7 @@
         self._health = health
         self._notices = notices
         self._work_updates = work_updates
+        self._answers = answers
         self._clock = clock
         self._decisions = decisions
         self._counts = counts
@@ -66,7 +72,7 @@
         Args:
             entry: the runner.
             outgoing: the request.
-            delivery: the headers of this attempt.
+            attempt_headers: the headers to add for this attempt.
             timeout_s: the time limit for the head of the answer.
             on_new_connection: whether to open a new connection instead of
                 reusing one.
@@ -101,7 +107,7 @@
             return Err(end)
         if http_messages.is_success(reader.status):
             return Ok(reader)
-        return Err(await _read_failure(reader))
+        return Err(await self._read_failure(reader))
 
     def record_contact(self, entry: runner_entries.RunnerEntry) -> None:
         """Record that a part of an answer has arrived from a runner."""
@@ -149,6 +155,33 @@
         """Suspect an engine that did not answer a memory reservation."""
         self._suspect(entry, attempt_ends.EndReason.NO_MEMORY, detail)
 
+    async def _read_failure(
+        self, reader: http_client.ResponseReader
+    ) -> attempt_ends.AttemptEnd:
+        """Read the body of a failure, which may be forwarded."""
+        status = reader.status
+        held = self._answers.hold()
+        body = await read_whole(reader, FAILURE_BODY_TIMEOUT_S, held)
+        held.close()
+        detail = f"status {status}"
+        if isinstance(body, Err):
+            return body.err_value
+        if status in STATUSES_NOT_FORWARDED:
+            # The runner did not state that the request has not run, so no
+            # answer that lets the caller conclude this is forwarded.
+            return attempt_ends.AttemptEnd(
+                states.AttemptState.UNKNOWN,
+                attempt_ends.EndReason.FAILED_STATUS,
+                detail,
+            )
+        answer = http_messages.HttpResponse(status, reader.headers, body.ok_value)
+        return attempt_ends.AttemptEnd(
+            states.AttemptState.ANSWERED,
+            attempt_ends.EndReason.FAILED_STATUS,
+            detail,
+            answer,
+        )
+
     def _suspect(
         self,
         entry: runner_entries.RunnerEntry,
@@ -168,37 +201,17 @@
             )
 
 
-async def _read_failure(reader: http_client.ResponseReader) -> attempt_ends.AttemptEnd:
-    """Read the body of a failure, which may be forwarded."""
-    status = reader.status
-    body = await read_whole(reader, FAILURE_BODY_TIMEOUT_S, FAILURE_BODY_MAX_BYTES)
-    detail = f"status {status}"
-    if isinstance(body, Err):
-        return body.err_value
-    if status in STATUSES_NOT_FORWARDED:
-        # The runner did not state that the request has not run, so an answer
-        # from which the caller would conclude this is not forwarded.
-        return attempt_ends.AttemptEnd(
-            states.AttemptState.UNKNOWN, attempt_ends.EndReason.FAILED_STATUS, detail
-        )
-    answer = http_messages.HttpResponse(status, reader.headers, body.ok_value)
-    return attempt_ends.AttemptEnd(
-        states.AttemptState.ANSWERED,
-        attempt_ends.EndReason.FAILED_STATUS,
-        detail,
-        answer,
-    )
-
-
 async def read_whole(
-    reader: http_client.ResponseReader, timeout_s: float, limit_bytes: int
+    reader: http_client.ResponseReader,
+    timeout_s: float,
+    held: answer_memory.HeldAnswer,
 ) -> Result[bytes, attempt_ends.AttemptEnd]:
     """Read the whole body of an answer.
 
     Args:
         reader: the answer; it is closed at the end.
         timeout_s: the time limit for the whole body.
-        limit_bytes: the maximum size of the body.
+        held: the memory that the body occupies.
 
     Returns:
         The body, or the end of the attempt.
@@ -215,8 +228,8 @@
             if not part.ok_value:
                 return Ok(b"".join(parts))
             size_bytes += len(part.ok_value)
-            if size_bytes > limit_bytes:
-                detail = f"over {limit_bytes} bytes"
+            if not held.resize(size_bytes):
+                detail = f"no room for {size_bytes} bytes"
                 unknown = states.AttemptState.UNKNOWN
                 return Err(
                     attempt_ends.AttemptEnd(
--- a/packages/gateway/lacewingdrum_gateway/components.py
+++ b/packages/gateway/lacewingdrum_gateway/components.py
@@ -14,6 +14,7 @@
 )
 from lacewingdrum_daemon import decision_log, metrics
 from lacewingdrum_gateway import (
+    answer_memory,
     attempt,
     configuration_sync,
     daemon_registry,
@@ -40,6 +41,7 @@
 RUNNER_CONNECT_TIMEOUT_S = 0.5
 RUNNER_UNACKNOWLEDGED_MAX_MS = 1_200
 BODY_MEMORY_SHARE = 0.35
+ANSWER_MEMORY_SHARE = 0.15
 BYTES_PER_MB = 1_000_000
 # The other descriptors are kept for runners, peers and the store.
 CALLER_DESCRIPTOR_SHARE = 0.5
@@ -137,11 +139,15 @@
             self.decisions,
             self.counts,
         )
+        answers = answer_memory.AnswerMemory(
+            int(own_settings.limits.memory_mb * BYTES_PER_MB * ANSWER_MEMORY_SHARE)
+        )
         sender = attempt.AttemptSender(
             self.runner_client,
             self.health,
             self.notices,
             self.work_sync,
+            answers,
             clock,
             self.decisions,
             self.counts,
@@ -160,7 +166,7 @@
         )
         silence = silence_limits.SilenceLimits(planner)
         streams = stream_forwarding.StreamForwarder(
-            sender, planner, silence, self.memory, self.work_sync, clock
+            sender, planner, silence, self.memory, answers, self.work_sync, clock
         )
         allowance = retry_allowance.RetryAllowance(
             own_settings.bounds.repeat_ratio,
@@ -171,7 +177,14 @@
             sender,
             planner,
             exchange.Exchange(
-                sender, planner, silence, streams, self.memory, self.work_sync, clock
+                sender,
+                planner,
+                silence,
+                streams,
+                self.memory,
+                answers,
+                self.work_sync,
+                clock,
             ),
             allowance,
             self.work_sync,
--- a/packages/gateway/lacewingdrum_gateway/endless_answers_test.py
+++ b/packages/gateway/lacewingdrum_gateway/endless_answers_test.py
@@ -1,5 +1,6 @@
 """Tests of runners that send bytes without end."""
 
+import asyncio
 import time
 
 from lacewingdrum_gateway.gateway_test import ASK, EVENTS
@@ -67,3 +68,15 @@
             shared.append(fault)
             read = await site.call("/read/x", f"r{fault.value}")
             assert stream.body == EVENTS and read.status == 200
+
+
+async def test_answers_without_end_together_hold_a_bounded_amount():
+    async with platform_site.running_site(engines=1, ledgers=1) as site:
+        runner = site.ledgers[0]
+        runner.faults = [Fault.ENDLESS_BODY] * 30
+        calls = [site.call("/order/x", f"o{number}") for number in range(30)]
+        answers = await asyncio.gather(*calls)
+        assert {answer.status for answer in answers} == {502}
+        # What the kernels hold is counted too.
+        limits = site.gateways[0].gateway_settings.limits
+        assert runner.endless.sent_bytes < 0.5 * limits.memory_mb * 1_000_000
--- a/packages/gateway/lacewingdrum_gateway/exchange.py
+++ b/packages/gateway/lacewingdrum_gateway/exchange.py
@@ -7,6 +7,7 @@
 from lacewingdrum_coordination import engine_work_registry
 from lacewingdrum_gateway import (
     active_request,
+    answer_memory,
     attempt,
     attempt_ends,
     engine_memory,
@@ -20,8 +21,6 @@
 from lacewingdrum_state import configurations, requests, states
 from lacewingdrum_transport import http_client, http_messages
 
-ANSWER_MAX_BYTES = 8 * 1024 * 1024
-
 
 class Exchange:
     """Makes planned attempts and forwards their answers to the callers."""
@@ -33,6 +32,7 @@
         silence: silence_limits.SilenceLimits,
         streams: stream_forwarding.StreamForwarder,
         memory: engine_memory.EngineMemory,
+        answers: answer_memory.AnswerMemory,
         work_updates: work_sync.WorkSync,
         clock: Callable[[], float],
     ) -> None:
@@ -41,6 +41,7 @@
         self._silence = silence
         self._streams = streams
         self._memory = memory
+        self._answers = answers
         self._work_updates = work_updates
         self._clock = clock
 
@@ -149,13 +150,16 @@
     async def _forward_whole(
         self, active: active_request.ActiveRequest, reader: http_client.ResponseReader
     ) -> attempt_ends.AttemptEnd | None:
-        body = await attempt.read_whole(
-            reader, active.left_s(self._clock()), ANSWER_MAX_BYTES
-        )
-        if isinstance(body, Err):
-            return body.err_value
-        answer = http_messages.HttpResponse(
-            reader.status, reader.headers, body.ok_value
-        )
-        await active.responder.send(answer)
+        held = self._answers.hold()
+        try:
+            left_s = active.left_s(self._clock())
+            body = await attempt.read_whole(reader, left_s, held)
+            if isinstance(body, Err):
+                return body.err_value
+            answer = http_messages.HttpResponse(
+                reader.status, reader.headers, body.ok_value
+            )
+            await active.responder.send(answer)
+        finally:
+            held.close()
         return None
--- a/packages/gateway/lacewingdrum_gateway/stream_forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/stream_forwarding.py
@@ -6,6 +6,7 @@
 
 from lacewingdrum_gateway import (
     active_request,
+    answer_memory,
     attempt,
     attempt_ends,
     engine_memory,
@@ -30,6 +31,7 @@
         planner: routing.Planner,
         silence: silence_limits.SilenceLimits,
         memory: engine_memory.EngineMemory,
+        answers: answer_memory.AnswerMemory,
         work_updates: work_sync.WorkSync,
         clock: Callable[[], float],
     ) -> None:
@@ -37,6 +39,7 @@
         self._planner = planner
         self._silence = silence
         self._memory = memory
+        self._answers = answers
         self._work_updates = work_updates
         self._clock = clock
 
@@ -56,6 +59,7 @@
         events = active.events
         events.discard_partial_event()
         has_events = False
+        held = self._answers.hold()
         # Only whole events count as progress, so that a stream which sends
         # single bytes of one is not waited for without end.
         progress_s = self._clock()
@@ -84,9 +88,10 @@
                     self._record_event_time(active, plan)
                 if data and not await self._write_events(active, reader, data):
                     return _CALLER_DISCONNECTED
-                if events.is_event_too_large:
+                if not held.resize(events.partial_bytes):
                     return _TOO_LARGE
         finally:
+            held.close()
             await reader.close()
 
     async def _write_events(
--- a/packages/transport/lacewingdrum_transport/http_server.py
+++ b/packages/transport/lacewingdrum_transport/http_server.py
@@ -11,6 +11,7 @@
 
 from lacewingdrum_state import states
 from lacewingdrum_transport import (
+    byte_budget,
     byte_channel,
     http_messages,
     request_reader,
@@ -47,7 +48,7 @@
         self._handler = handler
         self._limits = limits or ServerLimits()
         self._clock = clock
-        self._budget = request_reader.BodyBudget(self._limits.held_body_bytes)
+        self._budget = byte_budget.ByteBudget(self._limits.held_body_bytes)
         self._server: asyncio.Server | None = None
         self._tasks: dict[asyncio.Task[None], byte_channel.ByteChannel] = {}
         self._busy: set[byte_channel.ByteChannel] = set()
--- a/packages/transport/lacewingdrum_transport/request_reader.py
+++ b/packages/transport/lacewingdrum_transport/request_reader.py
@@ -12,7 +12,7 @@
 import h11
 from result import Err, Ok, Result
 
-from lacewingdrum_transport import byte_channel, http_messages
+from lacewingdrum_transport import byte_budget, byte_channel, http_messages
 
 BYTES_PER_MIB = 1024 * 1024
 
@@ -65,32 +65,6 @@
     detail: str = ""
 
 
-class BodyBudget:
-    """Limits the total size of the request bodies held by a server."""
-
-    def __init__(self, limit_bytes: int) -> None:
-        self._limit_bytes = limit_bytes
-        self.held_bytes = 0
-
-    def set_limit(self, limit_bytes: int) -> None:
-        """Set the limit on the total size.
-
-        Bodies that are already held count, but are not dropped.
-        """
-        self._limit_bytes = limit_bytes
-
-    def acquire(self, size_bytes: int) -> bool:
-        """Add ``size_bytes`` if within the limit; return whether it was."""
-        if self.held_bytes + size_bytes > self._limit_bytes:
-            return False
-        self.held_bytes += size_bytes
-        return True
-
-    def release(self, size_bytes: int) -> None:
-        """Subtract ``size_bytes`` that are no longer held."""
-        self.held_bytes -= size_bytes
-
-
 class RequestReader:
     """Reads the requests of one connection one after another."""
 
@@ -99,7 +73,7 @@
         channel: byte_channel.ByteChannel,
         connection: h11.Connection,
         limits: ServerLimits,
-        budget: BodyBudget,
+        budget: byte_budget.ByteBudget,
         clock: Callable[[], float],
     ) -> None:
         self._channel = channel
