Idle connections to runners are closed when anything arrives on them

What would be seen: bytes without end after an answer filled the buffers of each idle connection, 256 KB and more each and 64 connections to a runner, until the connection was taken or expired. An idle connection that gets bytes or the end of its stream is closed at once now.

--- a/packages/transport/lacewingdrum_transport/byte_channel.py
+++ b/packages/transport/lacewingdrum_transport/byte_channel.py
@@ -54,6 +54,7 @@
         self.end = ChannelEnd.OPEN
         self.remote_address = ""
         self._on_connected = on_connected
+        self._on_input: Callable[[], None] | None = None
         self._unacknowledged_limit_ms = unacknowledged_limit_ms
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
@@ -153,6 +154,14 @@
             return None
         return self._take_received()
 
+    def set_input_handler(self, handler: Callable[[], None] | None) -> None:
+        """Set what is called once, when bytes or the end of the stream arrive.
+
+        Args:
+            handler: the function; None for none.
+        """
+        self._on_input = handler
+
     def write(self, data: bytes) -> bool:
         """Add bytes to the write buffer.
 
@@ -258,6 +267,9 @@
             self._read_waiter = None
 
     def _wake_reader(self) -> None:
+        if self._on_input is not None:
+            handler, self._on_input = self._on_input, None
+            handler()
         if self._read_waiter is not None:
             _resolve(self._read_waiter, True)
 
--- a/packages/transport/lacewingdrum_transport/http_client.py
+++ b/packages/transport/lacewingdrum_transport/http_client.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import functools
 import time
 from collections.abc import Callable
 
@@ -155,6 +156,7 @@
             connections.extend(idle)
         self._idle.clear()
         for connection in connections:
+            connection.channel.set_input_handler(None)
             connection.channel.abort()
 
     def idle_count(self, address: fleet.Address) -> int:
@@ -189,6 +191,7 @@
             limit_s = min(self._limits.idle_s, connection.idle_limit_s)
             is_recent = now_s - connection.idle_since_s <= limit_s
             if connection.is_quiescent and is_recent:
+                connection.channel.set_input_handler(None)
                 self._in_use.add(connection)
                 return connection
             self._close_connection(connection)
@@ -247,6 +250,15 @@
         connection.h11.start_next_cycle()
         connection.idle_since_s = self._clock()
         idle.append(connection)
+        # An idle connection that gets anything is of no use, and bytes without
+        # end would fill its buffer.
+        connection.channel.set_input_handler(
+            functools.partial(self._close_idle, connection)
+        )
+
+    def _close_idle(self, connection: _Connection) -> None:
+        self._idle[connection.address].remove(connection)
+        self._close_connection(connection)
 
     def _discard(self, connection: _Connection, timed_out: bool) -> None:
         self._in_use.discard(connection)
@@ -258,6 +270,7 @@
                 self._close_connection(idle)
 
     def _close_connection(self, connection: _Connection) -> None:
+        connection.channel.set_input_handler(None)
         connection.channel.abort()
         self._decrement_open_count(connection.address)
 
