Answers without end to memory commands are not taken whole

An engine's answer to a memory command could fill 64 MB within its 0.6 s; the test failed before. 256 KB are taken now, hundreds of times a report.

--- a/packages/gateway/lacewingdrum_gateway/components.py
+++ b/packages/gateway/lacewingdrum_gateway/components.py
@@ -40,6 +40,7 @@
 
 RUNNER_CONNECT_TIMEOUT_S = 0.5
 RUNNER_UNACKNOWLEDGED_MAX_MS = 1_200
+COMMAND_ANSWER_MAX_BYTES = 256 * 1024
 BODY_MEMORY_SHARE = 0.35
 ANSWER_MEMORY_SHARE = 0.15
 BYTES_PER_MB = 1_000_000
@@ -127,6 +128,7 @@
                 idle_s=RUNNER_IDLE_S,
                 connect_timeout_s=RUNNER_CONNECT_TIMEOUT_S,
                 unacknowledged_limit_ms=RUNNER_UNACKNOWLEDGED_MAX_MS,
+                body_bytes=COMMAND_ANSWER_MAX_BYTES,
             ),
             clock,
         )
--- a/packages/gateway/lacewingdrum_gateway/endless_answers_test.py
+++ b/packages/gateway/lacewingdrum_gateway/endless_answers_test.py
@@ -80,3 +80,15 @@
         # What the kernels hold is counted too.
         limits = site.gateways[0].gateway_settings.limits
         assert runner.endless.sent_bytes < 0.5 * limits.memory_mb * 1_000_000
+
+
+async def test_answers_without_end_to_memory_commands_are_not_taken_whole():
+    async with platform_site.running_site(engines=4) as site:
+        for engine in site.engines:
+            engine.has_endless_commands = True
+        large = platform_site.prompt_headers(900_000, 1_000)
+        answer = await site.call("/ask/x", "a1", headers=large)
+        assert answer.status == 503
+        sent_bytes = sum(one.endless.sent_bytes for one in site.engines)
+        assert sent_bytes < TAKEN_MAX_BYTES * len(site.engines)
+        assert await suspicion_count(site) > 0
--- a/standins/platform_connection.py
+++ b/standins/platform_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import socket
 import struct
 
@@ -19,6 +20,17 @@
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReceivedRequest:
+    """A request as the runner received it."""
+
+    attempt_id: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    ran: bool
+
+
 def format_head(headers: Headers, status: int = 200) -> bytes:
     """Return the head of an answer with exactly these headers."""
     lines = "".join(f"{name}: {value}\r\n" for name, value in headers)
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import json
 
 import h11
@@ -21,21 +20,11 @@
 Fault = platform_answers.Fault
 Headers = platform_connection.Headers
 MemoryReservation = platform_memory.MemoryReservation
+ReceivedRequest = platform_connection.ReceivedRequest
 SECOND_COPY_DELAY_S = platform_connection.SECOND_COPY_DELAY_S
 EVENT_INTERVAL_S = 0.005
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReceivedRequest:
-    """A request as the runner received it."""
-
-    attempt_id: str
-    path: str
-    headers: dict[str, str]
-    body: bytes
-    ran: bool
-
-
 class PlatformRunner:
     """One runner; each request uses up the next of ``faults``."""
 
@@ -54,6 +43,7 @@
         self.reserved: dict[str, MemoryReservation] = {}
         self.command_count = 0
         self.refuse_commands = False
+        self.has_endless_commands = False
         # Whether each answer says that the runner leaves.
         self.is_leaving = False
         # The time to stay away that a refused request is answered with.
@@ -138,6 +128,9 @@
                 return
             headers = {name.decode(): value.decode() for name, value in request.headers}
             path = request.target.decode()
+            if path == "/-/order" and self.has_endless_commands:
+                await self.endless.send(writer, (), Fault.ENDLESS_BODY)
+                return
             if path == "/-/order":
                 is_reusable = self._handle_command(connection, writer, body)
             elif path == "/-/report":
