Soak: answers that end with their connection, cuts inside events, no ends

Streams are to have all their events now, not only the first ones in order, and the proxies pass a reset on as a reset.

--- a/packages/gateway/lacewingdrum_gateway/answer_end_test.py
+++ b/packages/gateway/lacewingdrum_gateway/answer_end_test.py
@@ -73,8 +73,7 @@
 async def test_stream_whose_connection_ends_before_any_event_does_not_look_complete():
     async with platform_site.running_site() as site:
         await forbid_resuming(site)
-        set_close_delimited(site)
-        set_next_fault(site.engines, Fault.END_BEFORE_EVENTS)
+        set_next_fault(site.engines, Fault.CLOSE_BEFORE_EVENTS)
         answer = await site.call("/ask/x", "a1", headers=ASK)
         assert answer.status in NOT_ANSWERED
 
--- a/standins/platform_answers.py
+++ b/standins/platform_answers.py
@@ -23,8 +23,10 @@
     The faults inside an answer differ in its end: ``ABORT_INSIDE_ANSWER``
     closes the connection, ``RESET_INSIDE_ANSWER`` resets it, and
     ``END_INSIDE_EVENT`` ends the answer properly after a part of an event.
-    ``END_BEFORE_EVENTS`` does so right after the head. The endless ones send
-    bytes until the connection is closed at the other side.
+    ``CLOSE_DELIMITED`` has neither a length nor chunks; so have
+    ``CLOSE_BEFORE_EVENTS``, whose connection is closed right after the head,
+    and ``CLOSE_INSIDE_EVENT``. The endless ones send bytes until the
+    connection is closed at the other side.
     """
 
     NONE = "none"
@@ -36,7 +38,8 @@
     ABORT_INSIDE_ANSWER = "cut_inside_answer"
     RESET_INSIDE_ANSWER = "reset_inside_answer"
     END_INSIDE_EVENT = "end_inside_event"
-    END_BEFORE_EVENTS = "end_before_events"
+    CLOSE_BEFORE_EVENTS = "close_before_events"
+    CLOSE_INSIDE_EVENT = "close_inside_event"
     SILENT = "no_bytes"
     NO_RECEIPT = "no_receipt"
     OTHER_ATTEMPT_ANSWER = "foreign_answer"
@@ -106,7 +109,15 @@
 
 
 FAULTS_INSIDE_ANSWER = frozenset(
-    (Fault.ABORT_INSIDE_ANSWER, Fault.RESET_INSIDE_ANSWER, Fault.END_INSIDE_EVENT)
+    (
+        Fault.ABORT_INSIDE_ANSWER,
+        Fault.RESET_INSIDE_ANSWER,
+        Fault.END_INSIDE_EVENT,
+        Fault.CLOSE_INSIDE_EVENT,
+    )
+)
+CLOSE_DELIMITED_STREAMS = frozenset(
+    (Fault.CLOSE_DELIMITED, Fault.CLOSE_BEFORE_EVENTS, Fault.CLOSE_INSIDE_EVENT)
 )
 
 
@@ -132,6 +143,8 @@
     answer.start(("Content-Length", str(len(body))))
     if fault in FAULTS_INSIDE_ANSWER:
         await answer.write(body[:PARTIAL_BYTES])
+        if fault is Fault.END_INSIDE_EVENT:
+            return False
         return await answer.break_off(fault)
     await answer.write(body)
     is_reusable = answer.finish()
@@ -163,8 +176,10 @@
         Whether the connection is reusable.
     """
     answer.headers = (*answer.headers, CONTENT_TYPE)
+    if fault in CLOSE_DELIMITED_STREAMS:
+        answer.is_close_delimited = True
     answer.start(("Transfer-Encoding", "chunked"))
-    if fault is Fault.END_BEFORE_EVENTS:
+    if fault is Fault.CLOSE_BEFORE_EVENTS:
         return answer.finish()
     for number in range(first, last + 1):
         event = f"id: {number}\ndata: piece {number}\n\n".encode()
--- a/standins/platform_connection.py
+++ b/standins/platform_connection.py
@@ -40,7 +40,8 @@
 def reset(writer: asyncio.StreamWriter) -> None:
     """Reset the connection, as a crashed machine does."""
     sock = writer.get_extra_info("socket")
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
     writer.transport.abort()
 
 
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -10,6 +10,7 @@
 ORDER_PREFIX = "order"
 STREAM_PREFIX = "ask"
 LONG_STREAM_PREFIX = "digest"
+EVENT_NUMBERS = range(1, 9)
 # Allowed beyond a request's time limit, as the host runs other work too.
 LATENESS_MAX_S = 1.0
 
@@ -98,8 +99,7 @@
     if not request.receipt.endswith(f"-{request.attempt_id}"):
         return [f"the receipt is {request.receipt!r}"]
     if request.attempt_id.startswith((STREAM_PREFIX, LONG_STREAM_PREFIX)):
-        count = request.body.count(b"\n\n")
-        whole = "".join(f"id: {n}\ndata: piece {n}\n\n" for n in range(1, count + 1))
-        return [] if count and request.body == whole.encode() else ["events differ"]
+        whole = "".join(f"id: {n}\ndata: piece {n}\n\n" for n in EVENT_NUMBERS)
+        return [] if request.body == whole.encode() else ["events differ"]
     expected = {f"answer of {name} to {request.attempt_id}".encode() for name in ran}
     return [] if request.body in expected else [f"the body is {request.body!r}"]
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -5,6 +5,8 @@
 import dataclasses
 import enum
 
+from standins import platform_connection
+
 READ_BYTES = 65_536
 
 
@@ -51,7 +53,7 @@
     def reset(self) -> None:
         """Reset all open connections."""
         for writer in tuple(self._writers):
-            writer.transport.abort()
+            platform_connection.reset(writer)
 
     def silence(self, path_fault: PathFault) -> None:
         """Set the fault; open connections stay silent after it has ended."""
@@ -93,7 +95,9 @@
                 await asyncio.wait(
                     (forward, backward), return_when=asyncio.FIRST_COMPLETED
                 )
-                if backward.done() and not writer.is_closing():
+                if backward.done() and backward.exception() is not None:
+                    platform_connection.reset(writer)
+                elif backward.done() and not writer.is_closing():
                     # The caller receives the last byte before the end.
                     await writer.drain()
                     writer.close()
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -13,7 +13,6 @@
 ENGINES = 4
 LEDGERS = 3
 GATEWAYS = 3
-EVENTS = 8
 GRACE_S = 4.0
 RESTART_S = 0.2
 
@@ -159,7 +158,7 @@
         return faults
 
     async def _add_runner(self, name: str, service: str) -> None:
-        runner = platform_runner.PlatformRunner(name, EVENTS)
+        runner = platform_runner.PlatformRunner(name, len(checks.EVENT_NUMBERS))
         runner.event_interval_s = 0.04
         await runner.start()
         fault_proxy = proxy.FaultProxy(runner.port)
