--- a/packages/coordination/lacewingdrum_coordination/customer_limits.py
+++ b/packages/coordination/lacewingdrum_coordination/customer_limits.py
@@ -4,19 +4,11 @@
 slice of a small limit is still a whole number.
 """
 
-import enum
-
 from lacewingdrum_coordination import limits
-from lacewingdrum_state import documents, ids
+from lacewingdrum_state import documents, ids, states
 
 UNITS_PER_REQUEST = 1_000
-
-
-class Resource(enum.Enum):
-    """The resource that a limit counts."""
-
-    TOKENS = "tokens"
-    REQUESTS = "requests"
+Resource = states.Resource
 
 
 def limit_per_s(customer: documents.Customer, resource: Resource) -> float:
--- a/packages/protocol/lacewingdrum_protocol/peer_messages.py
+++ b/packages/protocol/lacewingdrum_protocol/peer_messages.py
@@ -7,8 +7,8 @@
 import msgspec
 from result import Err, Ok, Result
 
-from lacewingdrum_coordination import customer_limits
 from lacewingdrum_protocol import work_messages
+from lacewingdrum_state import states
 
 WIRE_VERSION = 1
 
@@ -141,7 +141,7 @@
     customer: str
     wanted: int
     used: int
-    resource: customer_limits.Resource = customer_limits.Resource.TOKENS
+    resource: states.Resource = states.Resource.TOKENS
 
 
 class BudgetGrant(msgspec.Struct, frozen=True, array_like=True, tag="bgg"):
@@ -151,7 +151,7 @@
     customer: str
     granted: int
     lapse_ms: int
-    resource: customer_limits.Resource = customer_limits.Resource.TOKENS
+    resource: states.Resource = states.Resource.TOKENS
 
 
 class ConfigurationRequest(msgspec.Struct, frozen=True, array_like=True, tag="cfa"):
--- a/packages/state/lacewingdrum_state/states.py
+++ b/packages/state/lacewingdrum_state/states.py
@@ -53,3 +53,10 @@
     SHORT = "short"
     MID = "mid"
     LONG = "long"
+
+
+class Resource(enum.Enum):
+    """The resource that a customer's limit counts."""
+
+    TOKENS = "tokens"
+    REQUESTS = "requests"
