--- a/packages/gateway/lacewingdrum_gateway/gateway.py
+++ b/packages/gateway/lacewingdrum_gateway/gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import socket
 import time
 
 from lacewingdrum_daemon import decision_log, tasks
@@ -68,12 +69,15 @@
         """The version in force, or 0 if there is none."""
         return self._components.configurations.version
 
-    async def start(self) -> None:
+    async def start(self, listener: socket.socket | None = None) -> None:
         """Start every component.
 
         The daemon becomes ready once it knows the configuration, the runners
         and the work of its peers.
 
+        Args:
+            listener: a socket that already listens on the callers' address.
+
         Raises:
             OSError: if an address cannot be bound.
         """
@@ -92,7 +96,7 @@
         components.daemon_registry.start()
         components.probe.start()
         await components.callers_server.start(
-            vm.caller_address.host, vm.caller_address.port
+            vm.caller_address.host, vm.caller_address.port, listener
         )
         await components.ready_server.start(
             vm.ready_address.host, vm.ready_address.port
--- a/packages/gateway/lacewingdrum_gateway/gateway_test.py
+++ b/packages/gateway/lacewingdrum_gateway/gateway_test.py
@@ -43,6 +43,20 @@
         await site.close()
 
 
+async def test_request_waits_a_moment_for_the_configuration():
+    site = platform_site.PlatformSite()
+    try:
+        await site.start()
+        site.store.mode = platform_store.StoreMode.BUSY
+        await site.start_gateway()
+        call = asyncio.ensure_future(site.call("/order/x", "a1"))
+        await asyncio.sleep(0.05)
+        site.store.mode = platform_store.StoreMode.HEALTHY
+        assert (await call).status == 200
+    finally:
+        await site.close()
+
+
 async def test_order_runs_once_whatever_its_runner_does():
     unsure = (
         Fault.ABORT_BEFORE_ANSWER,
--- a/packages/gateway/lacewingdrum_gateway/main.py
+++ b/packages/gateway/lacewingdrum_gateway/main.py
@@ -4,6 +4,7 @@
 import asyncio
 import logging
 import signal
+import socket
 import sys
 import time
 
@@ -15,7 +16,9 @@
 EXIT_CANNOT_LISTEN = 3
 
 
-async def _serve(found: settings.Settings, path: str) -> int:
+async def _serve(
+    found: settings.Settings, path: str, listener: socket.socket | None
+) -> int:
     output = line_output.LineOutput(sys.stdout.fileno(), time.monotonic)
     output.setFormatter(
         decision_log.json_formatter(found.vm.vm_id, found.vm.data_centre)
@@ -30,7 +33,7 @@
     loop.add_signal_handler(signal.SIGINT, daemon.request_stop)
     loop.add_signal_handler(signal.SIGHUP, daemon.request_reload)
     try:
-        await daemon.start()
+        await daemon.start(listener)
     except OSError as error:
         logging.getLogger(__name__).error("cannot listen: %s", error)
         await daemon.close()
@@ -42,8 +45,12 @@
     return EXIT_ABORTED_REQUESTS if aborted_count else 0
 
 
-def main() -> int:
-    """Run the daemon; docs/OPERATIONS.md lists the exit codes."""
+def main(listener: socket.socket | None = None) -> int:
+    """Run the daemon; docs/OPERATIONS.md lists the exit codes.
+
+    Args:
+        listener: a socket that already listens on the callers' address.
+    """
     parser = argparse.ArgumentParser(prog="lacewingdrumd gateway")
     parser.add_argument("--settings", required=True, help="the settings file, TOML")
     arguments = parser.parse_args()
@@ -52,7 +59,7 @@
         print(f"lacewingdrumd: {error}", file=sys.stderr)
     if found is None:
         return EXIT_INVALID_SETTINGS
-    return asyncio.run(_serve(found, arguments.settings))
+    return asyncio.run(_serve(found, arguments.settings, listener))
 
 
 if __name__ == "__main__":
--- a/packages/gateway/lacewingdrum_gateway/request_handler.py
+++ b/packages/gateway/lacewingdrum_gateway/request_handler.py
@@ -21,6 +21,9 @@
 from lacewingdrum_transport import http_messages, responder as responders
 
 NOT_READY_RETRY_S = 0.5
+# A daemon that starts knows configuration and runners after a few calls.
+KNOWN_WAIT_S = 0.3
+KNOWN_POLL_S = 0.01
 LEAVING_RETRY_S = 0.1
 # Streams that start in this last share of a planned stop are refused, because
 # they might be aborted.
@@ -90,6 +93,7 @@
             responder: sends the answer.
         """
         caller_headers = platform_headers.parse_caller_headers(request.headers)
+        await self._wait_until_known(request)
         table = self._configurations.table
         if table is None or not self._runner_list.is_known:
             await self._answer_unavailable(
@@ -135,6 +139,14 @@
         )
         await self._forward(active)
 
+    async def _wait_until_known(self, request: http_messages.HttpRequest) -> None:
+        """Wait a moment for configuration and runners after a start."""
+        until_s = request.received_s + KNOWN_WAIT_S
+        while not (self._configurations.table and self._runner_list.is_known):
+            if self._clock() >= until_s:
+                return
+            await asyncio.sleep(KNOWN_POLL_S)
+
     async def _forward(self, active: active_request.ActiveRequest) -> None:
         running = asyncio.ensure_future(self._forwarder.forward(active))
         self._running[running] = active
--- a/packages/transport/lacewingdrum_transport/http_server.py
+++ b/packages/transport/lacewingdrum_transport/http_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+import socket
 import time
 from collections.abc import Awaitable, Callable
 
@@ -66,12 +67,15 @@
         """The number of requests between first byte and end of response."""
         return len(self._busy)
 
-    async def start(self, host: str, port: int) -> int:
+    async def start(
+        self, host: str, port: int, listener: socket.socket | None = None
+    ) -> int:
         """Bind the address and accept connections.
 
         Args:
             host: the IP address to bind.
             port: the port; with 0 the system chooses one.
+            listener: a socket that already listens there, to be used instead.
 
         Returns:
             The bound port.
@@ -80,12 +84,14 @@
             OSError: the address cannot be bound.
         """
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: byte_channel.ByteChannel(self._on_connected),
-            host,
-            port,
-            backlog=ACCEPT_BACKLOG,
-        )
+        if listener is None:
+            self._server = await loop.create_server(
+                self._new_channel, host, port, backlog=ACCEPT_BACKLOG
+            )
+        else:
+            self._server = await loop.create_server(
+                self._new_channel, sock=listener, backlog=ACCEPT_BACKLOG
+            )
         bound: int = self._server.sockets[0].getsockname()[1]
         return bound
 
@@ -130,6 +136,9 @@
             await asyncio.wait(tasks)
         return aborted_count
 
+    def _new_channel(self) -> byte_channel.ByteChannel:
+        return byte_channel.ByteChannel(self._on_connected)
+
     def _on_connected(self, channel: byte_channel.ByteChannel) -> None:
         full = len(self._tasks) >= self._limits.connections
         coroutine = self._refuse(channel) if full else self._serve(channel)
