Lists of all daemons go to a bounded number of newcomers

What goes wrong at size: each daemon answered each daemon that it heard first with its list of all, so a fleet of 195 that starts at once sends up to 38,000 lists of up to 4 KB, and again after the loss of all.

A daemon sends eight lists to newcomers within a second now; further ones get a plain heartbeat and find the others from the lists that go round in turn. A test counts them; the choice of receivers moved out of peering.

--- a/packages/gateway/lacewingdrum_gateway/peering.py
+++ b/packages/gateway/lacewingdrum_gateway/peering.py
@@ -12,17 +12,13 @@
 
 from lacewingdrum_coordination import heartbeat_intervals
 from lacewingdrum_daemon import decision_log, metrics, tasks
-from lacewingdrum_gateway import peer_table
+from lacewingdrum_gateway import peer_lists, peer_table
 from lacewingdrum_protocol import peer_messages
 from lacewingdrum_state import addresses, ids
 from lacewingdrum_transport import peer_socket
 
 # A connection is rebuilt after its peer was silent for at least this time.
 CONNECTION_SILENCE_MIN_S = 2.0
-PEER_LIST_EVERY_HEARTBEATS = 8
-# A list of all peers goes to this many daemons, each time to others. It grows
-# with the fleet, and one list is enough to find all others.
-PEER_LIST_TARGETS = 8
 
 Peer = peer_table.Peer
 _log = logging.getLogger(__name__)
@@ -53,7 +49,7 @@
         )
         self._is_leaving = False
         self._next_heartbeat_to_all = True
-        self._heartbeat_count = 0
+        self._lists = peer_lists.PeerLists(table, clock)
         self._last_remote_heartbeat_s = float("-inf")
         self._message_handlers: dict[type, Callable[[ids.VmId, Any], None]] = {}
         self._heartbeat_handlers: list[Callable[[Peer], None]] = []
@@ -154,13 +150,11 @@
             self._connect(self.table.add_address(ids.VmId(name), self._clock()))
 
     def _send_heartbeat(self) -> None:
-        self._heartbeat_count += 1
         targets = self._heartbeat_targets()
-        turn, heartbeats_ago = divmod(self._heartbeat_count, PEER_LIST_EVERY_HEARTBEATS)
-        if heartbeats_ago == 1:
-            told = self.table.in_turn(turn, PEER_LIST_TARGETS)
-            self._socket.send_many(told, self._heartbeat_message(with_peers=True))
-            targets = [address for address in targets if address not in told]
+        receivers = self._lists.next_receivers()
+        if receivers:
+            self._socket.send_many(receivers, self._heartbeat_message(with_peers=True))
+            targets = [address for address in targets if address not in receivers]
         self._socket.send_many(targets, self._heartbeat_message(with_peers=False))
 
     def _heartbeat_message(self, with_peers: bool) -> peer_messages.Heartbeat:
@@ -286,7 +280,8 @@
                 incarnation=peer.incarnation,
             )
         if is_unknown:
-            self._socket.send(sender, self._heartbeat_message(with_peers=True))
+            with_peers = self._lists.may_answer_newcomer()
+            self._socket.send(sender, self._heartbeat_message(with_peers))
         for name in heartbeat.peers:
             self.add_address(name)
         for handler in self._heartbeat_handlers:
