In a large fleet few daemons read and announce a change

Change: only the followers of the store announce, and the others take the text from one of them in their data centre; the store is read if none answers within 0.3 s, as before.

--- a/packages/gateway/lacewingdrum_gateway/configuration_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/configuration_sync.py
@@ -2,8 +2,9 @@
 
 A daemon never returns to an older version, also if the store does. It follows
 the feed of the store, and reads the whole table where the feed has a gap. In a
-large fleet only a few daemons follow it, see ``store_followers``; the others
-read the table when a heartbeat shows that there is a newer version.
+large fleet only a few daemons follow it, see ``store_followers``. They
+announce a newer version to all, and the others take it from one of them, or
+from the table if none answers.
 Heartbeats show which peers have a newer version; it is requested from one of
 them if the feed does not deliver it soon.
 """
@@ -30,6 +31,8 @@
 UNFOLLOWED_READ_S = 30.0
 # The longest time until a daemon notices that it has to follow the feed.
 FOLLOWER_CHECK_S = 0.5
+# The time that a peer of the same data centre has to send a version.
+NEAR_ANSWER_S = 0.3
 # The time that the feed has to deliver a version before a peer is asked.
 PEER_REQUEST_DELAY_S = 0.5
 REQUEST_INTERVAL_S = 0.4
@@ -55,6 +58,7 @@
         self._counts = counts
         self._last_request_s = float("-inf")
         self._newer_announced = asyncio.Event()
+        self._applied = asyncio.Event()
         self._applied_handlers: list[Callable[[route_table.RouteTable], None]] = []
         self._tasks = tasks.TaskSet()
 
@@ -107,7 +111,10 @@
             routes=len(found.routes),
             customers=len(found.customers),
         )
-        self._peers.announce_version(found.version)
+        self._applied.set()
+        self._peers.set_version(found.version)
+        if self._is_follower():
+            self._peers.announce()
         for handler in self._applied_handlers:
             handler(self.table)
 
@@ -117,6 +124,8 @@
         while True:
             if after is not None and not self._is_follower():
                 await self._wait_for_newer_version()
+                if await self._take_from_near_peer():
+                    continue
                 after = None
             if after is None:
                 answer = await self._store.read(store_calls.CONFIGURATION_TABLE)
@@ -153,7 +162,6 @@
 
         The wait also ends when this daemon has to follow the feed.
         """
-        self._newer_announced.clear()
         end_s = self._clock() + UNFOLLOWED_READ_S
         while self._clock() < end_s and not self._is_follower():
             try:
@@ -161,9 +169,44 @@
                     await self._newer_announced.wait()
             except TimeoutError:
                 continue
+            self._newer_announced.clear()
+            if self._newest_version_heard() <= self.version:
+                # It has come in the meantime.
+                continue
             await asyncio.sleep(store_followers.read_delay_s(self._peers.own_address))
             return
 
+    def _newest_version_heard(self) -> int:
+        live = self._peers.table.live
+        return max((peer.configuration_version for peer in live), default=0)
+
+    def _newest_near_peer(self) -> peering.Peer | None:
+        """Return the near peer with the newest version, if it is newer."""
+        newest = max(
+            self._peers.table.work_peers(),
+            key=lambda peer: peer.configuration_version,
+            default=None,
+        )
+        if newest is None or newest.configuration_version <= self.version:
+            return None
+        return newest
+
+    async def _take_from_near_peer(self) -> bool:
+        """Ask a near peer for its newer version; return whether it came."""
+        newest = self._newest_near_peer()
+        if newest is None or self._is_follower():
+            return False
+        self._applied.clear()
+        self._last_request_s = self._clock()
+        request = peer_messages.ConfigurationRequest(self.version)
+        self._peers.send(newest.address, request)
+        try:
+            async with asyncio.timeout(NEAR_ANSWER_S):
+                await self._applied.wait()
+        except TimeoutError:
+            return False
+        return True
+
     def _feed_wait_s(self) -> float:
         # In a large fleet, this daemon learns of a change from the heartbeat
         # of some peer even if its own feed stays silent, so the feed may wait
@@ -183,12 +226,9 @@
             loop.call_later(delay_s, self._request_configuration, peer.address)
 
     def _request_configuration(self, address: ids.VmId) -> None:
-        peer_version = max(
-            (peer.configuration_version for peer in self._peers.table.live), default=0
-        )
         now_s = self._clock()
         if (
-            peer_version <= self.version
+            self._newest_version_heard() <= self.version
             or now_s - self._last_request_s < REQUEST_INTERVAL_S
         ):
             return
--- a/packages/gateway/lacewingdrum_gateway/configuration_sync_test.py
+++ b/packages/gateway/lacewingdrum_gateway/configuration_sync_test.py
@@ -41,6 +41,34 @@
             assert feeds == 1, f"{feeds} daemons follow the store"
 
 
+async def test_change_is_read_from_the_store_by_followers_only():
+    limit = unittest.mock.patch.object(peer_table, "EXCHANGE_ALL_PEERS_MAX", 1)
+    few = unittest.mock.patch.object(store_followers, "FOLLOWERS_MAX", 1)
+    with limit, few:
+        async with platform_site.running_site(gateways=6) as site:
+            await asyncio.sleep(configuration_sync.REQUEST_INTERVAL_S)
+            before = site.store.read_counts["op"]
+            for version in (2, 3):
+                configuration = platform_site.make_configuration(version)
+                site.store.put_json("op", "config", configuration)
+                await wait_for_version(site, version, APPLIED_TIMEOUT_S)
+            assert site.store.read_counts["op"] == before
+
+
+async def test_change_is_read_from_the_store_when_no_peer_answers():
+    limit = unittest.mock.patch.object(peer_table, "EXCHANGE_ALL_PEERS_MAX", 1)
+    few = unittest.mock.patch.object(store_followers, "FOLLOWERS_MAX", 1)
+    mute = unittest.mock.patch.object(
+        configuration_sync.ConfigurationSync,
+        "_on_configuration_request",
+        lambda *_: None,
+    )
+    with limit, few, mute:
+        async with platform_site.running_site(gateways=4) as site:
+            site.store.put_json("op", "config", platform_site.make_configuration(2))
+            await wait_for_version(site, 2, TAKE_OVER_S)
+
+
 async def test_other_daemons_follow_the_store_when_the_follower_has_ended():
     limit = unittest.mock.patch.object(peer_table, "EXCHANGE_ALL_PEERS_MAX", 1)
     few = unittest.mock.patch.object(store_followers, "FOLLOWERS_MAX", 1)
--- a/packages/gateway/lacewingdrum_gateway/peering.py
+++ b/packages/gateway/lacewingdrum_gateway/peering.py
@@ -127,13 +127,9 @@
         self._next_heartbeat_to_all = True
         self._send_heartbeat()
 
-    def announce_version(self, version: int) -> None:
-        """Send the current configuration version to all daemons.
-
-        It is sent without waiting for the next regular heartbeat.
-        """
+    def set_version(self, version: int) -> None:
+        """Set the configuration version that the next heartbeats name."""
         self._configuration_version = version
-        self.announce()
 
     def _connect(self, peer: Peer | None) -> None:
         address = addresses.parse_address(peer.address) if peer is not None else None
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import collections
 import dataclasses
 import enum
 import json
@@ -53,6 +54,8 @@
         self.mode = StoreMode.HEALTHY
         self.delay_s = 0.0
         self.call_count = 0
+        # Whole reads of each table.
+        self.read_counts: collections.Counter[str] = collections.Counter()
         # Calls of the feed that wait for a change.
         self.waiting_feeds = 0
         self.version = 1
@@ -168,6 +171,7 @@
         return 404, b"{}"
 
     def _list_rows(self, query: dict[str, str]) -> bytes:
+        self.read_counts[query["table"]] += 1
         start = query.get("from", "")
         rows = [
             self._row_fields(table, key, *self._rows[table, key])
