Daemons take a change from different peers

Worked out: all 36 daemons of a data centre asked the same follower, whose 20 Mbit/s carry 36 texts of some 38 KB in 0.55 s, and went to the store after 0.3 s.

They pick among those that have it by a hash of both addresses now, and wait 0.8 s. A test of the choice comes with it; a test on processes' level was written too and failed once in four runs, as a daemon that had just taken the version was asked as well, which is allowed; the choice's own test replaces it.

--- a/packages/coordination/lacewingdrum_coordination/store_followers.py
+++ b/packages/coordination/lacewingdrum_coordination/store_followers.py
@@ -30,6 +30,18 @@
     return sum(_rank(other) < own_rank for other in group) < FOLLOWERS_MAX
 
 
+def pick_holder(own: ids.VmId, holders: Collection[ids.VmId]) -> ids.VmId:
+    """Return the daemon to take a change from.
+
+    Daemons pick different ones, so that none has to send to all.
+
+    Args:
+        own: the daemon that takes it.
+        holders: the daemons that have it, at least one.
+    """
+    return max(holders, key=lambda holder: coordinators.stable_hash(f"{own} {holder}"))
+
+
 def read_delay_s(own: ids.VmId) -> float:
     """Return how long a daemon waits before it reads an announced change."""
     return READ_SPREAD_S * coordinators.stable_hash(own) / HASH_RANGE
--- a/packages/coordination/lacewingdrum_coordination/store_followers_test.py
+++ b/packages/coordination/lacewingdrum_coordination/store_followers_test.py
@@ -27,3 +27,13 @@
     delays_s = sorted(store_followers.read_delay_s(own) for own in FLEET)
     assert 0 <= delays_s[0] < 0.05 and delays_s[-1] > 0.2
     assert delays_s[-1] <= store_followers.READ_SPREAD_S
+
+
+def test_daemons_take_a_change_from_different_holders():
+    holders = [ids.VmId(f"10.0.0.{number}:7") for number in range(3)]
+    takers = [ids.VmId(f"10.0.1.{number}:7") for number in range(36)]
+    picked = [store_followers.pick_holder(taker, holders) for taker in takers]
+    assert all(6 <= picked.count(holder) <= 18 for holder in holders)
+    assert picked == [
+        store_followers.pick_holder(taker, holders[::-1]) for taker in takers
+    ]
--- a/packages/gateway/lacewingdrum_gateway/configuration_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/configuration_sync.py
@@ -31,8 +31,9 @@
 UNFOLLOWED_READ_S = 30.0
 # The longest time until a daemon notices that it has to follow the feed.
 FOLLOWER_CHECK_S = 0.5
-# The time that a peer of the same data centre has to send a version.
-NEAR_ANSWER_S = 0.3
+# The time that a peer of the same data centre has to send a version. It may
+# have to send it to a dozen others over a narrow link.
+NEAR_ANSWER_S = 0.8
 # The time that the feed has to deliver a version before a peer is asked.
 PEER_REQUEST_DELAY_S = 0.5
 REQUEST_INTERVAL_S = 0.4
@@ -180,26 +181,28 @@
         live = self._peers.table.live
         return max((peer.configuration_version for peer in live), default=0)
 
-    def _newest_near_peer(self) -> peering.Peer | None:
-        """Return the near peer with the newest version, if it is newer."""
-        newest = max(
-            self._peers.table.work_peers(),
-            key=lambda peer: peer.configuration_version,
-            default=None,
-        )
-        if newest is None or newest.configuration_version <= self.version:
+    def _pick_newer_near_peer(self) -> peering.Peer | None:
+        """Return a near peer with the newest version, if that is newer."""
+        near = self._peers.table.work_peers()
+        newest = max((peer.configuration_version for peer in near), default=0)
+        if newest <= self.version:
             return None
-        return newest
+        holders = [
+            peer.address for peer in near if peer.configuration_version == newest
+        ]
+        return self._peers.table.get(
+            store_followers.pick_holder(self._peers.own_address, holders)
+        )
 
     async def _take_from_near_peer(self) -> bool:
         """Ask a near peer for its newer version; return whether it came."""
-        newest = self._newest_near_peer()
-        if newest is None or self._is_follower():
+        holder = self._pick_newer_near_peer()
+        if holder is None or self._is_follower():
             return False
         self._applied.clear()
         self._last_request_s = self._clock()
         request = peer_messages.ConfigurationRequest(self.version)
-        self._peers.send(newest.address, request)
+        self._peers.send(holder.address, request)
         try:
             async with asyncio.timeout(NEAR_ANSWER_S):
                 await self._applied.wait()
