--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -16,23 +16,29 @@
 SERVED_AFTER_MIN = 0.9
 
 
-async def soak(seed: int, length_s: float, folder: pathlib.Path) -> list[str]:
+async def soak(
+    seed: int,
+    length_s: float,
+    folder: pathlib.Path,
+    gateway_count: int = site.GATEWAYS,
+) -> list[str]:
     """Run one soak.
 
     Args:
         seed: seed of the faults and the callers.
         length_s: time span in which new faults begin.
         folder: folder for settings and logs.
+        gateway_count: the number of gateways.
 
     Returns:
         A line for each violation.
     """
     rng = random.Random(seed)
-    soak_site = site.SoakSite(folder, rng)
+    soak_site = site.SoakSite(folder, rng, gateway_count)
     violations: list[str] = []
     try:
         await soak_site.start()
-        for number in range(site.GATEWAYS):
+        for number in range(gateway_count):
             await soak_site.wait_until_ready(number)
         soak_callers = callers.Callers(soak_site, random.Random(seed + 1))
         stop = asyncio.Event()
@@ -82,6 +88,9 @@
     parser.add_argument("--seeds", type=int, default=1, help="how many seeds")
     parser.add_argument("--first", type=int, default=0, help="the first; 0: any")
     parser.add_argument("--length", type=float, default=12.0, help="seconds of faults")
+    parser.add_argument(
+        "--gateways", type=int, default=site.GATEWAYS, help="how many gateways"
+    )
     parser.add_argument("--keep", help="folder that keeps logs of failed seeds")
     arguments = parser.parse_args()
     first = arguments.first or random.SystemRandom().randrange(1, 1_000_000)
@@ -89,7 +98,9 @@
     for seed in range(first, first + arguments.seeds):
         with tempfile.TemporaryDirectory() as name:
             folder = pathlib.Path(name)
-            violations = asyncio.run(soak(seed, arguments.length, folder))
+            violations = asyncio.run(
+                soak(seed, arguments.length, folder, arguments.gateways)
+            )
             for line in violations:
                 print(f"   {line}")
             failed += bool(violations)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -42,7 +42,7 @@
             await client.close()
 
     async def _request(self, client: http_client.HttpClient) -> None:
-        gateway = self._rng.randrange(site.GATEWAYS)
+        gateway = self._rng.randrange(self._site.gateway_count)
         kind = self._rng.choice((checks.ORDER_PREFIX, checks.STREAM_PREFIX, "read"))
         prompts: tuple[int, ...] = ()
         if kind == checks.STREAM_PREFIX:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -44,7 +44,7 @@
     def _draw(self) -> Injection:
         rng = self._rng
         span_s = rng.uniform(0.3, 3.0)
-        gateway = rng.randrange(site.GATEWAYS)
+        gateway = rng.randrange(self._site.gateway_count)
         runner = rng.randrange(len(self._site.runners))
         store = self._site.store_proxies[gateway]
         path = self._site.runner_proxies[runner]
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -13,14 +13,24 @@
 ENGINES = 4
 LEDGERS = 3
 GATEWAYS = 3
+DATA_CENTRES = ("north", "south", "west")
 GRACE_S = 4.0
 RESTART_S = 0.2
 
 
 class SoakSite:
-    """Gateway processes that reach store and runner stand-ins by proxies."""
-
-    def __init__(self, folder: pathlib.Path, rng: random.Random) -> None:
+    """Gateway processes that reach store and runner stand-ins by proxies.
+
+    Args:
+        folder: the folder for settings and logs.
+        rng: draws the steps between configuration versions.
+        gateway_count: the number of gateways.
+    """
+
+    def __init__(
+        self, folder: pathlib.Path, rng: random.Random, gateway_count: int = GATEWAYS
+    ) -> None:
+        self.gateway_count = gateway_count
         self.store = platform_store.PlatformStore()
         self.runners: list[platform_runner.PlatformRunner] = []
         self.runner_proxies: list[proxy.FaultProxy] = []
@@ -36,8 +46,8 @@
         self._rng = rng
         picker = ports.PortPicker()
         self._peer_port = picker.next()
-        self.caller_ports = [picker.next() for _ in range(GATEWAYS)]
-        self._ready_ports = [picker.next() for _ in range(GATEWAYS)]
+        self.caller_ports = [picker.next() for _ in range(gateway_count)]
+        self._ready_ports = [picker.next() for _ in range(gateway_count)]
 
     async def start(self) -> None:
         """Start everything; the gateways may not be ready yet."""
@@ -46,12 +56,12 @@
         for number in range(ENGINES + LEDGERS):
             service = platform_site.MODEL if number < ENGINES else platform_site.LEDGER
             await self._add_runner(f"r{number}", service)
-        for number in range(GATEWAYS):
+        for number in range(self.gateway_count):
             fault_proxy = proxy.FaultProxy(store_port)
             await fault_proxy.start()
             self.store_proxies.append(fault_proxy)
             self._write_settings(number)
-        for number in range(GATEWAYS):
+        for number in range(self.gateway_count):
             self.processes.append(await self._spawn(number))
 
     def host(self, number: int) -> str:
@@ -202,7 +212,7 @@
         text = f"""
 [vm]
 vm_id = "vm-{number}"
-data_centre = "north"
+data_centre = "{DATA_CENTRES[number % len(DATA_CENTRES)]}"
 host = "{host}"
 caller_address = "{host}:{self.caller_ports[number]}"
 ready_address = "{host}:{self._ready_ports[number]}"
