--- a/packages/cli/lacewingdrum_cli/causes.py
+++ b/packages/cli/lacewingdrum_cli/causes.py
@@ -52,8 +52,11 @@
         return ""
     if final_line.get("event") == "finished":
         return "it was answered completely" + _describe_latency(final_line)
-    if final_line.get("event") == "refused":
-        reason = str(final_line.get("reason", ""))
+    refused_line = next(
+        (line for line in lines if line.get("event") == "refused"), None
+    )
+    if refused_line is not None:
+        reason = str(refused_line.get("reason", ""))
         return f"refused: {_REFUSAL_TEXTS.get(reason, reason)}"
     outcome = str(final_line.get("outcome", ""))
     text = _OUTCOME_TEXTS.get(outcome, outcome)
--- a/packages/cli/lacewingdrum_cli/log_search_test.py
+++ b/packages/cli/lacewingdrum_cli/log_search_test.py
@@ -70,6 +70,11 @@
     }
     assert causes.describe_cause([finished_line]).endswith("longest pause 245.0 ms")
     assert causes.describe_cause([{"event": "routed"}]) == ""
+    refused_lines = [
+        {"event": "refused", "reason": "costs_others_more", "prompt_tokens": 188_270},
+        {"event": "failed", "outcome": "refused"},
+    ]
+    assert "cost other requests more" in causes.describe_cause(refused_lines)
     failed_lines = [
         {"event": "repeat_refused"},
         {"event": "failed", "outcome": "time_over"},
--- a/packages/cli/lacewingdrum_cli/state_commands.py
+++ b/packages/cli/lacewingdrum_cli/state_commands.py
@@ -77,7 +77,10 @@
         except OSError as error:
             raise command_base.UsageError(str(error)) from error
         if found is None:
-            self.print_error(f"error: the files have no line of request {request_id}")
+            self.print_error(
+                f"error: the files have no line of request {request_id}; "
+                "it reached none of these daemons, or its lines were dropped"
+            )
             return Exit.NOT_FOUND
         if self.option("json"):
             self.print_json(found)
