--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 	packages/transport packages/daemon packages/cli packages/gateway platform
 PY := .venv/bin/python
 
-.PHONY: setup test demo platform-demo replay guarantees slopes soak format
+.PHONY: setup test demo platform-demo replay guarantees slopes soak plots format
 
 setup: $(STAMP)
 
@@ -40,3 +40,7 @@
 
 soak: setup
 	$(PY) -m tests.soak --seeds 3
+
+plots: setup
+	.venv/bin/pip install --quiet --disable-pip-version-check -r requirements-plots.txt
+	$(PY) -m standins.plots
