Memory of a failure's body is given back when its caller leaves

Found by reading the diff: a caller that left while a failure of over 64 KB was read left its bytes counted for good, until unfinished answers had no room any more. The test failed before; the memory is closed with its block now.

--- a/packages/gateway/lacewingdrum_gateway/answer_memory_test.py
+++ b/packages/gateway/lacewingdrum_gateway/answer_memory_test.py
@@ -1,4 +1,9 @@
-from lacewingdrum_gateway import answer_memory
+import asyncio
+import time
+
+from result import Ok
+
+from lacewingdrum_gateway import answer_memory, attempt
 
 ALWAYS = answer_memory.ALWAYS_HELD_BYTES
 
@@ -28,3 +33,36 @@
     assert held.resize(answer_memory.ANSWER_MAX_BYTES)
     assert not held.resize(answer_memory.ANSWER_MAX_BYTES + 1)
     assert memory.held_bytes == answer_memory.ANSWER_MAX_BYTES
+
+
+class StalledFailure:
+    """A failure whose body begins and does not go on."""
+
+    status = 500
+    headers = ()
+    clock = staticmethod(time.monotonic)
+
+    def __init__(self):
+        self.parts = [b"x" * 2 * ALWAYS]
+
+    async def read(self, timeout_s):
+        if self.parts:
+            return Ok(self.parts.pop())
+        return await asyncio.sleep(timeout_s)
+
+    async def close(self):
+        pass
+
+
+async def test_memory_is_given_back_when_the_caller_leaves_within_a_failure():
+    memory = answer_memory.AnswerMemory(4 * ALWAYS)
+    sender = attempt.AttemptSender(
+        None, None, None, None, memory, time.monotonic, None, None
+    )
+    reading = asyncio.ensure_future(sender._read_failure(StalledFailure()))
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    assert memory.held_bytes == 2 * ALWAYS
+    reading.cancel()
+    await asyncio.gather(reading, return_exceptions=True)
+    assert memory.held_bytes == 0
--- a/packages/gateway/lacewingdrum_gateway/attempt.py
+++ b/packages/gateway/lacewingdrum_gateway/attempt.py
@@ -1,5 +1,6 @@
 """Sends attempts to runners and reads their answers."""
 
+import contextlib
 import dataclasses
 from collections.abc import Callable
 
@@ -160,9 +161,8 @@
     ) -> attempt_ends.AttemptEnd:
         """Read the body of a failure, which may be forwarded."""
         status = reader.status
-        held = self._answers.hold()
-        body = await read_whole(reader, FAILURE_BODY_TIMEOUT_S, held)
-        held.close()
+        with contextlib.closing(self._answers.hold()) as held:
+            body = await read_whole(reader, FAILURE_BODY_TIMEOUT_S, held)
         detail = f"status {status}"
         if isinstance(body, Err):
             return body.err_value
--- a/packages/gateway/lacewingdrum_gateway/exchange.py
+++ b/packages/gateway/lacewingdrum_gateway/exchange.py
@@ -1,5 +1,6 @@
 """Runs an attempt: sends the request and forwards the answer to the caller."""
 
+import contextlib
 from collections.abc import Callable
 
 from result import Err, Ok
@@ -150,8 +151,7 @@
     async def _forward_whole(
         self, active: active_request.ActiveRequest, reader: http_client.ResponseReader
     ) -> attempt_ends.AttemptEnd | None:
-        held = self._answers.hold()
-        try:
+        with contextlib.closing(self._answers.hold()) as held:
             left_s = active.left_s(self._clock())
             body = await attempt.read_whole(reader, left_s, held)
             if isinstance(body, Err):
@@ -160,6 +160,4 @@
                 reader.status, reader.headers, body.ok_value
             )
             await active.responder.send(answer)
-        finally:
-            held.close()
         return None
