Logs: which engine crashed, and the parts of the prompts that it lost

An engine that loses an attempt and refuses connections since is logged as runner_crashed, with the parts but the last one and the events that had come.

--- a/packages/daemon/lacewingdrum_daemon/decision_log.py
+++ b/packages/daemon/lacewingdrum_daemon/decision_log.py
@@ -57,6 +57,7 @@
     RUNNER_CHANGED = "runner_changed"
     RUNNER_SUSPECTED = "runner_suspected"
     RUNNER_PAUSED = "runner_paused"
+    RUNNER_CRASHED = "runner_crashed"
     HELP_REFUSED = "help_refused"
     RUNNER_CLEARED = "runner_cleared"
     PEER_JOINED = "peer_joined"
--- a/packages/gateway/lacewingdrum_gateway/active_request.py
+++ b/packages/gateway/lacewingdrum_gateway/active_request.py
@@ -32,7 +32,8 @@
     that refused it. ``only_runner`` is set if a helper failed and the route
     allows no further runner; the request may then be retried only at that
     runner, with other helpers, or if the request is repeated there.
-    ``answer`` is the runner's answer that was read last.
+    ``answer`` is the runner's answer that was read last, and
+    ``attempt_event_count`` the number of events that it has brought.
     ``repeat_at`` is a runner that the request may be sent to again, and
     ``repeat_count`` counts such repeats. ``suspect_attempt_count`` counts the
     failed attempts after which their runner was suspect.
@@ -52,6 +53,7 @@
     repeat_at: ids.RunnerId | None = None
     repeat_count: int = 0
     answer: http_client.ResponseReader | None = None
+    attempt_event_count: int = 0
     suspect_attempt_count: int = 0
     first_event_s: float | None = None
     last_event_s: float = 0.0
--- a/packages/gateway/lacewingdrum_gateway/exchange.py
+++ b/packages/gateway/lacewingdrum_gateway/exchange.py
@@ -132,6 +132,7 @@
             priority=plan.priority,
         )
         active.answer = None
+        active.attempt_event_count = 0
         opened = await self._sender.open(
             plan.entry,
             active.outgoing,
--- a/packages/gateway/lacewingdrum_gateway/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/forwarding.py
@@ -9,6 +9,7 @@
     active_request,
     attempt,
     attempt_ends,
+    crash_watch,
     exchange as exchanges,
     peering,
     plans,
@@ -39,6 +40,7 @@
         peers: peering.Peering,
         roster: runner_roster.RunnerRoster,
         health: runner_health.RunnerHealth,
+        crashes: crash_watch.CrashWatch,
         clock: Callable[[], float],
         rng: random.Random,
         decisions: decision_log.DecisionLog,
@@ -52,6 +54,7 @@
         self._peers = peers
         self._roster = roster
         self._health = health
+        self._crashes = crashes
         self._clock = clock
         self._rng = rng
         self._decisions = decisions
@@ -97,6 +100,7 @@
             active.ends.append(end)
             if active.responder.disconnected.is_set():
                 return active_request.Outcome.CALLER_GONE
+            await self._crashes.observe(active, plan, end)
             is_suspect = self._health.is_suspect(plan.entry.runner_id)
             refused_help = retry_limits.apply_end(active, plan, end, is_suspect)
             if refused_help is not None:
--- a/packages/gateway/lacewingdrum_gateway/runner_probe.py
+++ b/packages/gateway/lacewingdrum_gateway/runner_probe.py
@@ -27,6 +27,24 @@
     return True
 
 
+async def refuses_connection(address: fleet.Address, timeout_s: float) -> bool:
+    """Return whether a host answers but nothing listens on the address.
+
+    Args:
+        address: the address of a runner.
+        timeout_s: the time limit for the connection, which is closed at once.
+    """
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, writer = await asyncio.open_connection(address.host, address.port)
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError):
+        return False
+    writer.transport.abort()
+    return False
+
+
 class RunnerProbe:
     """Opens a connection to each suspected runner at regular intervals."""
 
--- a/packages/gateway/lacewingdrum_gateway/stream_forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/stream_forwarding.py
@@ -58,6 +58,7 @@
         """
         events = active.events
         events.discard_partial_event()
+        events_before = events.event_count
         has_events = False
         held = self._answers.hold()
         # Only whole events count as progress, so that a stream which sends
@@ -79,6 +80,7 @@
                 if not part.ok_value:
                     return await self._end_stream(active, reader)
                 data = events.feed(part.ok_value)
+                active.attempt_event_count = events.event_count - events_before
                 if data and not has_events:
                     has_events = True
                     self._work_updates.record_first_event(work_id)
--- a/packages/state/lacewingdrum_state/ids.py
+++ b/packages/state/lacewingdrum_state/ids.py
@@ -17,6 +17,8 @@
 DocumentVersion = NewType("DocumentVersion", int)
 FencingNumber = NewType("FencingNumber", int)
 Incarnation = NewType("Incarnation", int)
+# Identifies a part of prompts that many requests may have in common.
+PromptPart = NewType("PromptPart", str)
 
 
 def new_request_id() -> RequestId:
--- a/packages/state/lacewingdrum_state/requests.py
+++ b/packages/state/lacewingdrum_state/requests.py
@@ -61,6 +61,8 @@
 
     ``attempt_id`` is the caller's id for this request; the daemon uses it for
     all its attempts. ``patience_ms`` is None if the caller did not state it.
+    ``shared_parts`` are the parts of the prompt that other requests may have
+    too, which is each but the last one.
     """
 
     attempt_id: str
@@ -69,6 +71,7 @@
     prompt_tokens: int
     answer_tokens: int
     last_event_id: str
+    shared_parts: tuple[ids.PromptPart, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
