--- a/standins/platform_connection.py
+++ b/standins/platform_connection.py
@@ -5,6 +5,7 @@
 import dataclasses
 import socket
 import struct
+import time
 
 import h11
 
@@ -22,13 +23,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReceivedRequest:
-    """A request as the runner received it."""
+    """A request as the runner received it.
+
+    ``arrived_s`` is on the monotonic clock.
+    """
 
     attempt_id: str
     path: str
     headers: dict[str, str]
     body: bytes
     ran: bool
+    arrived_s: float = dataclasses.field(default_factory=time.monotonic)
 
 
 def format_head(headers: Headers, status: int = 200) -> bytes:
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -15,6 +15,7 @@
     platform_answers,
     platform_connection,
     platform_memory,
+    runner_crashes,
 )
 
 Fault = platform_answers.Fault
@@ -57,6 +58,7 @@
         self.endless = endless_answers.EndlessAnswers()
         # Distinguishes the incarnations of the runner.
         self.born_ms = 1
+        self.crashes = runner_crashes.RunnerCrashes(self._abort_all, self.start)
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -95,7 +97,11 @@
             self._server.close()
 
     async def close(self) -> None:
-        """Abort all connections, as a crash does."""
+        """Abort all connections, as a crash does, and stay closed."""
+        await self.crashes.close()
+        await self._abort_all()
+
+    async def _abort_all(self) -> None:
         if self._server is not None:
             self._server.close()
         for task in tuple(self._tasks):
@@ -278,6 +284,9 @@
             )
             if "token-count" in headers:
                 await asyncio.sleep(self.first_event_s)
+                if self.crashes.is_due(headers):
+                    self.crashes.crash(self.port)
+                    await asyncio.Event().wait()
                 return await platform_answers.send_events(
                     answer,
                     int(headers.get("last-event-id") or 0) + 1,
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -125,6 +125,12 @@
     ) -> platform_runner.PlatformRunner:
         runner = platform_runner.PlatformRunner(runner_id)
         await runner.start()
+
+        def register_restart() -> None:
+            runner.born_ms += 1
+            self.store.put_json("servers", runner_id, runner.entry(service))
+
+        runner.crashes.on_restart = register_restart
         self.store.put_json("servers", runner_id, runner.entry(service))
         return runner
 
