Soak: a part of prompts that crashes engines, among the other faults

Streams carry parts of prompts; for a while one part crashes each engine that begins to write on it, and proxies refuse connections while their engine is down. Not more than three requests may reach engines later than 3 s after the fifth crash, unless a daemon was killed or paused meanwhile.

--- a/standins/runner_crashes.py
+++ b/standins/runner_crashes.py
@@ -11,8 +11,8 @@
     """Crashes a runner that begins to write an answer, and starts it again.
 
     ``parts`` holds the parts of prompts that crash the runner. ``times_s`` has
-    the monotonic time of each crash. ``on_restart`` is called when the runner
-    listens again, as a new incarnation.
+    the monotonic time of each crash. ``on_crash`` is called when the runner
+    goes down, and ``on_restart`` when it listens again, as a new incarnation.
 
     Args:
         close: aborts all connections of the runner.
@@ -27,6 +27,7 @@
         self.parts: set[str] = set()
         self.times_s: list[float] = []
         self.down_s = DOWN_S
+        self.on_crash: Callable[[], None] = lambda: None
         self.on_restart: Callable[[], None] = lambda: None
         self._close = close
         self._start = start
@@ -41,6 +42,7 @@
         """Crash the runner now; it listens on the same port again later."""
         if self._restart is None or self._restart.done():
             self.times_s.append(time.monotonic())
+            self.on_crash()
             self._restart = asyncio.ensure_future(self._crash_and_restart(port))
 
     async def close(self) -> None:
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -67,6 +67,9 @@
         violations += checks.violations(
             soak_callers.observed, soak_site.runners, soak_site.disruptions
         )
+        violations += checks.crashing_part_violations(
+            soak_site.runners, soak_site.disruptions
+        )
         answered = callers.answered_share(soak_callers.observed)
         print(
             f"seed {seed}: {len(soak_callers.observed)} requests, "
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -17,6 +17,9 @@
 LONG_PROMPTS = (150_000, 460_000)
 LONG_SHARE = 0.03
 GIVE_UP_SHARE = 0.05
+FIRST_PARTS = ("a0", "a1", "a2")
+# The share of streams with the part that crashes engines, while there is one.
+CRASHING_SHARE = 0.3
 
 
 class Callers:
@@ -62,6 +65,7 @@
         if prompts:
             tokens = self._rng.choice(prompts)
             headers += (("Token-Count", f"{tokens},100"), ("Model", "m"))
+            headers += (("Prompt-Prefix", self._draw_parts(tokens)),)
         port = self._site.caller_ports[gateway]
         address = fleet.Address(self._site.host(gateway), port)
         loop = asyncio.get_running_loop()
@@ -92,6 +96,14 @@
             )
         )
 
+    def _draw_parts(self, tokens: int) -> str:
+        parts = [self._rng.choice(FIRST_PARTS)]
+        has_crashing_part = self._rng.random() < CRASHING_SHARE
+        if self._site.crashing_part and has_crashing_part:
+            parts.append(self._site.crashing_part)
+        shared = "".join(f"{part}:40," for part in parts)
+        return f"{shared}{self._number:x}f:{tokens}"
+
 
 def answered_share(observed: list[checks.ObservedRequest]) -> float:
     """Return the share of requests with status 200 among those not aborted."""
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -13,6 +13,12 @@
 EVENT_NUMBERS = range(1, 9)
 # Allowed beyond a request's time limit, as the host runs other work too.
 LATENESS_MAX_S = 1.0
+# So many requests may reach engines with a part that crashes them, later than
+# this after the fifth crash.
+CRASHING_REQUESTS_MAX = 3
+CRASHES_KNOWN = 5
+CRASHES_KNOWN_S = 3.0
+CRASHING_PREFIX = "bad"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -103,3 +109,41 @@
         return [] if request.body == whole.encode() else ["events differ"]
     expected = {f"answer of {name} to {request.attempt_id}".encode() for name in ran}
     return [] if request.body in expected else [f"the body is {request.body!r}"]
+
+
+def crashing_part_violations(
+    runners: list[platform_runner.PlatformRunner], disruptions: list[Disruption]
+) -> list[str]:
+    """Check that few requests are sent with parts that crash engines.
+
+    Args:
+        runners: all runners of the soak.
+        disruptions: when gateways were paused, killed or stopped; a part is
+            not checked if that happened while its crashes became known.
+
+    Returns:
+        A line for each part that was sent too often.
+    """
+    arrivals_s: dict[str, list[float]] = {}
+    for runner in runners:
+        for arrival in runner.arrivals:
+            for entry in arrival.headers.get("prompt-prefix", "").split(","):
+                if entry.startswith(CRASHING_PREFIX):
+                    arrivals_s.setdefault(entry, []).append(arrival.arrived_s)
+    crashes_s = sorted(
+        time_s for runner in runners for time_s in runner.crashes.times_s
+    )
+    found: list[str] = []
+    for entry, times_s in arrivals_s.items():
+        under_s = [time_s for time_s in crashes_s if time_s >= min(times_s)]
+        if len(under_s) < CRASHES_KNOWN:
+            continue
+        known_s = under_s[CRASHES_KNOWN - 1] + CRASHES_KNOWN_S
+        was_disrupted = any(
+            span.from_s < max(times_s) and span.to_s > min(times_s) - CRASHES_KNOWN_S
+            for span in disruptions
+        )
+        later = sum(time_s > known_s for time_s in times_s)
+        if later > CRASHING_REQUESTS_MAX and not was_disrupted:
+            found.append(f"{entry}: {later} requests after {CRASHES_KNOWN} crashes")
+    return found
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -12,6 +12,8 @@
 
 REQUEST_FAULTS = tuple(fault for fault in Fault if fault is not Fault.NONE)
 
+CRASHING_FACTOR = 3.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Injection:
@@ -86,6 +88,7 @@
                     f"runner {runner} wants a pause",
                     lambda: self._want_pause(runner, span_s),
                 ),
+                Injection("part crashes engines", lambda: self._crash(span_s)),
                 Injection("configuration", self._configure),
                 Injection("credential withdrawn", self._rotate_credential),
             )
@@ -161,6 +164,15 @@
         await asyncio.sleep(span_s)
         paused.retry_after = ""
 
+    async def _crash(self, span_s: float) -> None:
+        """Let one part of prompts crash engines, longer than other faults."""
+        if self._site.crashing_part:
+            return
+        part = f"bad{len(self._site.faults):x}"
+        self._site.set_crashing_part(part)
+        await asyncio.sleep(CRASHING_FACTOR * span_s)
+        self._site.set_crashing_part("")
+
     async def _configure(self) -> None:
         self._site.write_configuration()
 
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -50,6 +50,16 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def stop_listening(self) -> None:
+        """Refuse connections and reset all open ones, as a crash does."""
+        if self._server is not None:
+            self._server.close()
+        self.reset()
+
+    async def listen_again(self) -> None:
+        """Listen on the same port as before."""
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", self.port)
+
     def reset(self) -> None:
         """Reset all open connections."""
         for writer in tuple(self._writers):
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -40,8 +40,11 @@
         self.faults: list[str] = []
         self.credentials = ["key-0"]
         self.version = 1
+        # The part of prompts that crashes engines now, if any.
+        self.crashing_part = ""
         self._configuration: dict[str, object] = {}
         self._states: dict[int, str] = {}
+        self._restarts: list[asyncio.Future[None]] = []
         self._folder = folder
         self._rng = rng
         picker = ports.PortPicker()
@@ -93,6 +96,12 @@
         runner.born_ms += 1
         self.register(number)
 
+    def set_crashing_part(self, part: str) -> None:
+        """Let all engines crash on a part of prompts; ``""`` ends that."""
+        self.crashing_part = part
+        for runner in self.runners[:ENGINES]:
+            runner.crashes.parts = {part} if part else set()
+
     def return_store(self, copied: platform_store.StoreCopy) -> None:
         """Let the store return from a copy; others write their rows again."""
         self.store.restore(copied)
@@ -173,9 +182,18 @@
         await runner.start()
         fault_proxy = proxy.FaultProxy(runner.port)
         await fault_proxy.start()
+        number = len(self.runners)
         self.runners.append(runner)
         self.runner_proxies.append(fault_proxy)
-        self.register(len(self.runners) - 1)
+        self.register(number)
+
+        def register_restart() -> None:
+            runner.born_ms += 1
+            self._restarts.append(asyncio.ensure_future(fault_proxy.listen_again()))
+            self.register(number, self._states[number])
+
+        runner.crashes.on_crash = fault_proxy.stop_listening
+        runner.crashes.on_restart = register_restart
 
     async def _spawn(self, number: int) -> asyncio.subprocess.Process:
         with (self._folder / f"gateway-{number}.log").open("ab") as log:
