--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -47,6 +47,8 @@
         self.has_endless_commands = False
         # Whether each answer says that the runner leaves.
         self.is_leaving = False
+        # The requests a second that each answer names; "" names none.
+        self.limit_per_s = ""
         # The time to stay away that a refused request is answered with.
         self.retry_after = ""
         # Addresses of engines that refuse to help, as draining engines do.
@@ -180,7 +182,12 @@
 
     def _notices(self) -> Headers:
         """Return the headers that each answer carries."""
-        return (("Server-Leaving", "1"),) if self.is_leaving else ()
+        notices: Headers = ()
+        if self.is_leaving:
+            notices += (("Server-Leaving", "1"),)
+        if self.limit_per_s:
+            notices += (("Server-Limit", self.limit_per_s),)
+        return notices
 
     async def _answer_request(
         self,
