Spreading of news among daemons stands by itself

What crash_sync did to reach all daemons (news to all of a small fleet, relays in a large one, digests in heartbeats for those that missed it) is of use to other news as well. Heartbeats name digests by topic. No change for crashes.

--- a/packages/gateway/lacewingdrum_gateway/peer_table.py
+++ b/packages/gateway/lacewingdrum_gateway/peer_table.py
@@ -33,7 +33,8 @@
     is_live: bool = False
     # Ids and incarnations of runners that leave by what the peer knows.
     leaving_runners: tuple[tuple[str, int], ...] = ()
-    crash_digest: int = 0
+    # What the peer knows, by topic of news; see ``news_spread``.
+    digests: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 class PeerTable:
--- a/packages/gateway/lacewingdrum_gateway/peering.py
+++ b/packages/gateway/lacewingdrum_gateway/peering.py
@@ -57,7 +57,7 @@
         self._leaving_runners: Callable[[], tuple[tuple[ids.RunnerId, int], ...]] = (
             tuple
         )
-        self._crash_digest: Callable[[], int] = int
+        self._digests: dict[str, Callable[[], int]] = {}
         self._tasks = tasks.TaskSet()
 
     async def start(self, host: str, port: int, seeds: tuple[ids.VmId, ...]) -> None:
@@ -123,9 +123,9 @@
         """
         self._leaving_runners = source
 
-    def set_crash_digest_source(self, source: Callable[[], int]) -> None:
-        """Set what returns the digest of crashes that heartbeats carry."""
-        self._crash_digest = source
+    def set_digest_source(self, topic: str, source: Callable[[], int]) -> None:
+        """Set what returns the digest of a topic that heartbeats carry."""
+        self._digests[topic] = source
 
     def announce(self) -> None:
         """Send a heartbeat to all daemons now, because its content is new."""
@@ -170,7 +170,11 @@
             gone_runners=self._leaving_runners(),
             configuration_version=self._configuration_version,
             peers=known,
-            crash_digest=self._crash_digest(),
+            digests={
+                topic: digest
+                for topic, source in self._digests.items()
+                if (digest := source())
+            },
         )
 
     def _heartbeat_targets(self) -> list[ids.VmId]:
@@ -274,7 +278,7 @@
         peer.configuration_version = heartbeat.configuration_version
         peer.is_leaving = heartbeat.leaving
         peer.leaving_runners = heartbeat.gone_runners
-        peer.crash_digest = heartbeat.crash_digest
+        peer.digests = heartbeat.digests
         if self.table.seen(peer, self._clock()):
             self._decisions.record(
                 decision_log.DecisionEvent.PEER_JOINED,
--- a/packages/protocol/lacewingdrum_protocol/peer_messages.py
+++ b/packages/protocol/lacewingdrum_protocol/peer_messages.py
@@ -28,8 +28,8 @@
     platform's list does not show as leaving yet. The incarnation of a runner
     on the users' platform is the millisecond of its start. ``peers`` contains
     addresses of other daemons, so that daemons discover each other if the
-    platform has no list of them. ``crash_digest`` is the same at daemons that
-    have the same evidence of crashes.
+    platform has no list of them. ``digests`` has, for each topic of news that
+    the sender knows, a number that is the same at daemons that know the same.
     """
 
     incarnation: int
@@ -39,7 +39,7 @@
     gone_runners: tuple[tuple[str, int], ...] = ()
     configuration_version: int = 0
     peers: tuple[str, ...] = ()
-    crash_digest: int = 0
+    digests: dict[str, int] = {}
 
 
 class DocumentPush(msgspec.Struct, frozen=True, array_like=True, tag="doc"):
