Daemons keep together within the requests a second that a runner names

Cause: Server-Limit was decoded nowhere.

Change: as many daemons as whole requests a second divide a limit, chosen by hash among those that are heard, each with a token bucket that begins empty. Others send nothing there. What a runner said goes to all daemons, the newest word holds, a later incarnation begins without. Requests that no runner takes are refused at once with the time to the next token.

--- /dev/null
+++ b/packages/coordination/lacewingdrum_coordination/runner_limits.py
@@ -0,0 +1,172 @@
+"""Keeps all daemons together within the requests that a runner takes.
+
+A runner in need names the requests a second that it takes from all daemons.
+Some daemons, chosen by hash among those that are heard, divide that rate; the
+others send it nothing. There are as many as whole requests a second, so that
+the part of each is not less than one.
+"""
+
+import dataclasses
+
+import xxhash
+
+from lacewingdrum_coordination import coordinators
+from lacewingdrum_state import ids, runner_limits
+
+PER_S_MIN = 0.1
+PER_S_MAX = 1_000_000.0
+# A daemon may send at once what it did not send in this time, and at least
+# one request.
+BURST_S = 0.25
+# An answer without a limit that comes so soon after one with it may have been
+# sent before.
+OVERTAKING_S = 0.25
+LIMITS_MAX = 1_024
+
+
+@dataclasses.dataclass(slots=True)
+class _Bucket:
+    """The requests that this daemon may send now, as of ``as_of_s``."""
+
+    tokens: float
+    as_of_s: float
+
+
+class RunnerLimits:
+    """The limits that runners name, and this daemon's part of them."""
+
+    def __init__(self) -> None:
+        self._limits: dict[ids.RunnerId, runner_limits.RunnerLimit] = {}
+        self._buckets: dict[ids.RunnerId, _Bucket] = {}
+        self._shares: dict[ids.RunnerId, float] = {}
+        self._daemons: tuple[ids.VmId, ...] = ()
+        self._own_address = ids.VmId("")
+
+    @property
+    def all(self) -> tuple[runner_limits.RunnerLimit, ...]:
+        """What is known of all runners that have named a limit."""
+        return tuple(self._limits.values())
+
+    @property
+    def has_any(self) -> bool:
+        """Whether any runner has named a limit."""
+        return bool(self._limits)
+
+    @property
+    def digest(self) -> int:
+        """A number that is the same for the same limits; 0 without any."""
+        lines = sorted(
+            f"{limit.runner_id} {limit.born_ms} {limit.per_s}" for limit in self.all
+        )
+        return xxhash.xxh3_64_intdigest("\n".join(lines).encode()) if lines else 0
+
+    def set_daemons(self, own_address: ids.VmId, daemons: tuple[ids.VmId, ...]) -> None:
+        """Set the daemons that divide the limits.
+
+        Args:
+            own_address: this daemon.
+            daemons: all daemons that are heard, with this one.
+        """
+        if (own_address, daemons) != (self._own_address, self._daemons):
+            self._own_address, self._daemons = own_address, daemons
+            self._shares.clear()
+
+    def record(self, limit: runner_limits.RunnerLimit) -> bool:
+        """Record what a runner said of its limit, here or to a peer.
+
+        Args:
+            limit: the limit, or that there is none now.
+
+        Returns:
+            Whether this changes what is known.
+        """
+        known = self._limits.get(limit.runner_id)
+        if known is None and limit.per_s is None:
+            return False
+        if known is not None and not _is_newer(limit, known):
+            return False
+        if limit.per_s is not None:
+            bounded = min(max(limit.per_s, PER_S_MIN), PER_S_MAX)
+            limit = dataclasses.replace(limit, per_s=bounded)
+        self._limits[limit.runner_id] = limit
+        self._shares.pop(limit.runner_id, None)
+        if len(self._limits) > LIMITS_MAX:
+            del self._limits[next(iter(self._limits))]
+        return known is None or (known.born_ms, known.per_s) != (
+            limit.born_ms,
+            limit.per_s,
+        )
+
+    def forget(self, runner_id: ids.RunnerId) -> None:
+        """Drop what is known of a runner that is gone."""
+        for by_runner in (self._limits, self._buckets, self._shares):
+            by_runner.pop(runner_id, None)
+
+    def is_limited(self, runner_id: ids.RunnerId, born_ms: int) -> bool:
+        """Return whether this incarnation of a runner names a limit."""
+        limit = self._limits.get(runner_id)
+        return (
+            limit is not None and limit.per_s is not None and limit.born_ms == born_ms
+        )
+
+    def wait_s(self, runner_id: ids.RunnerId, born_ms: int, now_s: float) -> float:
+        """Return when this daemon may send a request to a runner.
+
+        Returns:
+            0 if it may now, else the time until then; infinity if others
+            divide the limit.
+        """
+        if not self._limits or not self.is_limited(runner_id, born_ms):
+            return 0.0
+        share = self._share(runner_id)
+        if not share:
+            return float("inf")
+        return max(1.0 - self._fill(runner_id, share, now_s).tokens, 0.0) / share
+
+    def take(self, runner_id: ids.RunnerId, born_ms: int, now_s: float) -> None:
+        """Count a request that this daemon sends now."""
+        if not self._limits or not self.is_limited(runner_id, born_ms):
+            return
+        share = self._share(runner_id)
+        if share:
+            self._fill(runner_id, share, now_s).tokens -= 1.0
+
+    def interval_s(self, runner_id: ids.RunnerId) -> float:
+        """Return the time between two requests of all daemons to a runner."""
+        limit = self._limits.get(runner_id)
+        return 1.0 / limit.per_s if limit is not None and limit.per_s else 0.0
+
+    def _fill(self, runner_id: ids.RunnerId, share: float, now_s: float) -> _Bucket:
+        bucket = self._buckets.setdefault(runner_id, _Bucket(0.0, now_s))
+        most = max(1.0, share * BURST_S)
+        gained = max(now_s - bucket.as_of_s, 0.0) * share
+        bucket.tokens = min(bucket.tokens + gained, most)
+        bucket.as_of_s = now_s
+        return bucket
+
+    def _share(self, runner_id: ids.RunnerId) -> float:
+        """Return the requests a second that this daemon may send."""
+        if runner_id not in self._shares:
+            self._shares[runner_id] = self._compute_share(runner_id)
+        return self._shares[runner_id]
+
+    def _compute_share(self, runner_id: ids.RunnerId) -> float:
+        per_s = self._limits[runner_id].per_s or 0.0
+        count = max(1, min(int(per_s), len(self._daemons)))
+        in_order = sorted(
+            self._daemons,
+            key=lambda daemon: coordinators.stable_hash(f"{runner_id}\x1f{daemon}"),
+        )
+        return per_s / count if self._own_address in in_order[:count] else 0.0
+
+
+def _is_newer(
+    limit: runner_limits.RunnerLimit, known: runner_limits.RunnerLimit
+) -> bool:
+    if limit.born_ms != known.born_ms:
+        return limit.born_ms > known.born_ms
+    return _order_s(limit) > _order_s(known)
+
+
+def _order_s(limit: runner_limits.RunnerLimit) -> float:
+    return limit.at_s - (OVERTAKING_S if limit.per_s is None else 0.0)
--- a/packages/daemon/lacewingdrum_daemon/decision_log.py
+++ b/packages/daemon/lacewingdrum_daemon/decision_log.py
@@ -57,6 +57,7 @@
     RUNNER_CHANGED = "runner_changed"
     RUNNER_SUSPECTED = "runner_suspected"
     RUNNER_PAUSED = "runner_paused"
+    RUNNER_LIMITED = "runner_limited"
     RUNNER_CRASHED = "runner_crashed"
     PROMPT_PART_CHANGED = "prompt_part_changed"
     HELP_REFUSED = "help_refused"
--- a/packages/gateway/lacewingdrum_gateway/components.py
+++ b/packages/gateway/lacewingdrum_gateway/components.py
@@ -23,6 +23,7 @@
     engine_memory,
     exchange,
     forwarding,
+    limit_sync,
     peer_table,
     peering,
     request_handler,
@@ -116,10 +117,14 @@
             self.decisions,
             self.counts,
         )
+        self.limit_sync = limit_sync.LimitSync(
+            self.roster, self.peers, clock, rng, self.decisions, self.counts
+        )
         self.notices = runner_notices.RunnerNotices(
             self.roster,
             self.health,
             self.work_sync,
+            self.limit_sync,
             self.peers,
             clock,
             self.decisions,
@@ -161,11 +166,15 @@
             self.counts,
         )
         candidates = runner_candidates.RunnerCandidates(
-            self.roster, self.health, table, vm.data_centre, clock
+            self.roster,
+            self.health,
+            self.limit_sync.limits,
+            table,
+            vm.data_centre,
+            clock,
         )
         planner = routing.Planner(
             candidates,
-            self.health,
             self.engine_work,
             self.work_sync,
             clock,
--- a/packages/gateway/lacewingdrum_gateway/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/forwarding.py
@@ -97,6 +97,7 @@
             sent_s = self._clock()
             active.attempt_count += 1
             self._record_plan(active, plan)
+            self._planner.candidates.record_send(plan.entry)
             active.has_open_attempt = True
             end = await self._exchange.run(active, plan)
             active.has_open_attempt = False
--- a/packages/gateway/lacewingdrum_gateway/peer_table.py
+++ b/packages/gateway/lacewingdrum_gateway/peer_table.py
@@ -52,6 +52,7 @@
         self._live: dict[ids.VmId, Peer] = {}
         self._work_peers: tuple[Peer, ...] | None = None
         self._work_group: frozenset[ids.VmId] | None = None
+        self._live_group: tuple[ids.VmId, ...] | None = None
         self._seeds: set[ids.VmId] = set()
         self._forgotten_s: dict[ids.VmId, float] = {}
         self._max_daemon_count = 1
@@ -178,7 +179,7 @@
         self._clear_cached_peers()
 
     def _clear_cached_peers(self) -> None:
-        self._work_peers = self._work_group = None
+        self._work_peers = self._work_group = self._live_group = None
 
     def forget_silent(self, now_s: float, silence_s: float) -> list[ids.VmId]:
         """Remove daemons after a long silence.
@@ -228,6 +229,12 @@
             self._work_group = frozenset((self.own_address, *seen))
         return self._work_group
 
+    def live_group(self) -> tuple[ids.VmId, ...]:
+        """Return this daemon and all live ones, in order."""
+        if self._live_group is None:
+            self._live_group = tuple(sorted((self.own_address, *self._live)))
+        return self._live_group
+
     def maybe_partitioned(self, now_s: float) -> frozenset[ids.VmId]:
         """Return silent peers of the work group that may be partitioned."""
         if len(self._live) == len(self._peers):
--- a/packages/gateway/lacewingdrum_gateway/routing.py
+++ b/packages/gateway/lacewingdrum_gateway/routing.py
@@ -12,7 +12,6 @@
     engine_times,
     engine_work_registry,
     request_worth,
-    runner_health,
     service_choice,
 )
 from lacewingdrum_gateway import peer_table, plans, runner_candidates, work_sync
@@ -64,7 +63,6 @@
     def __init__(
         self,
         candidates: runner_candidates.RunnerCandidates,
-        health: runner_health.RunnerHealth,
         engine_work: engine_work_registry.EngineWorkRegistry,
         work_updates: work_sync.WorkSync,
         clock: Callable[[], float],
@@ -75,7 +73,6 @@
         self._owners = engine_owners.EngineOwners()
         self._work_updates = work_updates
         self.candidates = candidates
-        self._health = health
         self._engine_work = engine_work
         self._clock = clock
         self._rng = rng
@@ -223,7 +220,7 @@
                 self._fill_order(group_id, entry.runner_id),
                 self._work_updates.slowdown(entry.runner_id),
                 only_runner in (None, entry.runner_id),
-                self._health.may_help(entry.runner_id, now_s),
+                self.candidates.may_help(entry, now_s),
             )
             for entry in entries
         ]
--- a/packages/gateway/lacewingdrum_gateway/routing_test.py
+++ b/packages/gateway/lacewingdrum_gateway/routing_test.py
@@ -4,6 +4,7 @@
     engine_load,
     engine_work_registry,
     runner_health,
+    runner_limits,
     runner_roster,
     runner_roster_test,
 )
@@ -30,13 +31,16 @@
     roster.apply(runner_roster_test.listed(1, *entries), NOW_S)
     data_centre = ids.DataCentre("north")
     peers = peer_table.PeerTable(ids.VmId("10.0.0.1:7"), data_centre)
-    health = runner_health.RunnerHealth()
     candidates = runner_candidates.RunnerCandidates(
-        roster, health, peers, data_centre, lambda: NOW_S
+        roster,
+        runner_health.RunnerHealth(),
+        runner_limits.RunnerLimits(),
+        peers,
+        data_centre,
+        lambda: NOW_S,
     )
     return routing.Planner(
         candidates,
-        health,
         engine_work,
         StatedSpeeds(),
         lambda: NOW_S,
--- a/packages/gateway/lacewingdrum_gateway/runner_candidates.py
+++ b/packages/gateway/lacewingdrum_gateway/runner_candidates.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from lacewingdrum_coordination import runner_health, runner_roster
+from lacewingdrum_coordination import runner_health, runner_limits, runner_roster
 from lacewingdrum_gateway import peer_table
 from lacewingdrum_state import ids, runner_entries
 
@@ -22,46 +22,73 @@
         self,
         roster: runner_roster.RunnerRoster,
         health: runner_health.RunnerHealth,
+        limits: runner_limits.RunnerLimits,
         peers: peer_table.PeerTable,
         data_centre: ids.DataCentre,
         clock: Callable[[], float],
     ) -> None:
         self._roster = roster
         self._health = health
+        self._limits = limits
         self._peers = peers
         self._data_centre = data_centre
         self._clock = clock
 
     def pause_left_s(self, service: ids.ServiceName) -> float:
-        """Return how long all runners of a service still want no request.
+        """Return how long no runner of a service takes a request.
 
         Returns:
-            The shortest pause that is left; 0 if some runner takes requests,
+            The shortest time that is left; 0 if some runner takes requests,
             or if the service has no runner.
         """
         now_s = self._clock()
         return min(
             (
-                self._health.pause_left_s(entry.runner_id, now_s)
+                max(
+                    self._health.pause_left_s(entry.runner_id, now_s),
+                    self._limit_wait_s(entry, now_s),
+                )
                 for entry in self._roster.of_service(service)
             ),
             default=0.0,
         )
 
+    def _limit_wait_s(self, entry: runner_entries.RunnerEntry, now_s: float) -> float:
+        """Return when a runner takes a further request from some daemon."""
+        wait_s = self._limits.wait_s(entry.runner_id, entry.born_ms, now_s)
+        return min(wait_s, self._limits.interval_s(entry.runner_id))
+
+    def record_send(self, entry: runner_entries.RunnerEntry) -> None:
+        """Count a request that is sent to a runner now."""
+        self._limits.take(entry.runner_id, entry.born_ms, self._clock())
+
+    def may_help(self, entry: runner_entries.RunnerEntry, now_s: float) -> bool:
+        """Return whether an engine is expected to prefill parts for others."""
+        return self._health.may_help(
+            entry.runner_id, now_s
+        ) and not self._limits.is_limited(entry.runner_id, entry.born_ms)
+
     def of_service(
         self, service: ids.ServiceName, excluded: set[ids.RunnerId]
     ) -> list[runner_entries.RunnerEntry]:
-        """Return the runners that are not excluded and want no pause.
+        """Return the runners that are not excluded and take a request now.
 
         Suspects are included only if there are no others.
         """
         now_s = self._clock()
+        has_limits = self._limits.has_any
+        if has_limits:
+            self._limits.set_daemons(self._peers.own_address, self._peers.live_group())
         listed = self._roster.of_service(service)
         remaining = [
             entry
             for entry in listed
             if entry.runner_id not in excluded
             and not self._health.pause_left_s(entry.runner_id, now_s)
+            and not (
+                has_limits
+                and self._limits.wait_s(entry.runner_id, entry.born_ms, now_s)
+            )
         ]
         healthy = [
             entry for entry in remaining if not self._health.is_suspect(entry.runner_id)
--- a/packages/gateway/lacewingdrum_gateway/runner_notices.py
+++ b/packages/gateway/lacewingdrum_gateway/runner_notices.py
@@ -1,14 +1,15 @@
 """Acts on what runners say about themselves in the headers of their answers.
 
 A runner may say that it leaves, before or after the platform's list shows it,
-and that it wants no request from this daemon for a while.
+that it wants no request from this daemon for a while, and how many requests a
+second it takes from all daemons.
 """
 
 from collections.abc import Callable
 
 from lacewingdrum_coordination import runner_health, runner_roster
 from lacewingdrum_daemon import decision_log, metrics
-from lacewingdrum_gateway import peering, work_sync
+from lacewingdrum_gateway import limit_sync, peering, work_sync
 from lacewingdrum_state import ids, requests, runner_entries
 
 
@@ -20,6 +21,7 @@
         roster: runner_roster.RunnerRoster,
         health: runner_health.RunnerHealth,
         work_updates: work_sync.WorkSync,
+        limits: limit_sync.LimitSync,
         peers: peering.Peering,
         clock: Callable[[], float],
         decisions: decision_log.DecisionLog,
@@ -28,6 +30,7 @@
         self._roster = roster
         self._health = health
         self._work_updates = work_updates
+        self._limits = limits
         self._peers = peers
         self._clock = clock
         self._decisions = decisions
@@ -55,6 +58,9 @@
             self._peers.announce()
         if answer_headers.pause_s:
             self._record_pause(entry.runner_id, answer_headers.pause_s)
+        # The answer of another runner says nothing of this one's limit.
+        if not answer_headers.is_other_runner:
+            self._limits.observe(entry, answer_headers)
 
     def _record_pause(self, runner_id: ids.RunnerId, pause_s: float) -> None:
         now_s = self._clock()
--- a/packages/protocol/lacewingdrum_protocol/peer_messages.py
+++ b/packages/protocol/lacewingdrum_protocol/peer_messages.py
@@ -7,7 +7,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from lacewingdrum_protocol import crash_messages, work_messages
+from lacewingdrum_protocol import crash_messages, limit_messages, work_messages
 from lacewingdrum_state import states
 
 WIRE_VERSION = 1
@@ -216,6 +216,7 @@
     | work_messages.WorkRequest
     | work_messages.WorkSnapshot
     | crash_messages.CrashNews
+    | limit_messages.LimitNews
     | DocumentPush
     | DocumentRequest
     | LoadSummary
--- a/packages/state/lacewingdrum_state/requests.py
+++ b/packages/state/lacewingdrum_state/requests.py
@@ -95,7 +95,8 @@
     forwarded. ``at_fault`` is the address of an engine that failed its part
     of the work. ``is_leaving`` is set if the runner is about to stop.
     ``pause_s`` is how long it wants no further request from this daemon, or
-    None if it did not say.
+    None if it did not say. ``limit_per_s`` is the number of requests a second
+    that it takes from all daemons, or None if it named none that is readable.
     """
 
     attempt_id: str
@@ -106,3 +107,5 @@
     at_fault: fleet.Address | None
     is_leaving: bool = False
     pause_s: float | None = None
+    limit_per_s: float | None = None
+    is_limit_unreadable: bool = False
