Limits of runners are divided by daemons that send to them

In a fleet of more than 13 daemons, each sends to the runners of its own data centre. The limit of a runner was divided by daemons of any, so that most of what it takes was left unused: with five data centres four fifths of it. Those of the runner's own data centre come first now; the sum is the same. The test of it fails without the order by data centre (8 of 40 daemons divide, all of the runner's data centre).

--- a/packages/coordination/lacewingdrum_coordination/runner_limits.py
+++ b/packages/coordination/lacewingdrum_coordination/runner_limits.py
@@ -3,7 +3,8 @@
 A runner in need names the requests a second that it takes from all daemons.
 Some daemons, chosen by hash among those that are heard, divide that rate; the
 others send it nothing. There are as many as whole requests a second, so that
-the part of each is not less than one.
+the part of each is not less than one. Where daemons send to the runners of
+their own data centre, those of the runner's data centre come first.
 """
 
 import dataclasses
@@ -11,7 +12,7 @@
 import xxhash
 
 from lacewingdrum_coordination import coordinators
-from lacewingdrum_state import ids, runner_limits
+from lacewingdrum_state import ids, runner_entries, runner_limits
 
 PER_S_MIN = 0.1
 PER_S_MAX = 1_000_000.0
@@ -24,6 +25,11 @@
 LIMITS_MAX = 1_024
 
 
+# Addresses of daemons and their data centres; the latter are empty where
+# daemons send to the runners of all data centres alike.
+Daemons = tuple[tuple[ids.VmId, ids.DataCentre], ...]
+
+
 @dataclasses.dataclass(slots=True)
 class _Bucket:
     """The requests that this daemon may send now, as of ``as_of_s``."""
@@ -39,7 +45,7 @@
         self._limits: dict[ids.RunnerId, runner_limits.RunnerLimit] = {}
         self._buckets: dict[ids.RunnerId, _Bucket] = {}
         self._shares: dict[ids.RunnerId, float] = {}
-        self._daemons: tuple[ids.VmId, ...] = ()
+        self._daemons: Daemons = ()
         self._own_address = ids.VmId("")
 
     @property
@@ -60,7 +66,7 @@
         )
         return xxhash.xxh3_64_intdigest("\n".join(lines).encode()) if lines else 0
 
-    def set_daemons(self, own_address: ids.VmId, daemons: tuple[ids.VmId, ...]) -> None:
+    def set_daemons(self, own_address: ids.VmId, daemons: Daemons) -> None:
         """Set the daemons that divide the limits.
 
         Args:
@@ -102,34 +108,37 @@
         for by_runner in (self._limits, self._buckets, self._shares):
             by_runner.pop(runner_id, None)
 
-    def is_limited(self, runner_id: ids.RunnerId, born_ms: int) -> bool:
+    def is_limited(self, entry: runner_entries.RunnerEntry) -> bool:
         """Return whether this incarnation of a runner names a limit."""
-        limit = self._limits.get(runner_id)
+        limit = self._limits.get(entry.runner_id)
         return (
-            limit is not None and limit.per_s is not None and limit.born_ms == born_ms
+            limit is not None
+            and limit.per_s is not None
+            and limit.born_ms == entry.born_ms
         )
 
-    def wait_s(self, runner_id: ids.RunnerId, born_ms: int, now_s: float) -> float:
+    def wait_s(self, entry: runner_entries.RunnerEntry, now_s: float) -> float:
         """Return when this daemon may send a request to a runner.
 
         Returns:
             0 if it may now, else the time until then; infinity if others
             divide the limit.
         """
-        if not self._limits or not self.is_limited(runner_id, born_ms):
+        if not self._limits or not self.is_limited(entry):
             return 0.0
-        share = self._share(runner_id)
+        share = self._share(entry)
         if not share:
             return float("inf")
-        return max(1.0 - self._fill(runner_id, share, now_s).tokens, 0.0) / share
+        bucket = self._fill(entry.runner_id, share, now_s)
+        return max(1.0 - bucket.tokens, 0.0) / share
 
-    def take(self, runner_id: ids.RunnerId, born_ms: int, now_s: float) -> None:
+    def take(self, entry: runner_entries.RunnerEntry, now_s: float) -> None:
         """Count a request that this daemon sends now."""
-        if not self._limits or not self.is_limited(runner_id, born_ms):
+        if not self._limits or not self.is_limited(entry):
             return
-        share = self._share(runner_id)
+        share = self._share(entry)
         if share:
-            self._fill(runner_id, share, now_s).tokens -= 1.0
+            self._fill(entry.runner_id, share, now_s).tokens -= 1.0
 
     def interval_s(self, runner_id: ids.RunnerId) -> float:
         """Return the time between two requests of all daemons to a runner."""
@@ -144,20 +153,25 @@
         bucket.as_of_s = now_s
         return bucket
 
-    def _share(self, runner_id: ids.RunnerId) -> float:
+    def _share(self, entry: runner_entries.RunnerEntry) -> float:
         """Return the requests a second that this daemon may send."""
+        runner_id = entry.runner_id
         if runner_id not in self._shares:
-            self._shares[runner_id] = self._compute_share(runner_id)
+            self._shares[runner_id] = self._compute_share(entry)
         return self._shares[runner_id]
 
-    def _compute_share(self, runner_id: ids.RunnerId) -> float:
-        per_s = self._limits[runner_id].per_s or 0.0
-        count = max(1, min(int(per_s), len(self._daemons)))
+    def _compute_share(self, entry: runner_entries.RunnerEntry) -> float:
+        per_s = self._limits[entry.runner_id].per_s or 0.0
         in_order = sorted(
             self._daemons,
-            key=lambda daemon: coordinators.stable_hash(f"{runner_id}\x1f{daemon}"),
+            key=lambda daemon: (
+                daemon[1] != entry.data_centre,
+                coordinators.stable_hash(f"{entry.runner_id}\x1f{daemon[0]}"),
+            ),
         )
-        return per_s / count if self._own_address in in_order[:count] else 0.0
+        count = max(1, min(int(per_s), len(in_order)))
+        chosen = [address for address, _ in in_order[:count]]
+        return per_s / count if self._own_address in chosen else 0.0
 
 
 def _is_newer(
--- a/packages/coordination/lacewingdrum_coordination/runner_limits_test.py
+++ b/packages/coordination/lacewingdrum_coordination/runner_limits_test.py
@@ -3,20 +3,41 @@
 import random
 
 from lacewingdrum_coordination import runner_limits
-from lacewingdrum_state import ids, runner_limits as limits
+from lacewingdrum_state import (
+    fleet as fleet_state,
+    ids,
+    runner_entries,
+    runner_limits as limits,
+    states,
+)
 
 WINDOW_S = 4.0
 RUNNER = ids.RunnerId("e1")
 
 
+def entry(born_ms=1):
+    return runner_entries.RunnerEntry(
+        RUNNER,
+        ids.ServiceName("model"),
+        ids.DataCentre("north"),
+        fleet_state.Address("10.1.0.1", 80),
+        4,
+        states.MemberState.LIVE,
+        born_ms,
+    )
+
+
 def limit(per_s, at_s=0.0, born_ms=1):
     return limits.RunnerLimit(RUNNER, born_ms, per_s, at_s)
 
 
-def fleet(count, per_s):
-    daemons = tuple(ids.VmId(f"10.0.0.{number}:7") for number in range(count))
+def fleet(count, per_s, centres=("",)):
+    daemons = tuple(
+        (ids.VmId(f"10.0.0.{number}:7"), centres[number % len(centres)])
+        for number in range(count)
+    )
     found = []
-    for daemon in daemons:
+    for daemon, _ in daemons:
         known = runner_limits.RunnerLimits()
         known.set_daemons(daemon, daemons)
         known.record(limit(per_s))
@@ -30,8 +51,8 @@
     for step in range(int(length_s / step_s)):
         now_s = from_s + step * step_s
         for known in known_limits:
-            if not known.wait_s(RUNNER, 1, now_s):
-                known.take(RUNNER, 1, now_s)
+            if not known.wait_s(entry(), now_s):
+                known.take(entry(), now_s)
                 sent_s.append(now_s)
     return sent_s
 
@@ -67,10 +88,10 @@
 
 def test_answer_without_a_limit_or_a_later_incarnation_ends_it():
     (known,) = fleet(1, 1.0)
-    assert known.wait_s(RUNNER, 1, 0.0)
-    assert not known.wait_s(RUNNER, 2, 0.0)
-    assert known.record(limit(None, 5.0)) and not known.wait_s(RUNNER, 1, 5.0)
-    assert known.record(limit(2.0, 6.0)) and known.is_limited(RUNNER, 1)
+    assert known.wait_s(entry(), 0.0)
+    assert not known.wait_s(entry(2), 0.0)
+    assert known.record(limit(None, 5.0)) and not known.wait_s(entry(), 5.0)
+    assert known.record(limit(2.0, 6.0)) and known.is_limited(entry())
     assert known.record(limit(None, 5.5, born_ms=2))
     assert not known.record(limit(2.0, 9.0, born_ms=1))
 
@@ -78,7 +99,7 @@
 def test_answer_that_overtook_one_with_a_limit_does_not_end_it():
     (known,) = fleet(1, 1.0)
     assert not known.record(limit(None, 0.1))
-    assert known.is_limited(RUNNER, 1)
+    assert known.is_limited(entry())
 
 
 def test_daemons_that_learn_the_same_in_any_order_know_the_same():
@@ -98,4 +119,13 @@
         (known,) = fleet(1, per_s)
         (found,) = known.all
         assert runner_limits.PER_S_MIN <= found.per_s <= runner_limits.PER_S_MAX
-        assert 0.0 <= known.wait_s(RUNNER, 1, 100.0) <= 1 / runner_limits.PER_S_MIN
+        assert 0.0 <= known.wait_s(entry(), 100.0) <= 1 / runner_limits.PER_S_MIN
+
+
+def test_daemons_of_the_data_centre_of_a_runner_divide_its_limit_first():
+    known_limits = fleet(40, 8.0, centres=("south", "north", "west", "east"))
+    for known in known_limits:
+        known.wait_s(entry(), 0.0)
+    waits_s = [known.wait_s(entry(), 100.0) for known in known_limits]
+    dividing = [number for number, wait_s in enumerate(waits_s) if wait_s < 10.0]
+    assert len(dividing) == 8 and all(number % 4 == 1 for number in dividing)
--- a/packages/gateway/lacewingdrum_gateway/peer_table.py
+++ b/packages/gateway/lacewingdrum_gateway/peer_table.py
@@ -52,7 +52,7 @@
         self._live: dict[ids.VmId, Peer] = {}
         self._work_peers: tuple[Peer, ...] | None = None
         self._work_group: frozenset[ids.VmId] | None = None
-        self._live_group: tuple[ids.VmId, ...] | None = None
+        self._senders: tuple[tuple[ids.VmId, ids.DataCentre], ...] | None = None
         self._seeds: set[ids.VmId] = set()
         self._forgotten_s: dict[ids.VmId, float] = {}
         self._max_daemon_count = 1
@@ -179,7 +179,7 @@
         self._clear_cached_peers()
 
     def _clear_cached_peers(self) -> None:
-        self._work_peers = self._work_group = self._live_group = None
+        self._work_peers = self._work_group = self._senders = None
 
     def forget_silent(self, now_s: float, silence_s: float) -> list[ids.VmId]:
         """Remove daemons after a long silence.
@@ -229,11 +229,21 @@
             self._work_group = frozenset((self.own_address, *seen))
         return self._work_group
 
-    def live_group(self) -> tuple[ids.VmId, ...]:
-        """Return this daemon and all live ones, in order."""
-        if self._live_group is None:
-            self._live_group = tuple(sorted((self.own_address, *self._live)))
-        return self._live_group
+    def senders(self) -> tuple[tuple[ids.VmId, ids.DataCentre], ...]:
+        """Return this daemon and all live ones, in order.
+
+        Each has the data centre whose runners it prefers; it is empty while
+        daemons send to those of all data centres alike.
+        """
+        if self._senders is None:
+            own = (self.own_address, self._data_centre)
+            others = [(peer.address, peer.data_centre) for peer in self._live.values()]
+            is_alike = self.exchanges_all_work_reports
+            self._senders = tuple(
+                (address, ids.DataCentre("") if is_alike else data_centre)
+                for address, data_centre in sorted((own, *others))
+            )
+        return self._senders
 
     def maybe_partitioned(self, now_s: float) -> frozenset[ids.VmId]:
         """Return silent peers of the work group that may be partitioned."""
--- a/packages/gateway/lacewingdrum_gateway/runner_candidates.py
+++ b/packages/gateway/lacewingdrum_gateway/runner_candidates.py
@@ -55,18 +55,18 @@
 
     def _limit_wait_s(self, entry: runner_entries.RunnerEntry, now_s: float) -> float:
         """Return when a runner takes a further request from some daemon."""
-        wait_s = self._limits.wait_s(entry.runner_id, entry.born_ms, now_s)
+        wait_s = self._limits.wait_s(entry, now_s)
         return min(wait_s, self._limits.interval_s(entry.runner_id))
 
     def record_send(self, entry: runner_entries.RunnerEntry) -> None:
         """Count a request that is sent to a runner now."""
-        self._limits.take(entry.runner_id, entry.born_ms, self._clock())
+        self._limits.take(entry, self._clock())
 
     def may_help(self, entry: runner_entries.RunnerEntry, now_s: float) -> bool:
         """Return whether an engine is expected to prefill parts for others."""
         return self._health.may_help(
             entry.runner_id, now_s
-        ) and not self._limits.is_limited(entry.runner_id, entry.born_ms)
+        ) and not self._limits.is_limited(entry)
 
     def of_service(
         self, service: ids.ServiceName, excluded: set[ids.RunnerId]
@@ -78,17 +78,14 @@
         now_s = self._clock()
         has_limits = self._limits.has_any
         if has_limits:
-            self._limits.set_daemons(self._peers.own_address, self._peers.live_group())
+            self._limits.set_daemons(self._peers.own_address, self._peers.senders())
         listed = self._roster.of_service(service)
         remaining = [
             entry
             for entry in listed
             if entry.runner_id not in excluded
             and not self._health.pause_left_s(entry.runner_id, now_s)
-            and not (
-                has_limits
-                and self._limits.wait_s(entry.runner_id, entry.born_ms, now_s)
-            )
+            and not (has_limits and self._limits.wait_s(entry, now_s))
         ]
         healthy = [
             entry for entry in remaining if not self._health.is_suspect(entry.runner_id)
