Soak: runners that name a limit, also an absurd or unreadable one

From 3 s after a limit is first named its runner may not get more in some 4 s than the users' page allows, unless a daemon was killed or paused meanwhile.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -70,6 +70,9 @@
         violations += checks.crashing_part_violations(
             soak_site.runners, soak_site.disruptions
         )
+        violations += checks.limit_violations(
+            soak_site.named_limits, soak_site.disruptions
+        )
         answered = callers.answered_share(soak_callers.observed)
         print(
             f"seed {seed}: {len(soak_callers.observed)} requests, "
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -19,6 +19,11 @@
 CRASHES_KNOWN = 5
 CRASHES_KNOWN_S = 3.0
 CRASHING_PREFIX = "bad"
+# What runners that name a limit may get, later than this after the first time.
+LIMIT_KNOWN_S = 3.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,6 +41,16 @@
     receipt: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NamedLimit:
+    """A time span in which a runner named the requests a second it takes."""
+
+    runner: platform_runner.PlatformRunner
+    per_s: float
+    from_s: float
+    to_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Disruption:
     """A time span in which a fault paused or stopped a gateway."""
@@ -147,3 +162,38 @@
         if later > CRASHING_REQUESTS_MAX and not was_disrupted:
             found.append(f"{entry}: {later} requests after {CRASHES_KNOWN} crashes")
     return found
+
+
+def limit_violations(
+    named: list[NamedLimit], disruptions: list[Disruption]
+) -> list[str]:
+    """Check that runners get no more requests than they name.
+
+    Args:
+        named: the limits that runners named.
+        disruptions: when gateways were paused, killed or stopped; a window is
+            not checked if that happened in it or while the limit became known.
+
+    Returns:
+        A line for each limit that was not kept to.
+    """
+    found: list[str] = []
+    for limit in named:
+        allowed = LIMIT_FACTOR * limit.per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+        times_s = [
+            arrival.arrived_s
+            for arrival in limit.runner.arrivals
+            if limit.from_s + LIMIT_KNOWN_S <= arrival.arrived_s <= limit.to_s
+        ]
+        for from_s in times_s:
+            until_s = from_s + LIMIT_WINDOW_S
+            count = sum(from_s <= time_s <= until_s for time_s in times_s)
+            was_disrupted = any(
+                span.from_s < until_s and span.to_s > from_s - LIMIT_KNOWN_S
+                for span in disruptions
+            )
+            if count > allowed and not was_disrupted:
+                name = limit.runner.runner_id
+                found.append(f"{name}: {count} requests in 4 s, allowed {allowed}")
+                break
+    return found
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,11 +8,14 @@
 
 from standins import platform_store
 from standins.platform_runner import Fault
-from tests.soak import proxy, site
+from tests.soak import checks, proxy, site
 
 REQUEST_FAULTS = tuple(fault for fault in Fault if fault is not Fault.NONE)
 
+# Faults that take a while to be found last longer than others.
 CRASHING_FACTOR = 3.0
+LIMIT_FACTOR = 3.0
+LIMITS = ("0.5", "1", "2.5", "8", "0", "many")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -88,6 +91,10 @@
                     f"runner {runner} wants a pause",
                     lambda: self._want_pause(runner, span_s),
                 ),
+                Injection(
+                    f"runner {runner} names a limit",
+                    lambda: self._name_limit(runner, span_s),
+                ),
                 Injection("part crashes engines", lambda: self._crash(span_s)),
                 Injection("configuration", self._configure),
                 Injection("credential withdrawn", self._rotate_credential),
@@ -164,6 +171,20 @@
         await asyncio.sleep(span_s)
         paused.retry_after = ""
 
+    async def _name_limit(self, runner: int, span_s: float) -> None:
+        limited = self._site.runners[runner]
+        if limited.limit_per_s:
+            return
+        text = self._rng.choice(LIMITS)
+        from_s = asyncio.get_running_loop().time()
+        limited.limit_per_s = text
+        await asyncio.sleep(LIMIT_FACTOR * span_s)
+        limited.limit_per_s = ""
+        if text.replace(".", "").isdigit():
+            to_s = asyncio.get_running_loop().time()
+            named = checks.NamedLimit(limited, float(text), from_s, to_s)
+            self._site.named_limits.append(named)
+
     async def _crash(self, span_s: float) -> None:
         """Let one part of prompts crash engines, longer than other faults."""
         if self._site.crashing_part:
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -37,6 +37,7 @@
         self.store_proxies: list[proxy.FaultProxy] = []
         self.processes: list[asyncio.subprocess.Process] = []
         self.disruptions: list[checks.Disruption] = []
+        self.named_limits: list[checks.NamedLimit] = []
         self.faults: list[str] = []
         self.credentials = ["key-0"]
         self.version = 1
