Log, metrics, tasks and settings files move below daemon and gateway

The gateway imported these four from the daemon, and with it that package. They stand in lacewingdrum_runtime now; tests.layers refuses an import of the daemon by the gateway. Nothing that leaves the process is renamed.

Import graph of the gateway: before, daemon, transport, protocol, coordination, state, platform; after, runtime in place of daemon. runtime imports protocol and state only.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 STAMP := .venv/.ready
 PACKAGES := packages/state packages/coordination packages/protocol \
-	packages/transport packages/daemon packages/cli packages/gateway platform
+	packages/transport packages/runtime packages/daemon packages/cli packages/gateway platform
 PY := .venv/bin/python
 
 .PHONY: setup test demo platform-demo replay guarantees slopes soak plots format
--- a/packages/daemon/lacewingdrum_daemon/attempt_executor.py
+++ b/packages/daemon/lacewingdrum_daemon/attempt_executor.py
@@ -8,8 +8,9 @@
 from result import Err
 
 from lacewingdrum_coordination import attempts, routing, streams
-from lacewingdrum_daemon import answers, membership_sync, metrics, stream_watchdog
+from lacewingdrum_daemon import answers, membership_sync, stream_watchdog
 from lacewingdrum_protocol import callers_api, runner_api
+from lacewingdrum_runtime import metrics
 from lacewingdrum_state import documents, fleet, ids, requests, states
 from lacewingdrum_transport import runner_client
 
--- a/packages/daemon/lacewingdrum_daemon/budget_sync.py
+++ b/packages/daemon/lacewingdrum_daemon/budget_sync.py
@@ -16,8 +16,9 @@
     limits,
     membership,
 )
-from lacewingdrum_daemon import membership_sync, peering, tasks
+from lacewingdrum_daemon import membership_sync, peering
 from lacewingdrum_protocol import peer_messages
+from lacewingdrum_runtime import tasks
 from lacewingdrum_state import documents, ids
 
 REQUEST_INTERVAL_S = 0.025
--- a/packages/daemon/lacewingdrum_daemon/cache_monitor.py
+++ b/packages/daemon/lacewingdrum_daemon/cache_monitor.py
@@ -12,8 +12,9 @@
 from result import Err
 
 from lacewingdrum_coordination import membership, prefixes, runner_coordinators
-from lacewingdrum_daemon import membership_sync, peering, tasks
+from lacewingdrum_daemon import membership_sync, peering
 from lacewingdrum_protocol import peer_messages, runner_api
+from lacewingdrum_runtime import tasks
 from lacewingdrum_state import fleet, ids
 from lacewingdrum_transport import runner_client
 
--- a/packages/daemon/lacewingdrum_daemon/completions.py
+++ b/packages/daemon/lacewingdrum_daemon/completions.py
@@ -14,12 +14,12 @@
 from lacewingdrum_daemon import (
     answers,
     attempt_executor,
-    decision_log,
     group_memory,
     in_flight_attempts,
     pressure,
 )
 from lacewingdrum_protocol import callers_api
+from lacewingdrum_runtime import decision_log
 from lacewingdrum_state import ids, requests, states
 from lacewingdrum_transport import runner_client
 
--- a/packages/daemon/lacewingdrum_daemon/completions_test.py
+++ b/packages/daemon/lacewingdrum_daemon/completions_test.py
@@ -13,10 +13,10 @@
     completions,
     group_memory,
     in_flight_attempts,
-    metrics,
     stream_watchdog,
 )
 from lacewingdrum_protocol import callers_api, runner_api
+from lacewingdrum_runtime import metrics
 from lacewingdrum_state import documents, fleet, ids, requests, states
 from lacewingdrum_transport import runner_client
 from tests import virtual_time
--- a/packages/daemon/lacewingdrum_daemon/components.py
+++ b/packages/daemon/lacewingdrum_daemon/components.py
@@ -11,7 +11,6 @@
     cache_monitor,
     caller_requests,
     completions,
-    decision_log,
     directory_cache,
     document_sync,
     fleet_sync,
@@ -21,7 +20,6 @@
     load_monitor,
     loop_lag,
     membership_sync,
-    metrics,
     operators,
     order_executor,
     peering,
@@ -36,6 +34,7 @@
     settings,
 )
 from lacewingdrum_protocol import document_text, peer_messages
+from lacewingdrum_runtime import decision_log, metrics
 from lacewingdrum_state import ids, units
 from lacewingdrum_transport import (
     http_client,
--- a/packages/daemon/lacewingdrum_daemon/daemon.py
+++ b/packages/daemon/lacewingdrum_daemon/daemon.py
@@ -7,7 +7,8 @@
 import asyncio
 import logging
 
-from lacewingdrum_daemon import components as daemon_components, decision_log, settings
+from lacewingdrum_daemon import components as daemon_components, settings
+from lacewingdrum_runtime import decision_log
 from lacewingdrum_state import units
 
 DRAIN_POLL_INTERVAL_S = 0.05
--- a/packages/daemon/lacewingdrum_daemon/document_sync.py
+++ b/packages/daemon/lacewingdrum_daemon/document_sync.py
@@ -18,15 +18,14 @@
     membership,
 )
 from lacewingdrum_daemon import (
-    decision_log,
     document_store,
     membership_sync,
     peering,
     submissions,
     tables,
-    tasks,
 )
 from lacewingdrum_protocol import document_messages, peer_messages
+from lacewingdrum_runtime import decision_log, tasks
 from lacewingdrum_state import documents as document_types, ids
 
 POLL_CHECK_INTERVAL_S = 0.25
--- a/packages/daemon/lacewingdrum_daemon/fleet_sync.py
+++ b/packages/daemon/lacewingdrum_daemon/fleet_sync.py
@@ -4,13 +4,9 @@
 from collections.abc import Callable
 
 from lacewingdrum_coordination import routing
-from lacewingdrum_daemon import (
-    load_messages,
-    membership_sync,
-    peering,
-    tasks,
-)
+from lacewingdrum_daemon import load_messages, membership_sync, peering
 from lacewingdrum_protocol import peer_messages
+from lacewingdrum_runtime import tasks
 from lacewingdrum_state import fleet, ids
 
 SYNC_INTERVAL_S = 0.2
--- a/packages/daemon/lacewingdrum_daemon/in_flight_attempts.py
+++ b/packages/daemon/lacewingdrum_daemon/in_flight_attempts.py
@@ -10,7 +10,7 @@
 import logging
 from collections.abc import Callable
 
-from lacewingdrum_daemon import tasks
+from lacewingdrum_runtime import tasks
 from lacewingdrum_state import fleet, ids, requests
 from lacewingdrum_transport import runner_client
 
--- a/packages/daemon/lacewingdrum_daemon/load_monitor.py
+++ b/packages/daemon/lacewingdrum_daemon/load_monitor.py
@@ -17,8 +17,9 @@
 from result import Err, Ok
 
 from lacewingdrum_coordination import membership, reclaiming, runner_coordinators
-from lacewingdrum_daemon import load_messages, tasks
+from lacewingdrum_daemon import load_messages
 from lacewingdrum_protocol import peer_messages
+from lacewingdrum_runtime import tasks
 from lacewingdrum_state import fleet, ids, requests
 from lacewingdrum_transport import runner_client
 
--- a/packages/daemon/lacewingdrum_daemon/main.py
+++ b/packages/daemon/lacewingdrum_daemon/main.py
@@ -8,7 +8,8 @@
 from cleo.commands import command as cleo_command
 from cleo.io.inputs import argv_input
 
-from lacewingdrum_daemon import daemon, decision_log, settings
+from lacewingdrum_daemon import daemon, settings
+from lacewingdrum_runtime import decision_log
 
 EXIT_ABORTED_REQUESTS = 1
 EXIT_INVALID_SETTINGS = 2
--- a/packages/daemon/lacewingdrum_daemon/membership_sync.py
+++ b/packages/daemon/lacewingdrum_daemon/membership_sync.py
@@ -9,8 +9,8 @@
 from result import Err, Ok, Result
 
 from lacewingdrum_coordination import membership
-from lacewingdrum_daemon import tasks
 from lacewingdrum_protocol import peer_messages
+from lacewingdrum_runtime import tasks
 from lacewingdrum_state import fleet, ids
 from lacewingdrum_transport import members_client
 
--- a/packages/daemon/lacewingdrum_daemon/membership_sync_test.py
+++ b/packages/daemon/lacewingdrum_daemon/membership_sync_test.py
@@ -5,8 +5,9 @@
 
 from result import Err, Ok
 
-from lacewingdrum_daemon import membership_sync, tasks
+from lacewingdrum_daemon import membership_sync
 from lacewingdrum_protocol import peer_messages
+from lacewingdrum_runtime import tasks
 from lacewingdrum_state import fleet, ids
 from lacewingdrum_transport import members_client
 
--- a/packages/daemon/lacewingdrum_daemon/operators.py
+++ b/packages/daemon/lacewingdrum_daemon/operators.py
@@ -13,13 +13,13 @@
 
 from lacewingdrum_coordination import documents, membership
 from lacewingdrum_daemon import (
-    decision_log,
     document_status,
     document_sync,
     probes,
     settings as settings_types,
 )
 from lacewingdrum_protocol import document_text, operators_api, peer_messages
+from lacewingdrum_runtime import decision_log
 from lacewingdrum_state import documents as document_types, ids, states
 from lacewingdrum_transport import http_messages, http_server
 
--- a/packages/daemon/lacewingdrum_daemon/operators_test.py
+++ b/packages/daemon/lacewingdrum_daemon/operators_test.py
@@ -5,8 +5,9 @@
 import msgspec
 
 from lacewingdrum_coordination import documents
-from lacewingdrum_daemon import metrics, probes
+from lacewingdrum_daemon import probes
 from lacewingdrum_protocol import callers_api, operators_api
+from lacewingdrum_runtime import metrics
 from lacewingdrum_state import ids, states
 from lacewingdrum_transport import http_messages
 from tests import operator_fakes, pages
--- a/packages/daemon/lacewingdrum_daemon/order_executor.py
+++ b/packages/daemon/lacewingdrum_daemon/order_executor.py
@@ -11,8 +11,9 @@
 from result import Err, Ok
 
 from lacewingdrum_coordination import order_steps, orders
-from lacewingdrum_daemon import tables, tasks
+from lacewingdrum_daemon import tables
 from lacewingdrum_protocol import row_codec
+from lacewingdrum_runtime import tasks
 from lacewingdrum_state import ids, orders as order_rows, rows, states
 
 MAX_OPEN_ORDERS = 10_000
--- a/packages/daemon/lacewingdrum_daemon/peering.py
+++ b/packages/daemon/lacewingdrum_daemon/peering.py
@@ -8,8 +8,9 @@
 
 import msgspec
 
-from lacewingdrum_daemon import membership_sync, tasks
+from lacewingdrum_daemon import membership_sync
 from lacewingdrum_protocol import peer_messages
+from lacewingdrum_runtime import tasks
 from lacewingdrum_state import ids
 from lacewingdrum_transport import peer_socket
 
--- a/packages/daemon/lacewingdrum_daemon/placement_controller.py
+++ b/packages/daemon/lacewingdrum_daemon/placement_controller.py
@@ -14,14 +14,9 @@
 from result import Err, Ok
 
 from lacewingdrum_coordination import coordinators, leases, membership, placement
-from lacewingdrum_daemon import (
-    decision_log,
-    document_sync,
-    membership_sync,
-    tables,
-    tasks,
-)
+from lacewingdrum_daemon import document_sync, membership_sync, tables
 from lacewingdrum_protocol import row_codec, runner_api
+from lacewingdrum_runtime import decision_log, tasks
 from lacewingdrum_state import documents as document_types, fleet, ids, rows
 from lacewingdrum_transport import runner_client
 
--- a/packages/daemon/lacewingdrum_daemon/probes.py
+++ b/packages/daemon/lacewingdrum_daemon/probes.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from lacewingdrum_daemon import metrics
+from lacewingdrum_runtime import metrics
 from lacewingdrum_transport import http_messages
 
 TEXT_HEADERS = (("Content-Type", "text/plain; charset=utf-8"),)
--- a/packages/daemon/lacewingdrum_daemon/request_handler.py
+++ b/packages/daemon/lacewingdrum_daemon/request_handler.py
@@ -7,14 +7,13 @@
     answers,
     caller_requests,
     completions,
-    decision_log,
-    metrics,
     probes,
     readiness,
     service_calls,
     service_orders,
 )
 from lacewingdrum_protocol import callers_api
+from lacewingdrum_runtime import decision_log, metrics
 from lacewingdrum_state import ids, requests, states, units
 from lacewingdrum_transport import http_messages, http_server
 
--- a/packages/daemon/lacewingdrum_daemon/service_calls.py
+++ b/packages/daemon/lacewingdrum_daemon/service_calls.py
@@ -7,12 +7,9 @@
 from result import Err, Ok
 
 from lacewingdrum_coordination import admission, attempts, retries
-from lacewingdrum_daemon import (
-    decision_log,
-    in_flight_attempts,
-    membership_sync,
-)
+from lacewingdrum_daemon import in_flight_attempts, membership_sync
 from lacewingdrum_protocol import callers_api, runner_api
+from lacewingdrum_runtime import decision_log
 from lacewingdrum_state import fleet, ids, requests, states
 from lacewingdrum_transport import http_client, http_messages
 
--- a/packages/daemon/lacewingdrum_daemon/service_orders.py
+++ b/packages/daemon/lacewingdrum_daemon/service_orders.py
@@ -4,14 +4,9 @@
 import hashlib
 
 from lacewingdrum_coordination import attempts, orders
-from lacewingdrum_daemon import (
-    decision_log,
-    large_answers,
-    order_executor,
-    service_calls,
-    tasks,
-)
+from lacewingdrum_daemon import large_answers, order_executor, service_calls
 from lacewingdrum_protocol import callers_api
+from lacewingdrum_runtime import decision_log, tasks
 from lacewingdrum_state import ids, orders as order_rows, requests, states
 from lacewingdrum_transport import http_messages
 
--- a/packages/daemon/lacewingdrum_daemon/settings.py
+++ b/packages/daemon/lacewingdrum_daemon/settings.py
@@ -9,8 +9,8 @@
 import pathlib
 from typing import Any
 
-from lacewingdrum_daemon import settings_file
 from lacewingdrum_protocol import toml_keys, toml_rules
+from lacewingdrum_runtime import settings_file
 from lacewingdrum_state import fleet, ids
 
 KIB = 1024
--- a/packages/daemon/lacewingdrum_daemon/stream_watchdog.py
+++ b/packages/daemon/lacewingdrum_daemon/stream_watchdog.py
@@ -11,7 +11,7 @@
 
 from result import Err, Result
 
-from lacewingdrum_daemon import tasks
+from lacewingdrum_runtime import tasks
 from lacewingdrum_state import fleet, ids
 from lacewingdrum_transport import runner_client
 
--- a/packages/gateway/lacewingdrum_gateway/attempt.py
+++ b/packages/gateway/lacewingdrum_gateway/attempt.py
@@ -7,7 +7,6 @@
 from result import Err, Ok, Result
 
 from lacewingdrum_coordination import runner_health
-from lacewingdrum_daemon import decision_log, metrics
 from lacewingdrum_gateway import (
     answer_memory,
     attempt_ends,
@@ -15,6 +14,7 @@
     work_sync,
 )
 from lacewingdrum_platform import headers as platform_headers
+from lacewingdrum_runtime import decision_log, metrics
 from lacewingdrum_state import runner_entries, states
 from lacewingdrum_transport import http_client, http_messages
 
--- a/packages/gateway/lacewingdrum_gateway/components.py
+++ b/packages/gateway/lacewingdrum_gateway/components.py
@@ -12,7 +12,6 @@
     runner_health,
     runner_roster,
 )
-from lacewingdrum_daemon import decision_log, metrics
 from lacewingdrum_gateway import (
     answer_memory,
     attempt,
@@ -38,6 +37,7 @@
     stream_forwarding,
     work_sync,
 )
+from lacewingdrum_runtime import decision_log, metrics
 from lacewingdrum_state import ids, units
 from lacewingdrum_transport import http_client, http_messages, http_server, responder
 
--- a/packages/gateway/lacewingdrum_gateway/configuration_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/configuration_sync.py
@@ -15,10 +15,10 @@
 from result import Err, Ok
 
 from lacewingdrum_coordination import route_table, store_followers
-from lacewingdrum_daemon import decision_log, metrics, tasks
 from lacewingdrum_gateway import peering, store_client
 from lacewingdrum_platform import desired_state, store_calls
 from lacewingdrum_protocol import peer_messages
+from lacewingdrum_runtime import decision_log, metrics, tasks
 from lacewingdrum_state import ids, store_versions
 
 FEED_WAIT_S = 2.5
--- a/packages/gateway/lacewingdrum_gateway/crash_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/crash_sync.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable
 
 from lacewingdrum_coordination import crash_evidence
-from lacewingdrum_daemon import metrics
 from lacewingdrum_gateway import crash_codec, news_spread, peering
 from lacewingdrum_protocol import crash_messages
+from lacewingdrum_runtime import metrics
 from lacewingdrum_state import crashes, ids
 
 BATCH_DELAY_S = 0.01
--- a/packages/gateway/lacewingdrum_gateway/crash_watch.py
+++ b/packages/gateway/lacewingdrum_gateway/crash_watch.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 
 from lacewingdrum_coordination import coordinators, part_shares, runner_roster
-from lacewingdrum_daemon import decision_log, metrics
 from lacewingdrum_gateway import (
     active_request,
     attempt_ends,
@@ -13,6 +12,7 @@
     plans,
     runner_probe,
 )
+from lacewingdrum_runtime import decision_log, metrics
 from lacewingdrum_state import crashes, ids, runner_entries
 
 PROBE_TIMEOUT_S = 0.25
--- a/packages/gateway/lacewingdrum_gateway/daemon_registry.py
+++ b/packages/gateway/lacewingdrum_gateway/daemon_registry.py
@@ -9,8 +9,8 @@
 
 from result import Err, Ok
 
-from lacewingdrum_daemon import tasks
 from lacewingdrum_gateway import peering, store_client
+from lacewingdrum_runtime import tasks
 from lacewingdrum_state import ids
 
 DAEMONS_TABLE = "daemons"
--- a/packages/gateway/lacewingdrum_gateway/engine_memory.py
+++ b/packages/gateway/lacewingdrum_gateway/engine_memory.py
@@ -13,13 +13,13 @@
 
 from result import Err, Ok, Result
 
-from lacewingdrum_daemon import decision_log, metrics, tasks
 from lacewingdrum_gateway import runner_notices, runner_probe
 from lacewingdrum_platform import (
     engine_calls,
     headers as platform_headers,
     store_calls,
 )
+from lacewingdrum_runtime import decision_log, metrics, tasks
 from lacewingdrum_state import ids, runner_entries, units
 from lacewingdrum_transport import http_client, http_messages
 
--- a/packages/gateway/lacewingdrum_gateway/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/forwarding.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 
 from lacewingdrum_coordination import retry_allowance, runner_health, runner_roster
-from lacewingdrum_daemon import decision_log, metrics
 from lacewingdrum_gateway import (
     active_request,
     attempt,
@@ -17,6 +16,7 @@
     routing,
     work_sync,
 )
+from lacewingdrum_runtime import decision_log, metrics
 from lacewingdrum_state import crashes, states
 from lacewingdrum_transport import http_messages
 
--- a/packages/gateway/lacewingdrum_gateway/gateway.py
+++ b/packages/gateway/lacewingdrum_gateway/gateway.py
@@ -5,8 +5,8 @@
 import socket
 import time
 
-from lacewingdrum_daemon import decision_log, tasks
 from lacewingdrum_gateway import components as gateway_components, settings
+from lacewingdrum_runtime import decision_log, tasks
 from lacewingdrum_state import addresses, ids
 
 _log = logging.getLogger(__name__)
--- a/packages/gateway/lacewingdrum_gateway/line_output.py
+++ b/packages/gateway/lacewingdrum_gateway/line_output.py
@@ -11,7 +11,7 @@
 import os
 from collections.abc import Callable
 
-from lacewingdrum_daemon import decision_log
+from lacewingdrum_runtime import decision_log
 
 _DROPPED = decision_log.DecisionEvent.LINES_DROPPED.value
 BUFFER_MAX_BYTES = 2 * 1024 * 1024
--- a/packages/gateway/lacewingdrum_gateway/line_output_test.py
+++ b/packages/gateway/lacewingdrum_gateway/line_output_test.py
@@ -2,8 +2,8 @@
 import logging
 import os
 
-from lacewingdrum_daemon import decision_log
 from lacewingdrum_gateway import line_output
+from lacewingdrum_runtime import decision_log
 
 
 class Pipe:
--- a/packages/gateway/lacewingdrum_gateway/main.py
+++ b/packages/gateway/lacewingdrum_gateway/main.py
@@ -8,8 +8,8 @@
 import sys
 import time
 
-from lacewingdrum_daemon import decision_log
 from lacewingdrum_gateway import gateway, line_output, settings
+from lacewingdrum_runtime import decision_log
 
 EXIT_ABORTED_REQUESTS = 1
 EXIT_INVALID_SETTINGS = 2
--- a/packages/gateway/lacewingdrum_gateway/news_spread.py
+++ b/packages/gateway/lacewingdrum_gateway/news_spread.py
@@ -9,9 +9,9 @@
 import random
 from collections.abc import Callable
 
-from lacewingdrum_daemon import metrics
 from lacewingdrum_gateway import peering
 from lacewingdrum_protocol import peer_messages
+from lacewingdrum_runtime import metrics
 from lacewingdrum_state import ids
 
 SMALL_FLEET_PEERS_MAX = 13
--- a/packages/gateway/lacewingdrum_gateway/news_spread_test.py
+++ b/packages/gateway/lacewingdrum_gateway/news_spread_test.py
@@ -6,8 +6,8 @@
 import time
 import types
 
-from lacewingdrum_daemon import metrics
 from lacewingdrum_gateway import crash_sync, news_spread, peer_table
+from lacewingdrum_runtime import metrics
 from lacewingdrum_state import crashes, ids
 
 LOST = frozenset(((ids.PromptPart("bad"),),))
--- a/packages/gateway/lacewingdrum_gateway/request_handler.py
+++ b/packages/gateway/lacewingdrum_gateway/request_handler.py
@@ -6,7 +6,6 @@
 from result import Err
 
 from lacewingdrum_coordination import route_table
-from lacewingdrum_daemon import decision_log, metrics
 from lacewingdrum_gateway import (
     active_request,
     attempt,
@@ -17,6 +16,7 @@
 )
 from lacewingdrum_platform import headers as platform_headers
 from lacewingdrum_protocol import event_stream
+from lacewingdrum_runtime import decision_log, metrics
 from lacewingdrum_state import configurations, ids, requests, states
 from lacewingdrum_transport import http_messages, responder as responders
 
--- a/packages/gateway/lacewingdrum_gateway/runner_list_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/runner_list_sync.py
@@ -16,10 +16,10 @@
     runner_list_history,
     runner_roster,
 )
-from lacewingdrum_daemon import decision_log, metrics, tasks
 from lacewingdrum_gateway import peering, store_client
 from lacewingdrum_platform import runner_rows, store_calls
 from lacewingdrum_protocol import peer_messages
+from lacewingdrum_runtime import decision_log, metrics, tasks
 from lacewingdrum_state import (
     addresses,
     ids,
--- a/packages/gateway/lacewingdrum_gateway/runner_probe.py
+++ b/packages/gateway/lacewingdrum_gateway/runner_probe.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from lacewingdrum_coordination import runner_health, runner_roster
-from lacewingdrum_daemon import decision_log, tasks
+from lacewingdrum_runtime import decision_log, tasks
 from lacewingdrum_state import fleet, ids
 
 PROBE_INTERVAL_S = 0.7
--- a/packages/gateway/lacewingdrum_gateway/store_client.py
+++ b/packages/gateway/lacewingdrum_gateway/store_client.py
@@ -12,8 +12,8 @@
 
 from result import Err, Ok, Result
 
-from lacewingdrum_daemon import decision_log, metrics
 from lacewingdrum_platform import store_calls
+from lacewingdrum_runtime import decision_log, metrics
 from lacewingdrum_state import fleet, store_versions
 from lacewingdrum_transport import http_client
 
--- a/packages/gateway/lacewingdrum_gateway/work_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/work_sync.py
@@ -13,9 +13,9 @@
     engine_work_registry,
     runner_health,
 )
-from lacewingdrum_daemon import decision_log, metrics
 from lacewingdrum_gateway import peering, work_codec
 from lacewingdrum_protocol import work_messages
+from lacewingdrum_runtime import decision_log, metrics
 from lacewingdrum_state import ids, units
 
 BATCH_DELAY_S = 0.004
--- /dev/null
+++ b/packages/runtime/lacewingdrum_runtime/__init__.py
@@ -0,0 +1,1 @@
+"""What the programs run on: decision log, metrics, tasks, settings files."""
--- a/packages/daemon/lacewingdrum_daemon/decision_log_test.py
+++ b/packages/runtime/lacewingdrum_runtime/decision_log_test.py
@@ -3,7 +3,7 @@
 import json
 import logging
 
-from lacewingdrum_daemon import decision_log
+from lacewingdrum_runtime import decision_log
 from lacewingdrum_state import ids, states
 from tests import pages
 
--- a/packages/daemon/lacewingdrum_daemon/metrics_test.py
+++ b/packages/runtime/lacewingdrum_runtime/metrics_test.py
@@ -1,6 +1,6 @@
 """Tests of the metrics and their text format."""
 
-from lacewingdrum_daemon import metrics
+from lacewingdrum_runtime import metrics
 from lacewingdrum_state import ids, states
 
 SERVICE = ids.ServiceName("reader")
--- a/standins/slope_decisions.py
+++ b/standins/slope_decisions.py
@@ -6,7 +6,7 @@
 import time
 
 from lacewingdrum_coordination import routing
-from lacewingdrum_daemon import decision_log
+from lacewingdrum_runtime import decision_log
 from lacewingdrum_state import documents, ids
 from standins import slope_fit, slope_fleet
 
--- a/standins/slope_memory.py
+++ b/standins/slope_memory.py
@@ -9,8 +9,8 @@
 from collections.abc import Callable
 
 from lacewingdrum_coordination import directory, limits, membership, routing
-from lacewingdrum_daemon import decision_log
 from lacewingdrum_protocol import document_text
+from lacewingdrum_runtime import decision_log
 from lacewingdrum_state import documents, fleet, ids
 from standins import slope_fit, slope_fleet, slope_streams
 
--- a/tests/layers.py
+++ b/tests/layers.py
@@ -20,12 +20,16 @@
         "lacewingdrum_state",
     },
 }
+ALLOWED["lacewingdrum_runtime"] = {"lacewingdrum_protocol", "lacewingdrum_state"}
 ALLOWED["lacewingdrum_daemon"] = set(ALLOWED)
 ALLOWED["lacewingdrum_cli"] = set(ALLOWED) - {"lacewingdrum_daemon"}
 # The adapter translates names and formats. It may import types but no
 # decision logic.
 ALLOWED["lacewingdrum_platform"] = {"lacewingdrum_state"}
-ALLOWED["lacewingdrum_gateway"] = set(ALLOWED) - {"lacewingdrum_cli"}
+ALLOWED["lacewingdrum_gateway"] = set(ALLOWED) - {
+    "lacewingdrum_cli",
+    "lacewingdrum_daemon",
+}
 PLATFORM_WORDS = (
     "attempt-id",
     "deadline-ms",
@@ -34,6 +38,7 @@
     "not-executed",
     "at-server",
     "server-leaving",
+    "server-limit",
     "store-era",
     "token-count",
     "prompt-prefix",
--- a/tests/operator_fakes.py
+++ b/tests/operator_fakes.py
@@ -9,14 +9,9 @@
 from result import Err, Ok, Result
 
 from lacewingdrum_coordination import documents, membership
-from lacewingdrum_daemon import (
-    decision_log,
-    metrics,
-    operators,
-    probes,
-    settings,
-)
+from lacewingdrum_daemon import operators, probes, settings
 from lacewingdrum_protocol import peer_messages
+from lacewingdrum_runtime import decision_log, metrics
 from lacewingdrum_state import documents as document_types, fleet, ids
 from lacewingdrum_transport import http_client, http_messages
 
