--- a/packages/gateway/lacewingdrum_gateway/crash_watch.py
+++ b/packages/gateway/lacewingdrum_gateway/crash_watch.py
@@ -143,7 +143,8 @@
         """Return whether a runner ended that was not about to leave."""
         if entry not in self._roster.of_service(entry.service):
             return False
-        return await runner_probe.refuses_connection(entry.address, PROBE_TIMEOUT_S)
+        found = await runner_probe.probe(entry.address, PROBE_TIMEOUT_S)
+        return found is runner_probe.Reachability.REFUSED
 
     def _on_news(self, news: crashes.Evidence) -> None:
         """Log parts that are blamed or cleared now."""
--- a/packages/gateway/lacewingdrum_gateway/engine_memory.py
+++ b/packages/gateway/lacewingdrum_gateway/engine_memory.py
@@ -196,9 +196,10 @@
                 self._record_lease_end(held, LeaseEndReason.UNUSED)
                 return False
         for _ in range(DECODER_PROBE_ATTEMPTS):
-            if await runner_probe.accepts_connection(
+            found = await runner_probe.probe(
                 held.decoder.address, DECODER_PROBE_TIMEOUT_S
-            ):
+            )
+            if found is runner_probe.Reachability.ACCEPTED:
                 return True
         self._record_lease_end(held, LeaseEndReason.DECODER_UNREACHABLE)
         return False
--- a/packages/gateway/lacewingdrum_gateway/runner_probe.py
+++ b/packages/gateway/lacewingdrum_gateway/runner_probe.py
@@ -1,6 +1,7 @@
 """Probes whether suspected runners can be reached again."""
 
 import asyncio
+import enum
 from collections.abc import Callable
 
 from lacewingdrum_coordination import runner_health, runner_roster
@@ -11,24 +12,19 @@
 CONNECT_TIMEOUT_S = 0.5
 
 
-async def accepts_connection(address: fleet.Address, timeout_s: float) -> bool:
-    """Return whether an address accepts a connection.
+class Reachability(enum.Enum):
+    """What a new connection shows of a runner.
 
-    Args:
-        address: the address of a runner.
-        timeout_s: the time limit for the connection, which is closed at once.
+    ``REFUSED`` means that its host answers and nothing listens there.
     """
-    try:
-        async with asyncio.timeout(timeout_s):
-            _, writer = await asyncio.open_connection(address.host, address.port)
-    except (OSError, TimeoutError):
-        return False
-    writer.transport.abort()
-    return True
 
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNREACHABLE = "unreachable"
 
-async def refuses_connection(address: fleet.Address, timeout_s: float) -> bool:
-    """Return whether a host answers but nothing listens on the address.
+
+async def probe(address: fleet.Address, timeout_s: float) -> Reachability:
+    """Return whether an address accepts a connection.
 
     Args:
         address: the address of a runner.
@@ -38,11 +34,11 @@
         async with asyncio.timeout(timeout_s):
             _, writer = await asyncio.open_connection(address.host, address.port)
     except ConnectionRefusedError:
-        return True
+        return Reachability.REFUSED
     except (OSError, TimeoutError):
-        return False
+        return Reachability.UNREACHABLE
     writer.transport.abort()
-    return False
+    return Reachability.ACCEPTED
 
 
 class RunnerProbe:
@@ -85,7 +81,8 @@
         if entry is None:
             self._health.forget(runner_id)
             return
-        if not await accepts_connection(entry.address, CONNECT_TIMEOUT_S):
+        found = await probe(entry.address, CONNECT_TIMEOUT_S)
+        if found is not Reachability.ACCEPTED:
             return
         self._health.clear_suspicion(runner_id)
         self._decisions.record(
