Evidence of crashes: a mass failure neither hides nor pushes out a blamed part

A part that crashes engines was not blamed if many engines lost power while it did so (it had to explain a third of all crashes, not of the moments), and 128 later crashes pushed its evidence out, after which its requests would have been sent again. Parts of one crash were bounded by 64 prompts of 16 parts, which with 128 crashes is more than a small VM can spare; 128 parts are kept now.

test_engines_that_lose_power_together_do_not_hide... failed before.

--- a/packages/coordination/lacewingdrum_coordination/crash_evidence.py
+++ b/packages/coordination/lacewingdrum_coordination/crash_evidence.py
@@ -22,7 +22,7 @@
 # Crashes within this time are taken for one moment, as engines that lose power
 # together all lose the parts that many requests have.
 MOMENT_S = 0.1
-# The share of all crashes in its time that a part must explain.
+# The share of all moments with crashes in its time that a part must explain.
 EXPLAINED_SHARE_MIN = 1 / 3
 # A request under whose parts so many engines crashed is not repeated.
 REPEAT_CRASHES_MAX = 2
@@ -31,7 +31,7 @@
 EVIDENCE_KEPT_S = 3_600.0
 CRASHES_MAX = 128
 SNAPSHOT_CRASHES_MAX = 32
-LOST_PROMPTS_MAX = 64
+LOST_PARTS_MAX = 128
 
 _CrashKey = tuple[ids.RunnerId, int]
 
@@ -59,17 +59,8 @@
         It is bounded: crashes under parts that are blamed go before others,
         and new ones before old ones.
         """
-        blamed = {
-            key
-            for part in self._keys_by_part
-            if self._is_blamed(keys := self._unsound_keys(part))
-            for key in keys
-        }
-        in_order = sorted(
-            self._crashes.items(), key=lambda item: (item[0] in blamed, item[1].at_s)
-        )
         return crashes.Evidence(
-            tuple(crash for _, crash in in_order[-SNAPSHOT_CRASHES_MAX:]),
+            tuple(self._by_importance()[-SNAPSHOT_CRASHES_MAX:]),
             tuple(crashes.SoundPart(*item) for item in self._sound_s.items()),
             tuple(self._trials.values()),
         )
@@ -140,12 +131,11 @@
             return False
         key = (crash.runner_id, crash.born_ms)
         known = self._crashes.get(key, crash)
-        # The first ones in order, so that all daemons keep the same.
-        lost = sorted(known.lost_prompts | crash.lost_prompts)[:LOST_PROMPTS_MAX]
+        lost = _bounded(known.lost_prompts | crash.lost_prompts)
         merged = dataclasses.replace(
             known,
             at_s=min(known.at_s, crash.at_s),
-            lost_prompts=frozenset(lost),
+            lost_prompts=lost,
             reporters=known.reporters | crash.reporters,
         )
         is_new = key not in self._crashes or merged.lost_prompts != known.lost_prompts
@@ -182,19 +172,21 @@
         return {key for key in keys if self._crashes[key].at_s >= sound_s}
 
     def _is_blamed(self, keys: set[_CrashKey]) -> bool:
-        times_s = sorted(self._crashes[key].at_s for key in keys)
-        if not times_s:
+        if len(keys) < min(crash_count for crash_count, _ in BLAME_RULES):
             return False
+        times_s = sorted(self._crashes[key].at_s for key in keys)
         moments = _moment_count(times_s)
         if not any(
             len(times_s) >= crash_count and moments >= moment_count
             for crash_count, moment_count in BLAME_RULES
         ):
             return False
-        meanwhile = sum(
-            times_s[0] <= crash.at_s <= times_s[-1] for crash in self._crashes.values()
+        meanwhile_s = sorted(
+            crash.at_s
+            for crash in self._crashes.values()
+            if times_s[0] <= crash.at_s <= times_s[-1]
         )
-        return len(times_s) >= EXPLAINED_SHARE_MIN * meanwhile
+        return moments >= EXPLAINED_SHARE_MIN * _moment_count(meanwhile_s)
 
     def _has_other_cause(self, keys: set[_CrashKey], parts: crashes.Prompt) -> bool:
         """Return whether a part not in ``parts`` explains the crashes."""
@@ -216,11 +208,25 @@
             last_s, count = max(last_s, trial.at_s), trial.count
         return last_s + min(FIRST_TRIAL_S * 2.0**count, TRIAL_INTERVAL_MAX_S)
 
+    def _by_importance(self) -> list[crashes.EngineCrash]:
+        """Return all crashes, those under blamed parts last, then new ones."""
+        blamed = {
+            key
+            for part in self._keys_by_part
+            if self._is_blamed(keys := self._unsound_keys(part))
+            for key in keys
+        }
+        in_order = sorted(
+            self._crashes.items(), key=lambda item: (item[0] in blamed, item[1].at_s)
+        )
+        return [crash for _, crash in in_order]
+
     def _drop_old(self, now_s: float) -> None:
-        by_time = sorted(self._crashes.values(), key=_time_s)
-        kept = [item for item in by_time if now_s - item.at_s <= EVIDENCE_KEPT_S]
-        kept = kept[-CRASHES_MAX:]
-        if len(kept) == len(by_time):
+        kept = list(self._crashes.values())
+        if len(kept) > CRASHES_MAX:
+            kept = self._by_importance()[-CRASHES_MAX:]
+        kept = [item for item in kept if now_s - item.at_s <= EVIDENCE_KEPT_S]
+        if len(kept) == len(self._crashes):
             return
         self._crashes = {(item.runner_id, item.born_ms): item for item in kept}
         self._index()
@@ -250,6 +256,17 @@
         )
 
 
+def _bounded(prompts: frozenset[crashes.Prompt]) -> frozenset[crashes.Prompt]:
+    """Return the first prompts in order, so that all daemons keep the same."""
+    kept, part_count = [], 0
+    for prompt in sorted(prompts):
+        part_count += len(prompt)
+        if part_count > LOST_PARTS_MAX:
+            break
+        kept.append(prompt)
+    return frozenset(kept)
+
+
 def _time_s(crash: crashes.EngineCrash) -> float:
     return crash.at_s
 
--- a/packages/coordination/lacewingdrum_coordination/crash_evidence_test.py
+++ b/packages/coordination/lacewingdrum_coordination/crash_evidence_test.py
@@ -148,3 +148,28 @@
         assert one.digest == other.digest
         assert one.find_blame(("bad",)) and other.find_blame(("bad",))
         assert not one.find_blame(("d1",)) and not other.find_blame(("d2",))
+
+
+def test_engines_that_lose_power_together_do_not_hide_a_part_that_crashes_others():
+    lost = repeated_crashes(prompts=(("bad",),))
+    lost += [crash(50 + number, 0.5, ("x",)) for number in range(30)]
+    assert evidence_of(*lost).find_blame(("bad",))
+
+
+def test_crashes_of_many_engines_do_not_push_out_what_is_blamed():
+    later = [crash(50 + number, 5.0, ("x",)) for number in range(300)]
+    evidence = evidence_of(*repeated_crashes(), *later)
+    assert evidence.find_blame(("a", "bad"))
+    assert len(evidence.snapshot().crashes) == crash_evidence.SNAPSHOT_CRASHES_MAX
+
+
+def test_parts_of_one_crash_are_bounded_alike_in_any_order():
+    prompts = [(f"{number:04x}", "a") for number in range(500)]
+    digests = set()
+    for seed in range(5):
+        random.Random(seed).shuffle(prompts)
+        evidence = evidence_of(*(crash(1, 0.0, prompt) for prompt in prompts))
+        (kept,) = evidence.snapshot().crashes
+        assert len(kept.lost_prompts) == crash_evidence.LOST_PARTS_MAX / 2
+        digests.add(evidence.digest)
+    assert len(digests) == 1
