--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -14,6 +14,7 @@
     endless_answers,
     platform_answers,
     platform_connection,
+    platform_failures,
     platform_memory,
     runner_crashes,
 )
@@ -212,75 +213,25 @@
         if refusing_helper:
             fault = Fault.HELPER_FAILED
         expected = headers.get("expect-instance", self.runner_id)
-        not_run = (Fault.SHED, Fault.OTHER_RUNNER, Fault.HELPER_FAILED)
         if expected != self.runner_id:
             fault = Fault.OTHER_RUNNER
-        ran = fault not in not_run
+        ran = fault not in platform_failures.NOT_RUN_FAULTS
         self.arrivals.append(ReceivedRequest(attempt_id, path, headers, body, ran))
         sealed_headers = (
             *id_headers,
             ("Response-Seal", f"seal-{self.runner_id}-{attempt_id}"),
         )
-        match fault:
-            case Fault.SHED:
-                not_run_headers = (*id_headers, ("Not-Executed", "1"))
-                if self.retry_after:
-                    not_run_headers += (("Retry-After", self.retry_after),)
-                platform_connection.respond(
-                    connection, writer, 503, not_run_headers, b"full"
-                )
-                return True
-            case Fault.HELPER_FAILED:
-                at_fault = refusing_helper or helpers[0]
-                self.named_helpers.add(at_fault)
-                not_run_headers = (
-                    *id_headers,
-                    ("Not-Executed", "1"),
-                    ("At-Server", at_fault),
-                )
-                platform_connection.respond(
-                    connection, writer, 503, not_run_headers, b"helper"
-                )
-                return True
-            case Fault.OTHER_RUNNER:
-                platform_connection.respond(connection, writer, 421, id_headers, b"")
-                return True
-            case Fault.ERROR:
-                platform_connection.respond(
-                    connection, writer, 500, sealed_headers, b"failed"
-                )
-                return True
-            case Fault.BUSY_WITHOUT_NOT_EXECUTED:
-                platform_connection.respond(
-                    connection, writer, 503, id_headers, b"busy"
-                )
-                return True
-            case Fault.ABORT_BEFORE_ANSWER:
-                writer.transport.abort()
-                return False
-            case Fault.SILENT:
-                await asyncio.Event().wait()
-            case Fault.GARBLED:
-                writer.write(b"\x16\x03\x01 no answer at all\r\n\r\n")
-                return False
-            case Fault.NO_RECEIPT:
-                platform_connection.respond(
-                    connection, writer, 200, id_headers, b"unsealed"
-                )
-                return True
-            case Fault.OTHER_ATTEMPT_ANSWER:
-                other_headers = (
-                    ("Attempt-Id", "another"),
-                    ("Response-Seal", "s"),
-                )
-                platform_connection.respond(
-                    connection,
-                    writer,
-                    200,
-                    other_headers,
-                    b"of another request",
-                )
-                return True
+        if fault is Fault.SHED and self.retry_after:
+            id_headers += (("Retry-After", self.retry_after),)
+        if fault is Fault.HELPER_FAILED:
+            at_fault = refusing_helper or helpers[0]
+            self.named_helpers.add(at_fault)
+            id_headers += (("At-Server", at_fault),)
+        is_reusable = await platform_failures.respond(
+            connection, writer, fault, id_headers, sealed_headers
+        )
+        if is_reusable is not None:
+            return is_reusable
         self.working_count += 1
         try:
             if fault in endless_answers.FAULTS:
