Evidence of crashes expires by itself; limits said again cost nothing

Evidence was dropped only when further evidence came, so that a part could stay suspected after its hour. A runner that names the same limit in each answer made its daemons be sorted again each time. A count of trials from a peer is bounded before it is an exponent. Tests of trials at gateways: one engine is taken by a part that still crashes, and one that does not comes back.

--- a/packages/coordination/lacewingdrum_coordination/crash_evidence.py
+++ b/packages/coordination/lacewingdrum_coordination/crash_evidence.py
@@ -28,6 +28,7 @@
 REPEAT_CRASHES_MAX = 2
 FIRST_TRIAL_S = 60.0
 TRIAL_INTERVAL_MAX_S = 1_800.0
+TRIAL_DOUBLINGS_MAX = 10
 EVIDENCE_KEPT_S = 3_600.0
 CRASHES_MAX = 128
 SNAPSHOT_CRASHES_MAX = 32
@@ -78,12 +79,27 @@
         new_crashes = [item for item in found.crashes if self._add_crash(item, now_s)]
         new_sound = [item for item in found.sound if self._add_sound(item)]
         new_trials = [item for item in found.trials if self._add_trial(item)]
-        self._drop_old(now_s)
+        self.drop_expired(now_s)
         news = crashes.Evidence(tuple(new_crashes), tuple(new_sound), tuple(new_trials))
         if news:
             self._digest = None
         return news
 
+    def drop_expired(self, now_s: float) -> None:
+        """Drop old crashes, and the least important ones of too many."""
+        kept = list(self._crashes.values())
+        if len(kept) > CRASHES_MAX:
+            kept = self._by_importance()[-CRASHES_MAX:]
+        kept = [item for item in kept if now_s - item.at_s <= EVIDENCE_KEPT_S]
+        if len(kept) == len(self._crashes):
+            return
+        self._crashes = {(item.runner_id, item.born_ms): item for item in kept}
+        self._index()
+        for by_part in (self._sound_s, self._trials):
+            for part in by_part.keys() - self._keys_by_part.keys():
+                del by_part[part]
+        self._digest = None
+
     def suspected(self, parts: Iterable[ids.PromptPart]) -> list[ids.PromptPart]:
         """Return the parts that lost an engine and were not cleared since."""
         if not self._keys_by_part:
@@ -206,7 +222,8 @@
         last_s, count = under[-1].at_s, 0
         if trial is not None:
             last_s, count = max(last_s, trial.at_s), trial.count
-        return last_s + min(FIRST_TRIAL_S * 2.0**count, TRIAL_INTERVAL_MAX_S)
+        doublings = min(count, TRIAL_DOUBLINGS_MAX)
+        return last_s + min(FIRST_TRIAL_S * 2**doublings, TRIAL_INTERVAL_MAX_S)
 
     def _by_importance(self) -> list[crashes.EngineCrash]:
         """Return all crashes, those under blamed parts last, then new ones."""
@@ -221,20 +238,6 @@
         )
         return [crash for _, crash in in_order]
 
-    def _drop_old(self, now_s: float) -> None:
-        kept = list(self._crashes.values())
-        if len(kept) > CRASHES_MAX:
-            kept = self._by_importance()[-CRASHES_MAX:]
-        kept = [item for item in kept if now_s - item.at_s <= EVIDENCE_KEPT_S]
-        if len(kept) == len(self._crashes):
-            return
-        self._crashes = {(item.runner_id, item.born_ms): item for item in kept}
-        self._index()
-        for by_part in (self._sound_s, self._trials):
-            for part in by_part.keys() - self._keys_by_part.keys():
-                del by_part[part]
-        self._digest = None
-
     def _index(self) -> None:
         self._keys_by_part = {}
         for key, crash in self._crashes.items():
--- a/packages/coordination/lacewingdrum_coordination/crash_evidence_test.py
+++ b/packages/coordination/lacewingdrum_coordination/crash_evidence_test.py
@@ -110,7 +110,7 @@
 def test_evidence_expires_and_is_bounded():
     evidence = evidence_of(*repeated_crashes())
     kept_s = crash_evidence.EVIDENCE_KEPT_S
-    evidence.merge(crashes.Evidence(), kept_s + 0.9)
+    evidence.drop_expired(kept_s + 0.9)
     assert evidence.digest == 0 and not evidence.snapshot()
     many = [crash(number, number * 0.1, (f"{number}",)) for number in range(5_000)]
     evidence = evidence_of(*many)
--- a/packages/coordination/lacewingdrum_coordination/runner_limits.py
+++ b/packages/coordination/lacewingdrum_coordination/runner_limits.py
@@ -95,13 +95,12 @@
             bounded = min(max(limit.per_s, PER_S_MIN), PER_S_MAX)
             limit = dataclasses.replace(limit, per_s=bounded)
         self._limits[limit.runner_id] = limit
+        if known is not None and _said(known) == _said(limit):
+            return False
         self._shares.pop(limit.runner_id, None)
         if len(self._limits) > LIMITS_MAX:
-            del self._limits[next(iter(self._limits))]
-        return known is None or (known.born_ms, known.per_s) != (
-            limit.born_ms,
-            limit.per_s,
-        )
+            self.forget(next(iter(self._limits)))
+        return True
 
     def forget(self, runner_id: ids.RunnerId) -> None:
         """Drop what is known of a runner that is gone."""
@@ -182,5 +181,9 @@
     return _order_s(limit) > _order_s(known)
 
 
+def _said(limit: runner_limits.RunnerLimit) -> tuple[int, float | None]:
+    return limit.born_ms, limit.per_s
+
+
 def _order_s(limit: runner_limits.RunnerLimit) -> float:
     return limit.at_s - (OVERTAKING_S if limit.per_s is None else 0.0)
--- a/packages/gateway/lacewingdrum_gateway/crash_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/crash_sync.py
@@ -11,6 +11,7 @@
 from lacewingdrum_state import crashes, ids
 
 BATCH_DELAY_S = 0.01
+EXPIRY_CHECK_S = 60.0
 
 
 class CrashSync:
@@ -38,14 +39,18 @@
         self._news = crashes.Evidence()
         self._handlers: list[Callable[[crashes.Evidence], None]] = []
         self._flush_timer: asyncio.TimerHandle | None = None
+        self._expiry_timer: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
-        """Begin to exchange evidence with the peers."""
+        """Begin to exchange evidence with the peers and to drop it in time."""
         self._peers.on_message(crash_messages.CrashNews, self._on_news)
         self._spread.start()
+        self._drop_expired()
 
     async def close(self) -> None:
-        """Send pending news."""
+        """Send pending news and cancel the timers."""
+        if self._expiry_timer is not None:
+            self._expiry_timer.cancel()
         if self._flush_timer is not None:
             self._flush_timer.cancel()
             self._flush()
@@ -86,3 +91,8 @@
     def _on_news(self, sender: ids.VmId, news: crash_messages.CrashNews) -> None:
         del sender
         self._apply(crash_codec.from_message(news, self._clock()), is_own=False)
+
+    def _drop_expired(self) -> None:
+        self.evidence.drop_expired(self._clock())
+        loop = asyncio.get_running_loop()
+        self._expiry_timer = loop.call_later(EXPIRY_CHECK_S, self._drop_expired)
--- a/packages/gateway/lacewingdrum_gateway/crashing_parts_test.py
+++ b/packages/gateway/lacewingdrum_gateway/crashing_parts_test.py
@@ -74,8 +74,8 @@
     )
 
 
-def crashes_under(part: str) -> crashes.Evidence:
-    now_s = time.monotonic()
+def crashes_under(part: str, age_s: float = 0.0) -> crashes.Evidence:
+    now_s = time.monotonic() - age_s
     lost = frozenset(((ids.PromptPart(part),),))
     return crashes.Evidence(
         tuple(
@@ -162,3 +162,35 @@
         for running in site.gateways:
             components = running.daemon._components
             assert not components.counts.text().count("prompt_part_changes")
+
+
+async def send_trial(site) -> list[int]:
+    """Blame a part long ago and send requests with it to all daemons."""
+    updates = site.gateways[0].daemon._components.crash_sync
+    updates.add(crashes_under(CRASHING, age_s=70.0))
+    await asyncio.sleep(0.1)
+    statuses = []
+    for number, running in enumerate(site.gateways * 3):
+        headers = headers_with("aa", CRASHING, number)
+        answer = await site.call("/ask/x", f"t{number}", headers=headers, on=running)
+        statuses.append(answer.status)
+    return statuses
+
+
+async def test_trial_of_a_part_that_still_crashes_takes_one_engine():
+    async with crashing_site() as site:
+        statuses = await send_trial(site)
+        assert statuses.count(503) == len(statuses) - 1
+        assert len(crash_times_s(site)) == 1
+
+
+async def test_part_that_no_longer_crashes_engines_comes_back_after_a_trial():
+    async with crashing_site() as site:
+        for engine in site.engines:
+            engine.crashes.parts.clear()
+        await send_trial(site)
+        await asyncio.sleep(0.1)
+        headers = headers_with("aa", CRASHING, 99)
+        for running in site.gateways:
+            answer = await site.call("/ask/x", "t99", headers=headers, on=running)
+            assert answer.status == 200
