--- a/packages/coordination/lacewingdrum_coordination/crash_evidence.py
+++ b/packages/coordination/lacewingdrum_coordination/crash_evidence.py
@@ -24,8 +24,8 @@
 MOMENT_S = 0.1
 # The share of all moments with crashes in its time that a part must explain.
 EXPLAINED_SHARE_MIN = 1 / 3
-# A request under whose parts so many engines crashed is not repeated.
-REPEAT_CRASHES_MAX = 2
+# A request is not sent on after crashes at so many moments under its parts.
+REPEAT_MOMENTS = 2
 FIRST_TRIAL_S = 60.0
 TRIAL_INTERVAL_MAX_S = 1_800.0
 TRIAL_DOUBLINGS_MAX = 10
@@ -110,7 +110,8 @@
         """Return whether a lost request may go to a further engine."""
         for part in parts:
             keys = self._unsound_keys(part)
-            is_likely_cause = len(keys) >= REPEAT_CRASHES_MAX
+            times_s = sorted(self._crashes[key].at_s for key in keys)
+            is_likely_cause = _moment_count(times_s) >= REPEAT_MOMENTS
             if is_likely_cause and not self._has_other_cause(keys, parts):
                 return False
         return True
--- a/packages/coordination/lacewingdrum_coordination/crash_evidence_test.py
+++ b/packages/coordination/lacewingdrum_coordination/crash_evidence_test.py
@@ -173,3 +173,8 @@
         assert len(kept.lost_prompts) == crash_evidence.LOST_PARTS_MAX / 2
         digests.add(evidence.digest)
     assert len(digests) == 1
+
+
+def test_request_lost_with_many_engines_at_one_moment_may_be_repeated():
+    lost = [crash(number, number * 0.001, ("hot",)) for number in range(10)]
+    assert evidence_of(*lost).may_repeat(("hot",))
--- a/packages/gateway/lacewingdrum_gateway/crash_watch.py
+++ b/packages/gateway/lacewingdrum_gateway/crash_watch.py
@@ -137,7 +137,16 @@
             frozenset((self._peers.own_address,)),
         )
         self._updates.add(crashes.Evidence((crash,)))
-        return had_begun or self._evidence.may_repeat(active.shared_parts)
+        if had_begun or self._evidence.may_repeat(active.shared_parts):
+            return True
+        self._counts.count("repeats_refused", reason="part_crashes_engines")
+        self._decisions.record(
+            decision_log.DecisionEvent.REPEAT_REFUSED,
+            active.request_id,
+            reason="part_crashes_engines",
+            parts=self._evidence.suspected(active.shared_parts),
+        )
+        return False
 
     async def _has_crashed(self, entry: runner_entries.RunnerEntry) -> bool:
         """Return whether a runner ended that was not about to leave."""
--- a/packages/gateway/lacewingdrum_gateway/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/forwarding.py
@@ -180,10 +180,11 @@
             service, self._peers.table.daemon_count, self._clock()
         )
         if not is_allowed:
-            self._counts.count("repeats_refused")
+            self._counts.count("repeats_refused", reason="allowance")
             self._decisions.record(
                 decision_log.DecisionEvent.REPEAT_REFUSED,
                 active.request_id,
+                reason="allowance",
                 service=service,
                 daemon_count=self._peers.table.daemon_count,
             )
