--- a/packages/coordination/lacewingdrum_coordination/runner_limits.py
+++ b/packages/coordination/lacewingdrum_coordination/runner_limits.py
@@ -12,7 +12,7 @@
 import xxhash
 
 from lacewingdrum_coordination import coordinators
-from lacewingdrum_state import ids, runner_entries, runner_limits
+from lacewingdrum_state import ids, named_limits, runner_entries
 
 PER_S_MIN = 0.1
 PER_S_MAX = 1_000_000.0
@@ -42,14 +42,14 @@
     """The limits that runners name, and this daemon's part of them."""
 
     def __init__(self) -> None:
-        self._limits: dict[ids.RunnerId, runner_limits.RunnerLimit] = {}
+        self._limits: dict[ids.RunnerId, named_limits.RunnerLimit] = {}
         self._buckets: dict[ids.RunnerId, _Bucket] = {}
         self._shares: dict[ids.RunnerId, float] = {}
         self._daemons: Daemons = ()
         self._own_address = ids.VmId("")
 
     @property
-    def all(self) -> tuple[runner_limits.RunnerLimit, ...]:
+    def all(self) -> tuple[named_limits.RunnerLimit, ...]:
         """What is known of all runners that have named a limit."""
         return tuple(self._limits.values())
 
@@ -77,7 +77,7 @@
             self._own_address, self._daemons = own_address, daemons
             self._shares.clear()
 
-    def record(self, limit: runner_limits.RunnerLimit) -> bool:
+    def record(self, limit: named_limits.RunnerLimit) -> bool:
         """Record what a runner said of its limit, here or to a peer.
 
         Args:
@@ -173,17 +173,15 @@
         return per_s / count if self._own_address in chosen else 0.0
 
 
-def _is_newer(
-    limit: runner_limits.RunnerLimit, known: runner_limits.RunnerLimit
-) -> bool:
+def _is_newer(limit: named_limits.RunnerLimit, known: named_limits.RunnerLimit) -> bool:
     if limit.born_ms != known.born_ms:
         return limit.born_ms > known.born_ms
     return _order_s(limit) > _order_s(known)
 
 
-def _said(limit: runner_limits.RunnerLimit) -> tuple[int, float | None]:
+def _said(limit: named_limits.RunnerLimit) -> tuple[int, float | None]:
     return limit.born_ms, limit.per_s
 
 
-def _order_s(limit: runner_limits.RunnerLimit) -> float:
+def _order_s(limit: named_limits.RunnerLimit) -> float:
     return limit.at_s - (OVERTAKING_S if limit.per_s is None else 0.0)
--- a/packages/coordination/lacewingdrum_coordination/runner_limits_test.py
+++ b/packages/coordination/lacewingdrum_coordination/runner_limits_test.py
@@ -6,8 +6,8 @@
 from lacewingdrum_state import (
     fleet as fleet_state,
     ids,
+    named_limits,
     runner_entries,
-    runner_limits as limits,
     states,
 )
 
@@ -28,7 +28,7 @@
 
 
 def limit(per_s, at_s=0.0, born_ms=1):
-    return limits.RunnerLimit(RUNNER, born_ms, per_s, at_s)
+    return named_limits.RunnerLimit(RUNNER, born_ms, per_s, at_s)
 
 
 def fleet(count, per_s, centres=("",)):
--- a/packages/gateway/lacewingdrum_gateway/limit_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/limit_sync.py
@@ -9,9 +9,9 @@
 from lacewingdrum_runtime import decision_log, metrics
 from lacewingdrum_state import (
     ids,
+    named_limits,
     requests,
     runner_entries,
-    runner_limits as limits,
     units,
 )
 
@@ -67,7 +67,7 @@
             return
         if answer_headers.limit_per_s is None and not answer_headers.has_receipt:
             return
-        limit = limits.RunnerLimit(
+        limit = named_limits.RunnerLimit(
             entry.runner_id, entry.born_ms, answer_headers.limit_per_s, self._clock()
         )
         if self._record(limit, "own attempt"):
@@ -98,7 +98,7 @@
     def _on_news(self, sender: ids.VmId, news: limit_messages.LimitNews) -> None:
         now_s = self._clock()
         found = [
-            limits.RunnerLimit(
+            named_limits.RunnerLimit(
                 ids.RunnerId(report.runner_id),
                 report.born_ms,
                 report.per_s,
@@ -110,7 +110,7 @@
         if changed and self._spread.is_relayed:
             self._spread.send(_to_message(changed, now_s))
 
-    def _record(self, limit: limits.RunnerLimit, source: str) -> bool:
+    def _record(self, limit: named_limits.RunnerLimit, source: str) -> bool:
         """Record a limit of a listed runner; return whether it is new."""
         is_listed = self._roster.get(limit.runner_id) is not None
         if not is_listed or not self.limits.record(limit):
@@ -130,7 +130,7 @@
 
 
 def _to_message(
-    found: Iterable[limits.RunnerLimit], now_s: float
+    found: Iterable[named_limits.RunnerLimit], now_s: float
 ) -> limit_messages.LimitNews:
     return limit_messages.LimitNews(
         tuple(
--- a/standins/slope_news.py
+++ b/standins/slope_news.py
@@ -24,8 +24,8 @@
     crashes,
     fleet,
     ids,
+    named_limits,
     runner_entries,
-    runner_limits as limits,
     states,
     store_versions,
 )
@@ -65,7 +65,7 @@
             peers.seen(peer, 0.0)
     known = runner_limits.RunnerLimits()
     for entry in entries[:limited_count]:
-        known.record(limits.RunnerLimit(entry.runner_id, 1, 8.0, 0.0))
+        known.record(named_limits.RunnerLimit(entry.runner_id, 1, 8.0, 0.0))
     return runner_candidates.RunnerCandidates(
         roster,
         runner_health.RunnerHealth(),
