--- a/packages/coordination/lacewingdrum_coordination/runner_limits.py
+++ b/packages/coordination/lacewingdrum_coordination/runner_limits.py
@@ -47,6 +47,7 @@
         self._shares: dict[ids.RunnerId, float] = {}
         self._daemons: Daemons = ()
         self._own_address = ids.VmId("")
+        self._digest: int | None = 0
 
     @property
     def all(self) -> tuple[named_limits.RunnerLimit, ...]:
@@ -61,10 +62,13 @@
     @property
     def digest(self) -> int:
         """A number that is the same for the same limits; 0 without any."""
-        lines = sorted(
-            f"{limit.runner_id} {limit.born_ms} {limit.per_s}" for limit in self.all
-        )
-        return xxhash.xxh3_64_intdigest("\n".join(lines).encode()) if lines else 0
+        if self._digest is None:
+            lines = sorted(
+                f"{limit.runner_id} {limit.born_ms} {limit.per_s}" for limit in self.all
+            )
+            text = "\n".join(lines).encode()
+            self._digest = xxhash.xxh3_64_intdigest(text) if lines else 0
+        return self._digest
 
     def set_daemons(self, own_address: ids.VmId, daemons: Daemons) -> None:
         """Set the daemons that divide the limits.
@@ -98,6 +102,7 @@
         if known is not None and _said(known) == _said(limit):
             return False
         self._shares.pop(limit.runner_id, None)
+        self._digest = None
         if len(self._limits) > LIMITS_MAX:
             self.forget(next(iter(self._limits)))
         return True
@@ -106,6 +111,7 @@
         """Drop what is known of a runner that is gone."""
         for by_runner in (self._limits, self._buckets, self._shares):
             by_runner.pop(runner_id, None)
+        self._digest = None
 
     def is_limited(self, entry: runner_entries.RunnerEntry) -> bool:
         """Return whether this incarnation of a runner names a limit."""
