--- a/packages/coordination/lacewingdrum_coordination/crash_evidence.py
+++ b/packages/coordination/lacewingdrum_coordination/crash_evidence.py
@@ -17,12 +17,13 @@
 
 from lacewingdrum_state import crashes, ids
 
-# Crashes and moments that are needed to blame a part.
+# A part is blamed after so many crashes at so many moments, by either pair.
 BLAME_RULES = ((3, 3), (5, 2))
 # Crashes within this time are taken for one moment, as engines that lose power
 # together all lose the parts that many requests have.
 MOMENT_S = 0.1
-# The share of all moments with crashes in its time that a part must explain.
+# The part must be lost in this share of all moments with crashes, from its
+# first crash to its last.
 EXPLAINED_SHARE_MIN = 1 / 3
 # A request is not sent on after crashes at so many moments under its parts.
 REPEAT_MOMENTS = 2
--- a/packages/coordination/lacewingdrum_coordination/part_shares.py
+++ b/packages/coordination/lacewingdrum_coordination/part_shares.py
@@ -5,7 +5,7 @@
 from lacewingdrum_state import crashes, ids
 
 RECENT_REQUESTS = 64
-# With fewer requests than this no share is known.
+# A share of fewer requests than this says too little.
 REQUESTS_MIN = 32
 NEARLY_ALL_SHARE = 0.9
 
--- a/packages/coordination/lacewingdrum_coordination/runner_limits.py
+++ b/packages/coordination/lacewingdrum_coordination/runner_limits.py
@@ -16,11 +16,11 @@
 
 PER_S_MIN = 0.1
 PER_S_MAX = 1_000_000.0
-# A daemon may send at once what it did not send in this time, and at least
-# one request.
+# A token bucket holds what its daemon may send in this time, and at least one
+# request.
 BURST_S = 0.25
-# An answer without a limit that comes so soon after one with it may have been
-# sent before.
+# Answers overtake each other: one without a limit that arrives this soon after
+# one with a limit may be the older of the two.
 OVERTAKING_S = 0.25
 LIMITS_MAX = 1_024
 
--- a/packages/gateway/lacewingdrum_gateway/crash_watch.py
+++ b/packages/gateway/lacewingdrum_gateway/crash_watch.py
@@ -16,7 +16,7 @@
 from lacewingdrum_state import crashes, ids, runner_entries
 
 PROBE_TIMEOUT_S = 0.25
-# An answer has begun well with so many events, or if it is whole.
+# An answer with this many events has begun well; so has a shorter whole one.
 SOUND_EVENTS = 3
 
 
--- a/packages/gateway/lacewingdrum_gateway/news_spread.py
+++ b/packages/gateway/lacewingdrum_gateway/news_spread.py
@@ -16,7 +16,7 @@
 
 SMALL_FLEET_PEERS_MAX = 13
 RELAY_PEERS = 6
-# A peer is brought up to date at most once in this time.
+# A peer whose digest differs is sent a snapshot at most once in this time.
 RESEND_INTERVAL_S = 2.0
 SNAPSHOTS_PER_S_MAX = 2
 
--- a/packages/gateway/lacewingdrum_gateway/runner_notices.py
+++ b/packages/gateway/lacewingdrum_gateway/runner_notices.py
@@ -58,7 +58,7 @@
             self._peers.announce()
         if answer_headers.pause_s:
             self._record_pause(entry.runner_id, answer_headers.pause_s)
-        # The answer of another runner says nothing of this one's limit.
+        # The answer of a successor at its address says nothing of its limit.
         if not answer_headers.is_other_runner:
             self._limits.observe(entry, answer_headers)
 
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -13,13 +13,14 @@
 EVENT_NUMBERS = range(1, 9)
 # Allowed beyond a request's time limit, as the host runs other work too.
 LATENESS_MAX_S = 1.0
-# So many requests may reach engines with a part that crashes them, later than
-# this after the fifth crash.
+# After the fifth crash and this time, so many requests with the part that
+# crashes engines may still reach them.
 CRASHING_REQUESTS_MAX = 3
 CRASHES_KNOWN = 5
 CRASHES_KNOWN_S = 3.0
 CRASHING_PREFIX = "bad"
-# What runners that name a limit may get, later than this after the first time.
+# From this time after a runner named a limit, it may get in each window the
+# limit times the factor, and the slack.
 LIMIT_KNOWN_S = 3.0
 LIMIT_WINDOW_S = 4.0
 LIMIT_FACTOR = 1.5
