Crashes of plain runners are logged, with what copies of a request share

Nothing is decided by it yet.

The probe that tells waits a tenth of the request's time left at most, as calls of plain services have a second in all. The fingerprint is computed only when a runner crashed. Tests ask Gateway.components in place of a private name.

--- a/packages/gateway/lacewingdrum_gateway/active_request.py
+++ b/packages/gateway/lacewingdrum_gateway/active_request.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 
+from lacewingdrum_coordination import request_fingerprint
 from lacewingdrum_gateway import attempt, attempt_ends, plans
 from lacewingdrum_protocol import event_stream
 from lacewingdrum_state import ids, states
@@ -65,6 +66,7 @@
     is_overdue: bool = False
     is_blamed: bool = False
     is_trial: bool = False
+    _fingerprint: ids.RequestFingerprint | None = None
 
     @property
     def request_id(self) -> ids.RequestId:
@@ -76,6 +78,20 @@
         """The parts of the prompt that other requests may have too."""
         return self.routed.caller_headers.shared_parts
 
+    @property
+    def fingerprint(self) -> ids.RequestFingerprint:
+        """The same for all copies of the request; computed when first used."""
+        if self._fingerprint is None:
+            outgoing, customer = self.outgoing, self.routed.customer
+            self._fingerprint = request_fingerprint.compute(
+                outgoing.method,
+                outgoing.headers.get("host", ""),
+                outgoing.target,
+                customer.name if customer is not None else "",
+                outgoing.body,
+            )
+        return self._fingerprint
+
     def left_s(self, now_s: float) -> float:
         """Return the time until the deadline of the request."""
         return self.routed.deadline_s - now_s
--- a/packages/gateway/lacewingdrum_gateway/crash_watch.py
+++ b/packages/gateway/lacewingdrum_gateway/crash_watch.py
@@ -16,6 +16,7 @@
 from lacewingdrum_state import crashes, ids, runner_entries
 
 PROBE_TIMEOUT_S = 0.25
+PROBE_TIME_LEFT_SHARE = 0.1
 # An answer with this many events has begun well; so has a shorter whole one.
 SOUND_EVENTS = 3
 
@@ -114,9 +115,9 @@
             Whether the request may be repeated. It may not if its prompt
             probably crashes engines.
         """
-        if not plan.work or end.reason is not attempt_ends.EndReason.LOST:
+        if end.reason is not attempt_ends.EndReason.LOST:
             return True
-        if not await self._has_crashed(plan.entry):
+        if not await self._has_crashed(plan.entry, active):
             return True
         self._counts.count("runner_crashes")
         self._decisions.record(
@@ -124,9 +125,13 @@
             active.request_id,
             runner_id=plan.entry.runner_id,
             born_ms=plan.entry.born_ms,
+            service=plan.entry.service,
+            fingerprint=active.fingerprint,
             lost_parts=list(active.shared_parts),
             events=active.attempt_event_count,
         )
+        if not plan.work:
+            return True
         had_begun = active.attempt_event_count >= SOUND_EVENTS
         lost = frozenset() if had_begun else frozenset((active.shared_parts,))
         crash = crashes.EngineCrash(
@@ -148,11 +153,18 @@
         )
         return False
 
-    async def _has_crashed(self, entry: runner_entries.RunnerEntry) -> bool:
-        """Return whether a runner ended that was not about to leave."""
+    async def _has_crashed(
+        self, entry: runner_entries.RunnerEntry, active: active_request.ActiveRequest
+    ) -> bool:
+        """Return whether a runner ended that was not about to leave.
+
+        A request that has little time left waits less long for the probe.
+        """
         if entry not in self._roster.of_service(entry.service):
             return False
-        found = await runner_probe.probe(entry.address, PROBE_TIMEOUT_S)
+        left_s = active.left_s(self._clock())
+        timeout_s = min(PROBE_TIMEOUT_S, PROBE_TIME_LEFT_SHARE * left_s)
+        found = await runner_probe.probe(entry.address, timeout_s)
         return found is runner_probe.Reachability.REFUSED
 
     def _on_news(self, news: crashes.Evidence) -> None:
--- a/packages/gateway/lacewingdrum_gateway/crashing_parts_test.py
+++ b/packages/gateway/lacewingdrum_gateway/crashing_parts_test.py
@@ -126,7 +126,7 @@
         headers = headers_with("aa", CRASHING, 1)
         waiting = asyncio.ensure_future(site.call("/ask/x", "w1", headers=headers))
         await asyncio.sleep(0.2)
-        updates = site.gateways[1].daemon._components.crash_sync
+        updates = site.gateways[1].daemon.components.crash_sync
         updates.add(crashes_under(CRASHING))
         answer = await asyncio.wait_for(waiting, 1.0)
         assert answer.status == 502
@@ -160,13 +160,13 @@
         last = [answer.status for _, _, answer in calls[-20:]]
         assert last.count(200) >= 18
         for running in site.gateways:
-            components = running.daemon._components
+            components = running.daemon.components
             assert not components.counts.text().count("prompt_part_changes")
 
 
 async def send_trial(site) -> list[int]:
     """Blame a part long ago and send requests with it to all daemons."""
-    updates = site.gateways[0].daemon._components.crash_sync
+    updates = site.gateways[0].daemon.components.crash_sync
     updates.add(crashes_under(CRASHING, age_s=70.0))
     await asyncio.sleep(0.1)
     statuses = []
--- a/packages/gateway/lacewingdrum_gateway/gateway.py
+++ b/packages/gateway/lacewingdrum_gateway/gateway.py
@@ -36,7 +36,7 @@
         settings_path: str,
         logger: logging.Logger,
     ) -> None:
-        self._components = gateway_components.Components(own_settings, logger)
+        self.components = gateway_components.Components(own_settings, logger)
         self._settings_path = settings_path
         self._tasks = tasks.TaskSet()
         self.stop_requested = asyncio.Event()
@@ -44,7 +44,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether this daemon accepts new connections."""
-        return self._components.is_ready
+        return self.components.is_ready
 
     @property
     def known_work_count(self) -> int:
@@ -52,22 +52,22 @@
 
         It includes this daemon's own attempts and those that peers reported.
         """
-        return self._components.engine_work.work_count
+        return self.components.engine_work.work_count
 
     @property
     def peer_address(self) -> ids.VmId:
         """The address that identifies this daemon to its peers."""
-        return self._components.peers.own_address
+        return self.components.peers.own_address
 
     @property
     def peer_count(self) -> int:
         """The number of other daemons that are heard."""
-        return len(self._components.peers.table.live)
+        return len(self.components.peers.table.live)
 
     @property
     def configuration_version(self) -> int:
         """The version in force, or 0 if there is none."""
-        return self._components.configurations.version
+        return self.components.configurations.version
 
     async def start(self, listener: socket.socket | None = None) -> None:
         """Start every component.
@@ -81,7 +81,7 @@
         Raises:
             OSError: if an address cannot be bound.
         """
-        components = self._components
+        components = self.components
         vm = components.own_settings.vm
         seeds = tuple(
             ids.VmId(f"{address.host}:{vm.peer_port}")
@@ -115,11 +115,11 @@
         )
 
     async def _start_metrics(self) -> None:
-        vm = self._components.own_settings.vm
+        vm = self.components.own_settings.vm
         if not vm.metrics_port:
             return
         try:
-            await self._components.metrics_server.start(vm.host, vm.metrics_port)
+            await self.components.metrics_server.start(vm.host, vm.metrics_port)
         except OSError as error:
             # Requests are served without metrics too.
             _log.warning("metrics are not served: %s", error)
@@ -134,8 +134,8 @@
         Changes take effect only after a restart.
         """
         found, errors = settings.load(self._settings_path)
-        same = found == self._components.own_settings
-        self._components.decisions.record(
+        same = found == self.components.own_settings
+        self.components.decisions.record(
             decision_log.DecisionEvent.RELOADED,
             None,
             changed=not same,
@@ -152,7 +152,7 @@
         Returns:
             The number of aborted requests.
         """
-        components = self._components
+        components = self.components
         stop_s = components.clock()
         components.is_leaving = True
         components.callers_server.set_leaving()
@@ -174,7 +174,7 @@
 
     async def close(self) -> None:
         """Close every component at once."""
-        components = self._components
+        components = self.components
         await self._tasks.close()
         await components.callers_server.close()
         await components.ready_server.close()
@@ -193,8 +193,8 @@
     def _record_stop(
         self, event: decision_log.DecisionEvent, aborted_count: int
     ) -> None:
-        server = self._components.callers_server
-        self._components.decisions.record(
+        server = self.components.callers_server
+        self.components.decisions.record(
             event,
             None,
             in_progress=server.busy_count,
@@ -204,17 +204,17 @@
 
     async def _watch_suspension(self) -> None:
         """Detect suspensions of the VM and end requests that are overdue."""
-        offset_s = self._components.clock() - time.monotonic()
+        offset_s = self.components.clock() - time.monotonic()
         while True:
             await asyncio.sleep(SUSPENSION_CHECK_S)
-            now_offset_s = self._components.clock() - time.monotonic()
+            now_offset_s = self.components.clock() - time.monotonic()
             jump_s = now_offset_s - offset_s
             offset_s = now_offset_s
             if jump_s < SUSPENSION_MIN_S:
                 continue
-            self._components.decisions.record(
+            self.components.decisions.record(
                 decision_log.DecisionEvent.SUSPENDED,
                 None,
                 suspended_s=jump_s,
-                overdue=self._components.request_handler.end_overdue(),
+                overdue=self.components.request_handler.end_overdue(),
             )
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -240,11 +240,12 @@
             answer = platform_answers.AnswerWriter(
                 connection, writer, sealed_headers, self.is_close_delimited
             )
-            if "token-count" in headers:
-                await asyncio.sleep(self.first_event_s)
-                if self.crashes.is_due(headers):
-                    self.crashes.crash(self.port)
-                    await asyncio.Event().wait()
+            is_engine = "token-count" in headers
+            await asyncio.sleep(self.first_event_s if is_engine else self.answer_s)
+            if self.crashes.is_due(path, headers, body):
+                self.crashes.crash(self.port)
+                await asyncio.Event().wait()
+            if is_engine:
                 return await platform_answers.send_events(
                     answer,
                     int(headers.get("last-event-id") or 0) + 1,
@@ -252,7 +253,6 @@
                     self.event_interval_s,
                     fault,
                 )
-            await asyncio.sleep(self.answer_s)
             body = f"answer of {self.runner_id} to {attempt_id}".encode()
             return await platform_answers.send_body(answer, body, fault, self._tasks)
         finally:
--- a/standins/runner_crashes.py
+++ b/standins/runner_crashes.py
@@ -1,16 +1,26 @@
-"""Crashes a stand-in for a runner on certain parts of prompts."""
+"""Crashes a stand-in for a runner on certain requests or parts of prompts."""
 
 import asyncio
+import dataclasses
 import time
 from collections.abc import Awaitable, Callable, Mapping
 
 DOWN_S = 1.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashingRequest:
+    """A request that crashes each runner that runs it."""
+
+    path: str
+    body: bytes
+
+
 class RunnerCrashes:
     """Crashes a runner that begins to write an answer, and starts it again.
 
-    ``parts`` holds the parts of prompts that crash the runner. ``times_s`` has
+    ``parts`` holds the parts of prompts that crash the runner, and
+    ``requests`` the requests that do so as a whole. ``times_s`` has
     the monotonic time of each crash. ``on_crash`` is called when the runner
     goes down, and ``on_restart`` when it listens again, as a new incarnation.
 
@@ -25,6 +35,7 @@
         start: Callable[[int], Awaitable[None]],
     ) -> None:
         self.parts: set[str] = set()
+        self.requests: set[CrashingRequest] = set()
         self.times_s: list[float] = []
         self.down_s = DOWN_S
         self.on_crash: Callable[[], None] = lambda: None
@@ -33,8 +44,10 @@
         self._start = start
         self._restart: asyncio.Task[None] | None = None
 
-    def is_due(self, headers: Mapping[str, str]) -> bool:
-        """Return whether a request with these headers crashes the runner."""
+    def is_due(self, path: str, headers: Mapping[str, str], body: bytes) -> bool:
+        """Return whether a request crashes the runner."""
+        if CrashingRequest(path, body) in self.requests:
+            return True
         parts = headers.get("prompt-prefix", "").split(",")[:-1]
         return any(part.partition(":")[0].strip() in self.parts for part in parts)
 
