--- a/packages/gateway/lacewingdrum_gateway/crashing_requests_test.py
+++ b/packages/gateway/lacewingdrum_gateway/crashing_requests_test.py
@@ -1,5 +1,6 @@
 """Tests of requests that crash each runner that runs them."""
 
+import asyncio
 import contextlib
 import dataclasses
 import time
@@ -7,7 +8,12 @@
 from lacewingdrum_transport import http_messages
 from standins import platform_site, runner_crashes
 
+CONTACT_S = 3.0
+BUDGET_ARRIVALS = 3
+CRASHES_KNOWN = 3
+INTERVAL_S = 0.06
 BAD = runner_crashes.CrashingRequest("/read/x?a=1", b"x" * 5_000 + b"bad")
+SOUND_BODY = b"x" * 5_000 + b"god"
 DEADLINE = (("Deadline-Ms", "2000"),)
 
 
@@ -38,6 +44,80 @@
     return Call(body == BAD.body, answer, time.monotonic() - start_s)
 
 
+async def send_mixed(site, path, length_s, headers=(), bad_each=3) -> list[Call]:
+    """Call all gateways in turn; one call in so many is the bad request."""
+    calls = []
+    end_s = time.monotonic() + length_s
+    number = 0
+    while time.monotonic() < end_s:
+        body = BAD.body if number % bad_each == 0 else SOUND_BODY
+        on = site.gateways[number % len(site.gateways)]
+        call = send_one(site, path, number, body, headers, on)
+        calls.append(asyncio.ensure_future(call))
+        number += 1
+        await asyncio.sleep(INTERVAL_S)
+    return [await call for call in calls]
+
+
+def crash_times_s(site) -> list[float]:
+    runners = (*site.engines, *site.ledgers)
+    return sorted(time_s for runner in runners for time_s in runner.crashes.times_s)
+
+
+def bad_arrivals_after_known(site) -> int:
+    """Return how often the bad request arrived once its crashes were known."""
+    crashes_s = crash_times_s(site)
+    known_s = crashes_s[min(CRASHES_KNOWN, len(crashes_s)) - 1] + CONTACT_S
+    return sum(
+        arrival.arrived_s > known_s and arrival.body == BAD.body
+        for runner in (*site.engines, *site.ledgers)
+        for arrival in runner.arrivals
+    )
+
+
+async def check_bad_request_is_held_back(site, path, headers=()) -> None:
+    calls = await send_mixed(site, path, 7.0, headers)
+    assert bad_arrivals_after_known(site) <= BUDGET_ARRIVALS
+    sound = [call.answer.status for call in calls if not call.is_bad]
+    assert sound.count(200) >= 0.95 * len(sound)
+    last = [call for call in calls if call.is_bad][-10:]
+    for call in last:
+        assert call.answer.status == 503 and call.elapsed_s < 0.2
+        assert 30.0 < float(call.answer.header("Retry-After")) < 65.0
+
+
+async def test_repeatable_request_that_crashes_its_runners_is_held_back():
+    async with crashing_site(BAD, ledgers=12) as site:
+        await check_bad_request_is_held_back(site, BAD.path)
+
+
+async def test_order_that_crashes_its_runners_is_held_back():
+    bad = dataclasses.replace(BAD, path="/order/x")
+    async with crashing_site(bad, ledgers=12) as site:
+        await check_bad_request_is_held_back(site, bad.path)
+
+
+async def test_request_of_engines_that_crashes_them_is_held_back():
+    bad = dataclasses.replace(BAD, path="/ask/x")
+    headers = (
+        ("Token-Count", "480,100"),
+        ("Model", "m"),
+        ("Prompt-Prefix", "aa:80,bb:400"),
+    )
+    async with crashing_site(bad, engines=12) as site:
+        await check_bad_request_is_held_back(site, bad.path, headers)
+
+
+async def test_daemon_that_starts_later_holds_back_a_request_that_crashes_runners():
+    async with crashing_site(BAD, ledgers=12) as site:
+        await send_mixed(site, BAD.path, 3.0)
+        late = await site.add_gateway(("127.0.0.1:1",))
+        await asyncio.sleep(0.6)
+        count = len(crash_times_s(site))
+        call = await send_one(site, BAD.path, 0, BAD.body, (), late)
+        assert call.answer.status == 503 and len(crash_times_s(site)) == count
+
+
 async def test_crash_of_a_plain_runner_is_logged_with_what_copies_have_in_common():
     async with crashing_site(BAD, ledgers=3) as site:
         for number, running in enumerate(site.gateways[:2]):
