What runners may crash on has a type: a part of a prompt or a whole request

No behaviour changes. Crashes, sound answers and trials speak of a Subject (SharedPart or WholeRequest) where they spoke of parts of prompts, so that evidence about whole requests needs no second mechanism beside this one. Only parts are recorded yet.

--- /dev/null
+++ b/packages/coordination/lacewingdrum_coordination/blame_rules.py
@@ -0,0 +1,58 @@
+"""Says how many crashes are enough to blame what was lost in them."""
+
+import dataclasses
+
+# Crashes within this time are taken for one moment, as runners that lose power
+# together all lose what many requests have in common.
+MOMENT_S = 0.1
+# A request is not sent on after crashes at so many moments.
+REPEAT_MOMENTS = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashThreshold:
+    """So many crashes at so many moments are enough."""
+
+    crashes: int
+    moments: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BlameRule:
+    """When a subject is blamed.
+
+    One of the thresholds must be reached, and the subject must be lost in
+    ``explained_share_min`` of all moments with crashes, from its first crash
+    to its last.
+    """
+
+    thresholds: tuple[CrashThreshold, ...]
+    explained_share_min: float
+
+    def is_met(self, times_s: list[float], meanwhile_s: list[float]) -> bool:
+        """Return whether crashes are enough.
+
+        Args:
+            times_s: the ascending times of the crashes under the subject.
+            meanwhile_s: the ascending times of all crashes from the first to
+                the last of these.
+        """
+        moments = moment_count(times_s)
+        if not any(
+            len(times_s) >= threshold.crashes and moments >= threshold.moments
+            for threshold in self.thresholds
+        ):
+            return False
+        return moments >= self.explained_share_min * moment_count(meanwhile_s)
+
+
+PART_RULE = BlameRule((CrashThreshold(3, 3), CrashThreshold(5, 2)), 1 / 3)
+
+
+def moment_count(times_s: list[float]) -> int:
+    """Return the number of different moments among ascending times."""
+    count, start_s = 0, float("-inf")
+    for time_s in times_s:
+        if time_s - start_s >= MOMENT_S:
+            count, start_s = count + 1, time_s
+    return count
--- a/packages/coordination/lacewingdrum_coordination/crash_evidence_test.py
+++ b/packages/coordination/lacewingdrum_coordination/crash_evidence_test.py
@@ -6,15 +6,21 @@
 from lacewingdrum_state import crashes, ids
 
 
+def subjects(*names):
+    return tuple(map(crashes.parse_subject, names))
+
+
 def crash(number, at_s, *prompts, reporter="d1"):
-    lost = frozenset(tuple(ids.PromptPart(part) for part in item) for item in prompts)
-    return crashes.EngineCrash(
+    lost = frozenset(subjects(*item) for item in prompts)
+    return crashes.RunnerCrash(
         ids.RunnerId(f"e{number}"), 1, at_s, lost, frozenset((ids.VmId(reporter),))
     )
 
 
 def sound(part, at_s):
-    return crashes.Evidence(sound=(crashes.SoundPart(ids.PromptPart(part), at_s),))
+    return crashes.Evidence(
+        sound=(crashes.SoundSubject(crashes.parse_subject(part), at_s),)
+    )
 
 
 def evidence_of(*found):
@@ -34,77 +40,77 @@
     ]
     evidence = evidence_of(*lost)
     evidence.merge(sound("a", 0.9), 10.0)
-    blame = evidence.find_blame(("f0", "bad"))
-    assert blame.part == "bad" and len(blame.crashes) == 4
-    assert evidence.find_blame(("f0", "x")) is None
-    assert evidence.find_blame(("a",)) is None
+    blame = evidence.find_blame(subjects("f0", "bad"))
+    assert str(blame.subject) == "bad" and len(blame.crashes) == 4
+    assert evidence.find_blame(subjects("f0", "x")) is None
+    assert evidence.find_blame(subjects("a")) is None
 
 
 def test_part_that_was_always_lost_with_another_one_is_not_blamed_without_it():
     evidence = evidence_of(*repeated_crashes())
-    assert evidence.find_blame(("a", "bad"))
-    assert evidence.find_blame(("a", "good")) is None
+    assert evidence.find_blame(subjects("a", "bad"))
+    assert evidence.find_blame(subjects("a", "good")) is None
     # A crash under the one without the other tells them apart.
-    assert evidence.find_blame(("b", "bad")) is None
+    assert evidence.find_blame(subjects("b", "bad")) is None
     evidence.merge(crashes.Evidence((crash(9, 2.0, ("b", "bad")),)), 10.0)
-    assert evidence.find_blame(("c", "bad"))
+    assert evidence.find_blame(subjects("c", "bad"))
 
 
 def test_answer_that_begins_clears_a_part_of_the_crashes_before():
     evidence = evidence_of(*repeated_crashes())
     evidence.merge(sound("bad", 3.0), 10.0)
-    assert evidence.find_blame(("bad",)) is None
+    assert evidence.find_blame(subjects("bad")) is None
     later = [crash(10 + number, 4.0 + number, ("bad",)) for number in range(3)]
     evidence.merge(crashes.Evidence(tuple(later)), 10.0)
-    assert evidence.find_blame(("bad",)).crashes == tuple(later)
+    assert evidence.find_blame(subjects("bad")).crashes == tuple(later)
 
 
 def test_answer_before_the_crashes_does_not_clear_a_part():
     evidence = evidence_of(*repeated_crashes())
     assert not evidence.merge(sound("bad", -1.0), 10.0)
-    assert evidence.find_blame(("a", "bad"))
+    assert evidence.find_blame(subjects("a", "bad"))
 
 
 def test_engines_that_lose_power_together_blame_no_part():
     lost = [crash(number, number * 0.001, ("hot",)) for number in range(40)]
-    assert evidence_of(*lost).find_blame(("hot",)) is None
+    assert evidence_of(*lost).find_blame(subjects("hot")) is None
 
 
 def test_part_in_few_of_many_crashes_is_not_blamed():
     lost = [crash(number, number * 0.2, (f"p{number}",)) for number in range(40)]
     lost += [crash(50 + number, number * 2.0, ("hot",)) for number in range(4)]
-    assert evidence_of(*lost).find_blame(("hot",)) is None
+    assert evidence_of(*lost).find_blame(subjects("hot")) is None
 
 
 def test_crash_of_one_engine_blames_no_part():
     for count in (1, 2):
         evidence = evidence_of(*repeated_crashes(count))
-        assert evidence.find_blame(("a", "bad")) is None
+        assert evidence.find_blame(subjects("a", "bad")) is None
 
 
 def test_part_that_nearly_all_requests_have_is_not_blamed():
     evidence = evidence_of(*repeated_crashes(prompts=(("a",),)))
-    assert evidence.find_blame(("a",))
-    assert evidence.find_blame(("a",), frozenset((ids.PromptPart("a"),))) is None
+    assert evidence.find_blame(subjects("a"))
+    assert evidence.find_blame(subjects("a"), frozenset(subjects("a"))) is None
 
 
 def test_request_is_not_repeated_after_a_second_engine_crashed_under_its_parts():
-    assert evidence_of(*repeated_crashes(1)).may_repeat(("a", "bad"))
+    assert evidence_of(*repeated_crashes(1)).may_repeat(subjects("a", "bad"))
     evidence = evidence_of(*repeated_crashes(2))
-    assert not evidence.may_repeat(("a", "bad"))
-    assert evidence.may_repeat(("b",))
+    assert not evidence.may_repeat(subjects("a", "bad"))
+    assert evidence.may_repeat(subjects("b"))
 
 
 def test_trials_become_rarer_and_a_sound_one_ends_the_blame():
     evidence = evidence_of(*repeated_crashes())
-    due_s = evidence.find_blame(("a", "bad")).trial_due_s
+    due_s = evidence.find_blame(subjects("a", "bad")).trial_due_s
     assert due_s == 0.8 + crash_evidence.FIRST_TRIAL_S
-    evidence.start_trial(ids.PromptPart("a"), due_s)
-    blame = evidence.find_blame(("a", "bad"))
+    evidence.start_trial(*subjects("a"), due_s)
+    blame = evidence.find_blame(subjects("a", "bad"))
     assert blame.trial_due_s == due_s + 2 * crash_evidence.FIRST_TRIAL_S
     for part in ("a", "bad"):
         evidence.merge(sound(part, due_s + 1), due_s + 1)
-    assert evidence.find_blame(("a", "bad")) is None
+    assert evidence.find_blame(subjects("a", "bad")) is None
 
 
 def test_evidence_expires_and_is_bounded():
@@ -114,9 +120,10 @@
     assert evidence.digest == 0 and not evidence.snapshot()
     many = [crash(number, number * 0.1, (f"{number}",)) for number in range(5_000)]
     evidence = evidence_of(*many)
-    assert evidence.suspected(f"{number}" for number in range(5_000)) == [
-        f"{number}" for number in range(5_000 - crash_evidence.CRASHES_MAX, 5_000)
-    ]
+    kept_from = 5_000 - crash_evidence.CRASHES_MAX
+    kept = subjects(*(f"{number}" for number in range(kept_from, 5_000)))
+    every = subjects(*(f"{number}" for number in range(5_000)))
+    assert evidence.suspected(every) == list(kept)
 
 
 def test_daemon_that_joins_gets_what_others_blame_before_newer_crashes():
@@ -124,7 +131,7 @@
     evidence = evidence_of(*repeated_crashes(), *later)
     joined = evidence_of(*evidence.snapshot().crashes)
     assert len(joined.snapshot().crashes) == crash_evidence.SNAPSHOT_CRASHES_MAX
-    assert joined.find_blame(("a", "bad"))
+    assert joined.find_blame(subjects("a", "bad"))
 
 
 def test_daemons_that_learn_the_same_in_any_order_decide_alike():
@@ -146,20 +153,22 @@
             for item in found * 2:
                 evidence.merge(item, 10.0)
         assert one.digest == other.digest
-        assert one.find_blame(("bad",)) and other.find_blame(("bad",))
-        assert not one.find_blame(("d1",)) and not other.find_blame(("d2",))
+        assert one.find_blame(subjects("bad")) and other.find_blame(subjects("bad"))
+        assert not one.find_blame(subjects("d1")) and not other.find_blame(
+            subjects("d2")
+        )
 
 
 def test_engines_that_lose_power_together_do_not_hide_a_part_that_crashes_others():
     lost = repeated_crashes(prompts=(("bad",),))
     lost += [crash(50 + number, 0.5, ("x",)) for number in range(30)]
-    assert evidence_of(*lost).find_blame(("bad",))
+    assert evidence_of(*lost).find_blame(subjects("bad"))
 
 
 def test_crashes_of_many_engines_do_not_push_out_what_is_blamed():
     later = [crash(50 + number, 5.0, ("x",)) for number in range(300)]
     evidence = evidence_of(*repeated_crashes(), *later)
-    assert evidence.find_blame(("a", "bad"))
+    assert evidence.find_blame(subjects("a", "bad"))
     assert len(evidence.snapshot().crashes) == crash_evidence.SNAPSHOT_CRASHES_MAX
 
 
@@ -170,11 +179,11 @@
         random.Random(seed).shuffle(prompts)
         evidence = evidence_of(*(crash(1, 0.0, prompt) for prompt in prompts))
         (kept,) = evidence.snapshot().crashes
-        assert len(kept.lost_prompts) == crash_evidence.LOST_PARTS_MAX / 2
+        assert len(kept.lost) == crash_evidence.LOST_SUBJECTS_MAX / 2
         digests.add(evidence.digest)
     assert len(digests) == 1
 
 
 def test_request_lost_with_many_engines_at_one_moment_may_be_repeated():
     lost = [crash(number, number * 0.001, ("hot",)) for number in range(10)]
-    assert evidence_of(*lost).may_repeat(("hot",))
+    assert evidence_of(*lost).may_repeat(subjects("hot"))
--- a/packages/coordination/lacewingdrum_coordination/part_shares.py
+++ b/packages/coordination/lacewingdrum_coordination/part_shares.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from lacewingdrum_state import crashes, ids
+from lacewingdrum_state import ids
 
 RECENT_REQUESTS = 64
 # A share of fewer requests than this says too little.
@@ -14,10 +14,10 @@
     """The parts of the recent requests for one service."""
 
     def __init__(self) -> None:
-        self._recent: collections.deque[crashes.Prompt] = collections.deque()
+        self._recent: collections.deque[ids.PromptParts] = collections.deque()
         self._counts: collections.Counter[ids.PromptPart] = collections.Counter()
 
-    def record(self, parts: crashes.Prompt) -> None:
+    def record(self, parts: ids.PromptParts) -> None:
         """Record the shared parts of a request."""
         self._recent.append(parts)
         self._counts.update(parts)
@@ -28,7 +28,7 @@
                 if not self._counts[part]:
                     del self._counts[part]
 
-    def in_nearly_all(self, parts: crashes.Prompt) -> frozenset[ids.PromptPart]:
+    def in_nearly_all(self, parts: ids.PromptParts) -> frozenset[ids.PromptPart]:
         """Return those of the parts that nearly all requests have."""
         if len(self._recent) < REQUESTS_MIN:
             return frozenset()
--- a/packages/gateway/lacewingdrum_gateway/active_request.py
+++ b/packages/gateway/lacewingdrum_gateway/active_request.py
@@ -6,7 +6,7 @@
 from lacewingdrum_coordination import request_fingerprint
 from lacewingdrum_gateway import attempt, attempt_ends, plans
 from lacewingdrum_protocol import event_stream
-from lacewingdrum_state import ids, states
+from lacewingdrum_state import crashes, ids, states
 from lacewingdrum_transport import http_client, responder as responders
 
 
@@ -67,6 +67,7 @@
     is_blamed: bool = False
     is_trial: bool = False
     _fingerprint: ids.RequestFingerprint | None = None
+    _subjects: crashes.Subjects | None = None
 
     @property
     def request_id(self) -> ids.RequestId:
@@ -74,7 +75,7 @@
         return ids.RequestId(self.outgoing.attempt_id)
 
     @property
-    def shared_parts(self) -> tuple[ids.PromptPart, ...]:
+    def shared_parts(self) -> ids.PromptParts:
         """The parts of the prompt that other requests may have too."""
         return self.routed.caller_headers.shared_parts
 
@@ -92,6 +93,13 @@
             )
         return self._fingerprint
 
+    @property
+    def subjects(self) -> crashes.Subjects:
+        """What runners may crash on; computed when first used."""
+        if self._subjects is None:
+            self._subjects = tuple(map(crashes.SharedPart, self.shared_parts))
+        return self._subjects
+
     def left_s(self, now_s: float) -> float:
         """Return the time until the deadline of the request."""
         return self.routed.deadline_s - now_s
--- a/packages/gateway/lacewingdrum_gateway/crash_codec.py
+++ b/packages/gateway/lacewingdrum_gateway/crash_codec.py
@@ -16,17 +16,19 @@
                 crash.runner_id,
                 crash.born_ms,
                 age_ms(crash.at_s),
-                tuple(sorted(crash.lost_prompts)),
+                tuple(sorted(map(crashes.sort_key, crash.lost))),
                 tuple(sorted(crash.reporters)),
             )
             for crash in evidence.crashes
         ),
         tuple(
-            crash_messages.SoundReport(sound.part, age_ms(sound.at_s))
+            crash_messages.SoundReport(str(sound.subject), age_ms(sound.at_s))
             for sound in evidence.sound
         ),
         tuple(
-            crash_messages.TrialReport(trial.part, age_ms(trial.at_s), trial.count)
+            crash_messages.TrialReport(
+                str(trial.subject), age_ms(trial.at_s), trial.count
+            )
             for trial in evidence.trials
         ),
     )
@@ -40,25 +42,27 @@
 
     return crashes.Evidence(
         tuple(
-            crashes.EngineCrash(
+            crashes.RunnerCrash(
                 ids.RunnerId(report.runner_id),
                 report.born_ms,
                 at_s(report.age_ms),
                 frozenset(
-                    tuple(ids.PromptPart(part) for part in prompt)
-                    for prompt in report.lost_prompts
+                    tuple(map(crashes.parse_subject, request))
+                    for request in report.lost
                 ),
                 frozenset(ids.VmId(reporter) for reporter in report.reporters),
             )
             for report in news.crashes
         ),
         tuple(
-            crashes.SoundPart(ids.PromptPart(sound.part), at_s(sound.age_ms))
+            crashes.SoundSubject(
+                crashes.parse_subject(sound.subject), at_s(sound.age_ms)
+            )
             for sound in news.sound
         ),
         tuple(
-            crashes.PartTrial(
-                ids.PromptPart(trial.part), at_s(trial.age_ms), trial.count
+            crashes.Trial(
+                crashes.parse_subject(trial.subject), at_s(trial.age_ms), trial.count
             )
             for trial in news.trials
         ),
--- a/packages/gateway/lacewingdrum_gateway/crash_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/crash_sync.py
@@ -63,9 +63,9 @@
         """Add what this daemon has found out, and tell the peers."""
         self._apply(found, is_own=True)
 
-    def start_trial(self, part: ids.PromptPart) -> None:
-        """Record that one request with a refused part is let through now."""
-        trial = self.evidence.start_trial(part, self._clock())
+    def start_trial(self, subject: crashes.Subject) -> None:
+        """Record that one request is let through now despite a blame."""
+        trial = self.evidence.start_trial(subject, self._clock())
         self._send_soon(crashes.Evidence(trials=(trial,)))
 
     def _apply(self, found: crashes.Evidence, is_own: bool) -> None:
--- a/packages/gateway/lacewingdrum_gateway/crash_watch.py
+++ b/packages/gateway/lacewingdrum_gateway/crash_watch.py
@@ -1,4 +1,4 @@
-"""Watches for prompts that crash engines, and refuses them."""
+"""Watches for requests that crash runners."""
 
 import collections
 from collections.abc import Callable
@@ -22,7 +22,7 @@
 
 
 class CrashWatch:
-    """Records crashes and sound answers, and finds blamed parts."""
+    """Records crashes and sound answers, and finds what is blamed."""
 
     def __init__(
         self,
@@ -43,7 +43,7 @@
         self._shares: collections.defaultdict[
             ids.ServiceName, part_shares.PartShares
         ] = collections.defaultdict(part_shares.PartShares)
-        self._blamed: set[ids.PromptPart] = set()
+        self._blamed: set[crashes.Subject] = set()
         self._blame_handlers: list[Callable[[], None]] = []
 
     def start(self) -> None:
@@ -51,7 +51,7 @@
         self._updates.on_news(self._on_news)
 
     def on_blamed(self, handler: Callable[[], None]) -> None:
-        """Register a handler that is called when a further part is blamed."""
+        """Register a handler that is called when something else is blamed."""
         self._blame_handlers.append(handler)
 
     def record_request(self, active: active_request.ActiveRequest) -> None:
@@ -62,11 +62,13 @@
 
     def find_blame(self, active: active_request.ActiveRequest) -> crashes.Blame | None:
         """Return why a request is to be refused, or None."""
-        parts = active.shared_parts
-        if not self._evidence.suspected(parts):
+        if not self._evidence.suspected(active.subjects):
             return None
         shares = self._shares[active.routed.service.name]
-        return self._evidence.find_blame(parts, shares.in_nearly_all(parts))
+        exempt = shares.in_nearly_all(active.shared_parts)
+        return self._evidence.find_blame(
+            active.subjects, frozenset(map(crashes.SharedPart, exempt))
+        )
 
     def start_trial(
         self, active: active_request.ActiveRequest, blame: crashes.Blame
@@ -84,18 +86,18 @@
             return False
         daemons = [peer.address for peer in self._peers.live]
         daemons.append(self._peers.own_address)
-        if coordinators.pick_vm(blame.part, daemons) != self._peers.own_address:
+        if coordinators.pick_vm(str(blame.subject), daemons) != self._peers.own_address:
             return False
         active.is_trial = True
-        self._updates.start_trial(blame.part)
+        self._updates.start_trial(blame.subject)
         return True
 
     def record_sound(self, active: active_request.ActiveRequest) -> None:
-        """Record that an answer began well, which speaks for its parts."""
-        suspected = self._evidence.suspected(active.shared_parts)
+        """Record that an answer began well, which speaks for its subjects."""
+        suspected = self._evidence.suspected(active.subjects)
         if suspected:
             now_s = self._clock()
-            sound = tuple(crashes.SoundPart(part, now_s) for part in suspected)
+            sound = tuple(crashes.SoundSubject(item, now_s) for item in suspected)
             self._updates.add(crashes.Evidence(sound=sound))
 
     async def observe(
@@ -133,8 +135,8 @@
         if not plan.work:
             return True
         had_begun = active.attempt_event_count >= SOUND_EVENTS
-        lost = frozenset() if had_begun else frozenset((active.shared_parts,))
-        crash = crashes.EngineCrash(
+        lost = frozenset() if had_begun else frozenset((active.subjects,))
+        crash = crashes.RunnerCrash(
             plan.entry.runner_id,
             plan.entry.born_ms,
             self._clock(),
@@ -142,14 +144,14 @@
             frozenset((self._peers.own_address,)),
         )
         self._updates.add(crashes.Evidence((crash,)))
-        if had_begun or self._evidence.may_repeat(active.shared_parts):
+        if had_begun or self._evidence.may_repeat(active.subjects):
             return True
         self._counts.count("repeats_refused", reason="part_crashes_engines")
         self._decisions.record(
             decision_log.DecisionEvent.REPEAT_REFUSED,
             active.request_id,
             reason="part_crashes_engines",
-            parts=self._evidence.suspected(active.shared_parts),
+            parts=self._evidence.suspected(active.subjects),
         )
         return False
 
@@ -168,33 +170,44 @@
         return found is runner_probe.Reachability.REFUSED
 
     def _on_news(self, news: crashes.Evidence) -> None:
-        """Log parts that are blamed or cleared now."""
+        """Log subjects that are blamed or cleared now."""
         for sound in news.sound:
-            if sound.part in self._blamed:
-                self._blamed.discard(sound.part)
-                self._record_part("cleared", sound.part)
-        prompts = {prompt for crash in news.crashes for prompt in crash.lost_prompts}
-        found = [self._find_blame_anywhere(prompt) for prompt in prompts]
-        blames = {blame.part: blame for blame in found if blame is not None}
-        is_new = bool(blames.keys() - self._blamed)
-        for part in blames.keys() - self._blamed:
-            self._blamed.add(part)
-            self._record_part("blamed", part, **describe(blames[part], self._clock()))
-        if is_new:
+            if sound.subject in self._blamed:
+                self._blamed.discard(sound.subject)
+                self._record_change("cleared", sound.subject)
+        lost = {request for crash in news.crashes for request in crash.lost}
+        found = [self._find_blame_anywhere(request) for request in lost]
+        blames = {blame.subject: blame for blame in found if blame is not None}
+        new = blames.keys() - self._blamed
+        for subject in new:
+            self._blamed.add(subject)
+            fields = describe(blames[subject], self._clock())
+            self._record_change("blamed", subject, **fields)
+        if new:
             for handler in self._blame_handlers:
                 handler()
 
-    def _find_blame_anywhere(self, prompt: crashes.Prompt) -> crashes.Blame | None:
-        exempt = [shares.in_nearly_all(prompt) for shares in self._shares.values()]
-        return self._evidence.find_blame(prompt, frozenset().union(*exempt))
+    def _find_blame_anywhere(self, request: crashes.Subjects) -> crashes.Blame | None:
+        parts = tuple(
+            subject.part
+            for subject in request
+            if isinstance(subject, crashes.SharedPart)
+        )
+        exempt = [shares.in_nearly_all(parts) for shares in self._shares.values()]
+        exempt_parts = frozenset().union(*exempt)
+        return self._evidence.find_blame(
+            request, frozenset(map(crashes.SharedPart, exempt_parts))
+        )
 
-    def _record_part(self, change: str, part: ids.PromptPart, **fields: object) -> None:
+    def _record_change(
+        self, change: str, subject: crashes.Subject, **fields: object
+    ) -> None:
         self._counts.count("prompt_part_changes", change=change)
         self._decisions.record(
             decision_log.DecisionEvent.PROMPT_PART_CHANGED,
             None,
             change=change,
-            part=part,
+            part=str(subject),
             **fields,
         )
 
--- a/packages/gateway/lacewingdrum_gateway/crashing_parts_test.py
+++ b/packages/gateway/lacewingdrum_gateway/crashing_parts_test.py
@@ -76,10 +76,10 @@
 
 def crashes_under(part: str, age_s: float = 0.0) -> crashes.Evidence:
     now_s = time.monotonic() - age_s
-    lost = frozenset(((ids.PromptPart(part),),))
+    lost = frozenset(((crashes.parse_subject(part),),))
     return crashes.Evidence(
         tuple(
-            crashes.EngineCrash(
+            crashes.RunnerCrash(
                 ids.RunnerId(f"x{number}"), 1, now_s - number, lost, frozenset()
             )
             for number in range(5)
--- a/packages/gateway/lacewingdrum_gateway/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/forwarding.py
@@ -150,7 +150,7 @@
             decision_log.DecisionEvent.REFUSED,
             active.request_id,
             reason="part_crashes_engines",
-            part=blame.part,
+            part=str(blame.subject),
             retry_after_s=round(retry_s, 2),
             configuration_version=active.config_version,
             **crash_watch.describe(blame, now_s),
--- a/packages/gateway/lacewingdrum_gateway/news_spread_test.py
+++ b/packages/gateway/lacewingdrum_gateway/news_spread_test.py
@@ -10,7 +10,7 @@
 from lacewingdrum_runtime import metrics
 from lacewingdrum_state import crashes, ids
 
-LOST = frozenset(((ids.PromptPart("bad"),),))
+LOST = frozenset(((crashes.parse_subject("bad"),),))
 
 
 class FleetPeering:
@@ -66,7 +66,7 @@
 
 
 def a_crash(number: int) -> crashes.Evidence:
-    crash = crashes.EngineCrash(
+    crash = crashes.RunnerCrash(
         ids.RunnerId(f"e{number}"), 1, time.monotonic(), LOST, frozenset()
     )
     return crashes.Evidence((crash,))
--- a/packages/protocol/lacewingdrum_protocol/crash_messages.py
+++ b/packages/protocol/lacewingdrum_protocol/crash_messages.py
@@ -1,42 +1,43 @@
-"""Messages in which daemons tell each other of crashes of engines.
+"""Messages in which daemons tell each other of crashes of runners.
 
-Ages are in milliseconds before the message was sent.
+Ages are in milliseconds before the message was sent. Subjects are in the text
+form of ``crashes.parse_subject``.
 """
 
 import msgspec
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True):
-    """The crash of one incarnation of an engine.
+    """The crash of one incarnation of a runner.
 
-    ``lost_prompts`` holds the shared parts of each prompt that the engine may
-    have begun to answer, and ``reporters`` the daemons that lost them.
+    ``lost`` holds the subjects of each request that the runner may have been
+    running, and ``reporters`` the daemons that lost them.
     """
 
     runner_id: str
     born_ms: int
     age_ms: int
-    lost_prompts: tuple[tuple[str, ...], ...]
+    lost: tuple[tuple[str, ...], ...]
     reporters: tuple[str, ...]
 
 
 class SoundReport(msgspec.Struct, frozen=True, array_like=True):
-    """A part of prompts under which an answer began well."""
+    """A subject that a runner served well."""
 
-    part: str
+    subject: str
     age_ms: int
 
 
 class TrialReport(msgspec.Struct, frozen=True, array_like=True):
-    """The last of ``count`` trials of a part that is refused."""
+    """The last of ``count`` trials of a subject that is refused."""
 
-    part: str
+    subject: str
     age_ms: int
     count: int
 
 
 class CrashNews(msgspec.Struct, frozen=True, array_like=True, tag="crn"):
-    """Evidence about parts of prompts that may crash engines."""
+    """Evidence about what may crash runners."""
 
     crashes: tuple[CrashReport, ...] = ()
     sound: tuple[SoundReport, ...] = ()
--- a/packages/state/lacewingdrum_state/ids.py
+++ b/packages/state/lacewingdrum_state/ids.py
@@ -19,6 +19,7 @@
 Incarnation = NewType("Incarnation", int)
 # Identifies a part of prompts that many requests may have in common.
 PromptPart = NewType("PromptPart", str)
+PromptParts = tuple[PromptPart, ...]
 # The same for all copies of a request.
 RequestFingerprint = NewType("RequestFingerprint", str)
 
--- a/standins/slope_news.py
+++ b/standins/slope_news.py
@@ -81,10 +81,10 @@
     rng = random.Random(1)
     for number in range(crash_count):
         lost = frozenset(
-            (ids.PromptPart(f"{rng.randrange(60):x}"), ids.PromptPart("bad"))
+            tuple(map(crashes.parse_subject, (f"{rng.randrange(60):x}", "bad")))
             for _ in range(5)
         )
-        crash = crashes.EngineCrash(
+        crash = crashes.RunnerCrash(
             ids.RunnerId(f"e{number}"),
             1,
             number * 0.2,
@@ -115,9 +115,9 @@
         _print_times(title, call)
     for count in CRASH_COUNTS:
         evidence = _evidence(count)
-        parts = (ids.PromptPart("1"), ids.PromptPart("x"))
+        subjects = tuple(map(crashes.parse_subject, ("1", "x")))
         title = f"blame of a sound prompt, {count} crashes"
-        _print_times(title, functools.partial(evidence.find_blame, parts))
+        _print_times(title, functools.partial(evidence.find_blame, subjects))
         message = crash_codec.to_message(evidence.snapshot(), 30.0)
         size = len(peer_messages.encode("10.0.0.1:7", message))
         print(f"snapshot of {count} crashes: {size} bytes")
