A request that crashes its runners is held back at all daemons

The caller of the request got 502 without a time to come back.

Cause: evidence of crashes was kept for engines and the parts of their prompts only; a crash of a plain runner was a matter between it and one request.

Ruled out: that any request of the route crashes runners (others were answered in between), and that runners end each other (two ended with one attempt each).

Change: a request as a whole is a subject of the evidence that daemons share. It is blamed after three crashes at two moments since its last whole answer, and refused at once with 503 and the time of the next trial; copies that wait are ended. Its repeats stop after two crashes. A request that does not have a blamed fingerprint goes on. Before any crash is known nothing is computed for a request.

Runners that are killed or reset connections blame no popular request; a power loss of twenty neither.

--- a/packages/cli/lacewingdrum_cli/causes.py
+++ b/packages/cli/lacewingdrum_cli/causes.py
@@ -33,8 +33,13 @@
     "no_service": "the route's service is not in the configuration",
     "leaving": "the daemon was shutting down",
     "costs_others_more": "it would have cost other requests more than it is worth",
+    "request_crashes_runners": "runners crashed on the same request before",
     "part_crashes_engines": "engines crashed under a part of its prompt",
 }
+_REPEAT_TEXTS = {
+    "allowance": "the service's retry allowance was used up",
+    "crashes_runners": "it was not sent once more, as runners crashed on it",
+}
 
 
 def describe_cause(lines: Sequence[dict[str, object]]) -> str:
@@ -66,8 +71,11 @@
         for line in lines
         if line.get("event") == "attempt_ended"
     ]
-    if any(line.get("event") == "repeat_refused" for line in lines):
-        attempt_texts.append("the service's retry allowance was used up")
+    attempt_texts += [
+        _REPEAT_TEXTS.get(str(line.get("reason")), "it was not sent once more")
+        for line in lines
+        if line.get("event") == "repeat_refused"
+    ]
     return f"{text}; {'; '.join(attempt_texts)}" if attempt_texts else text
 
 
--- a/packages/coordination/lacewingdrum_coordination/blame_rules.py
+++ b/packages/coordination/lacewingdrum_coordination/blame_rules.py
@@ -2,11 +2,19 @@
 
 import dataclasses
 
+from lacewingdrum_state import crashes
+
 # Crashes within this time are taken for one moment, as runners that lose power
 # together all lose what many requests have in common.
 MOMENT_S = 0.1
 # A request is not sent on after crashes at so many moments.
 REPEAT_MOMENTS = 2
+# A request that crashes runners can be sent on within one moment. It is not
+# after so many crashes if they are this share of all in that time; with more
+# of them, runners have lost power together.
+REPEAT_OWN_CRASHES = 2
+REPEAT_OWN_CRASHES_MAX = 4
+REPEAT_OWN_SHARE = 1 / 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,6 +37,11 @@
     thresholds: tuple[CrashThreshold, ...]
     explained_share_min: float
 
+    @property
+    def crashes_min(self) -> int:
+        """With fewer crashes than this no threshold is reached."""
+        return min(threshold.crashes for threshold in self.thresholds)
+
     def is_met(self, times_s: list[float], meanwhile_s: list[float]) -> bool:
         """Return whether crashes are enough.
 
@@ -47,6 +60,40 @@
 
 
 PART_RULE = BlameRule((CrashThreshold(3, 3), CrashThreshold(5, 2)), 1 / 3)
+# Few requests are lost in three crashes and never answered in between, so that
+# crashes of other runners do not speak for one that is.
+REQUEST_RULE = BlameRule((CrashThreshold(3, 2),), 0.0)
+
+
+def rule_of(subject: crashes.Subject) -> BlameRule:
+    """Return the rule by which a subject is blamed."""
+    match subject:
+        case crashes.SharedPart():
+            return PART_RULE
+        case crashes.WholeRequest():
+            return REQUEST_RULE
+
+
+def may_repeat(
+    subject: crashes.Subject, times_s: list[float], meanwhile_s: list[float]
+) -> bool:
+    """Return whether a request may go to a further runner after crashes.
+
+    Args:
+        subject: one of its subjects.
+        times_s: the ascending times of the crashes under the subject.
+        meanwhile_s: the ascending times of all crashes from the first to the
+            last of these.
+    """
+    if moment_count(times_s) >= REPEAT_MOMENTS:
+        return False
+    match subject:
+        case crashes.SharedPart():
+            return True
+        case crashes.WholeRequest():
+            if not REPEAT_OWN_CRASHES <= len(times_s) <= REPEAT_OWN_CRASHES_MAX:
+                return True
+            return len(times_s) < REPEAT_OWN_SHARE * len(meanwhile_s)
 
 
 def moment_count(times_s: list[float]) -> int:
--- a/packages/coordination/lacewingdrum_coordination/crash_evidence.py
+++ b/packages/coordination/lacewingdrum_coordination/crash_evidence.py
@@ -38,6 +38,11 @@
         self._trials: dict[crashes.Subject, crashes.Trial] = {}
         self._digest: int | None = 0
 
+    @property
+    def has_crashes(self) -> bool:
+        """Whether any crash is known; only then subjects matter."""
+        return bool(self._crashes)
+
     @property
     def digest(self) -> int:
         """A number that is the same for the same evidence; 0 without any."""
@@ -101,9 +106,10 @@
         """Return whether a lost request may go to a further runner."""
         for subject in subjects:
             keys = self._unsound_keys(subject)
-            moments = blame_rules.moment_count(self._times_s(keys))
-            is_likely_cause = moments >= blame_rules.REPEAT_MOMENTS
-            if is_likely_cause and not self._has_other_cause(keys, subjects):
+            times_s, meanwhile_s = self._times_s(keys)
+            if blame_rules.may_repeat(subject, times_s, meanwhile_s):
+                continue
+            if not self._has_other_cause(keys, subjects):
                 return False
         return True
 
@@ -120,7 +126,7 @@
         """
         for subject in subjects:
             keys = self._unsound_keys(subject)
-            if subject in exempt or not self._is_blamed(keys):
+            if subject in exempt or not self._is_blamed(subject, keys):
                 continue
             if self._has_other_cause(keys, subjects):
                 continue
@@ -182,20 +188,23 @@
             return keys
         return {key for key in keys if self._crashes[key].at_s >= sound_s}
 
-    def _is_blamed(self, keys: set[_CrashKey]) -> bool:
-        if not keys:
+    def _is_blamed(self, subject: crashes.Subject, keys: set[_CrashKey]) -> bool:
+        rule = blame_rules.rule_of(subject)
+        if len(keys) < rule.crashes_min:
             return False
-        times_s = self._times_s(keys)
+        return rule.is_met(*self._times_s(keys))
+
+    def _times_s(self, keys: set[_CrashKey]) -> tuple[list[float], list[float]]:
+        """Return when crashes were, and when any were from first to last."""
+        times_s = sorted(self._crashes[key].at_s for key in keys)
+        if not times_s:
+            return [], []
         meanwhile_s = sorted(
             crash.at_s
             for crash in self._crashes.values()
             if times_s[0] <= crash.at_s <= times_s[-1]
         )
-        return blame_rules.PART_RULE.is_met(times_s, meanwhile_s)
-
-    def _times_s(self, keys: set[_CrashKey]) -> list[float]:
-        """Return the ascending times of crashes."""
-        return sorted(self._crashes[key].at_s for key in keys)
+        return times_s, meanwhile_s
 
     def _has_other_cause(
         self, keys: set[_CrashKey], subjects: crashes.Subjects
@@ -221,11 +230,11 @@
         return last_s + min(FIRST_TRIAL_S * 2**doublings, TRIAL_INTERVAL_MAX_S)
 
     def _by_importance(self) -> list[crashes.RunnerCrash]:
-        """Return the crashes; those under blamed subjects and new ones are last."""
+        """Return the crashes: blamed ones last, new ones after old ones."""
         blamed = {
             key
             for subject in self._keys_by_subject
-            if self._is_blamed(keys := self._unsound_keys(subject))
+            if self._is_blamed(subject, keys := self._unsound_keys(subject))
             for key in keys
         }
         in_order = sorted(
--- a/packages/coordination/lacewingdrum_coordination/crash_evidence_test.py
+++ b/packages/coordination/lacewingdrum_coordination/crash_evidence_test.py
@@ -187,3 +187,46 @@
 def test_request_lost_with_many_engines_at_one_moment_may_be_repeated():
     lost = [crash(number, number * 0.001, ("hot",)) for number in range(10)]
     assert evidence_of(*lost).may_repeat(subjects("hot"))
+
+
+def test_whole_request_is_blamed_without_the_parts_of_its_prompt():
+    lost = [crash(number, number * 0.06, ("=bad", "a")) for number in range(3)]
+    evidence = evidence_of(*lost)
+    assert str(evidence.find_blame(subjects("=bad", "a")).subject) == "=bad"
+    assert evidence.find_blame(subjects("=good", "a")) is None
+
+
+def test_request_that_many_crashes_of_others_surround_is_blamed():
+    lost = [crash(number, number * 2.0, ("=bad",)) for number in range(3)]
+    lost += [crash(50 + number, number * 0.2, (f"={number}",)) for number in range(20)]
+    assert evidence_of(*lost).find_blame(subjects("=bad"))
+
+
+def test_popular_request_is_not_blamed_for_crashes_between_its_answers():
+    lost = [crash(number, float(number), ("=hot",)) for number in range(6)]
+    evidence = crash_evidence.CrashEvidence()
+    for item in lost:
+        evidence.merge(crashes.Evidence((item,)), 10.0)
+        assert evidence.find_blame(subjects("=hot")) is None
+        evidence.merge(sound("=hot", item.at_s + 0.05), 10.0)
+    power_loss = [crash(20 + number, 8.0, ("=hot",)) for number in range(20)]
+    evidence.merge(crashes.Evidence(tuple(power_loss)), 10.0)
+    assert evidence.find_blame(subjects("=hot")) is None
+    assert evidence.may_repeat(subjects("=hot"))
+
+
+def test_request_whose_own_crashes_follow_each_other_is_not_repeated():
+    lost = [crash(number, number * 0.04, ("=bad",)) for number in range(2)]
+    assert evidence_of(*lost[:1]).may_repeat(subjects("=bad"))
+    assert not evidence_of(*lost).may_repeat(subjects("=bad"))
+    others = [crash(50 + number, 0.02, (f"={number}",)) for number in range(5)]
+    assert evidence_of(*lost, *others).may_repeat(subjects("=bad"))
+
+
+def test_requests_that_were_lost_together_are_told_apart_by_the_next_crash():
+    together = [crash(number, number * 0.2, ("=bad",), ("=x",)) for number in range(3)]
+    evidence = evidence_of(*together)
+    assert evidence.find_blame(subjects("=bad")) is None
+    evidence.merge(crashes.Evidence((crash(9, 2.0, ("=bad",)),)), 10.0)
+    assert evidence.find_blame(subjects("=bad"))
+    assert evidence.find_blame(subjects("=x")) is None
--- a/packages/gateway/lacewingdrum_gateway/active_request.py
+++ b/packages/gateway/lacewingdrum_gateway/active_request.py
@@ -97,7 +97,8 @@
     def subjects(self) -> crashes.Subjects:
         """What runners may crash on; computed when first used."""
         if self._subjects is None:
-            self._subjects = tuple(map(crashes.SharedPart, self.shared_parts))
+            parts = map(crashes.SharedPart, self.shared_parts)
+            self._subjects = (crashes.WholeRequest(self.fingerprint), *parts)
         return self._subjects
 
     def left_s(self, now_s: float) -> float:
--- a/packages/gateway/lacewingdrum_gateway/crash_watch.py
+++ b/packages/gateway/lacewingdrum_gateway/crash_watch.py
@@ -62,6 +62,8 @@
 
     def find_blame(self, active: active_request.ActiveRequest) -> crashes.Blame | None:
         """Return why a request is to be refused, or None."""
+        if not self._evidence.has_crashes:
+            return None
         if not self._evidence.suspected(active.subjects):
             return None
         shares = self._shares[active.routed.service.name]
@@ -92,9 +94,18 @@
         self._updates.start_trial(blame.subject)
         return True
 
-    def record_sound(self, active: active_request.ActiveRequest) -> None:
-        """Record that an answer began well, which speaks for its subjects."""
-        suspected = self._evidence.suspected(active.subjects)
+    def record_begun(self, active: active_request.ActiveRequest) -> None:
+        """Record that an answer began well, which speaks for its parts."""
+        if self._evidence.has_crashes:
+            self._clear(_parts_of(active.subjects))
+
+    def record_whole(self, active: active_request.ActiveRequest) -> None:
+        """Record a whole answer, which speaks for all subjects."""
+        if self._evidence.has_crashes:
+            self._clear(active.subjects)
+
+    def _clear(self, subjects: crashes.Subjects) -> None:
+        suspected = self._evidence.suspected(subjects)
         if suspected:
             now_s = self._clock()
             sound = tuple(crashes.SoundSubject(item, now_s) for item in suspected)
@@ -106,7 +117,7 @@
         plan: plans.Plan,
         end: attempt_ends.AttemptEnd,
     ) -> bool:
-        """Record the crash of an engine if that ended an attempt.
+        """Record the crash of a runner if that ended an attempt.
 
         Args:
             active: the request.
@@ -114,8 +125,8 @@
             end: how the attempt ended.
 
         Returns:
-            Whether the request may be repeated. It may not if its prompt
-            probably crashes engines.
+            Whether the request may be repeated. It may not if it probably
+            crashes runners.
         """
         if end.reason is not attempt_ends.EndReason.LOST:
             return True
@@ -132,26 +143,26 @@
             lost_parts=list(active.shared_parts),
             events=active.attempt_event_count,
         )
-        if not plan.work:
-            return True
+        # An answer that began clears the parts, but not the whole request.
         had_begun = active.attempt_event_count >= SOUND_EVENTS
-        lost = frozenset() if had_begun else frozenset((active.subjects,))
+        whole = crashes.WholeRequest(active.fingerprint)
+        lost = (whole,) if had_begun else active.subjects
         crash = crashes.RunnerCrash(
             plan.entry.runner_id,
             plan.entry.born_ms,
             self._clock(),
-            lost,
+            frozenset((lost,)),
             frozenset((self._peers.own_address,)),
         )
         self._updates.add(crashes.Evidence((crash,)))
-        if had_begun or self._evidence.may_repeat(active.subjects):
+        if had_begun or self._evidence.may_repeat(lost):
             return True
-        self._counts.count("repeats_refused", reason="part_crashes_engines")
+        self._counts.count("repeats_refused", reason="crashes_runners")
         self._decisions.record(
             decision_log.DecisionEvent.REPEAT_REFUSED,
             active.request_id,
-            reason="part_crashes_engines",
-            parts=self._evidence.suspected(active.subjects),
+            reason="crashes_runners",
+            subjects=self._evidence.suspected(lost),
         )
         return False
 
@@ -188,11 +199,7 @@
                 handler()
 
     def _find_blame_anywhere(self, request: crashes.Subjects) -> crashes.Blame | None:
-        parts = tuple(
-            subject.part
-            for subject in request
-            if isinstance(subject, crashes.SharedPart)
-        )
+        parts = tuple(item.part for item in _parts_of(request))
         exempt = [shares.in_nearly_all(parts) for shares in self._shares.values()]
         exempt_parts = frozenset().union(*exempt)
         return self._evidence.find_blame(
@@ -202,14 +209,33 @@
     def _record_change(
         self, change: str, subject: crashes.Subject, **fields: object
     ) -> None:
-        self._counts.count("prompt_part_changes", change=change)
-        self._decisions.record(
-            decision_log.DecisionEvent.PROMPT_PART_CHANGED,
-            None,
-            change=change,
-            part=str(subject),
-            **fields,
-        )
+        match subject:
+            case crashes.SharedPart():
+                event = decision_log.DecisionEvent.PROMPT_PART_CHANGED
+                self._counts.count("prompt_part_changes", change=change)
+            case crashes.WholeRequest():
+                event = decision_log.DecisionEvent.CRASHING_REQUEST_CHANGED
+                self._counts.count("crashing_request_changes", change=change)
+        named = describe_subject(subject)
+        self._decisions.record(event, None, change=change, **named, **fields)
+
+
+def refusal_reason(subject: crashes.Subject) -> str:
+    """Return the reason that callers and logs get for a refusal."""
+    match subject:
+        case crashes.SharedPart():
+            return "part_crashes_engines"
+        case crashes.WholeRequest():
+            return "request_crashes_runners"
+
+
+def describe_subject(subject: crashes.Subject) -> dict[str, object]:
+    """Return the log field that names a subject."""
+    match subject:
+        case crashes.SharedPart(part):
+            return {"part": part}
+        case crashes.WholeRequest(fingerprint):
+            return {"fingerprint": fingerprint}
 
 
 def describe(blame: crashes.Blame, now_s: float) -> dict[str, object]:
@@ -223,3 +249,7 @@
         "crash_count": len(blame.crashes),
         "trial_in_s": round(max(blame.trial_due_s - now_s, 0.0), 1),
     }
+
+
+def _parts_of(subjects: crashes.Subjects) -> tuple[crashes.SharedPart, ...]:
+    return tuple(item for item in subjects if isinstance(item, crashes.SharedPart))
--- a/packages/gateway/lacewingdrum_gateway/crashing_requests_test.py
+++ b/packages/gateway/lacewingdrum_gateway/crashing_requests_test.py
@@ -5,8 +5,11 @@
 import dataclasses
 import time
 
+from lacewingdrum_coordination import request_fingerprint
+from lacewingdrum_state import crashes, ids
 from lacewingdrum_transport import http_messages
 from standins import platform_site, runner_crashes
+from standins.platform_runner import Fault
 
 CONTACT_S = 3.0
 BUDGET_ARRIVALS = 3
@@ -75,6 +78,26 @@
     )
 
 
+def bad_fingerprint() -> ids.RequestFingerprint:
+    return request_fingerprint.compute(
+        "POST", "site.example", BAD.path, platform_site.CUSTOMER, BAD.body
+    )
+
+
+def crashes_on_bad(age_s: float) -> crashes.Evidence:
+    """Return three crashes of runners on the bad request."""
+    lost = frozenset(((crashes.WholeRequest(bad_fingerprint()),),))
+    now_s = time.monotonic() - age_s
+    return crashes.Evidence(
+        tuple(
+            crashes.RunnerCrash(
+                ids.RunnerId(f"x{number}"), 1, now_s - number, lost, frozenset()
+            )
+            for number in range(3)
+        )
+    )
+
+
 async def check_bad_request_is_held_back(site, path, headers=()) -> None:
     calls = await send_mixed(site, path, 7.0, headers)
     assert bad_arrivals_after_known(site) <= BUDGET_ARRIVALS
@@ -130,3 +153,38 @@
         ]
         assert len({line["runner_id"] for line in logged}) == len(logged) >= 2
         assert len({line["fingerprint"] for line in logged}) == 1
+
+
+async def test_runners_that_are_killed_or_reset_connections_blame_no_popular_request():
+    async with crashing_site(BAD, ledgers=12) as site:
+        sending = asyncio.ensure_future(
+            send_mixed(site, BAD.path, 7.0, bad_each=1_000_000)
+        )
+        for _ in range(3):
+            await asyncio.sleep(1.0)
+            for runner in site.ledgers[:9]:
+                runner.crashes.crash(runner.port)
+            for runner in site.ledgers[9:]:
+                runner.faults = [Fault.RESET_INSIDE_ANSWER] * 3
+            await asyncio.sleep(1.1)
+        sound = [call.answer.status for call in (await sending)[1:]]
+        assert sound.count(200) >= 0.9 * len(sound)
+        for running in site.gateways:
+            text = running.daemon.components.counts.text()
+            assert "crashing_request_changes" not in text
+
+
+async def test_request_that_no_longer_crashes_runners_comes_back_after_a_trial():
+    async with crashing_site(BAD, ledgers=4) as site:
+        for runner in site.ledgers:
+            runner.crashes.requests.clear()
+        updates = site.gateways[0].daemon.components.crash_sync
+        updates.add(crashes_on_bad(age_s=70.0))
+        await asyncio.sleep(0.1)
+        evidence = site.gateways[1].daemon.components.crash_sync.evidence
+        assert evidence.find_blame((crashes.WholeRequest(bad_fingerprint()),))
+        calls = [
+            await send_one(site, BAD.path, number, BAD.body, (), running)
+            for number, running in enumerate(site.gateways * 3)
+        ]
+        assert [call.answer.status for call in calls[-3:]] == [200, 200, 200]
--- a/packages/gateway/lacewingdrum_gateway/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/forwarding.py
@@ -104,7 +104,7 @@
             self._sender.record_end(plan.entry, end, sent_s)
             self._record_end(active, plan, end)
             if end is None:
-                self._crashes.record_sound(active)
+                self._crashes.record_whole(active)
                 return active_request.Outcome.ANSWERED
             active.ends.append(end)
             if active.responder.disconnected.is_set():
@@ -143,19 +143,20 @@
     async def _refuse_blamed(
         self, active: active_request.ActiveRequest, blame: crashes.Blame
     ) -> active_request.Outcome:
-        """Refuse a request whose prompt probably crashes engines."""
+        """Refuse a request that probably crashes runners."""
         now_s = self._clock()
+        reason = crash_watch.refusal_reason(blame.subject)
         retry_s = max(blame.trial_due_s - now_s, 0.0) + REFUSED_RETRY_AFTER_S
         self._decisions.record(
             decision_log.DecisionEvent.REFUSED,
             active.request_id,
-            reason="part_crashes_engines",
-            part=str(blame.subject),
+            reason=reason,
             retry_after_s=round(retry_s, 2),
             configuration_version=active.config_version,
+            **crash_watch.describe_subject(blame.subject),
             **crash_watch.describe(blame, now_s),
         )
-        return await self._send_refusal(active, "part_crashes_engines", retry_s)
+        return await self._send_refusal(active, reason, retry_s)
 
     async def _send_refusal(
         self, active: active_request.ActiveRequest, code: str, retry_s: float
--- a/packages/gateway/lacewingdrum_gateway/stream_forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/stream_forwarding.py
@@ -103,7 +103,7 @@
         had_begun = active.attempt_event_count >= crash_watch.SOUND_EVENTS
         active.attempt_event_count = count
         if not had_begun and count >= crash_watch.SOUND_EVENTS:
-            self._crashes.record_sound(active)
+            self._crashes.record_begun(active)
 
     async def _write_events(
         self,
--- a/packages/runtime/lacewingdrum_runtime/decision_log.py
+++ b/packages/runtime/lacewingdrum_runtime/decision_log.py
@@ -60,6 +60,7 @@
     RUNNER_LIMITED = "runner_limited"
     RUNNER_CRASHED = "runner_crashed"
     PROMPT_PART_CHANGED = "prompt_part_changed"
+    CRASHING_REQUEST_CHANGED = "crashing_request_changed"
     HELP_REFUSED = "help_refused"
     RUNNER_CLEARED = "runner_cleared"
     PEER_JOINED = "peer_joined"
