--- a/packages/cli/lacewingdrum_cli/causes.py
+++ b/packages/cli/lacewingdrum_cli/causes.py
@@ -72,7 +72,7 @@
         if line.get("event") == "attempt_ended"
     ]
     attempt_texts += [
-        _REPEAT_TEXTS.get(str(line.get("reason")), "it was not sent once more")
+        _REPEAT_TEXTS.get(str(line.get("reason")), _REPEAT_TEXTS["allowance"])
         for line in lines
         if line.get("event") == "repeat_refused"
     ]
