--- a/packages/gateway/lacewingdrum_gateway/components.py
+++ b/packages/gateway/lacewingdrum_gateway/components.py
@@ -21,6 +21,7 @@
     daemon_registry,
     engine_memory,
     exchange,
+    final_answers,
     forwarding,
     limit_sync,
     peer_table,
@@ -197,7 +198,10 @@
             own_settings.bounds.repeat_slack,
             own_settings.bounds.repeat_window_s,
         )
-        self.forwarder = forwarding.Forwarder(
+        answers_without_runner = final_answers.FinalAnswers(
+            candidates, clock, rng, self.decisions, self.counts
+        )
+        forwarder = forwarding.Forwarder(
             sender,
             planner,
             exchange.Exchange(
@@ -216,15 +220,16 @@
             self.roster,
             self.health,
             self.crash_watch,
+            answers_without_runner,
             clock,
-            rng,
             self.decisions,
             self.counts,
         )
         self.request_handler = request_handler.RequestHandler(
             self.configurations,
             self.runner_list,
-            self.forwarder,
+            forwarder,
+            answers_without_runner,
             clock,
             self.decisions,
             self.counts,
--- /dev/null
+++ b/packages/gateway/lacewingdrum_gateway/final_answers.py
@@ -0,0 +1,142 @@
+"""Answers that end a request without the whole answer of a runner."""
+
+import random
+from collections.abc import Callable
+
+from lacewingdrum_gateway import (
+    active_request,
+    crash_watch,
+    plans,
+    runner_candidates,
+)
+from lacewingdrum_runtime import decision_log, metrics
+from lacewingdrum_state import crashes, states
+from lacewingdrum_transport import http_messages
+
+RETRY_AFTER_MIN_S = 0.15
+RETRY_AFTER_JITTER_S = 0.35
+REFUSED_RETRY_AFTER_S = 1.5
+# Callers are asked to wait no longer than this share of their time left.
+RETRY_AFTER_TIME_LEFT_SHARE = 0.3
+
+
+class FinalAnswers:
+    """Refuses requests, and gives up those that no attempt has answered."""
+
+    def __init__(
+        self,
+        candidates: runner_candidates.RunnerCandidates,
+        clock: Callable[[], float],
+        rng: random.Random,
+        decisions: decision_log.DecisionLog,
+        counts: metrics.Metrics,
+    ) -> None:
+        self._candidates = candidates
+        self._clock = clock
+        self._rng = rng
+        self._decisions = decisions
+        self._counts = counts
+
+    async def refuse_costly(
+        self, active: active_request.ActiveRequest, reason: plans.TooCostly
+    ) -> active_request.Outcome:
+        """Refuse a request that has not run, and say when to retry it."""
+        retry_s = REFUSED_RETRY_AFTER_S * (1.0 + self._rng.random())
+        retry_s = min(
+            retry_s, active.left_s(self._clock()) * RETRY_AFTER_TIME_LEFT_SHARE
+        )
+        self._decisions.record(
+            decision_log.DecisionEvent.REFUSED,
+            active.request_id,
+            reason="costs_others_more",
+            prompt_tokens=active.routed.caller_headers.prompt_tokens,
+            lost=round(reason.lost_worth, 2),
+            worth=round(reason.worth, 2),
+            first_expected_ms=round(reason.first_event_ms),
+            retry_after_s=round(retry_s, 2),
+            configuration_version=active.config_version,
+        )
+        return await self._send_refusal(active, "overloaded", retry_s)
+
+    async def refuse_blamed(
+        self, active: active_request.ActiveRequest, blame: crashes.Blame
+    ) -> active_request.Outcome:
+        """Refuse a request that probably crashes runners."""
+        now_s = self._clock()
+        reason = crash_watch.refusal_reason(blame.subject)
+        retry_s = max(blame.trial_due_s - now_s, 0.0) + REFUSED_RETRY_AFTER_S
+        self._decisions.record(
+            decision_log.DecisionEvent.REFUSED,
+            active.request_id,
+            reason=reason,
+            retry_after_s=round(retry_s, 2),
+            configuration_version=active.config_version,
+            **crash_watch.describe_subject(blame.subject),
+            **crash_watch.describe(blame, now_s),
+        )
+        return await self._send_refusal(active, reason, retry_s)
+
+    async def _send_refusal(
+        self, active: active_request.ActiveRequest, code: str, retry_s: float
+    ) -> active_request.Outcome:
+        """Answer that a request has not run, and when to retry it."""
+        self._counts.count("refusals", reason=code)
+        await active.responder.send(
+            http_messages.error_response(
+                503,
+                code,
+                f"not run: {code}",
+                states.Ran.NO,
+                round(retry_s, 2),
+                active.request_id,
+            )
+        )
+        return active_request.Outcome.REFUSED
+
+    async def give_up(
+        self, active: active_request.ActiveRequest
+    ) -> active_request.Outcome:
+        """Answer the caller with a failure, or close a started stream.
+
+        Args:
+            active: a request for which no further attempt is made.
+
+        Returns:
+            The outcome.
+        """
+        responder = active.responder
+        if responder.started:
+            responder.abort()
+            return active_request.Outcome.BROKEN_OFF
+        answer = next((end.answer for end in active.ends[::-1] if end.answer), None)
+        if answer is not None:
+            await responder.send(answer)
+            return active_request.Outcome.RUNNER_FAILURE
+        time_over = active.left_s(self._clock()) <= 0
+        if not active.may_have_run:
+            pause_s = self._candidates.pause_left_s(active.routed.service.name)
+            spread_s = RETRY_AFTER_JITTER_S * self._rng.random()
+            retry_s = max(pause_s, RETRY_AFTER_MIN_S) + spread_s
+            code = "no_runner" if not active.ends else "runners_refused"
+            response = http_messages.error_response(
+                503,
+                code,
+                "not run, try again",
+                states.Ran.NO,
+                round(retry_s, 2),
+                active.request_id,
+            )
+            await responder.send(response)
+            return active_request.Outcome.REFUSED
+        status, code = (504, "time_over") if time_over else (502, "answer_lost")
+        message = "the runner's answer did not come; it may have run"
+        await responder.send(
+            http_messages.error_response(
+                status, code, message, states.Ran.MAYBE, request_id=active.request_id
+            )
+        )
+        return (
+            active_request.Outcome.TIME_OVER
+            if time_over
+            else active_request.Outcome.LOST
+        )
--- a/packages/gateway/lacewingdrum_gateway/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/forwarding.py
@@ -1,6 +1,5 @@
 """Forwards a request: attempts, retries and the answer to the caller."""
 
-import random
 from collections.abc import Callable
 
 from lacewingdrum_coordination import retry_allowance, runner_health, runner_roster
@@ -10,6 +9,7 @@
     attempt_ends,
     crash_watch,
     exchange as exchanges,
+    final_answers,
     peering,
     plans,
     retry_limits,
@@ -17,14 +17,6 @@
     work_sync,
 )
 from lacewingdrum_runtime import decision_log, metrics
-from lacewingdrum_state import crashes, states
-from lacewingdrum_transport import http_messages
-
-RETRY_AFTER_MIN_S = 0.15
-RETRY_AFTER_JITTER_S = 0.35
-REFUSED_RETRY_AFTER_S = 1.5
-# Callers are asked to wait no longer than this share of their time left.
-RETRY_AFTER_TIME_LEFT_SHARE = 0.3
 
 
 class Forwarder:
@@ -41,8 +33,8 @@
         roster: runner_roster.RunnerRoster,
         health: runner_health.RunnerHealth,
         crashes: crash_watch.CrashWatch,
+        answers: final_answers.FinalAnswers,
         clock: Callable[[], float],
-        rng: random.Random,
         decisions: decision_log.DecisionLog,
         counts: metrics.Metrics,
     ) -> None:
@@ -55,8 +47,8 @@
         self._roster = roster
         self._health = health
         self._crashes = crashes
+        self._final_answers = answers
         self._clock = clock
-        self._rng = rng
         self._decisions = decisions
         self._counts = counts
 
@@ -77,7 +69,7 @@
             if blame is not None and not self._crashes.start_trial(active, blame):
                 if active.may_have_run:
                     break
-                return await self._refuse_blamed(active, blame)
+                return await self._final_answers.refuse_blamed(active, blame)
             if not active.attempt_count:
                 self._crashes.record_request(active)
             plan = self._planner.plan(
@@ -87,7 +79,7 @@
                 not active.may_have_run,
             )
             if isinstance(plan, plans.TooCostly):
-                return await self._refuse(active, plan)
+                return await self._final_answers.refuse_costly(active, plan)
             if plan is None:
                 if active.only_runner is None and retry_limits.allow_repeat(active):
                     continue
@@ -117,63 +109,7 @@
                 self._work_updates.record_help_refused(refused_help)
             if not retry_limits.may_retry(active, end, active.left_s(self._clock())):
                 break
-        return await self.give_up(active)
-
-    async def _refuse(
-        self, active: active_request.ActiveRequest, reason: plans.TooCostly
-    ) -> active_request.Outcome:
-        """Refuse a request that has not run, and say when to retry it."""
-        retry_s = REFUSED_RETRY_AFTER_S * (1.0 + self._rng.random())
-        retry_s = min(
-            retry_s, active.left_s(self._clock()) * RETRY_AFTER_TIME_LEFT_SHARE
-        )
-        self._decisions.record(
-            decision_log.DecisionEvent.REFUSED,
-            active.request_id,
-            reason="costs_others_more",
-            prompt_tokens=active.routed.caller_headers.prompt_tokens,
-            lost=round(reason.lost_worth, 2),
-            worth=round(reason.worth, 2),
-            first_expected_ms=round(reason.first_event_ms),
-            retry_after_s=round(retry_s, 2),
-            configuration_version=active.config_version,
-        )
-        return await self._send_refusal(active, "overloaded", retry_s)
-
-    async def _refuse_blamed(
-        self, active: active_request.ActiveRequest, blame: crashes.Blame
-    ) -> active_request.Outcome:
-        """Refuse a request that probably crashes runners."""
-        now_s = self._clock()
-        reason = crash_watch.refusal_reason(blame.subject)
-        retry_s = max(blame.trial_due_s - now_s, 0.0) + REFUSED_RETRY_AFTER_S
-        self._decisions.record(
-            decision_log.DecisionEvent.REFUSED,
-            active.request_id,
-            reason=reason,
-            retry_after_s=round(retry_s, 2),
-            configuration_version=active.config_version,
-            **crash_watch.describe_subject(blame.subject),
-            **crash_watch.describe(blame, now_s),
-        )
-        return await self._send_refusal(active, reason, retry_s)
-
-    async def _send_refusal(
-        self, active: active_request.ActiveRequest, code: str, retry_s: float
-    ) -> active_request.Outcome:
-        """Answer that a request has not run, and when to retry it."""
-        self._counts.count("refusals", reason=code)
-        await active.responder.send(
-            http_messages.error_response(
-                503,
-                code,
-                f"not run: {code}",
-                states.Ran.NO,
-                round(retry_s, 2),
-                active.request_id,
-            )
-        )
-        return active_request.Outcome.REFUSED
+        return await self._final_answers.give_up(active)
 
     def _acquire_retry(self, active: active_request.ActiveRequest) -> bool:
         service = active.routed.service.name
@@ -191,54 +127,6 @@
             )
         return is_allowed
 
-    async def give_up(
-        self, active: active_request.ActiveRequest
-    ) -> active_request.Outcome:
-        """Answer the caller with a failure, or close a started stream.
-
-        Args:
-            active: a request for which no further attempt is made.
-
-        Returns:
-            The outcome.
-        """
-        responder = active.responder
-        if responder.started:
-            responder.abort()
-            return active_request.Outcome.BROKEN_OFF
-        answer = next((end.answer for end in active.ends[::-1] if end.answer), None)
-        if answer is not None:
-            await responder.send(answer)
-            return active_request.Outcome.RUNNER_FAILURE
-        time_over = active.left_s(self._clock()) <= 0
-        if not active.may_have_run:
-            pause_s = self._planner.candidates.pause_left_s(active.routed.service.name)
-            spread_s = RETRY_AFTER_JITTER_S * self._rng.random()
-            retry_s = max(pause_s, RETRY_AFTER_MIN_S) + spread_s
-            code = "no_runner" if not active.ends else "runners_refused"
-            response = http_messages.error_response(
-                503,
-                code,
-                "not run, try again",
-                states.Ran.NO,
-                round(retry_s, 2),
-                active.request_id,
-            )
-            await responder.send(response)
-            return active_request.Outcome.REFUSED
-        status, code = (504, "time_over") if time_over else (502, "answer_lost")
-        message = "the runner's answer did not come; it may have run"
-        await responder.send(
-            http_messages.error_response(
-                status, code, message, states.Ran.MAYBE, request_id=active.request_id
-            )
-        )
-        return (
-            active_request.Outcome.TIME_OVER
-            if time_over
-            else active_request.Outcome.LOST
-        )
-
     def _record_plan(
         self, active: active_request.ActiveRequest, plan: plans.Plan
     ) -> None:
--- a/packages/gateway/lacewingdrum_gateway/request_handler.py
+++ b/packages/gateway/lacewingdrum_gateway/request_handler.py
@@ -10,6 +10,7 @@
     active_request,
     attempt,
     configuration_sync,
+    final_answers,
     forwarding,
     plans,
     runner_list_sync,
@@ -44,6 +45,7 @@
         configuration_updates: configuration_sync.ConfigurationSync,
         runner_list: runner_list_sync.RunnerListSync,
         forwarder: forwarding.Forwarder,
+        answers: final_answers.FinalAnswers,
         clock: Callable[[], float],
         decisions: decision_log.DecisionLog,
         counts: metrics.Metrics,
@@ -51,6 +53,7 @@
         self._configurations = configuration_updates
         self._runner_list = runner_list
         self._forwarder = forwarder
+        self._final_answers = answers
         self._clock = clock
         self._decisions = decisions
         self._counts = counts
@@ -181,7 +184,7 @@
         except asyncio.CancelledError:
             outcome = active_request.Outcome.CALLER_GONE
             if active.is_overdue or active.is_blamed:
-                outcome = await self._forwarder.give_up(active)
+                outcome = await self._final_answers.give_up(active)
             elif not active.responder.disconnected.is_set():
                 raise
         finally:
