--- a/packages/gateway/lacewingdrum_gateway/active_request.py
+++ b/packages/gateway/lacewingdrum_gateway/active_request.py
@@ -40,6 +40,7 @@
     failed attempts after which their runner was suspect. ``is_blamed`` is set
     if the request is ended because its prompt probably crashes engines, and
     ``is_trial`` if it was let through to find out whether it does.
+    ``may_crash_runners`` is set if it is not sent on for that reason.
     """
 
     routed: plans.RoutedRequest
@@ -66,6 +67,7 @@
     is_overdue: bool = False
     is_blamed: bool = False
     is_trial: bool = False
+    may_crash_runners: bool = False
     _fingerprint: ids.RequestFingerprint | None = None
     _subjects: crashes.Subjects | None = None
 
--- a/packages/gateway/lacewingdrum_gateway/components.py
+++ b/packages/gateway/lacewingdrum_gateway/components.py
@@ -199,7 +199,7 @@
             own_settings.bounds.repeat_window_s,
         )
         answers_without_runner = final_answers.FinalAnswers(
-            candidates, clock, rng, self.decisions, self.counts
+            candidates, self.crash_watch, clock, rng, self.decisions, self.counts
         )
         forwarder = forwarding.Forwarder(
             sender,
--- a/packages/gateway/lacewingdrum_gateway/crashing_requests_test.py
+++ b/packages/gateway/lacewingdrum_gateway/crashing_requests_test.py
@@ -131,6 +131,13 @@
         await check_bad_request_is_held_back(site, bad.path, headers)
 
 
+async def test_caller_whose_request_crashed_two_runners_is_told_when_to_return():
+    async with crashing_site(BAD, ledgers=4) as site:
+        answer = (await send_one(site, BAD.path, 0, BAD.body, ())).answer
+        assert answer.status == 502 and float(answer.header("Retry-After")) >= 1.0
+        assert len(crash_times_s(site)) == 2
+
+
 async def test_daemon_that_starts_later_holds_back_a_request_that_crashes_runners():
     async with crashing_site(BAD, ledgers=12) as site:
         await send_mixed(site, BAD.path, 3.0)
--- a/packages/gateway/lacewingdrum_gateway/final_answers.py
+++ b/packages/gateway/lacewingdrum_gateway/final_answers.py
@@ -26,12 +26,14 @@
     def __init__(
         self,
         candidates: runner_candidates.RunnerCandidates,
+        crashes: crash_watch.CrashWatch,
         clock: Callable[[], float],
         rng: random.Random,
         decisions: decision_log.DecisionLog,
         counts: metrics.Metrics,
     ) -> None:
         self._candidates = candidates
+        self._crashes = crashes
         self._clock = clock
         self._rng = rng
         self._decisions = decisions
@@ -64,7 +66,7 @@
         """Refuse a request that probably crashes runners."""
         now_s = self._clock()
         reason = crash_watch.refusal_reason(blame.subject)
-        retry_s = max(blame.trial_due_s - now_s, 0.0) + REFUSED_RETRY_AFTER_S
+        retry_s = self._until_trial_s(blame)
         self._decisions.record(
             decision_log.DecisionEvent.REFUSED,
             active.request_id,
@@ -132,7 +134,12 @@
         message = "the runner's answer did not come; it may have run"
         await responder.send(
             http_messages.error_response(
-                status, code, message, states.Ran.MAYBE, request_id=active.request_id
+                status,
+                code,
+                message,
+                states.Ran.MAYBE,
+                self._retry_after_crashes_s(active),
+                active.request_id,
             )
         )
         return (
@@ -140,3 +147,16 @@
             if time_over
             else active_request.Outcome.LOST
         )
+
+    def _retry_after_crashes_s(self, active: active_request.ActiveRequest) -> float:
+        """Return when a request that may crash runners can return, else 0."""
+        if not (active.may_crash_runners or active.is_blamed):
+            return 0.0
+        blame = self._crashes.find_blame(active)
+        if blame is None:
+            return REFUSED_RETRY_AFTER_S
+        return round(self._until_trial_s(blame), 2)
+
+    def _until_trial_s(self, blame: crashes.Blame) -> float:
+        left_s = max(blame.trial_due_s - self._clock(), 0.0)
+        return left_s + REFUSED_RETRY_AFTER_S
--- a/packages/gateway/lacewingdrum_gateway/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/forwarding.py
@@ -102,6 +102,7 @@
             if active.responder.disconnected.is_set():
                 return active_request.Outcome.CALLER_GONE
             if not await self._crashes.observe(active, plan, end):
+                active.may_crash_runners = True
                 break
             is_suspect = self._health.is_suspect(plan.entry.runner_id)
             refused_help = retry_limits.apply_end(active, plan, end, is_suspect)
