--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -68,7 +68,10 @@
             soak_callers.observed, soak_site.runners, soak_site.disruptions
         )
         violations += checks.crashing_part_violations(
-            soak_site.runners, soak_site.disruptions
+            soak_site.engines, soak_site.disruptions
+        )
+        violations += checks.crashing_request_violations(
+            soak_site.ledgers, soak_site.disruptions
         )
         violations += checks.limit_violations(
             soak_site.named_limits, soak_site.disruptions
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -18,7 +18,8 @@
 LONG_SHARE = 0.03
 GIVE_UP_SHARE = 0.05
 FIRST_PARTS = ("a0", "a1", "a2")
-# The share of streams with the part that crashes engines, while there is one.
+# The share of streams with the part that crashes engines, or of reads that
+# crash plain runners, while there are such.
 CRASHING_SHARE = 0.3
 
 
@@ -74,7 +75,7 @@
         if self._rng.random() < GIVE_UP_SHARE:
             limit_s = self._rng.uniform(0.02, 0.3)
         answer = await client.request(
-            address, "POST", f"/{kind}/x", headers, b"body", limit_s
+            address, "POST", f"/{kind}/x", headers, self._draw_body(kind), limit_s
         )
         status, body, receipt = 0, b"", ""
         if limit_s < LIMIT_S:
@@ -96,6 +97,11 @@
             )
         )
 
+    def _draw_body(self, kind: str) -> bytes:
+        is_crashing = kind == "read" and self._rng.random() < CRASHING_SHARE
+        crashing = self._site.crashing_read
+        return crashing if is_crashing and crashing else b"body"
+
     def _draw_parts(self, tokens: int) -> str:
         parts = [self._rng.choice(FIRST_PARTS)]
         has_crashing_part = self._rng.random() < CRASHING_SHARE
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -13,10 +13,11 @@
 EVENT_NUMBERS = range(1, 9)
 # Allowed beyond a request's time limit, as the host runs other work too.
 LATENESS_MAX_S = 1.0
-# After the fifth crash and this time, so many requests with the part that
-# crashes engines may still reach them.
+# After so many crashes and this time, so many requests with what crashes
+# runners may still reach them.
 CRASHING_REQUESTS_MAX = 3
-CRASHES_KNOWN = 5
+PART_CRASHES_KNOWN = 5
+REQUEST_CRASHES_KNOWN = 3
 CRASHES_KNOWN_S = 3.0
 CRASHING_PREFIX = "bad"
 # From this time after a runner named a limit, it may get in each window the
@@ -128,12 +129,12 @@
 
 
 def crashing_part_violations(
-    runners: list[platform_runner.PlatformRunner], disruptions: list[Disruption]
+    engines: list[platform_runner.PlatformRunner], disruptions: list[Disruption]
 ) -> list[str]:
     """Check that few requests are sent with parts that crash engines.
 
     Args:
-        runners: all runners of the soak.
+        engines: all engines of the soak.
         disruptions: when gateways were paused, killed or stopped; a part is
             not checked if that happened while its crashes became known.
 
@@ -141,27 +142,57 @@
         A line for each part that was sent too often.
     """
     arrivals_s: dict[str, list[float]] = {}
-    for runner in runners:
-        for arrival in runner.arrivals:
+    for engine in engines:
+        for arrival in engine.arrivals:
             for entry in arrival.headers.get("prompt-prefix", "").split(","):
                 if entry.startswith(CRASHING_PREFIX):
                     arrivals_s.setdefault(entry, []).append(arrival.arrived_s)
+    return _late_arrivals(engines, arrivals_s, disruptions, PART_CRASHES_KNOWN)
+
+
+def crashing_request_violations(
+    ledgers: list[platform_runner.PlatformRunner], disruptions: list[Disruption]
+) -> list[str]:
+    """Check that requests which crash plain runners are sent to few.
+
+    Args:
+        ledgers: all plain runners of the soak.
+        disruptions: as for ``crashing_part_violations``.
+
+    Returns:
+        A line for each request that was sent too often.
+    """
+    arrivals_s: dict[str, list[float]] = {}
+    for ledger in ledgers:
+        for arrival in ledger.arrivals:
+            name = arrival.body.decode()
+            if name.startswith(CRASHING_PREFIX):
+                arrivals_s.setdefault(name, []).append(arrival.arrived_s)
+    return _late_arrivals(ledgers, arrivals_s, disruptions, REQUEST_CRASHES_KNOWN)
+
+
+def _late_arrivals(
+    runners: list[platform_runner.PlatformRunner],
+    arrivals_s: dict[str, list[float]],
+    disruptions: list[Disruption],
+    crashes_known: int,
+) -> list[str]:
     crashes_s = sorted(
         time_s for runner in runners for time_s in runner.crashes.times_s
     )
     found: list[str] = []
-    for entry, times_s in arrivals_s.items():
+    for name, times_s in arrivals_s.items():
         under_s = [time_s for time_s in crashes_s if time_s >= min(times_s)]
-        if len(under_s) < CRASHES_KNOWN:
+        if len(under_s) < crashes_known:
             continue
-        known_s = under_s[CRASHES_KNOWN - 1] + CRASHES_KNOWN_S
+        known_s = under_s[crashes_known - 1] + CRASHES_KNOWN_S
         was_disrupted = any(
             span.from_s < max(times_s) and span.to_s > min(times_s) - CRASHES_KNOWN_S
             for span in disruptions
         )
         later = sum(time_s > known_s for time_s in times_s)
         if later > CRASHING_REQUESTS_MAX and not was_disrupted:
-            found.append(f"{entry}: {later} requests after {CRASHES_KNOWN} crashes")
+            found.append(f"{name}: {later} requests after {crashes_known} crashes")
     return found
 
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -96,6 +96,7 @@
                     lambda: self._name_limit(runner, span_s),
                 ),
                 Injection("part crashes engines", lambda: self._crash(span_s)),
+                Injection("read crashes runners", lambda: self._crash_read(span_s)),
                 Injection("configuration", self._configure),
                 Injection("credential withdrawn", self._rotate_credential),
             )
@@ -194,6 +195,14 @@
         await asyncio.sleep(CRASHING_FACTOR * span_s)
         self._site.set_crashing_part("")
 
+    async def _crash_read(self, span_s: float) -> None:
+        """Let one read crash plain runners, longer than other faults."""
+        if self._site.crashing_read:
+            return
+        self._site.set_crashing_read(f"bad{len(self._site.faults):x}".encode())
+        await asyncio.sleep(CRASHING_FACTOR * span_s)
+        self._site.set_crashing_read(b"")
+
     async def _configure(self) -> None:
         self._site.write_configuration()
 
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -7,10 +7,17 @@
 import signal
 import sys
 
-from standins import platform_runner, platform_site, platform_store, ports
+from standins import (
+    platform_runner,
+    platform_site,
+    platform_store,
+    ports,
+    runner_crashes,
+)
 from tests.soak import checks, proxy
 
 ENGINES = 4
+READ_PATH = "/read/x"
 LEDGERS = 3
 GATEWAYS = 3
 DATA_CENTRES = ("north", "south", "west")
@@ -43,6 +50,7 @@
         self.version = 1
         # The part of prompts that crashes engines now, if any.
         self.crashing_part = ""
+        self.crashing_read = b""
         self._configuration: dict[str, object] = {}
         self._states: dict[int, str] = {}
         self._restarts: list[asyncio.Future[None]] = []
@@ -97,10 +105,27 @@
         runner.born_ms += 1
         self.register(number)
 
+    @property
+    def engines(self) -> list[platform_runner.PlatformRunner]:
+        """The runners of the model service."""
+        return self.runners[:ENGINES]
+
+    @property
+    def ledgers(self) -> list[platform_runner.PlatformRunner]:
+        """The runners of the plain service."""
+        return self.runners[ENGINES:]
+
+    def set_crashing_read(self, body: bytes) -> None:
+        """Let all plain runners crash on one read; ``b""`` ends that."""
+        self.crashing_read = body
+        crashing = runner_crashes.CrashingRequest(READ_PATH, body)
+        for ledger in self.ledgers:
+            ledger.crashes.requests = {crashing} if body else set()
+
     def set_crashing_part(self, part: str) -> None:
         """Let all engines crash on a part of prompts; ``""`` ends that."""
         self.crashing_part = part
-        for runner in self.runners[:ENGINES]:
+        for runner in self.engines:
             runner.crashes.parts = {part} if part else set()
 
     def return_store(self, copied: platform_store.StoreCopy) -> None:
