A popular request is not blamed for crashes that follow an answer of it

A whole answer now speaks for its request for two seconds. A request that was never answered is blamed as before.

--- a/packages/coordination/lacewingdrum_coordination/blame_rules.py
+++ b/packages/coordination/lacewingdrum_coordination/blame_rules.py
@@ -15,6 +15,9 @@
 REPEAT_OWN_CRASHES = 2
 REPEAT_OWN_CRASHES_MAX = 4
 REPEAT_OWN_SHARE = 1 / 2
+# A whole answer speaks for its request for this time, as runners can crash
+# faster one after the other than a popular request is answered.
+WHOLE_ANSWER_VALID_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,6 +77,15 @@
             return REQUEST_RULE
 
 
+def cleared_until_s(sound: crashes.SoundSubject) -> float:
+    """Return until when crashes do not speak against a subject."""
+    match sound.subject:
+        case crashes.SharedPart():
+            return sound.at_s
+        case crashes.WholeRequest():
+            return sound.at_s + WHOLE_ANSWER_VALID_S
+
+
 def may_repeat(
     subject: crashes.Subject, times_s: list[float], meanwhile_s: list[float]
 ) -> bool:
--- a/packages/coordination/lacewingdrum_coordination/crash_evidence.py
+++ b/packages/coordination/lacewingdrum_coordination/crash_evidence.py
@@ -165,7 +165,8 @@
     def _add_sound(self, sound: crashes.SoundSubject) -> bool:
         """Clear a subject, if that is new; one without crashes is not kept."""
         keys = self._unsound_keys(sound.subject)
-        if not any(self._crashes[key].at_s < sound.at_s for key in keys):
+        cleared_s = blame_rules.cleared_until_s(sound)
+        if not any(self._crashes[key].at_s < cleared_s for key in keys):
             return False
         self._sound_s[sound.subject] = sound.at_s
         self._trials.pop(sound.subject, None)
@@ -186,7 +187,9 @@
         sound_s = self._sound_s.get(subject)
         if sound_s is None:
             return keys
-        return {key for key in keys if self._crashes[key].at_s >= sound_s}
+        sound = crashes.SoundSubject(subject, sound_s)
+        cleared_s = blame_rules.cleared_until_s(sound)
+        return {key for key in keys if self._crashes[key].at_s >= cleared_s}
 
     def _is_blamed(self, subject: crashes.Subject, keys: set[_CrashKey]) -> bool:
         rule = blame_rules.rule_of(subject)
--- a/packages/coordination/lacewingdrum_coordination/crash_evidence_test.py
+++ b/packages/coordination/lacewingdrum_coordination/crash_evidence_test.py
@@ -2,7 +2,7 @@
 
 import random
 
-from lacewingdrum_coordination import crash_evidence
+from lacewingdrum_coordination import blame_rules, crash_evidence
 from lacewingdrum_state import crashes, ids
 
 
@@ -215,6 +215,17 @@
     assert evidence.may_repeat(subjects("=hot"))
 
 
+def test_popular_request_is_not_blamed_for_crashes_shortly_after_an_answer():
+    lost = [crash(number, 1.0 + number * 0.1, ("=hot",)) for number in range(5)]
+    evidence = evidence_of(*lost)
+    assert evidence.find_blame(subjects("=hot"))
+    evidence.merge(sound("=hot", 0.9), 10.0)
+    assert evidence.find_blame(subjects("=hot")) is None
+    evidence = evidence_of(*lost)
+    evidence.merge(sound("=hot", 0.9 - blame_rules.WHOLE_ANSWER_VALID_S), 10.0)
+    assert evidence.find_blame(subjects("=hot"))
+
+
 def test_request_whose_own_crashes_follow_each_other_is_not_repeated():
     lost = [crash(number, number * 0.04, ("=bad",)) for number in range(2)]
     assert evidence_of(*lost[:1]).may_repeat(subjects("=bad"))
--- a/packages/gateway/lacewingdrum_gateway/active_request.py
+++ b/packages/gateway/lacewingdrum_gateway/active_request.py
@@ -3,7 +3,7 @@
 import dataclasses
 import enum
 
-from lacewingdrum_coordination import request_fingerprint
+from lacewingdrum_coordination import recent_answers, request_fingerprint
 from lacewingdrum_gateway import attempt, attempt_ends, plans
 from lacewingdrum_protocol import event_stream
 from lacewingdrum_state import crashes, ids, states
@@ -95,6 +95,16 @@
             )
         return self._fingerprint
 
+    @property
+    def quick_key(self) -> int:
+        """A key that copies of the request share, and others may share too."""
+        customer = self.routed.customer
+        return recent_answers.quick_key(
+            self.outgoing.target,
+            customer.name if customer is not None else "",
+            self.outgoing.body,
+        )
+
     @property
     def subjects(self) -> crashes.Subjects:
         """What runners may crash on; computed when first used."""
--- a/packages/gateway/lacewingdrum_gateway/crash_watch.py
+++ b/packages/gateway/lacewingdrum_gateway/crash_watch.py
@@ -3,7 +3,12 @@
 import collections
 from collections.abc import Callable
 
-from lacewingdrum_coordination import coordinators, part_shares, runner_roster
+from lacewingdrum_coordination import (
+    coordinators,
+    part_shares,
+    recent_answers,
+    runner_roster,
+)
 from lacewingdrum_gateway import (
     active_request,
     attempt_ends,
@@ -43,6 +48,7 @@
         self._shares: collections.defaultdict[
             ids.ServiceName, part_shares.PartShares
         ] = collections.defaultdict(part_shares.PartShares)
+        self._answers = recent_answers.RecentAnswers()
         self._blamed: set[crashes.Subject] = set()
         self._blame_handlers: list[Callable[[], None]] = []
 
@@ -101,6 +107,7 @@
 
     def record_whole(self, active: active_request.ActiveRequest) -> None:
         """Record a whole answer, which speaks for all subjects."""
+        self._answers.record(active.quick_key, self._clock())
         if self._evidence.has_crashes:
             self._clear(active.subjects)
 
@@ -154,7 +161,7 @@
             frozenset((lost,)),
             frozenset((self._peers.own_address,)),
         )
-        self._updates.add(crashes.Evidence((crash,)))
+        self._updates.add(crashes.Evidence((crash,), self._recent_sound(active)))
         if had_begun or self._evidence.may_repeat(lost):
             return True
         self._counts.count("repeats_refused", reason="crashes_runners")
@@ -166,6 +173,16 @@
         )
         return False
 
+    def _recent_sound(
+        self, active: active_request.ActiveRequest
+    ) -> tuple[crashes.SoundSubject, ...]:
+        """Return the last whole answer to a request, from before its crash."""
+        last_s = self._answers.last_s(active.quick_key)
+        if last_s is None:
+            return ()
+        whole = crashes.WholeRequest(active.fingerprint)
+        return (crashes.SoundSubject(whole, last_s),)
+
     async def _has_crashed(
         self, entry: runner_entries.RunnerEntry, active: active_request.ActiveRequest
     ) -> bool:
--- a/standins/slope_news.py
+++ b/standins/slope_news.py
@@ -2,8 +2,8 @@
 
 Run as ``python -m standins.slope_news``: the time to find the candidates among
 the runners of a service by the number of them that name a limit, the time to
-look for a blame by the number of crashes that are known, and the size of the
-messages.
+look for a blame by the number of crashes that are known, the size of the
+messages, and the time to compute the fingerprint of a request by its size.
 """
 
 import functools
@@ -14,6 +14,7 @@
 
 from lacewingdrum_coordination import (
     crash_evidence,
+    request_fingerprint,
     runner_health,
     runner_limits,
     runner_roster,
@@ -34,6 +35,7 @@
 DAEMONS = 39
 LIMITED_COUNTS = (0, 17, 172)
 CRASH_COUNTS = (0, 5, 128)
+BODY_BYTES = (1_000, 20_000, 1_000_000)
 CALLS = 2_000
 SERVICE = ids.ServiceName("model")
 DATA_CENTRE = ids.DataCentre("north")
@@ -81,7 +83,12 @@
     rng = random.Random(1)
     for number in range(crash_count):
         lost = frozenset(
-            tuple(map(crashes.parse_subject, (f"{rng.randrange(60):x}", "bad")))
+            tuple(
+                map(
+                    crashes.parse_subject,
+                    (f"={rng.randbytes(8).hex()}", f"{rng.randrange(60):x}", "bad"),
+                )
+            )
             for _ in range(5)
         )
         crash = crashes.RunnerCrash(
@@ -115,12 +122,17 @@
         _print_times(title, call)
     for count in CRASH_COUNTS:
         evidence = _evidence(count)
-        subjects = tuple(map(crashes.parse_subject, ("1", "x")))
+        subjects = tuple(map(crashes.parse_subject, ("=0", "1", "x")))
         title = f"blame of a sound prompt, {count} crashes"
         _print_times(title, functools.partial(evidence.find_blame, subjects))
         message = crash_codec.to_message(evidence.snapshot(), 30.0)
         size = len(peer_messages.encode("10.0.0.1:7", message))
         print(f"snapshot of {count} crashes: {size} bytes")
+    for size in BODY_BYTES:
+        compute = functools.partial(
+            request_fingerprint.compute, "POST", "a.example", "/x", "c", bytes(size)
+        )
+        _print_times(f"fingerprint of {size} bytes", compute)
 
 
 if __name__ == "__main__":
