Connections to runners are opened by a function that the root passes in

No behaviour changes. Tests of a daemon that is cut off from all runners need its paths and not those of the other daemons in the same process; connector.connect is passed from the composition root to the client of runners and to both probes. The proxy of the soak moves to standins for it.

--- a/packages/gateway/lacewingdrum_gateway/components.py
+++ b/packages/gateway/lacewingdrum_gateway/components.py
@@ -40,7 +40,13 @@
 )
 from lacewingdrum_runtime import decision_log, metrics
 from lacewingdrum_state import ids, units
-from lacewingdrum_transport import http_client, http_messages, http_server, responder
+from lacewingdrum_transport import (
+    connector,
+    http_client,
+    http_messages,
+    http_server,
+    responder,
+)
 
 RUNNER_CONNECT_TIMEOUT_S = 0.5
 RUNNER_UNACKNOWLEDGED_MAX_MS = 1_200
@@ -69,9 +75,15 @@
     Args:
         own_settings: the validated settings.
         logger: receives the decision log.
+        connect_to_runners: opens connections to runners.
     """
 
-    def __init__(self, own_settings: settings.Settings, logger: logging.Logger) -> None:
+    def __init__(
+        self,
+        own_settings: settings.Settings,
+        logger: logging.Logger,
+        connect_to_runners: connector.Connect = connector.connect,
+    ) -> None:
         self.own_settings = own_settings
         clock = boot_time_s
         self.clock = clock
@@ -107,7 +119,7 @@
             self.counts,
         )
         self.probe = runner_probe.RunnerProbe(
-            self.roster, self.health, clock, self.decisions
+            self.roster, self.health, clock, self.decisions, connect_to_runners
         )
         self.engine_work = engine_work_registry.EngineWorkRegistry()
         self.work_sync = work_sync.WorkSync(
@@ -139,6 +151,7 @@
                 body_bytes=COMMAND_ANSWER_MAX_BYTES,
             ),
             clock,
+            connect_to_runners,
         )
         self.memory = engine_memory.EngineMemory(
             self.runner_client,
@@ -154,7 +167,13 @@
         )
         self.crash_sync = crash_sync.CrashSync(self.peers, clock, rng, self.counts)
         self.crash_watch = crash_watch.CrashWatch(
-            self.crash_sync, self.roster, table, clock, self.decisions, self.counts
+            self.crash_sync,
+            self.roster,
+            table,
+            clock,
+            self.decisions,
+            self.counts,
+            connect_to_runners,
         )
         sender = attempt.AttemptSender(
             self.runner_client,
--- a/packages/gateway/lacewingdrum_gateway/crash_watch.py
+++ b/packages/gateway/lacewingdrum_gateway/crash_watch.py
@@ -19,6 +19,7 @@
 )
 from lacewingdrum_runtime import decision_log, metrics
 from lacewingdrum_state import crashes, ids, runner_entries
+from lacewingdrum_transport import connector
 
 PROBE_TIMEOUT_S = 0.25
 PROBE_TIME_LEFT_SHARE = 0.1
@@ -37,7 +38,9 @@
         clock: Callable[[], float],
         decisions: decision_log.DecisionLog,
         counts: metrics.Metrics,
+        connect: connector.Connect = connector.connect,
     ) -> None:
+        self._connect = connect
         self._updates = crash_updates
         self._evidence = crash_updates.evidence
         self._roster = roster
@@ -194,7 +197,7 @@
             return False
         left_s = active.left_s(self._clock())
         timeout_s = min(PROBE_TIMEOUT_S, PROBE_TIME_LEFT_SHARE * left_s)
-        found = await runner_probe.probe(entry.address, timeout_s)
+        found = await runner_probe.probe(entry.address, timeout_s, self._connect)
         return found is runner_probe.Reachability.REFUSED
 
     def _on_news(self, news: crashes.Evidence) -> None:
--- a/packages/gateway/lacewingdrum_gateway/gateway.py
+++ b/packages/gateway/lacewingdrum_gateway/gateway.py
@@ -8,6 +8,7 @@
 from lacewingdrum_gateway import components as gateway_components, settings
 from lacewingdrum_runtime import decision_log, tasks
 from lacewingdrum_state import addresses, ids
+from lacewingdrum_transport import connector
 
 _log = logging.getLogger(__name__)
 
@@ -28,6 +29,7 @@
         own_settings: the validated settings.
         settings_path: the file that ``request_reload`` reads again.
         logger: receives the decision log.
+        connect_to_runners: opens connections to runners.
     """
 
     def __init__(
@@ -35,8 +37,11 @@
         own_settings: settings.Settings,
         settings_path: str,
         logger: logging.Logger,
+        connect_to_runners: connector.Connect = connector.connect,
     ) -> None:
-        self.components = gateway_components.Components(own_settings, logger)
+        self.components = gateway_components.Components(
+            own_settings, logger, connect_to_runners
+        )
         self._settings_path = settings_path
         self._tasks = tasks.TaskSet()
         self.stop_requested = asyncio.Event()
--- a/packages/gateway/lacewingdrum_gateway/runner_probe.py
+++ b/packages/gateway/lacewingdrum_gateway/runner_probe.py
@@ -7,6 +7,7 @@
 from lacewingdrum_coordination import runner_health, runner_roster
 from lacewingdrum_runtime import decision_log, tasks
 from lacewingdrum_state import fleet, ids
+from lacewingdrum_transport import connector
 
 PROBE_INTERVAL_S = 0.7
 CONNECT_TIMEOUT_S = 0.5
@@ -23,21 +24,33 @@
     UNREACHABLE = "unreachable"
 
 
-async def probe(address: fleet.Address, timeout_s: float) -> Reachability:
+class _ClosedAtOnce(asyncio.Protocol):
+    """A connection that is closed once it is established."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        transport.abort()
+
+
+async def probe(
+    address: fleet.Address,
+    timeout_s: float,
+    connect: connector.Connect = connector.connect,
+) -> Reachability:
     """Return whether an address accepts a connection.
 
     Args:
         address: the address of a runner.
         timeout_s: the time limit for the connection, which is closed at once.
+        connect: opens the connection.
     """
     try:
         async with asyncio.timeout(timeout_s):
-            _, writer = await asyncio.open_connection(address.host, address.port)
+            await connect(_ClosedAtOnce, address)
     except ConnectionRefusedError:
         return Reachability.REFUSED
     except (OSError, TimeoutError):
         return Reachability.UNREACHABLE
-    writer.transport.abort()
     return Reachability.ACCEPTED
 
 
@@ -50,7 +63,9 @@
         health: runner_health.RunnerHealth,
         clock: Callable[[], float],
         decisions: decision_log.DecisionLog,
+        connect: connector.Connect = connector.connect,
     ) -> None:
+        self._connect = connect
         self._roster = roster
         self._health = health
         self._clock = clock
@@ -81,7 +96,7 @@
         if entry is None:
             self._health.forget(runner_id)
             return
-        found = await probe(entry.address, CONNECT_TIMEOUT_S)
+        found = await probe(entry.address, CONNECT_TIMEOUT_S, self._connect)
         if found is not Reachability.ACCEPTED:
             return
         self._health.clear_suspicion(runner_id)
--- a/packages/transport/lacewingdrum_transport/http_client.py
+++ b/packages/transport/lacewingdrum_transport/http_client.py
@@ -17,6 +17,7 @@
 from lacewingdrum_transport import (
     byte_channel,
     client_connection,
+    connector,
     http_messages,
     response_reader,
 )
@@ -30,15 +31,21 @@
 
 
 class HttpClient:
-    """Sends requests, and pools the connections to each address."""
+    """Sends requests, and pools the connections to each address.
+
+    ``last_connected_s`` is when a new connection was established last.
+    """
 
     def __init__(
         self,
         limits: ClientLimits | None = None,
         clock: Callable[[], float] = time.monotonic,
+        connect: connector.Connect = connector.connect,
     ) -> None:
+        self.last_connected_s = float("-inf")
         self._limits = limits or ClientLimits()
         self._clock = clock
+        self._open_connection = connect
         self._idle: dict[fleet.Address, list[_Connection]] = {}
         self._open_counts: collections.Counter[fleet.Address] = collections.Counter()
         self._in_use: set[_Connection] = set()
@@ -210,9 +217,9 @@
         channel: byte_channel.ByteChannel | None = None
         try:
             async with asyncio.timeout(min(timeout_s, self._limits.connect_timeout_s)):
-                _, channel = await asyncio.get_running_loop().create_connection(
-                    self._new_channel, address.host, address.port
-                )
+                opened = await self._open_connection(self._new_channel, address)
+                assert isinstance(opened, byte_channel.ByteChannel)
+                channel = opened
         except TimeoutError:
             return HttpClientError(ClientErrorReason.CONNECT_TIMEOUT, False)
         except (OSError, OverflowError, UnicodeError) as error:
@@ -221,6 +228,7 @@
         finally:
             if channel is None:
                 self._decrement_open_count(address)
+        self.last_connected_s = self._clock()
         header_bytes = self._limits.header_bytes
         connection = _Connection(address, channel, header_bytes, self._clock)
         self._in_use.add(connection)
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -9,8 +9,8 @@
 
 from lacewingdrum_gateway import gateway, settings
 from lacewingdrum_state import fleet, ids
-from lacewingdrum_transport import http_client, http_messages
-from standins import platform_runner, platform_store, ports
+from lacewingdrum_transport import connector, http_client, http_messages
+from standins import platform_runner, platform_store, ports, runner_paths
 
 HOST = "127.0.0.1"
 MODEL = "model"
@@ -91,17 +91,24 @@
 
 @dataclasses.dataclass(slots=True)
 class RunningGateway:
-    """A gateway and its settings."""
+    """A gateway, its settings and its paths to runners."""
 
     daemon: gateway.Gateway
     gateway_settings: settings.Settings
+    paths: runner_paths.RunnerPaths
 
 
 class PlatformSite:
     """A store, runners of two services, and gateways that know seeds."""
 
-    def __init__(self, bounds: settings.BoundsSettings | None = None) -> None:
+    def __init__(
+        self,
+        bounds: settings.BoundsSettings | None = None,
+        has_proxied_paths: bool = False,
+    ) -> None:
         self.bounds = bounds or settings.BoundsSettings()
+        # Whether gateways reach runners through ``RunningGateway.paths``.
+        self.has_proxied_paths = has_proxied_paths
         self.store = platform_store.PlatformStore()
         self.engines: list[platform_runner.PlatformRunner] = []
         self.ledgers: list[platform_runner.PlatformRunner] = []
@@ -176,8 +183,12 @@
             bounds=dataclasses.replace(self.bounds, stop_grace_s=STOP_GRACE_S),
         )
         logger = logging.getLogger("lacewingdrum.site")
+        paths = runner_paths.RunnerPaths()
+        connect = paths.connect if self.has_proxied_paths else connector.connect
         running = RunningGateway(
-            gateway.Gateway(gateway_settings, "", logger), gateway_settings
+            gateway.Gateway(gateway_settings, "", logger, connect),
+            gateway_settings,
+            paths,
         )
         self.gateways.append(running)
         await running.daemon.start()
@@ -195,6 +206,7 @@
         await self.client.close()
         for running in self.gateways:
             await running.daemon.close()
+            await running.paths.close()
         for runner in (*self.engines, *self.ledgers):
             await runner.close()
         await self.store.close()
@@ -277,9 +289,10 @@
     engines: int = 2,
     ledgers: int = 2,
     bounds: settings.BoundsSettings | None = None,
+    has_proxied_paths: bool = False,
 ):
     """Yield a site with ready gateways, and close it afterwards."""
-    site = PlatformSite(bounds)
+    site = PlatformSite(bounds, has_proxied_paths)
     try:
         await site.start(engines, ledgers)
         for _ in range(gateways):
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -6,9 +6,9 @@
 import signal
 from collections.abc import Awaitable, Callable
 
-from standins import platform_store
+from standins import fault_proxy, platform_store
 from standins.platform_runner import Fault
-from tests.soak import checks, proxy, site
+from tests.soak import checks, site
 
 REQUEST_FAULTS = tuple(fault for fault in Fault if fault is not Fault.NONE)
 
@@ -56,7 +56,11 @@
         mode = rng.choice(list(platform_store.StoreMode)[1:])
         stop_signal = rng.choice((signal.SIGTERM, signal.SIGKILL))
         path_fault = rng.choice(
-            (proxy.PathFault.SILENT, proxy.PathFault.ONE_WAY, proxy.PathFault.DELAYED)
+            (
+                fault_proxy.PathFault.SILENT,
+                fault_proxy.PathFault.ONE_WAY,
+                fault_proxy.PathFault.DELAYED,
+            )
         )
         return rng.choice(
             (
@@ -116,17 +120,20 @@
         self._site.return_store(copied)
 
     async def _impair_path(
-        self, fault_proxy: proxy.FaultProxy, path_fault: proxy.PathFault, span_s: float
+        self,
+        path_proxy: fault_proxy.FaultProxy,
+        path_fault: fault_proxy.PathFault,
+        span_s: float,
     ) -> None:
-        if path_fault is proxy.PathFault.DELAYED:
-            fault_proxy.path_fault = path_fault
+        if path_fault is fault_proxy.PathFault.DELAYED:
+            path_proxy.path_fault = path_fault
         else:
-            fault_proxy.silence(path_fault)
+            path_proxy.silence(path_fault)
         await asyncio.sleep(span_s)
-        fault_proxy.path_fault = proxy.PathFault.NONE
+        path_proxy.path_fault = fault_proxy.PathFault.NONE
 
-    async def _reset(self, fault_proxy: proxy.FaultProxy) -> None:
-        fault_proxy.reset()
+    async def _reset(self, path_proxy: fault_proxy.FaultProxy) -> None:
+        path_proxy.reset()
 
     async def _kill(self, gateway: int, stop_signal: signal.Signals) -> None:
         if gateway in self._busy_gateways:
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -8,13 +8,14 @@
 import sys
 
 from standins import (
+    fault_proxy,
     platform_runner,
     platform_site,
     platform_store,
     ports,
     runner_crashes,
 )
-from tests.soak import checks, proxy
+from tests.soak import checks
 
 ENGINES = 4
 READ_PATH = "/read/x"
@@ -40,8 +41,8 @@
         self.gateway_count = gateway_count
         self.store = platform_store.PlatformStore()
         self.runners: list[platform_runner.PlatformRunner] = []
-        self.runner_proxies: list[proxy.FaultProxy] = []
-        self.store_proxies: list[proxy.FaultProxy] = []
+        self.runner_proxies: list[fault_proxy.FaultProxy] = []
+        self.store_proxies: list[fault_proxy.FaultProxy] = []
         self.processes: list[asyncio.subprocess.Process] = []
         self.disruptions: list[checks.Disruption] = []
         self.named_limits: list[checks.NamedLimit] = []
@@ -69,9 +70,9 @@
             service = platform_site.MODEL if number < ENGINES else platform_site.LEDGER
             await self._add_runner(f"r{number}", service)
         for number in range(self.gateway_count):
-            fault_proxy = proxy.FaultProxy(store_port)
-            await fault_proxy.start()
-            self.store_proxies.append(fault_proxy)
+            path_proxy = fault_proxy.FaultProxy(store_port)
+            await path_proxy.start()
+            self.store_proxies.append(path_proxy)
             self._write_settings(number)
         for number in range(self.gateway_count):
             self.processes.append(await self._spawn(number))
@@ -195,8 +196,8 @@
             if process.returncode is None:
                 process.kill()
                 await process.wait()
-        for fault_proxy in (*self.store_proxies, *self.runner_proxies):
-            await fault_proxy.close()
+        for path_proxy in (*self.store_proxies, *self.runner_proxies):
+            await path_proxy.close()
         for runner in self.runners:
             await runner.close()
         await self.store.close()
@@ -206,19 +207,19 @@
         runner = platform_runner.PlatformRunner(name, len(checks.EVENT_NUMBERS))
         runner.event_interval_s = 0.04
         await runner.start()
-        fault_proxy = proxy.FaultProxy(runner.port)
-        await fault_proxy.start()
+        path_proxy = fault_proxy.FaultProxy(runner.port)
+        await path_proxy.start()
         number = len(self.runners)
         self.runners.append(runner)
-        self.runner_proxies.append(fault_proxy)
+        self.runner_proxies.append(path_proxy)
         self.register(number)
 
         def register_restart() -> None:
             runner.born_ms += 1
-            self._restarts.append(asyncio.ensure_future(fault_proxy.listen_again()))
+            self._restarts.append(asyncio.ensure_future(path_proxy.listen_again()))
             self.register(number, self._states[number])
 
-        runner.crashes.on_crash = fault_proxy.stop_listening
+        runner.crashes.on_crash = path_proxy.stop_listening
         runner.crashes.on_restart = register_restart
 
     async def _spawn(self, number: int) -> asyncio.subprocess.Process:
