A daemon that is cut off from all runners passes its requests on to a peer

Cause: a daemon knew of runners one by one only. It never noticed that it is itself that reaches none, and had no way to a runner but its own connections. The class: the failure of a path was taken for that of what it leads to.

Ruled out: that the others lost runners by what the cut-off ones reported (each suspicion was cleared by a probe within 10 ms), and that a readiness check suffices (all of a zone was cut off the second time; callers keep connections).

Change: after a failed connection, or a silence, three unlike runners that are not suspected are probed (ReachMonitor, RunnerReach). If none accepts, the daemon is cut off: it passes requests on to a peer that reaches runners and has no older configuration (Relay), over HTTP on a port for daemons, one hop at most, with the time left, the last event and the number of runners before. The peer serves them like its own and they share one id in both logs. What may have run and may not be repeated is never passed on. Waiting attempts that may be repeated are given up if nothing comes from any runner. Where no peer takes requests, they are refused at once. The daemon tells peers nothing against runners meanwhile, reports no crashes, and forgets its suspicions once a runner accepts again.

--- a/packages/coordination/lacewingdrum_coordination/runner_health.py
+++ b/packages/coordination/lacewingdrum_coordination/runner_health.py
@@ -130,6 +130,14 @@
         if observed is not None:
             observed.suspect_since_s = None
 
+    def clear_suspicions_since(self, since_s: float) -> None:
+        """Forget suspicions since a time, and failures of these runners."""
+        for observed in self._by_runner.values():
+            suspect_since_s = observed.suspect_since_s
+            if suspect_since_s is not None and suspect_since_s >= since_s:
+                observed.suspect_since_s = None
+                observed.failures = 0.0
+
     def is_suspect(self, runner_id: ids.RunnerId) -> bool:
         """Return whether the runner is suspected to be dead or unreachable."""
         observed = self._by_runner.get(runner_id)
--- a/packages/gateway/lacewingdrum_gateway/answer_memory_test.py
+++ b/packages/gateway/lacewingdrum_gateway/answer_memory_test.py
@@ -57,7 +57,7 @@
 async def test_memory_is_given_back_when_the_caller_leaves_within_a_failure():
     memory = answer_memory.AnswerMemory(4 * ALWAYS)
     sender = attempt.AttemptSender(
-        None, None, None, None, memory, time.monotonic, None, None
+        None, None, None, None, None, memory, time.monotonic, None, None
     )
     reading = asyncio.ensure_future(sender._read_failure(StalledFailure()))
     await asyncio.sleep(0)
--- a/packages/gateway/lacewingdrum_gateway/attempt.py
+++ b/packages/gateway/lacewingdrum_gateway/attempt.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import functools
 from collections.abc import Callable
 
 from result import Err, Ok, Result
@@ -10,6 +11,7 @@
 from lacewingdrum_gateway import (
     answer_memory,
     attempt_ends,
+    reach_monitor,
     runner_notices,
     work_sync,
 )
@@ -44,6 +46,7 @@
         self,
         client: http_client.HttpClient,
         health: runner_health.RunnerHealth,
+        reach: reach_monitor.ReachMonitor,
         notices: runner_notices.RunnerNotices,
         work_updates: work_sync.WorkSync,
         answers: answer_memory.AnswerMemory,
@@ -53,6 +56,7 @@
     ) -> None:
         self._client = client
         self._health = health
+        self._reach = reach
         self._notices = notices
         self._work_updates = work_updates
         self._answers = answers
@@ -113,6 +117,7 @@
     def record_contact(self, entry: runner_entries.RunnerEntry) -> None:
         """Record that a part of an answer has arrived from a runner."""
         self._health.record_contact(entry.runner_id, self._clock())
+        self._reach.record_contact()
 
     def record_end(
         self,
@@ -129,7 +134,8 @@
         """
         now_s = self._clock()
         if end is None or end.state is states.AttemptState.ANSWERED:
-            self._health.record_contact(entry.runner_id, now_s)
+            self.record_contact(entry)
+        self._check_reach(end, sent_s)
         if end is None:
             self._health.record_attempt(entry.runner_id, False, now_s)
             return
@@ -150,6 +156,13 @@
             return
         self._health.record_attempt(entry.runner_id, True, now_s)
 
+    def _check_reach(self, end: attempt_ends.AttemptEnd | None, sent_s: float) -> None:
+        match end.reason if end is not None else None:
+            case attempt_ends.EndReason.NOT_CONNECTED:
+                self._reach.report_unconnected(sent_s)
+            case attempt_ends.EndReason.SILENT | attempt_ends.EndReason.LOST:
+                self._reach.report_silence(sent_s)
+
     def report_unreachable(
         self, entry: runner_entries.RunnerEntry, detail: str
     ) -> None:
@@ -190,7 +203,9 @@
     ) -> None:
         runner_id = entry.runner_id
         if self._health.suspect(runner_id, self._clock()):
-            self._work_updates.report_suspected(runner_id)
+            self._reach.call_unless_cut_off(
+                functools.partial(self._work_updates.report_suspected, runner_id)
+            )
             self._counts.count("runner_suspicions", reason=reason.value)
             self._decisions.record(
                 decision_log.DecisionEvent.RUNNER_SUSPECTED,
--- a/packages/gateway/lacewingdrum_gateway/components.py
+++ b/packages/gateway/lacewingdrum_gateway/components.py
@@ -26,12 +26,15 @@
     limit_sync,
     peer_table,
     peering,
+    reach_monitor,
+    relay,
     request_handler,
     routing,
     runner_candidates,
     runner_list_sync,
     runner_notices,
     runner_probe,
+    server_limits,
     settings,
     silence_limits,
     store_client,
@@ -51,13 +54,8 @@
 RUNNER_CONNECT_TIMEOUT_S = 0.5
 RUNNER_UNACKNOWLEDGED_MAX_MS = 1_200
 COMMAND_ANSWER_MAX_BYTES = 256 * 1024
-BODY_MEMORY_SHARE = 0.35
 ANSWER_MEMORY_SHARE = 0.15
-BYTES_PER_MB = 1_000_000
-# The other descriptors are kept for runners, peers and the store.
-CALLER_DESCRIPTOR_SHARE = 0.5
-# A caller that reads slowly occupies up to a quarter of a megabyte.
-CALLERS_PER_MB = 4
+PEER_CONNECT_TIMEOUT_S = 0.5
 # Idle connections to runners are reused for at most this time, because a
 # runner may close them sooner than it states.
 RUNNER_IDLE_S = 4.0
@@ -118,8 +116,33 @@
             self.decisions,
             self.counts,
         )
+        self.runner_client = http_client.HttpClient(
+            http_client.ClientLimits(
+                idle_s=RUNNER_IDLE_S,
+                connect_timeout_s=RUNNER_CONNECT_TIMEOUT_S,
+                unacknowledged_limit_ms=RUNNER_UNACKNOWLEDGED_MAX_MS,
+                body_bytes=COMMAND_ANSWER_MAX_BYTES,
+            ),
+            clock,
+            connect_to_runners,
+        )
+        self.reach = reach_monitor.ReachMonitor(
+            self.roster,
+            self.health,
+            self.runner_client,
+            connect_to_runners,
+            clock,
+            rng,
+            self.decisions,
+            self.counts,
+        )
         self.probe = runner_probe.RunnerProbe(
-            self.roster, self.health, clock, self.decisions, connect_to_runners
+            self.roster,
+            self.health,
+            clock,
+            self.decisions,
+            connect_to_runners,
+            lambda: self.reach.is_cut_off,
         )
         self.engine_work = engine_work_registry.EngineWorkRegistry()
         self.work_sync = work_sync.WorkSync(
@@ -143,16 +166,6 @@
             self.decisions,
             self.counts,
         )
-        self.runner_client = http_client.HttpClient(
-            http_client.ClientLimits(
-                idle_s=RUNNER_IDLE_S,
-                connect_timeout_s=RUNNER_CONNECT_TIMEOUT_S,
-                unacknowledged_limit_ms=RUNNER_UNACKNOWLEDGED_MAX_MS,
-                body_bytes=COMMAND_ANSWER_MAX_BYTES,
-            ),
-            clock,
-            connect_to_runners,
-        )
         self.memory = engine_memory.EngineMemory(
             self.runner_client,
             self.notices,
@@ -163,7 +176,11 @@
             self.counts,
         )
         answers = answer_memory.AnswerMemory(
-            int(own_settings.limits.memory_mb * BYTES_PER_MB * ANSWER_MEMORY_SHARE)
+            int(
+                own_settings.limits.memory_mb
+                * server_limits.BYTES_PER_MB
+                * ANSWER_MEMORY_SHARE
+            )
         )
         self.crash_sync = crash_sync.CrashSync(self.peers, clock, rng, self.counts)
         self.crash_watch = crash_watch.CrashWatch(
@@ -174,10 +191,12 @@
             self.decisions,
             self.counts,
             connect_to_runners,
+            self.reach,
         )
         sender = attempt.AttemptSender(
             self.runner_client,
             self.health,
+            self.reach,
             self.notices,
             self.work_sync,
             answers,
@@ -220,6 +239,26 @@
         answers_without_runner = final_answers.FinalAnswers(
             candidates, self.crash_watch, clock, rng, self.decisions, self.counts
         )
+        self.peer_client = http_client.HttpClient(
+            http_client.ClientLimits(
+                idle_s=RUNNER_IDLE_S,
+                connect_timeout_s=PEER_CONNECT_TIMEOUT_S,
+                unacknowledged_limit_ms=RUNNER_UNACKNOWLEDGED_MAX_MS,
+            ),
+            clock,
+        )
+        self.relay = relay.Relay(
+            self.peer_client,
+            self.peers,
+            self.reach,
+            self.configurations,
+            streams,
+            answers,
+            clock,
+            rng,
+            self.decisions,
+            self.counts,
+        )
         forwarder = forwarding.Forwarder(
             sender,
             planner,
@@ -233,6 +272,8 @@
                 self.work_sync,
                 clock,
             ),
+            self.relay,
+            self.reach,
             allowance,
             self.work_sync,
             self.peers,
@@ -253,8 +294,14 @@
             self.decisions,
             self.counts,
         )
+        limits = own_settings.limits
         self.callers_server = http_server.HttpServer(
-            self.request_handler.handle, self._caller_limits(None), clock
+            self.request_handler.handle, server_limits.for_callers(limits, None), clock
+        )
+        self.relay_server = http_server.HttpServer(
+            self.request_handler.handle_relayed,
+            server_limits.for_daemons(limits, None),
+            clock,
         )
         self.ready_server = http_server.HttpServer(self._serve_readiness, clock=clock)
         self.metrics_server = http_server.HttpServer(self._serve_metrics, clock=clock)
@@ -262,6 +309,9 @@
         self.configurations.on_applied(self._on_configuration_applied)
         self.work_sync.on_peer_suspicion(self.probe.probe_now)
         self.crash_watch.on_blamed(self._on_part_blamed)
+        self.reach.on_silence(forwarder.give_up_silent_attempts)
+        self.reach.on_change(self.peers.announce)
+        self.peers.set_relay_port_source(self._relay_port)
 
     @property
     def is_ready(self) -> bool:
@@ -270,36 +320,20 @@
         return known and self.work_sync.is_initial_sync_done and not self.is_leaving
 
     def _on_configuration_applied(self, table: route_table.RouteTable) -> None:
-        self.callers_server.set_limits(self._caller_limits(table))
+        limits = self.own_settings.limits
+        self.callers_server.set_limits(server_limits.for_callers(limits, table))
+        self.relay_server.set_limits(server_limits.for_daemons(limits, table))
+
+    def _relay_port(self) -> int:
+        """Return where this daemon takes requests of others, or 0."""
+        takes_requests = self.is_ready and not self.reach.is_cut_off
+        return self.own_settings.vm.bound_relay_port if takes_requests else 0
 
     def _on_part_blamed(self) -> None:
         self.request_handler.end_blamed(
             lambda active: self.crash_watch.find_blame(active) is not None
         )
 
-    def _caller_limits(
-        self, table: route_table.RouteTable | None
-    ) -> http_server.ServerLimits:
-        limits = self.own_settings.limits
-        held_bytes = int(limits.memory_mb * BYTES_PER_MB * BODY_MEMORY_SHARE)
-        connections = min(
-            int(limits.descriptors * CALLER_DESCRIPTOR_SHARE),
-            limits.memory_mb * CALLERS_PER_MB,
-        )
-        if table is None:
-            return http_server.ServerLimits(
-                held_body_bytes=held_bytes, connections=connections
-            )
-        configured = table.configuration.limits
-        return http_server.ServerLimits(
-            header_bytes=configured.header_bytes,
-            body_bytes=configured.body_bytes,
-            held_body_bytes=held_bytes,
-            connections=connections,
-            header_timeout_s=configured.header_timeout_ms / units.MS_PER_S,
-            idle_timeout_s=configured.idle_timeout_ms / units.MS_PER_S,
-        )
-
     async def _serve_readiness(
         self, request: http_messages.HttpRequest, answer: responder.Responder
     ) -> None:
--- a/packages/gateway/lacewingdrum_gateway/crash_watch.py
+++ b/packages/gateway/lacewingdrum_gateway/crash_watch.py
@@ -15,6 +15,7 @@
     crash_sync,
     peer_table,
     plans,
+    reach_monitor,
     runner_probe,
 )
 from lacewingdrum_runtime import decision_log, metrics
@@ -38,9 +39,11 @@
         clock: Callable[[], float],
         decisions: decision_log.DecisionLog,
         counts: metrics.Metrics,
-        connect: connector.Connect = connector.connect,
+        connect: connector.Connect,
+        reach: reach_monitor.ReachMonitor,
     ) -> None:
         self._connect = connect
+        self._reach = reach
         self._updates = crash_updates
         self._evidence = crash_updates.evidence
         self._roster = roster
@@ -198,7 +201,9 @@
         left_s = active.left_s(self._clock())
         timeout_s = min(PROBE_TIMEOUT_S, PROBE_TIME_LEFT_SHARE * left_s)
         found = await runner_probe.probe(entry.address, timeout_s, self._connect)
-        return found is runner_probe.Reachability.REFUSED
+        if found is not runner_probe.Reachability.REFUSED:
+            return False
+        return not await self._reach.confirm_cut_off()
 
     def _on_news(self, news: crashes.Evidence) -> None:
         """Log subjects that are blamed or cleared now."""
--- a/packages/gateway/lacewingdrum_gateway/cut_off_daemons_test.py
+++ b/packages/gateway/lacewingdrum_gateway/cut_off_daemons_test.py
@@ -34,9 +34,18 @@
     ) as site:
         for runner in (*site.engines, *site.ledgers):
             runner.answer_s = runner.first_event_s = 0.03
+        await site.wait_until(
+            lambda: all(knows_peers(item.daemon) for item in site.gateways)
+        )
         yield site
 
 
+def knows_peers(daemon) -> bool:
+    """Return whether a daemon knows that all others take its requests."""
+    ports = [peer.relay_port for peer in daemon.components.peers.table.live]
+    return len(ports) == 3 and all(ports)
+
+
 async def call_one(site, number: int) -> Call:
     gateway, kind = number % len(site.gateways), KINDS[number // 4 % len(KINDS)]
     limit_s = STREAM_LIMIT_S if kind == "ask" else CALL_LIMIT_S
@@ -116,3 +125,108 @@
 
 async def test_last_daemon_that_reaches_runners_serves_the_callers_of_all():
     await check_cut(Cut.HANGING, {0, 1, 2})
+
+
+async def wait_until_cut_off(site, number: int) -> None:
+    """Send reads to a daemon until it knows that it is cut off."""
+    reach = site.gateways[number].daemon.components.reach
+    while not reach.is_cut_off:
+        await call_read(site, number, f"w{time.monotonic()}")
+    # The other daemons learn of it.
+    await asyncio.sleep(0.1)
+
+
+async def call_read(site, number: int, attempt_id: str, kind: str = "read"):
+    headers = (("Deadline-Ms", "1000"),)
+    on = site.gateways[number]
+    return await site.call(f"/{kind}/x", attempt_id, headers=headers, on=on)
+
+
+async def test_stream_that_a_cut_interrupts_is_continued_by_a_peer():
+    async with site_of_four() as site:
+        for engine in site.engines:
+            engine.event_count, engine.event_interval_s = 40, 0.05
+        headers = platform_site.prompt_headers(2_000, 8_000)
+        streams = [
+            asyncio.ensure_future(
+                site.call("/ask/x", f"s{item}", headers=headers, on=site.gateways[0])
+            )
+            for item in range(4)
+        ]
+        await asyncio.sleep(0.5)
+        site.gateways[0].paths.cut(Cut.HANGING)
+        whole = "".join(f"id: {n}\ndata: piece {n}\n\n" for n in range(1, 41))
+        for stream in streams:
+            answer = await stream
+            assert answer.status == 200 and answer.body.decode() == whole
+
+
+async def test_request_that_no_daemon_can_pass_on_is_refused_at_once():
+    async with site_of_four() as site:
+        for running in site.gateways:
+            running.paths.cut(Cut.RESET)
+        for number in range(4):
+            await wait_until_cut_off(site, number)
+        start_s = time.monotonic()
+        answer = await call_read(site, 0, "o1", "order")
+        assert time.monotonic() - start_s < 0.2
+        assert answer.status == 503 and float(answer.header("Retry-After")) > 0
+
+
+async def test_daemon_that_is_cut_off_tells_nothing_against_runners():
+    async with site_of_four() as site:
+        site.gateways[0].paths.cut(Cut.RESET)
+        await wait_until_cut_off(site, 0)
+        await send(site, 1.0)
+        for running in site.gateways:
+            components = running.daemon.components
+            assert not components.crash_sync.evidence.has_crashes
+            if running is not site.gateways[0]:
+                assert not components.health.suspects
+
+
+async def test_service_whose_runners_are_all_down_is_no_cut():
+    async with site_of_four() as site:
+        for ledger in site.ledgers:
+            await ledger.close()
+        answers = [await call_read(site, 0, f"r{item}") for item in range(3)]
+        assert all(answer.status in (502, 503) for answer in answers)
+        for running in site.gateways:
+            assert not running.daemon.components.reach.is_cut_off
+
+
+async def test_order_that_a_dying_peer_took_is_not_sent_again():
+    async with site_of_four() as site:
+        for ledger in site.ledgers:
+            ledger.answer_s = 0.4
+        site.gateways[0].paths.cut(Cut.RESET)
+        await wait_until_cut_off(site, 0)
+        order = asyncio.ensure_future(call_read(site, 0, "o1", "order"))
+        await site.wait_until(lambda: any("o1" in item.runs for item in site.ledgers))
+        lines = site.gateways[0].daemon.components.decisions.lines("o1")
+        peer = next(line["peer"] for line in lines if line["event"] == "relayed")
+        for running in site.gateways:
+            if running.daemon.peer_address == peer:
+                assert running.daemon.components.decisions.lines("o1")
+                await running.daemon.components.relay_server.close()
+        assert (await order).status == 502
+        assert sum(item.runs.count("o1") for item in site.ledgers) == 1
+
+
+async def test_caller_that_leaves_ends_the_work_that_a_peer_took():
+    async with site_of_four() as site:
+        for engine in site.engines:
+            engine.first_event_s = 5.0
+        site.gateways[0].paths.cut(Cut.RESET)
+        await wait_until_cut_off(site, 0)
+        headers = platform_site.prompt_headers(2_000, 8_000)
+        call = site.call("/ask/x", "s1", headers=headers, on=site.gateways[0])
+        stream = asyncio.ensure_future(call)
+        await site.wait_until(
+            lambda: stream.done() or any(item.working_count for item in site.engines)
+        )
+        assert not stream.done(), stream.result()
+        stream.cancel()
+        await site.wait_until(
+            lambda: not site.gateways[1].daemon.known_work_count, timeout_s=2.0
+        )
--- a/packages/gateway/lacewingdrum_gateway/exchange.py
+++ b/packages/gateway/lacewingdrum_gateway/exchange.py
@@ -146,7 +146,8 @@
             case Ok(reader):
                 active.answer = reader
                 if active.routed.route.kind is configurations.RouteKind.STREAM:
-                    return await self._streams.forward(active, plan, work_id, reader)
+                    source = stream_forwarding.RunnerSource(plan, work_id)
+                    return await self._streams.forward(active, source, reader)
                 return await self._forward_whole(active, reader)
 
     async def _forward_whole(
--- a/packages/gateway/lacewingdrum_gateway/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/forwarding.py
@@ -1,5 +1,6 @@
 """Forwards a request: attempts, retries and the answer to the caller."""
 
+import asyncio
 from collections.abc import Callable
 
 from lacewingdrum_coordination import retry_allowance, runner_health, runner_roster
@@ -12,11 +13,14 @@
     final_answers,
     peering,
     plans,
+    reach_monitor,
+    relay as relays,
     retry_limits,
     routing,
     work_sync,
 )
-from lacewingdrum_runtime import decision_log, metrics
+from lacewingdrum_runtime import decision_log, metrics, tasks
+from lacewingdrum_state import states
 
 
 class Forwarder:
@@ -27,6 +31,8 @@
         sender: attempt.AttemptSender,
         planner: routing.Planner,
         exchange: exchanges.Exchange,
+        relay: relays.Relay,
+        reach: reach_monitor.ReachMonitor,
         allowance: retry_allowance.RetryAllowance,
         work_updates: work_sync.WorkSync,
         peers: peering.Peering,
@@ -41,6 +47,9 @@
         self._sender = sender
         self._planner = planner
         self._exchange = exchange
+        self._relay = relay
+        self._reach = reach
+        self._open_attempts: dict[asyncio.Task, active_request.ActiveRequest] = {}
         self._allowance = allowance
         self._work_updates = work_updates
         self._peers = peers
@@ -70,6 +79,19 @@
                 if active.may_have_run:
                     break
                 return await self._final_answers.refuse_blamed(active, blame)
+            peer = self._relay.pick_peer(active)
+            if peer is not None:
+                if active.sent_to and not self._acquire_retry(active):
+                    break
+                passed_on = await self._relay.run(active, peer)
+                if isinstance(passed_on, active_request.Outcome):
+                    return passed_on
+                active.ends.append(passed_on)
+                if active.responder.disconnected.is_set():
+                    return active_request.Outcome.CALLER_GONE
+                continue
+            if self._relay.is_in_vain(active):
+                break
             if not active.attempt_count:
                 self._crashes.record_request(active)
             plan = self._planner.plan(
@@ -91,7 +113,7 @@
             self._record_plan(active, plan)
             self._planner.candidates.record_send(plan.entry)
             active.has_open_attempt = True
-            end = await self._exchange.run(active, plan)
+            end = await self._run_attempt(active, plan)
             active.has_open_attempt = False
             self._sender.record_end(plan.entry, end, sent_s)
             self._record_end(active, plan, end)
@@ -108,10 +130,30 @@
             refused_help = retry_limits.apply_end(active, plan, end, is_suspect)
             if refused_help is not None:
                 self._work_updates.record_help_refused(refused_help)
-            if not retry_limits.may_retry(active, end, active.left_s(self._clock())):
+            await self._reach.wait_for_check()
+            left_s = active.left_s(self._clock())
+            may_retry = retry_limits.may_retry(active, end, left_s)
+            if not may_retry and self._relay.pick_peer(active) is None:
                 break
         return await self._final_answers.give_up(active)
 
+    def give_up_silent_attempts(self) -> None:
+        """Cut attempts short that wait in vain, where they may be repeated."""
+        for running, active in self._open_attempts.items():
+            if active.routed.route.is_retryable:
+                running.cancel()
+
+    async def _run_attempt(
+        self, active: active_request.ActiveRequest, plan: plans.Plan
+    ) -> attempt_ends.AttemptEnd | None:
+        running = asyncio.ensure_future(self._exchange.run(active, plan))
+        self._open_attempts[running] = active
+        try:
+            await tasks.wait_or_cancel(running)
+        finally:
+            del self._open_attempts[running]
+        return _IN_VAIN if running.cancelled() else running.result()
+
     def _acquire_retry(self, active: active_request.ActiveRequest) -> bool:
         service = active.routed.service.name
         is_allowed = self._allowance.take(
@@ -175,3 +217,10 @@
             events_passed=active.events.event_count,
             **active.describe_answer_end(),
         )
+
+
+_IN_VAIN = attempt_ends.AttemptEnd(
+    states.AttemptState.UNKNOWN,
+    attempt_ends.EndReason.SILENT,
+    "no runner can be reached",
+)
--- a/packages/gateway/lacewingdrum_gateway/gateway.py
+++ b/packages/gateway/lacewingdrum_gateway/gateway.py
@@ -103,9 +103,11 @@
         await components.peers.start(vm.host, vm.peer_port, seeds)
         components.daemon_registry.start()
         components.probe.start()
+        components.relay.start()
         await components.callers_server.start(
             vm.caller_address.host, vm.caller_address.port, listener
         )
+        await components.relay_server.start(vm.host, vm.bound_relay_port)
         await components.ready_server.start(
             vm.ready_address.host, vm.ready_address.port
         )
@@ -161,6 +163,7 @@
         stop_s = components.clock()
         components.is_leaving = True
         components.callers_server.set_leaving()
+        components.relay_server.set_leaving()
         components.peers.set_leaving()
         self._record_stop(decision_log.DecisionEvent.LEAVING, 0)
         abort_s = (
@@ -170,9 +173,14 @@
         while components.clock() < abort_s:
             await asyncio.sleep(DRAIN_POLL_S)
             may_finish = components.clock() - stop_s >= DRAIN_MIN_S
-            if may_finish and not components.callers_server.busy_count:
+            is_busy = (
+                components.callers_server.busy_count
+                or components.relay_server.busy_count
+            )
+            if may_finish and not is_busy:
                 break
         aborted_count = await components.callers_server.close()
+        aborted_count += await components.relay_server.close()
         self._record_stop(decision_log.DecisionEvent.STOPPED, aborted_count)
         await self.close()
         return aborted_count
@@ -182,9 +190,11 @@
         components = self.components
         await self._tasks.close()
         await components.callers_server.close()
+        await components.relay_server.close()
         await components.ready_server.close()
         await components.metrics_server.close()
         await components.probe.close()
+        await components.reach.close()
         await components.runner_list.close()
         await components.configurations.close()
         await components.memory.close()
@@ -193,6 +203,7 @@
         await components.daemon_registry.close()
         await components.peers.close()
         await components.runner_client.close()
+        await components.peer_client.close()
         await components.store.close()
 
     def _record_stop(
--- a/packages/gateway/lacewingdrum_gateway/peer_table.py
+++ b/packages/gateway/lacewingdrum_gateway/peer_table.py
@@ -35,6 +35,8 @@
     leaving_runners: tuple[tuple[str, int], ...] = ()
     # What the peer knows, by topic of news; see ``news_spread``.
     digests: dict[str, int] = dataclasses.field(default_factory=dict)
+    # Where the peer takes requests of daemons that reach no runner, or 0.
+    relay_port: int = 0
 
 
 class PeerTable:
--- a/packages/gateway/lacewingdrum_gateway/peering.py
+++ b/packages/gateway/lacewingdrum_gateway/peering.py
@@ -58,6 +58,7 @@
             tuple
         )
         self._digests: dict[str, Callable[[], int]] = {}
+        self._relay_port: Callable[[], int] = int
         self._tasks = tasks.TaskSet()
 
     async def start(self, host: str, port: int, seeds: tuple[ids.VmId, ...]) -> None:
@@ -127,6 +128,10 @@
         """Set what returns the digest of a topic that heartbeats carry."""
         self._digests[topic] = source
 
+    def set_relay_port_source(self, source: Callable[[], int]) -> None:
+        """Set what returns the relay port that heartbeats name, or 0."""
+        self._relay_port = source
+
     def announce(self) -> None:
         """Send a heartbeat to all daemons now, because its content is new."""
         self._next_heartbeat_to_all = True
@@ -175,6 +180,7 @@
                 for topic, source in self._digests.items()
                 if (digest := source())
             },
+            relay_port=self._relay_port(),
         )
 
     def _heartbeat_targets(self) -> list[ids.VmId]:
@@ -279,6 +285,7 @@
         peer.is_leaving = heartbeat.leaving
         peer.leaving_runners = heartbeat.gone_runners
         peer.digests = heartbeat.digests
+        peer.relay_port = heartbeat.relay_port
         if self.table.seen(peer, self._clock()):
             self._decisions.record(
                 decision_log.DecisionEvent.PEER_JOINED,
--- /dev/null
+++ b/packages/gateway/lacewingdrum_gateway/relay.py
@@ -0,0 +1,224 @@
+"""Passes requests on to a peer while this daemon is cut off from all runners.
+
+The peer serves such a request like one of its own callers, with its own
+attempts, retries and limits, and never passes it on again. Its answer is
+forwarded as it is.
+"""
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Callable
+
+from result import Err
+
+from lacewingdrum_gateway import (
+    active_request,
+    answer_memory,
+    attempt,
+    attempt_ends,
+    configuration_sync,
+    peering,
+    reach_monitor,
+    stream_forwarding,
+)
+from lacewingdrum_platform import headers as platform_headers
+from lacewingdrum_runtime import decision_log, metrics, tasks
+from lacewingdrum_state import addresses, configurations, fleet, ids, states
+from lacewingdrum_transport import http_client, http_messages
+
+# A request that a peer could not serve either goes to so many peers in all.
+PEERS_MAX = 2
+
+
+class Relay:
+    """Chooses peers that reach runners and forwards their answers."""
+
+    def __init__(
+        self,
+        client: http_client.HttpClient,
+        peers: peering.Peering,
+        reach: reach_monitor.ReachMonitor,
+        configurations: configuration_sync.ConfigurationSync,
+        streams: stream_forwarding.StreamForwarder,
+        answers: answer_memory.AnswerMemory,
+        clock: Callable[[], float],
+        rng: random.Random,
+        decisions: decision_log.DecisionLog,
+        counts: metrics.Metrics,
+    ) -> None:
+        self._client = client
+        self._peers = peers
+        self._reach = reach
+        self._configurations = configurations
+        self._streams = streams
+        self._answers = answers
+        self._clock = clock
+        self._rng = rng
+        self._decisions = decisions
+        self._counts = counts
+        self._running: dict[asyncio.Task, ids.VmId] = {}
+
+    def start(self) -> None:
+        """Begin to give up requests at peers that fall silent."""
+        self._peers.on_peer_lost(self._on_peer_lost)
+
+    def pick_peer(self, active: active_request.ActiveRequest) -> peering.Peer | None:
+        """Return the peer that a request is to be passed on to, or None.
+
+        It reaches runners, has no older configuration than this daemon, and is
+        in the same data centre if there is such a one.
+        """
+        if not self._reach.is_cut_off or active.is_relayed:
+            return None
+        if active.may_have_run and not active.routed.route.is_retryable:
+            return None
+        if len(active.relayed_to) >= PEERS_MAX:
+            return None
+        table = self._peers.table
+        candidates = [
+            peer
+            for peer in table.live
+            if peer.relay_port
+            and not peer.is_leaving
+            and peer.address not in active.relayed_to
+            and peer.configuration_version >= self._configurations.version
+        ]
+        near = [
+            peer for peer in candidates if not table.is_live_in_other_data_centre(peer)
+        ]
+        if not candidates:
+            return None
+        return self._rng.choice(near or candidates)
+
+    def is_in_vain(self, active: active_request.ActiveRequest) -> bool:
+        """Return whether neither this daemon nor a peer reaches a runner.
+
+        A peer that has passed the request on expects an own attempt.
+        """
+        return self._reach.is_cut_off and not active.is_relayed
+
+    async def run(
+        self, active: active_request.ActiveRequest, peer: peering.Peer
+    ) -> active_request.Outcome | attempt_ends.AttemptEnd:
+        """Pass a request on and forward the answer.
+
+        Returns:
+            The outcome if the caller has an answer, else the end of this
+            attempt.
+        """
+        active.relayed_to.add(peer.address)
+        self._decisions.record(
+            decision_log.DecisionEvent.RELAYED,
+            active.request_id,
+            peer=peer.address,
+            left_ms=round(active.left_s(self._clock()) * 1_000),
+            may_have_run=active.may_have_run,
+            last_event_id=active.events.last_event_id,
+        )
+        running = asyncio.ensure_future(self._run(active, peer))
+        self._running[running] = peer.address
+        active.has_open_attempt = True
+        try:
+            await tasks.wait_or_cancel(running)
+        finally:
+            del self._running[running]
+        active.has_open_attempt = False
+        result = _SILENT if running.cancelled() else running.result()
+        is_end = isinstance(result, attempt_ends.AttemptEnd)
+        outcome = result.reason.value if is_end else result.value  # type: ignore
+        self._counts.count("relays", outcome=outcome)
+        return result
+
+    async def _run(
+        self, active: active_request.ActiveRequest, peer: peering.Peer
+    ) -> active_request.Outcome | attempt_ends.AttemptEnd:
+        left_s = active.left_s(self._clock())
+        opened = await self._client.open(
+            _relay_address(peer),
+            active.outgoing.method,
+            active.outgoing.target,
+            platform_headers.relayed_request_headers(
+                active.outgoing.headers,
+                max(int(left_s * 1_000), 1),
+                active.events.last_event_id,
+                len(active.sent_to),
+            ),
+            active.outgoing.body,
+            left_s,
+            on_new_connection=not active.routed.route.is_retryable,
+        )
+        if isinstance(opened, Err):
+            return attempt_ends.open_failure(opened.err_value)
+        reader = opened.ok_value
+        active.answer = reader
+        is_stream = active.routed.route.kind is configurations.RouteKind.STREAM
+        if is_stream and http_messages.is_success(reader.status):
+            source = stream_forwarding.PeerSource(peer.address)
+            end = await self._streams.forward(active, source, reader)
+            return end or active_request.Outcome.ANSWERED
+        return await self._forward_whole(active, reader)
+
+    async def _forward_whole(
+        self, active: active_request.ActiveRequest, reader: http_client.ResponseReader
+    ) -> active_request.Outcome | attempt_ends.AttemptEnd:
+        with contextlib.closing(self._answers.hold()) as held:
+            left_s = active.left_s(self._clock())
+            body = await attempt.read_whole(reader, left_s, held)
+            if isinstance(body, Err):
+                return body.err_value
+            answer = http_messages.HttpResponse(
+                reader.status, reader.headers, body.ok_value
+            )
+            if answer.header(http_messages.RAN_HEADER) == states.Ran.NO.value:
+                return _refused(active, answer)
+            if active.responder.started:
+                return _NOT_CONTINUED
+            await active.responder.send(answer)
+        if http_messages.is_success(reader.status):
+            return active_request.Outcome.ANSWERED
+        return active_request.Outcome.RUNNER_FAILURE
+
+    def _on_peer_lost(self, address: ids.VmId) -> None:
+        """End the requests at a peer that may be dead or frozen."""
+        for running, peer_address in self._running.items():
+            if peer_address == address:
+                running.cancel()
+
+
+def _relay_address(peer: peering.Peer) -> fleet.Address:
+    address = addresses.parse_address(peer.address)
+    assert address is not None
+    return fleet.Address(address.host, peer.relay_port)
+
+
+def _refused(
+    active: active_request.ActiveRequest, answer: http_messages.HttpResponse
+) -> attempt_ends.AttemptEnd:
+    """Return the end of an attempt whose peer states that nothing has run.
+
+    Its answer is what the caller gets if no other peer serves the request. A
+    peer that knows no route or customer has another configuration, so that
+    its answer is not for the caller.
+    """
+    is_for_caller = (
+        answer.status == platform_headers.UNAVAILABLE_STATUS and not active.may_have_run
+    )
+    return attempt_ends.AttemptEnd(
+        states.AttemptState.REFUSED_BY_RUNNER,
+        attempt_ends.EndReason.REFUSED,
+        f"status {answer.status} of a peer",
+        answer if is_for_caller else None,
+    )
+
+
+_SILENT = attempt_ends.AttemptEnd(
+    states.AttemptState.UNKNOWN,
+    attempt_ends.EndReason.SILENT,
+    "the peer fell silent",
+)
+_NOT_CONTINUED = attempt_ends.AttemptEnd(
+    states.AttemptState.UNKNOWN,
+    attempt_ends.EndReason.FAILED_STATUS,
+    "the peer did not continue the stream",
+)
--- a/packages/gateway/lacewingdrum_gateway/request_handler.py
+++ b/packages/gateway/lacewingdrum_gateway/request_handler.py
@@ -105,12 +105,26 @@
     async def handle(
         self, request: http_messages.HttpRequest, responder: responders.Responder
     ) -> None:
-        """Serve one request.
+        """Serve one request of a caller.
 
         Args:
             request: the request with its whole body.
             responder: sends the answer.
         """
+        await self._serve(request, responder, is_relayed=False)
+
+    async def handle_relayed(
+        self, request: http_messages.HttpRequest, responder: responders.Responder
+    ) -> None:
+        """Serve one request that another daemon has passed on."""
+        await self._serve(request, responder, is_relayed=True)
+
+    async def _serve(
+        self,
+        request: http_messages.HttpRequest,
+        responder: responders.Responder,
+        is_relayed: bool,
+    ) -> None:
         caller_headers = platform_headers.parse_caller_headers(request.headers)
         await self._wait_for_initial_state(request)
         table = self._configurations.table
@@ -156,6 +170,11 @@
         active = active_request.ActiveRequest(
             routed, outgoing, responder, events, found.version
         )
+        if is_relayed:
+            active.is_relayed = True
+            active.earlier_runner_count = platform_headers.parse_earlier_runners(
+                request.headers
+            )
         await self._forward(active)
 
     async def _wait_for_initial_state(self, request: http_messages.HttpRequest) -> None:
--- a/packages/gateway/lacewingdrum_gateway/retry_limits.py
+++ b/packages/gateway/lacewingdrum_gateway/retry_limits.py
@@ -103,4 +103,4 @@
     # One attempt at a runner that became suspect is not counted towards the
     # route's limit.
     limit = active.routed.route.max_attempts + min(active.suspect_attempt_count, 1)
-    return len(active.sent_to) < limit
+    return len(active.sent_to) + active.earlier_runner_count < limit
--- a/packages/gateway/lacewingdrum_gateway/runner_probe.py
+++ b/packages/gateway/lacewingdrum_gateway/runner_probe.py
@@ -55,7 +55,10 @@
 
 
 class RunnerProbe:
-    """Opens a connection to each suspected runner at regular intervals."""
+    """Opens a connection to each suspected runner at regular intervals.
+
+    It does not while ``is_paused`` returns True.
+    """
 
     def __init__(
         self,
@@ -63,9 +66,11 @@
         health: runner_health.RunnerHealth,
         clock: Callable[[], float],
         decisions: decision_log.DecisionLog,
-        connect: connector.Connect = connector.connect,
+        connect: connector.Connect,
+        is_paused: Callable[[], bool],
     ) -> None:
         self._connect = connect
+        self._is_paused = is_paused
         self._roster = roster
         self._health = health
         self._clock = clock
@@ -88,7 +93,7 @@
         while True:
             await asyncio.sleep(PROBE_INTERVAL_S)
             suspects = self._health.suspects
-            if suspects:
+            if suspects and not self._is_paused():
                 await asyncio.gather(*(self._probe(item) for item in suspects))
 
     async def _probe(self, runner_id: ids.RunnerId) -> None:
--- a/packages/gateway/lacewingdrum_gateway/settings.py
+++ b/packages/gateway/lacewingdrum_gateway/settings.py
@@ -43,6 +43,11 @@
         REQUIRED,
         "port for other daemons, the same on all VMs",
     )
+    relay_port: int = toml_keys.field(
+        toml_rules.Integer(0, toml_rules.PORT_MAX),
+        0,
+        "port for requests that other daemons pass on; 0: the one after peer_port",
+    )
     metrics_port: int = toml_keys.field(
         toml_rules.Integer(0, toml_rules.PORT_MAX), 9464, "port for metrics; 0: none"
     )
@@ -52,6 +57,11 @@
         "addresses of daemons on other VMs to contact first",
     )
 
+    @property
+    def bound_relay_port(self) -> int:
+        """The port on which other daemons pass on requests."""
+        return self.relay_port or self.peer_port + 1
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LimitsSettings:
--- a/packages/gateway/lacewingdrum_gateway/silence_limits.py
+++ b/packages/gateway/lacewingdrum_gateway/silence_limits.py
@@ -48,4 +48,5 @@
 def _can_retry_elsewhere(active: active_request.ActiveRequest) -> bool:
     """Return whether the request may be retried at another runner."""
     route = active.routed.route
-    return route.is_retryable and len(active.sent_to) + 1 < route.max_attempts
+    sent_count = len(active.sent_to) + active.earlier_runner_count
+    return route.is_retryable and sent_count + 1 < route.max_attempts
--- a/packages/gateway/lacewingdrum_gateway/stream_forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/stream_forwarding.py
@@ -1,5 +1,6 @@
 """Forwards the events of a runner's answer to the caller."""
 
+import dataclasses
 from collections.abc import Callable
 
 from result import Err
@@ -16,13 +17,31 @@
     silence_limits,
     work_sync,
 )
-from lacewingdrum_state import states
+from lacewingdrum_state import ids, states
 from lacewingdrum_transport import http_client, http_messages
 
 # The slowdown of an engine is taken from the shortest of this many pauses.
 SLOWDOWN_PAUSES = 5
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunnerSource:
+    """A stream that a runner sends to this daemon's own attempt."""
+
+    plan: plans.Plan
+    work_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerSource:
+    """A stream that another daemon forwards for this one."""
+
+    address: ids.VmId
+
+
+Source = RunnerSource | PeerSource
+
+
 class StreamForwarder:
     """Forwards complete events, and finds out whether a stream is complete."""
 
@@ -49,8 +68,7 @@
     async def forward(
         self,
         active: active_request.ActiveRequest,
-        plan: plans.Plan,
-        work_id: str,
+        source: Source,
         reader: http_client.ResponseReader,
     ) -> attempt_ends.AttemptEnd | None:
         """Forward complete events until the stream ends or fails.
@@ -69,28 +87,24 @@
         progress_s = self._clock()
         try:
             while True:
-                silence_s = (
-                    self._silence.pause_s(active, plan)
-                    if has_events
-                    else self._silence.first_event_s(active, plan)
-                )
+                silence_s = self._silence_s(active, source, has_events)
                 now_s = self._clock()
                 timeout_s = min(active.left_s(now_s), progress_s + silence_s - now_s)
                 part = await reader.read(max(timeout_s, 0.0))
                 if isinstance(part, Err):
                     return attempt_ends.body_failure(part.err_value)
-                self._sender.record_contact(plan.entry)
+                self._record_contact(source)
                 if not part.ok_value:
                     return await self._end_stream(active, reader)
                 data = events.feed(part.ok_value)
-                self._count_events(active, events.event_count - events_before)
+                event_count = events.event_count - events_before
+                self._count_events(active, source, event_count)
                 if data and not has_events:
                     has_events = True
-                    self._work_updates.record_first_event(work_id)
-                    self._memory.record_use(work_id)
+                    self._record_first_event(source)
                 if data:
                     progress_s = self._clock()
-                    self._record_event_time(active, plan)
+                    self._record_event_time(active, source)
                 if data and not await self._write_events(active, reader, data):
                     return _CALLER_DISCONNECTED
                 if not held.resize(events.partial_bytes):
@@ -99,10 +113,34 @@
             held.close()
             await reader.close()
 
-    def _count_events(self, active: active_request.ActiveRequest, count: int) -> None:
+    def _silence_s(
+        self, active: active_request.ActiveRequest, source: Source, has_events: bool
+    ) -> float:
+        """Return how long the source may be silent; a peer ends by itself."""
+        match source:
+            case RunnerSource(plan) if has_events:
+                return self._silence.pause_s(active, plan)
+            case RunnerSource(plan):
+                return self._silence.first_event_s(active, plan)
+            case PeerSource():
+                return float("inf")
+
+    def _record_contact(self, source: Source) -> None:
+        if isinstance(source, RunnerSource):
+            self._sender.record_contact(source.plan.entry)
+
+    def _record_first_event(self, source: Source) -> None:
+        if isinstance(source, RunnerSource):
+            self._work_updates.record_first_event(source.work_id)
+            self._memory.record_use(source.work_id)
+
+    def _count_events(
+        self, active: active_request.ActiveRequest, source: Source, count: int
+    ) -> None:
         had_begun = active.attempt_event_count >= crash_watch.SOUND_EVENTS
         active.attempt_event_count = count
-        if not had_begun and count >= crash_watch.SOUND_EVENTS:
+        has_begun = not had_begun and count >= crash_watch.SOUND_EVENTS
+        if has_begun and isinstance(source, RunnerSource):
             self._crashes.record_begun(active)
 
     async def _write_events(
@@ -140,7 +178,7 @@
         return None
 
     def _record_event_time(
-        self, active: active_request.ActiveRequest, plan: plans.Plan
+        self, active: active_request.ActiveRequest, source: Source
     ) -> None:
         now_s = self._clock()
         if active.first_event_s is None:
@@ -151,6 +189,9 @@
             active.shortest_pause_s = min(active.shortest_pause_s, pause_s)
             active.pause_count += 1
         active.last_event_s = now_s
+        if not isinstance(source, RunnerSource):
+            return
+        plan = source.plan
         if plan.work and active.pause_count >= SLOWDOWN_PAUSES:
             pass_ms = self._planner.stated_pass_ms(active.routed, plan)
             slowdown = active.shortest_pause_s * 1_000 / pass_ms
--- a/packages/protocol/lacewingdrum_protocol/peer_messages.py
+++ b/packages/protocol/lacewingdrum_protocol/peer_messages.py
@@ -30,6 +30,8 @@
     addresses of other daemons, so that daemons discover each other if the
     platform has no list of them. ``digests`` has, for each topic of news that
     the sender knows, a number that is the same at daemons that know the same.
+    ``relay_port`` is where the sender takes requests of daemons that reach no
+    runner, and 0 if it takes none.
     """
 
     incarnation: int
@@ -40,6 +42,7 @@
     configuration_version: int = 0
     peers: tuple[str, ...] = ()
     digests: dict[str, int] = {}
+    relay_port: int = 0
 
 
 class DocumentPush(msgspec.Struct, frozen=True, array_like=True, tag="doc"):
--- a/packages/runtime/lacewingdrum_runtime/decision_log.py
+++ b/packages/runtime/lacewingdrum_runtime/decision_log.py
@@ -61,6 +61,8 @@
     RUNNER_CRASHED = "runner_crashed"
     PROMPT_PART_CHANGED = "prompt_part_changed"
     CRASHING_REQUEST_CHANGED = "crashing_request_changed"
+    REACH_CHANGED = "reach_changed"
+    RELAYED = "relayed"
     HELP_REFUSED = "help_refused"
     RUNNER_CLEARED = "runner_cleared"
     PEER_JOINED = "peer_joined"
--- a/packages/runtime/lacewingdrum_runtime/tasks.py
+++ b/packages/runtime/lacewingdrum_runtime/tasks.py
@@ -63,6 +63,19 @@
             await asyncio.gather(*left, return_exceptions=True)
 
 
+async def wait_or_cancel(task: asyncio.Task) -> None:
+    """Wait until a task has ended; cancel it if the waiting task is cancelled.
+
+    The task's result, error or cancellation is left to the caller.
+    """
+    try:
+        await asyncio.wait((task,))
+    except asyncio.CancelledError:
+        task.cancel()
+        await asyncio.wait((task,))
+        raise
+
+
 async def _run_loop(work: Callable[[], Coroutine[Any, Any, None]]) -> None:
     while True:
         try:
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -176,6 +176,7 @@
                 caller_address=fleet.Address(host, self._ports.next()),
                 ready_address=fleet.Address(host, self._ports.next()),
                 peer_port=self._peer_port,
+                relay_port=self._ports.next(),
                 metrics_port=self._ports.next(),
                 seeds=seeds,
             ),
