--- a/packages/gateway/lacewingdrum_gateway/crash_watch.py
+++ b/packages/gateway/lacewingdrum_gateway/crash_watch.py
@@ -15,10 +15,12 @@
     crash_sync,
     peer_table,
     plans,
+    reach_monitor,
     runner_probe,
 )
 from lacewingdrum_runtime import decision_log, metrics
 from lacewingdrum_state import crashes, ids, runner_entries
+from lacewingdrum_transport import connector
 
 PROBE_TIMEOUT_S = 0.25
 PROBE_TIME_LEFT_SHARE = 0.1
@@ -37,7 +39,11 @@
         clock: Callable[[], float],
         decisions: decision_log.DecisionLog,
         counts: metrics.Metrics,
+        connect: connector.Connect,
+        reach: reach_monitor.ReachMonitor,
     ) -> None:
+        self._connect = connect
+        self._reach = reach
         self._updates = crash_updates
         self._evidence = crash_updates.evidence
         self._roster = roster
@@ -194,8 +200,10 @@
             return False
         left_s = active.left_s(self._clock())
         timeout_s = min(PROBE_TIMEOUT_S, PROBE_TIME_LEFT_SHARE * left_s)
-        found = await runner_probe.probe(entry.address, timeout_s)
-        return found is runner_probe.Reachability.REFUSED
+        found = await runner_probe.probe(entry.address, timeout_s, self._connect)
+        if found is not runner_probe.Reachability.REFUSED:
+            return False
+        return not await self._reach.confirm_cut_off()
 
     def _on_news(self, news: crashes.Evidence) -> None:
         """Log subjects that are blamed or cleared now."""
