--- a/packages/gateway/lacewingdrum_gateway/components.py
+++ b/packages/gateway/lacewingdrum_gateway/components.py
@@ -1,48 +1,26 @@
 """The composition root of the gateway: creates and connects its components."""
 
 import logging
-import random
-import secrets
-import time
 
-from lacewingdrum_coordination import (
-    engine_work_registry,
-    retry_allowance,
-    route_table,
-    runner_health,
-    runner_roster,
-)
+from lacewingdrum_coordination import retry_allowance, route_table
 from lacewingdrum_gateway import (
     answer_memory,
     attempt,
-    configuration_sync,
-    crash_sync,
-    crash_watch,
-    daemon_registry,
     engine_memory,
     exchange,
     final_answers,
+    fleet_components,
     forwarding,
-    limit_sync,
-    peer_table,
-    peering,
-    reach_monitor,
     relay,
     request_handler,
     routing,
     runner_candidates,
-    runner_list_sync,
-    runner_notices,
-    runner_probe,
     server_limits,
     settings,
     silence_limits,
-    store_client,
     stream_forwarding,
-    work_sync,
 )
-from lacewingdrum_runtime import decision_log, metrics
-from lacewingdrum_state import ids, units
+from lacewingdrum_runtime import metrics
 from lacewingdrum_transport import (
     connector,
     http_client,
@@ -51,24 +29,14 @@
     responder,
 )
 
-RUNNER_CONNECT_TIMEOUT_S = 0.5
-RUNNER_UNACKNOWLEDGED_MAX_MS = 1_200
-COMMAND_ANSWER_MAX_BYTES = 256 * 1024
-ANSWER_MEMORY_SHARE = 0.15
 PEER_CONNECT_TIMEOUT_S = 0.5
-# Idle connections to runners are reused for at most this time, because a
-# runner may close them sooner than it states.
-RUNNER_IDLE_S = 4.0
-EXPLAIN_LINES = 2_000
-
-
-def boot_time_s() -> float:
-    """Return a monotonic time that includes suspensions of the VM."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
+PEER_UNACKNOWLEDGED_MAX_MS = 1_200
+PEER_IDLE_S = 4.0
+ANSWER_MEMORY_SHARE = 0.15
 
 
-class Components:
-    """The components of a gateway.
+class Components(fleet_components.FleetComponents):
+    """All components of a gateway: those of the fleet and the serving ones.
 
     Args:
         own_settings: the validated settings.
@@ -82,90 +50,8 @@
         logger: logging.Logger,
         connect_to_runners: connector.Connect = connector.connect,
     ) -> None:
-        self.own_settings = own_settings
-        clock = boot_time_s
-        self.clock = clock
-        rng = random.Random(secrets.randbits(64))
-        vm = own_settings.vm
-        self.counts = metrics.Metrics()
-        self.decisions = decision_log.DecisionLog(logger, clock, EXPLAIN_LINES)
-        self.store = store_client.StoreClient(
-            own_settings.store.address, clock, self.decisions, self.counts
-        )
-        table = peer_table.PeerTable(
-            ids.VmId(f"{vm.host}:{vm.peer_port}"), vm.data_centre
-        )
-        incarnation = time.time_ns() // units.NS_PER_MS
-        self.peers = peering.Peering(
-            table, vm.data_centre, incarnation, clock, self.decisions, self.counts
-        )
-        self.daemon_registry = daemon_registry.DaemonRegistry(
-            self.store, self.peers, incarnation, clock
-        )
-        self.roster = runner_roster.RunnerRoster()
-        self.health = runner_health.RunnerHealth()
-        self.configurations = configuration_sync.ConfigurationSync(
-            self.store, self.peers, clock, self.decisions, self.counts
-        )
-        self.runner_list = runner_list_sync.RunnerListSync(
-            self.roster,
-            self.health,
-            self.store,
-            self.peers,
-            clock,
-            self.decisions,
-            self.counts,
-        )
-        self.runner_client = http_client.HttpClient(
-            http_client.ClientLimits(
-                idle_s=RUNNER_IDLE_S,
-                connect_timeout_s=RUNNER_CONNECT_TIMEOUT_S,
-                unacknowledged_limit_ms=RUNNER_UNACKNOWLEDGED_MAX_MS,
-                body_bytes=COMMAND_ANSWER_MAX_BYTES,
-            ),
-            clock,
-            connect_to_runners,
-        )
-        self.reach = reach_monitor.ReachMonitor(
-            self.roster,
-            self.health,
-            self.runner_client,
-            connect_to_runners,
-            clock,
-            rng,
-            self.decisions,
-            self.counts,
-        )
-        self.probe = runner_probe.RunnerProbe(
-            self.roster,
-            self.health,
-            clock,
-            self.decisions,
-            connect_to_runners,
-            lambda: self.reach.is_cut_off,
-        )
-        self.engine_work = engine_work_registry.EngineWorkRegistry()
-        self.work_sync = work_sync.WorkSync(
-            self.engine_work,
-            self.health,
-            self.peers,
-            clock,
-            self.decisions,
-            self.counts,
-        )
-        self.limit_sync = limit_sync.LimitSync(
-            self.roster, self.peers, clock, rng, self.decisions, self.counts
-        )
-        self.notices = runner_notices.RunnerNotices(
-            self.roster,
-            self.health,
-            self.work_sync,
-            self.limit_sync,
-            self.peers,
-            clock,
-            self.decisions,
-            self.counts,
-        )
+        super().__init__(own_settings, logger, connect_to_runners)
+        clock, rng, table = self.clock, self.rng, self.peer_table
         self.memory = engine_memory.EngineMemory(
             self.runner_client,
             self.notices,
@@ -182,17 +68,6 @@
                 * ANSWER_MEMORY_SHARE
             )
         )
-        self.crash_sync = crash_sync.CrashSync(self.peers, clock, rng, self.counts)
-        self.crash_watch = crash_watch.CrashWatch(
-            self.crash_sync,
-            self.roster,
-            table,
-            clock,
-            self.decisions,
-            self.counts,
-            connect_to_runners,
-            self.reach,
-        )
         sender = attempt.AttemptSender(
             self.runner_client,
             self.health,
@@ -209,7 +84,7 @@
             self.health,
             self.limit_sync.limits,
             table,
-            vm.data_centre,
+            own_settings.vm.data_centre,
             clock,
         )
         planner = routing.Planner(
@@ -241,9 +116,9 @@
         )
         self.peer_client = http_client.HttpClient(
             http_client.ClientLimits(
-                idle_s=RUNNER_IDLE_S,
+                idle_s=PEER_IDLE_S,
                 connect_timeout_s=PEER_CONNECT_TIMEOUT_S,
-                unacknowledged_limit_ms=RUNNER_UNACKNOWLEDGED_MAX_MS,
+                unacknowledged_limit_ms=PEER_UNACKNOWLEDGED_MAX_MS,
             ),
             clock,
         )
