--- a/packages/gateway/lacewingdrum_gateway/request_handler.py
+++ b/packages/gateway/lacewingdrum_gateway/request_handler.py
@@ -14,11 +14,12 @@
     forwarding,
     plans,
     runner_list_sync,
+    unrouted_answers,
 )
 from lacewingdrum_platform import headers as platform_headers
 from lacewingdrum_protocol import event_stream
 from lacewingdrum_runtime import decision_log, metrics
-from lacewingdrum_state import configurations, ids, requests, states
+from lacewingdrum_state import configurations, ids, requests
 from lacewingdrum_transport import http_messages, responder as responders
 
 NOT_READY_RETRY_S = 0.5
@@ -31,10 +32,6 @@
 STREAM_MIN_LEFT_SHARE = 0.6
 # Requests other than streams are refused if less time than this is left.
 CALL_MIN_LEFT_S = 1.2
-FAULT_STATUSES = {
-    route_table.RouteFault.NO_ROUTE: 404,
-    route_table.RouteFault.NO_CUSTOMER: 401,
-}
 
 
 class RequestHandler:
@@ -57,6 +54,9 @@
         self._clock = clock
         self._decisions = decisions
         self._counts = counts
+        self._unrouted = unrouted_answers.UnroutedAnswers(
+            configuration_updates, decisions, counts
+        )
         self._running: dict[asyncio.Future, active_request.ActiveRequest] = {}
         self._stream_cutoff_s = float("inf")
         self._call_cutoff_s = float("inf")
@@ -129,25 +129,27 @@
         await self._wait_for_initial_state(request)
         table = self._configurations.table
         if table is None or not self._runner_list.is_known:
-            await self._answer_unavailable(
+            await self._unrouted.answer_unavailable(
                 caller_headers, responder, "not_ready", NOT_READY_RETRY_S
             )
             return
         host = request.headers.get("host", "")
         allowed = table.allow(host, request.path, caller_headers.credential)
         if isinstance(allowed, Err):
-            await self._answer_route_fault(caller_headers, responder, allowed.err_value)
+            await self._unrouted.answer_route_fault(
+                caller_headers, responder, allowed.err_value
+            )
             return
         found = allowed.ok_value
         if self._is_too_late(found.route):
-            await self._answer_unavailable(
+            await self._unrouted.answer_unavailable(
                 caller_headers, responder, "leaving", LEAVING_RETRY_S
             )
             return
         name = route_table.pick_service(found.route, caller_headers.attempt_id)
         service = table.configuration.services.get(name)
         if service is None:
-            await self._answer_unavailable(
+            await self._unrouted.answer_unavailable(
                 caller_headers, responder, "no_service", NOT_READY_RETRY_S
             )
             return
@@ -250,57 +252,6 @@
         cutoff_s = self._stream_cutoff_s if is_stream else self._call_cutoff_s
         return self._clock() > cutoff_s
 
-    async def _answer_unavailable(
-        self,
-        caller_headers: requests.CallerHeaders,
-        responder: responders.Responder,
-        reason: str,
-        retry_s: float,
-    ) -> None:
-        """Answer that the request has not run and may be retried later."""
-        self._record_refusal(caller_headers, reason)
-        message = f"not run: {reason}"
-        await responder.send(
-            http_messages.error_response(
-                503,
-                reason,
-                message,
-                states.Ran.NO,
-                retry_s,
-                ids.RequestId(caller_headers.attempt_id),
-            )
-        )
-
-    async def _answer_route_fault(
-        self,
-        caller_headers: requests.CallerHeaders,
-        responder: responders.Responder,
-        fault: route_table.RouteFault,
-    ) -> None:
-        """Answer that no route or no customer matches the request."""
-        self._record_refusal(caller_headers, fault.value)
-        message = f"not allowed by the configuration: {fault.value}"
-        await responder.send(
-            http_messages.error_response(
-                FAULT_STATUSES[fault],
-                fault.value,
-                message,
-                states.Ran.NO,
-                request_id=ids.RequestId(caller_headers.attempt_id),
-            )
-        )
-
-    def _record_refusal(
-        self, caller_headers: requests.CallerHeaders, reason: str
-    ) -> None:
-        self._counts.count("requests", outcome=reason, service="")
-        self._decisions.record(
-            decision_log.DecisionEvent.REFUSED,
-            ids.RequestId(caller_headers.attempt_id),
-            reason=reason,
-            configuration_version=self._configurations.version,
-        )
-
 
 def _deadline_s(
     request: http_messages.HttpRequest,
