Soak: gateways are cut off from all runners, some, most or all of them

RunnerPaths silences and resets connections itself, so that a runner that is down refuses as without it.

--- a/packages/gateway/lacewingdrum_gateway/main.py
+++ b/packages/gateway/lacewingdrum_gateway/main.py
@@ -10,6 +10,7 @@
 
 from lacewingdrum_gateway import gateway, line_output, settings
 from lacewingdrum_runtime import decision_log
+from lacewingdrum_transport import connector
 
 EXIT_ABORTED_REQUESTS = 1
 EXIT_INVALID_SETTINGS = 2
@@ -17,7 +18,10 @@
 
 
 async def _serve(
-    found: settings.Settings, path: str, listener: socket.socket | None
+    found: settings.Settings,
+    path: str,
+    listener: socket.socket | None,
+    connect_to_runners: connector.Connect,
 ) -> int:
     output = line_output.LineOutput(sys.stdout.fileno(), time.monotonic)
     output.setFormatter(
@@ -27,7 +31,8 @@
     root.handlers[:] = [output]
     root.setLevel(logging.INFO)
     output.start()
-    daemon = gateway.Gateway(found, path, logging.getLogger(decision_log.ROOT_LOGGER))
+    logger = logging.getLogger(decision_log.ROOT_LOGGER)
+    daemon = gateway.Gateway(found, path, logger, connect_to_runners)
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, daemon.request_stop)
     loop.add_signal_handler(signal.SIGINT, daemon.request_stop)
@@ -45,11 +50,15 @@
     return EXIT_ABORTED_REQUESTS if aborted_count else 0
 
 
-def main(listener: socket.socket | None = None) -> int:
+def main(
+    listener: socket.socket | None = None,
+    connect_to_runners: connector.Connect = connector.connect,
+) -> int:
     """Run the daemon; docs/OPERATIONS.md lists the exit codes.
 
     Args:
         listener: a socket that already listens on the callers' address.
+        connect_to_runners: opens connections to runners.
     """
     parser = argparse.ArgumentParser(prog="lacewingdrumd gateway")
     parser.add_argument("--settings", required=True, help="the settings file, TOML")
@@ -59,7 +68,7 @@
         print(f"lacewingdrumd: {error}", file=sys.stderr)
     if found is None:
         return EXIT_INVALID_SETTINGS
-    return asyncio.run(_serve(found, arguments.settings, listener))
+    return asyncio.run(_serve(found, arguments.settings, listener, connect_to_runners))
 
 
 if __name__ == "__main__":
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -207,7 +207,6 @@
         await self.client.close()
         for running in self.gateways:
             await running.daemon.close()
-            await running.paths.close()
         for runner in (*self.engines, *self.ledgers):
             await runner.close()
         await self.store.close()
--- a/standins/runner_paths.py
+++ b/standins/runner_paths.py
@@ -2,13 +2,10 @@
 
 import asyncio
 import enum
+import weakref
 from collections.abc import Callable
 
 from lacewingdrum_state import fleet
-from lacewingdrum_transport import connector
-from standins import fault_proxy
-
-HOST = "127.0.0.1"
 
 
 class Cut(enum.Enum):
@@ -24,49 +21,55 @@
 
 
 class RunnerPaths:
-    """Connects one daemon to runners through proxies that can be cut."""
+    """Connects one daemon to runners, on paths that can be cut."""
 
     def __init__(self) -> None:
-        self._proxies: dict[fleet.Address, fault_proxy.FaultProxy] = {}
-        self._cut: Cut | None = None
+        self.current: Cut | None = None
+        self._transports: weakref.WeakSet[asyncio.Transport] = weakref.WeakSet()
 
     def cut(self, cut: Cut) -> None:
         """Cut all paths until ``heal``."""
-        self._cut = cut
-        for proxy in self._proxies.values():
+        self.current = cut
+        for transport in tuple(self._transports):
             match cut:
                 case Cut.HANGING:
-                    proxy.silence(fault_proxy.PathFault.SILENT)
+                    _silence(transport)
                 case Cut.RESET:
-                    proxy.reset()
+                    _reset(transport)
                 case Cut.NEW_REFUSED:
                     pass
 
     def heal(self) -> None:
-        """End the cut; connections that were silenced stay silent."""
-        self._cut = None
-        for proxy in self._proxies.values():
-            proxy.path_fault = fault_proxy.PathFault.NONE
-
-    async def close(self) -> None:
-        """Close all proxies."""
-        for proxy in self._proxies.values():
-            await proxy.close()
+        """End the cut; connections that hang do so for good."""
+        self.current = None
 
     async def connect(
         self, new_protocol: Callable[[], asyncio.Protocol], address: fleet.Address
     ) -> asyncio.Protocol:
         """Connect as ``connector.connect`` does, unless the paths are cut."""
-        match self._cut:
+        match self.current:
             case Cut.HANGING:
                 await asyncio.Event().wait()
             case Cut.RESET | Cut.NEW_REFUSED:
                 raise ConnectionRefusedError(f"{address} is cut off")
-        proxy = self._proxies.get(address)
-        if proxy is None:
-            proxy = fault_proxy.FaultProxy(address.port)
-            self._proxies[address] = proxy
-            await proxy.start()
-        while not proxy.port:
-            await asyncio.sleep(0)
-        return await connector.connect(new_protocol, fleet.Address(HOST, proxy.port))
+        loop = asyncio.get_running_loop()
+        transport, protocol = await loop.create_connection(
+            new_protocol, address.host, address.port
+        )
+        self._transports.add(transport)
+        if self.current is Cut.HANGING:
+            _silence(transport)
+        return protocol
+
+
+def _silence(transport: asyncio.Transport) -> None:
+    """Let nothing pass on a connection any more, in either direction."""
+    if not transport.is_closing():
+        transport.pause_reading()
+        transport.write = lambda data: None  # type: ignore[method-assign]
+
+
+def _reset(transport: asyncio.Transport) -> None:
+    """End a connection as one that the remote side has reset."""
+    if not transport.is_closing():
+        transport._force_close(ConnectionResetError("cut off"))  # type: ignore
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -73,6 +73,9 @@
         violations += checks.crashing_request_violations(
             soak_site.ledgers, soak_site.disruptions
         )
+        violations += checks.cut_violations(
+            soak_site.cuts, soak_callers.observed, soak_site.disruptions
+        )
         violations += checks.limit_violations(
             soak_site.named_limits, soak_site.disruptions
         )
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -6,7 +6,7 @@
 import signal
 from collections.abc import Awaitable, Callable
 
-from standins import fault_proxy, platform_store
+from standins import fault_proxy, platform_store, runner_paths
 from standins.platform_runner import Fault
 from tests.soak import checks, site
 
@@ -15,6 +15,8 @@
 # Faults that take a while to be found last longer than others.
 CRASHING_FACTOR = 3.0
 LIMIT_FACTOR = 3.0
+# A cut lasts longer than the time in which it has to be noticed.
+CUT_MIN_S = 4.0
 LIMITS = ("0.5", "1", "2.5", "8", "0", "many")
 
 
@@ -33,6 +35,7 @@
         self._site = soak_site
         self._rng = rng
         self._busy_gateways: set[int] = set()
+        self._is_cut = False
 
     async def run(self, length_s: float) -> None:
         """Start faults for ``length_s``, then wait until all have ended."""
@@ -101,6 +104,7 @@
                 ),
                 Injection("part crashes engines", lambda: self._crash(span_s)),
                 Injection("read crashes runners", lambda: self._crash_read(span_s)),
+                Injection("cut from runners", lambda: self._cut_off(span_s)),
                 Injection("configuration", self._configure),
                 Injection("credential withdrawn", self._rotate_credential),
             )
@@ -210,6 +214,26 @@
         await asyncio.sleep(CRASHING_FACTOR * span_s)
         self._site.set_crashing_read(b"")
 
+    async def _cut_off(self, span_s: float) -> None:
+        """Cut some gateways, most or all, off from all runners."""
+        if self._is_cut:
+            return
+        self._is_cut = True
+        cut = self._rng.choice(list(runner_paths.Cut))
+        count = self._rng.randint(1, self._site.gateway_count)
+        gateways = self._rng.sample(range(self._site.gateway_count), count)
+        from_s = asyncio.get_running_loop().time()
+        for number in gateways:
+            self._site.cut_off(number, cut)
+        await asyncio.sleep(CUT_MIN_S + span_s)
+        for number in gateways:
+            self._site.cut_off(number, None)
+        to_s = asyncio.get_running_loop().time()
+        if count < self._site.gateway_count:
+            cut_gateways = checks.RunnerCut(frozenset(gateways), from_s, to_s)
+            self._site.cuts.append(cut_gateways)
+        self._is_cut = False
+
     async def _configure(self) -> None:
         self._site.write_configuration()
 
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -14,8 +14,9 @@
     platform_store,
     ports,
     runner_crashes,
+    runner_paths,
 )
-from tests.soak import checks
+from tests.soak import checks, cut_gateway
 
 ENGINES = 4
 READ_PATH = "/read/x"
@@ -46,6 +47,7 @@
         self.processes: list[asyncio.subprocess.Process] = []
         self.disruptions: list[checks.Disruption] = []
         self.named_limits: list[checks.NamedLimit] = []
+        self.cuts: list[checks.RunnerCut] = []
         self.faults: list[str] = []
         self.credentials = ["key-0"]
         self.version = 1
@@ -129,6 +131,11 @@
         for runner in self.engines:
             runner.crashes.parts = {part} if part else set()
 
+    def cut_off(self, number: int, cut: runner_paths.Cut | None) -> None:
+        """Cut a gateway off from all runners; None ends that."""
+        text = cut.value if cut is not None else ""
+        cut_gateway.cut_file(self._settings_path(number)).write_text(text)
+
     def return_store(self, copied: platform_store.StoreCopy) -> None:
         """Let the store return from a copy; others write their rows again."""
         self.store.restore(copied)
@@ -227,15 +234,18 @@
             return await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                "lacewingdrum_gateway.start",
+                "tests.soak.cut_gateway",
                 "--settings",
-                str(self._folder / f"gateway-{number}.toml"),
+                self._settings_path(number),
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
                 env=dict(os.environ),
             )
 
+    def _settings_path(self, number: int) -> str:
+        return str(self._folder / f"gateway-{number}.toml")
+
     async def _is_ready(self, number: int) -> bool:
         try:
             reader, writer = await asyncio.open_connection(
@@ -269,4 +279,4 @@
 [bounds]
 stop_grace_s = {GRACE_S}
 """
-        (self._folder / f"gateway-{number}.toml").write_text(text)
+        pathlib.Path(self._settings_path(number)).write_text(text)
