What a peer fails by itself goes to another peer where that may be repeated

A peer's refusal also reaches the caller with the peer's own time to return; it was replaced by this daemon's.

--- a/packages/gateway/lacewingdrum_gateway/active_request.py
+++ b/packages/gateway/lacewingdrum_gateway/active_request.py
@@ -135,8 +135,11 @@
 
     @property
     def may_have_run(self) -> bool:
-        """Whether any attempt may have run."""
+        """Whether any attempt may have run, or may still."""
+        return self.has_open_attempt or self.has_unknown_end
+
+    @property
+    def has_unknown_end(self) -> bool:
+        """Whether any attempt that has ended may have run."""
         not_run = (states.AttemptState.UNSENT, states.AttemptState.REFUSED_BY_RUNNER)
-        return self.has_open_attempt or any(
-            end.state not in not_run for end in self.ends
-        )
+        return any(end.state not in not_run for end in self.ends)
--- a/packages/gateway/lacewingdrum_gateway/cut_off_daemons_test.py
+++ b/packages/gateway/lacewingdrum_gateway/cut_off_daemons_test.py
@@ -5,6 +5,7 @@
 import dataclasses
 import time
 
+from lacewingdrum_state import ids
 from standins import platform_site
 from standins.runner_paths import Cut
 
@@ -230,3 +231,18 @@
         await site.wait_until(
             lambda: not site.gateways[1].daemon.known_work_count, timeout_s=2.0
         )
+
+
+async def test_caller_gets_what_a_peer_says_of_a_request_that_it_refused():
+    async with site_of_four() as site:
+        site.gateways[0].paths.cut(Cut.RESET)
+        await wait_until_cut_off(site, 0)
+        for running in site.gateways[1:]:
+            components = running.daemon.components
+            for ledger in site.ledgers:
+                runner_id, now_s = ids.RunnerId(ledger.runner_id), components.clock()
+                components.health.pause(runner_id, now_s + 2.0, now_s)
+        answer = await call_read(site, 0, "o1", "order")
+        assert answer.status == 503 and answer.header("Lacewingdrum-Ran") == "no"
+        assert float(answer.header("Retry-After")) > 1.5
+        assert not any("o1" in ledger.runs for ledger in site.ledgers)
--- a/packages/gateway/lacewingdrum_gateway/relay.py
+++ b/packages/gateway/lacewingdrum_gateway/relay.py
@@ -170,8 +170,9 @@
             answer = http_messages.HttpResponse(
                 reader.status, reader.headers, body.ok_value
             )
-            if answer.header(http_messages.RAN_HEADER) == states.Ran.NO.value:
-                return _refused(active, answer)
+            ran = answer.header(http_messages.RAN_HEADER)
+            if ran:
+                return _peer_failure(active, answer, states.Ran(ran))
             if active.responder.started:
                 return _NOT_CONTINUED
             await active.responder.send(answer)
@@ -192,22 +193,31 @@
     return fleet.Address(address.host, peer.relay_port)
 
 
-def _refused(
-    active: active_request.ActiveRequest, answer: http_messages.HttpResponse
+def _peer_failure(
+    active: active_request.ActiveRequest,
+    answer: http_messages.HttpResponse,
+    ran: states.Ran,
 ) -> attempt_ends.AttemptEnd:
-    """Return the end of an attempt whose peer states that nothing has run.
+    """Return the end of an attempt that a peer itself has failed.
 
     Its answer is what the caller gets if no other peer serves the request. A
     peer that knows no route or customer has another configuration, so that
-    its answer is not for the caller.
+    its answer is not for the caller; nor is one that says that nothing has
+    run, if an earlier attempt may have.
     """
+    detail = f"status {answer.status} of a peer"
+    if ran is not states.Ran.NO:
+        unknown = states.AttemptState.UNKNOWN
+        lost = attempt_ends.EndReason.LOST
+        return attempt_ends.AttemptEnd(unknown, lost, detail, answer)
     is_for_caller = (
-        answer.status == platform_headers.UNAVAILABLE_STATUS and not active.may_have_run
+        answer.status == platform_headers.UNAVAILABLE_STATUS
+        and not active.has_unknown_end
     )
     return attempt_ends.AttemptEnd(
         states.AttemptState.REFUSED_BY_RUNNER,
         attempt_ends.EndReason.REFUSED,
-        f"status {answer.status} of a peer",
+        detail,
         answer if is_for_caller else None,
     )
 
