--- a/packages/cli/lacewingdrum_cli/causes.py
+++ b/packages/cli/lacewingdrum_cli/causes.py
@@ -69,7 +69,7 @@
     attempt_texts = [
         _describe_attempt(line)
         for line in lines
-        if line.get("event") == "attempt_ended"
+        if line.get("event") in ("attempt_ended", "relayed")
     ]
     attempt_texts += [
         _REPEAT_TEXTS.get(str(line.get("reason")), _REPEAT_TEXTS["allowance"])
@@ -83,6 +83,8 @@
 
 
 def _describe_attempt(line: dict[str, object]) -> str:
+    if line.get("event") == "relayed":
+        return f"passed on to {line.get('peer')}, as the daemon reached no runner"
     reason = str(line.get("reason", ""))
     reason_text = _ATTEMPT_FAILURE_TEXTS.get(reason, reason)
     detail = str(line.get("detail", ""))
--- a/packages/cli/lacewingdrum_cli/log_search_test.py
+++ b/packages/cli/lacewingdrum_cli/log_search_test.py
@@ -80,3 +80,5 @@
         {"event": "failed", "outcome": "time_over"},
     ]
     assert "allowance" in causes.describe_cause(failed_lines)
+    relayed = {"event": "relayed", "peer": "10.0.0.1:7"}
+    assert "passed on to 10.0.0.1:7" in causes.describe_cause([relayed, *failed_lines])
