--- a/packages/gateway/lacewingdrum_gateway/configuration_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/configuration_sync.py
@@ -243,7 +243,16 @@
     ) -> None:
         if self.version > request.version:
             push = peer_messages.ConfigurationPush(self.version, self._text)
-            self._peers.send(sender, push)
+            is_sent = self._peers.send(sender, push)
+            self._counts.count("configuration_sent_bytes", len(self._text))
+            self._decisions.record(
+                decision_log.DecisionEvent.CONFIGURATION_SENT,
+                None,
+                version=self.version,
+                peer=sender,
+                size_bytes=len(self._text),
+                is_sent=is_sent,
+            )
 
     def _on_configuration_push(
         self, sender: ids.VmId, push: peer_messages.ConfigurationPush
--- a/packages/runtime/lacewingdrum_runtime/decision_log.py
+++ b/packages/runtime/lacewingdrum_runtime/decision_log.py
@@ -54,6 +54,7 @@
     DEPENDENCY_REGAINED = "dependency_regained"
     STORE_RETURNED = "store_returned"
     CONFIGURATION_TAKEN = "configuration_taken"
+    CONFIGURATION_SENT = "configuration_sent"
     RUNNER_CHANGED = "runner_changed"
     RUNNER_SUSPECTED = "runner_suspected"
     RUNNER_PAUSED = "runner_paused"
