An order that a lost peer took is not sent again once the cut has ended

A daemon that was cut off had passed them on to a peer that was then paused, gave them up when it fell silent, and as the cut had ended by then made an attempt of its own; the peer went on and ran them as well. Only being cut off had kept the daemon from that.

What a peer may have run is now repeated only where the route allows it, whatever the state of the cut, counts as a runner towards max_attempts, and draws on the allowance. The new test failed before with a second run and 200.

--- a/packages/gateway/lacewingdrum_gateway/cut_off_daemons_test.py
+++ b/packages/gateway/lacewingdrum_gateway/cut_off_daemons_test.py
@@ -196,7 +196,7 @@
             assert not running.daemon.components.reach.is_cut_off
 
 
-async def test_order_that_a_dying_peer_took_is_not_sent_again():
+async def check_order_at_dying_peer(is_healed: bool) -> None:
     async with site_of_four() as site:
         for ledger in site.ledgers:
             ledger.answer_s = 0.4
@@ -204,6 +204,10 @@
         await wait_until_cut_off(site, 0)
         order = asyncio.ensure_future(call_read(site, 0, "o1", "order"))
         await site.wait_until(lambda: any("o1" in item.runs for item in site.ledgers))
+        if is_healed:
+            site.gateways[0].paths.heal()
+            reach = site.gateways[0].daemon.components.reach
+            await site.wait_until(lambda: not reach.is_cut_off)
         lines = site.gateways[0].daemon.components.decisions.lines("o1")
         peer = next(line["peer"] for line in lines if line["event"] == "relayed")
         for running in site.gateways:
@@ -214,6 +218,14 @@
         assert sum(item.runs.count("o1") for item in site.ledgers) == 1
 
 
+async def test_order_that_a_dying_peer_took_is_not_sent_again():
+    await check_order_at_dying_peer(is_healed=False)
+
+
+async def test_order_that_a_dying_peer_took_is_not_sent_again_after_the_cut():
+    await check_order_at_dying_peer(is_healed=True)
+
+
 async def test_caller_that_leaves_ends_the_work_that_a_peer_took():
     async with site_of_four() as site:
         for engine in site.engines:
--- a/packages/gateway/lacewingdrum_gateway/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/forwarding.py
@@ -81,7 +81,7 @@
                 return await self._final_answers.refuse_blamed(active, blame)
             peer = self._relay.pick_peer(active)
             if peer is not None:
-                if active.sent_to and not self._acquire_retry(active):
+                if not self._may_send(active):
                     break
                 passed_on = await self._relay.run(active, peer)
                 if isinstance(passed_on, active_request.Outcome):
@@ -89,6 +89,8 @@
                 active.ends.append(passed_on)
                 if active.responder.disconnected.is_set():
                     return active_request.Outcome.CALLER_GONE
+                if not retry_limits.apply_relay_end(active, passed_on):
+                    break
                 continue
             if self._relay.is_in_vain(active):
                 break
@@ -106,7 +108,7 @@
                 if active.only_runner is None and retry_limits.allow_repeat(active):
                     continue
                 break
-            if active.sent_to and not self._acquire_retry(active):
+            if not self._may_send(active):
                 break
             sent_s = self._clock()
             active.attempt_count += 1
@@ -154,6 +156,11 @@
             del self._open_attempts[running]
         return _IN_VAIN if running.cancelled() else running.result()
 
+    def _may_send(self, active: active_request.ActiveRequest) -> bool:
+        """Return whether this is no retry, or the allowance is not used up."""
+        is_retry = bool(active.sent_to or active.has_unknown_end)
+        return not is_retry or self._acquire_retry(active)
+
     def _acquire_retry(self, active: active_request.ActiveRequest) -> bool:
         service = active.routed.service.name
         is_allowed = self._allowance.take(
--- a/packages/gateway/lacewingdrum_gateway/retry_limits.py
+++ b/packages/gateway/lacewingdrum_gateway/retry_limits.py
@@ -56,6 +56,21 @@
     return helper.runner_id
 
 
+def apply_relay_end(
+    active: active_request.ActiveRequest, end: attempt_ends.AttemptEnd
+) -> bool:
+    """Count an attempt at a peer, and return whether another may follow.
+
+    Args:
+        active: the request.
+        end: how the attempt ended; the peer may have sent it to a runner.
+    """
+    if end.state is not states.AttemptState.UNKNOWN:
+        return True
+    active.earlier_runner_count += 1
+    return active.routed.route.is_retryable
+
+
 def may_retry(
     active: active_request.ActiveRequest, end: attempt_ends.AttemptEnd, left_s: float
 ) -> bool:
