Requests are passed on by what both daemons know, not by their versions alone

A peer with an older configuration, or one that leaves, is now asked if there is no better one. The route, service and customer that were found go with a request as a digest; a peer that finds others refuses it, unrun.

--- a/packages/cli/lacewingdrum_cli/causes.py
+++ b/packages/cli/lacewingdrum_cli/causes.py
@@ -31,6 +31,7 @@
     "no_customer": "no customer of the configuration in force has its credential",
     "not_ready": "the daemon had no configuration or no runner list yet",
     "no_service": "the route's service is not in the configuration",
+    "other_configuration": "the peer it was passed on to has another configuration",
     "leaving": "the daemon was shutting down",
     "costs_others_more": "it would have cost other requests more than it is worth",
     "request_crashes_runners": "runners crashed on the same request before",
--- a/packages/gateway/lacewingdrum_gateway/components.py
+++ b/packages/gateway/lacewingdrum_gateway/components.py
@@ -191,8 +191,13 @@
     @property
     def is_ready(self) -> bool:
         """Whether this daemon accepts new connections."""
+        return self.is_synchronized and not self.is_leaving
+
+    @property
+    def is_synchronized(self) -> bool:
+        """Whether this daemon knows what it needs to serve requests."""
         known = self.configurations.table is not None and self.runner_list.is_known
-        return known and self.work_sync.is_initial_sync_done and not self.is_leaving
+        return known and self.work_sync.is_initial_sync_done
 
     def _on_configuration_applied(self, table: route_table.RouteTable) -> None:
         limits = self.own_settings.limits
@@ -201,7 +206,7 @@
 
     def _relay_port(self) -> int:
         """Return where this daemon takes requests of others, or 0."""
-        takes_requests = self.is_ready and not self.reach.is_cut_off
+        takes_requests = self.is_synchronized and not self.reach.is_cut_off
         return self.own_settings.vm.bound_relay_port if takes_requests else 0
 
     def _on_part_blamed(self) -> None:
--- a/packages/gateway/lacewingdrum_gateway/cut_off_daemons_test.py
+++ b/packages/gateway/lacewingdrum_gateway/cut_off_daemons_test.py
@@ -258,3 +258,24 @@
         assert answer.status == 503 and answer.header("Lacewingdrum-Ran") == "no"
         assert float(answer.header("Retry-After")) > 1.5
         assert not any("o1" in ledger.runs for ledger in site.ledgers)
+
+
+async def test_peer_with_another_configuration_runs_only_what_is_the_same_in_both():
+    async with site_of_four() as site:
+        site.gateways[0].paths.cut(Cut.RESET)
+        await wait_until_cut_off(site, 0)
+        for running in site.gateways[1:]:
+            sync = running.daemon.components.configurations
+            sync._apply = lambda text, source: None
+        moved = platform_site.make_configuration(
+            2,
+            routes=[
+                platform_site.make_route("read", "idempotent", platform_site.LEDGER),
+                platform_site.make_route("new", "idempotent", platform_site.LEDGER),
+            ],
+        )
+        site.store.put_json("op", "config", moved)
+        await site.wait_until(lambda: site.gateways[0].daemon.configuration_version > 1)
+        assert (await call_read(site, 0, "r1")).status == 200
+        answer = await call_read(site, 0, "n1", "new")
+        assert answer.status == 503 and answer.header("Lacewingdrum-Ran") == "no"
--- a/packages/gateway/lacewingdrum_gateway/plans.py
+++ b/packages/gateway/lacewingdrum_gateway/plans.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from lacewingdrum_coordination import engine_load
+from lacewingdrum_coordination import coordinators, engine_load
 from lacewingdrum_state import configurations, requests, runner_entries
 
 
@@ -20,6 +20,13 @@
     received_s: float
     deadline_s: float
 
+    @property
+    def route_digest(self) -> str:
+        """A hash of what was found, to compare it with another daemon's."""
+        customer = self.customer.name if self.customer is not None else ""
+        found = f"{self.route.name}\x1f{self.service.name}\x1f{customer}"
+        return f"{coordinators.stable_hash(found):x}"
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Plan:
--- a/packages/gateway/lacewingdrum_gateway/relay.py
+++ b/packages/gateway/lacewingdrum_gateway/relay.py
@@ -66,8 +66,8 @@
     def pick_peer(self, active: active_request.ActiveRequest) -> peering.Peer | None:
         """Return the peer that a request is to be passed on to, or None.
 
-        It reaches runners, has no older configuration than this daemon, and is
-        in the same data centre if there is such a one.
+        It reaches runners. One that stays is preferred, then one whose
+        configuration is not older than this daemon's, then a near one.
         """
         if not self._reach.is_cut_off or active.is_relayed:
             return None
@@ -79,17 +79,20 @@
         candidates = [
             peer
             for peer in table.live
-            if peer.relay_port
-            and not peer.is_leaving
-            and peer.address not in active.relayed_to
-            and peer.configuration_version >= self._configurations.version
-        ]
-        near = [
-            peer for peer in candidates if not table.is_live_in_other_data_centre(peer)
+            if peer.relay_port and peer.address not in active.relayed_to
         ]
         if not candidates:
             return None
-        return self._rng.choice(near or candidates)
+        best = min(map(self._drawbacks, candidates))
+        return self._rng.choice(
+            [peer for peer in candidates if self._drawbacks(peer) == best]
+        )
+
+    def _drawbacks(self, peer: peering.Peer) -> tuple[bool, bool, bool]:
+        """Return what speaks against a peer, the gravest first."""
+        is_older = peer.configuration_version < self._configurations.version
+        is_far = self._peers.table.is_live_in_other_data_centre(peer)
+        return peer.is_leaving, is_older, is_far
 
     def is_in_vain(self, active: active_request.ActiveRequest) -> bool:
         """Return whether neither this daemon nor a peer reaches a runner.
@@ -142,7 +145,8 @@
                 active.outgoing.headers,
                 max(int(left_s * 1_000), 1),
                 active.events.last_event_id,
-                len(active.sent_to),
+                len(active.sent_to) + active.earlier_runner_count,
+                active.routed.route_digest,
             ),
             active.outgoing.body,
             left_s,
--- a/packages/gateway/lacewingdrum_gateway/request_handler.py
+++ b/packages/gateway/lacewingdrum_gateway/request_handler.py
@@ -161,6 +161,12 @@
             received_s=request.received_s,
             deadline_s=_deadline_s(request, caller_headers, found.route.timeout_ms),
         )
+        expected = request.headers.get(platform_headers.RELAYED_ROUTE)
+        if is_relayed and expected != routed.route_digest:
+            await self._unrouted.answer_unavailable(
+                caller_headers, responder, "other_configuration", NOT_READY_RETRY_S
+            )
+            return
         outgoing = attempt.Outgoing(
             request.method,
             request.target,
