--- a/packages/cli/lacewingdrum_cli/causes.py
+++ b/packages/cli/lacewingdrum_cli/causes.py
@@ -31,6 +31,7 @@
     "no_customer": "no customer of the configuration in force has its credential",
     "not_ready": "the daemon had no configuration or no runner list yet",
     "no_service": "the route's service is not in the configuration",
+    "other_configuration": "the peer it was passed on to has another configuration",
     "leaving": "the daemon was shutting down",
     "costs_others_more": "it would have cost other requests more than it is worth",
     "request_crashes_runners": "runners crashed on the same request before",
@@ -69,7 +70,7 @@
     attempt_texts = [
         _describe_attempt(line)
         for line in lines
-        if line.get("event") == "attempt_ended"
+        if line.get("event") in ("attempt_ended", "relayed")
     ]
     attempt_texts += [
         _REPEAT_TEXTS.get(str(line.get("reason")), _REPEAT_TEXTS["allowance"])
@@ -83,6 +84,8 @@
 
 
 def _describe_attempt(line: dict[str, object]) -> str:
+    if line.get("event") == "relayed":
+        return f"passed on to {line.get('peer')}, as the daemon reached no runner"
     reason = str(line.get("reason", ""))
     reason_text = _ATTEMPT_FAILURE_TEXTS.get(reason, reason)
     detail = str(line.get("detail", ""))
--- a/packages/gateway/lacewingdrum_gateway/cut_off_daemons_test.py
+++ b/packages/gateway/lacewingdrum_gateway/cut_off_daemons_test.py
@@ -5,6 +5,7 @@
 import dataclasses
 import time
 
+from lacewingdrum_state import ids
 from standins import platform_site
 from standins.runner_paths import Cut
 
@@ -195,7 +196,7 @@
             assert not running.daemon.components.reach.is_cut_off
 
 
-async def test_order_that_a_dying_peer_took_is_not_sent_again():
+async def check_order_at_dying_peer(is_healed: bool) -> None:
     async with site_of_four() as site:
         for ledger in site.ledgers:
             ledger.answer_s = 0.4
@@ -203,6 +204,10 @@
         await wait_until_cut_off(site, 0)
         order = asyncio.ensure_future(call_read(site, 0, "o1", "order"))
         await site.wait_until(lambda: any("o1" in item.runs for item in site.ledgers))
+        if is_healed:
+            site.gateways[0].paths.heal()
+            reach = site.gateways[0].daemon.components.reach
+            await site.wait_until(lambda: not reach.is_cut_off)
         lines = site.gateways[0].daemon.components.decisions.lines("o1")
         peer = next(line["peer"] for line in lines if line["event"] == "relayed")
         for running in site.gateways:
@@ -213,6 +218,14 @@
         assert sum(item.runs.count("o1") for item in site.ledgers) == 1
 
 
+async def test_order_that_a_dying_peer_took_is_not_sent_again():
+    await check_order_at_dying_peer(is_healed=False)
+
+
+async def test_order_that_a_dying_peer_took_is_not_sent_again_after_the_cut():
+    await check_order_at_dying_peer(is_healed=True)
+
+
 async def test_caller_that_leaves_ends_the_work_that_a_peer_took():
     async with site_of_four() as site:
         for engine in site.engines:
@@ -230,3 +243,39 @@
         await site.wait_until(
             lambda: not site.gateways[1].daemon.known_work_count, timeout_s=2.0
         )
+
+
+async def test_caller_gets_what_a_peer_says_of_a_request_that_it_refused():
+    async with site_of_four() as site:
+        site.gateways[0].paths.cut(Cut.RESET)
+        await wait_until_cut_off(site, 0)
+        for running in site.gateways[1:]:
+            components = running.daemon.components
+            for ledger in site.ledgers:
+                runner_id, now_s = ids.RunnerId(ledger.runner_id), components.clock()
+                components.health.pause(runner_id, now_s + 2.0, now_s)
+        answer = await call_read(site, 0, "o1", "order")
+        assert answer.status == 503 and answer.header("Lacewingdrum-Ran") == "no"
+        assert float(answer.header("Retry-After")) > 1.5
+        assert not any("o1" in ledger.runs for ledger in site.ledgers)
+
+
+async def test_peer_with_another_configuration_runs_only_what_is_the_same_in_both():
+    async with site_of_four() as site:
+        site.gateways[0].paths.cut(Cut.RESET)
+        await wait_until_cut_off(site, 0)
+        for running in site.gateways[1:]:
+            sync = running.daemon.components.configurations
+            sync._apply = lambda text, source: None
+        moved = platform_site.make_configuration(
+            2,
+            routes=[
+                platform_site.make_route("read", "idempotent", platform_site.LEDGER),
+                platform_site.make_route("new", "idempotent", platform_site.LEDGER),
+            ],
+        )
+        site.store.put_json("op", "config", moved)
+        await site.wait_until(lambda: site.gateways[0].daemon.configuration_version > 1)
+        assert (await call_read(site, 0, "r1")).status == 200
+        answer = await call_read(site, 0, "n1", "new")
+        assert answer.status == 503 and answer.header("Lacewingdrum-Ran") == "no"
--- a/packages/gateway/lacewingdrum_gateway/relay.py
+++ b/packages/gateway/lacewingdrum_gateway/relay.py
@@ -66,8 +66,8 @@
     def pick_peer(self, active: active_request.ActiveRequest) -> peering.Peer | None:
         """Return the peer that a request is to be passed on to, or None.
 
-        It reaches runners, has no older configuration than this daemon, and is
-        in the same data centre if there is such a one.
+        It reaches runners. One that stays is preferred, then one whose
+        configuration is not older than this daemon's, then a near one.
         """
         if not self._reach.is_cut_off or active.is_relayed:
             return None
@@ -79,17 +79,20 @@
         candidates = [
             peer
             for peer in table.live
-            if peer.relay_port
-            and not peer.is_leaving
-            and peer.address not in active.relayed_to
-            and peer.configuration_version >= self._configurations.version
-        ]
-        near = [
-            peer for peer in candidates if not table.is_live_in_other_data_centre(peer)
+            if peer.relay_port and peer.address not in active.relayed_to
         ]
         if not candidates:
             return None
-        return self._rng.choice(near or candidates)
+        best = min(map(self._drawbacks, candidates))
+        return self._rng.choice(
+            [peer for peer in candidates if self._drawbacks(peer) == best]
+        )
+
+    def _drawbacks(self, peer: peering.Peer) -> tuple[bool, bool, bool]:
+        """Return what speaks against a peer, the gravest first."""
+        is_older = peer.configuration_version < self._configurations.version
+        is_far = self._peers.table.is_live_in_other_data_centre(peer)
+        return peer.is_leaving, is_older, is_far
 
     def is_in_vain(self, active: active_request.ActiveRequest) -> bool:
         """Return whether neither this daemon nor a peer reaches a runner.
@@ -142,7 +145,8 @@
                 active.outgoing.headers,
                 max(int(left_s * 1_000), 1),
                 active.events.last_event_id,
-                len(active.sent_to),
+                len(active.sent_to) + active.earlier_runner_count,
+                active.routed.route_digest,
             ),
             active.outgoing.body,
             left_s,
@@ -170,8 +174,9 @@
             answer = http_messages.HttpResponse(
                 reader.status, reader.headers, body.ok_value
             )
-            if answer.header(http_messages.RAN_HEADER) == states.Ran.NO.value:
-                return _refused(active, answer)
+            ran = answer.header(http_messages.RAN_HEADER)
+            if ran:
+                return _peer_failure(active, answer, states.Ran(ran))
             if active.responder.started:
                 return _NOT_CONTINUED
             await active.responder.send(answer)
@@ -192,22 +197,31 @@
     return fleet.Address(address.host, peer.relay_port)
 
 
-def _refused(
-    active: active_request.ActiveRequest, answer: http_messages.HttpResponse
+def _peer_failure(
+    active: active_request.ActiveRequest,
+    answer: http_messages.HttpResponse,
+    ran: states.Ran,
 ) -> attempt_ends.AttemptEnd:
-    """Return the end of an attempt whose peer states that nothing has run.
+    """Return the end of an attempt that a peer itself has failed.
 
     Its answer is what the caller gets if no other peer serves the request. A
     peer that knows no route or customer has another configuration, so that
-    its answer is not for the caller.
+    its answer is not for the caller; nor is one that says that nothing has
+    run, if an earlier attempt may have.
     """
+    detail = f"status {answer.status} of a peer"
+    if ran is not states.Ran.NO:
+        unknown = states.AttemptState.UNKNOWN
+        lost = attempt_ends.EndReason.LOST
+        return attempt_ends.AttemptEnd(unknown, lost, detail, answer)
     is_for_caller = (
-        answer.status == platform_headers.UNAVAILABLE_STATUS and not active.may_have_run
+        answer.status == platform_headers.UNAVAILABLE_STATUS
+        and not active.has_unknown_end
     )
     return attempt_ends.AttemptEnd(
         states.AttemptState.REFUSED_BY_RUNNER,
         attempt_ends.EndReason.REFUSED,
-        f"status {answer.status} of a peer",
+        detail,
         answer if is_for_caller else None,
     )
 
