The gateway's modules stand in folders by what they do

46 modules in one folder had become hard to find one's way in. 32 of them move into peers, runners, crashes and serving; the root, lifecycle, store, settings and configuration stay. Imports are the only change.

--- a/packages/gateway/lacewingdrum_gateway/answer_end_test.py
+++ b/packages/gateway/lacewingdrum_gateway/answer_end_test.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from lacewingdrum_gateway import engine_memory
 from lacewingdrum_gateway.gateway_test import ASK, EVENTS, run_ids
+from lacewingdrum_gateway.runners import engine_memory
 from standins import platform_site
 from standins.platform_runner import Fault
 
--- a/packages/gateway/lacewingdrum_gateway/components.py
+++ b/packages/gateway/lacewingdrum_gateway/components.py
@@ -3,20 +3,17 @@
 import logging
 
 from lacewingdrum_coordination import retry_allowance, route_table
-from lacewingdrum_gateway import (
+from lacewingdrum_gateway import fleet_components, server_limits, settings
+from lacewingdrum_gateway.runners import engine_memory, runner_candidates
+from lacewingdrum_gateway.serving import (
     answer_memory,
     attempt,
-    engine_memory,
     exchange,
     final_answers,
-    fleet_components,
     forwarding,
     relay,
     request_handler,
     routing,
-    runner_candidates,
-    server_limits,
-    settings,
     silence_limits,
     stream_forwarding,
 )
--- a/packages/gateway/lacewingdrum_gateway/configuration_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/configuration_sync.py
@@ -15,7 +15,8 @@
 from result import Err, Ok
 
 from lacewingdrum_coordination import route_table, store_followers
-from lacewingdrum_gateway import peering, store_client
+from lacewingdrum_gateway import store_client
+from lacewingdrum_gateway.peers import peering
 from lacewingdrum_platform import desired_state, store_calls
 from lacewingdrum_protocol import packed_text, peer_messages
 from lacewingdrum_runtime import decision_log, metrics, tasks
--- a/packages/gateway/lacewingdrum_gateway/configuration_sync_test.py
+++ b/packages/gateway/lacewingdrum_gateway/configuration_sync_test.py
@@ -4,7 +4,8 @@
 import unittest.mock
 
 from lacewingdrum_coordination import store_followers
-from lacewingdrum_gateway import configuration_sync, peer_table
+from lacewingdrum_gateway import configuration_sync
+from lacewingdrum_gateway.peers import peer_table
 from lacewingdrum_protocol import peer_messages
 from standins import platform_site
 
--- /dev/null
+++ b/packages/gateway/lacewingdrum_gateway/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Evidence of what crashes runners."""
--- a/packages/gateway/lacewingdrum_gateway/crash_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/crashes/crash_sync.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable
 
 from lacewingdrum_coordination import crash_evidence
-from lacewingdrum_gateway import crash_codec, news_spread, peering
+from lacewingdrum_gateway.crashes import crash_codec
+from lacewingdrum_gateway.peers import news_spread, peering
 from lacewingdrum_protocol import crash_messages
 from lacewingdrum_runtime import metrics
 from lacewingdrum_state import crashes, ids
--- a/packages/gateway/lacewingdrum_gateway/crash_watch.py
+++ b/packages/gateway/lacewingdrum_gateway/crashes/crash_watch.py
@@ -9,15 +9,10 @@
     recent_answers,
     runner_roster,
 )
-from lacewingdrum_gateway import (
-    active_request,
-    attempt_ends,
-    crash_sync,
-    peer_table,
-    plans,
-    reach_monitor,
-    runner_probe,
-)
+from lacewingdrum_gateway.crashes import crash_sync
+from lacewingdrum_gateway.peers import peer_table
+from lacewingdrum_gateway.runners import reach_monitor, runner_probe
+from lacewingdrum_gateway.serving import active_request, attempt_ends, plans
 from lacewingdrum_runtime import decision_log, metrics
 from lacewingdrum_state import crashes, ids, runner_entries
 from lacewingdrum_transport import connector
--- a/packages/gateway/lacewingdrum_gateway/fleet_components.py
+++ b/packages/gateway/lacewingdrum_gateway/fleet_components.py
@@ -10,20 +10,15 @@
     runner_health,
     runner_roster,
 )
-from lacewingdrum_gateway import (
-    configuration_sync,
-    crash_sync,
-    crash_watch,
-    daemon_registry,
+from lacewingdrum_gateway import configuration_sync, settings, store_client
+from lacewingdrum_gateway.crashes import crash_sync, crash_watch
+from lacewingdrum_gateway.peers import daemon_registry, peer_table, peering
+from lacewingdrum_gateway.runners import (
     limit_sync,
-    peer_table,
-    peering,
     reach_monitor,
     runner_list_sync,
     runner_notices,
     runner_probe,
-    settings,
-    store_client,
     work_sync,
 )
 from lacewingdrum_runtime import decision_log, metrics
--- /dev/null
+++ b/packages/gateway/lacewingdrum_gateway/peers/__init__.py
@@ -0,0 +1,1 @@
+"""How daemons find, hear and inform each other."""
--- a/packages/gateway/lacewingdrum_gateway/daemon_registry.py
+++ b/packages/gateway/lacewingdrum_gateway/peers/daemon_registry.py
@@ -9,7 +9,8 @@
 
 from result import Err, Ok
 
-from lacewingdrum_gateway import peering, store_client
+from lacewingdrum_gateway import store_client
+from lacewingdrum_gateway.peers import peering
 from lacewingdrum_runtime import tasks
 from lacewingdrum_state import ids
 
--- a/packages/gateway/lacewingdrum_gateway/news_spread.py
+++ b/packages/gateway/lacewingdrum_gateway/peers/news_spread.py
@@ -9,7 +9,7 @@
 import random
 from collections.abc import Callable
 
-from lacewingdrum_gateway import peering
+from lacewingdrum_gateway.peers import peering
 from lacewingdrum_protocol import peer_messages
 from lacewingdrum_runtime import metrics
 from lacewingdrum_state import ids
--- a/packages/gateway/lacewingdrum_gateway/news_spread_test.py
+++ b/packages/gateway/lacewingdrum_gateway/peers/news_spread_test.py
@@ -6,7 +6,8 @@
 import time
 import types
 
-from lacewingdrum_gateway import crash_sync, news_spread, peer_table
+from lacewingdrum_gateway.crashes import crash_sync
+from lacewingdrum_gateway.peers import news_spread, peer_table
 from lacewingdrum_runtime import metrics
 from lacewingdrum_state import crashes, ids
 
--- a/packages/gateway/lacewingdrum_gateway/peer_lists.py
+++ b/packages/gateway/lacewingdrum_gateway/peers/peer_lists.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Callable
 
-from lacewingdrum_gateway import peer_table
+from lacewingdrum_gateway.peers import peer_table
 from lacewingdrum_state import ids
 
 # Every so many heartbeats, the list goes to some daemons, in turn.
--- a/packages/gateway/lacewingdrum_gateway/peer_lists_test.py
+++ b/packages/gateway/lacewingdrum_gateway/peers/peer_lists_test.py
@@ -1,5 +1,5 @@
-from lacewingdrum_gateway import peer_lists
-from lacewingdrum_gateway.peer_table_test import NORTH, table_with
+from lacewingdrum_gateway.peers import peer_lists
+from lacewingdrum_gateway.peers.peer_table_test import NORTH, table_with
 
 
 class Clock:
--- a/packages/gateway/lacewingdrum_gateway/peer_table_test.py
+++ b/packages/gateway/lacewingdrum_gateway/peers/peer_table_test.py
@@ -1,4 +1,4 @@
-from lacewingdrum_gateway import peer_table
+from lacewingdrum_gateway.peers import peer_table
 from lacewingdrum_state import ids
 
 OWN = ids.VmId("10.0.0.5:7")
--- a/packages/gateway/lacewingdrum_gateway/peering.py
+++ b/packages/gateway/lacewingdrum_gateway/peers/peering.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from lacewingdrum_coordination import heartbeat_intervals
-from lacewingdrum_gateway import peer_lists, peer_table
+from lacewingdrum_gateway.peers import peer_lists, peer_table
 from lacewingdrum_protocol import peer_messages
 from lacewingdrum_runtime import decision_log, metrics, tasks
 from lacewingdrum_state import addresses, ids
--- a/packages/gateway/lacewingdrum_gateway/engine_memory.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/engine_memory.py
@@ -13,7 +13,7 @@
 
 from result import Err, Ok, Result
 
-from lacewingdrum_gateway import runner_notices, runner_probe
+from lacewingdrum_gateway.runners import runner_notices, runner_probe
 from lacewingdrum_platform import (
     engine_calls,
     headers as platform_headers,
--- a/packages/gateway/lacewingdrum_gateway/engine_memory_test.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/engine_memory_test.py
@@ -1,6 +1,7 @@
 import asyncio
 
-from lacewingdrum_gateway import engine_memory, settings
+from lacewingdrum_gateway import settings
+from lacewingdrum_gateway.runners import engine_memory
 from standins import platform_runner, platform_site
 
 PATIENCE_MS = 15_000
--- a/packages/gateway/lacewingdrum_gateway/limit_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/limit_sync.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterable
 
 from lacewingdrum_coordination import runner_limits, runner_roster
-from lacewingdrum_gateway import news_spread, peering
+from lacewingdrum_gateway.peers import news_spread, peering
 from lacewingdrum_protocol import limit_messages
 from lacewingdrum_runtime import decision_log, metrics
 from lacewingdrum_state import (
--- a/packages/gateway/lacewingdrum_gateway/reach_monitor.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/reach_monitor.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from lacewingdrum_coordination import runner_health, runner_reach, runner_roster
-from lacewingdrum_gateway import runner_probe
+from lacewingdrum_gateway.runners import runner_probe
 from lacewingdrum_runtime import decision_log, metrics, tasks
 from lacewingdrum_state import runner_entries
 from lacewingdrum_transport import connector, http_client
--- a/packages/gateway/lacewingdrum_gateway/runner_candidates.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/runner_candidates.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from lacewingdrum_coordination import runner_health, runner_limits, runner_roster
-from lacewingdrum_gateway import peer_table
+from lacewingdrum_gateway.peers import peer_table
 from lacewingdrum_state import ids, runner_entries
 
 # In units of worth.
--- a/packages/gateway/lacewingdrum_gateway/runner_list_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/runner_list_sync.py
@@ -16,7 +16,8 @@
     runner_list_history,
     runner_roster,
 )
-from lacewingdrum_gateway import peering, store_client
+from lacewingdrum_gateway import store_client
+from lacewingdrum_gateway.peers import peering
 from lacewingdrum_platform import runner_rows, store_calls
 from lacewingdrum_protocol import peer_messages
 from lacewingdrum_runtime import decision_log, metrics, tasks
--- a/packages/gateway/lacewingdrum_gateway/runner_notices.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/runner_notices.py
@@ -8,7 +8,8 @@
 from collections.abc import Callable
 
 from lacewingdrum_coordination import runner_health, runner_roster
-from lacewingdrum_gateway import limit_sync, peering, work_sync
+from lacewingdrum_gateway.peers import peering
+from lacewingdrum_gateway.runners import limit_sync, work_sync
 from lacewingdrum_runtime import decision_log, metrics
 from lacewingdrum_state import ids, requests, runner_entries
 
--- a/packages/gateway/lacewingdrum_gateway/work_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/work_sync.py
@@ -13,7 +13,8 @@
     engine_work_registry,
     runner_health,
 )
-from lacewingdrum_gateway import peering, work_codec
+from lacewingdrum_gateway.peers import peering
+from lacewingdrum_gateway.runners import work_codec
 from lacewingdrum_protocol import work_messages
 from lacewingdrum_runtime import decision_log, metrics
 from lacewingdrum_state import ids, units
--- /dev/null
+++ b/packages/gateway/lacewingdrum_gateway/serving/__init__.py
@@ -0,0 +1,1 @@
+"""The way of a request: routing, attempts, retries and answers."""
--- a/packages/gateway/lacewingdrum_gateway/active_request.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/active_request.py
@@ -4,7 +4,7 @@
 import enum
 
 from lacewingdrum_coordination import recent_answers, request_fingerprint
-from lacewingdrum_gateway import attempt, attempt_ends, plans
+from lacewingdrum_gateway.serving import attempt, attempt_ends, plans
 from lacewingdrum_protocol import event_stream
 from lacewingdrum_state import crashes, ids, states
 from lacewingdrum_transport import http_client, responder as responders
--- a/packages/gateway/lacewingdrum_gateway/answer_memory_test.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/answer_memory_test.py
@@ -3,7 +3,7 @@
 
 from result import Ok
 
-from lacewingdrum_gateway import answer_memory, attempt
+from lacewingdrum_gateway.serving import answer_memory, attempt
 
 ALWAYS = answer_memory.ALWAYS_HELD_BYTES
 
--- a/packages/gateway/lacewingdrum_gateway/attempt.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/attempt.py
@@ -8,13 +8,8 @@
 from result import Err, Ok, Result
 
 from lacewingdrum_coordination import runner_health
-from lacewingdrum_gateway import (
-    answer_memory,
-    attempt_ends,
-    reach_monitor,
-    runner_notices,
-    work_sync,
-)
+from lacewingdrum_gateway.runners import reach_monitor, runner_notices, work_sync
+from lacewingdrum_gateway.serving import answer_memory, attempt_ends
 from lacewingdrum_platform import headers as platform_headers
 from lacewingdrum_runtime import decision_log, metrics
 from lacewingdrum_state import runner_entries, states
--- a/packages/gateway/lacewingdrum_gateway/exchange.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/exchange.py
@@ -6,17 +6,16 @@
 from result import Err, Ok
 
 from lacewingdrum_coordination import engine_work_registry
-from lacewingdrum_gateway import (
+from lacewingdrum_gateway.runners import engine_memory, work_sync
+from lacewingdrum_gateway.serving import (
     active_request,
     answer_memory,
     attempt,
     attempt_ends,
-    engine_memory,
     plans,
     routing,
     silence_limits,
     stream_forwarding,
-    work_sync,
 )
 from lacewingdrum_platform import headers as platform_headers
 from lacewingdrum_state import configurations, requests, states
--- a/packages/gateway/lacewingdrum_gateway/final_answers.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/final_answers.py
@@ -3,12 +3,9 @@
 import random
 from collections.abc import Callable
 
-from lacewingdrum_gateway import (
-    active_request,
-    crash_watch,
-    plans,
-    runner_candidates,
-)
+from lacewingdrum_gateway.crashes import crash_watch
+from lacewingdrum_gateway.runners import runner_candidates
+from lacewingdrum_gateway.serving import active_request, plans
 from lacewingdrum_runtime import decision_log, metrics
 from lacewingdrum_state import crashes, states
 from lacewingdrum_transport import http_messages
--- a/packages/gateway/lacewingdrum_gateway/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
@@ -4,20 +4,19 @@
 from collections.abc import Callable
 
 from lacewingdrum_coordination import retry_allowance, runner_health, runner_roster
-from lacewingdrum_gateway import (
+from lacewingdrum_gateway.crashes import crash_watch
+from lacewingdrum_gateway.peers import peering
+from lacewingdrum_gateway.runners import reach_monitor, work_sync
+from lacewingdrum_gateway.serving import (
     active_request,
     attempt,
     attempt_ends,
-    crash_watch,
     exchange as exchanges,
     final_answers,
-    peering,
     plans,
-    reach_monitor,
     relay as relays,
     retry_limits,
     routing,
-    work_sync,
 )
 from lacewingdrum_runtime import decision_log, metrics, tasks
 from lacewingdrum_state import states
--- a/packages/gateway/lacewingdrum_gateway/relay.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/relay.py
@@ -12,14 +12,14 @@
 
 from result import Err
 
-from lacewingdrum_gateway import (
+from lacewingdrum_gateway import configuration_sync
+from lacewingdrum_gateway.peers import peering
+from lacewingdrum_gateway.runners import reach_monitor
+from lacewingdrum_gateway.serving import (
     active_request,
     answer_memory,
     attempt,
     attempt_ends,
-    configuration_sync,
-    peering,
-    reach_monitor,
     stream_forwarding,
 )
 from lacewingdrum_platform import headers as platform_headers
--- a/packages/gateway/lacewingdrum_gateway/request_handler.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/request_handler.py
@@ -6,14 +6,14 @@
 from result import Err
 
 from lacewingdrum_coordination import route_table
-from lacewingdrum_gateway import (
+from lacewingdrum_gateway import configuration_sync
+from lacewingdrum_gateway.runners import runner_list_sync
+from lacewingdrum_gateway.serving import (
     active_request,
     attempt,
-    configuration_sync,
     final_answers,
     forwarding,
     plans,
-    runner_list_sync,
     unrouted_answers,
 )
 from lacewingdrum_platform import headers as platform_headers
--- a/packages/gateway/lacewingdrum_gateway/retry_limits.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/retry_limits.py
@@ -5,7 +5,7 @@
 the answer of another request, because that runner itself is healthy.
 """
 
-from lacewingdrum_gateway import active_request, attempt_ends, plans
+from lacewingdrum_gateway.serving import active_request, attempt_ends, plans
 from lacewingdrum_state import ids, states
 
 # Includes attempts that did not reach a runner, which cost nothing but time.
--- a/packages/gateway/lacewingdrum_gateway/routing.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/routing.py
@@ -14,7 +14,9 @@
     request_worth,
     service_choice,
 )
-from lacewingdrum_gateway import peer_table, plans, runner_candidates, work_sync
+from lacewingdrum_gateway.peers import peer_table
+from lacewingdrum_gateway.runners import runner_candidates, work_sync
+from lacewingdrum_gateway.serving import plans
 from lacewingdrum_state import configurations, ids, runner_entries
 
 # The share of a request's worth that is lost if its first event is late.
--- a/packages/gateway/lacewingdrum_gateway/routing_test.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/routing_test.py
@@ -8,7 +8,9 @@
     runner_roster,
     runner_roster_test,
 )
-from lacewingdrum_gateway import peer_table, plans, routing, runner_candidates
+from lacewingdrum_gateway.peers import peer_table
+from lacewingdrum_gateway.runners import runner_candidates
+from lacewingdrum_gateway.serving import plans, routing
 from lacewingdrum_state import configurations, ids, requests
 from standins import engine_model
 
--- a/packages/gateway/lacewingdrum_gateway/silence_limits.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/silence_limits.py
@@ -1,6 +1,6 @@
 """Decides how long a runner may stay silent before its attempt is given up."""
 
-from lacewingdrum_gateway import active_request, plans, routing
+from lacewingdrum_gateway.serving import active_request, plans, routing
 from lacewingdrum_state import configurations
 
 # An attempt is abandoned after this silence of its runner if the request may
--- a/packages/gateway/lacewingdrum_gateway/stream_forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/stream_forwarding.py
@@ -5,17 +5,16 @@
 
 from result import Err
 
-from lacewingdrum_gateway import (
+from lacewingdrum_gateway.crashes import crash_watch
+from lacewingdrum_gateway.runners import engine_memory, work_sync
+from lacewingdrum_gateway.serving import (
     active_request,
     answer_memory,
     attempt,
     attempt_ends,
-    crash_watch,
-    engine_memory,
     plans,
     routing,
     silence_limits,
-    work_sync,
 )
 from lacewingdrum_state import ids, states
 from lacewingdrum_transport import http_client, http_messages
--- a/standins/slope_news.py
+++ b/standins/slope_news.py
@@ -19,7 +19,9 @@
     runner_limits,
     runner_roster,
 )
-from lacewingdrum_gateway import crash_codec, peer_table, runner_candidates
+from lacewingdrum_gateway.crashes import crash_codec
+from lacewingdrum_gateway.peers import peer_table
+from lacewingdrum_gateway.runners import runner_candidates
 from lacewingdrum_protocol import peer_messages
 from lacewingdrum_state import (
     crashes,
