A request that is passed on counts towards the allowance of one daemon

Both daemons counted it, so that a request that was passed on raised what could be repeated by two shares. The one that makes the first attempt counts it. The loop over attempts is split into its steps.

--- a/packages/gateway/lacewingdrum_gateway/serving/active_request.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/active_request.py
@@ -41,7 +41,8 @@
     if the request is ended because its prompt probably crashes engines, and
     ``is_trial`` if it was let through to find out whether it does.
     ``is_relayed`` is set if a daemon that reaches no runner has passed the
-    request on, after it had sent it to ``earlier_runner_count`` runners, and
+    request on, after it had sent it to ``earlier_runner_count`` runners;
+    ``is_counted`` once this daemon has begun to serve it by itself, and
     ``relayed_to`` holds the daemons that this one has passed it on to.
     ``may_crash_runners`` is set if it is not sent on for that reason.
     """
@@ -72,6 +73,7 @@
     is_trial: bool = False
     is_relayed: bool = False
     earlier_runner_count: int = 0
+    is_counted: bool = False
     relayed_to: set[ids.VmId] = dataclasses.field(default_factory=set)
     may_crash_runners: bool = False
     _fingerprint: ids.RequestFingerprint | None = None
--- a/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
@@ -71,7 +71,6 @@
         Returns:
             The outcome; the caller has its answer or its connection is closed.
         """
-        self._allowance.record_request(active.routed.service.name, self._clock())
         while active.left_s(self._clock()) > 0:
             blame = self._crashes.find_blame(active)
             if blame is not None and not self._crashes.start_trial(active, blame):
@@ -80,21 +79,13 @@
                 return await self._final_answers.refuse_blamed(active, blame)
             peer = self._relay.pick_peer(active)
             if peer is not None:
-                if not self._may_send(active):
-                    break
-                passed_on = await self._relay.run(active, peer)
-                if isinstance(passed_on, active_request.Outcome):
-                    return passed_on
-                active.ends.append(passed_on)
-                if active.responder.disconnected.is_set():
-                    return active_request.Outcome.CALLER_GONE
-                if not retry_limits.apply_relay_end(active, passed_on):
-                    break
+                outcome = await self._pass_on(active, peer)
+                if outcome is not None:
+                    return outcome
                 continue
             if self._relay.is_in_vain(active):
                 break
-            if not active.attempt_count:
-                self._crashes.record_request(active)
+            self._record_request(active)
             plan = self._planner.plan(
                 active.routed,
                 active.excluded,
@@ -109,15 +100,7 @@
                 break
             if not self._may_send(active):
                 break
-            sent_s = self._clock()
-            active.attempt_count += 1
-            self._record_plan(active, plan)
-            self._planner.candidates.record_send(plan.entry)
-            active.has_open_attempt = True
-            end = await self._run_attempt(active, plan)
-            active.has_open_attempt = False
-            self._sender.record_end(plan.entry, end, sent_s)
-            self._record_end(active, plan, end)
+            end = await self._make_attempt(active, plan)
             if end is None:
                 self._crashes.record_whole(active)
                 return active_request.Outcome.ANSWERED
@@ -144,6 +127,36 @@
             if active.routed.route.is_retryable:
                 running.cancel()
 
+    async def _pass_on(
+        self, active: active_request.ActiveRequest, peer: peering.Peer
+    ) -> active_request.Outcome | None:
+        """Pass a request on; return None if it may go on elsewhere."""
+        if not self._may_send(active):
+            return await self._final_answers.give_up(active)
+        passed_on = await self._relay.run(active, peer)
+        if isinstance(passed_on, active_request.Outcome):
+            return passed_on
+        active.ends.append(passed_on)
+        if active.responder.disconnected.is_set():
+            return active_request.Outcome.CALLER_GONE
+        if not retry_limits.apply_relay_end(active, passed_on):
+            return await self._final_answers.give_up(active)
+        return None
+
+    async def _make_attempt(
+        self, active: active_request.ActiveRequest, plan: plans.Plan
+    ) -> attempt_ends.AttemptEnd | None:
+        sent_s = self._clock()
+        active.attempt_count += 1
+        self._record_plan(active, plan)
+        self._planner.candidates.record_send(plan.entry)
+        active.has_open_attempt = True
+        end = await self._run_attempt(active, plan)
+        active.has_open_attempt = False
+        self._sender.record_end(plan.entry, end, sent_s)
+        self._record_end(active, plan, end)
+        return end
+
     async def _run_attempt(
         self, active: active_request.ActiveRequest, plan: plans.Plan
     ) -> attempt_ends.AttemptEnd | None:
@@ -155,6 +168,14 @@
             del self._open_attempts[running]
         return _IN_VAIN if running.cancelled() else running.result()
 
+    def _record_request(self, active: active_request.ActiveRequest) -> None:
+        """Count a request of which this daemon makes the first attempt."""
+        if not active.is_counted:
+            active.is_counted = True
+            service = active.routed.service.name
+            self._allowance.record_request(service, self._clock())
+            self._crashes.record_request(active)
+
     def _may_send(self, active: active_request.ActiveRequest) -> bool:
         """Return whether this is no retry, or the allowance is not used up."""
         is_retry = bool(active.sent_to or active.has_unknown_end)
