--- a/packages/gateway/lacewingdrum_gateway/cut_off_daemons_test.py
+++ b/packages/gateway/lacewingdrum_gateway/cut_off_daemons_test.py
@@ -30,9 +30,7 @@
 @contextlib.asynccontextmanager
 async def site_of_four():
     """Yield a site with four gateways that can be cut off from its runners."""
-    async with platform_site.running_site(
-        gateways=4, engines=4, ledgers=4, has_proxied_paths=True
-    ) as site:
+    async with platform_site.running_site(gateways=4, engines=4, ledgers=4) as site:
         for runner in (*site.engines, *site.ledgers):
             runner.answer_s = runner.first_event_s = 0.03
         await site.wait_until(
--- a/packages/gateway/lacewingdrum_gateway/peers/peering.py
+++ b/packages/gateway/lacewingdrum_gateway/peers/peering.py
@@ -164,9 +164,7 @@
         self._socket.send_many(targets, self._heartbeat_message(with_peers=False))
 
     def _heartbeat_message(self, with_peers: bool) -> peer_messages.Heartbeat:
-        known: tuple[str, ...] = ()
-        if with_peers:
-            known = tuple(peer.address for peer in self.table.live)
+        live = self.table.live if with_peers else ()
         return peer_messages.Heartbeat(
             incarnation=self._incarnation,
             data_centre=self._data_centre,
@@ -174,7 +172,7 @@
             documents=(),
             gone_runners=self._leaving_runners(),
             configuration_version=self._configuration_version,
-            peers=known,
+            peers=tuple(peer.address for peer in live),
             digests={
                 topic: digest
                 for topic, source in self._digests.items()
--- a/packages/gateway/lacewingdrum_gateway/serving/relay.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/relay.py
@@ -128,9 +128,11 @@
             del self._running[running]
         active.has_open_attempt = False
         result = _SILENT if running.cancelled() else running.result()
-        is_end = isinstance(result, attempt_ends.AttemptEnd)
-        outcome = result.reason.value if is_end else result.value  # type: ignore
-        self._counts.count("relays", outcome=outcome)
+        match result:
+            case attempt_ends.AttemptEnd():
+                self._counts.count("relays", outcome=result.reason.value)
+            case active_request.Outcome():
+                self._counts.count("relays", outcome=result.value)
         return result
 
     async def _run(
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -9,7 +9,7 @@
 
 from lacewingdrum_gateway import gateway, settings
 from lacewingdrum_state import fleet, ids
-from lacewingdrum_transport import connector, http_client, http_messages
+from lacewingdrum_transport import http_client, http_messages
 from standins import platform_runner, platform_store, ports, runner_paths
 
 HOST = "127.0.0.1"
@@ -101,14 +101,8 @@
 class PlatformSite:
     """A store, runners of two services, and gateways that know seeds."""
 
-    def __init__(
-        self,
-        bounds: settings.BoundsSettings | None = None,
-        has_proxied_paths: bool = False,
-    ) -> None:
+    def __init__(self, bounds: settings.BoundsSettings | None = None) -> None:
         self.bounds = bounds or settings.BoundsSettings()
-        # Whether gateways reach runners through ``RunningGateway.paths``.
-        self.has_proxied_paths = has_proxied_paths
         self.store = platform_store.PlatformStore()
         self.engines: list[platform_runner.PlatformRunner] = []
         self.ledgers: list[platform_runner.PlatformRunner] = []
@@ -185,9 +179,8 @@
         )
         logger = logging.getLogger("lacewingdrum.site")
         paths = runner_paths.RunnerPaths()
-        connect = paths.connect if self.has_proxied_paths else connector.connect
         running = RunningGateway(
-            gateway.Gateway(gateway_settings, "", logger, connect),
+            gateway.Gateway(gateway_settings, "", logger, paths.connect),
             gateway_settings,
             paths,
         )
@@ -199,7 +192,9 @@
         """End a gateway without notice and restart it with its settings."""
         await running.daemon.close()
         logger = logging.getLogger("lacewingdrum.site")
-        running.daemon = gateway.Gateway(running.gateway_settings, "", logger)
+        running.daemon = gateway.Gateway(
+            running.gateway_settings, "", logger, running.paths.connect
+        )
         await running.daemon.start()
 
     async def close(self) -> None:
@@ -289,10 +284,9 @@
     engines: int = 2,
     ledgers: int = 2,
     bounds: settings.BoundsSettings | None = None,
-    has_proxied_paths: bool = False,
 ):
     """Yield a site with ready gateways, and close it afterwards."""
-    site = PlatformSite(bounds, has_proxied_paths)
+    site = PlatformSite(bounds)
     try:
         await site.start(engines, ledgers)
         for _ in range(gateways):
