--- a/packages/gateway/lacewingdrum_gateway/relay.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/relay.py
@@ -12,14 +12,14 @@
 
 from result import Err
 
-from lacewingdrum_gateway import (
+from lacewingdrum_gateway import configuration_sync
+from lacewingdrum_gateway.peers import peering
+from lacewingdrum_gateway.runners import reach_monitor
+from lacewingdrum_gateway.serving import (
     active_request,
     answer_memory,
     attempt,
     attempt_ends,
-    configuration_sync,
-    peering,
-    reach_monitor,
     stream_forwarding,
 )
 from lacewingdrum_platform import headers as platform_headers
@@ -128,9 +128,11 @@
             del self._running[running]
         active.has_open_attempt = False
         result = _SILENT if running.cancelled() else running.result()
-        is_end = isinstance(result, attempt_ends.AttemptEnd)
-        outcome = result.reason.value if is_end else result.value  # type: ignore
-        self._counts.count("relays", outcome=outcome)
+        match result:
+            case attempt_ends.AttemptEnd():
+                self._counts.count("relays", outcome=result.reason.value)
+            case active_request.Outcome():
+                self._counts.count("relays", outcome=result.value)
         return result
 
     async def _run(
