--- a/packages/coordination/lacewingdrum_coordination/blame_rules.py
+++ b/packages/coordination/lacewingdrum_coordination/blame_rules.py
@@ -9,9 +9,9 @@
 MOMENT_S = 0.1
 # A request is not sent on after crashes at so many moments.
 REPEAT_MOMENTS = 2
-# A request that crashes runners can be sent on within one moment. It is not
-# after so many crashes if they are this share of all in that time; with more
-# of them, runners have lost power together.
+# Within one moment a request is not sent on after this many crashes if they are
+# this share of all crashes in that time. More of them mean that runners have
+# lost power together.
 REPEAT_OWN_CRASHES = 2
 REPEAT_OWN_CRASHES_MAX = 4
 REPEAT_OWN_SHARE = 1 / 2
--- a/packages/gateway/lacewingdrum_gateway/crashes/crash_watch.py
+++ b/packages/gateway/lacewingdrum_gateway/crashes/crash_watch.py
@@ -140,29 +140,11 @@
             return True
         if not await self._has_crashed(plan.entry, active):
             return True
-        self._counts.count("runner_crashes")
-        self._decisions.record(
-            decision_log.DecisionEvent.RUNNER_CRASHED,
-            active.request_id,
-            runner_id=plan.entry.runner_id,
-            born_ms=plan.entry.born_ms,
-            service=plan.entry.service,
-            fingerprint=active.fingerprint,
-            lost_parts=list(active.shared_parts),
-            events=active.attempt_event_count,
-        )
         # An answer that began clears the parts, but not the whole request.
         had_begun = active.attempt_event_count >= SOUND_EVENTS
         whole = crashes.WholeRequest(active.fingerprint)
         lost = (whole,) if had_begun else active.subjects
-        crash = crashes.RunnerCrash(
-            plan.entry.runner_id,
-            plan.entry.born_ms,
-            self._clock(),
-            frozenset((lost,)),
-            frozenset((self._peers.own_address,)),
-        )
-        self._updates.add(crashes.Evidence((crash,), self._recent_sound(active)))
+        self._record_crash(active, plan.entry, lost)
         if had_begun or self._evidence.may_repeat(lost):
             return True
         self._counts.count("repeats_refused", reason="crashes_runners")
@@ -174,6 +156,32 @@
         )
         return False
 
+    def _record_crash(
+        self,
+        active: active_request.ActiveRequest,
+        entry: runner_entries.RunnerEntry,
+        lost: crashes.Subjects,
+    ) -> None:
+        self._counts.count("runner_crashes")
+        self._decisions.record(
+            decision_log.DecisionEvent.RUNNER_CRASHED,
+            active.request_id,
+            runner_id=entry.runner_id,
+            born_ms=entry.born_ms,
+            service=entry.service,
+            fingerprint=active.fingerprint,
+            lost_parts=list(active.shared_parts),
+            events=active.attempt_event_count,
+        )
+        crash = crashes.RunnerCrash(
+            entry.runner_id,
+            entry.born_ms,
+            self._clock(),
+            frozenset((lost,)),
+            frozenset((self._peers.own_address,)),
+        )
+        self._updates.add(crashes.Evidence((crash,), self._recent_sound(active)))
+
     def _recent_sound(
         self, active: active_request.ActiveRequest
     ) -> tuple[crashes.SoundSubject, ...]:
--- a/packages/gateway/lacewingdrum_gateway/runners/reach_monitor.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/reach_monitor.py
@@ -64,7 +64,7 @@
         self._change_handlers.append(handler)
 
     def on_silence(self, handler: Callable[[], None]) -> None:
-        """Register a handler that gives up attempts which wait in vain."""
+        """Register a handler that gives up attempts on silent connections."""
         self._silence_handlers.append(handler)
 
     def record_contact(self) -> None:
--- a/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
@@ -83,7 +83,7 @@
                 if outcome is not None:
                     return outcome
                 continue
-            if self._relay.is_in_vain(active):
+            if self._relay.has_no_path(active):
                 break
             self._record_request(active)
             plan = self._planner.plan(
@@ -122,7 +122,7 @@
         return await self._final_answers.give_up(active)
 
     def give_up_silent_attempts(self) -> None:
-        """Cut attempts short that wait in vain, where they may be repeated."""
+        """Cut waiting attempts short, where they may be repeated."""
         for running, active in self._open_attempts.items():
             if active.routed.route.is_retryable:
                 running.cancel()
@@ -166,7 +166,7 @@
             await tasks.wait_or_cancel(running)
         finally:
             del self._open_attempts[running]
-        return _IN_VAIN if running.cancelled() else running.result()
+        return _NO_PATH if running.cancelled() else running.result()
 
     def _record_request(self, active: active_request.ActiveRequest) -> None:
         """Count a request of which this daemon makes the first attempt."""
@@ -246,7 +246,7 @@
         )
 
 
-_IN_VAIN = attempt_ends.AttemptEnd(
+_NO_PATH = attempt_ends.AttemptEnd(
     states.AttemptState.UNKNOWN,
     attempt_ends.EndReason.SILENT,
     "no runner can be reached",
--- a/packages/gateway/lacewingdrum_gateway/serving/relay.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/relay.py
@@ -94,10 +94,11 @@
         is_far = self._peers.table.is_live_in_other_data_centre(peer)
         return peer.is_leaving, is_older, is_far
 
-    def is_in_vain(self, active: active_request.ActiveRequest) -> bool:
-        """Return whether neither this daemon nor a peer reaches a runner.
+    def has_no_path(self, active: active_request.ActiveRequest) -> bool:
+        """Return whether no attempt of this daemon can reach a runner.
 
-        A peer that has passed the request on expects an own attempt.
+        For a request that a peer has passed on, attempts are made all the
+        same, because that peer has no path either.
         """
         return self._reach.is_cut_off and not active.is_relayed
 
