--- a/packages/coordination/lacewingdrum_coordination/blame_rules.py
+++ b/packages/coordination/lacewingdrum_coordination/blame_rules.py
@@ -9,7 +9,7 @@
 MOMENT_S = 0.1
 # A request is not sent on after crashes at so many moments.
 REPEAT_MOMENTS = 2
-# Within one moment a request is not sent on after this many crashes if they are
+# Within one moment a request is not sent on after so many crashes if they are
 # this share of all crashes in that time. More of them mean that runners have
 # lost power together.
 REPEAT_OWN_CRASHES = 2
