Stand-in runners answer calls of foreign stores with 404, and do not run them

Two test runs beside each other on one machine disturbed each other: a gateway of one goes on to ask for its store at a port that a runner of the other has got since.

--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -144,6 +144,11 @@
                 is_reusable = self._handle_command(connection, writer, body)
             elif path == "/-/report":
                 is_reusable = self._report(connection, writer)
+            elif path.startswith("/-/"):
+                # A call for a store of another test, which had this port before.
+                is_reusable = platform_connection.respond(
+                    connection, writer, 404, (), b"", self.is_close_delimited
+                )
             else:
                 is_reusable = await self._answer_request(
                     connection, writer, path, headers, body
