Test of a trial waits until its sound answer has reached all daemons

Traced in a play that prints each answer: the answer of the trial reaches the other daemons with the news, some 10 ms later, and the test called them before; they refused with the time of the next trial, as they should.

--- a/packages/gateway/lacewingdrum_gateway/crashing_requests_test.py
+++ b/packages/gateway/lacewingdrum_gateway/crashing_requests_test.py
@@ -88,6 +88,12 @@
     )
 
 
+def blames_bad_request(running: platform_site.RunningGateway) -> bool:
+    evidence = running.daemon.components.crash_sync.evidence
+    whole = crashes.WholeRequest(bad_fingerprint())
+    return evidence.find_blame((whole,)) is not None
+
+
 def crashes_on_bad(age_s: float) -> crashes.Evidence:
     """Return three crashes of runners on the bad request."""
     lost = frozenset(((crashes.WholeRequest(bad_fingerprint()),),))
@@ -190,10 +196,13 @@
         updates = site.gateways[0].daemon.components.crash_sync
         updates.add(crashes_on_bad(age_s=70.0))
         await asyncio.sleep(0.1)
-        evidence = site.gateways[1].daemon.components.crash_sync.evidence
-        assert evidence.find_blame((crashes.WholeRequest(bad_fingerprint()),))
-        calls = [
+        assert all(blames_bad_request(running) for running in site.gateways)
+        for number, running in enumerate(site.gateways):
             await send_one(site, BAD.path, number, BAD.body, (), running)
-            for number, running in enumerate(site.gateways * 3)
-        ]
-        assert [call.answer.status for call in calls[-3:]] == [200, 200, 200]
+        # The sound answer of the trial reaches the other daemons.
+        await site.wait_until(
+            lambda: not any(blames_bad_request(item) for item in site.gateways)
+        )
+        for number, running in enumerate(site.gateways):
+            call = await send_one(site, BAD.path, 3 + number, BAD.body, (), running)
+            assert call.answer.status == 200
