--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -145,7 +145,7 @@
             elif path == "/-/report":
                 is_reusable = self._report(connection, writer)
             elif path.startswith("/-/"):
-                # For the store of another test, which had this port before.
+                # A gateway of another test takes this port for its store.
                 is_reusable = platform_connection.respond(
                     connection, writer, 404, (), b"", self.is_close_delimited
                 )
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -237,7 +237,7 @@
             for item in observed
             if known_s <= item.sent_s <= cut.to_s
             and item.status != GIVEN_UP
-            and not _is_near(item, disruptions)
+            and not _is_disrupted(item, disruptions)
         ]
         served = [item for item in counted if item.status == 200]
         inside = sum(item.gateway in cut.gateways for item in counted)
@@ -245,9 +245,8 @@
         outside = len(counted) - inside
         outside_served = len(served) - inside_served
         failed = inside - inside_served
-        is_served_less = (
-            inside_served * outside < CUT_SERVED_RATIO * outside_served * inside
-        )
+        fair_share = CUT_SERVED_RATIO * outside_served * inside
+        is_served_less = inside_served * outside < fair_share
         is_many = failed > CUT_FAILED_MAX + CUT_FAILED_SHARE * len(counted)
         if is_served_less and is_many:
             found.append(
@@ -257,8 +256,7 @@
     return found
 
 
-def _is_near(request: ObservedRequest, disruptions: list[Disruption]) -> bool:
-    """Return whether the gateway was disrupted during a request or before."""
+def _is_disrupted(request: ObservedRequest, disruptions: list[Disruption]) -> bool:
     return any(
         span.gateway == request.gateway
         and span.from_s < request.ended_s
