Cut requests are counted, and logged with the age of the configuration

Nobody could tell requests that a change of the configuration cuts from those cut at other times: no metric counted them, and a request whose daemon stopped or failed inside left no line at all.

failed and finished carry configuration_age_s; cut_requests_total counts by outcome and whole seconds since the change. Outcomes stopped and internal_error are new.

Test: the counter did not exist before; answer_end_test asks for it.

--- a/packages/gateway/lacewingdrum_gateway/answer_end_test.py
+++ b/packages/gateway/lacewingdrum_gateway/answer_end_test.py
@@ -1,6 +1,7 @@
 """Tests of answers that end with their connection, and of ends too early."""
 
 import asyncio
+import re
 
 from lacewingdrum_gateway.gateway_test import ASK, EVENTS, run_ids
 from lacewingdrum_gateway.runners import engine_memory
@@ -97,3 +98,15 @@
         stream = await site.call("/ask/x", "a1", headers=ASK)
         order = await site.call("/order/x", "o1")
         assert stream.status in NOT_ANSWERED and order.status == 502
+
+
+async def test_cut_request_is_counted_by_the_age_of_the_configuration():
+    async with platform_site.running_site() as site:
+        for runner in site.ledgers:
+            runner.faults = [Fault.ABORT_BEFORE_ANSWER] * 2
+        assert (await site.call("/read/x", "a1")).status == 502
+        counts = site.gateways[0].daemon.components.counts
+        line = re.compile(
+            r'cut_requests_total{configuration_age_s="[0-5]\+?",outcome="lost"} 1'
+        )
+        await site.wait_until(lambda: line.search(counts.text()))
--- a/packages/gateway/lacewingdrum_gateway/configuration_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/configuration_sync.py
@@ -52,6 +52,7 @@
         counts: metrics.Metrics,
     ) -> None:
         self.table: route_table.RouteTable | None = None
+        self._taken_s = float("-inf")
         self._text = b""
         # The text as it is sent, packed when it is first asked for.
         self._packed_text: bytes | None = None
@@ -71,6 +72,11 @@
         """The version in force, or 0 if there is none."""
         return self.table.configuration.version if self.table else 0
 
+    @property
+    def age_s(self) -> float:
+        """The time since the version in force was taken."""
+        return self._clock() - self._taken_s
+
     def start(self) -> None:
         """Begin to follow the store and the peers."""
         self._peers.on_message(
@@ -105,6 +111,7 @@
             return
         previous_version = self.version
         self.table = route_table.RouteTable(found)
+        self._taken_s = self._clock()
         self._text, self._packed_text = text, None
         self._decisions.record(
             decision_log.DecisionEvent.CONFIGURATION_TAKEN,
--- a/packages/gateway/lacewingdrum_gateway/serving/active_request.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/active_request.py
@@ -20,6 +20,15 @@
     LOST = "lost"
     BROKEN_OFF = "broken_off"
     CALLER_GONE = "caller_gone"
+    STOPPED = "stopped"
+    INTERNAL_ERROR = "internal_error"
+
+
+# The caller has neither an answer of a runner nor a refusal, and its time is
+# not over.
+CUT_OUTCOMES = frozenset(
+    (Outcome.LOST, Outcome.BROKEN_OFF, Outcome.STOPPED, Outcome.INTERNAL_ERROR)
+)
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/gateway/lacewingdrum_gateway/serving/request_handler.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/request_handler.py
@@ -32,6 +32,9 @@
 STREAM_MIN_LEFT_SHARE = 0.6
 # Requests other than streams are refused if less time than this is left.
 CALL_MIN_LEFT_S = 1.2
+# Requests that are cut are counted by the age of the configuration in whole
+# seconds, up to this one.
+CONFIGURATION_AGE_MAX_S = 5
 
 
 class RequestHandler:
@@ -213,7 +216,11 @@
             if active.is_overdue or active.is_blamed:
                 outcome = await self._final_answers.give_up(active)
             elif not active.responder.disconnected.is_set():
+                self._record(active, active_request.Outcome.STOPPED)
                 raise
+        except Exception:
+            self._record(active, active_request.Outcome.INTERNAL_ERROR)
+            raise
         finally:
             del self._running[running]
             if not running.done():
@@ -235,10 +242,16 @@
             first_s = active.first_event_s - routed.received_s
             first_ms = round(first_s * 1_000, 1)
             self._counts.time(metrics.Timing.FIRST_TOKEN, service, length, first_s)
-        is_good = outcome is active_request.Outcome.ANSWERED
-        event = decision_log.DecisionEvent.FINISHED
-        if not is_good:
-            event = decision_log.DecisionEvent.FAILED
+        event = decision_log.DecisionEvent.FAILED
+        if outcome is active_request.Outcome.ANSWERED:
+            event = decision_log.DecisionEvent.FINISHED
+        configuration_age_s = self._configurations.age_s
+        if outcome in active_request.CUT_OUTCOMES:
+            self._counts.count(
+                "cut_requests",
+                outcome=outcome.value,
+                configuration_age_s=_age_class(configuration_age_s),
+            )
         self._decisions.record(
             event,
             ids.RequestId(active.outgoing.attempt_id),
@@ -250,6 +263,7 @@
             first_event_ms=first_ms,
             events=active.events.event_count,
             longest_pause_ms=round(active.longest_pause_s * 1_000, 1),
+            configuration_age_s=round(configuration_age_s, 3),
             **active.describe_answer_end(),
         )
 
@@ -259,6 +273,13 @@
         return self._clock() > cutoff_s
 
 
+def _age_class(age_s: float) -> str:
+    """Return the age in whole seconds as a metric's label."""
+    if age_s >= CONFIGURATION_AGE_MAX_S:
+        return f"{CONFIGURATION_AGE_MAX_S}+"
+    return str(int(age_s))
+
+
 def _deadline_s(
     request: http_messages.HttpRequest,
     caller_headers: requests.CallerHeaders,
