Failing tests: a silent runner that goes on costs its request if the next one fails

Callers got two events and a closed connection, reads a 502, 0.8 s after a sound runner fell silent for 1.2 s.

--- a/standins/platform_answers.py
+++ b/standins/platform_answers.py
@@ -11,6 +11,8 @@
 
 # Events that a stream sends before its fault, and bytes of the next one.
 EVENTS_BEFORE_FAULT = 2
+# How long a sound runner that falls silent needs to go on.
+PAUSE_S = 1.2
 PARTIAL_BYTES = 7
 CONTENT_TYPE = ("Content-Type", "text/event-stream")
 # How long written bytes may need until they have been read at the other end.
@@ -25,7 +27,8 @@
     ``END_INSIDE_EVENT`` ends the answer properly after a part of an event.
     ``CLOSE_DELIMITED`` has neither a length nor chunks; so have
     ``CLOSE_BEFORE_EVENTS``, whose connection is closed right after the head,
-    and ``CLOSE_INSIDE_EVENT``. The endless ones send bytes until the
+    and ``CLOSE_INSIDE_EVENT``. ``PAUSE`` is no failure: the runner is silent
+    for a while and goes on. The endless ones send bytes until the
     connection is closed at the other side.
     """
 
@@ -46,6 +49,7 @@
     EXTRA_BYTES = "extra_bytes"
     LATE_SECOND_COPY = "late_second_copy"
     TRICKLE = "trickle"
+    PAUSE = "pause"
     CLOSE_DELIMITED = "unmarked_end"
     GARBLED = "garbled"
     HELPER_FAILED = "helper_failed"
@@ -140,6 +144,8 @@
     """
     if fault is Fault.CLOSE_DELIMITED:
         answer.is_close_delimited = True
+    if fault is Fault.PAUSE:
+        await asyncio.sleep(PAUSE_S)
     answer.start(("Content-Length", str(len(body))))
     if fault in FAULTS_INSIDE_ANSWER:
         await answer.write(body[:PARTIAL_BYTES])
@@ -184,6 +190,8 @@
     for number in range(first, last + 1):
         event = f"id: {number}\ndata: piece {number}\n\n".encode()
         if number == first + EVENTS_BEFORE_FAULT:
+            if fault is Fault.PAUSE:
+                await asyncio.sleep(PAUSE_S)
             if fault is Fault.TRICKLE:
                 await platform_connection.trickle(
                     answer.connection, answer.writer, event
