--- a/packages/coordination/lacewingdrum_coordination/runner_health.py
+++ b/packages/coordination/lacewingdrum_coordination/runner_health.py
@@ -19,6 +19,7 @@
     attempts: float = 0.0
     as_of_s: float = 0.0
     suspect_since_s: float | None = None
+    is_unreachable: bool = False
     last_contact_s: float = float("-inf")
     help_refused_at_s: float = float("-inf")
     paused_until_s: float = float("-inf")
@@ -44,6 +45,7 @@
             observed.failures += 1.0
         else:
             observed.suspect_since_s = None
+            observed.is_unreachable = False
 
     def suspect(self, runner_id: ids.RunnerId, now_s: float) -> bool:
         """Suspect a runner because it did not answer at all.
@@ -67,6 +69,7 @@
             runner_id, _RunnerObservations(as_of_s=now_s)
         )
         observed.last_contact_s = now_s
+        observed.is_unreachable = False
 
     def silent_s(self, runner_id: ids.RunnerId, now_s: float) -> float:
         """Return the time since the last contact, or infinity without one."""
@@ -129,6 +132,18 @@
         observed = self._by_runner.get(runner_id)
         if observed is not None:
             observed.suspect_since_s = None
+            observed.is_unreachable = False
+
+    def record_unreachable(self, runner_id: ids.RunnerId) -> None:
+        """Record that a suspected runner accepted no connection either."""
+        observed = self._by_runner.get(runner_id)
+        if observed is not None:
+            observed.is_unreachable = True
+
+    def is_unreachable(self, runner_id: ids.RunnerId) -> bool:
+        """Return whether a runner is silent and accepts no connection."""
+        observed = self._by_runner.get(runner_id)
+        return observed is not None and observed.is_unreachable
 
     def clear_suspicions_since(self, since_s: float) -> None:
         """Forget suspicions since a time, and failures of these runners."""
@@ -136,6 +151,7 @@
             suspect_since_s = observed.suspect_since_s
             if suspect_since_s is not None and suspect_since_s >= since_s:
                 observed.suspect_since_s = None
+                observed.is_unreachable = False
                 observed.failures = 0.0
 
     def is_suspect(self, runner_id: ids.RunnerId) -> bool:
--- a/packages/gateway/lacewingdrum_gateway/components.py
+++ b/packages/gateway/lacewingdrum_gateway/components.py
@@ -8,6 +8,7 @@
 from lacewingdrum_gateway.serving import (
     answer_memory,
     attempt,
+    attempt_log,
     exchange,
     final_answers,
     forwarding,
@@ -15,6 +16,7 @@
     request_handler,
     routing,
     silence_limits,
+    silence_watch,
     stream_forwarding,
 )
 from lacewingdrum_runtime import metrics
@@ -92,11 +94,19 @@
             rng,
             table,
         )
-        silence = silence_limits.SilenceLimits(planner)
+        attempt_records = attempt_log.AttemptLog(
+            self.roster, clock, self.decisions, self.counts
+        )
+        silences = silence_watch.SilenceWatch(
+            sender,
+            silence_limits.SilenceLimits(planner),
+            self.health,
+            attempt_records,
+            clock,
+        )
         streams = stream_forwarding.StreamForwarder(
             sender,
             planner,
-            silence,
             self.memory,
             answers,
             self.crash_watch,
@@ -137,7 +147,6 @@
             exchange.Exchange(
                 sender,
                 planner,
-                silence,
                 streams,
                 self.memory,
                 answers,
@@ -146,13 +155,14 @@
             ),
             self.relay,
             self.reach,
+            silences,
             allowance,
             self.work_sync,
             self.peers,
-            self.roster,
             self.health,
             self.crash_watch,
             answers_without_runner,
+            attempt_records,
             clock,
             self.decisions,
             self.counts,
@@ -181,7 +191,8 @@
         self.configurations.on_applied(self._on_configuration_applied)
         self.work_sync.on_peer_suspicion(self.probe.probe_now)
         self.crash_watch.on_blamed(self._on_part_blamed)
-        self.reach.on_silence(forwarder.give_up_silent_attempts)
+        self.reach.on_silence(forwarder.record_lost_paths)
+        self.peers.on_peer_lost(forwarder.record_lost_peer)
         self.reach.on_change(self.peers.announce)
         self.peers.set_relay_port_source(self._relay_port)
 
--- a/packages/gateway/lacewingdrum_gateway/crashes/crash_watch.py
+++ b/packages/gateway/lacewingdrum_gateway/crashes/crash_watch.py
@@ -12,7 +12,7 @@
 from lacewingdrum_gateway.crashes import crash_sync
 from lacewingdrum_gateway.peers import peer_table
 from lacewingdrum_gateway.runners import reach_monitor, runner_probe
-from lacewingdrum_gateway.serving import active_request, attempt_ends, plans
+from lacewingdrum_gateway.serving import active_request, attempt_ends
 from lacewingdrum_runtime import decision_log, metrics
 from lacewingdrum_state import crashes, ids, runner_entries
 from lacewingdrum_transport import connector
@@ -122,15 +122,17 @@
     async def observe(
         self,
         active: active_request.ActiveRequest,
-        plan: plans.Plan,
+        entry: runner_entries.RunnerEntry,
         end: attempt_ends.AttemptEnd,
+        event_count: int,
     ) -> bool:
         """Record the crash of a runner if that ended an attempt.
 
         Args:
             active: the request.
-            plan: the plan of the attempt.
+            entry: the runner of the attempt.
             end: how the attempt ended.
+            event_count: the number of events that it brought.
 
         Returns:
             Whether the request may be repeated. It may not if it probably
@@ -138,13 +140,13 @@
         """
         if end.reason is not attempt_ends.EndReason.LOST:
             return True
-        if not await self._has_crashed(plan.entry, active):
+        if not await self._has_crashed(entry, active):
             return True
         # An answer that began clears the parts, but not the whole request.
-        had_begun = active.attempt_event_count >= SOUND_EVENTS
+        had_begun = event_count >= SOUND_EVENTS
         whole = crashes.WholeRequest(active.fingerprint)
         lost = (whole,) if had_begun else active.subjects
-        self._record_crash(active, plan.entry, lost)
+        self._record_crash(active, entry, lost, event_count)
         if had_begun or self._evidence.may_repeat(lost):
             return True
         self._counts.count("repeats_refused", reason="crashes_runners")
@@ -161,6 +163,7 @@
         active: active_request.ActiveRequest,
         entry: runner_entries.RunnerEntry,
         lost: crashes.Subjects,
+        event_count: int,
     ) -> None:
         self._counts.count("runner_crashes")
         self._decisions.record(
@@ -171,7 +174,7 @@
             service=entry.service,
             fingerprint=active.fingerprint,
             lost_parts=list(active.shared_parts),
-            events=active.attempt_event_count,
+            events=event_count,
         )
         crash = crashes.RunnerCrash(
             entry.runner_id,
--- a/packages/gateway/lacewingdrum_gateway/gateway.py
+++ b/packages/gateway/lacewingdrum_gateway/gateway.py
@@ -103,7 +103,6 @@
         await components.peers.start(vm.host, vm.peer_port, seeds)
         components.daemon_registry.start()
         components.probe.start()
-        components.relay.start()
         await components.callers_server.start(
             vm.caller_address.host, vm.caller_address.port, listener
         )
--- a/packages/gateway/lacewingdrum_gateway/serving/active_request.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/active_request.py
@@ -1,49 +1,33 @@
 """The state of a request that is being forwarded."""
 
 import dataclasses
-import enum
 
 from lacewingdrum_coordination import recent_answers, request_fingerprint
-from lacewingdrum_gateway.serving import attempt, attempt_ends, plans
+from lacewingdrum_gateway.serving import (
+    attempt,
+    attempt_ends,
+    attempt_race,
+    open_attempt,
+    plans,
+)
 from lacewingdrum_protocol import event_stream
 from lacewingdrum_state import crashes, ids, states
-from lacewingdrum_transport import http_client, responder as responders
-
-
-class Outcome(enum.Enum):
-    """How a request ended."""
-
-    ANSWERED = "answered"
-    RUNNER_FAILURE = "runner_failure"
-    REFUSED = "refused"
-    TIME_OVER = "time_over"
-    LOST = "lost"
-    BROKEN_OFF = "broken_off"
-    CALLER_GONE = "caller_gone"
-    STOPPED = "stopped"
-    INTERNAL_ERROR = "internal_error"
-
-
-# The caller has neither an answer of a runner nor a refusal, and its time is
-# not over.
-CUT_OUTCOMES = frozenset(
-    (Outcome.LOST, Outcome.BROKEN_OFF, Outcome.STOPPED, Outcome.INTERNAL_ERROR)
-)
+from lacewingdrum_transport import responder as responders
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class ActiveRequest:
     """A request that is being forwarded, and its attempts so far.
 
-    ``has_open_attempt`` is set during an attempt and stays set if the attempt
-    is interrupted, because the runner may still run what was sent.
+    ``race`` runs the attempts that have not ended. ``last_event_id`` is that
+    of the last event that the caller was sent, and ``event_count`` the number
+    of these events.
     ``excluded`` holds the runners that the next attempt must not use.
     ``sent_to`` holds the runners that the request was sent to, including those
     that refused it. ``only_runner`` is set if a helper failed and the route
     allows no further runner; the request may then be retried only at that
     runner, with other helpers, or if the request is repeated there.
-    ``answer`` is the runner's answer that was read last, and
-    ``attempt_event_count`` the number of events that it has brought.
+    ``last_attempt`` is the attempt that answered or ended last.
     ``repeat_at`` is a runner that the request may be sent to again, and
     ``repeat_count`` counts such repeats. ``suspect_attempt_count`` counts the
     failed attempts after which their runner was suspect. ``is_blamed`` is set
@@ -59,24 +43,24 @@
     routed: plans.RoutedRequest
     outgoing: attempt.Outgoing
     responder: responders.Responder
-    events: event_stream.EventStream
+    last_event_id: str
     config_version: int
+    race: attempt_race.AttemptRace = dataclasses.field(
+        default_factory=attempt_race.AttemptRace
+    )
+    last_attempt: open_attempt.OpenAttempt | None = None
+    event_count: int = 0
     excluded: set[ids.RunnerId] = dataclasses.field(default_factory=set)
     ends: list[attempt_ends.AttemptEnd] = dataclasses.field(default_factory=list)
     attempt_count: int = 0
-    has_open_attempt: bool = False
     sent_to: set[ids.RunnerId] = dataclasses.field(default_factory=set)
     only_runner: ids.RunnerId | None = None
     repeat_at: ids.RunnerId | None = None
     repeat_count: int = 0
-    answer: http_client.ResponseReader | None = None
-    attempt_event_count: int = 0
     suspect_attempt_count: int = 0
     first_event_s: float | None = None
     last_event_s: float = 0.0
     longest_pause_s: float = 0.0
-    shortest_pause_s: float = float("inf")
-    pause_count: int = 0
     is_overdue: bool = False
     is_blamed: bool = False
     is_trial: bool = False
@@ -134,20 +118,45 @@
         """Return the time until the deadline of the request."""
         return self.routed.deadline_s - now_s
 
+    def new_attempt(
+        self, source: open_attempt.Source, now_s: float
+    ) -> open_attempt.OpenAttempt:
+        """Return a further attempt, which goes on after the last event."""
+        self.attempt_count += 1
+        return open_attempt.OpenAttempt(
+            self.attempt_count,
+            source,
+            event_stream.EventStream(self.last_event_id),
+            now_s,
+        )
+
+    def pass_on(self, attempt: open_attempt.OpenAttempt, event_count: int) -> bool:
+        """Let an attempt send the caller what it has brought.
+
+        Args:
+            attempt: the attempt.
+            event_count: the number of events that it is about to send.
+
+        Returns:
+            False if another attempt answers the request.
+        """
+        if not self.race.take_over(attempt):
+            return False
+        self.last_attempt = attempt
+        self.last_event_id = attempt.events.last_event_id
+        self.event_count += event_count
+        return True
+
     def describe_answer_end(self) -> dict[str, object]:
         """Return log fields that say how the last answer of a runner ended."""
-        if self.answer is None:
+        if self.last_attempt is None:
             return {}
-        return {
-            "answer_end": self.answer.answer_end,
-            "channel_end": self.answer.channel_end,
-            "partial_event_bytes": self.events.partial_bytes,
-        }
+        return self.last_attempt.describe_answer_end()
 
     @property
     def may_have_run(self) -> bool:
         """Whether any attempt may have run, or may still."""
-        return self.has_open_attempt or self.has_unknown_end
+        return bool(self.race.attempts) or self.has_unknown_end
 
     @property
     def has_unknown_end(self) -> bool:
--- a/packages/gateway/lacewingdrum_gateway/serving/attempt.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/attempt.py
@@ -119,6 +119,7 @@
         entry: runner_entries.RunnerEntry,
         end: attempt_ends.AttemptEnd | None,
         sent_s: float,
+        was_silent: bool,
     ) -> None:
         """Update the health of a runner after an attempt.
 
@@ -126,6 +127,7 @@
             entry: the runner.
             end: the end of the attempt; None for a whole answer.
             sent_s: the start time of the attempt.
+            was_silent: whether the runner was silent too long in between.
         """
         now_s = self._clock()
         if end is None or end.state is states.AttemptState.ANSWERED:
@@ -134,23 +136,55 @@
         if end is None:
             self._health.record_attempt(entry.runner_id, False, now_s)
             return
-        silent_s = min(self._health.silent_s(entry.runner_id, now_s), now_s - sent_s)
-        is_silent_too_long = (
-            end.reason is attempt_ends.EndReason.SILENT and silent_s > SUSPECT_SILENCE_S
-        )
-        if is_silent_too_long or end.reason in (
+        if end.reason is attempt_ends.EndReason.SILENT:
+            self._suspect_if_silent(entry, sent_s, end.detail)
+        if end.reason in (
             attempt_ends.EndReason.NOT_CONNECTED,
             attempt_ends.EndReason.OTHER_RUNNER,
             attempt_ends.EndReason.TOO_LARGE,
         ):
             self._suspect(entry, end.reason, end.detail)
-        if end.reason in (
+        says_nothing = end.reason in (
             attempt_ends.EndReason.HELPER_FAILED,
             attempt_ends.EndReason.NO_MEMORY,
-        ):
+        )
+        is_sound = end.reason is attempt_ends.EndReason.SUPERSEDED and not was_silent
+        if says_nothing or is_sound:
             return
         self._health.record_attempt(entry.runner_id, True, now_s)
 
+    def record_silence(
+        self, entry: runner_entries.RunnerEntry, sent_s: float, since_s: float
+    ) -> None:
+        """Update what is known of a runner that is silent towards an attempt.
+
+        Args:
+            entry: the runner.
+            sent_s: the start time of the attempt.
+            since_s: since when the runner has been silent.
+        """
+        self._reach.report_silence(sent_s)
+        self._suspect_if_silent(entry, since_s, "in an open attempt")
+        # Idle connections to the runner may be broken by the same cause.
+        self._client.close_idle(entry.address)
+
+    def record_resumed(self, entry: runner_entries.RunnerEntry) -> None:
+        """End the suspicion of a runner that was silent and goes on."""
+        self._health.clear_suspicion(entry.runner_id)
+
+    def is_unreachable(self, entry: runner_entries.RunnerEntry) -> bool:
+        """Return whether a runner accepts no connection, as others do."""
+        is_cut_off = self._reach.is_cut_off
+        return not is_cut_off and self._health.is_unreachable(entry.runner_id)
+
+    def _suspect_if_silent(
+        self, entry: runner_entries.RunnerEntry, since_s: float, detail: str
+    ) -> None:
+        now_s = self._clock()
+        silent_s = min(self._health.silent_s(entry.runner_id, now_s), now_s - since_s)
+        if silent_s > SUSPECT_SILENCE_S:
+            self._suspect(entry, attempt_ends.EndReason.SILENT, detail)
+
     def _check_reach(self, end: attempt_ends.AttemptEnd | None, sent_s: float) -> None:
         match end.reason if end is not None else None:
             case attempt_ends.EndReason.NOT_CONNECTED:
--- a/packages/gateway/lacewingdrum_gateway/serving/attempt_ends.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/attempt_ends.py
@@ -22,6 +22,8 @@
     SILENT = "silent"
     FOREIGN_ANSWER = "foreign_answer"
     NO_RECEIPT = "no_receipt"
+    UNREACHABLE = "unreachable"
+    SUPERSEDED = "superseded"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,6 +42,20 @@
     at_fault: fleet.Address | None = None
 
 
+def superseded() -> AttemptEnd:
+    """Return the end of an attempt in whose place another one answers."""
+    return AttemptEnd(states.AttemptState.UNKNOWN, EndReason.SUPERSEDED)
+
+
+def unreachable() -> AttemptEnd:
+    """Return the end of a silent attempt whose runner cannot be reached."""
+    return AttemptEnd(
+        states.AttemptState.UNKNOWN,
+        EndReason.UNREACHABLE,
+        "silent, and no new connection is accepted",
+    )
+
+
 def open_failure(error: http_client.HttpClientError) -> AttemptEnd:
     """Return the end of an attempt that got no head of an answer."""
     detail = f"{error.reason.value} {error.detail}".strip()
--- a/packages/gateway/lacewingdrum_gateway/serving/exchange.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/exchange.py
@@ -10,11 +10,13 @@
 from lacewingdrum_gateway.serving import (
     active_request,
     answer_memory,
-    attempt,
+    attempt as attempts,
     attempt_ends,
+    attempt_race,
+    open_attempt,
+    outcomes,
     plans,
     routing,
-    silence_limits,
     stream_forwarding,
 )
 from lacewingdrum_platform import headers as platform_headers
@@ -27,9 +29,8 @@
 
     def __init__(
         self,
-        sender: attempt.AttemptSender,
+        sender: attempts.AttemptSender,
         planner: routing.Planner,
-        silence: silence_limits.SilenceLimits,
         streams: stream_forwarding.StreamForwarder,
         memory: engine_memory.EngineMemory,
         answers: answer_memory.AnswerMemory,
@@ -38,29 +39,39 @@
     ) -> None:
         self._sender = sender
         self._planner = planner
-        self._silence = silence
         self._streams = streams
         self._memory = memory
         self._answers = answers
         self._work_updates = work_updates
         self._clock = clock
 
-    async def run(
+    def source(
         self, active: active_request.ActiveRequest, plan: plans.Plan
-    ) -> attempt_ends.AttemptEnd | None:
+    ) -> open_attempt.RunnerSource:
+        """Return where the next attempt of a request goes."""
+        work_id = engine_work_registry.work_id(
+            active.outgoing.attempt_id, active.attempt_count + 1
+        )
+        return open_attempt.RunnerSource(plan, work_id)
+
+    async def run(
+        self,
+        active: active_request.ActiveRequest,
+        attempt: open_attempt.OpenAttempt,
+        source: open_attempt.RunnerSource,
+    ) -> attempt_race.Result:
         """Make one attempt.
 
         Args:
             active: the request.
-            plan: the runners and the expected work.
+            attempt: the attempt.
+            source: its runners and the expected work.
 
         Returns:
-            None if the caller has the whole answer, else the end of the
-            attempt.
+            ``ANSWERED`` if the caller has the whole answer, else the end of
+            the attempt.
         """
-        work_id = engine_work_registry.work_id(
-            active.outgoing.attempt_id, active.attempt_count
-        )
+        plan, work_id = source.plan, source.work_id
         runner_id = plan.entry.runner_id
         in_flight = self._planner.in_flight
         in_flight[runner_id] = in_flight.get(runner_id, 0) + 1
@@ -71,8 +82,8 @@
         try:
             if not plan.helper_memory_tokens:
                 helpers = [requests.Helper(entry.address) for entry in plan.helpers]
-                return await self._run_attempt(active, plan, work_id, tuple(helpers))
-            return await self._run_with_memory(active, plan, work_id)
+                return await self._send(active, attempt, plan, tuple(helpers))
+            return await self._send_with_memory(active, attempt, source)
         finally:
             if plan.work:
                 self._work_updates.record_end(work_id)
@@ -80,13 +91,17 @@
             if not in_flight[runner_id]:
                 del in_flight[runner_id]
 
-    async def _run_with_memory(
-        self, active: active_request.ActiveRequest, plan: plans.Plan, work_id: str
-    ) -> attempt_ends.AttemptEnd | None:
+    async def _send_with_memory(
+        self,
+        active: active_request.ActiveRequest,
+        attempt: open_attempt.OpenAttempt,
+        source: open_attempt.RunnerSource,
+    ) -> attempt_race.Result:
         """Make an attempt while memory is reserved on its helpers."""
+        plan = source.plan
         reserved = await self._memory.reserve(
             active.request_id,
-            work_id,
+            source.work_id,
             plan.entry,
             plan.helpers,
             plan.helper_memory_tokens,
@@ -109,56 +124,60 @@
             for entry in plan.helpers
         ]
         try:
-            return await self._run_attempt(active, plan, work_id, tuple(helpers))
+            return await self._send(active, attempt, plan, tuple(helpers))
         finally:
             held.close()
 
-    async def _run_attempt(
+    async def _send(
         self,
         active: active_request.ActiveRequest,
+        attempt: open_attempt.OpenAttempt,
         plan: plans.Plan,
-        work_id: str,
         helpers: tuple[requests.Helper, ...],
-    ) -> attempt_ends.AttemptEnd | None:
+    ) -> attempt_race.Result:
         left_s = active.left_s(self._clock())
         customer = active.routed.customer
         attempt_headers = platform_headers.AttemptHeaders(
             left_ms=max(int(left_s * 1_000), 1),
             runner_id=plan.entry.runner_id,
             customer=customer.name if customer is not None else None,
-            last_event_id=active.events.last_event_id,
+            last_event_id=attempt.events.last_event_id,
             helpers=helpers,
             priority=plan.priority,
         )
-        active.answer = None
-        active.attempt_event_count = 0
+        attempt.record_progress(self._clock())
         opened = await self._sender.open(
             plan.entry,
             active.outgoing,
             attempt_headers,
-            min(left_s, self._silence.first_event_s(active, plan)),
+            left_s,
             on_new_connection=not active.routed.route.is_retryable,
         )
         match opened:
             case Err(end):
                 return end
             case Ok(reader):
-                active.answer = reader
+                attempt.answer = reader
+                attempt.record_progress(self._clock())
                 if active.routed.route.kind is configurations.RouteKind.STREAM:
-                    source = stream_forwarding.RunnerSource(plan, work_id)
-                    return await self._streams.forward(active, source, reader)
-                return await self._forward_whole(active, reader)
+                    return await self._streams.forward(active, attempt, reader)
+                return await self._forward_whole(active, attempt, reader)
 
     async def _forward_whole(
-        self, active: active_request.ActiveRequest, reader: http_client.ResponseReader
-    ) -> attempt_ends.AttemptEnd | None:
+        self,
+        active: active_request.ActiveRequest,
+        attempt: open_attempt.OpenAttempt,
+        reader: http_client.ResponseReader,
+    ) -> attempt_race.Result:
         with contextlib.closing(self._answers.hold()) as held:
             left_s = active.left_s(self._clock())
-            body = await attempt.read_whole(reader, left_s, held)
+            body = await attempts.read_whole(reader, left_s, held)
             if isinstance(body, Err):
                 return body.err_value
+            if not active.pass_on(attempt, 0):
+                return attempt_ends.superseded()
             answer = http_messages.HttpResponse(
                 reader.status, reader.headers, body.ok_value
             )
             await active.responder.send(answer)
-        return None
+        return outcomes.Outcome.ANSWERED
--- a/packages/gateway/lacewingdrum_gateway/serving/final_answers.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/final_answers.py
@@ -5,7 +5,7 @@
 
 from lacewingdrum_gateway.crashes import crash_watch
 from lacewingdrum_gateway.runners import runner_candidates
-from lacewingdrum_gateway.serving import active_request, plans
+from lacewingdrum_gateway.serving import active_request, outcomes, plans
 from lacewingdrum_runtime import decision_log, metrics
 from lacewingdrum_state import crashes, states
 from lacewingdrum_transport import http_messages
@@ -38,7 +38,7 @@
 
     async def refuse_costly(
         self, active: active_request.ActiveRequest, reason: plans.TooCostly
-    ) -> active_request.Outcome:
+    ) -> outcomes.Outcome:
         """Refuse a request that has not run, and say when to retry it."""
         retry_s = REFUSED_RETRY_AFTER_S * (1.0 + self._rng.random())
         retry_s = min(
@@ -59,7 +59,7 @@
 
     async def refuse_blamed(
         self, active: active_request.ActiveRequest, blame: crashes.Blame
-    ) -> active_request.Outcome:
+    ) -> outcomes.Outcome:
         """Refuse a request that probably crashes runners."""
         now_s = self._clock()
         reason = crash_watch.refusal_reason(blame.subject)
@@ -77,7 +77,7 @@
 
     async def _send_refusal(
         self, active: active_request.ActiveRequest, code: str, retry_s: float
-    ) -> active_request.Outcome:
+    ) -> outcomes.Outcome:
         """Answer that a request has not run, and when to retry it."""
         self._counts.count("refusals", reason=code)
         await active.responder.send(
@@ -90,11 +90,9 @@
                 active.request_id,
             )
         )
-        return active_request.Outcome.REFUSED
+        return outcomes.Outcome.REFUSED
 
-    async def give_up(
-        self, active: active_request.ActiveRequest
-    ) -> active_request.Outcome:
+    async def give_up(self, active: active_request.ActiveRequest) -> outcomes.Outcome:
         """Answer the caller with a failure, or close a started stream.
 
         Args:
@@ -106,11 +104,11 @@
         responder = active.responder
         if responder.started:
             responder.abort()
-            return active_request.Outcome.BROKEN_OFF
+            return outcomes.Outcome.BROKEN_OFF
         answer = next((end.answer for end in active.ends[::-1] if end.answer), None)
         if answer is not None:
             await responder.send(answer)
-            return active_request.Outcome.RUNNER_FAILURE
+            return outcomes.Outcome.RUNNER_FAILURE
         time_over = active.left_s(self._clock()) <= 0
         if not active.may_have_run:
             pause_s = self._candidates.pause_left_s(active.routed.service.name)
@@ -126,7 +124,7 @@
                 active.request_id,
             )
             await responder.send(response)
-            return active_request.Outcome.REFUSED
+            return outcomes.Outcome.REFUSED
         status, code = (504, "time_over") if time_over else (502, "answer_lost")
         message = "the runner's answer did not come; it may have run"
         await responder.send(
@@ -139,11 +137,7 @@
                 active.request_id,
             )
         )
-        return (
-            active_request.Outcome.TIME_OVER
-            if time_over
-            else active_request.Outcome.LOST
-        )
+        return outcomes.Outcome.TIME_OVER if time_over else outcomes.Outcome.LOST
 
     def _retry_after_crashes_s(self, active: active_request.ActiveRequest) -> float:
         """Return when a request that may crash runners can return, else 0."""
--- a/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
@@ -1,25 +1,40 @@
 """Forwards a request: attempts, retries and the answer to the caller."""
 
-import asyncio
+import enum
 from collections.abc import Callable
 
-from lacewingdrum_coordination import retry_allowance, runner_health, runner_roster
+from lacewingdrum_coordination import retry_allowance, runner_health
 from lacewingdrum_gateway.crashes import crash_watch
 from lacewingdrum_gateway.peers import peering
 from lacewingdrum_gateway.runners import reach_monitor, work_sync
 from lacewingdrum_gateway.serving import (
     active_request,
-    attempt,
+    attempt as attempts,
     attempt_ends,
+    attempt_log,
+    attempt_race,
     exchange as exchanges,
     final_answers,
+    open_attempt,
+    outcomes,
     plans,
     relay as relays,
     retry_limits,
     routing,
+    silence_watch,
 )
-from lacewingdrum_runtime import decision_log, metrics, tasks
-from lacewingdrum_state import states
+from lacewingdrum_runtime import decision_log, metrics
+from lacewingdrum_state import ids
+
+# Attempts end by themselves at the deadline of their request.
+DEADLINE_GRACE_S = 0.05
+
+
+class Step(enum.Enum):
+    """What has been done to get an answer besides the open attempts."""
+
+    STARTED = "started"
+    WAIT = "wait"
 
 
 class Forwarder:
@@ -27,18 +42,19 @@
 
     def __init__(
         self,
-        sender: attempt.AttemptSender,
+        sender: attempts.AttemptSender,
         planner: routing.Planner,
         exchange: exchanges.Exchange,
         relay: relays.Relay,
         reach: reach_monitor.ReachMonitor,
+        silences: silence_watch.SilenceWatch,
         allowance: retry_allowance.RetryAllowance,
         work_updates: work_sync.WorkSync,
         peers: peering.Peering,
-        roster: runner_roster.RunnerRoster,
         health: runner_health.RunnerHealth,
         crashes: crash_watch.CrashWatch,
         answers: final_answers.FinalAnswers,
+        log: attempt_log.AttemptLog,
         clock: Callable[[], float],
         decisions: decision_log.DecisionLog,
         counts: metrics.Metrics,
@@ -48,21 +64,20 @@
         self._exchange = exchange
         self._relay = relay
         self._reach = reach
-        self._open_attempts: dict[asyncio.Task, active_request.ActiveRequest] = {}
+        self._silences = silences
+        self._retryable: set[active_request.ActiveRequest] = set()
         self._allowance = allowance
         self._work_updates = work_updates
         self._peers = peers
-        self._roster = roster
         self._health = health
         self._crashes = crashes
         self._final_answers = answers
+        self._log = log
         self._clock = clock
         self._decisions = decisions
         self._counts = counts
 
-    async def forward(
-        self, active: active_request.ActiveRequest
-    ) -> active_request.Outcome:
+    async def forward(self, active: active_request.ActiveRequest) -> outcomes.Outcome:
         """Make attempts until the caller has an answer.
 
         Args:
@@ -71,102 +86,143 @@
         Returns:
             The outcome; the caller has its answer or its connection is closed.
         """
-        while active.left_s(self._clock()) > 0:
-            blame = self._crashes.find_blame(active)
-            if blame is not None and not self._crashes.start_trial(active, blame):
-                if active.may_have_run:
-                    break
-                return await self._final_answers.refuse_blamed(active, blame)
-            peer = self._relay.pick_peer(active)
-            if peer is not None:
-                outcome = await self._pass_on(active, peer)
-                if outcome is not None:
-                    return outcome
-                continue
-            if self._relay.has_no_path(active):
+        if active.routed.route.is_retryable:
+            self._retryable.add(active)
+        try:
+            return await self._forward(active)
+        finally:
+            self._retryable.discard(active)
+            for ended in await active.race.close():
+                self._record_end(active, ended)
+
+    def record_lost_paths(self) -> None:
+        """Let requests go on elsewhere, as this daemon reaches no runner."""
+        for active in self._retryable:
+            active.race.record_lost_paths(_is_at_runner)
+
+    def record_lost_peer(self, address: ids.VmId) -> None:
+        """Let requests go on elsewhere that are at a peer that fell silent."""
+        for active in self._retryable:
+            active.race.record_lost_paths(lambda attempt: _is_at_peer(attempt, address))
+
+    async def _forward(self, active: active_request.ActiveRequest) -> outcomes.Outcome:
+        may_start = True
+        while (left_s := active.left_s(self._clock())) > 0:
+            self._silences.update(active)
+            if active.race.waits_for_none:
+                await self._reach.wait_for_check()
+            is_due = may_start and active.race.waits_for_none
+            step = await self._start_next(active) if is_due else Step.WAIT
+            if isinstance(step, outcomes.Outcome):
+                return step
+            if not active.race.attempts:
                 break
-            self._record_request(active)
+            wait_s = self._silences.until_next_s(active)
+            wait_s = min(wait_s, left_s + DEADLINE_GRACE_S)
+            for ended in await active.race.wait(wait_s):
+                self._record_end(active, ended)
+                match ended.result:
+                    case outcomes.Outcome() as outcome:
+                        return outcome
+                    case attempt_ends.AttemptEnd() as end:
+                        active.ends.append(end)
+                if active.responder.disconnected.is_set():
+                    return outcomes.Outcome.CALLER_GONE
+                may_start = await self._apply_end(active, ended.attempt, end)
+        return await self._final_answers.give_up(active)
+
+    async def _start_next(
+        self, active: active_request.ActiveRequest
+    ) -> outcomes.Outcome | Step:
+        """Start the next attempt if one is allowed, or refuse the request."""
+        if not retry_limits.may_hedge(active):
+            return Step.WAIT
+        blame = self._crashes.find_blame(active)
+        if blame is not None and not self._crashes.start_trial(active, blame):
+            if active.may_have_run:
+                return Step.WAIT
+            return await self._final_answers.refuse_blamed(active, blame)
+        peer = self._relay.pick_peer(active)
+        if peer is not None:
+            return self._start_at_peer(active, peer)
+        if self._relay.has_no_path(active):
+            return Step.WAIT
+        self._record_request(active)
+        plan = self._plan(active)
+        if isinstance(plan, plans.TooCostly):
+            return await self._final_answers.refuse_costly(active, plan)
+        if plan is None or not self._may_send(active):
+            return Step.WAIT
+        return self._start_at_runner(active, plan)
+
+    def _plan(
+        self, active: active_request.ActiveRequest
+    ) -> plans.Plan | plans.TooCostly | None:
+        """Plan an attempt, at a runner that had the request if need be."""
+        while True:
             plan = self._planner.plan(
                 active.routed,
                 active.excluded,
                 active.only_runner,
                 not active.may_have_run,
             )
-            if isinstance(plan, plans.TooCostly):
-                return await self._final_answers.refuse_costly(active, plan)
-            if plan is None:
-                if active.only_runner is None and retry_limits.allow_repeat(active):
-                    continue
-                break
-            if not self._may_send(active):
-                break
-            end = await self._make_attempt(active, plan)
-            if end is None:
-                self._crashes.record_whole(active)
-                return active_request.Outcome.ANSWERED
-            active.ends.append(end)
-            if active.responder.disconnected.is_set():
-                return active_request.Outcome.CALLER_GONE
-            if not await self._crashes.observe(active, plan, end):
-                active.may_crash_runners = True
-                break
-            is_suspect = self._health.is_suspect(plan.entry.runner_id)
-            refused_help = retry_limits.apply_end(active, plan, end, is_suspect)
-            if refused_help is not None:
-                self._work_updates.record_help_refused(refused_help)
-            await self._reach.wait_for_check()
-            left_s = active.left_s(self._clock())
-            may_retry = retry_limits.may_retry(active, end, left_s)
-            if not may_retry and self._relay.pick_peer(active) is None:
-                break
-        return await self._final_answers.give_up(active)
-
-    def give_up_silent_attempts(self) -> None:
-        """Cut waiting attempts short, where they may be repeated."""
-        for running, active in self._open_attempts.items():
-            if active.routed.route.is_retryable:
-                running.cancel()
+            may_repeat = plan is None and active.only_runner is None
+            if not may_repeat or not retry_limits.allow_repeat(active):
+                return plan
 
-    async def _pass_on(
+    def _start_at_peer(
         self, active: active_request.ActiveRequest, peer: peering.Peer
-    ) -> active_request.Outcome | None:
-        """Pass a request on; return None if it may go on elsewhere."""
+    ) -> Step:
         if not self._may_send(active):
-            return await self._final_answers.give_up(active)
-        passed_on = await self._relay.run(active, peer)
-        if isinstance(passed_on, active_request.Outcome):
-            return passed_on
-        active.ends.append(passed_on)
-        if active.responder.disconnected.is_set():
-            return active_request.Outcome.CALLER_GONE
-        if not retry_limits.apply_relay_end(active, passed_on):
-            return await self._final_answers.give_up(active)
-        return None
-
-    async def _make_attempt(
+            return Step.WAIT
+        attempt = self._relay.new_attempt(active, peer)
+        active.race.start(attempt, self._relay.run(active, attempt, peer))
+        return Step.STARTED
+
+    def _start_at_runner(
         self, active: active_request.ActiveRequest, plan: plans.Plan
-    ) -> attempt_ends.AttemptEnd | None:
-        sent_s = self._clock()
-        active.attempt_count += 1
-        self._record_plan(active, plan)
+    ) -> Step:
+        source = self._exchange.source(active, plan)
+        attempt = active.new_attempt(source, self._clock())
+        self._log.record_plan(active, plan)
         self._planner.candidates.record_send(plan.entry)
-        active.has_open_attempt = True
-        end = await self._run_attempt(active, plan)
-        active.has_open_attempt = False
-        self._sender.record_end(plan.entry, end, sent_s)
-        self._record_end(active, plan, end)
-        return end
-
-    async def _run_attempt(
-        self, active: active_request.ActiveRequest, plan: plans.Plan
-    ) -> attempt_ends.AttemptEnd | None:
-        running = asyncio.ensure_future(self._exchange.run(active, plan))
-        self._open_attempts[running] = active
-        try:
-            await tasks.wait_or_cancel(running)
-        finally:
-            del self._open_attempts[running]
-        return _NO_PATH if running.cancelled() else running.result()
+        active.race.start(attempt, self._exchange.run(active, attempt, source))
+        return Step.STARTED
+
+    async def _apply_end(
+        self,
+        active: active_request.ActiveRequest,
+        attempt: open_attempt.OpenAttempt,
+        end: attempt_ends.AttemptEnd,
+    ) -> bool:
+        """Apply an end to what follows; return whether an attempt may."""
+        match attempt.source:
+            case open_attempt.PeerSource():
+                return retry_limits.apply_relay_end(active, end, attempt.was_silent)
+            case open_attempt.RunnerSource(plan):
+                return await self._apply_runner_end(active, plan, attempt, end)
+
+    async def _apply_runner_end(
+        self,
+        active: active_request.ActiveRequest,
+        plan: plans.Plan,
+        attempt: open_attempt.OpenAttempt,
+        end: attempt_ends.AttemptEnd,
+    ) -> bool:
+        event_count = attempt.events.event_count
+        if not await self._crashes.observe(active, plan.entry, end, event_count):
+            active.may_crash_runners = True
+            return False
+        is_suspect = self._health.is_suspect(plan.entry.runner_id)
+        refused_help = retry_limits.apply_end(
+            active, plan, end, is_suspect and not attempt.was_silent
+        )
+        if refused_help is not None:
+            self._work_updates.record_help_refused(refused_help)
+        await self._reach.wait_for_check()
+        left_s = active.left_s(self._clock())
+        may_retry = retry_limits.may_retry(active, end, left_s)
+        return may_retry or self._relay.pick_peer(active) is not None
 
     def _record_request(self, active: active_request.ActiveRequest) -> None:
         """Count a request of which this daemon makes the first attempt."""
@@ -197,57 +253,34 @@
             )
         return is_allowed
 
-    def _record_plan(
-        self, active: active_request.ActiveRequest, plan: plans.Plan
-    ) -> None:
-        routed = active.routed
-        self._counts.count("attempts", service=routed.service.name)
-        self._decisions.record(
-            decision_log.DecisionEvent.ROUTED,
-            active.request_id,
-            attempt=active.attempt_count,
-            route=routed.route.name,
-            service=routed.service.name,
-            runner_id=plan.entry.runner_id,
-            runner=str(plan.entry.address),
-            helpers=[helper.runner_id for helper in plan.helpers],
-            prompt_tokens=routed.caller_headers.prompt_tokens,
-            candidates=plan.candidate_count,
-            first_expected_ms=round(plan.first_event_ms, 1),
-            cost=round(plan.cost, 3),
-            left_ms=round(active.left_s(self._clock()) * 1_000),
-            configuration_version=active.config_version,
-            list_version=self._roster.version.version,
-            list_age_s=round(self._clock() - self._roster.as_of_s, 3),
-            last_event_id=active.events.last_event_id,
-        )
-
     def _record_end(
         self,
         active: active_request.ActiveRequest,
-        plan: plans.Plan,
-        end: attempt_ends.AttemptEnd | None,
+        ended: attempt_race.EndedAttempt,
     ) -> None:
-        outcome = "whole" if end is None else end.reason.value
-        self._counts.count("attempt_ends", outcome=outcome)
-        if end is None:
-            return
-        self._decisions.record(
-            decision_log.DecisionEvent.ATTEMPT_ENDED,
-            active.request_id,
-            attempt=active.attempt_count,
-            runner_id=plan.entry.runner_id,
-            state=end.state,
-            reason=end.reason,
-            detail=end.detail,
-            at_fault=str(end.at_fault or ""),
-            events_passed=active.events.event_count,
-            **active.describe_answer_end(),
-        )
+        """Record what the end of an attempt shows of its source."""
+        attempt, end = ended.attempt, ended.end
+        if end is None or end.reason is not attempt_ends.EndReason.SUPERSEDED:
+            active.last_attempt = attempt
+        match attempt.source:
+            case open_attempt.PeerSource():
+                self._relay.record_end(ended.result)
+            case open_attempt.RunnerSource(plan):
+                self._sender.record_end(
+                    plan.entry, end, attempt.started_s, attempt.was_silent
+                )
+                if end is None:
+                    self._crashes.record_whole(active)
+                self._log.record_end(active, attempt, plan, end)
 
 
-_NO_PATH = attempt_ends.AttemptEnd(
-    states.AttemptState.UNKNOWN,
-    attempt_ends.EndReason.SILENT,
-    "no runner can be reached",
-)
+def _is_at_runner(attempt: open_attempt.OpenAttempt) -> bool:
+    return isinstance(attempt.source, open_attempt.RunnerSource)
+
+
+def _is_at_peer(attempt: open_attempt.OpenAttempt, address: ids.VmId) -> bool:
+    match attempt.source:
+        case open_attempt.PeerSource(peer):
+            return peer.address == address
+        case open_attempt.RunnerSource():
+            return False
--- /dev/null
+++ b/packages/gateway/lacewingdrum_gateway/serving/open_attempt.py
@@ -0,0 +1,69 @@
+"""An attempt of a request that has not ended."""
+
+import dataclasses
+
+from lacewingdrum_gateway.peers import peering
+from lacewingdrum_gateway.serving import attempt_ends, plans
+from lacewingdrum_protocol import event_stream
+from lacewingdrum_transport import http_client
+
+NOT_SENT_S = float("inf")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunnerSource:
+    """A runner that this daemon has sent the request to."""
+
+    plan: plans.Plan
+    work_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerSource:
+    """A daemon that this one has passed the request on to."""
+
+    peer: peering.Peer
+
+
+Source = RunnerSource | PeerSource
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class OpenAttempt:
+    """An attempt, what it has brought so far, and since when it is silent.
+
+    ``number`` counts the attempts of the request. ``events`` holds the events
+    that this attempt has brought. ``progress_s`` is when it was sent or last
+    brought a whole event; it stays in the future until it is sent and while
+    the caller is slow to read. ``has_lost_path`` is set once it is known that
+    the source cannot be reached. ``is_silent`` is set while another attempt
+    may be made beside this one, and ``was_silent`` from then on.
+    ``cancelled_end`` says why the attempt was cancelled.
+    """
+
+    number: int
+    source: Source
+    events: event_stream.EventStream
+    started_s: float
+    progress_s: float = NOT_SENT_S
+    answer: http_client.ResponseReader | None = None
+    has_lost_path: bool = False
+    is_silent: bool = False
+    was_silent: bool = False
+    cancelled_end: attempt_ends.AttemptEnd | None = None
+    shortest_pause_s: float = float("inf")
+    pause_count: int = 0
+
+    def record_progress(self, now_s: float) -> None:
+        """Record that the attempt has been sent or has brought an event."""
+        self.progress_s = now_s
+
+    def describe_answer_end(self) -> dict[str, object]:
+        """Return log fields that say how the answer of the source ended."""
+        if self.answer is None:
+            return {}
+        return {
+            "answer_end": self.answer.answer_end,
+            "channel_end": self.answer.channel_end,
+            "partial_event_bytes": self.events.partial_bytes,
+        }
--- a/packages/gateway/lacewingdrum_gateway/serving/relay.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/relay.py
@@ -5,7 +5,6 @@
 forwarded as it is.
 """
 
-import asyncio
 import contextlib
 import random
 from collections.abc import Callable
@@ -18,13 +17,16 @@
 from lacewingdrum_gateway.serving import (
     active_request,
     answer_memory,
-    attempt,
+    attempt as attempts,
     attempt_ends,
+    attempt_race,
+    open_attempt,
+    outcomes,
     stream_forwarding,
 )
 from lacewingdrum_platform import headers as platform_headers
-from lacewingdrum_runtime import decision_log, metrics, tasks
-from lacewingdrum_state import addresses, configurations, fleet, ids, states
+from lacewingdrum_runtime import decision_log, metrics
+from lacewingdrum_state import addresses, configurations, fleet, states
 from lacewingdrum_transport import http_client, http_messages
 
 # A request that a peer could not serve either goes to so many peers in all.
@@ -57,11 +59,6 @@
         self._rng = rng
         self._decisions = decisions
         self._counts = counts
-        self._running: dict[asyncio.Task, ids.VmId] = {}
-
-    def start(self) -> None:
-        """Begin to give up requests at peers that fall silent."""
-        self._peers.on_peer_lost(self._on_peer_lost)
 
     def pick_peer(self, active: active_request.ActiveRequest) -> peering.Peer | None:
         """Return the peer that a request is to be passed on to, or None.
@@ -102,15 +99,10 @@
         """
         return self._reach.is_cut_off and not active.is_relayed
 
-    async def run(
+    def new_attempt(
         self, active: active_request.ActiveRequest, peer: peering.Peer
-    ) -> active_request.Outcome | attempt_ends.AttemptEnd:
-        """Pass a request on and forward the answer.
-
-        Returns:
-            The outcome if the caller has an answer, else the end of this
-            attempt.
-        """
+    ) -> open_attempt.OpenAttempt:
+        """Return the next attempt of a request, which ``run`` makes."""
         active.relayed_to.add(peer.address)
         self._decisions.record(
             decision_log.DecisionEvent.RELAYED,
@@ -118,27 +110,22 @@
             peer=peer.address,
             left_ms=round(active.left_s(self._clock()) * 1_000),
             may_have_run=active.may_have_run,
-            last_event_id=active.events.last_event_id,
+            last_event_id=active.last_event_id,
         )
-        running = asyncio.ensure_future(self._run(active, peer))
-        self._running[running] = peer.address
-        active.has_open_attempt = True
-        try:
-            await tasks.wait_or_cancel(running)
-        finally:
-            del self._running[running]
-        active.has_open_attempt = False
-        result = _SILENT if running.cancelled() else running.result()
-        match result:
-            case attempt_ends.AttemptEnd():
-                self._counts.count("relays", outcome=result.reason.value)
-            case active_request.Outcome():
-                self._counts.count("relays", outcome=result.value)
-        return result
+        return active.new_attempt(open_attempt.PeerSource(peer), self._clock())
 
-    async def _run(
-        self, active: active_request.ActiveRequest, peer: peering.Peer
-    ) -> active_request.Outcome | attempt_ends.AttemptEnd:
+    async def run(
+        self,
+        active: active_request.ActiveRequest,
+        attempt: open_attempt.OpenAttempt,
+        peer: peering.Peer,
+    ) -> attempt_race.Result:
+        """Pass a request on and forward the answer.
+
+        Returns:
+            The outcome if the caller has an answer, else the end of this
+            attempt.
+        """
         left_s = active.left_s(self._clock())
         opened = await self._client.open(
             _relay_address(peer),
@@ -147,7 +134,7 @@
             platform_headers.relayed_request_headers(
                 active.outgoing.headers,
                 max(int(left_s * 1_000), 1),
-                active.events.last_event_id,
+                attempt.events.last_event_id,
                 len(active.sent_to) + active.earlier_runner_count,
                 active.routed.route_digest,
             ),
@@ -158,20 +145,21 @@
         if isinstance(opened, Err):
             return attempt_ends.open_failure(opened.err_value)
         reader = opened.ok_value
-        active.answer = reader
+        attempt.answer = reader
         is_stream = active.routed.route.kind is configurations.RouteKind.STREAM
         if is_stream and http_messages.is_success(reader.status):
-            source = stream_forwarding.PeerSource(peer.address)
-            end = await self._streams.forward(active, source, reader)
-            return end or active_request.Outcome.ANSWERED
-        return await self._forward_whole(active, reader)
+            return await self._streams.forward(active, attempt, reader)
+        return await self._forward_whole(active, attempt, reader)
 
     async def _forward_whole(
-        self, active: active_request.ActiveRequest, reader: http_client.ResponseReader
-    ) -> active_request.Outcome | attempt_ends.AttemptEnd:
+        self,
+        active: active_request.ActiveRequest,
+        attempt: open_attempt.OpenAttempt,
+        reader: http_client.ResponseReader,
+    ) -> attempt_race.Result:
         with contextlib.closing(self._answers.hold()) as held:
             left_s = active.left_s(self._clock())
-            body = await attempt.read_whole(reader, left_s, held)
+            body = await attempts.read_whole(reader, left_s, held)
             if isinstance(body, Err):
                 return body.err_value
             answer = http_messages.HttpResponse(
@@ -182,16 +170,20 @@
                 return _peer_failure(active, answer, states.Ran(ran))
             if active.responder.started:
                 return _NOT_CONTINUED
+            if not http_messages.is_success(reader.status):
+                return _runner_failure(answer)
+            if not active.pass_on(attempt, 0):
+                return attempt_ends.superseded()
             await active.responder.send(answer)
-        if http_messages.is_success(reader.status):
-            return active_request.Outcome.ANSWERED
-        return active_request.Outcome.RUNNER_FAILURE
+        return outcomes.Outcome.ANSWERED
 
-    def _on_peer_lost(self, address: ids.VmId) -> None:
-        """End the requests at a peer that may be dead or frozen."""
-        for running, peer_address in self._running.items():
-            if peer_address == address:
-                running.cancel()
+    def record_end(self, result: attempt_race.Result) -> None:
+        """Count how an attempt at a peer has ended."""
+        match result:
+            case attempt_ends.AttemptEnd():
+                self._counts.count("relays", outcome=result.reason.value)
+            case outcomes.Outcome():
+                self._counts.count("relays", outcome=result.value)
 
 
 def _relay_address(peer: peering.Peer) -> fleet.Address:
@@ -229,11 +221,16 @@
     )
 
 
-_SILENT = attempt_ends.AttemptEnd(
-    states.AttemptState.UNKNOWN,
-    attempt_ends.EndReason.SILENT,
-    "the peer fell silent",
-)
+def _runner_failure(answer: http_messages.HttpResponse) -> attempt_ends.AttemptEnd:
+    """Return the end of an attempt that a runner has failed at a peer."""
+    return attempt_ends.AttemptEnd(
+        states.AttemptState.ANSWERED,
+        attempt_ends.EndReason.FAILED_STATUS,
+        f"status {answer.status} by a peer",
+        answer,
+    )
+
+
 _NOT_CONTINUED = attempt_ends.AttemptEnd(
     states.AttemptState.UNKNOWN,
     attempt_ends.EndReason.FAILED_STATUS,
--- a/packages/gateway/lacewingdrum_gateway/serving/request_handler.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/request_handler.py
@@ -13,11 +13,11 @@
     attempt,
     final_answers,
     forwarding,
+    outcomes,
     plans,
     unrouted_answers,
 )
 from lacewingdrum_platform import headers as platform_headers
-from lacewingdrum_protocol import event_stream
 from lacewingdrum_runtime import decision_log, metrics
 from lacewingdrum_state import configurations, ids, requests
 from lacewingdrum_transport import http_messages, responder as responders
@@ -98,7 +98,7 @@
             is_blamed: whether a request is not to be sent on.
         """
         for running, active in self._running.items():
-            has_begun = active.attempt_event_count > 0
+            has_begun = any(item.events.event_count for item in active.race.attempts)
             if has_begun or active.is_trial or active.is_blamed:
                 continue
             if is_blamed(active):
@@ -177,9 +177,8 @@
             request.body,
             caller_headers.attempt_id,
         )
-        events = event_stream.EventStream(caller_headers.last_event_id)
         active = active_request.ActiveRequest(
-            routed, outgoing, responder, events, found.version
+            routed, outgoing, responder, caller_headers.last_event_id, found.version
         )
         if is_relayed:
             active.is_relayed = True
@@ -212,14 +211,14 @@
         try:
             outcome = await running
         except asyncio.CancelledError:
-            outcome = active_request.Outcome.CALLER_GONE
+            outcome = outcomes.Outcome.CALLER_GONE
             if active.is_overdue or active.is_blamed:
                 outcome = await self._final_answers.give_up(active)
             elif not active.responder.disconnected.is_set():
-                self._record(active, active_request.Outcome.STOPPED)
+                self._record(active, outcomes.Outcome.STOPPED)
                 raise
         except Exception:
-            self._record(active, active_request.Outcome.INTERNAL_ERROR)
+            self._record(active, outcomes.Outcome.INTERNAL_ERROR)
             raise
         finally:
             del self._running[running]
@@ -228,7 +227,7 @@
         self._record(active, outcome)
 
     def _record(
-        self, active: active_request.ActiveRequest, outcome: active_request.Outcome
+        self, active: active_request.ActiveRequest, outcome: outcomes.Outcome
     ) -> None:
         routed = active.routed
         now_s = self._clock()
@@ -243,10 +242,10 @@
             first_ms = round(first_s * 1_000, 1)
             self._counts.time(metrics.Timing.FIRST_TOKEN, service, length, first_s)
         event = decision_log.DecisionEvent.FAILED
-        if outcome is active_request.Outcome.ANSWERED:
+        if outcome is outcomes.Outcome.ANSWERED:
             event = decision_log.DecisionEvent.FINISHED
         configuration_age_s = self._configurations.age_s
-        if outcome in active_request.CUT_OUTCOMES:
+        if outcome in outcomes.CUT_OUTCOMES:
             self._counts.count(
                 "cut_requests",
                 outcome=outcome.value,
@@ -261,7 +260,7 @@
             attempts=active.attempt_count,
             elapsed_ms=round(elapsed_s * 1_000, 1),
             first_event_ms=first_ms,
-            events=active.events.event_count,
+            events=active.event_count,
             longest_pause_ms=round(active.longest_pause_s * 1_000, 1),
             configuration_age_s=round(configuration_age_s, 3),
             **active.describe_answer_end(),
--- a/packages/gateway/lacewingdrum_gateway/serving/retry_limits.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/retry_limits.py
@@ -15,6 +15,30 @@
 RETRY_MIN_LEFT_S = 0.03
 
 
+def may_hedge(active: active_request.ActiveRequest) -> bool:
+    """Return whether an attempt may be made beside those that are open."""
+    if not active.race.attempts:
+        return True
+    return active.routed.route.is_retryable and _has_runners_left(active)
+
+
+def apply_silence(
+    active: active_request.ActiveRequest, plan: plans.Plan, is_suspect: bool
+) -> None:
+    """Restrict the next attempt while a silent one stays open.
+
+    Args:
+        active: the request.
+        plan: the plan of the silent attempt.
+        is_suspect: whether its runner is suspect now.
+    """
+    active.excluded.add(plan.entry.runner_id)
+    active.sent_to.add(plan.entry.runner_id)
+    active.only_runner = None
+    if is_suspect:
+        active.suspect_attempt_count += 1
+
+
 def apply_end(
     active: active_request.ActiveRequest,
     plan: plans.Plan,
@@ -57,17 +81,23 @@
 
 
 def apply_relay_end(
-    active: active_request.ActiveRequest, end: attempt_ends.AttemptEnd
+    active: active_request.ActiveRequest,
+    end: attempt_ends.AttemptEnd,
+    was_silent: bool,
 ) -> bool:
     """Count an attempt at a peer, and return whether another may follow.
 
     Args:
         active: the request.
         end: how the attempt ended; the peer may have sent it to a runner.
+        was_silent: whether the attempt was counted when the peer fell silent.
     """
+    if end.state is states.AttemptState.ANSWERED:
+        return False
     if end.state is not states.AttemptState.UNKNOWN:
         return True
-    active.earlier_runner_count += 1
+    if not was_silent:
+        active.earlier_runner_count += 1
     return active.routed.route.is_retryable
 
 
--- a/packages/gateway/lacewingdrum_gateway/serving/silence_limits.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/silence_limits.py
@@ -1,10 +1,10 @@
-"""Decides how long a runner may stay silent before its attempt is given up."""
+"""Decides how long a runner may be silent before another one is asked too."""
 
-from lacewingdrum_gateway.serving import active_request, plans, routing
+from lacewingdrum_gateway.serving import active_request, open_attempt, plans, routing
 from lacewingdrum_state import configurations
 
-# An attempt is abandoned after this silence of its runner if the request may
-# be retried at another one.
+# Another attempt is made after this silence of a runner if the request may be
+# retried at another one.
 SILENCE_MIN_S = 0.8
 # These are multiples of the route's objective; PAUSE_SILENCE_RATIO is one of
 # its objective for pauses.
@@ -23,28 +23,44 @@
     def __init__(self, planner: routing.Planner) -> None:
         self._planner = planner
 
-    def first_event_s(
-        self, active: active_request.ActiveRequest, plan: plans.Plan
+    def limit_s(
+        self, active: active_request.ActiveRequest, attempt: open_attempt.OpenAttempt
     ) -> float:
-        """Return how long a runner may stay silent before its first event."""
-        if not _can_retry_elsewhere(active):
-            return float("inf")
-        route = active.routed.route
-        objective_s = route.objective_ms / 1_000
-        if route.kind is not configurations.RouteKind.STREAM:
-            return max(SERVICE_SILENCE_RATIO * objective_s, SERVICE_SILENCE_MIN_S)
-        silence_s = max(FIRST_EVENT_SILENCE_RATIO * objective_s, SILENCE_MIN_S)
-        return silence_s + plan.first_event_ms / 1_000
+        """Return how long the source of an attempt may be silent by now."""
+        match attempt.source:
+            case open_attempt.PeerSource():
+                # The peer looks after its own attempts.
+                return float("inf")
+            case open_attempt.RunnerSource(plan):
+                if not _can_retry_elsewhere(active):
+                    return float("inf")
+                if attempt.events.event_count:
+                    return self._pause_s(active, plan)
+                return _first_event_s(active, attempt, plan)
 
-    def pause_s(self, active: active_request.ActiveRequest, plan: plans.Plan) -> float:
-        """Return how long a runner may stay silent between two events."""
-        if not _can_retry_elsewhere(active):
-            return float("inf")
+    def _pause_s(self, active: active_request.ActiveRequest, plan: plans.Plan) -> float:
+        """Return how long a runner may be silent between two events."""
         pause_s = active.routed.route.pause_objective_ms / 1_000
         silence_s = max(PAUSE_SILENCE_RATIO * pause_s, SILENCE_MIN_S)
         return silence_s + self._planner.prefill_backlog_s(plan)
 
 
+def _first_event_s(
+    active: active_request.ActiveRequest,
+    attempt: open_attempt.OpenAttempt,
+    plan: plans.Plan,
+) -> float:
+    """Return how long a runner may be silent before its first event."""
+    route = active.routed.route
+    objective_s = route.objective_ms / 1_000
+    if route.kind is configurations.RouteKind.STREAM:
+        silence_s = max(FIRST_EVENT_SILENCE_RATIO * objective_s, SILENCE_MIN_S)
+        return silence_s + plan.first_event_ms / 1_000
+    if attempt.answer is not None:
+        return float("inf")
+    return max(SERVICE_SILENCE_RATIO * objective_s, SERVICE_SILENCE_MIN_S)
+
+
 def _can_retry_elsewhere(active: active_request.ActiveRequest) -> bool:
     """Return whether the request may be retried at another runner."""
     route = active.routed.route
--- /dev/null
+++ b/packages/gateway/lacewingdrum_gateway/serving/silence_watch.py
@@ -0,0 +1,100 @@
+"""Notices attempts whose runners are silent, and runners that are dead."""
+
+from collections.abc import Callable
+
+from lacewingdrum_coordination import runner_health
+from lacewingdrum_gateway.serving import (
+    active_request,
+    attempt as attempts,
+    attempt_ends,
+    attempt_log,
+    open_attempt,
+    plans,
+    retry_limits,
+    silence_limits,
+)
+
+# How often it is checked what has become of a silent runner.
+CHECK_INTERVAL_S = 0.25
+
+
+class SilenceWatch:
+    """Marks attempts as silent, and ends those whose runner is unreachable.
+
+    A silent attempt stays open, because its runner may go on.
+    """
+
+    def __init__(
+        self,
+        sender: attempts.AttemptSender,
+        silence: silence_limits.SilenceLimits,
+        health: runner_health.RunnerHealth,
+        log: attempt_log.AttemptLog,
+        clock: Callable[[], float],
+    ) -> None:
+        self._sender = sender
+        self._silence = silence
+        self._health = health
+        self._log = log
+        self._clock = clock
+
+    def update(self, active: active_request.ActiveRequest) -> None:
+        """Look at the open attempts of a request."""
+        for attempt in active.race.attempts:
+            if attempt.is_silent:
+                self._check(active, attempt)
+            elif attempt.has_lost_path or self._until_silent_s(active, attempt) <= 0:
+                self._record_silence(active, attempt)
+
+    def until_next_s(self, active: active_request.ActiveRequest) -> float:
+        """Return the time until the attempts are to be looked at again."""
+        return min(
+            self._until_check_s(active, attempt) for attempt in active.race.attempts
+        )
+
+    def _until_check_s(
+        self, active: active_request.ActiveRequest, attempt: open_attempt.OpenAttempt
+    ) -> float:
+        if attempt.is_silent:
+            return CHECK_INTERVAL_S
+        # It may be sent, or the caller may have read, right after this.
+        limit_s = self._silence.limit_s(active, attempt)
+        return min(self._until_silent_s(active, attempt), limit_s)
+
+    def _until_silent_s(
+        self, active: active_request.ActiveRequest, attempt: open_attempt.OpenAttempt
+    ) -> float:
+        limit_s = self._silence.limit_s(active, attempt)
+        return attempt.progress_s + limit_s - self._clock()
+
+    def _record_silence(
+        self, active: active_request.ActiveRequest, attempt: open_attempt.OpenAttempt
+    ) -> None:
+        attempt.is_silent = attempt.was_silent = True
+        match attempt.source:
+            case open_attempt.PeerSource():
+                active.earlier_runner_count += 1
+            case open_attempt.RunnerSource(plan):
+                self._record_silent_runner(active, attempt, plan)
+
+    def _record_silent_runner(
+        self,
+        active: active_request.ActiveRequest,
+        attempt: open_attempt.OpenAttempt,
+        plan: plans.Plan,
+    ) -> None:
+        runner_id = plan.entry.runner_id
+        self._sender.record_silence(plan.entry, attempt.started_s, attempt.progress_s)
+        self._log.record_silence(active, attempt, plan)
+        retry_limits.apply_silence(active, plan, self._health.is_suspect(runner_id))
+
+    def _check(
+        self, active: active_request.ActiveRequest, attempt: open_attempt.OpenAttempt
+    ) -> None:
+        """End an attempt whose runner accepts no new connection either."""
+        if not isinstance(attempt.source, open_attempt.RunnerSource):
+            return
+        entry = attempt.source.plan.entry
+        self._sender.record_silence(entry, attempt.started_s, attempt.progress_s)
+        if self._sender.is_unreachable(entry):
+            active.race.end(attempt, attempt_ends.unreachable())
--- a/packages/gateway/lacewingdrum_gateway/serving/stream_forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/stream_forwarding.py
@@ -1,6 +1,5 @@
 """Forwards the events of a runner's answer to the caller."""
 
-import dataclasses
 from collections.abc import Callable
 
 from result import Err
@@ -10,45 +9,27 @@
 from lacewingdrum_gateway.serving import (
     active_request,
     answer_memory,
-    attempt,
+    attempt as attempts,
     attempt_ends,
-    plans,
+    attempt_race,
+    open_attempt,
+    outcomes,
     routing,
-    silence_limits,
 )
-from lacewingdrum_state import ids, states
+from lacewingdrum_state import states
 from lacewingdrum_transport import http_client, http_messages
 
 # The slowdown of an engine is taken from the shortest of this many pauses.
 SLOWDOWN_PAUSES = 5
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RunnerSource:
-    """A stream that a runner sends to this daemon's own attempt."""
-
-    plan: plans.Plan
-    work_id: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PeerSource:
-    """A stream that another daemon forwards for this one."""
-
-    address: ids.VmId
-
-
-Source = RunnerSource | PeerSource
-
-
 class StreamForwarder:
     """Forwards complete events, and finds out whether a stream is complete."""
 
     def __init__(
         self,
-        sender: attempt.AttemptSender,
+        sender: attempts.AttemptSender,
         planner: routing.Planner,
-        silence: silence_limits.SilenceLimits,
         memory: engine_memory.EngineMemory,
         answers: answer_memory.AnswerMemory,
         crashes: crash_watch.CrashWatch,
@@ -57,7 +38,6 @@
     ) -> None:
         self._sender = sender
         self._planner = planner
-        self._silence = silence
         self._memory = memory
         self._answers = answers
         self._crashes = crashes
@@ -67,81 +47,83 @@
     async def forward(
         self,
         active: active_request.ActiveRequest,
-        source: Source,
+        attempt: open_attempt.OpenAttempt,
         reader: http_client.ResponseReader,
-    ) -> attempt_ends.AttemptEnd | None:
+    ) -> attempt_race.Result:
         """Forward complete events until the stream ends or fails.
 
         Returns:
-            None if the stream ended without an error, else the end of the
-            attempt.
+            ``ANSWERED`` if the stream ended without an error, else the end of
+            the attempt.
         """
-        events = active.events
-        events.discard_partial_event()
-        events_before = events.event_count
-        has_events = False
+        events = attempt.events
         held = self._answers.hold()
-        # Only whole events count as progress, so that a stream which sends
-        # single bytes of one is not waited for without end.
-        progress_s = self._clock()
         try:
             while True:
-                silence_s = self._silence_s(active, source, has_events)
-                now_s = self._clock()
-                timeout_s = min(active.left_s(now_s), progress_s + silence_s - now_s)
-                part = await reader.read(max(timeout_s, 0.0))
+                part = await reader.read(max(active.left_s(self._clock()), 0.0))
                 if isinstance(part, Err):
                     return attempt_ends.body_failure(part.err_value)
-                self._record_contact(source)
+                self._record_contact(attempt)
                 if not part.ok_value:
-                    return await self._end_stream(active, reader)
+                    return await self._end_stream(active, attempt, reader)
+                count_before = events.event_count
                 data = events.feed(part.ok_value)
-                event_count = events.event_count - events_before
-                self._count_events(active, source, event_count)
-                if data and not has_events:
-                    has_events = True
-                    self._record_first_event(source)
                 if data:
-                    progress_s = self._clock()
-                    self._record_event_time(active, source)
-                if data and not await self._write_events(active, reader, data):
-                    return _CALLER_DISCONNECTED
+                    end = await self._forward_events(
+                        active, attempt, reader, data, count_before
+                    )
+                    if end is not None:
+                        return end
                 if not held.resize(events.partial_bytes):
                     return _TOO_LARGE
         finally:
             held.close()
             await reader.close()
 
-    def _silence_s(
-        self, active: active_request.ActiveRequest, source: Source, has_events: bool
-    ) -> float:
-        """Return how long the source may be silent; a peer ends by itself."""
-        match source:
-            case RunnerSource(plan) if has_events:
-                return self._silence.pause_s(active, plan)
-            case RunnerSource(plan):
-                return self._silence.first_event_s(active, plan)
-            case PeerSource():
-                return float("inf")
-
-    def _record_contact(self, source: Source) -> None:
-        if isinstance(source, RunnerSource):
-            self._sender.record_contact(source.plan.entry)
-
-    def _record_first_event(self, source: Source) -> None:
-        if isinstance(source, RunnerSource):
-            self._work_updates.record_first_event(source.work_id)
-            self._memory.record_use(source.work_id)
-
-    def _count_events(
-        self, active: active_request.ActiveRequest, source: Source, count: int
+    async def _forward_events(
+        self,
+        active: active_request.ActiveRequest,
+        attempt: open_attempt.OpenAttempt,
+        reader: http_client.ResponseReader,
+        data: bytes,
+        count_before: int,
+    ) -> attempt_ends.AttemptEnd | None:
+        """Forward complete events; return the end of the attempt, if any."""
+        is_resumed = attempt.is_silent
+        if not active.pass_on(attempt, attempt.events.event_count - count_before):
+            return attempt_ends.superseded()
+        if is_resumed:
+            self._record_resumed(attempt)
+        self._record_events(active, attempt, count_before)
+        # The runner is not silent while the caller is slow to read.
+        attempt.progress_s = open_attempt.NOT_SENT_S
+        is_written = await self._write_events(active, reader, data)
+        attempt.record_progress(self._clock())
+        return None if is_written else _CALLER_DISCONNECTED
+
+    def _record_events(
+        self,
+        active: active_request.ActiveRequest,
+        attempt: open_attempt.OpenAttempt,
+        count_before: int,
     ) -> None:
-        had_begun = active.attempt_event_count >= crash_watch.SOUND_EVENTS
-        active.attempt_event_count = count
-        has_begun = not had_begun and count >= crash_watch.SOUND_EVENTS
-        if has_begun and isinstance(source, RunnerSource):
+        self._record_event_time(active, attempt)
+        if not isinstance(attempt.source, open_attempt.RunnerSource):
+            return
+        if not count_before:
+            self._work_updates.record_first_event(attempt.source.work_id)
+            self._memory.record_use(attempt.source.work_id)
+        if count_before < crash_watch.SOUND_EVENTS <= attempt.events.event_count:
             self._crashes.record_begun(active)
 
+    def _record_contact(self, attempt: open_attempt.OpenAttempt) -> None:
+        if isinstance(attempt.source, open_attempt.RunnerSource):
+            self._sender.record_contact(attempt.source.plan.entry)
+
+    def _record_resumed(self, attempt: open_attempt.OpenAttempt) -> None:
+        if isinstance(attempt.source, open_attempt.RunnerSource):
+            self._sender.record_resumed(attempt.source.plan.entry)
+
     async def _write_events(
         self,
         active: active_request.ActiveRequest,
@@ -153,17 +135,22 @@
         return await active.responder.start_stream(reader.status, reader.headers, data)
 
     async def _end_stream(
-        self, active: active_request.ActiveRequest, reader: http_client.ResponseReader
-    ) -> attempt_ends.AttemptEnd | None:
+        self,
+        active: active_request.ActiveRequest,
+        attempt: open_attempt.OpenAttempt,
+        reader: http_client.ResponseReader,
+    ) -> attempt_race.Result:
         """End the caller's answer, unless the stream was broken off."""
         responder = active.responder
-        events = active.events
+        events = attempt.events
         if events.is_inside_event:
             return _ENDED_INSIDE_EVENT
         has_events = bool(events.event_count or events.last_event_id)
         # Only its framing can say that a stream without events is whole.
         if not has_events and reader.answer_end is _CONNECTION_CLOSE:
             return _ENDED_BEFORE_EVENTS
+        if not active.pass_on(attempt, 0):
+            return attempt_ends.superseded()
         rest = events.partial_event
         if rest and not await self._write_events(active, reader, rest):
             return _CALLER_DISCONNECTED
@@ -171,13 +158,13 @@
             await responder.send(
                 http_messages.HttpResponse(reader.status, reader.headers)
             )
-            return None
+            return outcomes.Outcome.ANSWERED
         if not await responder.finish():
             return _CALLER_DISCONNECTED
-        return None
+        return outcomes.Outcome.ANSWERED
 
     def _record_event_time(
-        self, active: active_request.ActiveRequest, source: Source
+        self, active: active_request.ActiveRequest, attempt: open_attempt.OpenAttempt
     ) -> None:
         now_s = self._clock()
         if active.first_event_s is None:
@@ -185,17 +172,17 @@
         else:
             pause_s = now_s - active.last_event_s
             active.longest_pause_s = max(active.longest_pause_s, pause_s)
-            active.shortest_pause_s = min(active.shortest_pause_s, pause_s)
-            active.pause_count += 1
+            attempt.shortest_pause_s = min(attempt.shortest_pause_s, pause_s)
+            attempt.pause_count += 1
         active.last_event_s = now_s
-        if not isinstance(source, RunnerSource):
+        if not isinstance(attempt.source, open_attempt.RunnerSource):
             return
-        plan = source.plan
-        if plan.work and active.pause_count >= SLOWDOWN_PAUSES:
+        plan = attempt.source.plan
+        if plan.work and attempt.pause_count >= SLOWDOWN_PAUSES:
             pass_ms = self._planner.stated_pass_ms(active.routed, plan)
-            slowdown = active.shortest_pause_s * 1_000 / pass_ms
+            slowdown = attempt.shortest_pause_s * 1_000 / pass_ms
             self._work_updates.record_slowdown(plan.entry.runner_id, slowdown)
-            active.pause_count, active.shortest_pause_s = 0, float("inf")
+            attempt.pause_count, attempt.shortest_pause_s = 0, float("inf")
 
 
 _CONNECTION_CLOSE = http_client.AnswerEnd.CONNECTION_CLOSE
--- a/packages/gateway/lacewingdrum_gateway/silent_runner_test.py
+++ b/packages/gateway/lacewingdrum_gateway/silent_runner_test.py
@@ -1,12 +1,16 @@
 """Tests of sound runners that fall silent for a moment and go on."""
 
 import asyncio
+import time
 
-from lacewingdrum_gateway.gateway_test import ASK, EVENTS
+from lacewingdrum_gateway import settings
+from lacewingdrum_gateway.gateway_test import ASK, EVENTS, run_ids
 from standins import platform_site
 from standins.platform_runner import Fault
 
 FAILURES_OF_THE_NEXT = (Fault.SHED, Fault.ERROR, Fault.ABORT_BEFORE_ANSWER)
+# Two intervals of the probes of suspected runners.
+DEAD_NOTICED_S = 2.5
 READ_HEADERS = (("Deadline-Ms", "3000"),)
 
 
@@ -37,6 +41,15 @@
         assert site.gateways[0].daemon.configuration_version == 2
 
 
+async def test_stream_of_a_silent_engine_goes_on_if_no_retry_is_left():
+    bounds = settings.BoundsSettings(repeat_ratio=0.0, repeat_slack=0.0)
+    async with platform_site.running_site(bounds=bounds) as site:
+        set_faults(site.engines, Fault.PAUSE)
+        answer = await site.call("/ask/x", "a1", headers=ASK)
+        assert (answer.status, answer.body) == (200, EVENTS)
+        assert run_ids(site) == ["a1"]
+
+
 async def test_read_of_a_silent_runner_is_answered_if_the_next_runner_fails():
     for failure in (Fault.SHED, Fault.ABORT_BEFORE_ANSWER):
         async with platform_site.running_site() as site:
@@ -60,3 +73,15 @@
         await site.wait_until(
             lambda: not any(engine.working_count for engine in site.engines)
         )
+
+
+async def test_dead_runner_is_not_waited_for_if_the_next_runner_fails():
+    async with platform_site.running_site() as site:
+        set_faults(site.ledgers, Fault.SILENT, Fault.SHED)
+        call = asyncio.ensure_future(site.call("/read/x", "r1", headers=READ_HEADERS))
+        await site.wait_until(lambda: any(one.arrivals for one in site.ledgers))
+        for runner in site.ledgers:
+            runner.stop_listening()
+        start_s = time.monotonic()
+        assert (await call).status == 502
+        assert time.monotonic() - start_s < DEAD_NOTICED_S
--- a/packages/runtime/lacewingdrum_runtime/decision_log.py
+++ b/packages/runtime/lacewingdrum_runtime/decision_log.py
@@ -68,6 +68,7 @@
     RUNNER_CLEARED = "runner_cleared"
     PEER_JOINED = "peer_joined"
     PEER_LOST = "peer_lost"
+    ATTEMPT_SILENT = "attempt_silent"
     ATTEMPT_ENDED = "attempt_ended"
     MEMORY_RESERVED = "memory_reserved"
     MEMORY_LAPSES = "memory_lapses"
--- a/packages/transport/lacewingdrum_transport/http_client.py
+++ b/packages/transport/lacewingdrum_transport/http_client.py
@@ -166,6 +166,11 @@
             connection.channel.set_input_handler(None)
             connection.channel.abort()
 
+    def close_idle(self, address: fleet.Address) -> None:
+        """Close the pooled connections to ``address``."""
+        for idle in self._idle.pop(address, []):
+            self._close_connection(idle)
+
     def idle_count(self, address: fleet.Address) -> int:
         """Return the number of pooled connections to ``address``."""
         return len(self._idle.get(address, ()))
@@ -274,8 +279,7 @@
         if timed_out:
             # The cause of the timeout, such as a broken network path, may
             # affect the idle connections to this address as well.
-            for idle in self._idle.pop(connection.address, []):
-                self._close_connection(idle)
+            self.close_idle(connection.address)
 
     def _close_connection(self, connection: _Connection) -> None:
         connection.channel.set_input_handler(None)
