--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -8,7 +8,7 @@
 import sys
 import tempfile
 
-from tests.soak import callers, checks, faults, site
+from tests.soak import callers, checks, faults, lost_checks, site
 
 RECOVERY_S = 6.0
 SETTLE_S = 2.0
@@ -21,6 +21,7 @@
     length_s: float,
     folder: pathlib.Path,
     gateway_count: int = site.GATEWAYS,
+    profile: faults.Profile = faults.Profile.ALL,
 ) -> list[str]:
     """Run one soak.
 
@@ -29,6 +30,7 @@
         length_s: time span in which new faults begin.
         folder: folder for settings and logs.
         gateway_count: the number of gateways.
+        profile: which faults are drawn.
 
     Returns:
         A line for each violation.
@@ -43,7 +45,7 @@
         soak_callers = callers.Callers(soak_site, random.Random(seed + 1))
         stop = asyncio.Event()
         calling = asyncio.ensure_future(soak_callers.run(stop))
-        await faults.Injector(soak_site, rng).run(length_s)
+        await faults.Injector(soak_site, rng, profile).run(length_s)
         await asyncio.sleep(RECOVERY_S)
         recovered_s = asyncio.get_running_loop().time()
         await asyncio.sleep(SETTLE_S)
@@ -79,6 +81,10 @@
         violations += checks.limit_violations(
             soak_site.named_limits, soak_site.disruptions
         )
+        if profile is faults.Profile.SOUND:
+            violations += lost_checks.violations(
+                soak_callers.observed, soak_site.disruptions
+            )
         answered = callers.answered_share(soak_callers.observed)
         print(
             f"seed {seed}: {len(soak_callers.observed)} requests, "
@@ -103,6 +109,13 @@
     parser.add_argument(
         "--gateways", type=int, default=site.GATEWAYS, help="how many gateways"
     )
+    parser.add_argument(
+        "--profile",
+        type=faults.Profile,
+        default=faults.Profile.ALL,
+        metavar="{all,sound}",
+        help="which faults are drawn",
+    )
     parser.add_argument("--keep", help="folder that keeps logs of failed seeds")
     arguments = parser.parse_args()
     first = arguments.first or random.SystemRandom().randrange(1, 1_000_000)
@@ -111,7 +124,13 @@
         with tempfile.TemporaryDirectory() as name:
             folder = pathlib.Path(name)
             violations = asyncio.run(
-                soak(seed, arguments.length, folder, arguments.gateways)
+                soak(
+                    seed,
+                    arguments.length,
+                    folder,
+                    arguments.gateways,
+                    arguments.profile,
+                )
             )
             for line in violations:
                 print(f"   {line}")
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import enum
 import random
 import signal
 from collections.abc import Awaitable, Callable
@@ -10,6 +11,7 @@
 from standins.platform_runner import Fault
 from tests.soak import checks, site
 
+SOUND_FAULTS = (Fault.PAUSE, Fault.SHED)
 REQUEST_FAULTS = tuple(fault for fault in Fault if fault is not Fault.NONE)
 
 # Faults that take a while to be found last longer than others.
@@ -20,6 +22,13 @@
 LIMITS = ("0.5", "1", "2.5", "8", "0", "many")
 
 
+class Profile(enum.Enum):
+    """Which faults are drawn; with ``SOUND`` ones no request may be lost."""
+
+    ALL = "all"
+    SOUND = "sound"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Injection:
     """A fault's name and the function that injects it and ends it."""
@@ -31,9 +40,15 @@
 class Injector:
     """Draws faults and injects them into a site."""
 
-    def __init__(self, soak_site: site.SoakSite, rng: random.Random) -> None:
+    def __init__(
+        self,
+        soak_site: site.SoakSite,
+        rng: random.Random,
+        profile: Profile = Profile.ALL,
+    ) -> None:
         self._site = soak_site
         self._rng = rng
+        self._profile = profile
         self._busy_gateways: set[int] = set()
         self._is_cut = False
 
@@ -44,7 +59,8 @@
         running: set[asyncio.Task[None]] = set()
         while loop.time() < until_s:
             await asyncio.sleep(self._rng.uniform(0.1, 1.2))
-            injection = self._draw()
+            is_sound = self._profile is Profile.SOUND
+            injection = self._draw_sound() if is_sound else self._draw()
             self._site.faults.append(injection.name)
             running.add(asyncio.ensure_future(injection.act()))
         await asyncio.gather(*running)
@@ -110,6 +126,27 @@
             )
         )
 
+    def _draw_sound(self) -> Injection:
+        """Draw planned work, or the silence of a runner that goes on."""
+        rng = self._rng
+        span_s = rng.uniform(0.3, 3.0)
+        gateway = rng.randrange(self._site.gateway_count)
+        runner = rng.randrange(len(self._site.runners))
+        return rng.choice(
+            (
+                Injection("runners pause", lambda: self._silence(span_s)),
+                Injection(
+                    f"runner {runner} leaves", lambda: self._leave(runner, span_s)
+                ),
+                Injection(
+                    f"SIGTERM gateway {gateway}",
+                    lambda: self._kill(gateway, signal.SIGTERM),
+                ),
+                Injection("configuration", self._configure),
+                Injection("credential withdrawn", self._rotate_credential),
+            )
+        )
+
     async def _store(self, mode: platform_store.StoreMode, span_s: float) -> None:
         self._site.store.mode = mode
         await asyncio.sleep(span_s)
@@ -157,12 +194,25 @@
         finally:
             self._busy_gateways.discard(gateway)
 
+    async def _silence(self, span_s: float) -> None:
+        """Let runners fall silent and go on, while they or others are full."""
+        numbers = range(len(self._site.runners))
+        chosen = self._rng.sample(numbers, self._rng.randint(1, len(numbers)))
+        await asyncio.gather(
+            *(self._draw_faults(number, span_s, SOUND_FAULTS) for number in chosen)
+        )
+
     async def _fail(self, runner: int, span_s: float) -> None:
+        await self._draw_faults(runner, span_s, REQUEST_FAULTS)
+
+    async def _draw_faults(
+        self, runner: int, span_s: float, choices: tuple[Fault, ...]
+    ) -> None:
         faults = self._site.runners[runner].faults
         until_s = asyncio.get_running_loop().time() + span_s
         while asyncio.get_running_loop().time() < until_s:
             if len(faults) < 2:
-                faults.append(self._rng.choice(REQUEST_FAULTS))
+                faults.append(self._rng.choice(choices))
             await asyncio.sleep(0.05)
         faults.clear()
 
