A refusal without an id counts only on a connection of its own

What callers saw: 503 "not run, try again" for reads and resumable streams that a runner was running, when that runner wrote an earlier refusal once more on a connection that is kept.

Cause: `head_failure` believed `Not-Executed`, 421 and each failure that bears no Attempt-Id, on any connection. On a connection that has carried another request such an answer may be meant for that one.

Change: a connection counts its requests, the answer says whether it is the first one there, and a failure without an id is believed only then. Otherwise it is of another request: the connection is closed, the outcome unknown, and what the answer says of the runner is not taken over. On a new connection nothing but this request can be meant, so that a runner that leaves the id out of its refusals is still believed there. The same holds for 500 and the like, which could have been passed on as this request's answer.

The stand-in writes 503, 421 and 429, without an id and with another one, late or right after an answer.

--- /dev/null
+++ b/packages/gateway/lacewingdrum_gateway/repeated_refusals_test.py
@@ -0,0 +1,85 @@
+"""Tests of runners that write an earlier refusal once more."""
+
+import asyncio
+import itertools
+
+from lacewingdrum_gateway.gateway_test import ASK, EVENTS
+from standins import platform_site
+from standins.repeated_refusals import Moment, NamedAttempt, RepeatedRefusal
+
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+REFUSALS = tuple(
+    RepeatedRefusal(status, named, moment)
+    for status, named, moment in itertools.product(
+        (503, 421, 429), (NamedAttempt.NONE, NamedAttempt.OTHER), Moment
+    )
+)
+KEPT_CONNECTIONS = 2
+# How long a request runs, so that the earlier refusal arrives first.
+RUN_S = 0.005
+
+
+def all_runners(site):
+    return (*site.engines, *site.ledgers)
+
+
+def runs_of(site, attempt_id: str) -> int:
+    return sum(runner.runs.count(attempt_id) for runner in all_runners(site))
+
+
+def set_refusal(site, refusal: RepeatedRefusal | None) -> None:
+    for runner in all_runners(site):
+        runner.repeated_refusal = refusal
+        runner.answer_s = runner.first_event_s = RUN_S
+        runner.event_interval_s = 0.0
+
+
+async def call(site, kind: str, attempt_id: str):
+    headers = ASK if kind == "ask" else ()
+    return await site.call(f"/{kind}/x", attempt_id, headers=headers)
+
+
+async def keep_connections(site, kind: str, name: str) -> None:
+    """Let runners have connections that have carried a request."""
+    set_refusal(site, None)
+    calls = (call(site, kind, f"{name}-{item}") for item in range(KEPT_CONNECTIONS))
+    assert all(answer.status == 200 for answer in await asyncio.gather(*calls))
+
+
+async def check_calls(site, kind: str, is_repeatable: bool) -> None:
+    """Make calls beside each repeated refusal."""
+    for number, refusal in enumerate(REFUSALS):
+        await keep_connections(site, kind, f"w{number}")
+        set_refusal(site, refusal)
+        answer = await call(site, kind, f"a{number}")
+        run_count = runs_of(site, f"a{number}")
+        detail = (kind, refusal, answer.status, run_count)
+        assert answer.status not in NOT_RUN_STATUSES or not run_count, detail
+        assert is_repeatable or (answer.status, run_count) == (200, 1), detail
+        assert answer.status != 200 or kind != "ask" or answer.body == EVENTS, detail
+
+
+async def test_read_that_runs_is_not_refused_by_an_earlier_refusal():
+    async with platform_site.running_site(engines=1, ledgers=1) as site:
+        await check_calls(site, "read", is_repeatable=True)
+
+
+async def test_stream_that_runs_is_not_refused_by_an_earlier_refusal():
+    async with platform_site.running_site(engines=1, ledgers=1) as site:
+        await check_calls(site, "ask", is_repeatable=True)
+
+
+async def test_order_that_runs_is_not_refused_by_an_earlier_refusal():
+    async with platform_site.running_site() as site:
+        await check_calls(site, "order", is_repeatable=False)
+
+
+async def test_stream_that_runs_once_is_not_refused_by_an_earlier_refusal():
+    async with platform_site.running_site() as site:
+        stream = platform_site.make_route(
+            "ask", "stream", platform_site.MODEL, resumable=False, max_attempts=1
+        )
+        changed = platform_site.make_configuration(2, routes=[stream])
+        site.store.put_json("op", "config", changed)
+        await site.wait_until(lambda: site.gateways[0].daemon.configuration_version > 1)
+        await check_calls(site, "ask", is_repeatable=False)
--- a/packages/gateway/lacewingdrum_gateway/serving/attempt.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/attempt.py
@@ -98,7 +98,10 @@
             reader.status, reader.headers
         )
         end = attempt_ends.head_failure(
-            outgoing.attempt_id, reader.status, answer_headers
+            outgoing.attempt_id,
+            reader.status,
+            answer_headers,
+            reader.is_first_on_connection,
         )
         if end is None or end.reason is not attempt_ends.EndReason.FOREIGN_ANSWER:
             self._notices.observe(entry, answer_headers)
--- a/packages/gateway/lacewingdrum_gateway/serving/attempt_ends.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/attempt_ends.py
@@ -66,13 +66,25 @@
 
 
 def head_failure(
-    attempt_id: str, status: int, answer_headers: requests.RunnerHeaders
+    attempt_id: str,
+    status: int,
+    answer_headers: requests.RunnerHeaders,
+    is_first_on_connection: bool,
 ) -> AttemptEnd | None:
-    """Return the end of the attempt if the head shows a failure."""
+    """Return the end of the attempt if the head shows a failure.
+
+    Args:
+        attempt_id: the id that the request was sent with.
+        status: the status of the answer.
+        answer_headers: its headers.
+        is_first_on_connection: whether its connection has carried no other
+            request, so that a failure without an id can only mean this one.
+    """
     unknown = states.AttemptState.UNKNOWN
     is_success = http_messages.is_success(status)
-    is_of_other_attempt = answer_headers.attempt_id not in ("", attempt_id)
-    if is_of_other_attempt or (is_success and answer_headers.attempt_id != attempt_id):
+    names_attempt = answer_headers.attempt_id == attempt_id
+    may_lack_id = is_first_on_connection and not is_success
+    if not names_attempt and (answer_headers.attempt_id or not may_lack_id):
         return AttemptEnd(unknown, EndReason.FOREIGN_ANSWER, f"status {status}")
     if answer_headers.says_not_run and not is_success:
         reason = (
--- a/packages/transport/lacewingdrum_transport/client_connection.py
+++ b/packages/transport/lacewingdrum_transport/client_connection.py
@@ -61,7 +61,10 @@
 
 
 class ClientConnection:
-    """A connection to one address, with its h11 state."""
+    """A connection to one address, with its h11 state.
+
+    ``request_count`` is the number of requests that were sent on it.
+    """
 
     def __init__(
         self,
@@ -76,6 +79,7 @@
         self.clock = clock
         self.idle_since_s = 0.0
         self.idle_limit_s = float("inf")
+        self.request_count = 0
         self._needs_data = False
 
     @property
@@ -160,6 +164,7 @@
             data += self.h11.send(h11.Data(data=body)) or b""
         data += self.h11.send(h11.EndOfMessage()) or b""
         if self.channel.write(data):
+            self.request_count += 1
             return Ok(None)
         detail = "connection ended before the request"
         return Err(HttpClientError(ClientErrorReason.LOST, False, detail))
--- a/packages/transport/lacewingdrum_transport/response_reader.py
+++ b/packages/transport/lacewingdrum_transport/response_reader.py
@@ -34,6 +34,8 @@
 
     ``answer_end`` says what marks the end of the body. ``channel_end`` says
     how the connection stood when the response ended.
+    ``is_first_on_connection`` is False if the connection has carried an
+    earlier request, to which this may be one more response.
     """
 
     def __init__(
@@ -49,6 +51,7 @@
         )
         self.answer_end = answer_end(head)
         self.channel_end = byte_channel.ChannelEnd.OPEN
+        self.is_first_on_connection = connection.request_count == 1
         self._connection = connection
         self._connection.idle_limit_s = _idle_limit_s(self.headers)
         self._release = release
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -16,12 +16,14 @@
     platform_connection,
     platform_failures,
     platform_memory,
+    repeated_refusals,
     runner_crashes,
 )
 
 Fault = platform_answers.Fault
 Headers = platform_connection.Headers
 MemoryReservation = platform_memory.MemoryReservation
+Moment = repeated_refusals.Moment
 ReceivedRequest = platform_connection.ReceivedRequest
 SECOND_COPY_DELAY_S = platform_connection.SECOND_COPY_DELAY_S
 EVENT_INTERVAL_S = 0.005
@@ -54,6 +56,8 @@
         self.retry_after = ""
         # Addresses of engines that refuse to help, as draining engines do.
         self.refusing_helpers: set[str] = set()
+        # An earlier refusal that is written once more on kept connections.
+        self.repeated_refusal: repeated_refusals.RepeatedRefusal | None = None
         # Those of them that an answer of this engine has named.
         self.named_helpers: set[str] = set()
         self.port = 0
@@ -131,12 +135,17 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         connection = h11.Connection(h11.SERVER)
+        is_kept = False
         while True:
             request, body = await platform_connection.read_request(connection, reader)
             if request is None:
                 return
             headers = {name.decode(): value.decode() for name, value in request.headers}
             path = request.target.decode()
+            attempt_id = headers.get("attempt-id", "")
+            if is_kept:
+                self._repeat_refusal(writer, Moment.LATE, attempt_id)
+            is_kept = True
             if path == "/-/order" and self.has_endless_commands:
                 await self.endless.send(writer, (), Fault.ENDLESS_BODY)
                 return
@@ -156,9 +165,16 @@
             if not is_reusable:
                 await platform_connection.close_after_drain(writer)
                 return
+            self._repeat_refusal(writer, Moment.AT_ONCE, attempt_id)
             await writer.drain()
             connection.start_next_cycle()
 
+    def _repeat_refusal(
+        self, writer: asyncio.StreamWriter, moment: Moment, attempt_id: str
+    ) -> None:
+        if self.repeated_refusal is not None:
+            self.repeated_refusal.write(writer, moment, attempt_id)
+
     def _handle_command(
         self, connection: h11.Connection, writer: asyncio.StreamWriter, body: bytes
     ) -> bool:
