A daemon takes a peer's answer only if it names the request

What callers saw: 503 "not run, try again" for a read that a peer was running for a daemon that is cut off, when an earlier refusal of the peer came once more on a connection between them that is kept.

Cause: the daemon looked at `Lacewingdrum-Ran` and at nothing that says whose answer it is; a success was passed on just so.

Change: on a connection that has carried another request, the answer must name this one, by the runner's Attempt-Id or by the request id that all answers of a handler bear, also those of the earlier builds. What a peer's server refuses before its handler (overload) bears a new id; that counts as unknown on such connections, and as before on new ones, which orders use.

Four tests on sites of their own are now two that use the same cases.

--- a/packages/gateway/lacewingdrum_gateway/repeated_refusals_test.py
+++ b/packages/gateway/lacewingdrum_gateway/repeated_refusals_test.py
@@ -1,13 +1,16 @@
 """Tests of runners that write an earlier refusal once more."""
 
 import asyncio
+import contextlib
 import itertools
 
+from lacewingdrum_gateway import cut_off_daemons_test
 from lacewingdrum_gateway.gateway_test import ASK, EVENTS
 from lacewingdrum_gateway.helpers_test import DIGEST
-from standins import platform_site
+from standins import platform_runner, platform_site
 from standins.platform_runner import Fault
 from standins.repeated_refusals import Moment, NamedAttempt, RepeatedRefusal
+from standins.runner_paths import Cut
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 REFUSALS = tuple(
@@ -17,6 +20,7 @@
     )
 )
 HEADERS = {"ask": ASK, "digest": DIGEST}
+PEER_REFUSAL = (("Lacewingdrum-Ran", "no"), ("Lacewingdrum-Request-Id", "another"))
 KEPT_CONNECTIONS = 2
 # How long a request runs, so that the earlier refusal arrives first.
 RUN_S = 0.005
@@ -52,33 +56,25 @@
 async def check_calls(site, kind: str, is_repeatable: bool) -> None:
     """Make calls beside each repeated refusal."""
     for number, refusal in enumerate(REFUSALS):
-        await keep_connections(site, kind, f"w{number}")
+        await keep_connections(site, kind, f"{kind}-w{number}")
         set_refusal(site, refusal)
-        answer = await call(site, kind, f"a{number}")
-        run_count = runs_of(site, f"a{number}")
+        answer = await call(site, kind, f"{kind}-a{number}")
+        run_count = runs_of(site, f"{kind}-a{number}")
         detail = (kind, refusal, answer.status, run_count)
         assert answer.status not in NOT_RUN_STATUSES or not run_count, detail
         assert answer.status == 200 and (is_repeatable or run_count == 1), detail
         assert kind != "ask" or answer.body == EVENTS, detail
 
 
-async def test_read_that_runs_is_not_refused_by_an_earlier_refusal():
+async def test_repeatable_request_that_runs_is_not_refused_by_an_earlier_refusal():
     async with platform_site.running_site(engines=1, ledgers=1) as site:
-        await check_calls(site, "read", is_repeatable=True)
+        for kind in ("read", "ask"):
+            await check_calls(site, kind, is_repeatable=True)
 
 
-async def test_stream_that_runs_is_not_refused_by_an_earlier_refusal():
-    async with platform_site.running_site(engines=1, ledgers=1) as site:
-        await check_calls(site, "ask", is_repeatable=True)
-
-
-async def test_order_that_runs_is_not_refused_by_an_earlier_refusal():
+async def test_request_that_may_run_once_is_not_refused_by_an_earlier_refusal():
     async with platform_site.running_site() as site:
         await check_calls(site, "order", is_repeatable=False)
-
-
-async def test_stream_that_runs_once_is_not_refused_by_an_earlier_refusal():
-    async with platform_site.running_site() as site:
         stream = platform_site.make_route(
             "ask", "stream", platform_site.MODEL, resumable=False, max_attempts=1
         )
@@ -109,3 +105,42 @@
         set_refusal(site, RepeatedRefusal(503, NamedAttempt.NONE, Moment.LATE))
         answer = await call(site, "read", "")
         assert (answer.status, runs_of(site, "")) == (200, 1)
+
+
+@contextlib.asynccontextmanager
+async def site_with_cut_off_daemon():
+    """Yield a site whose first gateway passes requests on to the second."""
+    async with platform_site.running_site(gateways=2, engines=1, ledgers=1) as site:
+        table = site.gateways[0].daemon.components.peers.table
+        await site.wait_until(lambda: any(peer.relay_port for peer in table.live))
+        site.gateways[0].paths.cut(Cut.RESET)
+        await cut_off_daemons_test.wait_until_cut_off(site, 0)
+        yield site
+
+
+async def test_relayed_request_that_runs_is_not_refused_by_an_earlier_refusal():
+    async with site_with_cut_off_daemon() as site:
+        for kind in ("read", "ask", "order"):
+            await check_calls(site, kind, is_repeatable=kind != "order")
+
+
+async def test_request_that_a_peer_runs_is_not_refused_by_its_earlier_refusal():
+    async with site_with_cut_off_daemon() as site:
+        peer, vm = site.gateways[1].daemon, site.gateways[1].gateway_settings.vm
+        await peer.components.relay_server.close()
+        faulty = platform_runner.PlatformRunner("peer")
+        await faulty.start(vm.relay_port, vm.host)
+        try:
+            for kind in ("read", "ask", "order"):
+                assert (await call(site, kind, f"w-{kind}")).status == 200
+                for named, moment in itertools.product(NamedAttempt, Moment):
+                    faulty.repeated_refusal = RepeatedRefusal(
+                        503, named, moment, PEER_REFUSAL
+                    )
+                    attempt_id = f"{kind}-{named.value}-{moment.value}"
+                    answer = await call(site, kind, attempt_id)
+                    detail = (attempt_id, answer.status, faulty.runs)
+                    assert answer.status not in NOT_RUN_STATUSES, detail
+                    assert faulty.runs.count(attempt_id) == 1, detail
+        finally:
+            await faulty.close()
--- a/packages/gateway/lacewingdrum_gateway/serving/attempt_ends.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/attempt_ends.py
@@ -103,3 +103,25 @@
     if is_success and (not answer_headers.has_receipt or answer_headers.is_encoded):
         return AttemptEnd(unknown, EndReason.NO_RECEIPT, f"status {status}")
     return None
+
+
+def foreign_peer_answer(
+    attempt_id: str, reader: http_client.ResponseReader, answer_attempt_id: str
+) -> AttemptEnd | None:
+    """Return the end of an attempt at a peer if the answer may be another's.
+
+    Args:
+        attempt_id: the id that the request was passed on with.
+        reader: the answer. A peer names the request in its own answers.
+        answer_attempt_id: the attempt that a runner's answer names, or empty.
+    """
+    named = answer_attempt_id or http_messages.header_value(
+        reader.headers, http_messages.REQUEST_ID_HEADER
+    )
+    if named == attempt_id or reader.is_first_on_connection:
+        return None
+    return AttemptEnd(
+        states.AttemptState.UNKNOWN,
+        EndReason.FOREIGN_ANSWER,
+        f"status {reader.status} of a peer",
+    )
--- a/packages/gateway/lacewingdrum_gateway/serving/relay.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/relay.py
@@ -158,6 +158,14 @@
         if isinstance(opened, Err):
             return attempt_ends.open_failure(opened.err_value)
         reader = opened.ok_value
+        foreign = attempt_ends.foreign_peer_answer(
+            active.outgoing.attempt_id,
+            reader,
+            http_messages.header_value(reader.headers, platform_headers.ATTEMPT_ID),
+        )
+        if foreign is not None:
+            await reader.close()
+            return foreign
         active.answer = reader
         is_stream = active.routed.route.kind is configurations.RouteKind.STREAM
         if is_stream and http_messages.is_success(reader.status):
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -93,9 +93,9 @@
             "born": self.born_ms,
         }
 
-    async def start(self, port: int = 0) -> None:
+    async def start(self, port: int = 0, host: str = "127.0.0.1") -> None:
         """Start to listen; port 0 picks a free port."""
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", port)
+        self._server = await asyncio.start_server(self._accept, host, port)
         self.port = self._server.sockets[0].getsockname()[1]
 
     def stop_listening(self) -> None:
--- a/standins/repeated_refusals.py
+++ b/standins/repeated_refusals.py
@@ -37,11 +37,13 @@
     """A refusal that a faulty runner writes on each connection that is kept.
 
     The requests that it precedes are run and answered all the same.
+    ``headers`` are those that it has besides.
     """
 
     status: int
     named: NamedAttempt
     moment: Moment
+    headers: platform_connection.Headers = ()
 
     def write(
         self,
@@ -61,7 +63,7 @@
         is_same = self.named is NamedAttempt.SAME
         if moment is not self.moment or (is_same and not was_refused):
             return
-        headers = [("Content-Length", "0")]
+        headers = [("Content-Length", "0"), *self.headers]
         if self.status != OTHER_RUNNER_STATUS:
             headers.append(NOT_EXECUTED)
         if self.named is not NamedAttempt.NONE:
