The answer of a request is none to a memory order

What callers saw: nothing so far. Requests and memory orders share the connections to an engine. An earlier answer of a request, written once more, counted as the answer to an order: 200 as memory set aside, though the engine had refused it, any status as the answer to a release, and its notices as fresh ones.

Cause: orders bear no Attempt-Id, and nothing looked at one in their answers.

Evidence, before the change: test_memory_is_not_granted_by_the_answer_of_a_request got the memory. No fault in test_memory_is_freed_after_an_earlier_refusal_of_its_order (passes before and after): earlier refusals with 409, 421, 429 and 503 make the gateway release what the engine has set aside, and the releases are carried out.

Change: an answer that names an attempt is no answer to an order; releases are sent again, a reservation is released, and the engine is not suspected.

Open: the earlier answer of an order can't be told from the due one. A reservation that only seems to be made costs an attempt, which the engine refuses for want of the ticket.

--- a/packages/gateway/lacewingdrum_gateway/repeated_refusals_test.py
+++ b/packages/gateway/lacewingdrum_gateway/repeated_refusals_test.py
@@ -7,6 +7,7 @@
 from lacewingdrum_gateway import cut_off_daemons_test
 from lacewingdrum_gateway.gateway_test import ASK, EVENTS
 from lacewingdrum_gateway.helpers_test import DIGEST
+from lacewingdrum_state import ids
 from standins import platform_runner, platform_site
 from standins.platform_runner import Fault
 from standins.repeated_refusals import Moment, NamedAttempt, RepeatedRefusal
@@ -20,6 +21,12 @@
     )
 )
 HEADERS = {"ask": ASK, "digest": DIGEST}
+MEMORY_REFUSALS = tuple(
+    RepeatedRefusal(status, named, Moment.LATE)
+    for status, named in itertools.product(
+        (409, 421, 429, 503), (NamedAttempt.NONE, NamedAttempt.OTHER)
+    )
+)
 PEER_REFUSAL = (("Lacewingdrum-Ran", "no"), ("Lacewingdrum-Request-Id", "another"))
 KEPT_CONNECTIONS = 2
 # How long a request runs, so that the earlier refusal arrives first.
@@ -144,3 +151,36 @@
                     assert faulty.runs.count(attempt_id) == 1, detail
         finally:
             await faulty.close()
+
+
+async def reserve_memory(site, name: str):
+    """Reserve memory on all engines; return it, or None if one refused."""
+    components = site.gateways[0].daemon.components
+    entries = components.roster.of_service(platform_site.MODEL)
+    reserved = await components.memory.reserve(
+        ids.RequestId(name), name, entries[0], entries, 1_000
+    )
+    return reserved.ok()
+
+
+async def test_memory_is_freed_after_an_earlier_refusal_of_its_order():
+    async with platform_site.running_site() as site:
+        for refusal in MEMORY_REFUSALS:
+            set_refusal(site, None)
+            name = f"{refusal.status}-{refusal.named.value}"
+            kept = await reserve_memory(site, f"k-{name}")
+            set_refusal(site, refusal)
+            assert not await reserve_memory(site, f"r-{name}"), refusal
+            kept.close()
+            await site.wait_until(lambda: not any(one.reserved for one in site.engines))
+
+
+async def test_memory_is_not_granted_by_the_answer_of_a_request():
+    async with platform_site.running_site() as site:
+        kept = await reserve_memory(site, "k")
+        set_refusal(site, RepeatedRefusal(200, NamedAttempt.OTHER, Moment.LATE))
+        for engine in site.engines:
+            engine.refuse_commands = True
+        assert not await reserve_memory(site, "r")
+        assert not site.gateways[0].daemon.components.health.suspects
+        kept.close()
--- a/packages/gateway/lacewingdrum_gateway/runners/engine_memory.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/engine_memory.py
@@ -37,6 +37,7 @@
 REPORTING_ENGINES = 2
 RELEASE_ATTEMPTS = 3
 RELEASE_RETRY_S = 0.4
+FOREIGN_ANSWER = "foreign_answer"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -248,7 +249,8 @@
         call = engine_calls.reserve(held.reservation_id, held.tokens, self._lease_ms)
         answer = await self._call_engine(entry, call)
         if isinstance(answer, Err):
-            return MemoryRefused(entry, answer.err_value, is_unreachable=True)
+            is_unreachable = answer.err_value != FOREIGN_ANSWER
+            return MemoryRefused(entry, answer.err_value, is_unreachable)
         status = answer.ok_value.status
         if status != http_messages.STATUS_OK:
             return MemoryRefused(entry, f"status {status}")
@@ -288,8 +290,11 @@
         if isinstance(answer, Err):
             return Err(answer.err_value.reason.value)
         response = answer.ok_value
-        self._notices.observe(
-            entry,
-            platform_headers.parse_runner_headers(response.status, response.headers),
+        headers = platform_headers.parse_runner_headers(
+            response.status, response.headers
         )
+        if headers.attempt_id:
+            # Only requests have attempts, so it belongs to an earlier one.
+            return Err(FOREIGN_ANSWER)
+        self._notices.observe(entry, headers)
         return Ok(response)
