An answer to another call does not empty the list of runners

What callers saw: found by looking for the same cause elsewhere, not reported. If the store's answer to another call arrives where that of a read of the runners is due (it was written once more on the kept connection), all runners count as gone, here and at the peers: 503 for everything until the next read.

Cause: an answer without rows, as that to a write, counted as an empty table, and rows were not asked which table they are of. Feeds, whose answers may be empty, shared their connections with reads.

Feeds have connections of their own. Versions were ruled out as proof: a copy may have the version that is in force.

--- a/packages/gateway/lacewingdrum_gateway/store_client.py
+++ b/packages/gateway/lacewingdrum_gateway/store_client.py
@@ -67,6 +67,9 @@
             body_bytes=ANSWER_MAX_BYTES,
         )
         self._client = http_client.HttpClient(limits, clock)
+        # An answer of the feed may be empty, which would empty a table that is
+        # read on the same connection, if the store sends it once more.
+        self._feed_client = http_client.HttpClient(limits, clock)
         self._clock = clock
         self._decisions = decisions
         self._counts = counts
@@ -85,6 +88,7 @@
     async def close(self) -> None:
         """Close every connection to the store."""
         await self._client.close()
+        await self._feed_client.close()
 
     async def read(self, table: str) -> Result[store_calls.Rows, StoreError]:
         """Read a whole table.
@@ -99,7 +103,8 @@
         version: store_versions.StoreVersion | None = None
         start = ""
         while True:
-            answer = await self._rows(store_calls.read(table, start), CALL_TIMEOUT_S)
+            call = store_calls.read(table, start)
+            answer = await self._rows(self._client, table, call, CALL_TIMEOUT_S)
             if isinstance(answer, Err):
                 return answer
             page = answer.ok_value
@@ -130,7 +135,8 @@
             the changes of the new era may have lower versions.
         """
         call = store_calls.feed(table, after.version, int(wait_s * 1_000))
-        answer = await self._rows(call, wait_s + CALL_TIMEOUT_S)
+        timeout_s = wait_s + CALL_TIMEOUT_S
+        answer = await self._rows(self._feed_client, table, call, timeout_s)
         if isinstance(answer, Ok) and answer.ok_value.version.era != after.era:
             return Err(StoreError(StoreErrorReason.HISTORY_GONE, "new era"))
         return answer
@@ -146,17 +152,22 @@
         Returns:
             None, or the error if the write is not confirmed.
         """
-        answer = await self._call(store_calls.put(table, key, value), CALL_TIMEOUT_S)
+        call = store_calls.put(table, key, value)
+        answer = await self._call(self._client, call, CALL_TIMEOUT_S)
         return Ok(None) if isinstance(answer, Ok) else answer
 
     async def _rows(
-        self, call: store_calls.Call, timeout_s: float
+        self,
+        client: http_client.HttpClient,
+        table: str,
+        call: store_calls.Call,
+        timeout_s: float,
     ) -> Result[store_calls.Rows, StoreError]:
-        answer = await self._call(call, timeout_s)
+        answer = await self._call(client, call, timeout_s)
         if isinstance(answer, Err):
             return answer
         rows, faults = store_calls.decode_rows(
-            answer.ok_value.body, answer.ok_value.era
+            answer.ok_value.body, answer.ok_value.era, table
         )
         for fault in faults:
             self._counts.count("store_faults", kind="row")
@@ -166,10 +177,10 @@
         return Ok(rows)
 
     async def _call(
-        self, call: store_calls.Call, timeout_s: float
+        self, client: http_client.HttpClient, call: store_calls.Call, timeout_s: float
     ) -> Result[_Answer, StoreError]:
         headers = (("Content-Type", "application/json"),) if call.body else ()
-        answer = await self._client.request(
+        answer = await client.request(
             self._address, call.method, call.path, headers, call.body, timeout_s
         )
         if isinstance(answer, Err):
