--- a/packages/gateway/lacewingdrum_gateway/serving/exchange.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/exchange.py
@@ -16,6 +16,7 @@
     open_attempt,
     outcomes,
     plans,
+    retry_limits,
     routing,
     stream_forwarding,
 )
@@ -151,7 +152,9 @@
             active.outgoing,
             attempt_headers,
             left_s,
-            on_new_connection=not active.routed.route.is_retryable,
+            on_new_connection=retry_limits.needs_new_connection(
+                active, plan.entry.runner_id
+            ),
         )
         match opened:
             case Err(end):
