One place decodes what others have written, and nothing in it ends a loop

Seen: an entry of the runners' table with an extra field nested 100,000 deep stopped the list at every daemon: all three still listed a runner that was removed after it. The same field in the operators' configuration ended the loop that follows the feed, again every half second.

Cause: msgspec raises RecursionError for such input, also in a field that it skips. 17 places called a decoder, with four different tuples of errors beside it; four of them named RecursionError, those of the platform's formats did not, so that it went through the reader's loop and took the whole read with it.

Change: state/decoding.py calls decoders and turns whatever they raise about their input into a reason. The stand-ins' own servers keep theirs.

--- a/packages/cli/lacewingdrum_cli/daemon_client.py
+++ b/packages/cli/lacewingdrum_cli/daemon_client.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from lacewingdrum_protocol import operators_api
-from lacewingdrum_state import fleet, ids
+from lacewingdrum_state import decoding, fleet, ids
 from lacewingdrum_transport import http_client, http_messages
 
 CALL_TIMEOUT_S = 10.0
@@ -20,6 +20,8 @@
 
 T = TypeVar("T", bound=msgspec.Struct)
 
+_refusal_decoder = msgspec.json.Decoder(operators_api.ErrorAnswer)
+
 
 class FailureReason(enum.Enum):
     """Why no daemon returned the requested answer."""
@@ -173,15 +175,16 @@
 def _decode_answer(
     response: http_messages.HttpResponse, answer_type: type[T]
 ) -> Result[T, ClientFailure]:
-    try:
-        if response.status == 200:
-            return Ok(msgspec.json.decode(response.body, type=answer_type))
-        refusal = msgspec.json.decode(response.body, type=operators_api.ErrorAnswer)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
-        detail = f"status {response.status} with a body that cannot be decoded"
-        return Err(ClientFailure(FailureReason.LOST, detail))
-    message = refusal.error.message
-    return Err(ClientFailure(FailureReason.REFUSED, message, refusal))
+    detail = f"status {response.status} with a body that cannot be decoded"
+    undecodable = ClientFailure(FailureReason.LOST, detail)
+    if response.status == http_messages.STATUS_OK:
+        answer = decoding.decode(msgspec.json.Decoder(answer_type), response.body)
+        return answer.map_err(lambda _: undecodable)
+    refusal = decoding.decode(_refusal_decoder, response.body)
+    if isinstance(refusal, Err):
+        return Err(undecodable)
+    message = refusal.ok_value.error.message
+    return Err(ClientFailure(FailureReason.REFUSED, message, refusal.ok_value))
 
 
 def _is_retryable(failure: ClientFailure) -> bool:
--- a/packages/cli/lacewingdrum_cli/log_search.py
+++ b/packages/cli/lacewingdrum_cli/log_search.py
@@ -6,8 +6,10 @@
 from collections.abc import Iterable
 
 import msgspec
+from result import Err
 
 from lacewingdrum_protocol import operators_api
+from lacewingdrum_state import decoding
 
 OMITTED_FIELDS = ("level", "logger", "message", "data_centre")
 STANDARD_INPUT = pathlib.Path("-")
@@ -28,6 +30,8 @@
     )
 )
 
+_line_decoder = msgspec.json.Decoder(dict[str, object])
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Line:
@@ -116,8 +120,8 @@
     start = text.find("{")
     if start < 0:
         return None
-    try:
-        fields = msgspec.json.decode(text[start:], type=dict[str, object])
-    except msgspec.MsgspecError:
+    decoded = decoding.decode(_line_decoder, text[start:])
+    if isinstance(decoded, Err):
         return None
+    fields = decoded.ok_value
     return _Line(str(fields.get("at", "")), fields)
--- a/packages/daemon/lacewingdrum_daemon/operators.py
+++ b/packages/daemon/lacewingdrum_daemon/operators.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 
 import msgspec
+from result import Err
 
 from lacewingdrum_coordination import documents, membership
 from lacewingdrum_daemon import (
@@ -20,7 +21,7 @@
 )
 from lacewingdrum_protocol import document_text, operators_api, peer_messages
 from lacewingdrum_runtime import decision_log
-from lacewingdrum_state import documents as document_types, ids, states
+from lacewingdrum_state import decoding, documents as document_types, ids, states
 from lacewingdrum_transport import http_messages, http_server
 
 if typing.TYPE_CHECKING:
@@ -136,10 +137,10 @@
     async def _submit(
         self, service: ids.ServiceName, body: bytes
     ) -> http_messages.HttpResponse:
-        try:
-            call = _submit_decoder.decode(body)
-        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
-            return _error_response(ErrorCode.MALFORMED, f"body: {error}")
+        decoded = decoding.decode(_submit_decoder, body)
+        if isinstance(decoded, Err):
+            return _error_response(ErrorCode.MALFORMED, f"body: {decoded.err_value}")
+        call = decoded.ok_value
         fault = _call_fault(call)
         if fault:
             return _error_response(ErrorCode.MALFORMED, fault)
--- /dev/null
+++ b/packages/gateway/lacewingdrum_gateway/odd_entries_test.py
@@ -0,0 +1,61 @@
+"""Tests of entries that other writers leave among those of the runners."""
+
+import contextlib
+import json
+
+from standins import error_log, platform_site
+
+LEDGER = platform_site.LEDGER
+NESTED = b"[" * 100_000 + b"]" * 100_000
+
+
+def listed(running) -> set[str]:
+    """Return the runners that a gateway may send requests of ``LEDGER`` to."""
+    return {
+        entry.runner_id for entry in running.daemon.components.roster.of_service(LEDGER)
+    }
+
+
+def with_field(entry: dict[str, object], name: str, value: bytes) -> bytes:
+    """Return an entry as JSON, with one more field in the text given."""
+    return json.dumps(entry).encode()[:-1] + b',"%s":%s}' % (name.encode(), value)
+
+
+@contextlib.asynccontextmanager
+async def site_that_follows_the_list(gateways: int = 3):
+    """Yield a site; afterwards all gateways still have to follow the list."""
+    async with platform_site.running_site(gateways) as site:
+        with error_log.collected_errors() as errors:
+            yield site
+            kept, removed = site.ledgers
+            site.store.delete("servers", removed.runner_id)
+            for running in site.gateways:
+                await site.wait_until(
+                    lambda running=running: listed(running) == {kept.runner_id}
+                )
+        assert not errors, errors
+
+
+async def follows_the_feed(site) -> None:
+    """Wait until a later configuration is in force, after one that is read."""
+    feeds = len(site.gateways)
+    await site.wait_until(lambda: site.store.waiting_feeds < feeds)
+    await site.wait_until(lambda: site.store.waiting_feeds == feeds)
+    site.store.put_json("op", "config", platform_site.make_configuration(3))
+    for running in site.gateways:
+        await site.wait_until(
+            lambda running=running: running.daemon.configuration_version == 3
+        )
+
+
+async def test_deeply_nested_entry_does_not_stop_the_list():
+    async with site_that_follows_the_list() as site:
+        entry = site.ledgers[0].entry(LEDGER)
+        site.store.put("servers", "odd", with_field(entry, "extra", NESTED))
+
+
+async def test_deeply_nested_configuration_does_not_stop_the_feed():
+    async with site_that_follows_the_list() as site:
+        odd = with_field(platform_site.make_configuration(2), "extra", NESTED)
+        site.store.put("op", "config", odd)
+        await follows_the_feed(site)
--- a/packages/protocol/lacewingdrum_protocol/callers_api.py
+++ b/packages/protocol/lacewingdrum_protocol/callers_api.py
@@ -7,7 +7,7 @@
 import xxhash
 from result import Err, Ok, Result
 
-from lacewingdrum_state import states
+from lacewingdrum_state import decoding, states
 
 COMPLETIONS_PATH = "/v1/completions"
 SERVICES_PREFIX = "/services/"
@@ -149,10 +149,10 @@
     Returns:
         The request, or a ``MALFORMED`` failure that describes the fault.
     """
-    try:
-        parsed = _completion_decoder.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
-        return Err(Failure(ErrorCode.MALFORMED, f"body: {error}"))
+    decoded = decoding.decode(_completion_decoder, body)
+    if isinstance(decoded, Err):
+        return Err(Failure(ErrorCode.MALFORMED, f"body: {decoded.err_value}"))
+    parsed = decoded.ok_value
     if not 1 <= parsed.max_tokens <= MAX_TOKENS_LIMIT:
         message = (
             f"max_tokens: found {parsed.max_tokens}, allowed 1..{MAX_TOKENS_LIMIT}"
--- a/packages/protocol/lacewingdrum_protocol/peer_messages.py
+++ b/packages/protocol/lacewingdrum_protocol/peer_messages.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from lacewingdrum_protocol import crash_messages, limit_messages, work_messages
-from lacewingdrum_state import states
+from lacewingdrum_state import decoding, states
 
 WIRE_VERSION = 1
 
@@ -288,10 +288,13 @@
     Returns:
         The message, or why it could not be decoded.
     """
-    try:
-        envelope = _envelope_decoder.decode(data)
-        if envelope.wire_version != WIRE_VERSION:
-            return Err(PeerMessageError(f"wire version {envelope.wire_version}"))
-        return Ok(PeerMessage(envelope.sender, _body_decoder.decode(envelope.body)))
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
-        return Err(PeerMessageError(str(error)))
+    decoded = decoding.decode(_envelope_decoder, data)
+    if isinstance(decoded, Err):
+        return Err(PeerMessageError(decoded.err_value))
+    envelope = decoded.ok_value
+    if envelope.wire_version != WIRE_VERSION:
+        return Err(PeerMessageError(f"wire version {envelope.wire_version}"))
+    body = decoding.decode(_body_decoder, envelope.body)
+    if isinstance(body, Err):
+        return Err(PeerMessageError(body.err_value))
+    return Ok(PeerMessage(envelope.sender, body.ok_value))
--- a/packages/protocol/lacewingdrum_protocol/row_codec.py
+++ b/packages/protocol/lacewingdrum_protocol/row_codec.py
@@ -8,9 +8,9 @@
 from typing import TypeVar
 
 import msgspec
-from result import Err, Ok, Result
+from result import Result
 
-from lacewingdrum_state import documents, ids, leases, orders, rows
+from lacewingdrum_state import decoding, documents, ids, leases, orders, rows
 
 ORDER_TABLE = "orders"
 DOCUMENT_TABLE = "documents"
@@ -84,10 +84,7 @@
 
 
 def _decode(decoder: "msgspec.msgpack.Decoder[T]", data: bytes) -> Result[T, RowError]:
-    try:
-        return Ok(decoder.decode(data))
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
-        return Err(RowError(str(error)))
+    return decoding.decode(decoder, data).map_err(RowError)
 
 
 def _quoted(part: str) -> str:
--- a/packages/protocol/lacewingdrum_protocol/runner_api.py
+++ b/packages/protocol/lacewingdrum_protocol/runner_api.py
@@ -21,6 +21,9 @@
 import enum
 
 import msgspec
+from result import Err
+
+from lacewingdrum_state import decoding
 
 COMPLETIONS_PATH = "/v1/completions"
 CANCEL_PATH = "/cancel"
@@ -212,8 +215,7 @@
     """
     if status not in _REFUSAL_STATUSES:
         return None
-    try:
-        refusal = _refusal_decoder.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    decoded = decoding.decode(_refusal_decoder, body)
+    if isinstance(decoded, Err) or decoded.ok_value.started:
         return None
-    return None if refusal.started else refusal
+    return decoded.ok_value
--- a/packages/transport/lacewingdrum_transport/completion_stream.py
+++ b/packages/transport/lacewingdrum_transport/completion_stream.py
@@ -6,6 +6,7 @@
 from result import Err, Ok, Result
 
 from lacewingdrum_protocol import runner_api, sse
+from lacewingdrum_state import decoding
 from lacewingdrum_transport import http_client, runner_errors
 
 # The end of the HTTP message directly follows the last event. It is waited for
@@ -66,6 +67,10 @@
                 if data == runner_api.DONE_DATA:
                     self._done = True
                     return
-                self._parts.append(_part_decoder.decode(data))
-        except (sse.SseError, msgspec.MsgspecError, UnicodeDecodeError) as error:
+                part = decoding.decode(_part_decoder, data)
+                if isinstance(part, Err):
+                    self._error = runner_errors.malformed(part.err_value).err_value
+                    return
+                self._parts.append(part.ok_value)
+        except sse.SseError as error:
             self._error = runner_errors.malformed(str(error)).err_value
--- a/packages/transport/lacewingdrum_transport/members_client.py
+++ b/packages/transport/lacewingdrum_transport/members_client.py
@@ -7,7 +7,7 @@
 from result import Err, Ok, Result
 
 from lacewingdrum_protocol import members_api
-from lacewingdrum_state import fleet
+from lacewingdrum_state import decoding, fleet
 from lacewingdrum_transport import http_client, http_messages
 
 _decoder = msgspec.json.Decoder(members_api.MembersAnswer)
@@ -51,9 +51,8 @@
         if response.status != http_messages.STATUS_OK:
             detail = f"status {response.status}"
             return Err(MembersError(MembersErrorReason.UNAVAILABLE, detail))
-        try:
-            members = members_api.members_from(_decoder.decode(response.body))
-        except (msgspec.MsgspecError, UnicodeDecodeError) as decode_error:
-            detail = str(decode_error)
+        decoded = decoding.decode(_decoder, response.body)
+        if isinstance(decoded, Err):
+            detail = decoded.err_value
             return Err(MembersError(MembersErrorReason.MALFORMED, detail))
-        return Ok(members)
+        return Ok(members_api.members_from(decoded.ok_value))
--- a/packages/transport/lacewingdrum_transport/runner_client.py
+++ b/packages/transport/lacewingdrum_transport/runner_client.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from lacewingdrum_protocol import runner_api
-from lacewingdrum_state import fleet, ids
+from lacewingdrum_state import decoding, fleet, ids
 from lacewingdrum_transport import (
     completion_stream,
     http_client,
@@ -243,10 +243,10 @@
 ) -> Result[_Answer, RunnerError]:
     if isinstance(answer, Err):
         return answer
-    try:
-        return Ok(decoder.decode(answer.ok_value))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return runner_errors.malformed(str(error))
+    decoded = decoding.decode(decoder, answer.ok_value)
+    if isinstance(decoded, Err):
+        return runner_errors.malformed(decoded.err_value)
+    return decoded
 
 
 def _runner_load(answer: runner_api.LoadAnswer, sent_s: float) -> fleet.RunnerLoad:
--- a/packages/transport/lacewingdrum_transport/table_client.py
+++ b/packages/transport/lacewingdrum_transport/table_client.py
@@ -14,7 +14,7 @@
 from result import Err, Ok, Result
 
 from lacewingdrum_protocol import table_api
-from lacewingdrum_state import fleet, rows
+from lacewingdrum_state import decoding, fleet, rows
 from lacewingdrum_transport import http_client, http_messages
 
 BATCH_WRITES_MAX = 256
@@ -157,12 +157,12 @@
         answer = await self._call(table_api.WRITE_PATH, call)
         if isinstance(answer, Err):
             return answer
-        try:
-            results = _writes_decoder.decode(answer.ok_value).results
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-            return _unknown(str(error))
+        decoded = decoding.decode(_writes_decoder, answer.ok_value)
+        if isinstance(decoded, Err):
+            return _unknown(decoded.err_value)
         outcomes = tuple(
-            rows.WriteOutcome(entry.applied, _row(entry.row)) for entry in results
+            rows.WriteOutcome(entry.applied, _row(entry.row))
+            for entry in decoded.ok_value.results
         )
         answered_keys = [outcome.row.row_key for outcome in outcomes]
         if answered_keys != [write.row_key for write in writes]:
@@ -173,11 +173,10 @@
         answer = await self._call(path, call)
         if isinstance(answer, Err):
             return answer
-        try:
-            entries = _rows_decoder.decode(answer.ok_value).rows
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-            return _malformed(str(error))
-        return Ok(tuple(_row(entry) for entry in entries))
+        decoded = decoding.decode(_rows_decoder, answer.ok_value)
+        if isinstance(decoded, Err):
+            return _malformed(decoded.err_value)
+        return Ok(tuple(_row(entry) for entry in decoded.ok_value.rows))
 
     async def _call(self, path: str, call: bytes) -> Result[bytes, TableError]:
         answer = await self._http.request(
