Entries of runners have bounds: a number too large costs only its entry

Seen: an entry whose "born" or "slots" is 2**70 was taken for a runner's. It hid the runner at its address, as the last born alone gets work, and each daemon that read the list failed to send it: the reader's loop ended, and the peers did not get that list.

Cause: JSON has integers of any size and msgspec decodes them into Python's; msgpack, in which daemons tell each other, ends at 64 bits. The entry was checked for types only. The same holds for entries of no sense: no slots, a start before 1970 or after the year 9999, ids that no header can carry (each request to them ended as "not connected"), texts without end.

Before: test_entry_with_a_number_beyond_64_bits_does_not_stop_the_list TimeoutError; in 4 s three daemons logged "background loop failed: OverflowError" three times for born and three times for slots.

Change: runner_entries.find_fault says why an entry can name no runner.

After: passes; the entry is logged once as unreadable, the list is followed.

--- a/packages/gateway/lacewingdrum_gateway/odd_entries_test.py
+++ b/packages/gateway/lacewingdrum_gateway/odd_entries_test.py
@@ -7,6 +7,7 @@
 
 LEDGER = platform_site.LEDGER
 NESTED = b"[" * 100_000 + b"]" * 100_000
+TOO_LARGE = 2**70
 
 
 def listed(running) -> set[str]:
@@ -54,6 +55,13 @@
         site.store.put("servers", "odd", with_field(entry, "extra", NESTED))
 
 
+async def test_entry_with_a_number_beyond_64_bits_does_not_stop_the_list():
+    async with site_that_follows_the_list() as site:
+        for name in ("born", "slots", "seq", "cold_left_ms"):
+            entry = {**site.ledgers[0].entry(LEDGER), name: TOO_LARGE}
+            site.store.put_json("servers", f"odd-{name}", entry)
+
+
 async def test_deeply_nested_configuration_does_not_stop_the_feed():
     async with site_that_follows_the_list() as site:
         odd = with_field(platform_site.make_configuration(2), "extra", NESTED)
--- a/packages/gateway/lacewingdrum_gateway/runners/runner_list_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/runner_list_sync.py
@@ -257,7 +257,7 @@
     if address is None:
         return None
     leaving = states.MemberState.LEAVING
-    return runner_entries.RunnerEntry(
+    entry = runner_entries.RunnerEntry(
         runner_id=ids.RunnerId(message.runner_id),
         service=ids.ServiceName(message.service),
         data_centre=ids.DataCentre(message.data_centre),
@@ -266,3 +266,5 @@
         state=leaving if message.leaving else states.MemberState.LIVE,
         born_ms=message.born_ms,
     )
+    # A peer of an older version may pass on entries that this one refuses.
+    return entry if runner_entries.find_fault(entry) is None else None
