--- a/packages/gateway/lacewingdrum_gateway/odd_entries_test.py
+++ b/packages/gateway/lacewingdrum_gateway/odd_entries_test.py
@@ -67,3 +67,10 @@
         odd = with_field(platform_site.make_configuration(2), "extra", NESTED)
         site.store.put("op", "config", odd)
         await follows_the_feed(site)
+
+
+async def test_version_beyond_64_bits_of_a_configuration_does_not_stop_the_feed():
+    async with site_that_follows_the_list() as site:
+        odd = platform_site.make_configuration(TOO_LARGE)
+        site.store.put_json("op", "config", odd)
+        await follows_the_feed(site)
--- a/packages/gateway/lacewingdrum_gateway/store_client.py
+++ b/packages/gateway/lacewingdrum_gateway/store_client.py
@@ -110,9 +110,13 @@
                 detail = f"era {page.version.era} within a read of {version.era}"
                 return Err(StoreError(StoreErrorReason.OLD_ERA, detail))
             rows.extend(page.rows)
-            if not page.has_more or not page.rows:
+            if not page.has_more:
                 return Ok(store_calls.Rows(tuple(rows), version, False))
-            start = page.rows[-1].key + "\x00"
+            if page.last_key < start or not page.last_key:
+                # Rows that were not read must not count as gone.
+                detail = f"a page that ends at {page.last_key!r}, before {start!r}"
+                return Err(StoreError(StoreErrorReason.MALFORMED, detail))
+            start = page.last_key + "\x00"
 
     async def follow(
         self, table: str, after: store_versions.StoreVersion, wait_s: float
