Entries that name no runner hide none, and no daemon sends requests to itself

Seen: an entry of a service that the operators do not name, with the address of a runner and a later start, took all work from that runner: nothing was sent to either. An entry with the address of a daemon was a runner like any other; the daemon sent it requests of its callers, without their credential.

Cause: of entries with one address the last born alone gets work, and every entry that can be read took part. The check whether this daemon is cut off from all runners asked such entries too.

Before: test_entry_of_an_unknown_service_does_not_hide_a_runner_at_its_address AssertionError, test_entry_with_the_address_of_the_daemon_itself_gets_no_request TimeoutError.

Change: the roster knows the services of the configuration in force and where daemons listen (this one's addresses, and its ports at each daemon that was heard). An entry of a named service goes before one of another; entries at a daemon get no work; checks of reach take runners of named services only. Entries of services that are no longer named keep their work, as requests that began before the change may still need a second runner. The list that daemons exchange is the same as before.

After: both pass, with test_entries_of_unnamed_services_and_of_daemons_hide_no_runner.

--- a/packages/coordination/lacewingdrum_coordination/route_table.py
+++ b/packages/coordination/lacewingdrum_coordination/route_table.py
@@ -36,6 +36,15 @@
         for route in configuration.routes:
             self._routes.setdefault(route.host, {})[route.path_prefix] = route
 
+    @property
+    def services(self) -> frozenset[ids.ServiceName]:
+        """The services that the configuration names."""
+        shares = (
+            share for route in self.configuration.routes for share in route.shares
+        )
+        routed = (share.service for share in shares)
+        return frozenset((*self.configuration.services, *routed))
+
     def find(self, host: str, path: str) -> configurations.Route | None:
         """Find the route with the longest prefix of a path.
 
--- a/packages/coordination/lacewingdrum_coordination/runner_roster.py
+++ b/packages/coordination/lacewingdrum_coordination/runner_roster.py
@@ -5,6 +5,10 @@
 that are known to leave although the list does not show it. A runner that is
 missing from the list is removed. For a while after an outage of the store it
 is kept instead, because entries that expired during the outage come back then.
+
+Others than runners may write entries. One with an address of a daemon gets no
+work. One of a service that the operators do not name, or no longer name, gives
+way to any other at its address, whichever was born last.
 """
 
 import dataclasses
@@ -30,6 +34,17 @@
     list_version: store_versions.StoreVersion
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class DaemonAddresses:
+    """Where daemons listen: on the same ports at each of their hosts."""
+
+    hosts: frozenset[str] = frozenset()
+    ports: frozenset[int] = frozenset()
+
+    def __contains__(self, address: fleet.Address) -> bool:
+        return address.port in self.ports and address.host in self.hosts
+
+
 class RunnerRoster:
     """The newest runner list.
 
@@ -39,6 +54,10 @@
     def __init__(self) -> None:
         self.version = store_versions.NO_VERSION
         self.as_of_s = float("-inf")
+        # Those of the named services, also leaving ones, but no daemons.
+        self.runners: tuple[runner_entries.RunnerEntry, ...] = ()
+        self._services: frozenset[ids.ServiceName] | None = None
+        self._daemons = DaemonAddresses()
         self._departures = runner_departures.RunnerDepartures()
         self._entries: dict[ids.RunnerId, runner_entries.RunnerEntry] = {}
         self._by_service: dict[
@@ -47,9 +66,21 @@
 
     @property
     def entries(self) -> tuple[runner_entries.RunnerEntry, ...]:
-        """All known runners, including leaving ones."""
+        """All entries of the list."""
         return tuple(self._entries.values())
 
+    def set_services(self, services: frozenset[ids.ServiceName]) -> None:
+        """Set the services that the operators name."""
+        if services != self._services:
+            self._services = services
+            self._index()
+
+    def set_daemons(self, daemons: DaemonAddresses) -> None:
+        """Set where daemons listen, at which no runner is."""
+        if daemons != self._daemons:
+            self._daemons = daemons
+            self._index()
+
     def of_service(
         self, service: ids.ServiceName
     ) -> tuple[runner_entries.RunnerEntry, ...]:
@@ -144,8 +175,15 @@
 
     def _index(self) -> None:
         by_service: dict[ids.ServiceName, list[runner_entries.RunnerEntry]] = {}
-        latest = _latest_by_address(self._entries.values())
-        for entry in self._entries.values():
+        others = [
+            entry
+            for entry in self._entries.values()
+            if entry.address not in self._daemons
+        ]
+        self.runners = tuple(filter(self._is_of_named_service, others))
+        latest = _latest_by_address(others)
+        latest |= _latest_by_address(self.runners)
+        for entry in others:
             is_at_address = latest[entry.address] is entry
             if entry.state is states.MemberState.LEAVING:
                 self._departures.record_leaving(
@@ -155,6 +193,9 @@
                 by_service.setdefault(entry.service, []).append(entry)
         self._by_service = {name: tuple(some) for name, some in by_service.items()}
 
+    def _is_of_named_service(self, entry: runner_entries.RunnerEntry) -> bool:
+        return self._services is None or entry.service in self._services
+
 
 def _latest_by_address(
     entries: Iterable[runner_entries.RunnerEntry],
--- a/packages/coordination/lacewingdrum_coordination/runner_roster_test.py
+++ b/packages/coordination/lacewingdrum_coordination/runner_roster_test.py
@@ -154,3 +154,22 @@
     )
     roster.apply(listed(4, crashed, leaving, elsewhere), 4.0)
     assert names(roster) == ["b"]
+
+
+def test_entries_of_unnamed_services_and_of_daemons_hide_no_runner():
+    roster = runner_roster.RunnerRoster()
+    roster.set_services(frozenset((MODEL,)))
+    daemons = runner_roster.DaemonAddresses(frozenset(("10.0.0.5",)), frozenset((80,)))
+    roster.set_daemons(daemons)
+    at = {"address": entry("a").address, "born_ms": 9}
+    unknown = entry("x", service=ids.ServiceName("nobody-s"), **at)
+    daemon = entry("y", address=fleet.Address("10.0.0.5", 80))
+    neighbour = entry("z", address=fleet.Address("10.0.0.5", 81))
+    roster.apply(listed(1, entry("a"), unknown, daemon, neighbour), 1.0)
+    assert names(roster) == ["a", "z"] and len(roster.runners) == 2
+    assert not roster.of_service(unknown.service) and len(roster.entries) == 4
+    # Requests of a service that is no longer named may still be in progress.
+    roster.set_services(frozenset())
+    assert names(roster) == ["z"] and roster.of_service(unknown.service)
+    roster.set_services(frozenset((MODEL, unknown.service)))
+    assert names(roster) == ["z"]
--- a/packages/gateway/lacewingdrum_gateway/components.py
+++ b/packages/gateway/lacewingdrum_gateway/components.py
@@ -200,6 +200,7 @@
         limits = self.own_settings.limits
         self.callers_server.set_limits(server_limits.for_callers(limits, table))
         self.relay_server.set_limits(server_limits.for_daemons(limits, table))
+        self.roster.set_services(table.services)
 
     def _relay_port(self) -> int:
         """Return where this daemon takes requests of others, or 0."""
--- a/packages/gateway/lacewingdrum_gateway/fleet_components.py
+++ b/packages/gateway/lacewingdrum_gateway/fleet_components.py
@@ -39,6 +39,15 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+def _listening_addresses(vm: settings.VmSettings) -> runner_roster.DaemonAddresses:
+    listening = (vm.caller_address, vm.ready_address)
+    ports = (vm.peer_port, vm.bound_relay_port, vm.metrics_port)
+    return runner_roster.DaemonAddresses(
+        frozenset(address.host for address in listening),
+        frozenset((*ports, *(address.port for address in listening))),
+    )
+
+
 class FleetComponents:
     """What knows the store, the other daemons, the runners and their health.
 
@@ -84,6 +93,7 @@
             self.health,
             self.store,
             self.peers,
+            _listening_addresses(vm),
             clock,
             self.decisions,
             self.counts,
--- a/packages/gateway/lacewingdrum_gateway/odd_entries_test.py
+++ b/packages/gateway/lacewingdrum_gateway/odd_entries_test.py
@@ -74,3 +74,24 @@
         odd = platform_site.make_configuration(TOO_LARGE)
         site.store.put_json("op", "config", odd)
         await follows_the_feed(site)
+
+
+async def test_entry_of_an_unknown_service_does_not_hide_a_runner_at_its_address():
+    async with site_that_follows_the_list(gateways=1) as site:
+        kept, _ = site.ledgers
+        odd = {**kept.entry("nobody-s"), "born": kept.born_ms + 1}
+        site.store.put_json("servers", "a-odd", odd)
+        roster = site.gateways[0].daemon.components.roster
+        await site.wait_until(lambda: roster.get("a-odd"))
+        assert kept.runner_id in listed(site.gateways[0])
+
+
+async def test_entry_with_the_address_of_the_daemon_itself_gets_no_request():
+    async with site_that_follows_the_list(gateways=1) as site:
+        running = site.gateways[0]
+        address = str(running.gateway_settings.vm.caller_address)
+        odd = {**site.ledgers[0].entry(LEDGER), "address": address}
+        site.store.put_json("servers", "odd", odd)
+        roster = running.daemon.components.roster
+        await site.wait_until(lambda: roster.get("odd"))
+        assert "odd" not in listed(running)
--- a/packages/gateway/lacewingdrum_gateway/peers/peer_table.py
+++ b/packages/gateway/lacewingdrum_gateway/peers/peer_table.py
@@ -52,6 +52,7 @@
         self._data_centre = data_centre
         self._peers: dict[ids.VmId, Peer] = {}
         self._live: dict[ids.VmId, Peer] = {}
+        self._hosts: frozenset[str] | None = None
         self._work_peers: tuple[Peer, ...] | None = None
         self._work_group: frozenset[ids.VmId] | None = None
         self._senders: tuple[tuple[ids.VmId, ids.DataCentre], ...] | None = None
@@ -69,6 +70,20 @@
         """The daemons with recent contact, without this one."""
         return tuple(self._live.values())
 
+    @property
+    def hosts(self) -> frozenset[str]:
+        """The IP addresses of the daemons that were heard, and of this one."""
+        if self._hosts is None:
+            heard = (
+                peer.address
+                for peer in self._peers.values()
+                if peer.last_seen_s > float("-inf")
+            )
+            self._hosts = frozenset(
+                address.rpartition(":")[0] for address in (self.own_address, *heard)
+            )
+        return self._hosts
+
     @property
     def exchanges_all_work_reports(self) -> bool:
         """Whether all daemons exchange work reports.
@@ -169,6 +184,7 @@
         if peer.is_live:
             return False
         peer.is_live = True
+        self._hosts = None
         self._live[peer.address] = peer
         self._max_daemon_count = max(self._max_daemon_count, len(self._live) + 1)
         self._clear_cached_peers()
@@ -202,6 +218,7 @@
         for address in dropped:
             self._forgotten_s[address] = now_s
             del self._peers[address]
+            self._hosts = None
         return dropped
 
     def work_peers(self) -> tuple[Peer, ...]:
--- a/packages/gateway/lacewingdrum_gateway/runners/reach_monitor.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/reach_monitor.py
@@ -120,7 +120,7 @@
 
     async def _check_runners(self) -> None:
         entries = runner_reach.pick_for_check(
-            self._roster.entries, frozenset(self._health.suspects), self._rng
+            self._roster.runners, frozenset(self._health.suspects), self._rng
         )
         try:
             found = await self._probe(entries)
@@ -148,7 +148,7 @@
         since_s = self._reach.cut_off_since_s
         while self.is_cut_off:
             await asyncio.sleep(RECHECK_INTERVAL_S)
-            entries = runner_reach.pick_for_recheck(self._roster.entries, self._rng)
+            entries = runner_reach.pick_for_recheck(self._roster.runners, self._rng)
             found = await self._probe(entries)
             accepted = [item is Reachability.ACCEPTED for item in found]
             self._reach.apply_check(accepted, self._clock())
--- a/packages/gateway/lacewingdrum_gateway/runners/runner_list_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/runner_list_sync.py
@@ -53,6 +53,7 @@
         health: runner_health.RunnerHealth,
         store: store_client.StoreClient,
         peers: peering.Peering,
+        own_addresses: runner_roster.DaemonAddresses,
         clock: Callable[[], float],
         decisions: decision_log.DecisionLog,
         counts: metrics.Metrics,
@@ -61,6 +62,7 @@
         self._health = health
         self._store = store
         self._peers = peers
+        self._own_addresses = own_addresses
         self._clock = clock
         self._decisions = decisions
         self._counts = counts
@@ -106,6 +108,11 @@
                 2 * retry_s, RETRY_MAX_S * self._peers.table.fleet_size_factor
             )
 
+    def _set_daemons(self) -> None:
+        own = self._own_addresses
+        hosts = own.hosts | self._peers.table.hosts
+        self._roster.set_daemons(runner_roster.DaemonAddresses(hosts, own.ports))
+
     async def _read(self) -> bool:
         read_start_s = self._clock()
         answer = await self._store.read(store_calls.RUNNERS_TABLE)
@@ -151,6 +158,7 @@
     def _apply(
         self, listed: runner_entries.RunnerList, as_of_s: float, source: str
     ) -> None:
+        self._set_daemons()
         is_after_outage = as_of_s - self._roster.as_of_s > OUTAGE_S
         is_after_return = listed.version.era > self._roster.version.era
         if self.is_known and (is_after_outage or is_after_return):
@@ -208,6 +216,7 @@
             return
         self._last_reader = sender
         if push.digest == self._history.digest:
+            self._set_daemons()
             self._roster.confirm(version, as_of_s)
             return
         entries = self._history.apply(_change_from_push(push))
