An address that is none of a runner's makes an entry unreadable

Seen: entries with the address 0.0.0.0, of a multicast group, broadcast or with the scope of another machine's interface were runners; 0.0.0.0 leads to this machine. Two forms of one address, such as 10.0.0.9 and ::ffff:a00:9, counted as two addresses, so that both entries got work.

Cause: any IP address with a port passed.

Before: test_malformed_runner_entry_gives_an_error AssertionError {'address': '0.0.0.0:80'}, test_all_forms_of_an_address_are_the_same_address AssertionError.

Change: parse_address gives the same address for all forms; an entry's must be unicast.

After: both pass.

--- a/packages/state/lacewingdrum_state/addresses.py
+++ b/packages/state/lacewingdrum_state/addresses.py
@@ -5,6 +5,7 @@
 import re
 
 PORT_MAX = 65_535
+_THIS_NETWORK = ipaddress.ip_network("0.0.0.0/8")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -19,22 +20,43 @@
 
 
 def parse_address(text: str) -> Address | None:
-    """Parse ``ip:port``; return None if ``text`` is not of this form."""
+    """Parse ``ip:port``; return None if ``text`` is not of this form.
+
+    All forms of an IP address give the same address.
+    """
     host, colon, port = text.strip().rpartition(":")
     host = host.removeprefix("[").removesuffix("]")
-    if not colon or not is_ip(host):
+    ip = _parse_ip(host)
+    if not colon or ip is None:
         return None
     if not re.fullmatch(r"[0-9]{1,5}", port, re.ASCII):
         return None
     if not 1 <= int(port) <= PORT_MAX:
         return None
-    return Address(host, int(port))
+    return Address(str(ip), int(port))
 
 
 def is_ip(text: str) -> bool:
     """Return whether ``text`` is an IP address."""
+    return _parse_ip(text) is not None
+
+
+def is_unicast(address: Address) -> bool:
+    """Return whether the address can be that of one machine."""
+    ip = _parse_ip(address.host)
+    if isinstance(ip, ipaddress.IPv4Address):
+        return not (ip in _THIS_NETWORK or ip.is_multicast or ip.is_reserved)
+    # A scope names an interface of the machine that wrote it.
+    return ip is not None and not (
+        ip.is_unspecified or ip.is_multicast or ip.scope_id is not None
+    )
+
+
+def _parse_ip(text: str) -> ipaddress.IPv4Address | ipaddress.IPv6Address | None:
     try:
-        ipaddress.ip_address(text)
+        ip = ipaddress.ip_address(text)
     except ValueError:
-        return False
-    return True
+        return None
+    if isinstance(ip, ipaddress.IPv6Address) and ip.ipv4_mapped is not None:
+        return ip.ipv4_mapped
+    return ip
--- a/packages/state/lacewingdrum_state/runner_entries.py
+++ b/packages/state/lacewingdrum_state/runner_entries.py
@@ -5,7 +5,7 @@
 
 import dataclasses
 
-from lacewingdrum_state import fleet, ids, states, store_versions
+from lacewingdrum_state import addresses, fleet, ids, states, store_versions
 
 SLOTS_MAX = 1_000_000
 # The last millisecond of the year 9999.
@@ -42,6 +42,8 @@
     # The id is sent to the runner in a header, which cannot carry others.
     if not entry.runner_id.isprintable() or entry.runner_id.strip() != entry.runner_id:
         return "an id with characters that no header has"
+    if not addresses.is_unicast(entry.address):
+        return "an address that is none of a runner's"
     if not 1 <= entry.slots <= SLOTS_MAX:
         return "an impossible number of slots"
     if not 0 <= entry.born_ms <= BORN_MAX_MS:
