Messages of peers have bounds: senseless news stop neither the list nor requests

Seen: news of a peer with a limit that is not a number made each request of that service fail inside the choice of a runner. Work that names an engine twice ended the timer that drops expired work (KeyError), so that work whose end was never told stayed for ever. From reading the code, without a run: an age near 64 bits is rounded up beyond them when it is passed on, and an age below zero makes a list count as read in the future.

Cause: msgpack's types were checked, sense was not; the handlers calculate with what they get.

Before: test_senseless_news_of_a_peer_stop_neither_the_list_nor_requests AssertionError at the first request; with the bounds alone it failed by "Exception in callback WorkSync._drop_expired(): KeyError('l0')".

Change: numbers of messages have the bounds of state/bounds.py (finite, ages of 0 to 31 years, eras of 15 digits as in the store's header); a message beyond them is counted as malformed. Work counts once for each engine.

After: passes.

--- a/packages/coordination/lacewingdrum_coordination/engine_work_registry.py
+++ b/packages/coordination/lacewingdrum_coordination/engine_work_registry.py
@@ -85,8 +85,14 @@
         ]
 
     def start(self, started: StartedWork, now_s: float) -> None:
-        """Add work that begins now; it replaces work of the same id."""
+        """Add work that begins now; it replaces work of the same id.
+
+        Only the last part of each engine counts.
+        """
         self.end(started.work_id)
+        by_engine = {work.runner_id: work for work in started.parts}
+        if len(by_engine) < len(started.parts):
+            started = dataclasses.replace(started, parts=tuple(by_engine.values()))
         self._by_id[started.work_id] = started
         self._by_daemon.setdefault(started.daemon, set()).add(started.work_id)
         expires_s = now_s + started.left_ms / 1_000 + EXPIRY_MARGIN_S
--- a/packages/coordination/lacewingdrum_coordination/engine_work_registry_test.py
+++ b/packages/coordination/lacewingdrum_coordination/engine_work_registry_test.py
@@ -37,6 +37,14 @@
     assert not registry.load(ENGINE).entries and not registry.load(OTHER).entries
 
 
+def test_work_that_names_an_engine_twice_can_be_ended():
+    registry = engine_work_registry.EngineWorkRegistry()
+    registry.start(started("a", part(), part()), 1.0)
+    registry.record_first_event("a", 2.0)
+    registry.end("a")
+    assert not registry.load(ENGINE).entries
+
+
 def test_drop_daemon_removes_only_the_work_of_that_daemon():
     registry = engine_work_registry.EngineWorkRegistry()
     registry.start(started("a"), 1.0)
--- a/packages/gateway/lacewingdrum_gateway/odd_entries_test.py
+++ b/packages/gateway/lacewingdrum_gateway/odd_entries_test.py
@@ -1,13 +1,22 @@
 """Tests of entries that other writers leave among those of the runners."""
 
+import asyncio
 import contextlib
 import json
 
+from lacewingdrum_protocol import (
+    crash_messages,
+    limit_messages,
+    peer_messages,
+    work_messages,
+)
 from standins import error_log, platform_site
 
 LEDGER = platform_site.LEDGER
 NESTED = b"[" * 100_000 + b"]" * 100_000
 TOO_LARGE = 2**70
+# Work is dropped a second after its deadline, which is looked for each second.
+WORK_EXPIRY_S = 2.2
 
 
 def listed(running) -> set[str]:
@@ -37,6 +46,26 @@
         assert not errors, errors
 
 
+INTEGER_MAX = 2**64 - 1
+NAN = float("nan")
+WORK = work_messages.WorkPart("l0", 1.0, True, 1.0, 1.0, 1.0, 1.0, 1)
+# What a faulty daemon might send; each can be encoded.
+SENSELESS_NEWS = (
+    peer_messages.RunnerListPush(2**60, -(2**60), 1, 0, era=1),
+    peer_messages.RunnerListPush(1, 0, 1, 0, era=2**60),
+    crash_messages.CrashNews(
+        (crash_messages.CrashReport("l0", 1, INTEGER_MAX, (("ab",),), ()),),
+        (crash_messages.SoundReport("ab", -INTEGER_MAX // 2),),
+        (crash_messages.TrialReport("ab", INTEGER_MAX, INTEGER_MAX),),
+    ),
+    work_messages.WorkUpdate(
+        (work_messages.WorkStarted("w1", (WORK, WORK), 1.0),), ("w1",), ()
+    ),
+    work_messages.WorkUpdate((work_messages.WorkStarted("w2", (), 1.0),), ("w2",), ()),
+    work_messages.WorkUpdate((work_messages.WorkStarted("w3", (WORK,), NAN),), (), ()),
+)
+
+
 async def follows_the_feed(site) -> None:
     """Wait until a later configuration is in force, after one that is read."""
     feeds = len(site.gateways)
@@ -95,3 +124,19 @@
         roster = running.daemon.components.roster
         await site.wait_until(lambda: roster.get("odd"))
         assert "odd" not in listed(running)
+
+
+async def test_senseless_news_of_a_peer_stop_neither_the_list_nor_requests():
+    async with site_that_follows_the_list(gateways=2) as site:
+        faulty, other = site.gateways
+        limits = tuple(
+            limit_messages.LimitReport(runner.runner_id, runner.born_ms, NAN, 0)
+            for runner in site.ledgers
+        )
+        for news in (limit_messages.LimitNews(limits), *SENSELESS_NEWS):
+            faulty.daemon.components.peers.broadcast(news)
+        await asyncio.sleep(WORK_EXPIRY_S)
+        for number in range(4):
+            answer = await site.call("/read/x", f"r{number}", on=other)
+            assert answer.status == 200
+        assert not other.daemon.components.engine_work.work_count
--- a/packages/protocol/lacewingdrum_protocol/crash_messages.py
+++ b/packages/protocol/lacewingdrum_protocol/crash_messages.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from lacewingdrum_state import bounds
+
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True):
     """The crash of one incarnation of a runner.
@@ -16,7 +18,7 @@
 
     runner_id: str
     born_ms: int
-    age_ms: int
+    age_ms: bounds.AgeMs
     lost: tuple[tuple[str, ...], ...]
     reporters: tuple[str, ...]
 
@@ -25,15 +27,15 @@
     """A subject that a runner served well."""
 
     subject: str
-    age_ms: int
+    age_ms: bounds.AgeMs
 
 
 class TrialReport(msgspec.Struct, frozen=True, array_like=True):
     """The last of ``count`` trials of a subject that is refused."""
 
     subject: str
-    age_ms: int
-    count: int
+    age_ms: bounds.AgeMs
+    count: bounds.Trials
 
 
 class CrashNews(msgspec.Struct, frozen=True, array_like=True, tag="crn"):
--- a/packages/protocol/lacewingdrum_protocol/limit_messages.py
+++ b/packages/protocol/lacewingdrum_protocol/limit_messages.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from lacewingdrum_state import bounds
+
 
 class LimitReport(msgspec.Struct, frozen=True, array_like=True):
     """What an incarnation of a runner said of its limit ``age_ms`` ago.
@@ -11,8 +13,8 @@
 
     runner_id: str
     born_ms: int
-    per_s: float | None
-    age_ms: int
+    per_s: bounds.NotNegative | None
+    age_ms: bounds.AgeMs
 
 
 class LimitNews(msgspec.Struct, frozen=True, array_like=True, tag="lim"):
--- a/packages/protocol/lacewingdrum_protocol/peer_messages.py
+++ b/packages/protocol/lacewingdrum_protocol/peer_messages.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from lacewingdrum_protocol import crash_messages, limit_messages, work_messages
-from lacewingdrum_state import decoding, states
+from lacewingdrum_state import bounds, decoding, states
 
 WIRE_VERSION = 1
 
@@ -65,15 +65,15 @@
     """A runner's load as its coordinator knew it ``age_ms`` ago."""
 
     runner_id: str
-    age_ms: int
-    queued_short_tokens: int
-    queued_mid_tokens: int
-    queued_long_tokens: int
-    running_count: int
-    kv_used_tokens: int
-    kv_capacity_tokens: int
-    prefill_tokens_per_s: float
-    decode_tokens_per_s: float
+    age_ms: bounds.AgeMs
+    queued_short_tokens: bounds.Count
+    queued_mid_tokens: bounds.Count
+    queued_long_tokens: bounds.Count
+    running_count: bounds.Count
+    kv_used_tokens: bounds.Count
+    kv_capacity_tokens: bounds.Count
+    prefill_tokens_per_s: bounds.NotNegative
+    decode_tokens_per_s: bounds.NotNegative
 
 
 class LoadSummary(msgspec.Struct, frozen=True, array_like=True, tag="load"):
@@ -87,9 +87,9 @@
 
     attempt_id: str
     runner_id: str
-    prompt_tokens: int
-    total_tokens: int
-    age_ms: int
+    prompt_tokens: bounds.Count
+    total_tokens: bounds.Count
+    age_ms: bounds.AgeMs
 
 
 class InFlightReport(msgspec.Struct, frozen=True, array_like=True, tag="fly"):
@@ -115,8 +115,8 @@
 
     reservation_id: str
     runner_id: str
-    tokens: int
-    lapse_ms: int
+    tokens: bounds.Count
+    lapse_ms: bounds.AgeMs
 
 
 class ReservationAnswer(msgspec.Struct, frozen=True, array_like=True, tag="rsa"):
@@ -165,14 +165,14 @@
     ``accepts_packed`` is not set by daemons that cannot unpack it.
     """
 
-    version: int
+    version: bounds.Count
     accepts_packed: bool = False
 
 
 class ConfigurationPush(msgspec.Struct, frozen=True, array_like=True, tag="cfg"):
     """The operators' configuration in its original text, perhaps packed."""
 
-    version: int
+    version: bounds.Count
     text: bytes
     is_packed: bool = False
 
@@ -199,13 +199,13 @@
     with the digest ``base``. If ``base`` is 0, ``changed`` is the whole list.
     """
 
-    version: int
-    age_ms: int
+    version: bounds.Count
+    age_ms: bounds.AgeMs
     digest: int
     base: int
     changed: tuple[RunnerListEntry, ...] = ()
     removed: tuple[str, ...] = ()
-    era: int = 0
+    era: bounds.Era = 0
 
 
 class RunnerListRequest(msgspec.Struct, frozen=True, array_like=True, tag="rua"):
--- a/packages/protocol/lacewingdrum_protocol/work_messages.py
+++ b/packages/protocol/lacewingdrum_protocol/work_messages.py
@@ -1,7 +1,11 @@
 """Messages in which daemons report their work on runners to each other."""
 
+from typing import Annotated
+
 import msgspec
 
+from lacewingdrum_state import bounds
+
 
 class WorkPart(msgspec.Struct, frozen=True, array_like=True):
     """One engine's part of a request.
@@ -10,35 +14,35 @@
     """
 
     runner_id: str
-    read_ms: float
+    read_ms: bounds.NotNegative
     writes: bool
-    pause_limit_ms: float
-    first_due_ms: float
-    loss: float
-    context_tokens: float
-    memory_tokens: int
+    pause_limit_ms: bounds.NotNegative
+    first_due_ms: bounds.Finite
+    loss: bounds.Finite
+    context_tokens: bounds.NotNegative
+    memory_tokens: bounds.Count
 
 
 class WorkStarted(msgspec.Struct, frozen=True, array_like=True):
     """The work of a request that the sender assigned to engines."""
 
     work_id: str
-    parts: tuple[WorkPart, ...]
-    left_ms: float
+    parts: Annotated[tuple[WorkPart, ...], msgspec.Meta(min_length=1)]
+    left_ms: bounds.Finite
 
 
 class EngineSlowdown(msgspec.Struct, frozen=True, array_like=True):
     """How many times slower than configured an engine is, as last measured."""
 
     runner_id: str
-    pace: float
+    pace: bounds.NotNegative
 
 
 class RunnerPause(msgspec.Struct, frozen=True, array_like=True):
     """A runner that wants no request from the sender for ``left_ms``."""
 
     runner_id: str
-    left_ms: int
+    left_ms: bounds.AgeMs
 
 
 class WorkUpdate(msgspec.Struct, frozen=True, array_like=True, tag="wrk"):
--- a/packages/state/lacewingdrum_state/bounds.py
+++ b/packages/state/lacewingdrum_state/bounds.py
@@ -23,5 +23,4 @@
 Era = Annotated[int, msgspec.Meta(ge=0, lt=10**ERA_DIGITS_MAX)]
 # Neither of these is infinite or not a number.
 Finite = Annotated[float, msgspec.Meta(ge=-FLOAT_MAX, le=FLOAT_MAX)]
-Positive = Annotated[float, msgspec.Meta(gt=0, le=FLOAT_MAX)]
 NotNegative = Annotated[float, msgspec.Meta(ge=0, le=FLOAT_MAX)]
