Soak: gateways of earlier commits run beside today's and replace each other

All gateways are replaced one by one from the start on, and each start after a SIGTERM or SIGKILL draws its build. Before, the soak knew one build only.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -8,7 +8,7 @@
 import sys
 import tempfile
 
-from tests.soak import callers, checks, faults, site
+from tests.soak import builds, callers, checks, faults, site
 
 RECOVERY_S = 6.0
 SETTLE_S = 2.0
@@ -21,6 +21,7 @@
     length_s: float,
     folder: pathlib.Path,
     gateway_count: int = site.GATEWAYS,
+    earlier: tuple[str, ...] = (),
 ) -> list[str]:
     """Run one soak.
 
@@ -29,12 +30,20 @@
         length_s: time span in which new faults begin.
         folder: folder for settings and logs.
         gateway_count: the number of gateways.
+        earlier: commits whose gateways run beside today's.
 
     Returns:
         A line for each violation.
+
+    Raises:
+        builds.MissingCommitError: if the history lacks a commit.
     """
     rng = random.Random(seed)
-    soak_site = site.SoakSite(folder, rng, gateway_count)
+    known_builds = (
+        builds.TODAY,
+        *(builds.unpack(commit, folder / "builds") for commit in earlier),
+    )
+    soak_site = site.SoakSite(folder, rng, gateway_count, known_builds)
     violations: list[str] = []
     try:
         await soak_site.start()
@@ -103,6 +112,13 @@
     parser.add_argument(
         "--gateways", type=int, default=site.GATEWAYS, help="how many gateways"
     )
+    parser.add_argument(
+        "--earlier",
+        action="append",
+        default=[],
+        metavar="COMMIT",
+        help="gateways of this commit run beside today's; may be repeated",
+    )
     parser.add_argument("--keep", help="folder that keeps logs of failed seeds")
     arguments = parser.parse_args()
     first = arguments.first or random.SystemRandom().randrange(1, 1_000_000)
@@ -111,7 +127,13 @@
         with tempfile.TemporaryDirectory() as name:
             folder = pathlib.Path(name)
             violations = asyncio.run(
-                soak(seed, arguments.length, folder, arguments.gateways)
+                soak(
+                    seed,
+                    arguments.length,
+                    folder,
+                    arguments.gateways,
+                    tuple(arguments.earlier),
+                )
             )
             for line in violations:
                 print(f"   {line}")
@@ -119,7 +141,7 @@
             if violations and arguments.keep:
                 kept = pathlib.Path(arguments.keep) / str(seed)
                 kept.mkdir(parents=True, exist_ok=True)
-                for path in folder.iterdir():
+                for path in folder.glob("gateway-*"):
                     (kept / path.name).write_bytes(path.read_bytes())
     print(f"{arguments.seeds - failed} seeds passed, {failed} failed")
     return 1 if failed else 0
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,10 +8,13 @@
 
 from standins import fault_proxy, platform_store, runner_paths
 from standins.platform_runner import Fault
-from tests.soak import checks, site
+from tests.soak import builds, checks, site
 
 REQUEST_FAULTS = tuple(fault for fault in Fault if fault is not Fault.NONE)
 
+# Only builds that pass requests on keep their promises under these.
+NEEDING_RELAYS = frozenset(("read crashes runners", "cut from runners"))
+
 # Faults that take a while to be found last longer than others.
 CRASHING_FACTOR = 3.0
 LIMIT_FACTOR = 3.0
@@ -36,12 +39,18 @@
         self._rng = rng
         self._busy_gateways: set[int] = set()
         self._is_cut = False
+        self._is_rolling = False
+        self._have_relays = all(build.has_relays for build in soak_site.known_builds)
 
     async def run(self, length_s: float) -> None:
         """Start faults for ``length_s``, then wait until all have ended."""
         loop = asyncio.get_running_loop()
         until_s = loop.time() + length_s
         running: set[asyncio.Task[None]] = set()
+        build = self._draw_build()
+        if build is not None:
+            self._site.faults.append(f"all become {build.name}")
+            running.add(asyncio.ensure_future(self._roll(build)))
         while loop.time() < until_s:
             await asyncio.sleep(self._rng.uniform(0.1, 1.2))
             injection = self._draw()
@@ -65,50 +74,61 @@
                 fault_proxy.PathFault.DELAYED,
             )
         )
-        return rng.choice(
-            (
-                Injection(f"store {mode.value}", lambda: self._store(mode, span_s)),
-                Injection("store forgets", self._forget_history),
-                Injection("store returns", lambda: self._return_store(span_s)),
-                Injection(
-                    f"store path {gateway} {path_fault.value}",
-                    lambda: self._impair_path(store, path_fault, span_s),
-                ),
-                Injection(
-                    f"runner path {runner} {path_fault.value}",
-                    lambda: self._impair_path(path, path_fault, span_s),
-                ),
-                Injection(f"runner path {runner} reset", lambda: self._reset(path)),
-                Injection(
-                    f"{stop_signal.name} gateway {gateway}",
-                    lambda: self._kill(gateway, stop_signal),
-                ),
-                Injection(
-                    f"pause gateway {gateway}", lambda: self._pause(gateway, span_s)
-                ),
-                Injection(f"runner {runner} fails", lambda: self._fail(runner, span_s)),
-                Injection(
-                    f"runner {runner} leaves", lambda: self._leave(runner, span_s)
-                ),
-                Injection(
-                    f"runner {runner} says it leaves",
-                    lambda: self._say_leaving(runner, span_s),
-                ),
-                Injection(
-                    f"runner {runner} wants a pause",
-                    lambda: self._want_pause(runner, span_s),
-                ),
-                Injection(
-                    f"runner {runner} names a limit",
-                    lambda: self._name_limit(runner, span_s),
-                ),
-                Injection("part crashes engines", lambda: self._crash(span_s)),
-                Injection("read crashes runners", lambda: self._crash_read(span_s)),
-                Injection("cut from runners", lambda: self._cut_off(span_s)),
-                Injection("configuration", self._configure),
-                Injection("credential withdrawn", self._rotate_credential),
-            )
-        )
+        build = self._draw_build()
+        injections = [
+            Injection(f"store {mode.value}", lambda: self._store(mode, span_s)),
+            Injection("store forgets", self._forget_history),
+            Injection("store returns", lambda: self._return_store(span_s)),
+            Injection(
+                f"store path {gateway} {path_fault.value}",
+                lambda: self._impair_path(store, path_fault, span_s),
+            ),
+            Injection(
+                f"runner path {runner} {path_fault.value}",
+                lambda: self._impair_path(path, path_fault, span_s),
+            ),
+            Injection(f"runner path {runner} reset", lambda: self._reset(path)),
+            Injection(
+                f"{stop_signal.name} gateway {gateway}",
+                lambda: self._kill(gateway, stop_signal, build),
+            ),
+            Injection(f"pause gateway {gateway}", lambda: self._pause(gateway, span_s)),
+            Injection(f"runner {runner} fails", lambda: self._fail(runner, span_s)),
+            Injection(f"runner {runner} leaves", lambda: self._leave(runner, span_s)),
+            Injection(
+                f"runner {runner} says it leaves",
+                lambda: self._say_leaving(runner, span_s),
+            ),
+            Injection(
+                f"runner {runner} wants a pause",
+                lambda: self._want_pause(runner, span_s),
+            ),
+            Injection(
+                f"runner {runner} names a limit",
+                lambda: self._name_limit(runner, span_s),
+            ),
+            Injection("part crashes engines", lambda: self._crash(span_s)),
+            Injection("read crashes runners", lambda: self._crash_read(span_s)),
+            Injection("cut from runners", lambda: self._cut_off(span_s)),
+            Injection("configuration", self._configure),
+            Injection("credential withdrawn", self._rotate_credential),
+        ]
+        if not self._have_relays:
+            injections = [
+                item for item in injections if item.name not in NEEDING_RELAYS
+            ]
+        if build is not None:
+            rolling = Injection(f"all become {build.name}", lambda: self._roll(build))
+            injections.append(rolling)
+        return rng.choice(injections)
+
+    def _draw_build(self) -> builds.Build | None:
+        """Return what a gateway is to run after its next start.
+
+        It is None where all gateways run the same build.
+        """
+        known = self._site.known_builds
+        return self._rng.choice(known) if len(known) > 1 else None
 
     async def _store(self, mode: platform_store.StoreMode, span_s: float) -> None:
         self._site.store.mode = mode
@@ -139,15 +159,26 @@
     async def _reset(self, path_proxy: fault_proxy.FaultProxy) -> None:
         path_proxy.reset()
 
-    async def _kill(self, gateway: int, stop_signal: signal.Signals) -> None:
+    async def _kill(
+        self, gateway: int, stop_signal: signal.Signals, build: builds.Build | None
+    ) -> None:
         if gateway in self._busy_gateways:
             return
         self._busy_gateways.add(gateway)
         try:
-            await self._site.kill(gateway, stop_signal)
+            await self._site.kill(gateway, stop_signal, build)
         finally:
             self._busy_gateways.discard(gateway)
 
+    async def _roll(self, build: builds.Build) -> None:
+        """Replace all gateways by those of a build, one after the other."""
+        if self._is_rolling:
+            return
+        self._is_rolling = True
+        for gateway in range(self._site.gateway_count):
+            await self._kill(gateway, signal.SIGTERM, build)
+        self._is_rolling = False
+
     async def _pause(self, gateway: int, span_s: float) -> None:
         if gateway in self._busy_gateways:
             return
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -1,11 +1,9 @@
 """Runs the gateway processes and stand-ins of one soak."""
 
 import asyncio
-import os
 import pathlib
 import random
 import signal
-import sys
 
 from standins import (
     fault_proxy,
@@ -16,7 +14,7 @@
     runner_crashes,
     runner_paths,
 )
-from tests.soak import checks, cut_gateway
+from tests.soak import builds, checks, cut_gateway
 
 ENGINES = 4
 READ_PATH = "/read/x"
@@ -34,12 +32,22 @@
         folder: the folder for settings and logs.
         rng: draws the steps between configuration versions.
         gateway_count: the number of gateways.
+        known_builds: the builds that the gateways start with, in turn.
     """
 
     def __init__(
-        self, folder: pathlib.Path, rng: random.Random, gateway_count: int = GATEWAYS
+        self,
+        folder: pathlib.Path,
+        rng: random.Random,
+        gateway_count: int = GATEWAYS,
+        known_builds: tuple[builds.Build, ...] = (builds.TODAY,),
     ) -> None:
         self.gateway_count = gateway_count
+        self.known_builds = known_builds
+        # The build that each gateway runs, or is started with next.
+        self.builds = [
+            known_builds[number % len(known_builds)] for number in range(gateway_count)
+        ]
         self.store = platform_store.PlatformStore()
         self.runners: list[platform_runner.PlatformRunner] = []
         self.runner_proxies: list[fault_proxy.FaultProxy] = []
@@ -143,13 +151,20 @@
         for number, state in tuple(self._states.items()):
             self.register(number, state)
 
-    async def kill(self, number: int, stop_signal: signal.Signals) -> None:
+    async def kill(
+        self,
+        number: int,
+        stop_signal: signal.Signals,
+        build: builds.Build | None = None,
+    ) -> None:
         """Stop a gateway by a signal and restart it.
 
         Args:
             number: the gateway's number.
             stop_signal: SIGTERM or SIGKILL.
+            build: what it runs from then on, if not what it ran.
         """
+        self.builds[number] = build or self.builds[number]
         process = self.processes[number]
         from_s = asyncio.get_running_loop().time()
         process.send_signal(stop_signal)
@@ -230,18 +245,8 @@
         runner.crashes.on_restart = register_restart
 
     async def _spawn(self, number: int) -> asyncio.subprocess.Process:
-        with (self._folder / f"gateway-{number}.log").open("ab") as log:
-            return await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "tests.soak.cut_gateway",
-                "--settings",
-                self._settings_path(number),
-                stdin=asyncio.subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
-                env=dict(os.environ),
-            )
+        log_path = self._folder / f"gateway-{number}.log"
+        return await self.builds[number].spawn(self._settings_path(number), log_path)
 
     def _settings_path(self, number: int) -> str:
         return str(self._folder / f"gateway-{number}.toml")
