Messages of peers that are not read, or not whole, are counted by reason

Callers saw nothing; operators could not see it either. A daemon skipped kinds, fields and wire versions of another build, counted some of them in an attribute that no metric shows, and fields not at all. No loop ended: messages after the unknown ones were handled.

Before: newer_peer_test, 0 passed, 1 failed: no line peer_messages_unread_total, while the heartbeat and the limit with a later field were taken. After: 1 passed, by reason wire_version, unknown_kind, unknown_fields (also inside entries), changed.

--- a/packages/daemon/lacewingdrum_daemon/components.py
+++ b/packages/daemon/lacewingdrum_daemon/components.py
@@ -83,6 +83,9 @@
         self.socket = peer_socket.PeerSocket(
             own_settings.vm.vm_id, _curve_keys(own_settings.peers), self.clock
         )
+        self.socket.on_unread = lambda reason: self.metrics.count(
+            "peer_messages_unread", reason=reason.value
+        )
 
     def _make_coordination(self) -> None:
         own_settings = self.own_settings
--- a/packages/gateway/lacewingdrum_gateway/peers/peering.py
+++ b/packages/gateway/lacewingdrum_gateway/peers/peering.py
@@ -21,6 +21,7 @@
 CONNECTION_SILENCE_MIN_S = 2.0
 
 Peer = peer_table.Peer
+LeavingRunners = tuple[tuple[ids.RunnerId, int], ...]
 _log = logging.getLogger(__name__)
 
 
@@ -47,6 +48,9 @@
         self._socket = peer_socket.PeerSocket(
             self.own_address, clock=clock, with_pings=False
         )
+        self._socket.on_unread = lambda reason: counts.count(
+            "peer_messages_unread", reason=reason.value
+        )
         self._is_leaving = False
         self._next_heartbeat_to_all = True
         self._lists = peer_lists.PeerLists(table, clock)
@@ -54,9 +58,7 @@
         self._message_handlers: dict[type, Callable[[ids.VmId, Any], None]] = {}
         self._heartbeat_handlers: list[Callable[[Peer], None]] = []
         self._lost_handlers: list[Callable[[ids.VmId], None]] = []
-        self._leaving_runners: Callable[[], tuple[tuple[ids.RunnerId, int], ...]] = (
-            tuple
-        )
+        self._leaving_runners: Callable[[], LeavingRunners] = tuple
         self._digests: dict[str, Callable[[], int]] = {}
         self._relay_port: Callable[[], int] = int
         self._tasks = tasks.TaskSet()
@@ -114,9 +116,7 @@
         self._is_leaving = True
         self.announce()
 
-    def set_leaving_runners_source(
-        self, source: Callable[[], tuple[tuple[ids.RunnerId, int], ...]]
-    ) -> None:
+    def set_leaving_runners_source(self, source: Callable[[], LeavingRunners]) -> None:
         """Set what returns the leaving runners that heartbeats name.
 
         Args:
--- a/packages/transport/lacewingdrum_transport/peer_socket.py
+++ b/packages/transport/lacewingdrum_transport/peer_socket.py
@@ -13,9 +13,8 @@
 
 import zmq
 import zmq.auth.asyncio
-from result import Err
 
-from lacewingdrum_protocol import peer_messages
+from lacewingdrum_protocol import peer_messages, received_messages
 from lacewingdrum_state import fleet, ids
 from lacewingdrum_transport import peer_link
 
@@ -48,7 +47,10 @@
 
 
 class PeerSocket:
-    """Sends to peers without blocking, and receives from all of them."""
+    """Sends to peers without blocking, and receives from all of them.
+
+    ``on_unread`` is called for each message that is not read, or not whole.
+    """
 
     def __init__(
         self,
@@ -61,6 +63,7 @@
         self.vm_id = vm_id
         self.dropped_count = 0
         self.malformed_count = 0
+        self.on_unread: Callable[[received_messages.Unread], None] = lambda reason: None
         self.rebuilt_count = 0
         self.receive_interval_s = RECEIVE_INTERVAL_S
         self._keys = keys
@@ -280,16 +283,14 @@
         return max_count
 
     def _on_frames(self, router: peer_link.Socket, frames: list[bytes]) -> None:
-        if len(frames) != 2:
-            self.malformed_count += 1
-            return
-        sender_route, data = frames
-        decoded = peer_messages.decode(data)
-        if isinstance(decoded, Err):
+        received = received_messages.decode(frames)
+        if received.unread is not None:
+            self.on_unread(received.unread)
+        message = received.message
+        if message is None:
             self.malformed_count += 1
             return
-        message = decoded.ok_value
         if isinstance(message.body, peer_messages.Heartbeat):
-            peer_link.try_send(router, (sender_route, ACKNOWLEDGEMENT))
+            peer_link.try_send(router, (frames[0], ACKNOWLEDGEMENT))
         self._received.append(message)
         self._message_received.set()
