--- /dev/null
+++ b/tests/soak/message_samples.py
@@ -0,0 +1,89 @@
+"""Encodes and decodes messages of peers with the build that runs this.
+
+``python -m tests.soak.message_samples`` reads messages as JSON, hexadecimal
+bytes by name, and prints ``Exchanged`` as JSON.
+"""
+
+import enum
+import itertools
+import sys
+import types
+import typing
+
+import msgspec
+from result import Ok
+
+from lacewingdrum_protocol import peer_messages
+
+SENDER = "127.0.0.1:7000"
+_numbers = itertools.count(2)
+# The fields of the parts of messages that were made so far, by class.
+made_fields: dict[str, tuple[str, ...]] = {}
+
+
+class Exchanged(msgspec.Struct):
+    """Samples of this build, and what it read of those that it was given.
+
+    ``read`` is a given message as this build writes it again, and empty if it
+    does not read it. ``fields`` names the fields of each part of messages.
+    """
+
+    samples: dict[str, str]
+    read: dict[str, str]
+    fields: dict[str, tuple[str, ...]]
+
+
+def make_samples() -> dict[str, str]:
+    """Return a message of each kind, with a value in each field."""
+    return {
+        str(body.__struct_config__.tag): _encode(_make(body))
+        for body in typing.get_args(peer_messages.Body)
+    }
+
+
+def read(message: str) -> str:
+    """Return what this build reads of a message, or ""."""
+    match peer_messages.decode(bytes.fromhex(message)):
+        case Ok(decoded):
+            return _encode(decoded.body)
+        case _:
+            return ""
+
+
+def _encode(body: peer_messages.Body) -> str:
+    return peer_messages.encode(SENDER, body).hex()
+
+
+def _make(wanted: typing.Any) -> typing.Any:
+    """Return a value of a type that differs from all others where it can."""
+    number = next(_numbers)
+    origin, arguments = typing.get_origin(wanted), typing.get_args(wanted)
+    if origin is tuple:
+        found = [item for item in arguments if item is not Ellipsis]
+        return tuple(_make(item) for item in found)
+    if origin is dict:
+        return {_make(arguments[0]): _make(arguments[1])}
+    if origin is types.UnionType:
+        return _make(arguments[0])
+    if issubclass(wanted, enum.Enum):
+        return list(wanted)[-1]
+    if issubclass(wanted, msgspec.Struct):
+        made_fields[wanted.__name__] = wanted.__struct_fields__
+        hints = typing.get_type_hints(wanted)
+        return wanted(*(_make(hints[name]) for name in wanted.__struct_fields__))
+    if wanted is bytes:
+        return str(number).encode()
+    return wanted(number)
+
+
+def main() -> int:
+    """Exchange messages by standard input and output."""
+    given = msgspec.json.decode(sys.stdin.buffer.read(), type=dict[str, str])
+    found = {name: read(message) for name, message in given.items()}
+    exchanged = Exchanged(make_samples(), found, made_fields)
+    sys.stdout.buffer.write(msgspec.json.encode(exchanged))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
