A peer's word on whether a request ran that is not known counts as 'maybe'

A daemon that is cut off from all runners passes requests on; a peer that fails one says whether it ran. Callers of a daemon whose peer is of a later build, with another word there, had their connection closed without an answer: states.Ran raised ValueError in the handler.

Before: newer_peer_test, test_caller_is_answered_if_a_newer_peer_says_what_is_not_known: 1 passed, 1 failed, ValueError: 'a word of later builds' is not a valid Ran, answers without a status. After: 2 passed, the read and the order get the 502 that promises nothing.

--- a/packages/gateway/lacewingdrum_gateway/peers/newer_peer_test.py
+++ b/packages/gateway/lacewingdrum_gateway/peers/newer_peer_test.py
@@ -1,10 +1,13 @@
 """Tests of what a daemon does with messages of a newer build."""
 
+import asyncio
+import contextlib
+
 import msgspec
 import zmq
 
 from lacewingdrum_protocol import peer_messages
-from standins import platform_site
+from standins import platform_site, runner_paths
 
 NEWER = "127.0.0.9:7000"
 HEARTBEAT = ["hb", 1, "north", False, [], [], 1, [], {"topic": 5}, 0]
@@ -42,3 +45,50 @@
             f'{prefix}{{reason="unknown_kind"}} 1',
             f'{prefix}{{reason="wire_version"}} 1',
         ]
+
+
+@contextlib.asynccontextmanager
+async def newer_peer(daemon, answer: bytes):
+    """Let a daemon hear a newer one that answers all requests passed on."""
+
+    async def serve(reader, writer) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer)
+        writer.close()
+
+    async def send_heartbeats(dealer) -> None:
+        heartbeat = [*HEARTBEAT[:-1], port]
+        while True:
+            frame = [peer_messages.WIRE_VERSION, NEWER, heartbeat]
+            dealer.send(msgspec.msgpack.encode(frame))
+            await asyncio.sleep(0.1)
+
+    server = await asyncio.start_server(serve, NEWER.partition(":")[0], 0)
+    port = server.sockets[0].getsockname()[1]
+    with zmq.Context() as context, context.socket(zmq.DEALER) as dealer:
+        dealer.setsockopt(zmq.LINGER, 0)
+        dealer.connect(f"tcp://{daemon.peer_address}")
+        sending = asyncio.ensure_future(send_heartbeats(dealer))
+        yield
+        sending.cancel()
+    server.close()
+
+
+async def test_caller_is_answered_if_a_newer_peer_says_what_is_not_known():
+    answer = (
+        b"HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n"
+        b"Lacewingdrum-Ran: a word of later builds\r\n\r\n"
+    )
+    async with platform_site.running_site() as site:
+        cut = site.gateways[0]
+        async with newer_peer(cut.daemon, answer):
+            await site.wait_until(lambda: cut.daemon.peer_count == 1)
+            cut.paths.cut(runner_paths.Cut.RESET)
+            reach = cut.daemon.components.reach
+            await site.call("/read/x", "read-1", timeout_s=2.0)
+            await site.wait_until(lambda: reach.is_cut_off)
+            answers = [
+                (await site.call(f"/{kind}/x", f"{kind}-2", timeout_s=2.0)).status
+                for kind in ("read", "order")
+            ]
+        assert answers == [502, 502]
--- a/packages/state/lacewingdrum_state/states.py
+++ b/packages/state/lacewingdrum_state/states.py
@@ -32,12 +32,19 @@
 
 
 class Ran(enum.Enum):
-    """Whether a failed request ran, as reported to the caller."""
+    """Whether a failed request ran, as reported to the caller.
+
+    A word of a later build is read as ``MAYBE``, which promises nothing.
+    """
 
     NO = "no"
     MAYBE = "maybe"
     YES = "yes"
 
+    @classmethod
+    def _missing_(cls, value: object) -> "Ran":
+        return cls.MAYBE
+
 
 class OrderState(enum.Enum):
     """The state of a non-idempotent order's row."""
