--- a/packages/gateway/lacewingdrum_gateway/peers/newer_peer_test.py
+++ b/packages/gateway/lacewingdrum_gateway/peers/newer_peer_test.py
@@ -6,7 +6,9 @@
 import msgspec
 import zmq
 
+from lacewingdrum_coordination import coordinators
 from lacewingdrum_protocol import peer_messages
+from lacewingdrum_state import fleet
 from standins import platform_site, runner_paths
 
 NEWER = "127.0.0.9:7000"
@@ -47,6 +49,27 @@
         ]
 
 
+async def test_header_of_a_newer_daemon_is_counted_and_not_sent_to_runners():
+    found = "\x1f".join(("read", platform_site.LEDGER, platform_site.CUSTOMER))
+    headers = (
+        ("Host", "site.example"),
+        ("Attempt-Id", "read-1"),
+        ("Key", platform_site.CREDENTIAL),
+        ("Lacewingdrum-Relayed-Route", f"{coordinators.stable_hash(found):x}"),
+        ("Lacewingdrum-Later", "1"),
+    )
+    async with platform_site.running_site() as site:
+        running = site.gateways[0]
+        vm = running.gateway_settings.vm
+        address = fleet.Address(vm.host, vm.relay_port)
+        answer = await site.client.request(address, "POST", "/read/x", headers, b"", 3)
+        assert answer.unwrap().status == 200
+        received = [item for ledger in site.ledgers for item in ledger.arrivals]
+        assert "lacewingdrum-later" not in received[0].headers
+        counted = running.daemon.components.counts.text()
+        assert "lacewingdrum_relayed_headers_unread_total 1" in counted
+
+
 @contextlib.asynccontextmanager
 async def newer_peer(daemon, answer: bytes):
     """Let a daemon hear a newer one that answers all requests passed on."""
--- a/packages/gateway/lacewingdrum_gateway/serving/request_handler.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/request_handler.py
@@ -120,6 +120,8 @@
         self, request: http_messages.HttpRequest, responder: responders.Responder
     ) -> None:
         """Serve one request that another daemon has passed on."""
+        if platform_headers.has_unknown_daemon_headers(request.headers):
+            self._counts.count("relayed_headers_unread")
         await self._serve(request, responder, is_relayed=True)
 
     async def _serve(
