--- a/tests/soak/message_samples_test.py
+++ b/tests/soak/build_samples_test.py
@@ -1,4 +1,4 @@
-"""Tests that each build reads the messages of the others."""
+"""Tests that builds read each other's messages and share out work alike."""
 
 import pathlib
 import subprocess
@@ -8,28 +8,28 @@
 
 from lacewingdrum_protocol import peer_messages
 from tests import collection
-from tests.soak import builds, message_samples
+from tests.soak import build_samples, builds
 
 VERSION = peer_messages.WIRE_VERSION
 HEARTBEAT = ["hb", 1, "north", False, [], [], 1, [], {"topic": 5}, 0]
 LATER = {
-    "later kind": [VERSION, message_samples.SENDER, ["later", 1]],
-    "later field": [VERSION, message_samples.SENDER, [*HEARTBEAT, "later"]],
-    "later wire version": [VERSION + 1, message_samples.SENDER, HEARTBEAT],
+    "later kind": [VERSION, build_samples.SENDER, ["later", 1]],
+    "later field": [VERSION, build_samples.SENDER, [*HEARTBEAT, "later"]],
+    "later wire version": [VERSION + 1, build_samples.SENDER, HEARTBEAT],
 }
 
 
-def exchange(build: builds.Build, given: dict[str, str]) -> message_samples.Exchanged:
+def exchange(build: builds.Build, given: dict[str, str]) -> build_samples.Exchanged:
     """Give messages to a process of a build."""
     done = subprocess.run(
-        (sys.executable, "-m", "tests.soak.message_samples"),
+        (sys.executable, "-m", "tests.soak.build_samples"),
         input=msgspec.json.encode(given),
         env=build.environment(),
         cwd=collection.ROOT,
         capture_output=True,
         check=True,
     )
-    return msgspec.json.decode(done.stdout, type=message_samples.Exchanged)
+    return msgspec.json.decode(done.stdout, type=build_samples.Exchanged)
 
 
 def values(message: str) -> object:
@@ -54,7 +54,7 @@
 
 def moved(fields: dict[str, tuple[str, ...]]) -> set[str]:
     """Return the fields that have another place than in this build."""
-    own = message_samples.made_fields
+    own = build_samples.made_fields
     return {
         f"{part}.{name}"
         for part in fields.keys() & own.keys()
@@ -63,18 +63,19 @@
     }
 
 
-def test_messages_of_each_build_are_read_by_the_other(folder: pathlib.Path):
-    own = message_samples.make_samples()
+def test_builds_read_messages_of_each_other_and_decide_alike(folder: pathlib.Path):
+    own = build_samples.make_samples()
     later = {name: msgspec.msgpack.encode(value).hex() for name, value in LATER.items()}
     for commit in builds.EARLIER_COMMITS:
         earlier = exchange(builds.unpack(commit, folder), {**own, **later})
         known = set(earlier.samples)
         assert not misread(own, earlier.read, known), commit
         read = {
-            kind: message_samples.read(message)
+            kind: build_samples.read(message)
             for kind, message in earlier.samples.items()
         }
         assert not misread(earlier.samples, read, known & set(own)), commit
         assert not moved(earlier.fields), commit
+        assert earlier.decisions == build_samples.make_decisions(), commit
         skipped = {name for name in later if not earlier.read[name]}
         assert skipped == {"later kind", "later wire version"}, commit
