--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -91,6 +91,10 @@
         """Return the gateway's own loopback address."""
         return f"127.0.1.{number + 1}"
 
+    def peer_address(self, number: int) -> str:
+        """Return where the gateway hears other daemons."""
+        return f"{self.host(number)}:{self._peer_port}"
+
     def write_configuration(self) -> None:
         """Write a new configuration version with the current credentials."""
         self.version += self._rng.randint(1, 3)
