Stand-ins that crash keep their port from other processes

While a stand-in is down its port was free, also for the source of an outgoing connection. It is bound meanwhile, without listening, which refuses connections as before.

Before: ports_test, 0 passed, 1 failed, another process can bind the port. After: 1 passed.

--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -4,8 +4,9 @@
 import contextlib
 import dataclasses
 import enum
+import socket
 
-from standins import platform_connection
+from standins import platform_connection, ports
 
 READ_BYTES = 65_536
 
@@ -32,6 +33,7 @@
     path_fault: PathFault = PathFault.NONE
     port: int = 0
     _server: asyncio.Server | None = None
+    _held_port: socket.socket | None = None
     _writers: set[asyncio.StreamWriter] = dataclasses.field(default_factory=set)
     _silenced: set[asyncio.StreamWriter] = dataclasses.field(default_factory=set)
     _tasks: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
@@ -45,6 +47,7 @@
         """Stop listening and abort all connections."""
         if self._server is not None:
             self._server.close()
+        self._release_port()
         self.reset()
         for task in tuple(self._tasks):
             task.cancel()
@@ -54,12 +57,19 @@
         """Refuse connections and reset all open ones, as a crash does."""
         if self._server is not None:
             self._server.close()
+        self._release_port()
+        self._held_port = ports.hold(self.port)
         self.reset()
 
     async def listen_again(self) -> None:
         """Listen on the same port as before."""
+        self._release_port()
         self._server = await asyncio.start_server(self._accept, "127.0.0.1", self.port)
 
+    def _release_port(self) -> None:
+        if self._held_port is not None:
+            self._held_port.close()
+
     def reset(self) -> None:
         """Reset all open connections."""
         for writer in tuple(self._writers):
--- a/standins/ports.py
+++ b/standins/ports.py
@@ -25,3 +25,15 @@
             if port not in picked:
                 picked.add(port)
                 yield port
+
+
+def hold(port: int) -> socket.socket:
+    """Keep a port from others; connections to it are refused.
+
+    Returns:
+        A socket to close before the port is used again.
+    """
+    held = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    held.bind((HOST, port))
+    return held
--- a/standins/runner_crashes.py
+++ b/standins/runner_crashes.py
@@ -1,10 +1,13 @@
 """Crashes a stand-in for a runner on certain requests or parts of prompts."""
 
 import asyncio
+import contextlib
 import dataclasses
 import time
 from collections.abc import Awaitable, Callable, Mapping
 
+from standins import ports
+
 DOWN_S = 1.0
 
 
@@ -66,6 +69,7 @@
 
     async def _crash_and_restart(self, port: int) -> None:
         await self._close()
-        await asyncio.sleep(self.down_s)
+        with contextlib.closing(ports.hold(port)):
+            await asyncio.sleep(self.down_s)
         await self._start(port)
         self.on_restart()
