A begun stream is not given up because its runner accepts no connection

One failed probe was taken for the death of the runner, the same class of fault as the silence itself. Now two in a row are needed, and only a request of whose answer nothing was passed on is ended so, as its caller can still return.

Idle connections to a silent runner were closed at each check, also new ones; now once a silence.

--- a/packages/coordination/lacewingdrum_coordination/runner_health.py
+++ b/packages/coordination/lacewingdrum_coordination/runner_health.py
@@ -11,6 +11,8 @@
 # It is usually draining, and the runner list shows this as soon as the store
 # can be reached.
 HELP_REFUSAL_PAUSE_S = 5.0
+# A suspected runner is taken for dead after so many failed probes in a row.
+DEAD_PROBES = 2
 
 
 @dataclasses.dataclass(slots=True)
@@ -19,7 +21,7 @@
     attempts: float = 0.0
     as_of_s: float = 0.0
     suspect_since_s: float | None = None
-    is_unreachable: bool = False
+    failed_probe_count: int = 0
     last_contact_s: float = float("-inf")
     help_refused_at_s: float = float("-inf")
     paused_until_s: float = float("-inf")
@@ -45,7 +47,7 @@
             observed.failures += 1.0
         else:
             observed.suspect_since_s = None
-            observed.is_unreachable = False
+            observed.failed_probe_count = 0
 
     def suspect(self, runner_id: ids.RunnerId, now_s: float) -> bool:
         """Suspect a runner because it did not answer at all.
@@ -69,7 +71,7 @@
             runner_id, _RunnerObservations(as_of_s=now_s)
         )
         observed.last_contact_s = now_s
-        observed.is_unreachable = False
+        observed.failed_probe_count = 0
 
     def silent_s(self, runner_id: ids.RunnerId, now_s: float) -> float:
         """Return the time since the last contact, or infinity without one."""
@@ -132,18 +134,18 @@
         observed = self._by_runner.get(runner_id)
         if observed is not None:
             observed.suspect_since_s = None
-            observed.is_unreachable = False
+            observed.failed_probe_count = 0
 
-    def record_unreachable(self, runner_id: ids.RunnerId) -> None:
-        """Record that a suspected runner accepted no connection either."""
+    def record_failed_probe(self, runner_id: ids.RunnerId) -> None:
+        """Record that a suspected runner accepted no connection."""
         observed = self._by_runner.get(runner_id)
         if observed is not None:
-            observed.is_unreachable = True
+            observed.failed_probe_count += 1
 
     def is_unreachable(self, runner_id: ids.RunnerId) -> bool:
-        """Return whether a runner is silent and accepts no connection."""
+        """Return whether a runner accepts no connection, time and again."""
         observed = self._by_runner.get(runner_id)
-        return observed is not None and observed.is_unreachable
+        return observed is not None and observed.failed_probe_count >= DEAD_PROBES
 
     def clear_suspicions_since(self, since_s: float) -> None:
         """Forget suspicions since a time, and failures of these runners."""
@@ -151,7 +153,7 @@
             suspect_since_s = observed.suspect_since_s
             if suspect_since_s is not None and suspect_since_s >= since_s:
                 observed.suspect_since_s = None
-                observed.is_unreachable = False
+                observed.failed_probe_count = 0
                 observed.failures = 0.0
 
     def is_suspect(self, runner_id: ids.RunnerId) -> bool:
--- a/packages/gateway/lacewingdrum_gateway/runners/runner_probe.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/runner_probe.py
@@ -103,7 +103,7 @@
             return
         found = await probe(entry.address, CONNECT_TIMEOUT_S, self._connect)
         if found is not Reachability.ACCEPTED:
-            self._health.record_unreachable(runner_id)
+            self._health.record_failed_probe(runner_id)
             return
         self._health.clear_suspicion(runner_id)
         self._decisions.record(
--- a/packages/gateway/lacewingdrum_gateway/serving/attempt.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/attempt.py
@@ -168,7 +168,9 @@
         """
         self._reach.report_silence(sent_s)
         self._suspect_if_silent(entry, since_s, "in an open attempt")
-        # Idle connections to the runner may be broken by the same cause.
+
+    def close_idle_connections(self, entry: runner_entries.RunnerEntry) -> None:
+        """Close connections that the cause of a silence may have broken."""
         self._client.close_idle(entry.address)
 
     def record_resumed(self, entry: runner_entries.RunnerEntry) -> None:
--- a/packages/gateway/lacewingdrum_gateway/serving/silence_watch.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/silence_watch.py
@@ -85,16 +85,23 @@
     ) -> None:
         runner_id = plan.entry.runner_id
         self._sender.record_silence(plan.entry, attempt.started_s, attempt.progress_s)
+        self._sender.close_idle_connections(plan.entry)
         self._log.record_silence(active, attempt, plan)
         retry_limits.apply_silence(active, plan, self._health.is_suspect(runner_id))
 
     def _check(
         self, active: active_request.ActiveRequest, attempt: open_attempt.OpenAttempt
     ) -> None:
-        """End an attempt whose runner accepts no new connection either."""
+        """End an attempt whose runner accepts no new connection either.
+
+        One that has begun to answer stays open: another attempt takes over in
+        any case, and without one there is nothing better to wait for. Where
+        no answer has begun, the caller can still return in time.
+        """
         if not isinstance(attempt.source, open_attempt.RunnerSource):
             return
         entry = attempt.source.plan.entry
         self._sender.record_silence(entry, attempt.started_s, attempt.progress_s)
-        if self._sender.is_unreachable(entry):
+        has_begun = active.responder.started
+        if not has_begun and self._sender.is_unreachable(entry):
             active.race.end(attempt, attempt_ends.unreachable())
