--- a/packages/gateway/lacewingdrum_gateway/serving/active_request.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/active_request.py
@@ -37,7 +37,8 @@
     request on, after it had sent it to ``earlier_runner_count`` runners;
     ``is_counted`` once this daemon has begun to serve it by itself, and
     ``relayed_to`` holds the daemons that this one has passed it on to.
-    ``may_crash_runners`` is set if it is not sent on for that reason.
+    ``may_crash_runners`` is set if it is not sent on for that reason, and
+    ``is_retry_refused`` while the retry allowance has none for it.
     """
 
     routed: plans.RoutedRequest
@@ -69,6 +70,7 @@
     is_counted: bool = False
     relayed_to: set[ids.VmId] = dataclasses.field(default_factory=set)
     may_crash_runners: bool = False
+    is_retry_refused: bool = False
     _fingerprint: ids.RequestFingerprint | None = None
     _subjects: crashes.Subjects | None = None
 
@@ -123,6 +125,7 @@
     ) -> open_attempt.OpenAttempt:
         """Return a further attempt, which goes on after the last event."""
         self.attempt_count += 1
+        self.is_retry_refused = False
         return open_attempt.OpenAttempt(
             self.attempt_count,
             source,
--- a/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
@@ -242,7 +242,9 @@
         is_allowed = self._allowance.take(
             service, self._peers.table.daemon_count, self._clock()
         )
-        if not is_allowed:
+        if not is_allowed and not active.is_retry_refused:
+            # It is asked for again and again while an attempt is silent.
+            active.is_retry_refused = True
             self._counts.count("repeats_refused", reason="allowance")
             self._decisions.record(
                 decision_log.DecisionEvent.REPEAT_REFUSED,
