--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,14 +9,11 @@
 
 from standins import fault_proxy, platform_store, runner_paths
 from standins.platform_runner import Fault
-from tests.soak import builds, checks, site
+from tests.soak import builds, checks, site, upgrades
 
 SOUND_FAULTS = (Fault.PAUSE, Fault.SHED)
 REQUEST_FAULTS = tuple(fault for fault in Fault if fault is not Fault.NONE)
 
-# Only builds that pass requests on keep their promises under these.
-NEEDING_RELAYS = frozenset(("read crashes runners", "cut from runners"))
-
 # Faults that take a while to be found last longer than others.
 CRASHING_FACTOR = 3.0
 LIMIT_FACTOR = 3.0
@@ -54,18 +51,17 @@
         self._profile = profile
         self._busy_gateways: set[int] = set()
         self._is_cut = False
-        self._is_rolling = False
-        self._have_relays = all(build.has_relays for build in soak_site.known_builds)
+        self._upgrades = upgrades.Upgrades(soak_site, rng, self._kill)
 
     async def run(self, length_s: float) -> None:
         """Start faults for ``length_s``, then wait until all have ended."""
         loop = asyncio.get_running_loop()
         until_s = loop.time() + length_s
         running: set[asyncio.Task[None]] = set()
-        build = self._draw_build()
+        build = self._upgrades.draw_build()
         if build is not None:
             self._site.faults.append(f"all become {build.name}")
-            running.add(asyncio.ensure_future(self._roll(build)))
+            running.add(asyncio.ensure_future(self._upgrades.roll(build)))
         while loop.time() < until_s:
             await asyncio.sleep(self._rng.uniform(0.1, 1.2))
             is_sound = self._profile is Profile.SOUND
@@ -90,7 +86,7 @@
                 fault_proxy.PathFault.DELAYED,
             )
         )
-        build = self._draw_build()
+        build = self._upgrades.draw_build()
         injections = [
             Injection(f"store {mode.value}", lambda: self._store(mode, span_s)),
             Injection("store forgets", self._forget_history),
@@ -129,30 +125,21 @@
             Injection("configuration", self._configure),
             Injection("credential withdrawn", self._rotate_credential),
         ]
-        if not self._have_relays:
-            injections = [
-                item for item in injections if item.name not in NEEDING_RELAYS
-            ]
+        injections = [item for item in injections if self._upgrades.allows(item.name)]
         if build is not None:
-            rolling = Injection(f"all become {build.name}", lambda: self._roll(build))
+            rolling = Injection(
+                f"all become {build.name}", lambda: self._upgrades.roll(build)
+            )
             injections.append(rolling)
         return rng.choice(injections)
 
-    def _draw_build(self) -> builds.Build | None:
-        """Return what a gateway is to run after its next start.
-
-        It is None where all gateways run the same build.
-        """
-        known = self._site.known_builds
-        return self._rng.choice(known) if len(known) > 1 else None
-
     def _draw_sound(self) -> Injection:
         """Draw planned work, or the silence of a runner that goes on."""
         rng = self._rng
         span_s = rng.uniform(0.3, 3.0)
         gateway = rng.randrange(self._site.gateway_count)
         runner = rng.randrange(len(self._site.runners))
-        build = self._draw_build()
+        build = self._upgrades.draw_build()
         return rng.choice(
             (
                 Injection("runners pause", lambda: self._silence(span_s)),
@@ -208,15 +195,6 @@
         finally:
             self._busy_gateways.discard(gateway)
 
-    async def _roll(self, build: builds.Build) -> None:
-        """Replace all gateways by those of a build, one after the other."""
-        if self._is_rolling:
-            return
-        self._is_rolling = True
-        for gateway in range(self._site.gateway_count):
-            await self._kill(gateway, signal.SIGTERM, build)
-        self._is_rolling = False
-
     async def _pause(self, gateway: int, span_s: float) -> None:
         if gateway in self._busy_gateways:
             return
