--- a/packages/gateway/lacewingdrum_gateway/runners/runner_list_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/runner_list_sync.py
@@ -187,7 +187,7 @@
             age_ms=int((self._clock() - self._roster.as_of_s) * 1_000),
             digest=change.digest,
             base=change.base,
-            changed=tuple(_message_from_entry(entry) for entry in change.changed),
+            changed=tuple(message_from_entry(entry) for entry in change.changed),
             removed=change.removed,
             era=self._roster.version.era,
         )
@@ -236,7 +236,7 @@
 def _change_from_push(
     push: peer_messages.RunnerListPush,
 ) -> runner_list_history.ListChange:
-    entries = (_entry(message) for message in push.changed)
+    entries = (entry_from_message(message) for message in push.changed)
     return runner_list_history.ListChange(
         base=push.base,
         digest=push.digest,
@@ -245,9 +245,10 @@
     )
 
 
-def _message_from_entry(
+def message_from_entry(
     entry: runner_entries.RunnerEntry,
 ) -> peer_messages.RunnerListEntry:
+    """Return the message for an entry."""
     return peer_messages.RunnerListEntry(
         runner_id=entry.runner_id,
         service=entry.service,
@@ -259,9 +260,10 @@
     )
 
 
-def _entry(
+def entry_from_message(
     message: peer_messages.RunnerListEntry,
 ) -> runner_entries.RunnerEntry | None:
+    """Return the entry that a peer sent, or None if it names no runner."""
     address = addresses.parse_address(message.address)
     if address is None:
         return None
