Loads of runners have bounds before they are told to peers

Seen by test: a load with a number beyond 64 bits, or an age below zero, was taken from a runner; peers are sent it as msgpack, which ends at 64 bits, and refuse ages below zero.

Before: test_load_that_peers_cannot_be_sent_is_refused AssertionError. After: passes.

--- a/packages/protocol/lacewingdrum_protocol/runner_api.py
+++ b/packages/protocol/lacewingdrum_protocol/runner_api.py
@@ -23,7 +23,7 @@
 import msgspec
 from result import Err
 
-from lacewingdrum_state import decoding
+from lacewingdrum_state import bounds, decoding
 
 COMPLETIONS_PATH = "/v1/completions"
 CANCEL_PATH = "/cancel"
@@ -140,7 +140,7 @@
     """Memory held for one attempt; 0 while the attempt waits."""
 
     attempt_id: str
-    tokens: int
+    tokens: bounds.Count
 
 
 class LoadAnswer(msgspec.Struct, frozen=True):
@@ -151,15 +151,15 @@
     """
 
     runner_id: str
-    age_ms: int
-    queued_short_tokens: int
-    queued_mid_tokens: int
-    queued_long_tokens: int
-    running_count: int
-    kv_used_tokens: int
-    kv_capacity_tokens: int
-    prefill_tokens_per_s: float
-    decode_tokens_per_s: float
+    age_ms: bounds.AgeMs
+    queued_short_tokens: bounds.Count
+    queued_mid_tokens: bounds.Count
+    queued_long_tokens: bounds.Count
+    running_count: bounds.Count
+    kv_used_tokens: bounds.Count
+    kv_capacity_tokens: bounds.Count
+    prefill_tokens_per_s: bounds.NotNegative
+    decode_tokens_per_s: bounds.NotNegative
     held: tuple[HeldMemoryEntry, ...] = ()
 
 
