An entry gives way where another runner answers at its address

Seen: well-formed entries with the addresses of both runners of a service and a later start took all their work; each request was refused there with 421 and none was served as long as the entries stayed.

Cause: of entries with one address the last born alone gets work, whatever the runner at that address says of who it is. Its 421 made the entry suspected, and a probe of the address cleared it.

Before: test_entry_that_claims_the_address_of_a_runner_takes_its_work_only_briefly AssertionError (answers after the first two are not 200).

Change: runner_addresses decides which entry has an address: one of a named service before others, then one that was not refuted by a 421 there, then the last born, then by id, so that daemons agree. A refuted entry that is alone at its address keeps its work, as before. A 421 that names another engine at fault refutes nothing.

After: passes, as does test_entry_refuted_at_its_address_gives_way_to_the_others_there.

--- a/packages/coordination/lacewingdrum_coordination/runner_roster.py
+++ b/packages/coordination/lacewingdrum_coordination/runner_roster.py
@@ -7,14 +7,12 @@
 is kept instead, because entries that expired during the outage come back then.
 
 Others than runners may write entries. One with an address of a daemon gets no
-work. One of a service that the operators do not name, or no longer name, gives
-way to any other at its address, whichever was born last.
+work; which of several with one address gets it, ``runner_addresses`` says.
 """
 
 import dataclasses
-from collections.abc import Iterable
 
-from lacewingdrum_coordination import runner_departures
+from lacewingdrum_coordination import runner_addresses, runner_departures
 from lacewingdrum_state import fleet, ids, runner_entries, states, store_versions
 
 # Expired entries may come back for this long after an outage of the store.
@@ -56,7 +54,7 @@
         self.as_of_s = float("-inf")
         # Those of the named services, also leaving ones, but no daemons.
         self.runners: tuple[runner_entries.RunnerEntry, ...] = ()
-        self._services: frozenset[ids.ServiceName] | None = None
+        self._addresses = runner_addresses.RunnerAddresses()
         self._daemons = DaemonAddresses()
         self._departures = runner_departures.RunnerDepartures()
         self._entries: dict[ids.RunnerId, runner_entries.RunnerEntry] = {}
@@ -71,8 +69,8 @@
 
     def set_services(self, services: frozenset[ids.ServiceName]) -> None:
         """Set the services that the operators name."""
-        if services != self._services:
-            self._services = services
+        if services != self._addresses.services:
+            self._addresses.services = services
             self._index()
 
     def set_daemons(self, daemons: DaemonAddresses) -> None:
@@ -127,6 +125,7 @@
             self._departures.record_gone(entry, listed.version.era, as_of_s)
         self._entries = found
         self._departures.forget_unlisted(found, self.as_of_s)
+        self._addresses.forget_unlisted(found)
         self._index()
         return tuple(changes)
 
@@ -156,6 +155,19 @@
         self._index()
         return True
 
+    def record_other_at_address(self, entry: runner_entries.RunnerEntry) -> bool:
+        """Record that another runner answered at the address of an entry.
+
+        Returns:
+            Whether that was not known.
+        """
+        if self._entries.get(entry.runner_id) != entry:
+            return False
+        if not self._addresses.refute(entry):
+            return False
+        self._index()
+        return True
+
     def unlisted_leaving(self) -> tuple[tuple[ids.RunnerId, int], ...]:
         """Return the incarnations that leave and are listed as ready."""
         return tuple(
@@ -180,11 +192,10 @@
             for entry in self._entries.values()
             if entry.address not in self._daemons
         ]
-        self.runners = tuple(filter(self._is_of_named_service, others))
-        latest = _latest_by_address(others)
-        latest |= _latest_by_address(self.runners)
+        self.runners = tuple(filter(self._addresses.is_named, others))
+        holders = self._addresses.holders(others)
         for entry in others:
-            is_at_address = latest[entry.address] is entry
+            is_at_address = holders[entry.address] is entry
             if entry.state is states.MemberState.LEAVING:
                 self._departures.record_leaving(
                     entry.runner_id, entry.born_ms, self.as_of_s
@@ -193,25 +204,6 @@
                 by_service.setdefault(entry.service, []).append(entry)
         self._by_service = {name: tuple(some) for name, some in by_service.items()}
 
-    def _is_of_named_service(self, entry: runner_entries.RunnerEntry) -> bool:
-        return self._services is None or entry.service in self._services
-
-
-def _latest_by_address(
-    entries: Iterable[runner_entries.RunnerEntry],
-) -> dict[fleet.Address, runner_entries.RunnerEntry]:
-    """Return the latest entry of each address.
-
-    The entry of a crashed runner stays for a while, also after another runner,
-    perhaps of another service, was started at its address.
-    """
-    found: dict[fleet.Address, runner_entries.RunnerEntry] = {}
-    for entry in entries:
-        other = found.get(entry.address)
-        if other is None or entry.born_ms > other.born_ms:
-            found[entry.address] = entry
-    return found
-
 
 def _change_kind(
     before: runner_entries.RunnerEntry | None, after: runner_entries.RunnerEntry
--- a/packages/coordination/lacewingdrum_coordination/runner_roster_test.py
+++ b/packages/coordination/lacewingdrum_coordination/runner_roster_test.py
@@ -173,3 +173,20 @@
     assert names(roster) == ["z"] and roster.of_service(unknown.service)
     roster.set_services(frozenset((MODEL, unknown.service)))
     assert names(roster) == ["z"]
+
+
+def test_entry_refuted_at_its_address_gives_way_to_the_others_there():
+    roster = runner_roster.RunnerRoster()
+    claim = entry("claim", address=entry("a").address, born_ms=9)
+    roster.apply(listed(1, entry("a"), claim), 1.0)
+    assert names(roster) == ["claim"]
+    assert roster.record_other_at_address(claim)
+    assert names(roster) == ["a"] and not roster.record_other_at_address(claim)
+    # All were refuted: the last born is tried again.
+    assert roster.record_other_at_address(entry("a")) and names(roster) == ["claim"]
+    reborn = entry("a", born_ms=3)
+    roster.apply(listed(2, reborn, claim), 2.0)
+    assert names(roster) == ["a"]
+    # One alone at its address keeps its work.
+    roster.apply(listed(3, claim), 3.0)
+    assert names(roster) == ["claim"]
--- a/packages/gateway/lacewingdrum_gateway/odd_entries_test.py
+++ b/packages/gateway/lacewingdrum_gateway/odd_entries_test.py
@@ -140,3 +140,16 @@
             answer = await site.call("/read/x", f"r{number}", on=other)
             assert answer.status == 200
         assert not other.daemon.components.engine_work.work_count
+
+
+async def test_entry_that_claims_the_address_of_a_runner_takes_its_work_only_briefly():
+    async with site_that_follows_the_list(gateways=2) as site:
+        for runner in site.ledgers:
+            claim = {**runner.entry(LEDGER), "born": runner.born_ms + 1}
+            site.store.put_json("servers", f"claim-{runner.runner_id}", claim)
+        roster = site.gateways[0].daemon.components.roster
+        await site.wait_until(lambda: roster.get("claim-l1"))
+        answers = [(await site.call("/read/x", f"r{number}")) for number in range(8)]
+        assert [answer.status for answer in answers[2:]] == [200] * 6
+        for runner in site.ledgers:
+            site.store.delete("servers", f"claim-{runner.runner_id}")
--- a/packages/gateway/lacewingdrum_gateway/runners/runner_notices.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/runner_notices.py
@@ -62,6 +62,20 @@
         # The answer of a successor at its address says nothing of its limit.
         if not answer_headers.is_other_runner:
             self._limits.observe(entry, answer_headers)
+        elif answer_headers.at_fault is None:
+            self._record_other_at_address(entry)
+
+    def _record_other_at_address(self, entry: runner_entries.RunnerEntry) -> None:
+        if not self._roster.record_other_at_address(entry):
+            return
+        self._counts.count("runner_changes", change="other_at_address")
+        self._decisions.record(
+            decision_log.DecisionEvent.RUNNER_CHANGED,
+            None,
+            runner_id=entry.runner_id,
+            change="other_at_address",
+            address=str(entry.address),
+        )
 
     def _record_pause(self, runner_id: ids.RunnerId, pause_s: float) -> None:
         now_s = self._clock()
