--- a/packages/gateway/lacewingdrum_gateway/odd_entries_test.py
+++ b/packages/gateway/lacewingdrum_gateway/odd_entries_test.py
@@ -4,6 +4,9 @@
 import contextlib
 import json
 
+import msgspec
+
+from lacewingdrum_gateway.runners import runner_list_sync
 from lacewingdrum_protocol import (
     crash_messages,
     limit_messages,
@@ -153,3 +156,26 @@
         assert [answer.status for answer in answers[2:]] == [200] * 6
         for runner in site.ledgers:
             site.store.delete("servers", f"claim-{runner.runner_id}")
+
+
+async def test_list_of_an_older_daemon_is_taken_without_its_odd_entries():
+    async with site_that_follows_the_list(gateways=2) as site:
+        older, other = (running.daemon.components for running in site.gateways)
+        good = [
+            runner_list_sync.message_from_entry(entry) for entry in older.roster.entries
+        ]
+        odd = [
+            msgspec.structs.replace(good[0], runner_id="odd", **{name: value})
+            for name, value in (("born_ms", 2**62), ("slots", 0), ("address", "x"))
+        ]
+        # Each of the next lists has a higher version.
+        site.store.put("other", "key", b"")
+        push = peer_messages.RunnerListPush(
+            site.store.version, 0, 7, 0, (*odd, *good), era=site.store.era
+        )
+        older.peers.broadcast(push)
+        await site.wait_until(
+            lambda: other.roster.version.version >= site.store.version
+        )
+        assert other.roster.get("odd") is None
+        assert len(other.roster.entries) == len(good)
