Tests pick ports that are free at all loopback addresses

Seen once, in odd_entries_test beside other processes' tests: "Address already in use (addr='tcp://127.0.0.2:51925')" at the start of a site's second gateway.

Cause: all gateways of a site have the same peer port at 127.0.0.1, 127.0.0.2 and so on, and a port was looked for at 127.0.0.1 alone. Another process' second gateway takes its callers at 127.0.0.2 only. Shown by a run: with a listener at 127.0.0.2:P, P can be bound at 127.0.0.1 and cannot at all addresses.

Change: a picked port is free at all addresses when it is picked. A process that takes it between then and its use still collides.

--- a/standins/ports.py
+++ b/standins/ports.py
@@ -22,6 +22,19 @@
             with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
                 probe.bind((HOST, 0))
                 port = probe.getsockname()[1]
-            if port not in picked:
+            if port not in picked and is_free(port):
                 picked.add(port)
                 yield port
+
+
+def is_free(port: int) -> bool:
+    """Return whether no address of this machine uses a port.
+
+    Processes of other tests may use it at another loopback address.
+    """
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+        try:
+            probe.bind(("", port))
+        except OSError:
+            return False
+    return True
