--- a/tests/soak/build_samples.py
+++ b/tests/soak/build_samples.py
@@ -110,7 +110,7 @@
         return tuple(_make(item) for item in found)
     if origin is dict:
         return {_make(arguments[0]): _make(arguments[1])}
-    if origin is types.UnionType:
+    if origin in (types.UnionType, typing.Union):
         return _make(arguments[0])
     if issubclass(wanted, enum.Enum):
         return list(wanted)[-1]
