Test of a dead runner keeps its port from other processes; listed as failing sometimes

The port of the closed runner was free for other processes; that a foreign listener was there is suspected only.

--- a/packages/gateway/lacewingdrum_gateway/suspicion_test.py
+++ b/packages/gateway/lacewingdrum_gateway/suspicion_test.py
@@ -1,6 +1,7 @@
 import asyncio
+import contextlib
 
-from standins import platform_site
+from standins import platform_site, ports
 
 BROADCAST_S = 0.2
 
@@ -10,8 +11,9 @@
         dead = site.ledgers[0]
         await dead.close()
         one, other = site.gateways
-        for number in range(12):
-            await site.call("/read/x", f"a{number}", on=one)
+        with contextlib.closing(ports.hold(dead.port)):
+            for number in range(12):
+                await site.call("/read/x", f"a{number}", on=one)
         await asyncio.sleep(BROADCAST_S)
         counts = await suspicions(site, other)
         assert 'reason="peer"' in counts
