A response is begun once: a second one is refused, and a failed task resets

What callers could see: a second answer on a begun stream (an attempt that ends beside the one that streams) cost them the stream, and a stream whose task ended other than by an error or a cancellation looked complete to a caller of HTTP/1.0.

Cause: Responder had no state of its own. h11 refused the second head, so that no byte of it was sent, but its connection was unusable from then on, also for the stream that was sound. HttpServer closed the connection of a task that had failed in order, which is the proper end of an answer without chunks.

Change: send, start_stream, write and finish raise ResponseOrderError before anything is given to h11, if they are called in a wrong order. A handler that does not catch it has its connection aborted, as before; so does one that ends by any other BaseException.

--- a/packages/transport/lacewingdrum_transport/http_server.py
+++ b/packages/transport/lacewingdrum_transport/http_server.py
@@ -227,13 +227,13 @@
             responder.close_after_response()
         try:
             await self._handler(request, responder)
-        except asyncio.CancelledError:
-            if responder.started and not responder.finished:
-                responder.abort()
-            raise
         except Exception:
             # The body is not logged, since it may contain a customer's prompt.
             _logger.exception("handler failed: %s %s", request.method, request.path)
+        except BaseException:
+            if responder.started and not responder.finished:
+                responder.abort()
+            raise
         if responder.finished:
             return
         if responder.started:
--- a/packages/transport/lacewingdrum_transport/responder.py
+++ b/packages/transport/lacewingdrum_transport/responder.py
@@ -11,13 +11,21 @@
 _SELF_DELIMITED_VERSION = b"1.1"
 
 
+class ResponseOrderError(RuntimeError):
+    """A second response was begun, or a part sent outside a begun one.
+
+    None of its bytes were sent, and the response that was begun can go on.
+    """
+
+
 class Responder:
     """Sends the response to one request.
 
     The sending methods return False if the caller has disconnected, or did
-    not read for so long that the connection was aborted. They do not raise,
-    since the handler may have to complete its work anyway. ``allows_body`` is
-    False for the response to a HEAD request.
+    not read for so long that the connection was aborted. They do not raise
+    for that, since the handler may have to complete its work anyway. They
+    raise ``ResponseOrderError`` if they are called in a wrong order.
+    ``allows_body`` is False for the response to a HEAD request.
     """
 
     def __init__(
@@ -90,6 +98,7 @@
         Returns:
             False if the caller has disconnected or did not read in time.
         """
+        self._check_is_open()
         if not self._method_allows_body or not data:
             return not self.disconnected.is_set()
         return await self._write(self._connection.send(h11.Data(data=data)) or b"")
@@ -100,6 +109,7 @@
         Returns:
             False if the caller has disconnected or did not read in time.
         """
+        self._check_is_open()
         return await self._write_last(self._serialize_end())
 
     def abort(self) -> None:
@@ -109,6 +119,10 @@
         else:
             self._channel.reset()
 
+    def _check_is_open(self) -> None:
+        if not self.started or self.finished:
+            raise ResponseOrderError("no response has begun, or it has ended")
+
     def _encode_headers(
         self, headers: http_messages.Headers
     ) -> list[tuple[bytes, bytes]]:
@@ -122,6 +136,8 @@
         return encoded
 
     def _serialize_head(self, status: int, headers: list[tuple[bytes, bytes]]) -> bytes:
+        if self.started:
+            raise ResponseOrderError(f"status {status} after a response has begun")
         # h11 raises here for an invalid head, before anything is sent.
         head = h11.Response(status_code=status, headers=headers)
         data = self._connection.send(head) or b""
