EventStream decides which events of a run go on with the caller's stream

What callers saw: a stream broke off, and the next runner's run was joined to it whatever it was: one that began anew at 1, repeated or skipped an event, had no ids, or was an error's text or its whole head with an empty line after it.

Cause: EventStream split bytes at empty lines and took the last id. It never compared an id with that of the event before, and knew no bytes that are no event.

Change: event_sequence decides for each block, as a pure function of the caller's position: comments go through; a number must rise; the first event of a run that goes on needs a number, the very next one if all before followed each other without a gap; lines that are no fields, or a second id, are foreign. Within a run numbers need only rise, because the runners promise no more. EventStream returns what is before the first fault and nothing after it, says what the end of a run proves (a run without any event ends a stream only if it stated its end and no event had begun before it), and next_run hands on what earlier runs have shown.

event_stream_test: the event with a number comes first now in test_event_id_is_taken_only_from_an_id_field, because a run after event 7 that begins without a number is not passed on any more; it checks the same and the count of events.

--- a/packages/protocol/lacewingdrum_protocol/event_stream.py
+++ b/packages/protocol/lacewingdrum_protocol/event_stream.py
@@ -1,25 +1,58 @@
-"""Splits a stream of server-sent events into complete events.
+"""Splits a run of a stream of server-sent events into complete events.
 
 The events are forwarded unchanged; ``sse`` extracts the data of events.
 """
 
 import re
 
+from result import Err
+
+from lacewingdrum_protocol import event_sequence
+
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _EVENT_END_BYTES_MAX = 4
 _LINE_END = re.compile(rb"\r\n|\n|\r")
 _COMMENT_MARK = b":"
-_EVENT_ID = re.compile(rb"(?:^|[\r\n])id:[ ]?([^\r\n]*)")
 
 
 class EventStream:
-    """Returns complete events unchanged and stores the last event's id."""
+    """Returns complete events unchanged, up to one that isn't the next one.
+
+    ``fault`` is set by the first such event, which stays incomplete. Nothing
+    is returned after it.
+
+    Args:
+        last_event_id: The id of the last event that the caller has; empty if
+            it has none.
+    """
 
     def __init__(self, last_event_id: str = "") -> None:
-        self.last_event_id = last_event_id
-        self.event_count = 0
+        self.fault: event_sequence.StreamFault | None = None
+        self._position = event_sequence.start_after(last_event_id)
+        self._events_before_run = 0
+        self._has_further_event = False
         self._partial_event = bytearray()
 
+    @property
+    def last_event_id(self) -> str:
+        """The id of the last event that had one."""
+        return self._position.last_event_id
+
+    @property
+    def event_count(self) -> int:
+        """The number of events of this run and of those before it."""
+        return self._position.event_count
+
+    @property
+    def run_event_count(self) -> int:
+        """The number of events of this run."""
+        return self._position.event_count - self._events_before_run
+
+    @property
+    def is_resumable(self) -> bool:
+        """Whether another run can go on after the last event."""
+        return self._position.is_resumable
+
     @property
     def partial_event(self) -> bytes:
         """The bytes of an event that is not complete yet."""
@@ -46,23 +79,62 @@
             data: The next bytes of the stream; they may end inside an event.
 
         Returns:
-            The events that are now complete.
+            The events that are now complete and go on with the stream.
         """
+        if self.fault is not None:
+            return b""
         # The bytes received before were searched then; only a mark of the end
         # may have begun in them.
         start = max(len(self._partial_event) - _EVENT_END_BYTES_MAX + 1, 0)
         self._partial_event += data
         end = 0
         for match in _EVENT_END.finditer(self._partial_event, start):
+            block = bytes(self._partial_event[end : match.end()])
+            advanced = event_sequence.advance(
+                self._position, block, self.run_event_count == 0
+            )
+            if isinstance(advanced, Err):
+                self.fault = advanced.err_value
+                break
+            self._position = advanced.ok_value
             end = match.end()
-            self.event_count += 1
         complete = bytes(self._partial_event[:end])
         del self._partial_event[:end]
-        event_ids = _EVENT_ID.findall(complete)
-        if event_ids:
-            self.last_event_id = event_ids[-1].decode("latin-1")
         return complete
 
+    def find_end_fault(self, is_end_stated: bool) -> event_sequence.StreamFault | None:
+        """Return why the end of the run is not that of the stream, or None.
+
+        A run without events may have been asked for after the last event. That
+        it has ended well is known only if the run itself has said so: a
+        connection may also be closed by a server that has failed.
+
+        Args:
+            is_end_stated: Whether the run has stated that it is whole, rather
+                than closed its connection.
+        """
+        if self.fault is not None:
+            return self.fault
+        if self.is_inside_event:
+            return event_sequence.StreamFault.ENDED_INSIDE_EVENT
+        if self.run_event_count == 0 and (self._has_further_event or not is_end_stated):
+            return event_sequence.StreamFault.ENDED_BEFORE_EVENTS
+        return None
+
+    def next_run(self) -> "EventStream":
+        """Return the stream of another run, to go on after the last event.
+
+        What this run has shown holds for the next one: how events are
+        numbered, and that a further one follows if this run broke off inside
+        it.
+        """
+        following = EventStream()
+        following._position = self._position
+        following._events_before_run = self.event_count
+        is_known_to_go_on = self._has_further_event and not self.run_event_count
+        following._has_further_event = is_known_to_go_on or self.is_inside_event
+        return following
+
     def discard_partial_event(self) -> None:
         """Discard the bytes of an event that was interrupted."""
         self._partial_event = bytearray()
--- a/packages/protocol/lacewingdrum_protocol/event_stream_test.py
+++ b/packages/protocol/lacewingdrum_protocol/event_stream_test.py
@@ -21,10 +21,10 @@
 
 def test_event_id_is_taken_only_from_an_id_field():
     stream = event_stream.EventStream("7")
-    stream.feed(b"weight-versions: 3\ndata: id: 9\n\n")
-    assert stream.last_event_id == "7"
     stream.feed(b"weight-versions: 3\nid: 8\ndata: x\n\n")
     assert stream.last_event_id == "8"
+    stream.feed(b"weight-versions: 3\ndata: id: 9\n\n")
+    assert stream.last_event_id == "8" and stream.event_count == 2
 
 
 def test_only_fields_without_an_empty_line_after_them_are_inside_an_event():
