Stand-in runners send odd answers; a caller that records how an answer ended

For tests of streams: any status, type, framing and body, sealed or not, whole or broken off, and callers of HTTP/1.0 and 1.1 that keep each byte they have read.

--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -12,6 +12,7 @@
 
 from standins import (
     endless_answers,
+    odd_answers,
     platform_answers,
     platform_connection,
     platform_failures,
@@ -38,7 +39,7 @@
         self.answer_s = 0.0
         # Whether answers have neither a length nor chunks.
         self.is_close_delimited = False
-        self.faults: list[Fault] = []
+        self.faults: list[Fault | odd_answers.OddAnswer] = []
         self.arrivals: list[ReceivedRequest] = []
         self.connection_count = 0
         self.working_count = 0
@@ -226,6 +227,15 @@
             *id_headers,
             ("Response-Seal", f"seal-{self.runner_id}-{attempt_id}"),
         )
+        if isinstance(fault, odd_answers.OddAnswer):
+            return await odd_answers.send(
+                connection,
+                writer,
+                fault,
+                id_headers,
+                sealed_headers[-1],
+                int(headers.get("last-event-id") or 0),
+            )
         if fault is Fault.SHED and self.retry_after:
             id_headers += (("Retry-After", self.retry_after),)
         if fault is Fault.HELPER_FAILED:
--- /dev/null
+++ b/standins/raw_caller.py
@@ -0,0 +1,73 @@
+"""A caller that records each byte of a body, and how the answer ended."""
+
+import asyncio
+import dataclasses
+
+import h11
+
+from standins import platform_site
+
+READ_BYTES = 65_536
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Received:
+    """An answer as its caller received it.
+
+    ``is_whole`` says whether it looks complete; one to HTTP/1.0 does if the
+    connection ended without a reset.
+    """
+
+    status: int
+    body: bytes
+    is_whole: bool
+
+
+async def call(
+    site: platform_site.PlatformSite,
+    path: str,
+    attempt_id: str,
+    headers: tuple[tuple[str, str], ...] = (),
+    version: str = "1.1",
+    on: platform_site.RunningGateway | None = None,
+) -> Received:
+    """Send one request on a new connection, and read its answer to the end."""
+    running = on or site.gateways[0]
+    address = running.gateway_settings.vm.caller_address
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    sent = (
+        ("Host", "site.example"),
+        ("Attempt-Id", attempt_id),
+        ("Key", platform_site.CREDENTIAL),
+        ("Content-Length", str(len(attempt_id))),
+        *headers,
+    )
+    lines = "".join(f"{name}: {value}\r\n" for name, value in sent)
+    # The attempt id as the body makes each request another one.
+    writer.write(f"POST {path} HTTP/{version}\r\n{lines}\r\n{attempt_id}".encode())
+    try:
+        return await _receive(reader)
+    finally:
+        writer.transport.abort()
+
+
+async def _receive(reader: asyncio.StreamReader) -> Received:
+    connection = h11.Connection(h11.CLIENT)
+    connection.send(h11.Request(method="GET", target="/", headers=[("host", "h")]))
+    connection.send(h11.EndOfMessage())
+    status, body = 0, b""
+    while True:
+        try:
+            event = connection.next_event()
+            if event is h11.NEED_DATA:
+                connection.receive_data(await reader.read(READ_BYTES))
+        except (h11.RemoteProtocolError, ConnectionError):
+            return Received(status, body, False)
+        if isinstance(event, h11.Response):
+            status = event.status_code
+        elif isinstance(event, h11.Data):
+            body += bytes(event.data)
+        elif isinstance(event, h11.EndOfMessage):
+            return Received(status, body, True)
+        elif isinstance(event, h11.ConnectionClosed):
+            return Received(status, body, False)
