Properties of joined runs, and of any bytes in any pieces

Numbers rise over any series of runs, and a join leaves none out while there was no gap; what is passed on is the beginning of what was received, whole or byte by byte.

--- a/packages/protocol/lacewingdrum_protocol/event_sequence_test.py
+++ b/packages/protocol/lacewingdrum_protocol/event_sequence_test.py
@@ -1,7 +1,10 @@
 """Tests of the decision whether an event goes on with a stream."""
 
+import re
 import time
 
+from hypothesis import given, strategies
+
 from lacewingdrum_protocol import event_sequence, event_stream
 from lacewingdrum_protocol.event_sequence import StreamFault
 
@@ -12,6 +15,19 @@
     return b"".join(b"id: %d\ndata: piece\n\n" % number for number in numbers)
 
 
+FRAGMENTS = (
+    b"id: 2",
+    b"data: x",
+    b"\n",
+    b"\r",
+    b"\r\n",
+    b"\n\n",
+    b": c",
+    b"HTTP",
+    events(2),
+)
+
+
 def run_after(*numbers: int) -> event_stream.EventStream:
     """Return the run that follows one which broke off after these events."""
     broken = event_stream.EventStream()
@@ -91,3 +107,29 @@
         return time.process_time() - start_s
 
     assert elapsed_s(80_000) < 12 * elapsed_s(10_000) + 0.05
+
+
+@given(strategies.lists(strategies.lists(strategies.integers(1, 6), max_size=5)))
+def test_numbers_rise_and_no_join_leaves_one_out(runs):
+    stream, passed = event_stream.EventStream(), []
+    for numbers in runs:
+        stream = stream.next_run()
+        joined = stream.feed(events(*numbers))
+        joined_numbers = [int(text) for text in re.findall(rb"id: (\d+)", joined)]
+        had_no_gap = passed == list(range(1, len(passed) + 1))
+        if passed and joined_numbers and had_no_gap:
+            assert joined_numbers[0] == passed[-1] + 1
+        passed += joined_numbers
+    assert passed == sorted(set(passed)) and stream.event_count == len(passed)
+
+
+@given(strategies.lists(strategies.sampled_from(FRAGMENTS), max_size=12))
+def test_bytes_are_passed_on_unchanged_up_to_a_fault(fragments):
+    data = b"".join(fragments)
+    run, run_of_bytes = run_after(1), run_after(1)
+    passed = run.feed(data)
+    assert data.startswith(passed)
+    single_bytes = (data[number : number + 1] for number in range(len(data)))
+    assert passed == b"".join(map(run_of_bytes.feed, single_bytes))
+    assert run.fault is run_of_bytes.fault
+    assert run.fault is not None or passed + run.partial_event == data
