A run is joined to a begun stream only if it goes on with it, and ends it only if it says so

What callers saw: a stream broke off after two events, and whatever the next runner sent with status 200 was joined to it: events from 1 on, a repeated or skipped one, an error's text or whole head; or nothing, and two of five events looked complete. An error's head as the start of a first run was passed on as an event, and another runner's stream after it.

Cause: the join was asked for by Last-Event-Id and never checked; and that a stream has events was taken from all runs together, so that the close of a connection that had brought none ended it.

What an end proves: a run without events may be right after all events were passed on, so it ends the stream if it is an event stream whose chunks or length say that it is whole, unless the run before broke off inside an event. The close of a connection says nothing.

--- a/packages/gateway/lacewingdrum_gateway/serving/stream_forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/stream_forwarding.py
@@ -15,6 +15,7 @@
     plans,
     routing,
     silence_limits,
+    stream_runs,
 )
 from lacewingdrum_state import ids, states
 from lacewingdrum_transport import http_client, http_messages
@@ -76,9 +77,11 @@
             None if the stream ended without an error, else the end of the
             attempt.
         """
-        events = active.events
-        events.discard_partial_event()
-        events_before = events.event_count
+        failure = stream_runs.head_failure(reader, active.responder.started)
+        if failure is not None:
+            await reader.close()
+            return failure
+        events = active.events = active.events.next_run()
         has_events = False
         held = self._answers.hold()
         # Only whole events count as progress, so that a stream which sends
@@ -96,8 +99,7 @@
                 if not part.ok_value:
                     return await self._end_stream(active, reader)
                 data = events.feed(part.ok_value)
-                event_count = events.event_count - events_before
-                self._count_events(active, source, event_count)
+                self._count_events(active, source, events.run_event_count)
                 if data and not has_events:
                     has_events = True
                     self._record_first_event(source)
@@ -106,6 +108,8 @@
                     self._record_event_time(active, source)
                 if data and not await self._write_events(active, reader, data):
                     return _CALLER_DISCONNECTED
+                if events.fault is not None:
+                    return stream_runs.event_failure(events)
                 if not held.resize(events.partial_bytes):
                     return _TOO_LARGE
         finally:
@@ -158,12 +162,9 @@
         """End the caller's answer, unless the stream was broken off."""
         responder = active.responder
         events = active.events
-        if events.is_inside_event:
-            return _ENDED_INSIDE_EVENT
-        has_events = bool(events.event_count or events.last_event_id)
-        # Only its framing can say that a stream without events is whole.
-        if not has_events and reader.answer_end is _CONNECTION_CLOSE:
-            return _ENDED_BEFORE_EVENTS
+        failure = stream_runs.end_failure(events, reader, responder.started)
+        if failure is not None:
+            return failure
         rest = events.partial_event
         if rest and not await self._write_events(active, reader, rest):
             return _CALLER_DISCONNECTED
@@ -198,20 +199,9 @@
             active.pause_count, active.shortest_pause_s = 0, float("inf")
 
 
-_CONNECTION_CLOSE = http_client.AnswerEnd.CONNECTION_CLOSE
 _CALLER_DISCONNECTED = attempt_ends.AttemptEnd(
     states.AttemptState.UNKNOWN, attempt_ends.EndReason.LOST, "the caller has gone"
 )
-_ENDED_INSIDE_EVENT = attempt_ends.AttemptEnd(
-    states.AttemptState.UNKNOWN,
-    attempt_ends.EndReason.LOST,
-    "the stream ended inside an event",
-)
-_ENDED_BEFORE_EVENTS = attempt_ends.AttemptEnd(
-    states.AttemptState.UNKNOWN,
-    attempt_ends.EndReason.LOST,
-    "the connection ended before any event",
-)
 _TOO_LARGE = attempt_ends.AttemptEnd(
     states.AttemptState.UNKNOWN,
     attempt_ends.EndReason.TOO_LARGE,
