A stream whose last event has no number is not sent to another runner

What callers saw: a stream without ids broke off, the next runner began anew, and its events came after those of the first one, properly ended.

Cause: Last-Event-Id names the last event that had an id, or none, whatever has been passed on since.

Before: test_stream_without_ids_is_passed_on_but_not_resumed fails; on the caller had "data: a", "data: b" and then all five events of another run. After: it passes, with the 7 others of resumed_streams_test.

--- a/packages/gateway/lacewingdrum_gateway/resumed_streams_test.py
+++ b/packages/gateway/lacewingdrum_gateway/resumed_streams_test.py
@@ -111,6 +111,16 @@
                 assert (got.status, got.body, got.is_whole) == (200, EVENTS, True)
 
 
+async def test_stream_without_ids_is_passed_on_but_not_resumed():
+    unnumbered = b"data: a\n\ndata: b\n\n"
+    async with platform_site.running_site(bounds=BOUNDS) as site:
+        got = await call(site, OddAnswer(unnumbered))
+        assert (got.body, got.is_whole) == (unnumbered, True)
+        for first in (unnumbered, events(1) + unnumbered):
+            got = await call(site, OddAnswer(first, is_broken_off=True))
+            assert (got.body, got.is_whole) == (first, False)
+
+
 async def test_stream_of_a_route_without_resuming_is_never_continued():
     ask = platform_site.make_route(
         "ask", "stream", platform_site.MODEL, resumable=False
--- a/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
@@ -71,7 +71,7 @@
         Returns:
             The outcome; the caller has its answer or its connection is closed.
         """
-        while active.left_s(self._clock()) > 0:
+        while active.left_s(self._clock()) > 0 and active.events.is_resumable:
             blame = self._crashes.find_blame(active)
             if blame is not None and not self._crashes.start_trial(active, blame):
                 if active.may_have_run:
--- a/packages/gateway/lacewingdrum_gateway/serving/silence_limits.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/silence_limits.py
@@ -49,4 +49,5 @@
     """Return whether the request may be retried at another runner."""
     route = active.routed.route
     sent_count = len(active.sent_to) + active.earlier_runner_count
-    return route.is_retryable and sent_count + 1 < route.max_attempts
+    is_repeatable = route.is_retryable and active.events.is_resumable
+    return is_repeatable and sent_count + 1 < route.max_attempts
