A success that a peer passes back needs the runner's receipt and the attempt's id

What callers could see: a 200 of whatever listened at a peer's port, as the answer to their read, order or stream, without any runner's receipt.

Cause: the relay took any success on the connection for the runner's answer, and compared neither receipt nor attempt id, as attempts at runners do.

Before: test_answer_that_no_runner_has_vouched_for_is_not_taken_from_a_peer fails, the read is answered with it (on the stream already). It is shown with a server at the port of a peer that has stopped taking requests. Change: head_failure, as for runners, for successes. Failures are judged as before, by whether the peer says what ran. After: it passes, and cut_off_daemons_test.

--- a/packages/gateway/lacewingdrum_gateway/resumed_streams_test.py
+++ b/packages/gateway/lacewingdrum_gateway/resumed_streams_test.py
@@ -1,5 +1,6 @@
 """Tests of streams whose runner, or the next one, sends no sound run of it."""
 
+import asyncio
 import itertools
 
 from lacewingdrum_gateway import settings
@@ -168,3 +169,26 @@
             assert (got.body, got.is_whole) == (events(1, 2), False), run
         got = await call(site, BROKEN, OddAnswer(b"", 500), SOUND, on=cut_off)
         assert (got.body, got.is_whole) == (EVENTS, True)
+
+
+async def test_answer_that_no_runner_has_vouched_for_is_not_taken_from_a_peer():
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nfailed\n\n")
+        writer.close()
+
+    async with platform_site.running_site(2, 2, bounds=BOUNDS) as site:
+        cut_off, peer = site.gateways
+        relay_port = peer.gateway_settings.vm.relay_port
+        known = cut_off.daemon.components.peers.table
+        await site.wait_until(lambda: any(item.relay_port for item in known.live))
+        cut_off.paths.cut(Cut.RESET)
+        await wait_until_cut_off(site, 0)
+        await peer.daemon.components.relay_server.close()
+        host = peer.gateway_settings.vm.host
+        other = await asyncio.start_server(answer, host, relay_port)
+        async with other:
+            for path in ("/ask/x", "/read/x", "/order/x"):
+                attempt_id = next(_attempt_ids)
+                got = await raw_caller.call(site, path, attempt_id, ASK)
+                assert got.status == 502, path
--- a/packages/gateway/lacewingdrum_gateway/serving/relay.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/relay.py
@@ -158,9 +158,18 @@
         if isinstance(opened, Err):
             return attempt_ends.open_failure(opened.err_value)
         reader = opened.ok_value
+        is_success = http_messages.is_success(reader.status)
+        failure = attempt_ends.head_failure(
+            active.outgoing.attempt_id,
+            reader.status,
+            platform_headers.parse_runner_headers(reader.status, reader.headers),
+        )
+        if is_success and failure is not None:
+            await reader.close()
+            return failure
         active.answer = reader
         is_stream = active.routed.route.kind is configurations.RouteKind.STREAM
-        if is_stream and http_messages.is_success(reader.status):
+        if is_stream and is_success:
             source = stream_forwarding.PeerSource(peer.address)
             end = await self._streams.forward(active, source, reader)
             return end or active_request.Outcome.ANSWERED
