--- a/packages/protocol/lacewingdrum_protocol/event_stream.py
+++ b/packages/protocol/lacewingdrum_protocol/event_stream.py
@@ -134,7 +134,3 @@
         is_known_to_go_on = self._has_further_event and not self.run_event_count
         following._has_further_event = is_known_to_go_on or self.is_inside_event
         return following
-
-    def discard_partial_event(self) -> None:
-        """Discard the bytes of an event that was interrupted."""
-        self._partial_event = bytearray()
--- a/packages/protocol/lacewingdrum_protocol/event_stream_test.py
+++ b/packages/protocol/lacewingdrum_protocol/event_stream_test.py
@@ -14,7 +14,7 @@
     assert stream.feed(b"id: 1\nda") == b""
     assert stream.feed(b"ta: a\n\nid: 2") == b"id: 1\ndata: a\n\n"
     assert stream.last_event_id == "1" and stream.partial_event == b"id: 2"
-    stream.discard_partial_event()
+    stream = stream.next_run()
     assert stream.feed(b"id: 2\r\ndata: b\r\n\r\n").endswith(b"\r\n\r\n")
     assert stream.last_event_id == "2" and stream.event_count == 2
 
