--- a/packages/gateway/lacewingdrum_gateway/serving/exchange.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/exchange.py
@@ -177,7 +177,7 @@
             body = await attempts.read_whole(reader, left_s, held)
             if isinstance(body, Err):
                 return body.err_value
-            if not active.pass_on(attempt, 0):
+            if not active.pass_on(attempt):
                 return attempt_ends.superseded()
             answer = http_messages.HttpResponse(
                 reader.status, reader.headers, body.ok_value
--- a/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
@@ -135,7 +135,7 @@
         self, active: active_request.ActiveRequest
     ) -> outcomes.Outcome | Step:
         """Start the next attempt if one is allowed, or refuse the request."""
-        if not retry_limits.may_hedge(active):
+        if not retry_limits.may_start(active):
             return Step.WAIT
         blame = self._crashes.find_blame(active)
         if blame is not None and not self._crashes.start_trial(active, blame):
@@ -209,7 +209,7 @@
         attempt: open_attempt.OpenAttempt,
         end: attempt_ends.AttemptEnd,
     ) -> bool:
-        event_count = attempt.events.event_count
+        event_count = attempt.events.run_event_count
         if not await self._crashes.observe(active, plan.entry, end, event_count):
             active.may_crash_runners = True
             return False
@@ -263,7 +263,7 @@
         """Record what the end of an attempt shows of its source."""
         attempt, end = ended.attempt, ended.end
         if end is None or end.reason is not attempt_ends.EndReason.SUPERSEDED:
-            active.last_attempt = attempt
+            active.record_end(attempt)
         match attempt.source:
             case open_attempt.PeerSource():
                 self._relay.record_end(ended.result)
--- a/packages/gateway/lacewingdrum_gateway/serving/request_handler.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/request_handler.py
@@ -18,6 +18,7 @@
     unrouted_answers,
 )
 from lacewingdrum_platform import headers as platform_headers
+from lacewingdrum_protocol import event_stream
 from lacewingdrum_runtime import decision_log, metrics
 from lacewingdrum_state import configurations, ids, requests
 from lacewingdrum_transport import http_messages, responder as responders
@@ -98,7 +99,9 @@
             is_blamed: whether a request is not to be sent on.
         """
         for running, active in self._running.items():
-            has_begun = any(item.events.event_count for item in active.race.attempts)
+            has_begun = any(
+                item.events.run_event_count for item in active.race.attempts
+            )
             if has_begun or active.is_trial or active.is_blamed:
                 continue
             if is_blamed(active):
@@ -179,8 +182,9 @@
             request.body,
             caller_headers.attempt_id,
         )
+        events = event_stream.EventStream(caller_headers.last_event_id)
         active = active_request.ActiveRequest(
-            routed, outgoing, responder, caller_headers.last_event_id, found.version
+            routed, outgoing, responder, events, found.version
         )
         if is_relayed:
             active.is_relayed = True
@@ -262,7 +266,7 @@
             attempts=active.attempt_count,
             elapsed_ms=round(elapsed_s * 1_000, 1),
             first_event_ms=first_ms,
-            events=active.event_count,
+            events=active.events.event_count,
             longest_pause_ms=round(active.longest_pause_s * 1_000, 1),
             configuration_age_s=round(configuration_age_s, 3),
             **active.describe_answer_end(),
--- a/packages/gateway/lacewingdrum_gateway/serving/silence_limits.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/silence_limits.py
@@ -34,7 +34,7 @@
             case open_attempt.RunnerSource(plan):
                 if not _can_retry_elsewhere(active):
                     return float("inf")
-                if attempt.events.event_count:
+                if attempt.events.run_event_count:
                     return self._pause_s(active, plan)
                 return _first_event_s(active, attempt, plan)
 
@@ -65,4 +65,5 @@
     """Return whether the request may be retried at another runner."""
     route = active.routed.route
     sent_count = len(active.sent_to) + active.earlier_runner_count
-    return route.is_retryable and sent_count + 1 < route.max_attempts
+    is_repeatable = route.is_retryable and active.events.is_resumable
+    return is_repeatable and sent_count + 1 < route.max_attempts
