--- a/packages/daemon/lacewingdrum_daemon/document_sync.py
+++ b/packages/daemon/lacewingdrum_daemon/document_sync.py
@@ -9,7 +9,6 @@
 import logging
 import random
 from collections.abc import Callable
-from typing import Any
 
 from lacewingdrum_coordination import (
     coordinators,
@@ -19,6 +18,7 @@
 )
 from lacewingdrum_daemon import (
     document_store,
+    held_documents,
     membership_sync,
     peering,
     submissions,
@@ -30,7 +30,6 @@
 
 POLL_CHECK_INTERVAL_S = 0.25
 
-Parse = Callable[[str], tuple[document_types.ServiceDocument | None, tuple[Any, ...]]]
 _log = logging.getLogger(f"{decision_log.ROOT_LOGGER}.documents")
 
 
@@ -41,7 +40,7 @@
         self,
         table: tables.Table,
         peers: peering.Peering,
-        parse: Parse,
+        parse: held_documents.Parse,
         clock: Callable[[], float],
         *,
         vm_id: ids.VmId,
@@ -62,15 +61,13 @@
         """
         self._store = document_store.DocumentStore(table)
         self._peers = peers
-        self._parse = parse
+        self._held = held_documents.HeldDocuments(parse)
         self._clock = clock
         self._vm_id = vm_id
         self._members = members
         self._rng = rng
         self._tasks = tasks.TaskSet()
-        self._entries: dict[ids.ServiceName, document_versions.Entry] = {}
         self._is_reachable = True
-        self._announced_versions: dict[ids.ServiceName, int] = {}
         self._freshness = document_versions.Freshness(clock())
 
     def start(self) -> None:
@@ -89,32 +86,23 @@
         self, service: ids.ServiceName
     ) -> document_types.StoredDocument | None:
         """Return the document version of a service that is in force here."""
-        entry = self._entries.get(service)
+        entry = self._held.get(service)
         return None if entry is None else entry.served
 
     def parsed(self, service: ids.ServiceName) -> document_types.ServiceDocument | None:
         """Return the parsed form of the version that ``in_force`` returns."""
-        entry = self._entries.get(service)
+        entry = self._held.get(service)
         return None if entry is None else entry.parsed
 
     def services(self) -> tuple[ids.ServiceName, ...]:
         """Return the services that have a document in force."""
-        return tuple(
-            service
-            for service, entry in self._entries.items()
-            if entry.served is not None
-        )
+        return tuple(stored.service for stored in self._held.served())
 
     def digests(self) -> tuple[peer_messages.DocumentVersionEntry, ...]:
         """Return the digests to send in heartbeats; none until ready."""
         if not self.ready():
             return ()
-        served = (entry.served for entry in self._entries.values())
-        return tuple(
-            document_messages.heartbeat_entry(stored)
-            for stored in served
-            if stored is not None
-        )
+        return tuple(map(document_messages.heartbeat_entry, self._held.served()))
 
     def ready(self) -> bool:
         """Return whether this daemon knows the versions in force."""
@@ -123,7 +111,7 @@
 
     def _check_ready(self) -> None:
         self._freshness = document_versions.check_ready(
-            self._freshness, self._clock(), self._lacks_announced_version()
+            self._freshness, self._clock(), self._held.lacks_announced_version
         )
 
     def may_admit(self) -> bool:
@@ -156,7 +144,7 @@
         result = await submissions.resolve(self._store, submission, self._clock)
         match result:
             case documents.Accepted(stored):
-                self._adopt(stored)
+                self._held.adopt(stored)
                 self._peers.broadcast(document_messages.push(stored))
             case documents.Conflict():
                 return documents.Conflict(await self._read_newest(service))
@@ -187,33 +175,9 @@
             await self._read_newer((service,))
         except ConnectionError as error:
             self._set_reachable(False, str(error))
-        entry = self._entries.get(service)
+        entry = self._held.get(service)
         return None if entry is None else entry.held
 
-    def _adopt(self, stored: document_types.StoredDocument) -> bool:
-        """Apply a version if it is newer than the held one.
-
-        Returns:
-            Whether it was newer and is not corrupt.
-        """
-        if stored.version <= self._held_version(stored.service):
-            return False
-        entry, change = document_versions.apply_version(
-            self._entries.get(stored.service), stored, self._parse(stored.text)[0]
-        )
-        if entry is not None:
-            self._entries[stored.service] = entry
-        _log.info(
-            "document version",
-            extra={
-                "event": f"document_{change.value}",
-                "service": stored.service,
-                "version": stored.version,
-                "digest": stored.digest,
-            },
-        )
-        return change is not document_versions.Change.CORRUPT
-
     async def _poll_forever(self) -> None:
         while True:
             try:
@@ -236,7 +200,7 @@
         )
         try:
             table_services = await self._store.services()
-            adopted = await self._read_newer((*table_services, *self._entries))
+            adopted = await self._read_newer((*table_services, *self._held.services))
         except ConnectionError as error:
             self._set_reachable(False, str(error))
             return
@@ -259,25 +223,16 @@
         Returns:
             For each service with a newer version, the highest one.
         """
-        held = {service: self._held_version(service) for service in services}
+        held = {service: self._held.version_of(service) for service in services}
         newest = await self._store.read_after(held)
-        return tuple(stored for stored in newest if self._adopt(stored))
-
-    def _held_version(self, service: ids.ServiceName) -> ids.DocumentVersion:
-        entry = self._entries.get(service)
-        return ids.DocumentVersion(0) if entry is None else entry.held.version
+        return tuple(stored for stored in newest if self._held.adopt(stored))
 
     def _on_heartbeat(self, sender: ids.VmId, body: peer_messages.Heartbeat) -> None:
         if not any(vm.vm_id == sender for vm in self._members.view.vms):
             return
-        for digest in body.documents:
-            service = ids.ServiceName(digest.service)
-            self._announced_versions[service] = max(
-                self._announced_versions.get(service, 0), digest.version
-            )
-        if any(self._lacks(digest) for digest in body.documents):
+        if self._held.record_announced(body.documents):
             self._peers.send(
-                sender, peer_messages.DocumentRequest(self._held_digests())
+                sender, peer_messages.DocumentRequest(self._held.digests())
             )
         self._freshness = document_versions.on_peer_heartbeat(
             self._freshness, self._clock(), bool(body.documents)
@@ -286,30 +241,13 @@
     def _on_document_push(
         self, sender: ids.VmId, body: peer_messages.DocumentPush
     ) -> None:
-        self._adopt(document_messages.stored_document(body))
+        self._held.adopt(document_messages.stored_document(body))
 
     def _on_document_request(
         self, sender: ids.VmId, body: peer_messages.DocumentRequest
     ) -> None:
-        peer_versions = {digest.service: digest.version for digest in body.documents}
-        for service, entry in self._entries.items():
-            if entry.held.version > peer_versions.get(service, 0):
-                self._peers.send(sender, document_messages.push(entry.held))
-
-    def _held_digests(self) -> tuple[peer_messages.DocumentVersionEntry, ...]:
-        return tuple(
-            document_messages.heartbeat_entry(entry.held)
-            for entry in self._entries.values()
-        )
-
-    def _lacks(self, digest: peer_messages.DocumentVersionEntry) -> bool:
-        return digest.version > self._held_version(ids.ServiceName(digest.service))
-
-    def _lacks_announced_version(self) -> bool:
-        return any(
-            version > self._held_version(service)
-            for service, version in self._announced_versions.items()
-        )
+        for stored in self._held.newer_than(body.documents):
+            self._peers.send(sender, document_messages.push(stored))
 
     def _data_centre(self) -> ids.DataCentre | None:
         for vm in self._members.view.vms:
