--- a/packages/gateway/lacewingdrum_gateway/odd_tables_test.py
+++ b/packages/gateway/lacewingdrum_gateway/odd_tables_test.py
@@ -1,6 +1,7 @@
 """Fuzzes the list of runners with whole tables of other writers' rows."""
 
 import base64
+import copy
 import json
 import math
 import os
@@ -65,7 +66,7 @@
 @SETTINGS
 @hypothesis.given(strategies.data())
 def test_any_configuration_that_is_taken_can_be_announced_and_calculated_with(data):
-    state = platform_site.make_configuration()
+    state = copy.deepcopy(platform_site.make_configuration())
     parts = (
         state,
         state["routes"][0],
