--- a/packages/coordination/lacewingdrum_coordination/runner_addresses.py
+++ b/packages/coordination/lacewingdrum_coordination/runner_addresses.py
@@ -51,16 +51,21 @@
         found: dict[fleet.Address, runner_entries.RunnerEntry] = {}
         for entry in entries:
             other = found.get(entry.address)
-            if other is None or self._rank(entry) > self._rank(other):
+            if other is None or self._rank(entry) < self._rank(other):
                 found[entry.address] = entry
         return found
 
     def _rank(
         self, entry: runner_entries.RunnerEntry
     ) -> tuple[bool, bool, int, ids.RunnerId]:
+        """Return a key that is lowest for the entry that has the address."""
         # With the id, all daemons decide alike where all else is the same.
-        is_refuted = self._is_refuted(entry)
-        return self.is_named(entry), not is_refuted, entry.born_ms, entry.runner_id
+        return (
+            not self.is_named(entry),
+            self._is_refuted(entry),
+            -entry.born_ms,
+            entry.runner_id,
+        )
 
     def _is_refuted(self, entry: runner_entries.RunnerEntry) -> bool:
         refuted = self._refuted.get(entry.runner_id)
--- a/packages/coordination/lacewingdrum_coordination/runner_roster_test.py
+++ b/packages/coordination/lacewingdrum_coordination/runner_roster_test.py
@@ -190,3 +190,11 @@
     # One alone at its address keeps its work.
     roster.apply(listed(3, claim), 3.0)
     assert names(roster) == ["claim"]
+
+
+def test_daemons_agree_on_entries_with_the_same_address_and_start():
+    same = [entry(name, address=entry("a").address) for name in "cab"]
+    for order in (same, same[::-1]):
+        roster = runner_roster.RunnerRoster()
+        roster.apply(listed(1, *order), 1.0)
+        assert names(roster) == ["a"]
--- a/packages/state/lacewingdrum_state/bounds.py
+++ b/packages/state/lacewingdrum_state/bounds.py
@@ -19,6 +19,8 @@
 Count = Annotated[int, msgspec.Meta(ge=0, le=INTEGER_MAX)]
 # How long ago something was, or how long it still lasts.
 AgeMs = Annotated[int, msgspec.Meta(ge=0, le=AGE_MAX_MS)]
+# A time that may be over, in fractions of a millisecond.
+LeftMs = Annotated[float, msgspec.Meta(ge=-AGE_MAX_MS, le=AGE_MAX_MS)]
 Trials = Annotated[int, msgspec.Meta(ge=0, le=TRIALS_MAX)]
 Era = Annotated[int, msgspec.Meta(ge=0, lt=10**ERA_DIGITS_MAX)]
 # Neither of these is infinite or not a number.
