--- a/standins/runner.py
+++ b/standins/runner.py
@@ -121,7 +121,7 @@
                     )
                 case _:
                     await reply.send(404, b"{}")
-        except (msgspec.MsgspecError, ValueError):
+        except (ValueError, RecursionError):
             await reply.send(400, b"{}")
 
     async def _complete(
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -205,7 +205,7 @@
                     return 200, b"{}"
                 case "POST", path if path in self._controls:
                     return 200, self._controls[path](request.body)
-        except msgspec.MsgspecError as error:
+        except (ValueError, RecursionError) as error:
             return 400, json.dumps({"error": str(error)}).encode()
         return 404, b"{}"
 
