--- a/packages/state/lacewingdrum_state/addresses.py
+++ b/packages/state/lacewingdrum_state/addresses.py
@@ -1,10 +1,15 @@
 """IP addresses with ports."""
 
 import dataclasses
+import functools
 import ipaddress
 import re
 
 PORT_MAX = 65_535
+# The longest form of an address is shorter.
+TEXT_MAX = 80
+# The same addresses are read again with each list of runners.
+CACHE_ADDRESSES = 4_096
 _THIS_NETWORK = ipaddress.ip_network("0.0.0.0/8")
 
 
@@ -24,7 +29,12 @@
 
     All forms of an IP address give the same address.
     """
-    host, colon, port = text.strip().rpartition(":")
+    return _parse(text.strip()) if len(text) <= TEXT_MAX else None
+
+
+@functools.lru_cache(maxsize=CACHE_ADDRESSES)
+def _parse(text: str) -> Address | None:
+    host, colon, port = text.rpartition(":")
     host = host.removeprefix("[").removesuffix("]")
     ip = _parse_ip(host)
     if not colon or ip is None:
@@ -41,6 +51,7 @@
     return _parse_ip(text) is not None
 
 
+@functools.lru_cache(maxsize=CACHE_ADDRESSES)
 def is_unicast(address: Address) -> bool:
     """Return whether the address can be that of one machine."""
     ip = _parse_ip(address.host)
