--- a/packages/gateway/lacewingdrum_gateway/odd_tables_test.py
+++ b/packages/gateway/lacewingdrum_gateway/odd_tables_test.py
@@ -51,7 +51,7 @@
         for key, value in {**table, "good": good}.items()
     ]
     answer = json.dumps({"ver": 1, "rows": rows}).encode()
-    found, _ = store_calls.decode_rows(answer, 1)
+    found, _ = store_calls.decode_rows(answer, 1, store_calls.RUNNERS_TABLE)
     entries = [runner_rows.decode(row.key, row.value)[0] for row in found.rows]
     taken = [entry for entry in entries if entry is not None]
     assert "good" in [entry.runner_id for entry in taken]
