--- a/packages/gateway/lacewingdrum_gateway/runners/runner_list_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/runner_list_sync.py
@@ -53,6 +53,7 @@
         health: runner_health.RunnerHealth,
         store: store_client.StoreClient,
         peers: peering.Peering,
+        own_addresses: runner_roster.DaemonAddresses,
         clock: Callable[[], float],
         decisions: decision_log.DecisionLog,
         counts: metrics.Metrics,
@@ -61,6 +62,7 @@
         self._health = health
         self._store = store
         self._peers = peers
+        self._own_addresses = own_addresses
         self._clock = clock
         self._decisions = decisions
         self._counts = counts
@@ -106,6 +108,11 @@
                 2 * retry_s, RETRY_MAX_S * self._peers.table.fleet_size_factor
             )
 
+    def _set_daemons(self) -> None:
+        own = self._own_addresses
+        hosts = own.hosts | self._peers.table.hosts
+        self._roster.set_daemons(runner_roster.DaemonAddresses(hosts, own.ports))
+
     async def _read(self) -> bool:
         read_start_s = self._clock()
         answer = await self._store.read(store_calls.RUNNERS_TABLE)
@@ -151,6 +158,7 @@
     def _apply(
         self, listed: runner_entries.RunnerList, as_of_s: float, source: str
     ) -> None:
+        self._set_daemons()
         is_after_outage = as_of_s - self._roster.as_of_s > OUTAGE_S
         is_after_return = listed.version.era > self._roster.version.era
         if self.is_known and (is_after_outage or is_after_return):
@@ -179,7 +187,7 @@
             age_ms=int((self._clock() - self._roster.as_of_s) * 1_000),
             digest=change.digest,
             base=change.base,
-            changed=tuple(_message_from_entry(entry) for entry in change.changed),
+            changed=tuple(message_from_entry(entry) for entry in change.changed),
             removed=change.removed,
             era=self._roster.version.era,
         )
@@ -208,6 +216,7 @@
             return
         self._last_reader = sender
         if push.digest == self._history.digest:
+            self._set_daemons()
             self._roster.confirm(version, as_of_s)
             return
         entries = self._history.apply(_change_from_push(push))
@@ -227,7 +236,7 @@
 def _change_from_push(
     push: peer_messages.RunnerListPush,
 ) -> runner_list_history.ListChange:
-    entries = (_entry(message) for message in push.changed)
+    entries = (entry_from_message(message) for message in push.changed)
     return runner_list_history.ListChange(
         base=push.base,
         digest=push.digest,
@@ -236,9 +245,10 @@
     )
 
 
-def _message_from_entry(
+def message_from_entry(
     entry: runner_entries.RunnerEntry,
 ) -> peer_messages.RunnerListEntry:
+    """Return the message for an entry."""
     return peer_messages.RunnerListEntry(
         runner_id=entry.runner_id,
         service=entry.service,
@@ -250,14 +260,15 @@
     )
 
 
-def _entry(
+def entry_from_message(
     message: peer_messages.RunnerListEntry,
 ) -> runner_entries.RunnerEntry | None:
+    """Return the entry that a peer sent, or None if it names no runner."""
     address = addresses.parse_address(message.address)
     if address is None:
         return None
     leaving = states.MemberState.LEAVING
-    return runner_entries.RunnerEntry(
+    entry = runner_entries.RunnerEntry(
         runner_id=ids.RunnerId(message.runner_id),
         service=ids.ServiceName(message.service),
         data_centre=ids.DataCentre(message.data_centre),
@@ -266,3 +277,5 @@
         state=leaving if message.leaving else states.MemberState.LIVE,
         born_ms=message.born_ms,
     )
+    # A peer of an older version may pass on entries that this one refuses.
+    return entry if runner_entries.find_fault(entry) is None else None
--- a/packages/protocol/lacewingdrum_protocol/runner_api.py
+++ b/packages/protocol/lacewingdrum_protocol/runner_api.py
@@ -21,6 +21,9 @@
 import enum
 
 import msgspec
+from result import Err
+
+from lacewingdrum_state import bounds, decoding
 
 COMPLETIONS_PATH = "/v1/completions"
 CANCEL_PATH = "/cancel"
@@ -137,7 +140,7 @@
     """Memory held for one attempt; 0 while the attempt waits."""
 
     attempt_id: str
-    tokens: int
+    tokens: bounds.Count
 
 
 class LoadAnswer(msgspec.Struct, frozen=True):
@@ -148,15 +151,15 @@
     """
 
     runner_id: str
-    age_ms: int
-    queued_short_tokens: int
-    queued_mid_tokens: int
-    queued_long_tokens: int
-    running_count: int
-    kv_used_tokens: int
-    kv_capacity_tokens: int
-    prefill_tokens_per_s: float
-    decode_tokens_per_s: float
+    age_ms: bounds.AgeMs
+    queued_short_tokens: bounds.Count
+    queued_mid_tokens: bounds.Count
+    queued_long_tokens: bounds.Count
+    running_count: bounds.Count
+    kv_used_tokens: bounds.Count
+    kv_capacity_tokens: bounds.Count
+    prefill_tokens_per_s: bounds.NotNegative
+    decode_tokens_per_s: bounds.NotNegative
     held: tuple[HeldMemoryEntry, ...] = ()
 
 
@@ -212,8 +215,7 @@
     """
     if status not in _REFUSAL_STATUSES:
         return None
-    try:
-        refusal = _refusal_decoder.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    decoded = decoding.decode(_refusal_decoder, body)
+    if isinstance(decoded, Err) or decoded.ok_value.started:
         return None
-    return None if refusal.started else refusal
+    return decoded.ok_value
