--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -8,7 +8,7 @@
 import sys
 import tempfile
 
-from tests.soak import builds, callers, checks, faults, lost_checks, site
+from tests.soak import builds, callers, checks, faults, lost_checks, site, unread_checks
 
 RECOVERY_S = 6.0
 SETTLE_S = 2.0
@@ -75,6 +75,7 @@
             for name, item in runner.reserved.items()
             if item.until_s > loop_s
         ]
+        violations += await unread_checks.violations(soak_site)
         violations += checks.violations(
             soak_callers.observed, soak_site.runners, soak_site.disruptions
         )
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -69,6 +69,7 @@
         self._rng = rng
         picker = ports.PortPicker()
         self._peer_port = picker.next()
+        self.metrics_port = picker.next()
         self.caller_ports = [picker.next() for _ in range(gateway_count)]
         self._ready_ports = [picker.next() for _ in range(gateway_count)]
 
@@ -281,7 +282,7 @@
 caller_address = "{host}:{self.caller_ports[number]}"
 ready_address = "{host}:{self._ready_ports[number]}"
 peer_port = {self._peer_port}
-metrics_port = 0
+metrics_port = {self.metrics_port}
 seeds = ["{self.host(0)}:1", "{self.host(1)}:1"]
 [store]
 address = "127.0.0.1:{self.store_proxies[number].port}"
