--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -75,7 +75,9 @@
             for name, item in runner.reserved.items()
             if item.until_s > loop_s
         ]
-        violations += await unread_checks.violations(soak_site)
+        violations += soak_site.unread
+        for number in range(gateway_count):
+            violations += await unread_checks.violations(soak_site, number)
         violations += checks.violations(
             soak_callers.observed, soak_site.runners, soak_site.disruptions
         )
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,7 +9,7 @@
 
 from standins import fault_proxy, platform_store, runner_paths
 from standins.platform_runner import Fault
-from tests.soak import builds, checks, site, upgrades
+from tests.soak import builds, checks, site, unread_checks, upgrades
 
 SOUND_FAULTS = (Fault.PAUSE, Fault.SHED)
 REQUEST_FAULTS = tuple(fault for fault in Fault if fault is not Fault.NONE)
@@ -190,6 +190,7 @@
         if gateway in self._busy_gateways:
             return
         self._busy_gateways.add(gateway)
+        self._site.unread += await unread_checks.violations(self._site, gateway)
         try:
             await self._site.kill(gateway, stop_signal, build)
         finally:
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -57,6 +57,8 @@
         self.named_limits: list[checks.NamedLimit] = []
         self.cuts: list[checks.RunnerCut] = []
         self.faults: list[str] = []
+        # What gateways of today had skipped of their peers' messages.
+        self.unread: list[str] = []
         self.credentials = ["key-0"]
         self.version = 1
         # The part of prompts that crashes engines now, if any.
