--- a/packages/gateway/lacewingdrum_gateway/serving/attempt_log.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/attempt_log.py
@@ -50,7 +50,7 @@
             configuration_version=active.config_version,
             list_version=self._roster.version.version,
             list_age_s=round(self._clock() - self._roster.as_of_s, 3),
-            last_event_id=active.last_event_id,
+            last_event_id=active.events.last_event_id,
         )
 
     def record_silence(
@@ -69,7 +69,7 @@
             runner_id=plan.entry.runner_id,
             silent_ms=round(max(silent_s, 0.0) * 1_000),
             has_lost_path=attempt.has_lost_path,
-            events=attempt.events.event_count,
+            events=attempt.events.run_event_count,
         )
 
     def record_end(
@@ -93,7 +93,7 @@
             reason=end.reason,
             detail=end.detail,
             at_fault=str(end.at_fault or ""),
-            events_passed=active.event_count,
+            events_passed=active.events.event_count,
             was_silent=attempt.was_silent,
             **attempt.describe_answer_end(),
         )
--- a/packages/gateway/lacewingdrum_gateway/serving/relay.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/relay.py
@@ -110,7 +110,7 @@
             peer=peer.address,
             left_ms=round(active.left_s(self._clock()) * 1_000),
             may_have_run=active.may_have_run,
-            last_event_id=active.last_event_id,
+            last_event_id=active.events.last_event_id,
         )
         return active.new_attempt(open_attempt.PeerSource(peer), self._clock())
 
@@ -145,14 +145,10 @@
         if isinstance(opened, Err):
             return attempt_ends.open_failure(opened.err_value)
         reader = opened.ok_value
-        foreign = attempt_ends.foreign_peer_answer(
-            active.outgoing.attempt_id,
-            reader,
-            http_messages.header_value(reader.headers, platform_headers.ATTEMPT_ID),
-        )
-        if foreign is not None:
+        failure = _head_failure(active, reader)
+        if failure is not None:
             await reader.close()
-            return foreign
+            return failure
         attempt.answer = reader
         is_stream = active.routed.route.kind is configurations.RouteKind.STREAM
         if is_stream and http_messages.is_success(reader.status):
@@ -180,7 +176,7 @@
                 return _NOT_CONTINUED
             if not http_messages.is_success(reader.status):
                 return _runner_failure(answer)
-            if not active.pass_on(attempt, 0):
+            if not active.pass_on(attempt):
                 return attempt_ends.superseded()
             await active.responder.send(answer)
         return outcomes.Outcome.ANSWERED
@@ -229,6 +225,19 @@
     )
 
 
+def _head_failure(
+    active: active_request.ActiveRequest, reader: http_client.ResponseReader
+) -> attempt_ends.AttemptEnd | None:
+    """Return the end of an attempt whose answer is not to be forwarded."""
+    headers = platform_headers.parse_runner_headers(reader.status, reader.headers)
+    attempt_id = active.outgoing.attempt_id
+    if http_messages.is_success(reader.status):
+        return attempt_ends.head_failure(
+            attempt_id, reader.status, headers, reader.is_first_on_connection
+        )
+    return attempt_ends.foreign_peer_answer(attempt_id, reader, headers.attempt_id)
+
+
 def _runner_failure(answer: http_messages.HttpResponse) -> attempt_ends.AttemptEnd:
     """Return the end of an attempt that a runner has failed at a peer."""
     return attempt_ends.AttemptEnd(
--- a/packages/gateway/lacewingdrum_gateway/serving/retry_limits.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/retry_limits.py
@@ -15,8 +15,10 @@
 RETRY_MIN_LEFT_S = 0.03
 
 
-def may_hedge(active: active_request.ActiveRequest) -> bool:
-    """Return whether an attempt may be made beside those that are open."""
+def may_start(active: active_request.ActiveRequest) -> bool:
+    """Return whether an attempt may be made, beside those that are open."""
+    if not active.events.is_resumable:
+        return False
     if not active.race.attempts:
         return True
     return active.routed.route.is_retryable and _has_runners_left(active)
--- a/packages/gateway/lacewingdrum_gateway/serving/stream_forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/stream_forwarding.py
@@ -15,6 +15,7 @@
     open_attempt,
     outcomes,
     routing,
+    stream_runs,
 )
 from lacewingdrum_state import states
 from lacewingdrum_transport import http_client, http_messages
@@ -56,6 +57,10 @@
             ``ANSWERED`` if the stream ended without an error, else the end of
             the attempt.
         """
+        failure = stream_runs.head_failure(reader, active.responder.started)
+        if failure is not None:
+            await reader.close()
+            return failure
         events = attempt.events
         held = self._answers.hold()
         try:
@@ -66,7 +71,7 @@
                 self._record_contact(attempt)
                 if not part.ok_value:
                     return await self._end_stream(active, attempt, reader)
-                count_before = events.event_count
+                count_before = events.run_event_count
                 data = events.feed(part.ok_value)
                 if data:
                     end = await self._forward_events(
@@ -74,6 +79,9 @@
                     )
                     if end is not None:
                         return end
+                failure = stream_runs.event_failure(events)
+                if failure is not None:
+                    return failure
                 if not held.resize(events.partial_bytes):
                     return _TOO_LARGE
         finally:
@@ -90,7 +98,7 @@
     ) -> attempt_ends.AttemptEnd | None:
         """Forward complete events; return the end of the attempt, if any."""
         is_resumed = attempt.is_silent
-        if not active.pass_on(attempt, attempt.events.event_count - count_before):
+        if not active.pass_on(attempt):
             return attempt_ends.superseded()
         if is_resumed:
             self._record_resumed(attempt)
@@ -113,7 +121,7 @@
         if not count_before:
             self._work_updates.record_first_event(attempt.source.work_id)
             self._memory.record_use(attempt.source.work_id)
-        if count_before < crash_watch.SOUND_EVENTS <= attempt.events.event_count:
+        if count_before < crash_watch.SOUND_EVENTS <= attempt.events.run_event_count:
             self._crashes.record_begun(active)
 
     def _record_contact(self, attempt: open_attempt.OpenAttempt) -> None:
@@ -143,13 +151,10 @@
         """End the caller's answer, unless the stream was broken off."""
         responder = active.responder
         events = attempt.events
-        if events.is_inside_event:
-            return _ENDED_INSIDE_EVENT
-        has_events = bool(events.event_count or events.last_event_id)
-        # Only its framing can say that a stream without events is whole.
-        if not has_events and reader.answer_end is _CONNECTION_CLOSE:
-            return _ENDED_BEFORE_EVENTS
-        if not active.pass_on(attempt, 0):
+        failure = stream_runs.end_failure(events, reader, responder.started)
+        if failure is not None:
+            return failure
+        if not active.pass_on(attempt):
             return attempt_ends.superseded()
         rest = events.partial_event
         if rest and not await self._write_events(active, reader, rest):
@@ -185,20 +190,9 @@
             attempt.pause_count, attempt.shortest_pause_s = 0, float("inf")
 
 
-_CONNECTION_CLOSE = http_client.AnswerEnd.CONNECTION_CLOSE
 _CALLER_DISCONNECTED = attempt_ends.AttemptEnd(
     states.AttemptState.UNKNOWN, attempt_ends.EndReason.LOST, "the caller has gone"
 )
-_ENDED_INSIDE_EVENT = attempt_ends.AttemptEnd(
-    states.AttemptState.UNKNOWN,
-    attempt_ends.EndReason.LOST,
-    "the stream ended inside an event",
-)
-_ENDED_BEFORE_EVENTS = attempt_ends.AttemptEnd(
-    states.AttemptState.UNKNOWN,
-    attempt_ends.EndReason.LOST,
-    "the connection ended before any event",
-)
 _TOO_LARGE = attempt_ends.AttemptEnd(
     states.AttemptState.UNKNOWN,
     attempt_ends.EndReason.TOO_LARGE,
--- a/packages/protocol/lacewingdrum_protocol/event_stream_test.py
+++ b/packages/protocol/lacewingdrum_protocol/event_stream_test.py
@@ -14,17 +14,17 @@
     assert stream.feed(b"id: 1\nda") == b""
     assert stream.feed(b"ta: a\n\nid: 2") == b"id: 1\ndata: a\n\n"
     assert stream.last_event_id == "1" and stream.partial_event == b"id: 2"
-    stream.discard_partial_event()
+    stream = stream.next_run()
     assert stream.feed(b"id: 2\r\ndata: b\r\n\r\n").endswith(b"\r\n\r\n")
     assert stream.last_event_id == "2" and stream.event_count == 2
 
 
 def test_event_id_is_taken_only_from_an_id_field():
     stream = event_stream.EventStream("7")
-    stream.feed(b"weight-versions: 3\ndata: id: 9\n\n")
-    assert stream.last_event_id == "7"
     stream.feed(b"weight-versions: 3\nid: 8\ndata: x\n\n")
     assert stream.last_event_id == "8"
+    stream.feed(b"weight-versions: 3\ndata: id: 9\n\n")
+    assert stream.last_event_id == "8" and stream.event_count == 2
 
 
 def test_only_fields_without_an_empty_line_after_them_are_inside_an_event():
