--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -8,7 +8,16 @@
 import sys
 import tempfile
 
-from tests.soak import builds, callers, checks, faults, lost_checks, site
+from tests.soak import (
+    builds,
+    callers,
+    checks,
+    cut_checks,
+    faults,
+    lost_checks,
+    site,
+    unread_checks,
+)
 
 RECOVERY_S = 6.0
 SETTLE_S = 2.0
@@ -75,6 +84,9 @@
             for name, item in runner.reserved.items()
             if item.until_s > loop_s
         ]
+        violations += soak_site.unread
+        for number in range(gateway_count):
+            violations += await unread_checks.violations(soak_site, number)
         violations += checks.violations(
             soak_callers.observed, soak_site.runners, soak_site.disruptions
         )
@@ -84,7 +96,7 @@
         violations += checks.crashing_request_violations(
             soak_site.ledgers, soak_site.disruptions
         )
-        violations += checks.cut_violations(
+        violations += cut_checks.violations(
             soak_site.cuts, soak_callers.observed, soak_site.disruptions
         )
         violations += checks.limit_violations(
