--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -119,7 +119,7 @@
     is_order = request.attempt_id.startswith(ORDER_PREFIX)
     if is_order and len(ran) > 1:
         found.append(f"{name}: an order ran {len(ran)} times")
-    if is_order and request.status in NOT_RUN_STATUSES and ran:
+    if request.status in NOT_RUN_STATUSES and ran:
         found.append(f"{name}: reported as not run, but ran at {ran}")
     if request.status == 200:
         found.extend(f"{name}: {fault}" for fault in _answer_violations(request, ran))
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -6,7 +6,7 @@
 import signal
 from collections.abc import Awaitable, Callable
 
-from standins import fault_proxy, platform_store, runner_paths
+from standins import fault_proxy, platform_store, repeated_refusals, runner_paths
 from standins.platform_runner import Fault
 from tests.soak import checks, site
 
@@ -87,6 +87,9 @@
                     f"pause gateway {gateway}", lambda: self._pause(gateway, span_s)
                 ),
                 Injection(f"runner {runner} fails", lambda: self._fail(runner, span_s)),
+                Injection(
+                    "runners repeat a refusal", lambda: self._repeat_refusal(span_s)
+                ),
                 Injection(
                     f"runner {runner} leaves", lambda: self._leave(runner, span_s)
                 ),
@@ -166,6 +169,19 @@
             await asyncio.sleep(0.05)
         faults.clear()
 
+    async def _repeat_refusal(self, span_s: float) -> None:
+        """Let all runners do so, since any other would serve the request."""
+        refusal = repeated_refusals.RepeatedRefusal(
+            self._rng.choice((421, 429, 503)),
+            self._rng.choice(tuple(repeated_refusals.NamedAttempt)),
+            self._rng.choice(tuple(repeated_refusals.Moment)),
+        )
+        for runner in self._site.runners:
+            runner.repeated_refusal = refusal
+        await asyncio.sleep(span_s)
+        for runner in self._site.runners:
+            runner.repeated_refusal = None
+
     async def _leave(self, runner: int, span_s: float) -> None:
         self._site.register(runner, "draining")
         await asyncio.sleep(span_s)
