A connection that brought the answer of a request gets no more orders

What callers saw: nothing so far. After an answer of a request had come where that to a memory order was due, the connection went back to the pool; the due answer, still on its way, would have been taken for that to the next order, and so on.

The pool closes connections that get bytes while idle; an order sent before them is what that does not cover. Requests were not affected: a connection whose answer is of another request is closed before its body is read.

Change: the idle connections to that engine are closed.

--- a/packages/gateway/lacewingdrum_gateway/repeated_refusals_test.py
+++ b/packages/gateway/lacewingdrum_gateway/repeated_refusals_test.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import itertools
 
 from lacewingdrum_gateway import cut_off_daemons_test
 from lacewingdrum_gateway.gateway_test import ASK, EVENTS
 from lacewingdrum_gateway.helpers_test import DIGEST
 from lacewingdrum_state import ids
+from lacewingdrum_transport import http_client_test
 from standins import platform_runner, platform_site
 from standins.platform_runner import Fault
 from standins.repeated_refusals import Moment, NamedAttempt, RepeatedRefusal
@@ -28,6 +30,7 @@
     )
 )
 PEER_REFUSAL = (("Lacewingdrum-Ran", "no"), ("Lacewingdrum-Request-Id", "another"))
+EMPTY_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 KEPT_CONNECTIONS = 2
 # How long a request runs, so that the earlier refusal arrives first.
 RUN_S = 0.005
@@ -184,3 +187,17 @@
         assert not await reserve_memory(site, "r")
         assert not site.gateways[0].daemon.components.health.suspects
         kept.close()
+
+
+async def test_connection_that_brought_an_answer_of_a_request_gets_no_more_orders():
+    foreign = b"HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nContent-Length: 0\r\n\r\n"
+    async with (
+        platform_site.running_site() as site,
+        http_client_test.RawServer(foreign, EMPTY_ANSWER) as server,
+    ):
+        components = site.gateways[0].daemon.components
+        listed = components.roster.of_service(platform_site.MODEL)[0]
+        entry = dataclasses.replace(listed, address=server.address)
+        await components.memory.reserve(ids.RequestId("r"), "r", entry, (entry,), 1_000)
+        await site.wait_until(lambda: server.request_count == 2)
+        assert server.connection_count == 2
--- a/packages/gateway/lacewingdrum_gateway/runners/engine_memory.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/engine_memory.py
@@ -294,7 +294,8 @@
             response.status, response.headers
         )
         if headers.attempt_id:
-            # Only requests have attempts, so it belongs to an earlier one.
+            # It is that of a request; the answer that is due may still come.
+            self._client.close_idle(entry.address)
             return Err(FOREIGN_ANSWER)
         self._notices.observe(entry, headers)
         return Ok(response)
--- a/packages/transport/lacewingdrum_transport/http_client.py
+++ b/packages/transport/lacewingdrum_transport/http_client.py
@@ -170,6 +170,11 @@
         """Return the number of pooled connections to ``address``."""
         return len(self._idle.get(address, ()))
 
+    def close_idle(self, address: fleet.Address) -> None:
+        """Close the pooled connections to ``address``."""
+        for connection in self._idle.pop(address, []):
+            self._close_connection(connection)
+
     async def _read_response(
         self, reader: ResponseReader, deadline_s: float
     ) -> Result[http_messages.HttpResponse, HttpClientError]:
@@ -274,8 +279,7 @@
         if timed_out:
             # The cause of the timeout, such as a broken network path, may
             # affect the idle connections to this address as well.
-            for idle in self._idle.pop(connection.address, []):
-                self._close_connection(idle)
+            self.close_idle(connection.address)
 
     def _close_connection(self, connection: _Connection) -> None:
         connection.channel.set_input_handler(None)
