--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,7 +7,7 @@
 import signal
 from collections.abc import Awaitable, Callable
 
-from standins import fault_proxy, platform_store, runner_paths
+from standins import fault_proxy, platform_store, repeated_refusals, runner_paths
 from standins.platform_runner import Fault
 from tests.soak import builds, checks, site, unread_checks, upgrades
 
@@ -143,6 +143,9 @@
         return rng.choice(
             (
                 Injection("runners pause", lambda: self._silence(span_s)),
+                Injection(
+                    "runners repeat a refusal", lambda: self._repeat_refusal(span_s)
+                ),
                 Injection(
                     f"runner {runner} leaves", lambda: self._leave(runner, span_s)
                 ),
@@ -227,6 +230,19 @@
             await asyncio.sleep(0.05)
         faults.clear()
 
+    async def _repeat_refusal(self, span_s: float) -> None:
+        """Let all runners do so, since any other would serve the request."""
+        refusal = repeated_refusals.RepeatedRefusal(
+            self._rng.choice((421, 429, 503)),
+            self._rng.choice(tuple(repeated_refusals.NamedAttempt)),
+            self._rng.choice(tuple(repeated_refusals.Moment)),
+        )
+        for runner in self._site.runners:
+            runner.repeated_refusal = refusal
+        await asyncio.sleep(span_s)
+        for runner in self._site.runners:
+            runner.repeated_refusal = None
+
     async def _leave(self, runner: int, span_s: float) -> None:
         self._site.register(runner, "draining")
         await asyncio.sleep(span_s)
