Soak: faults of runners have a module of their own

Runners that repeat a refusal are drawn among all faults, not among the sound ones, where the merge had put them; one of two copies of HttpClient.close_idle goes.

--- a/packages/transport/lacewingdrum_transport/http_client.py
+++ b/packages/transport/lacewingdrum_transport/http_client.py
@@ -175,11 +175,6 @@
         """Return the number of pooled connections to ``address``."""
         return len(self._idle.get(address, ()))
 
-    def close_idle(self, address: fleet.Address) -> None:
-        """Close the pooled connections to ``address``."""
-        for connection in self._idle.pop(address, []):
-            self._close_connection(connection)
-
     async def _read_response(
         self, reader: ResponseReader, deadline_s: float
     ) -> Result[http_messages.HttpResponse, HttpClientError]:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,19 +7,11 @@
 import signal
 from collections.abc import Awaitable, Callable
 
-from standins import fault_proxy, platform_store, repeated_refusals, runner_paths
-from standins.platform_runner import Fault
-from tests.soak import builds, checks, site, unread_checks, upgrades
+from standins import fault_proxy, platform_store, runner_paths
+from tests.soak import builds, checks, runner_faults, site, unread_checks, upgrades
 
-SOUND_FAULTS = (Fault.PAUSE, Fault.SHED)
-REQUEST_FAULTS = tuple(fault for fault in Fault if fault is not Fault.NONE)
-
-# Faults that take a while to be found last longer than others.
-CRASHING_FACTOR = 3.0
-LIMIT_FACTOR = 3.0
 # A cut lasts longer than the time in which it has to be noticed.
 CUT_MIN_S = 4.0
-LIMITS = ("0.5", "1", "2.5", "8", "0", "many")
 
 
 class Profile(enum.Enum):
@@ -51,6 +43,7 @@
         self._profile = profile
         self._busy_gateways: set[int] = set()
         self._is_cut = False
+        self._runners = runner_faults.RunnerFaults(soak_site, rng)
         self._upgrades = upgrades.Upgrades(soak_site, rng, self._kill)
 
     async def run(self, length_s: float) -> None:
@@ -105,22 +98,30 @@
                 lambda: self._kill(gateway, stop_signal, build),
             ),
             Injection(f"pause gateway {gateway}", lambda: self._pause(gateway, span_s)),
-            Injection(f"runner {runner} fails", lambda: self._fail(runner, span_s)),
-            Injection(f"runner {runner} leaves", lambda: self._leave(runner, span_s)),
+            Injection(
+                f"runner {runner} fails", lambda: self._runners.fail(runner, span_s)
+            ),
+            Injection(
+                f"runner {runner} leaves", lambda: self._runners.leave(runner, span_s)
+            ),
             Injection(
                 f"runner {runner} says it leaves",
-                lambda: self._say_leaving(runner, span_s),
+                lambda: self._runners.say_leaving(runner, span_s),
             ),
             Injection(
                 f"runner {runner} wants a pause",
-                lambda: self._want_pause(runner, span_s),
+                lambda: self._runners.want_pause(runner, span_s),
             ),
             Injection(
                 f"runner {runner} names a limit",
-                lambda: self._name_limit(runner, span_s),
+                lambda: self._runners.name_limit(runner, span_s),
+            ),
+            Injection(
+                "runners repeat a refusal",
+                lambda: self._runners.repeat_refusal(span_s),
             ),
-            Injection("part crashes engines", lambda: self._crash(span_s)),
-            Injection("read crashes runners", lambda: self._crash_read(span_s)),
+            Injection("part crashes engines", lambda: self._runners.crash(span_s)),
+            Injection("read crashes runners", lambda: self._runners.crash_read(span_s)),
             Injection("cut from runners", lambda: self._cut_off(span_s)),
             Injection("configuration", self._configure),
             Injection("credential withdrawn", self._rotate_credential),
@@ -142,12 +143,10 @@
         build = self._upgrades.draw_build()
         return rng.choice(
             (
-                Injection("runners pause", lambda: self._silence(span_s)),
+                Injection("runners pause", lambda: self._runners.silence(span_s)),
                 Injection(
-                    "runners repeat a refusal", lambda: self._repeat_refusal(span_s)
-                ),
-                Injection(
-                    f"runner {runner} leaves", lambda: self._leave(runner, span_s)
+                    f"runner {runner} leaves",
+                    lambda: self._runners.leave(runner, span_s),
                 ),
                 Injection(
                     f"SIGTERM gateway {gateway}",
@@ -208,89 +207,6 @@
         finally:
             self._busy_gateways.discard(gateway)
 
-    async def _silence(self, span_s: float) -> None:
-        """Let runners fall silent and go on, while they or others are full."""
-        numbers = range(len(self._site.runners))
-        chosen = self._rng.sample(numbers, self._rng.randint(1, len(numbers)))
-        await asyncio.gather(
-            *(self._draw_faults(number, span_s, SOUND_FAULTS) for number in chosen)
-        )
-
-    async def _fail(self, runner: int, span_s: float) -> None:
-        await self._draw_faults(runner, span_s, REQUEST_FAULTS)
-
-    async def _draw_faults(
-        self, runner: int, span_s: float, choices: tuple[Fault, ...]
-    ) -> None:
-        faults = self._site.runners[runner].faults
-        until_s = asyncio.get_running_loop().time() + span_s
-        while asyncio.get_running_loop().time() < until_s:
-            if len(faults) < 2:
-                faults.append(self._rng.choice(choices))
-            await asyncio.sleep(0.05)
-        faults.clear()
-
-    async def _repeat_refusal(self, span_s: float) -> None:
-        """Let all runners do so, since any other would serve the request."""
-        refusal = repeated_refusals.RepeatedRefusal(
-            self._rng.choice((421, 429, 503)),
-            self._rng.choice(tuple(repeated_refusals.NamedAttempt)),
-            self._rng.choice(tuple(repeated_refusals.Moment)),
-        )
-        for runner in self._site.runners:
-            runner.repeated_refusal = refusal
-        await asyncio.sleep(span_s)
-        for runner in self._site.runners:
-            runner.repeated_refusal = None
-
-    async def _leave(self, runner: int, span_s: float) -> None:
-        self._site.register(runner, "draining")
-        await asyncio.sleep(span_s)
-        self._site.restart_runner(runner)
-
-    async def _say_leaving(self, runner: int, span_s: float) -> None:
-        self._site.runners[runner].is_leaving = True
-        await asyncio.sleep(span_s)
-        self._site.restart_runner(runner)
-
-    async def _want_pause(self, runner: int, span_s: float) -> None:
-        paused = self._site.runners[runner]
-        paused.retry_after = f"{span_s:.1f}"
-        paused.faults.append(Fault.SHED)
-        await asyncio.sleep(span_s)
-        paused.retry_after = ""
-
-    async def _name_limit(self, runner: int, span_s: float) -> None:
-        limited = self._site.runners[runner]
-        if limited.limit_per_s:
-            return
-        text = self._rng.choice(LIMITS)
-        from_s = asyncio.get_running_loop().time()
-        limited.limit_per_s = text
-        await asyncio.sleep(LIMIT_FACTOR * span_s)
-        limited.limit_per_s = ""
-        if text.replace(".", "").isdigit():
-            to_s = asyncio.get_running_loop().time()
-            named = checks.NamedLimit(limited, float(text), from_s, to_s)
-            self._site.named_limits.append(named)
-
-    async def _crash(self, span_s: float) -> None:
-        """Let one part of prompts crash engines, longer than other faults."""
-        if self._site.crashing_part:
-            return
-        part = f"bad{len(self._site.faults):x}"
-        self._site.set_crashing_part(part)
-        await asyncio.sleep(CRASHING_FACTOR * span_s)
-        self._site.set_crashing_part("")
-
-    async def _crash_read(self, span_s: float) -> None:
-        """Let one read crash plain runners, longer than other faults."""
-        if self._site.crashing_read:
-            return
-        self._site.set_crashing_read(f"bad{len(self._site.faults):x}".encode())
-        await asyncio.sleep(CRASHING_FACTOR * span_s)
-        self._site.set_crashing_read(b"")
-
     async def _cut_off(self, span_s: float) -> None:
         """Cut some gateways, most or all, off from all runners."""
         if self._is_cut:
