--- a/packages/gateway/lacewingdrum_gateway/configuration_sync_test.py
+++ b/packages/gateway/lacewingdrum_gateway/configuration_sync_test.py
@@ -99,13 +99,17 @@
         platform_site.make_route(f"r{number}", "idempotent", platform_site.LEDGER)
         for number in range(1_400)
     ]
-    large = platform_site.make_configuration(2, routes=routes)
+    large = platform_site.make_configuration(3, routes=routes)
     limit = unittest.mock.patch.object(peer_table, "EXCHANGE_ALL_PEERS_MAX", 1)
     few = unittest.mock.patch.object(store_followers, "FOLLOWERS_MAX", 1)
     with limit, few:
         async with platform_site.running_site(gateways=6) as site:
-            site.store.put_json("op", "config", large)
+            # After a change only the follower waits at the store for the next.
+            site.store.put_json("op", "config", platform_site.make_configuration(2))
             await wait_for_version(site, 2, TAKE_OVER_S)
+            await asyncio.sleep(2 * configuration_sync.FEED_PAUSE_S)
+            site.store.put_json("op", "config", large)
+            await wait_for_version(site, 3, TAKE_OVER_S)
             texts = [one.daemon.components.counts.text() for one in site.gateways]
     sent_bytes = sum(float(number) for number in SENT_BYTES.findall("".join(texts)))
     # Five daemons were sent it.
