--- a/packages/gateway/lacewingdrum_gateway/serving/active_request.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/active_request.py
@@ -19,9 +19,8 @@
 class ActiveRequest:
     """A request that is being forwarded, and its attempts so far.
 
-    ``race`` runs the attempts that have not ended. ``last_event_id`` is that
-    of the last event that the caller was sent, and ``event_count`` the number
-    of these events.
+    ``race`` runs the attempts that have not ended. ``events`` are those of the
+    attempt that the caller was sent an event of last, or that ended last.
     ``excluded`` holds the runners that the next attempt must not use.
     ``sent_to`` holds the runners that the request was sent to, including those
     that refused it. ``only_runner`` is set if a helper failed and the route
@@ -37,19 +36,19 @@
     request on, after it had sent it to ``earlier_runner_count`` runners;
     ``is_counted`` once this daemon has begun to serve it by itself, and
     ``relayed_to`` holds the daemons that this one has passed it on to.
-    ``may_crash_runners`` is set if it is not sent on for that reason.
+    ``may_crash_runners`` is set if it is not sent on for that reason, and
+    ``is_retry_refused`` while the retry allowance has none for it.
     """
 
     routed: plans.RoutedRequest
     outgoing: attempt.Outgoing
     responder: responders.Responder
-    last_event_id: str
+    events: event_stream.EventStream
     config_version: int
     race: attempt_race.AttemptRace = dataclasses.field(
         default_factory=attempt_race.AttemptRace
     )
     last_attempt: open_attempt.OpenAttempt | None = None
-    event_count: int = 0
     excluded: set[ids.RunnerId] = dataclasses.field(default_factory=set)
     ends: list[attempt_ends.AttemptEnd] = dataclasses.field(default_factory=list)
     attempt_count: int = 0
@@ -69,6 +68,7 @@
     is_counted: bool = False
     relayed_to: set[ids.VmId] = dataclasses.field(default_factory=set)
     may_crash_runners: bool = False
+    is_retry_refused: bool = False
     _fingerprint: ids.RequestFingerprint | None = None
     _subjects: crashes.Subjects | None = None
 
@@ -123,30 +123,33 @@
     ) -> open_attempt.OpenAttempt:
         """Return a further attempt, which goes on after the last event."""
         self.attempt_count += 1
+        self.is_retry_refused = False
         return open_attempt.OpenAttempt(
             self.attempt_count,
             source,
-            event_stream.EventStream(self.last_event_id),
+            self.events.next_run(),
             now_s,
         )
 
-    def pass_on(self, attempt: open_attempt.OpenAttempt, event_count: int) -> bool:
+    def pass_on(self, attempt: open_attempt.OpenAttempt) -> bool:
         """Let an attempt send the caller what it has brought.
 
-        Args:
-            attempt: the attempt.
-            event_count: the number of events that it is about to send.
-
         Returns:
             False if another attempt answers the request.
         """
         if not self.race.take_over(attempt):
             return False
         self.last_attempt = attempt
-        self.last_event_id = attempt.events.last_event_id
-        self.event_count += event_count
+        self.events = attempt.events
         return True
 
+    def record_end(self, attempt: open_attempt.OpenAttempt) -> None:
+        """Record an attempt that has ended and that none has superseded."""
+        self.last_attempt = attempt
+        if attempt.events.event_count >= self.events.event_count:
+            # It may have shown more of the stream than it has sent.
+            self.events = attempt.events
+
     def describe_answer_end(self) -> dict[str, object]:
         """Return log fields that say how the last answer of a runner ended."""
         if self.last_attempt is None:
--- a/packages/gateway/lacewingdrum_gateway/serving/exchange.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/exchange.py
@@ -16,6 +16,7 @@
     open_attempt,
     outcomes,
     plans,
+    retry_limits,
     routing,
     stream_forwarding,
 )
@@ -151,7 +152,9 @@
             active.outgoing,
             attempt_headers,
             left_s,
-            on_new_connection=not active.routed.route.is_retryable,
+            on_new_connection=retry_limits.needs_new_connection(
+                active, plan.entry.runner_id
+            ),
         )
         match opened:
             case Err(end):
@@ -174,7 +177,7 @@
             body = await attempts.read_whole(reader, left_s, held)
             if isinstance(body, Err):
                 return body.err_value
-            if not active.pass_on(attempt, 0):
+            if not active.pass_on(attempt):
                 return attempt_ends.superseded()
             answer = http_messages.HttpResponse(
                 reader.status, reader.headers, body.ok_value
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -12,16 +12,19 @@
 
 from standins import (
     endless_answers,
+    odd_answers,
     platform_answers,
     platform_connection,
     platform_failures,
     platform_memory,
+    repeated_refusals,
     runner_crashes,
 )
 
 Fault = platform_answers.Fault
 Headers = platform_connection.Headers
 MemoryReservation = platform_memory.MemoryReservation
+Moment = repeated_refusals.Moment
 ReceivedRequest = platform_connection.ReceivedRequest
 SECOND_COPY_DELAY_S = platform_connection.SECOND_COPY_DELAY_S
 EVENT_INTERVAL_S = 0.005
@@ -38,7 +41,7 @@
         self.answer_s = 0.0
         # Whether answers have neither a length nor chunks.
         self.is_close_delimited = False
-        self.faults: list[Fault] = []
+        self.faults: list[Fault | odd_answers.OddAnswer] = []
         self.arrivals: list[ReceivedRequest] = []
         self.connection_count = 0
         self.working_count = 0
@@ -54,6 +57,8 @@
         self.retry_after = ""
         # Addresses of engines that refuse to help, as draining engines do.
         self.refusing_helpers: set[str] = set()
+        # An earlier refusal that is written once more on kept connections.
+        self.repeated_refusal: repeated_refusals.RepeatedRefusal | None = None
         # Those of them that an answer of this engine has named.
         self.named_helpers: set[str] = set()
         self.port = 0
@@ -89,9 +94,9 @@
             "born": self.born_ms,
         }
 
-    async def start(self, port: int = 0) -> None:
+    async def start(self, port: int = 0, host: str = "127.0.0.1") -> None:
         """Start to listen; port 0 picks a free port."""
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", port)
+        self._server = await asyncio.start_server(self._accept, host, port)
         self.port = self._server.sockets[0].getsockname()[1]
 
     def stop_listening(self) -> None:
@@ -131,12 +136,17 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         connection = h11.Connection(h11.SERVER)
+        is_kept = False
         while True:
             request, body = await platform_connection.read_request(connection, reader)
             if request is None:
                 return
             headers = {name.decode(): value.decode() for name, value in request.headers}
             path = request.target.decode()
+            attempt_id = headers.get("attempt-id", "")
+            if is_kept:
+                self._repeat_refusal(writer, Moment.LATE, attempt_id)
+            is_kept = True
             if path == "/-/order" and self.has_endless_commands:
                 await self.endless.send(writer, (), Fault.ENDLESS_BODY)
                 return
@@ -156,9 +166,20 @@
             if not is_reusable:
                 await platform_connection.close_after_drain(writer)
                 return
+            self._repeat_refusal(writer, Moment.AT_ONCE, attempt_id)
             await writer.drain()
             connection.start_next_cycle()
 
+    def _repeat_refusal(
+        self, writer: asyncio.StreamWriter, moment: Moment, attempt_id: str
+    ) -> None:
+        if self.repeated_refusal is not None:
+            was_refused = any(
+                arrival.attempt_id == attempt_id and not arrival.ran
+                for arrival in self.arrivals
+            )
+            self.repeated_refusal.write(writer, moment, attempt_id, was_refused)
+
     def _handle_command(
         self, connection: h11.Connection, writer: asyncio.StreamWriter, body: bytes
     ) -> bool:
@@ -226,6 +247,15 @@
             *id_headers,
             ("Response-Seal", f"seal-{self.runner_id}-{attempt_id}"),
         )
+        if isinstance(fault, odd_answers.OddAnswer):
+            return await odd_answers.send(
+                connection,
+                writer,
+                fault,
+                id_headers,
+                sealed_headers[-1],
+                int(headers.get("last-event-id") or 0),
+            )
         if fault is Fault.SHED and self.retry_after:
             id_headers += (("Retry-After", self.retry_after),)
         if fault is Fault.HELPER_FAILED:
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -8,7 +8,7 @@
 import sys
 import tempfile
 
-from tests.soak import callers, checks, faults, lost_checks, site
+from tests.soak import builds, callers, checks, faults, lost_checks, site
 
 RECOVERY_S = 6.0
 SETTLE_S = 2.0
@@ -22,6 +22,7 @@
     folder: pathlib.Path,
     gateway_count: int = site.GATEWAYS,
     profile: faults.Profile = faults.Profile.ALL,
+    earlier: tuple[str, ...] = (),
 ) -> list[str]:
     """Run one soak.
 
@@ -31,12 +32,20 @@
         folder: folder for settings and logs.
         gateway_count: the number of gateways.
         profile: which faults are drawn.
+        earlier: commits whose gateways run beside today's.
 
     Returns:
         A line for each violation.
+
+    Raises:
+        builds.MissingCommitError: if the history lacks a commit.
     """
     rng = random.Random(seed)
-    soak_site = site.SoakSite(folder, rng, gateway_count)
+    known_builds = (
+        builds.TODAY,
+        *(builds.unpack(commit, folder / "builds") for commit in earlier),
+    )
+    soak_site = site.SoakSite(folder, rng, gateway_count, known_builds)
     violations: list[str] = []
     try:
         await soak_site.start()
@@ -109,6 +118,13 @@
     parser.add_argument(
         "--gateways", type=int, default=site.GATEWAYS, help="how many gateways"
     )
+    parser.add_argument(
+        "--earlier",
+        action="append",
+        default=[],
+        metavar="COMMIT",
+        help="gateways of this commit run beside today's; may be repeated",
+    )
     parser.add_argument(
         "--profile",
         type=faults.Profile,
@@ -130,6 +146,7 @@
                     folder,
                     arguments.gateways,
                     arguments.profile,
+                    tuple(arguments.earlier),
                 )
             )
             for line in violations:
@@ -138,7 +155,7 @@
             if violations and arguments.keep:
                 kept = pathlib.Path(arguments.keep) / str(seed)
                 kept.mkdir(parents=True, exist_ok=True)
-                for path in folder.iterdir():
+                for path in folder.glob("gateway-*"):
                     (kept / path.name).write_bytes(path.read_bytes())
     print(f"{arguments.seeds - failed} seeds passed, {failed} failed")
     return 1 if failed else 0
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,7 +9,7 @@
 
 from standins import fault_proxy, platform_store, runner_paths
 from standins.platform_runner import Fault
-from tests.soak import checks, site
+from tests.soak import builds, checks, site, upgrades
 
 SOUND_FAULTS = (Fault.PAUSE, Fault.SHED)
 REQUEST_FAULTS = tuple(fault for fault in Fault if fault is not Fault.NONE)
@@ -51,12 +51,17 @@
         self._profile = profile
         self._busy_gateways: set[int] = set()
         self._is_cut = False
+        self._upgrades = upgrades.Upgrades(soak_site, rng, self._kill)
 
     async def run(self, length_s: float) -> None:
         """Start faults for ``length_s``, then wait until all have ended."""
         loop = asyncio.get_running_loop()
         until_s = loop.time() + length_s
         running: set[asyncio.Task[None]] = set()
+        build = self._upgrades.draw_build()
+        if build is not None:
+            self._site.faults.append(f"all become {build.name}")
+            running.add(asyncio.ensure_future(self._upgrades.roll(build)))
         while loop.time() < until_s:
             await asyncio.sleep(self._rng.uniform(0.1, 1.2))
             is_sound = self._profile is Profile.SOUND
@@ -81,50 +86,52 @@
                 fault_proxy.PathFault.DELAYED,
             )
         )
-        return rng.choice(
-            (
-                Injection(f"store {mode.value}", lambda: self._store(mode, span_s)),
-                Injection("store forgets", self._forget_history),
-                Injection("store returns", lambda: self._return_store(span_s)),
-                Injection(
-                    f"store path {gateway} {path_fault.value}",
-                    lambda: self._impair_path(store, path_fault, span_s),
-                ),
-                Injection(
-                    f"runner path {runner} {path_fault.value}",
-                    lambda: self._impair_path(path, path_fault, span_s),
-                ),
-                Injection(f"runner path {runner} reset", lambda: self._reset(path)),
-                Injection(
-                    f"{stop_signal.name} gateway {gateway}",
-                    lambda: self._kill(gateway, stop_signal),
-                ),
-                Injection(
-                    f"pause gateway {gateway}", lambda: self._pause(gateway, span_s)
-                ),
-                Injection(f"runner {runner} fails", lambda: self._fail(runner, span_s)),
-                Injection(
-                    f"runner {runner} leaves", lambda: self._leave(runner, span_s)
-                ),
-                Injection(
-                    f"runner {runner} says it leaves",
-                    lambda: self._say_leaving(runner, span_s),
-                ),
-                Injection(
-                    f"runner {runner} wants a pause",
-                    lambda: self._want_pause(runner, span_s),
-                ),
-                Injection(
-                    f"runner {runner} names a limit",
-                    lambda: self._name_limit(runner, span_s),
-                ),
-                Injection("part crashes engines", lambda: self._crash(span_s)),
-                Injection("read crashes runners", lambda: self._crash_read(span_s)),
-                Injection("cut from runners", lambda: self._cut_off(span_s)),
-                Injection("configuration", self._configure),
-                Injection("credential withdrawn", self._rotate_credential),
+        build = self._upgrades.draw_build()
+        injections = [
+            Injection(f"store {mode.value}", lambda: self._store(mode, span_s)),
+            Injection("store forgets", self._forget_history),
+            Injection("store returns", lambda: self._return_store(span_s)),
+            Injection(
+                f"store path {gateway} {path_fault.value}",
+                lambda: self._impair_path(store, path_fault, span_s),
+            ),
+            Injection(
+                f"runner path {runner} {path_fault.value}",
+                lambda: self._impair_path(path, path_fault, span_s),
+            ),
+            Injection(f"runner path {runner} reset", lambda: self._reset(path)),
+            Injection(
+                f"{stop_signal.name} gateway {gateway}",
+                lambda: self._kill(gateway, stop_signal, build),
+            ),
+            Injection(f"pause gateway {gateway}", lambda: self._pause(gateway, span_s)),
+            Injection(f"runner {runner} fails", lambda: self._fail(runner, span_s)),
+            Injection(f"runner {runner} leaves", lambda: self._leave(runner, span_s)),
+            Injection(
+                f"runner {runner} says it leaves",
+                lambda: self._say_leaving(runner, span_s),
+            ),
+            Injection(
+                f"runner {runner} wants a pause",
+                lambda: self._want_pause(runner, span_s),
+            ),
+            Injection(
+                f"runner {runner} names a limit",
+                lambda: self._name_limit(runner, span_s),
+            ),
+            Injection("part crashes engines", lambda: self._crash(span_s)),
+            Injection("read crashes runners", lambda: self._crash_read(span_s)),
+            Injection("cut from runners", lambda: self._cut_off(span_s)),
+            Injection("configuration", self._configure),
+            Injection("credential withdrawn", self._rotate_credential),
+        ]
+        injections = [item for item in injections if self._upgrades.allows(item.name)]
+        if build is not None:
+            rolling = Injection(
+                f"all become {build.name}", lambda: self._upgrades.roll(build)
             )
-        )
+            injections.append(rolling)
+        return rng.choice(injections)
 
     def _draw_sound(self) -> Injection:
         """Draw planned work, or the silence of a runner that goes on."""
@@ -132,6 +139,7 @@
         span_s = rng.uniform(0.3, 3.0)
         gateway = rng.randrange(self._site.gateway_count)
         runner = rng.randrange(len(self._site.runners))
+        build = self._upgrades.draw_build()
         return rng.choice(
             (
                 Injection("runners pause", lambda: self._silence(span_s)),
@@ -140,7 +148,7 @@
                 ),
                 Injection(
                     f"SIGTERM gateway {gateway}",
-                    lambda: self._kill(gateway, signal.SIGTERM),
+                    lambda: self._kill(gateway, signal.SIGTERM, build),
                 ),
                 Injection("configuration", self._configure),
                 Injection("credential withdrawn", self._rotate_credential),
@@ -176,12 +184,14 @@
     async def _reset(self, path_proxy: fault_proxy.FaultProxy) -> None:
         path_proxy.reset()
 
-    async def _kill(self, gateway: int, stop_signal: signal.Signals) -> None:
+    async def _kill(
+        self, gateway: int, stop_signal: signal.Signals, build: builds.Build | None
+    ) -> None:
         if gateway in self._busy_gateways:
             return
         self._busy_gateways.add(gateway)
         try:
-            await self._site.kill(gateway, stop_signal)
+            await self._site.kill(gateway, stop_signal, build)
         finally:
             self._busy_gateways.discard(gateway)
 
