An attempt that ends as its request is interrupted counts as one that may have run

Callers saw: 503 'not run, try again' for an order that a runner had, when the connection to the runner was lost in the same turn of the event loop in which the request was found overdue (after a suspension of the VM) or blamed for crashes; also for an attempt ended as unreachable while a check of reach ran.

Cause: since attempts are tasks of a race, one that has ended is taken out of the open attempts by close(), which runs when forward() is cancelled, and its end was logged but not added to the ends of the request. Neither open nor ended, it did not count for may_have_run. So did a second end of the same wait, if the await after the first one was cancelled.

Evidence, before: test_order_that_is_lost_as_its_time_is_found_over_is_not_said_ not_to_have_run: AssertionError: (503, b'{"error":{"code":"no_runner", "message":"not run, try again"}}'). After: passed.

Change: an end is added to the request where it is recorded, for all ends of a wait before anything is awaited. An attempt that is superseded in the turn in which the other one's whole answer ends is now logged as well.

--- a/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
@@ -119,13 +119,16 @@
                 break
             wait_s = self._silences.until_next_s(active)
             wait_s = min(wait_s, left_s + DEADLINE_GRACE_S)
-            for ended in await active.race.wait(wait_s):
+            all_ended = await active.race.wait(wait_s)
+            # All are recorded before the next await, which may be cancelled.
+            for ended in all_ended:
                 self._record_end(active, ended)
+            for ended in all_ended:
                 match ended.result:
                     case outcomes.Outcome() as outcome:
                         return outcome
                     case attempt_ends.AttemptEnd() as end:
-                        active.ends.append(end)
+                        pass
                 if active.responder.disconnected.is_set():
                     return outcomes.Outcome.CALLER_GONE
                 may_start = await self._apply_end(active, ended.attempt, end)
@@ -260,8 +263,10 @@
         active: active_request.ActiveRequest,
         ended: attempt_race.EndedAttempt,
     ) -> None:
-        """Record what the end of an attempt shows of its source."""
+        """Record an end, and what it shows of the source of the attempt."""
         attempt, end = ended.attempt, ended.end
+        if end is not None:
+            active.ends.append(end)
         if end is None or end.reason is not attempt_ends.EndReason.SUPERSEDED:
             active.record_end(attempt)
         match attempt.source:
