A peer's refusal is not passed on if another attempt may have run the request

Callers saw: 503 'not run, try again' for a read that a runner was running. A daemon found itself cut off, its silent attempt stayed open, and the peer that it passed the request on to refused it.

Cause: whether the peer's refusal may go to the caller was decided when it came, by the attempts that had ended. Since a silent attempt stays open, it is not among them. (An attempt after the refusal was never looked at.)

Evidence, before: test_refusal_of_a_peer_is_not_passed_on_while_a_silent_attempt_ may_run: AssertionError: (503, b'{"error":{"code":"no_runner",...}}').

Change: it is decided when the request is given up, by may_have_run, which knows the open attempts and all ends.

--- a/packages/gateway/lacewingdrum_gateway/hedging_review_test.py
+++ b/packages/gateway/lacewingdrum_gateway/hedging_review_test.py
@@ -3,7 +3,10 @@
 import asyncio
 import unittest.mock
 
+from lacewingdrum_gateway.cut_off_daemons_test import site_of_four
+from lacewingdrum_state import ids
 from standins import platform_runner, platform_site
+from standins.runner_paths import Cut
 
 SHORT_HEADERS = (("Deadline-Ms", "1500"),)
 
@@ -17,7 +20,7 @@
     return active
 
 
-async def test_order_that_is_lost_as_its_time_is_found_over_is_not_said_not_to_have_run():
+async def test_order_that_is_lost_as_it_is_found_overdue_is_not_said_to_have_not_run():
     async with platform_site.running_site() as site:
         for ledger in site.ledgers:
             ledger.faults = [platform_runner.Fault.SILENT]
@@ -35,3 +38,21 @@
             await ledger.close()
         answer = await call
         assert answer.status in (502, 504), (answer.status, answer.body)
+
+
+async def test_refusal_of_a_peer_is_not_passed_on_while_a_silent_attempt_may_run():
+    async with site_of_four() as site:
+        for ledger in site.ledgers:
+            ledger.answer_s = 5.0
+        for running in site.gateways[1:]:
+            components = running.daemon.components
+            for ledger in site.ledgers:
+                runner_id, now_s = ids.RunnerId(ledger.runner_id), components.clock()
+                components.health.pause(runner_id, now_s + 9.0, now_s)
+        call = asyncio.ensure_future(
+            site.call("/read/x", "r1", headers=(("Deadline-Ms", "3000"),))
+        )
+        await site.wait_until(lambda: any(one.runs for one in site.ledgers))
+        site.gateways[0].paths.cut(Cut.HANGING)
+        answer = await call
+        assert answer.status in (502, 504), (answer.status, answer.body)
--- a/packages/gateway/lacewingdrum_gateway/serving/final_answers.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/final_answers.py
@@ -105,7 +105,7 @@
         if responder.started:
             responder.abort()
             return outcomes.Outcome.BROKEN_OFF
-        answer = next((end.answer for end in active.ends[::-1] if end.answer), None)
+        answer = _last_answer(active)
         if answer is not None:
             await responder.send(answer)
             return outcomes.Outcome.RUNNER_FAILURE
@@ -151,3 +151,17 @@
     def _until_trial_s(self, blame: crashes.Blame) -> float:
         left_s = max(blame.trial_due_s - self._clock(), 0.0)
         return left_s + REFUSED_RETRY_AFTER_S
+
+
+def _last_answer(
+    active: active_request.ActiveRequest,
+) -> http_messages.HttpResponse | None:
+    """Return the last failure that the caller may have, if any.
+
+    That a peer has not run the request is none if another attempt may have.
+    """
+    for end in active.ends[::-1]:
+        says_not_run = end.state is states.AttemptState.REFUSED_BY_RUNNER
+        if end.answer is not None and not (says_not_run and active.may_have_run):
+            return end.answer
+    return None
