A whole answer is not cut while its last bytes are written to the caller

Callers saw: a read's answer of 7.5 MB cut at 3.9 MB when the deadline of the request passed while they read it; and a request counted as internal_error, though its caller had the whole answer, when the daemon found itself cut off while the caller read.

Cause: the attempt that writes the answer is one of the race. forward() gave the request up at its deadline, or let another attempt take over, without asking whether the caller's answer was already complete.

Change: once the responder has finished, no attempt takes over, none is started, and forward() waits for the write, which has its own limit. An answer that comes while the deadline's 504 is written is dropped in the same way.

--- a/packages/gateway/lacewingdrum_gateway/hedging_review_test.py
+++ b/packages/gateway/lacewingdrum_gateway/hedging_review_test.py
@@ -5,7 +5,7 @@
 
 from lacewingdrum_gateway.cut_off_daemons_test import site_of_four
 from lacewingdrum_state import ids
-from standins import platform_runner, platform_site
+from standins import platform_answers, platform_runner, platform_site
 from standins.runner_paths import Cut
 
 SHORT_HEADERS = (("Deadline-Ms", "1500"),)
@@ -56,3 +56,67 @@
         site.gateways[0].paths.cut(Cut.HANGING)
         answer = await call
         assert answer.status in (502, 504), (answer.status, answer.body)
+
+
+async def read_slowly(site, attempt_id: str, wait_s: float, headers) -> bytes:
+    """Send a read, wait, and return all bytes of the answer."""
+    address = site.gateways[0].gateway_settings.vm.caller_address
+    reader, writer = await asyncio.open_connection(
+        address.host, address.port, limit=4_096
+    )
+    lines = "".join(f"{name}: {value}\r\n" for name, value in headers)
+    writer.write(
+        f"POST /read/x HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: {attempt_id}\r\n"
+        f"Key: {platform_site.CREDENTIAL}\r\nContent-Length: 1\r\n{lines}\r\nx".encode()
+    )
+    received = b""
+    try:
+        await asyncio.sleep(wait_s)
+        async with asyncio.timeout(5.0):
+            while len(received) < LARGE_BYTES and (
+                data := await reader.read(1_000_000)
+            ):
+                received += data
+    except ConnectionError:
+        pass
+    finally:
+        writer.transport.abort()
+    return received
+
+
+LARGE_BYTES = 7_500_000
+
+
+def large_answers():
+    real = platform_answers.send_body
+
+    async def send(answer, body, fault, tasks):
+        return await real(answer, b"x" * LARGE_BYTES, fault, tasks)
+
+    return unittest.mock.patch.object(platform_answers, "send_body", send)
+
+
+async def test_whole_answer_is_not_cut_at_the_deadline_while_its_caller_reads():
+    async with platform_site.running_site() as site:
+        with large_answers():
+            received = await read_slowly(site, "r1", 1.0, (("Deadline-Ms", "600"),))
+        assert len(received) > LARGE_BYTES, len(received)
+
+
+async def test_whole_answer_is_not_cut_by_another_attempt_while_its_caller_reads():
+    async with platform_site.running_site() as site:
+        with large_answers():
+            reading = asyncio.ensure_future(
+                read_slowly(site, "r1", 1.0, (("Deadline-Ms", "3000"),))
+            )
+            await asyncio.sleep(0.6)
+            assert only_active(site).responder.finished
+            handler_of(site)._forwarder.record_lost_paths()
+            received = await reading
+        assert len(received) > LARGE_BYTES, len(received)
+        (ended,) = [
+            line
+            for line in site.gateways[0].daemon.components.decisions.lines("r1")
+            if "outcome" in line
+        ]
+        assert ended["outcome"] == "answered", ended
--- a/packages/gateway/lacewingdrum_gateway/serving/active_request.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/active_request.py
@@ -135,9 +135,10 @@
         """Let an attempt send the caller what it has brought.
 
         Returns:
-            False if another attempt answers the request.
+            False if another attempt answers the request, or the caller has its
+            whole answer.
         """
-        if not self.race.take_over(attempt):
+        if self.responder.finished or not self.race.take_over(attempt):
             return False
         self.last_attempt = attempt
         self.events = attempt.events
--- a/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
@@ -28,6 +28,8 @@
 
 # Attempts end by themselves at the deadline of their request.
 DEADLINE_GRACE_S = 0.05
+# The write of an answer has a limit of its own.
+WRITE_CHECK_INTERVAL_S = 1.0
 
 
 class Step(enum.Enum):
@@ -98,16 +100,17 @@
     def record_lost_paths(self) -> None:
         """Let requests go on elsewhere, as this daemon reaches no runner."""
         for active in self._retryable:
-            active.race.record_lost_paths(_is_at_runner)
+            active.race.record_lost_paths(open_attempt.OpenAttempt.is_at_runner)
 
     def record_lost_peer(self, address: ids.VmId) -> None:
         """Let requests go on elsewhere that are at a peer that fell silent."""
         for active in self._retryable:
-            active.race.record_lost_paths(lambda attempt: _is_at_peer(attempt, address))
+            active.race.record_lost_paths(lambda attempt: attempt.is_at_peer(address))
 
     async def _forward(self, active: active_request.ActiveRequest) -> outcomes.Outcome:
         may_start = True
-        while (left_s := active.left_s(self._clock())) > 0:
+        responder = active.responder
+        while (left_s := active.left_s(self._clock())) > 0 and not responder.finished:
             self._silences.update(active)
             if active.race.waits_for_none:
                 await self._reach.wait_for_check()
@@ -119,21 +122,36 @@
                 break
             wait_s = self._silences.until_next_s(active)
             wait_s = min(wait_s, left_s + DEADLINE_GRACE_S)
-            all_ended = await active.race.wait(wait_s)
-            # All are recorded before the next await, which may be cancelled.
-            for ended in all_ended:
-                self._record_end(active, ended)
-            for ended in all_ended:
-                match ended.result:
-                    case outcomes.Outcome() as outcome:
-                        return outcome
-                    case attempt_ends.AttemptEnd() as end:
-                        pass
-                if active.responder.disconnected.is_set():
+            for ended in await self._wait_for_ends(active, wait_s):
+                if isinstance(ended.result, outcomes.Outcome):
+                    return ended.result
+                if responder.disconnected.is_set():
                     return outcomes.Outcome.CALLER_GONE
-                may_start = await self._apply_end(active, ended.attempt, end)
+                may_start = await self._apply_end(active, ended.attempt, ended.result)
+        if responder.finished:
+            return await self._deliver(active)
         return await self._final_answers.give_up(active)
 
+    async def _deliver(self, active: active_request.ActiveRequest) -> outcomes.Outcome:
+        """Wait until a whole answer is written, also beyond the deadline."""
+        while active.race.attempts:
+            for ended in await self._wait_for_ends(active, WRITE_CHECK_INTERVAL_S):
+                if isinstance(ended.result, outcomes.Outcome):
+                    return ended.result
+        return outcomes.Outcome.CALLER_GONE
+
+    async def _wait_for_ends(
+        self, active: active_request.ActiveRequest, timeout_s: float
+    ) -> list[attempt_race.EndedAttempt]:
+        """Wait until attempts have ended, and record all of them.
+
+        The caller of this method may be cancelled while it applies one end.
+        """
+        all_ended = await active.race.wait(timeout_s)
+        for ended in all_ended:
+            self._record_end(active, ended)
+        return all_ended
+
     async def _start_next(
         self, active: active_request.ActiveRequest
     ) -> outcomes.Outcome | Step:
@@ -279,15 +297,3 @@
                 if end is None:
                     self._crashes.record_whole(active)
                 self._log.record_end(active, attempt, plan, end)
-
-
-def _is_at_runner(attempt: open_attempt.OpenAttempt) -> bool:
-    return isinstance(attempt.source, open_attempt.RunnerSource)
-
-
-def _is_at_peer(attempt: open_attempt.OpenAttempt, address: ids.VmId) -> bool:
-    match attempt.source:
-        case open_attempt.PeerSource(peer):
-            return peer.address == address
-        case open_attempt.RunnerSource():
-            return False
--- a/packages/gateway/lacewingdrum_gateway/serving/open_attempt.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/open_attempt.py
@@ -5,6 +5,7 @@
 from lacewingdrum_gateway.peers import peering
 from lacewingdrum_gateway.serving import attempt_ends, plans
 from lacewingdrum_protocol import event_stream
+from lacewingdrum_state import ids
 from lacewingdrum_transport import http_client
 
 NOT_SENT_S = float("inf")
@@ -54,6 +55,18 @@
     shortest_pause_s: float = float("inf")
     pause_count: int = 0
 
+    def is_at_runner(self) -> bool:
+        """Return whether this daemon has sent the request to a runner."""
+        return isinstance(self.source, RunnerSource)
+
+    def is_at_peer(self, address: ids.VmId) -> bool:
+        """Return whether it was passed on to the peer at an address."""
+        match self.source:
+            case PeerSource(peer):
+                return peer.address == address
+            case RunnerSource():
+                return False
+
     def record_progress(self, now_s: float) -> None:
         """Record that the attempt has been sent or has brought an event."""
         self.progress_s = now_s
