A request that a silent peer may run is sent again only with the retry allowance

Cause: a request counts as a retry if it was sent to a runner or an ended attempt may have run. An attempt at a peer that fell silent stays open now and is neither, so that all requests at a lost peer were sent again beside the allowance that daemons share.

Change: open attempts count, too.

--- a/packages/gateway/lacewingdrum_gateway/hedging_review_test.py
+++ b/packages/gateway/lacewingdrum_gateway/hedging_review_test.py
@@ -3,7 +3,11 @@
 import asyncio
 import unittest.mock
 
-from lacewingdrum_gateway.cut_off_daemons_test import site_of_four
+from lacewingdrum_gateway.cut_off_daemons_test import (
+    call_read,
+    site_of_four,
+    wait_until_cut_off,
+)
 from lacewingdrum_state import ids
 from standins import platform_answers, platform_runner, platform_site
 from standins.runner_paths import Cut
@@ -120,3 +124,20 @@
             if "outcome" in line
         ]
         assert ended["outcome"] == "answered", ended
+
+
+async def test_request_that_a_silent_peer_may_run_is_sent_again_only_with_allowance():
+    async with site_of_four() as site:
+        for ledger in site.ledgers:
+            ledger.answer_s = 2.0
+        site.gateways[0].paths.cut(Cut.RESET)
+        await wait_until_cut_off(site, 0)
+        forwarder = handler_of(site)._forwarder
+        forwarder._allowance._slack = forwarder._allowance._ratio = 0.0
+        call = asyncio.ensure_future(call_read(site, 0, "r1"))
+        await site.wait_until(lambda: any("r1" in one.runs for one in site.ledgers))
+        (relayed,) = [item.source.peer for item in only_active(site).race.attempts]
+        forwarder.record_lost_peer(relayed.address)
+        await call
+        lines = site.gateways[0].daemon.components.decisions.lines("r1")
+        assert [line["event"] for line in lines].count("relayed") == 1
--- a/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
@@ -255,7 +255,7 @@
 
     def _may_send(self, active: active_request.ActiveRequest) -> bool:
         """Return whether this is no retry, or the allowance is not used up."""
-        is_retry = bool(active.sent_to or active.has_unknown_end)
+        is_retry = bool(active.sent_to) or active.may_have_run
         return not is_retry or self._acquire_retry(active)
 
     def _acquire_retry(self, active: active_request.ActiveRequest) -> bool:
