A request that probably crashes runners is not sent on after another attempt's end

Cause: whether another attempt may be made was set by the last end alone. With two attempts, the crash of the silent runner forbade one, and the end of the other attempt allowed it again, so that a third runner got the request.

Evidence, before: test_request_that_crashes_a_silent_runner_goes_to_no_third_one: AssertionError: (504, ...), as the third runner had the request. After: 502, two arrivals.

Change: no attempt is made for a request once may_crash_runners is set.

--- a/packages/gateway/lacewingdrum_gateway/hedging_review_test.py
+++ b/packages/gateway/lacewingdrum_gateway/hedging_review_test.py
@@ -141,3 +141,32 @@
         await call
         lines = site.gateways[0].daemon.components.decisions.lines("r1")
         assert [line["event"] for line in lines].count("relayed") == 1
+
+
+async def test_request_that_crashes_a_silent_runner_goes_to_no_third_one():
+    async with platform_site.running_site(ledgers=3) as site:
+        read = platform_site.make_route(
+            "read", "idempotent", platform_site.LEDGER, max_attempts=3
+        )
+        changed = platform_site.make_configuration(2, routes=[read])
+        site.store.put_json("op", "config", changed)
+        daemon = site.gateways[0].daemon
+        await site.wait_until(lambda: daemon.configuration_version == 2)
+        for ledger in site.ledgers:
+            ledger.faults = [platform_runner.Fault.SILENT]
+        forwarder = handler_of(site)._forwarder
+        call = asyncio.ensure_future(site.call("/read/x", "r1", headers=SHORT_HEADERS))
+        await site.wait_until(lambda: any(one.arrivals for one in site.ledgers))
+        (first,) = [one for one in site.ledgers if one.arrivals]
+        await site.wait_until(
+            lambda: sum(bool(one.arrivals) for one in site.ledgers) == 2
+        )
+        observe = unittest.mock.AsyncMock(side_effect=[False, True, True])
+        with unittest.mock.patch.object(forwarder._crashes, "observe", observe):
+            await first.close()
+            await site.wait_until(lambda: observe.await_count == 1)
+            (second,) = [one for one in site.ledgers if one.arrivals and one != first]
+            await second.close()
+            answer = await call
+            assert answer.status == 502, (answer.status, answer.body)
+        assert sum(len(one.arrivals) for one in site.ledgers) == 2
--- a/packages/gateway/lacewingdrum_gateway/serving/retry_limits.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/retry_limits.py
@@ -17,7 +17,7 @@
 
 def may_start(active: active_request.ActiveRequest) -> bool:
     """Return whether an attempt may be made, beside those that are open."""
-    if not active.events.is_resumable:
+    if not active.events.is_resumable or active.may_crash_runners:
         return False
     if not active.race.attempts:
         return True
