Memory of a sound request does not lapse when an engine is out of reach for a second

Callers saw: nothing yet; found by review of the class 'a limit taken as a proof of death'. A request whose prompt is held by several engines is cut when that memory expires.

Cause: a lease of 3.6 s was renewed every 1.6 s, and never again if the decoding engine accepted no connection in two probes (0.8 s); if one renewal got no answer in 0.6 s, the next one came after 3.8 s. A second without a path did either.

Evidence, before: test_memory_is_renewed_after_its_decoding_engine_was_out_of_ reach (out of reach for 1 s) and test_memory_is_kept_if_a_renewal_gets_no_answer_ in_time: AssertionError, the memory had expired. After: both pass, and so does test_memory_expires_when_the_decoding_engine_stops_accepting_connections.

Change: a renewal that fails is tried again after 0.2 s while the lease lasts; each one begins with the probe, so that the memory of a dead engine's request still expires within one lease. Refused renewals are not tried again sooner. Commands to engines have a module of their own.

--- a/packages/gateway/lacewingdrum_gateway/runners/engine_memory.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/engine_memory.py
@@ -13,31 +13,33 @@
 
 from result import Err, Ok, Result
 
-from lacewingdrum_gateway.runners import runner_notices, runner_probe
-from lacewingdrum_platform import (
-    engine_calls,
-    headers as platform_headers,
-    store_calls,
+from lacewingdrum_gateway.runners import (
+    engine_commands,
+    runner_notices,
+    runner_probe,
 )
+from lacewingdrum_platform import engine_calls
 from lacewingdrum_runtime import decision_log, metrics, tasks
 from lacewingdrum_state import ids, runner_entries, units
 from lacewingdrum_transport import http_client, http_messages
 
 LEASE_MS = 3_600
 RENEW_INTERVAL_S = 1.6
-CALL_TIMEOUT_S = 0.6
+# How soon a renewal that failed is tried again while the lease lasts.
+RENEW_RETRY_S = 0.2
 # A lease is renewed only if the decoding engine accepts a connection, so that
 # the memory expires within one lease if that engine dies. A lost packet may
 # delay one probe, but hardly ever both.
 DECODER_PROBE_ATTEMPTS = 2
 DECODER_PROBE_TIMEOUT_S = 0.4
 # The longest time from the decision to renew a lease until it is renewed.
-RENEWAL_MAX_S = DECODER_PROBE_ATTEMPTS * DECODER_PROBE_TIMEOUT_S + CALL_TIMEOUT_S
+RENEWAL_MAX_S = (
+    DECODER_PROBE_ATTEMPTS * DECODER_PROBE_TIMEOUT_S + engine_commands.CALL_TIMEOUT_S
+)
 # A lost packet may delay one report, but hardly ever those of two engines.
 REPORTING_ENGINES = 2
 RELEASE_ATTEMPTS = 3
 RELEASE_RETRY_S = 0.4
-FOREIGN_ANSWER = "foreign_answer"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,6 +62,7 @@
     """Memory on several engines under one id, renewed until it is closed.
 
     ``is_used`` is set once the request is known to have begun to run.
+    ``renewed_s`` is when the last calls that all engines answered were sent.
     """
 
     def __init__(
@@ -76,6 +79,7 @@
         self.entries = tuple(entries)
         self.tokens = tokens
         self.reserved_s = reserved_s
+        self.renewed_s = reserved_s
         self.is_used = False
         self._owner = owner
         self._renewal: asyncio.Task[None] | None = None
@@ -91,13 +95,10 @@
         self._owner.release_in_background(self)
 
     async def _renew(self) -> None:
-        while True:
-            await asyncio.sleep(RENEW_INTERVAL_S)
-            if not await self._owner.may_renew(self):
-                return
-            await asyncio.gather(
-                *(self._owner.reserve_part(entry, self) for entry in self.entries)
-            )
+        wait_s: float | None = RENEW_INTERVAL_S
+        while wait_s is not None:
+            await asyncio.sleep(wait_s)
+            wait_s = await self._owner.renew(self)
 
 
 class EngineMemory:
@@ -113,8 +114,7 @@
         decisions: decision_log.DecisionLog,
         counts: metrics.Metrics,
     ) -> None:
-        self._client = client
-        self._notices = notices
+        self._commands = engine_commands.EngineCommands(client, notices)
         self._lease_ms = int(min(LEASE_MS, lease_max_ms))
         self._unused_max_s = unused_max_ms / units.MS_PER_S
         self._clock = clock
@@ -125,7 +125,7 @@
 
     async def close(self) -> None:
         """Wait for pending releases, for a limited time."""
-        await self._tasks.close(CALL_TIMEOUT_S)
+        await self._tasks.close(engine_commands.CALL_TIMEOUT_S)
 
     async def reserve(
         self,
@@ -181,29 +181,49 @@
         if held is not None:
             held.is_used = True
 
-    async def may_renew(self, held: HeldMemory) -> bool:
-        """Return whether the lease of held memory is to be renewed.
+    async def renew(self, held: HeldMemory) -> float | None:
+        """Renew the leases of held memory, unless it is to expire.
 
         Args:
             held: the memory.
 
         Returns:
-            False if the decoding engine is unreachable, or if a renewed lease
-            could exceed the limit for memory that no request uses.
+            The time until the next renewal; None if there is none. An engine
+            out of reach for a moment is asked again while the lease lasts.
+        """
+        sent_s = self._clock()
+        reason = await self._find_end_reason(held)
+        if reason is None:
+            answers = await asyncio.gather(
+                *(self.reserve_part(entry, held) for entry in held.entries)
+            )
+            if not any(item and item.is_unreachable for item in answers):
+                held.renewed_s = sent_s
+        lease_s = self._lease_ms / units.MS_PER_S
+        is_leased = self._clock() < held.renewed_s + lease_s
+        if reason is LeaseEndReason.UNUSED or (reason and not is_leased):
+            self._record_lease_end(held, reason)
+            return None
+        is_due = is_leased and held.renewed_s != sent_s
+        return RENEW_RETRY_S if is_due else RENEW_INTERVAL_S
+
+    async def _find_end_reason(self, held: HeldMemory) -> LeaseEndReason | None:
+        """Return why the lease of held memory is not to be renewed now.
+
+        The decoding engine is unreachable, or a renewed lease could exceed the
+        limit for memory that no request uses.
         """
         if not held.is_used and self._could_exceed_unused_limit(held):
             held.is_used = await self._is_reported_used(held)
             if not held.is_used:
-                self._record_lease_end(held, LeaseEndReason.UNUSED)
-                return False
+                return LeaseEndReason.UNUSED
         for _ in range(DECODER_PROBE_ATTEMPTS):
             found = await runner_probe.probe(
                 held.decoder.address, DECODER_PROBE_TIMEOUT_S
             )
             if found is runner_probe.Reachability.ACCEPTED:
-                return True
-        self._record_lease_end(held, LeaseEndReason.DECODER_UNREACHABLE)
-        return False
+                return None
+        return LeaseEndReason.DECODER_UNREACHABLE
 
     def _could_exceed_unused_limit(self, held: HeldMemory) -> bool:
         """Return whether a lease renewed now may end after the limit."""
@@ -214,7 +234,7 @@
     async def _is_reported_used(self, held: HeldMemory) -> bool:
         """Ask engines that hold a part whether its request runs."""
         for entry in held.entries[:REPORTING_ENGINES]:
-            answer = await self._call_engine(entry, engine_calls.report())
+            answer = await self._commands.call(entry, engine_calls.report())
             if isinstance(answer, Err):
                 continue
             used_ids = engine_calls.decode_used_reservations(answer.ok_value.body)
@@ -247,9 +267,9 @@
             None if the part is reserved, else the refusal.
         """
         call = engine_calls.reserve(held.reservation_id, held.tokens, self._lease_ms)
-        answer = await self._call_engine(entry, call)
+        answer = await self._commands.call(entry, call)
         if isinstance(answer, Err):
-            is_unreachable = answer.err_value != FOREIGN_ANSWER
+            is_unreachable = answer.err_value != engine_commands.FOREIGN_ANSWER
             return MemoryRefused(entry, answer.err_value, is_unreachable)
         status = answer.ok_value.status
         if status != http_messages.STATUS_OK:
@@ -267,34 +287,8 @@
     ) -> None:
         call = engine_calls.release(reservation_id)
         for _ in range(RELEASE_ATTEMPTS):
-            if isinstance(await self._call_engine(entry, call), Ok):
+            if isinstance(await self._commands.call(entry, call), Ok):
                 return
             await asyncio.sleep(RELEASE_RETRY_S)
         # The lease expires without a release.
         self._counts.count("memory_releases_lost")
-
-    async def _call_engine(
-        self, entry: runner_entries.RunnerEntry, call: store_calls.Call
-    ) -> Result[http_messages.HttpResponse, str]:
-        answer = await self._client.request(
-            entry.address,
-            call.method,
-            call.path,
-            platform_headers.command_headers(entry.runner_id),
-            call.body,
-            CALL_TIMEOUT_S,
-            # The status is the whole answer to a command, and a report that
-            # is cut off cannot be decoded.
-            allow_close_delimited=True,
-        )
-        if isinstance(answer, Err):
-            return Err(answer.err_value.reason.value)
-        response = answer.ok_value
-        headers = platform_headers.parse_runner_headers(
-            response.status, response.headers
-        )
-        if headers.attempt_id:
-            # Only requests have attempts, so it belongs to an earlier one.
-            return Err(FOREIGN_ANSWER)
-        self._notices.observe(entry, headers)
-        return Ok(response)
--- a/packages/gateway/lacewingdrum_gateway/runners/engine_memory_test.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/engine_memory_test.py
@@ -1,7 +1,12 @@
 import asyncio
+import unittest.mock
 
 from lacewingdrum_gateway import settings
-from lacewingdrum_gateway.runners import engine_memory
+from lacewingdrum_gateway.runners import (
+    engine_commands,
+    engine_memory,
+    runner_probe,
+)
 from standins import platform_runner, platform_site
 
 PATIENCE_MS = 15_000
@@ -14,6 +19,8 @@
 UNUSED_MAX_MS = 5_200
 # An engine's own account of time, beside the daemon's.
 CLOCK_TOLERANCE_S = 0.1
+# A sound engine may be out of reach for so long.
+DARK_S = 1.0
 
 
 async def serve_long_digests(site) -> None:
@@ -85,3 +92,44 @@
     return sum(
         item.until_s > now_s for one in site.engines for item in one.reserved.values()
     )
+
+
+async def test_memory_is_renewed_after_its_decoding_engine_was_out_of_reach():
+    async with platform_site.running_site(engines=4) as site:
+        call = await hold_memory_at_silent_engines(site, is_used=True)
+        real = runner_probe.probe
+        loop = asyncio.get_running_loop()
+        dark_until_s = loop.time() + engine_memory.RENEW_INTERVAL_S + DARK_S
+
+        async def probe(address, timeout_s, *args):
+            if loop.time() < dark_until_s:
+                await asyncio.sleep(timeout_s)
+                return runner_probe.Reachability.UNREACHABLE
+            return await real(address, timeout_s, *args)
+
+        with unittest.mock.patch.object(runner_probe, "probe", probe):
+            await asyncio.sleep(2 * engine_memory.LEASE_MS / 1_000)
+            assert reservation_count(site) > 0
+        call.cancel()
+
+
+async def test_memory_is_kept_if_a_renewal_gets_no_answer_in_time():
+    async with platform_site.running_site(engines=4) as site:
+        real = engine_memory.EngineMemory.reserve_part
+        loop = asyncio.get_running_loop()
+        start_s = loop.time()
+
+        async def reserve_part(memory, entry, held):
+            if 1.0 < loop.time() - start_s < engine_memory.RENEW_INTERVAL_S + 0.5:
+                await asyncio.sleep(engine_commands.CALL_TIMEOUT_S)
+                return engine_memory.MemoryRefused(entry, "timeout", True)
+            return await real(memory, entry, held)
+
+        with unittest.mock.patch.object(
+            engine_memory.EngineMemory, "reserve_part", reserve_part
+        ):
+            call = await hold_memory_at_silent_engines(site, is_used=True)
+            await asyncio.sleep(engine_memory.LEASE_MS / 1_000 + 1.0)
+            held = [item for one in site.engines for item in one.reserved.values()]
+            assert held and all(item.reserved_s < start_s + 1.0 for item in held)
+        call.cancel()
