--- a/packages/gateway/lacewingdrum_gateway/serving/open_attempt.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/open_attempt.py
@@ -8,7 +8,8 @@
 from lacewingdrum_state import ids
 from lacewingdrum_transport import http_client
 
-NOT_SENT_S = float("inf")
+# The time of progress of an attempt from which nothing is awaited yet.
+NOT_AWAITED_S = float("inf")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,7 +36,7 @@
 
     ``number`` counts the attempts of the request. ``events`` holds the events
     that this attempt has brought. ``progress_s`` is when it was sent or last
-    brought a whole event; it stays in the future until it is sent and while
+    brought a whole event; it is ``NOT_AWAITED_S`` until it is sent, and while
     the caller is slow to read. ``has_lost_path`` is set once it is known that
     the source cannot be reached. ``is_silent`` is set while another attempt
     may be made beside this one, and ``was_silent`` from then on.
@@ -46,7 +47,7 @@
     source: Source
     events: event_stream.EventStream
     started_s: float
-    progress_s: float = NOT_SENT_S
+    progress_s: float = NOT_AWAITED_S
     answer: http_client.ResponseReader | None = None
     has_lost_path: bool = False
     is_silent: bool = False
--- a/packages/gateway/lacewingdrum_gateway/serving/stream_forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/stream_forwarding.py
@@ -104,7 +104,7 @@
             self._record_resumed(attempt)
         self._record_events(active, attempt, count_before)
         # The runner is not silent while the caller is slow to read.
-        attempt.progress_s = open_attempt.NOT_SENT_S
+        attempt.progress_s = open_attempt.NOT_AWAITED_S
         is_written = await self._write_events(active, reader, data)
         attempt.record_progress(self._clock())
         return None if is_written else _CALLER_DISCONNECTED
