A silent request asks for the retry allowance before it plans an attempt

While a request was silent and the allowance used up, an attempt was planned every 0.25 s and then refused, at the cost of a choice among all engines.

--- a/packages/coordination/lacewingdrum_coordination/retry_allowance.py
+++ b/packages/coordination/lacewingdrum_coordination/retry_allowance.py
@@ -34,6 +34,15 @@
         """Record that a request for a service arrived."""
         self._window(self._requests, service, now_s).append(now_s)
 
+    def has_left(
+        self, service: ids.ServiceName, daemon_count: int, now_s: float
+    ) -> bool:
+        """Return whether ``take`` would return True."""
+        requests = self._window(self._requests, service, now_s)
+        retries = self._window(self._retries, service, now_s)
+        allowed = self._slack / max(daemon_count, 1) + self._ratio * len(requests)
+        return len(retries) + 1 <= allowed * RESTART_FACTOR
+
     def take(self, service: ids.ServiceName, daemon_count: int, now_s: float) -> bool:
         """Take one retry from the allowance, if there is one left.
 
@@ -45,12 +54,9 @@
         Returns:
             Whether the request may be retried; if so, the retry is counted.
         """
-        requests = self._window(self._requests, service, now_s)
-        retries = self._window(self._retries, service, now_s)
-        allowed = self._slack / max(daemon_count, 1) + self._ratio * len(requests)
-        if len(retries) + 1 > allowed * RESTART_FACTOR:
+        if not self.has_left(service, daemon_count, now_s):
             return False
-        retries.append(now_s)
+        self._window(self._retries, service, now_s).append(now_s)
         return True
 
     def _window(
--- a/packages/coordination/lacewingdrum_coordination/retry_allowance_test.py
+++ b/packages/coordination/lacewingdrum_coordination/retry_allowance_test.py
@@ -31,8 +31,9 @@
     for number in range(100):
         allowance.record_request(MODEL, number / 100)
     assert retries_taken(allowance, 1, 1.0) == 10
-    assert not allowance.take(MODEL, 1, 1.5)
+    assert not allowance.has_left(MODEL, 1, 1.5) and not allowance.take(MODEL, 1, 1.5)
     assert not allowance.take(LEDGER, 1, 1.0)
     for number in range(100):
         allowance.record_request(MODEL, 11.5 + number / 100)
+    assert allowance.has_left(MODEL, 1, 12.5)
     assert retries_taken(allowance, 1, 12.5) == 10
--- a/packages/gateway/lacewingdrum_gateway/components.py
+++ b/packages/gateway/lacewingdrum_gateway/components.py
@@ -14,6 +14,7 @@
     forwarding,
     relay,
     request_handler,
+    retry_permits,
     routing,
     silence_limits,
     silence_watch,
@@ -113,10 +114,16 @@
             self.work_sync,
             clock,
         )
-        allowance = retry_allowance.RetryAllowance(
-            own_settings.bounds.repeat_ratio,
-            own_settings.bounds.repeat_slack,
-            own_settings.bounds.repeat_window_s,
+        permits = retry_permits.RetryPermits(
+            retry_allowance.RetryAllowance(
+                own_settings.bounds.repeat_ratio,
+                own_settings.bounds.repeat_slack,
+                own_settings.bounds.repeat_window_s,
+            ),
+            table,
+            clock,
+            self.decisions,
+            self.counts,
         )
         answers_without_runner = final_answers.FinalAnswers(
             candidates, self.crash_watch, clock, rng, self.decisions, self.counts
@@ -156,16 +163,13 @@
             self.relay,
             self.reach,
             silences,
-            allowance,
+            permits,
             self.work_sync,
-            self.peers,
             self.health,
             self.crash_watch,
             answers_without_runner,
             attempt_records,
             clock,
-            self.decisions,
-            self.counts,
         )
         self.request_handler = request_handler.RequestHandler(
             self.configurations,
--- a/packages/gateway/lacewingdrum_gateway/hedged_attempts_test.py
+++ b/packages/gateway/lacewingdrum_gateway/hedged_attempts_test.py
@@ -133,7 +133,8 @@
         site.gateways[0].paths.cut(Cut.RESET)
         await wait_until_cut_off(site, 0)
         forwarder = handler_of(site)._forwarder
-        forwarder._allowance._slack = forwarder._allowance._ratio = 0.0
+        allowance = forwarder._permits._allowance
+        allowance._slack = allowance._ratio = 0.0
         call = asyncio.ensure_future(call_read(site, 0, "r1"))
         await site.wait_until(lambda: any("r1" in one.runs for one in site.ledgers))
         (relayed,) = [item.source.peer for item in only_active(site).race.attempts]
--- a/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
@@ -3,7 +3,7 @@
 import enum
 from collections.abc import Callable
 
-from lacewingdrum_coordination import retry_allowance, runner_health
+from lacewingdrum_coordination import runner_health
 from lacewingdrum_gateway.crashes import crash_watch
 from lacewingdrum_gateway.peers import peering
 from lacewingdrum_gateway.runners import reach_monitor, work_sync
@@ -20,10 +20,10 @@
     plans,
     relay as relays,
     retry_limits,
+    retry_permits,
     routing,
     silence_watch,
 )
-from lacewingdrum_runtime import decision_log, metrics
 from lacewingdrum_state import ids
 
 # Attempts end by themselves at the deadline of their request.
@@ -50,16 +50,13 @@
         relay: relays.Relay,
         reach: reach_monitor.ReachMonitor,
         silences: silence_watch.SilenceWatch,
-        allowance: retry_allowance.RetryAllowance,
+        permits: retry_permits.RetryPermits,
         work_updates: work_sync.WorkSync,
-        peers: peering.Peering,
         health: runner_health.RunnerHealth,
         crashes: crash_watch.CrashWatch,
         answers: final_answers.FinalAnswers,
         log: attempt_log.AttemptLog,
         clock: Callable[[], float],
-        decisions: decision_log.DecisionLog,
-        counts: metrics.Metrics,
     ) -> None:
         self._sender = sender
         self._planner = planner
@@ -68,16 +65,13 @@
         self._reach = reach
         self._silences = silences
         self._retryable: set[active_request.ActiveRequest] = set()
-        self._allowance = allowance
+        self._permits = permits
         self._work_updates = work_updates
-        self._peers = peers
         self._health = health
         self._crashes = crashes
         self._final_answers = answers
         self._log = log
         self._clock = clock
-        self._decisions = decisions
-        self._counts = counts
 
     async def forward(self, active: active_request.ActiveRequest) -> outcomes.Outcome:
         """Make attempts until the caller has an answer.
@@ -156,7 +150,7 @@
         self, active: active_request.ActiveRequest
     ) -> outcomes.Outcome | Step:
         """Start the next attempt if one is allowed, or refuse the request."""
-        if not retry_limits.may_start(active):
+        if not retry_limits.may_start(active) or self._permits.lacks_retry(active):
             return Step.WAIT
         blame = self._crashes.find_blame(active)
         if blame is not None and not self._crashes.start_trial(active, blame):
@@ -172,7 +166,7 @@
         plan = self._plan(active)
         if isinstance(plan, plans.TooCostly):
             return await self._final_answers.refuse_costly(active, plan)
-        if plan is None or not self._may_send(active):
+        if plan is None or not self._permits.take(active):
             return Step.WAIT
         return self._start_at_runner(active, plan)
 
@@ -194,7 +188,7 @@
     def _start_at_peer(
         self, active: active_request.ActiveRequest, peer: peering.Peer
     ) -> Step:
-        if not self._may_send(active):
+        if not self._permits.take(active):
             return Step.WAIT
         attempt = self._relay.new_attempt(active, peer)
         active.race.start(attempt, self._relay.run(active, attempt, peer))
@@ -249,33 +243,9 @@
         """Count a request of which this daemon makes the first attempt."""
         if not active.is_counted:
             active.is_counted = True
-            service = active.routed.service.name
-            self._allowance.record_request(service, self._clock())
+            self._permits.record_request(active)
             self._crashes.record_request(active)
 
-    def _may_send(self, active: active_request.ActiveRequest) -> bool:
-        """Return whether this is no retry, or the allowance is not used up."""
-        is_retry = bool(active.sent_to) or active.may_have_run
-        return not is_retry or self._acquire_retry(active)
-
-    def _acquire_retry(self, active: active_request.ActiveRequest) -> bool:
-        service = active.routed.service.name
-        is_allowed = self._allowance.take(
-            service, self._peers.table.daemon_count, self._clock()
-        )
-        if not is_allowed and not active.is_retry_refused:
-            # It is asked for again and again while an attempt is silent.
-            active.is_retry_refused = True
-            self._counts.count("repeats_refused", reason="allowance")
-            self._decisions.record(
-                decision_log.DecisionEvent.REPEAT_REFUSED,
-                active.request_id,
-                reason="allowance",
-                service=service,
-                daemon_count=self._peers.table.daemon_count,
-            )
-        return is_allowed
-
     def _record_end(
         self,
         active: active_request.ActiveRequest,
