--- a/packages/gateway/lacewingdrum_gateway/runners/engine_commands.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/engine_commands.py
@@ -42,7 +42,8 @@
             response.status, response.headers
         )
         if headers.attempt_id:
-            # It is that of a request; the answer that is due may still come.
+            # The answer belongs to a request. That to this command may still
+            # arrive, on a connection that is kept.
             self._client.close_idle(entry.address)
             return Err(FOREIGN_ANSWER)
         self._notices.observe(entry, headers)
--- a/packages/gateway/lacewingdrum_gateway/serving/active_request.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/active_request.py
@@ -148,7 +148,8 @@
         """Record an attempt that has ended and that none has superseded."""
         self.last_attempt = attempt
         if attempt.events.event_count >= self.events.event_count:
-            # It may have shown more of the stream than it has sent.
+            # The attempt may have begun an event that it did not complete,
+            # which shows that the stream goes on.
             self.events = attempt.events
 
     def describe_answer_end(self) -> dict[str, object]:
--- a/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
@@ -26,9 +26,11 @@
 )
 from lacewingdrum_state import ids
 
-# Attempts end by themselves at the deadline of their request.
+# Attempts end by themselves at the deadline of their request; their ends are
+# awaited for this long after it.
 DEADLINE_GRACE_S = 0.05
-# The write of an answer has a limit of its own.
+# How often the write of a whole answer is looked at. The responder limits the
+# time of the write itself.
 WRITE_CHECK_INTERVAL_S = 1.0
 
 
--- a/packages/gateway/lacewingdrum_gateway/serving/outcomes.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/outcomes.py
@@ -17,8 +17,8 @@
     INTERNAL_ERROR = "internal_error"
 
 
-# The caller has neither an answer of a runner nor a refusal, and its time is
-# not over.
+# Outcomes in which the caller has neither an answer of a runner nor a refusal,
+# although its time is not over.
 CUT_OUTCOMES = frozenset(
     (Outcome.LOST, Outcome.BROKEN_OFF, Outcome.STOPPED, Outcome.INTERNAL_ERROR)
 )
--- a/packages/gateway/lacewingdrum_gateway/serving/retry_limits.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/retry_limits.py
@@ -141,7 +141,7 @@
         not active.routed.route.is_retryable
         or not active.outgoing.attempt_id
         or runner_id in active.sent_to
-        # Another daemon may have sent it to this runner.
+        # Another daemon may have sent the request to this runner.
         or active.earlier_runner_count > 0
     )
 
--- a/packages/gateway/lacewingdrum_gateway/serving/retry_permits.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/retry_permits.py
@@ -46,7 +46,8 @@
             service, self._peers.daemon_count, self._clock()
         )
         if not is_allowed and not active.is_retry_refused:
-            # It is asked for again and again while an attempt is silent.
+            # A silent request asks at each check; only the first refusal is
+            # recorded.
             active.is_retry_refused = True
             self._counts.count("repeats_refused", reason="allowance")
             self._decisions.record(
--- a/packages/gateway/lacewingdrum_gateway/serving/silence_watch.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/silence_watch.py
@@ -57,7 +57,8 @@
     ) -> float:
         if attempt.is_silent:
             return CHECK_INTERVAL_S
-        # It may be sent, or the caller may have read, right after this.
+        # An attempt that is not sent yet, or whose caller reads slowly, may be
+        # awaited right after this check.
         limit_s = self._silence.limit_s(active, attempt)
         return min(self._until_silent_s(active, attempt), limit_s)
 
--- a/packages/state/lacewingdrum_state/addresses.py
+++ b/packages/state/lacewingdrum_state/addresses.py
@@ -6,7 +6,7 @@
 import re
 
 PORT_MAX = 65_535
-# The longest form of an address is shorter.
+# Longer texts are no address.
 TEXT_MAX = 80
 # The same addresses are read again with each list of runners.
 CACHE_ADDRESSES = 4_096
--- a/packages/state/lacewingdrum_state/bounds.py
+++ b/packages/state/lacewingdrum_state/bounds.py
@@ -23,6 +23,6 @@
 LeftMs = Annotated[float, msgspec.Meta(ge=-AGE_MAX_MS, le=AGE_MAX_MS)]
 Trials = Annotated[int, msgspec.Meta(ge=0, le=TRIALS_MAX)]
 Era = Annotated[int, msgspec.Meta(ge=0, lt=10**ERA_DIGITS_MAX)]
-# Neither of these is infinite or not a number.
+# These two types exclude infinities and NaN.
 Finite = Annotated[float, msgspec.Meta(ge=-FLOAT_MAX, le=FLOAT_MAX)]
 NotNegative = Annotated[float, msgspec.Meta(ge=0, le=FLOAT_MAX)]
