--- a/review/common/review_site.py
+++ b/review/common/review_site.py
@@ -249,6 +249,64 @@
         return row
 
 
+class Path:
+    """A proxy whose open connections can go silent, while new ones work."""
+
+    def __init__(self, host: str, port: int) -> None:
+        self.port = 0
+        self._target = (host, port)
+        self._server: asyncio.Server | None = None
+        self._relays: set[asyncio.Task[None]] = set()
+        self._silent: list[asyncio.StreamWriter] = []
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Begin to listen."""
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def silence(self) -> int:
+        """Let all open connections go silent; return their number."""
+        count = len(self._writers) // 2
+        for writer in self._writers:
+            writer.transport.pause_reading()  # type: ignore[attr-defined]
+            self._silent.append(writer)
+        self._writers.clear()
+        for relay in tuple(self._relays):
+            relay.cancel()
+        return count
+
+    async def close(self) -> None:
+        """End all connections."""
+        if self._server is not None:
+            self._server.close()
+        for relay in tuple(self._relays):
+            relay.cancel()
+        await asyncio.gather(*self._relays, return_exceptions=True)
+        for writer in (*self._silent, *self._writers):
+            writer.transport.abort()
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        onward_reader, onward = await asyncio.open_connection(*self._target)
+        self._writers.update((writer, onward))
+        for source, sink in ((reader, onward), (onward_reader, writer)):
+            relay = asyncio.ensure_future(self._relay(source, sink))
+            self._relays.add(relay)
+            relay.add_done_callback(self._relays.discard)
+
+    async def _relay(
+        self, source: asyncio.StreamReader, sink: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(ConnectionError, asyncio.CancelledError):
+            while data := await source.read(65_536):
+                sink.write(data)
+                await sink.drain()
+            self._writers.discard(sink)
+            sink.close()
+
+
 class Runner(Server):
     """A plain runner: one answer a request, after ``work_s``."""
 
@@ -341,7 +399,9 @@
     }
 
 
-def make_state(version: int, routes: list[dict]) -> dict[str, object]:
+def make_state(
+    version: int, routes: list[dict], keys: tuple[str, ...] = (KEY,)
+) -> dict[str, object]:
     """Return a desired state of the operator."""
     return {
         "version": version,
@@ -353,7 +413,7 @@
             "header_timeout_ms": 3_000,
             "idle_timeout_ms": 15_000,
         },
-        "tenants": [{"name": "tenant", "api_keys": [KEY], "priority": 1}],
+        "tenants": [{"name": "tenant", "api_keys": list(keys), "priority": 1}],
     }
 
 
@@ -396,11 +456,14 @@
         self._folder = folder
         self._peer_port = free_port()
         self._heartbeats: asyncio.Task[None] | None = None
+        self.store_path: Path | None = None
         self.silent: set[str] = set()
 
     async def start(self, gateway_count: int, state: dict[str, object]) -> None:
         """Start the store and the gateways, and wait until they are ready."""
         await self.store.start()
+        self.store_path = Path("127.0.0.1", self.store.port)
+        await self.store_path.start()
         self.store.put("op", "config", state)
         for runner in self.runners:
             await runner.start()
@@ -429,7 +492,7 @@
 metrics_port = 0
 seeds = {json.dumps(seeds)}
 [store]
-address = "127.0.0.1:{self.store.port}"
+address = "127.0.0.1:{self._store_port}"
 [limits]
 descriptors = 4200
 memory_mb = 300
@@ -465,6 +528,11 @@
         log.close()
         self.record.write(f"gateway {gateway.number} started, pid {gateway.pid}")
 
+    @property
+    def _store_port(self) -> int:
+        assert self.store_path is not None
+        return self.store_path.port
+
     async def until_ready(self, gateway: Gateway) -> None:
         """Wait until a gateway says that it is ready."""
         async with asyncio.timeout(READY_WAIT_S):
@@ -501,6 +569,8 @@
                 await process.wait()
         for runner in self.runners:
             await runner.close()
+        if self.store_path is not None:
+            await self.store_path.close()
         await self.store.close()
 
 
@@ -588,13 +658,13 @@
         connection.close()
 
 
-def call_headers(attempt_id: str, patience_ms: int) -> Headers:
+def call_headers(attempt_id: str, patience_ms: int, key: str = KEY) -> Headers:
     """Return the headers of a request of the tenant."""
     return {
         "Host": HOST,
         "Attempt-Id": attempt_id,
         "Deadline-Ms": str(patience_ms),
-        "Key": KEY,
+        "Key": key,
     }
 
 
