--- a/review/common/review_site.py
+++ b/review/common/review_site.py
@@ -156,10 +156,14 @@
 
 
 class Store(Server):
-    """The platform's store: rows, a feed of changes and transactions."""
+    """The platform's store: rows, a feed of changes and transactions.
+
+    While ``is_down`` it answers all calls with 503, also those that wait.
+    """
 
     def __init__(self) -> None:
         super().__init__()
+        self._is_down = False
         self.version = 1
         self.era = 1
         self.rows: dict[tuple[str, str], tuple[bytes, int]] = {}
@@ -181,8 +185,7 @@
         else:
             self.rows[table, key] = (value, self.version)
         self.history.append((self.version, table, key, value))
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self._wake()
 
     async def serve(
         self,
@@ -196,7 +199,23 @@
         writer.write(answer(status, headers, json.dumps(body).encode()))
         return True
 
+    @property
+    def is_down(self) -> bool:
+        """Whether nothing is done."""
+        return self._is_down
+
+    @is_down.setter
+    def is_down(self, is_down: bool) -> None:
+        self._is_down = is_down
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     async def _call(self, request: Request) -> tuple[int, dict[str, object]]:
+        if self._is_down:
+            return 503, {}
         path, _, query = request.target.partition("?")
         fields = dict(urllib.parse.parse_qsl(query))
         if path == "/-/rows-get":
@@ -219,6 +238,8 @@
         after, end_s = int(fields["after"]), time.monotonic()
         end_s += int(fields["wait_ms"]) / 1_000
         while True:
+            if self._is_down:
+                return 503, {}
             if after > self.version:
                 return 410, {}
             found = [
@@ -424,12 +445,17 @@
         return int(probe.getsockname()[1])
 
 
+def gateway_host(number: int) -> str:
+    """Return the loopback address of a gateway."""
+    return f"127.0.{2 + number // 250}.{number % 250 + 1}"
+
+
 class Gateway:
     """A gateway process and its addresses."""
 
     def __init__(self, number: int) -> None:
         self.number = number
-        self.host = f"127.0.2.{number + 1}"
+        self.host = gateway_host(number)
         self.port = free_port()
         self.ready_port = free_port()
         self.process: asyncio.subprocess.Process | None = None
@@ -440,6 +466,13 @@
         assert self.process is not None
         return self.process.pid
 
+    async def kill(self) -> None:
+        """End the process without notice."""
+        if self.process is not None:
+            if self.process.returncode is None:
+                self.process.kill()
+            await self.process.wait()
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
         os.kill(self.pid, number)
@@ -453,14 +486,30 @@
         self.store = Store()
         self.runners: list[Runner] = []
         self.gateways: list[Gateway] = []
+        self.seed_hosts: list[str] = []
         self._folder = folder
         self._peer_port = free_port()
         self._heartbeats: asyncio.Task[None] | None = None
         self.store_path: Path | None = None
         self.silent: set[str] = set()
 
-    async def start(self, gateway_count: int, state: dict[str, object]) -> None:
+    async def start(
+        self, gateway_count: int, state: dict[str, object], first: int = 0
+    ) -> None:
         """Start the store and the gateways, and wait until they are ready."""
+        await self.start_platform(state)
+        numbers = range(first, first + gateway_count)
+        self.seed_hosts = [gateway_host(number) for number in numbers[:3]]
+        self.gateways += [Gateway(number) for number in numbers]
+        for gateway in self.gateways:
+            await self.start_gateway(gateway)
+        for gateway in self.gateways:
+            await self.until_ready(gateway)
+
+    async def start_platform(self, state: dict[str, object]) -> None:
+        """Start the store and the runners, unless they run."""
+        if self._heartbeats is not None:
+            return
         await self.store.start()
         self.store_path = Path("127.0.0.1", self.store.port)
         await self.store_path.start()
@@ -469,17 +518,11 @@
             await runner.start()
             self.store.put("servers", runner.runner_id, runner.entry())
         self._heartbeats = asyncio.ensure_future(self._beat())
-        for number in range(gateway_count):
-            gateway = Gateway(number)
-            self.gateways.append(gateway)
-            await self.start_gateway(gateway)
-        for gateway in self.gateways:
-            await self.until_ready(gateway)
 
     async def start_gateway(self, gateway: Gateway) -> None:
         """Start the process of a gateway with the deploy file's command."""
         path = self._folder / f"gateway-{gateway.number}.toml"
-        seeds = [f"127.0.2.{number + 1}:1" for number in range(3)]
+        seeds = [f"{host}:1" for host in self.seed_hosts]
         path.write_text(
             f"""
 [vm]
@@ -562,11 +605,7 @@
         if self._heartbeats is not None:
             self._heartbeats.cancel()
         for gateway in self.gateways:
-            process = gateway.process
-            if process is not None and process.returncode is None:
-                process.kill()
-            if process is not None:
-                await process.wait()
+            await gateway.kill()
         for runner in self.runners:
             await runner.close()
         if self.store_path is not None:
