--- a/packages/transport/lacewingdrum_transport/http_server_test.py
+++ b/packages/transport/lacewingdrum_transport/http_server_test.py
@@ -409,3 +409,33 @@
         assert await server.close() == 1
         assert await call == b""
         assert server.connection_count == 0
+
+
+async def test_close_gives_a_request_in_progress_a_last_answer():
+    async def never_ends(request, responder):
+        await asyncio.Event().wait()
+
+    async with serving(never_ends) as (server, port):
+        call = asyncio.ensure_future(
+            exchange(port, b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        )
+        while not server.busy_count:
+            await asyncio.sleep(0)
+        await asyncio.sleep(0.02)
+        assert await server.close() == 1
+        received = await call
+    assert status_of(received) == 502
+    assert b"lacewingdrum-ran: maybe" in received.lower()
+
+
+async def test_close_refuses_a_request_whose_body_has_not_arrived():
+    recorder = Recorder()
+    head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n"
+    async with serving(recorder) as (server, port):
+        call = asyncio.ensure_future(exchange(port, head + b"ab"))
+        while not server.busy_count:
+            await asyncio.sleep(0)
+        assert await server.close() == 1
+        received = await call
+    assert status_of(received) == 503 and recorder.requests == []
+    assert b"lacewingdrum-ran: no" in received.lower()
