Requests that a stop interrupts get a last answer, and late ones are refused

Cause: closing a server cancels the handlers, and no way led from there to the caller. What begins during a stop was decided by a constant time before its end, whatever the request's own time. Reads and streams that were interrupted in that way were not even recorded, and stayed in the table of running requests.

Change: StopAdmission refuses what cannot end before the stop does: orders by their deadline, what may be repeated also by how long it is likely to take. At the end each open request gets a last answer: a whole answer is written, 503 where nothing was sent, 502 where it may have run. HttpServer.close lets handlers say it, and answers for those that do not and for requests whose body has not come.

http_server_test.test_close_without_grace_counts_aborted_requests asserted the fault (an empty answer); it now asserts 502 with 'may have run', everything else as before. In stop_test's new case no order is sent 3.2 s after the begin, as the stop ends before.

Shown by: stop_admission_test, stop_test, http_server_test.

--- a/packages/gateway/lacewingdrum_gateway/gateway.py
+++ b/packages/gateway/lacewingdrum_gateway/gateway.py
@@ -15,7 +15,7 @@
 # New callers arrive until two readiness checks have failed.
 DRAIN_MIN_S = 2.6
 DRAIN_POLL_S = 0.05
-# Open requests are aborted this long before the grace period ends.
+# Open requests are interrupted this long before the grace period ends.
 ABORT_BEFORE_KILL_S = 0.5
 SUSPENSION_CHECK_S = 0.1
 # Only a suspension moves the two monotonic clocks apart by this much at once.
@@ -153,10 +153,11 @@
 
         New requests are served as long as they can end in time and refused
         after that. Requests still open at the end of the grace period are
-        aborted.
+        interrupted: their callers are told whether they may have run, and
+        streams that have begun are broken off.
 
         Returns:
-            The number of aborted requests.
+            The number of interrupted requests.
         """
         components = self.components
         stop_s = components.clock()
@@ -178,8 +179,11 @@
             )
             if may_finish and not is_busy:
                 break
-        aborted_count = await components.callers_server.close()
-        aborted_count += await components.relay_server.close()
+        aborted_count = sum(
+            await asyncio.gather(
+                components.callers_server.close(), components.relay_server.close()
+            )
+        )
         self._record_stop(decision_log.DecisionEvent.STOPPED, aborted_count)
         await self.close()
         return aborted_count
--- a/packages/gateway/lacewingdrum_gateway/serving/final_answers.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/final_answers.py
@@ -13,6 +13,8 @@
 RETRY_AFTER_MIN_S = 0.15
 RETRY_AFTER_JITTER_S = 0.35
 REFUSED_RETRY_AFTER_S = 1.5
+# Callers reach another daemon at once.
+LEAVING_RETRY_S = 0.1
 # Callers are asked to wait no longer than this share of their time left.
 RETRY_AFTER_TIME_LEFT_SHARE = 0.3
 
@@ -92,9 +94,30 @@
         )
         return outcomes.Outcome.REFUSED
 
+    async def end_for_stop(
+        self, active: active_request.ActiveRequest
+    ) -> outcomes.Outcome:
+        """End a request that this daemon cannot go on with, as it stops.
+
+        Args:
+            active: a request whose attempts have been interrupted.
+
+        Returns:
+            The outcome.
+        """
+        responder = active.responder
+        responder.close_after_response()
+        if not responder.started and not active.may_have_run:
+            return await self._send_refusal(active, "leaving", LEAVING_RETRY_S)
+        outcome = await self.give_up(active)
+        is_cut = outcome in outcomes.CUT_OUTCOMES
+        return outcomes.Outcome.STOPPED if is_cut else outcome
+
     async def give_up(self, active: active_request.ActiveRequest) -> outcomes.Outcome:
         """Answer the caller with a failure, or close a started stream.
 
+        An answer that is whole is written to its end.
+
         Args:
             active: a request for which no further attempt is made.
 
@@ -102,6 +125,11 @@
             The outcome.
         """
         responder = active.responder
+        time_over = active.left_s(self._clock()) <= 0
+        if responder.finished:
+            is_written = await responder.flush()
+            gone = outcomes.Outcome.CALLER_GONE
+            return outcomes.Outcome.ANSWERED if is_written else gone
         if responder.started:
             responder.abort()
             return outcomes.Outcome.BROKEN_OFF
@@ -109,7 +137,6 @@
         if answer is not None:
             await responder.send(answer)
             return outcomes.Outcome.RUNNER_FAILURE
-        time_over = active.left_s(self._clock()) <= 0
         if not active.may_have_run:
             pause_s = self._candidates.pause_left_s(active.routed.service.name)
             spread_s = RETRY_AFTER_JITTER_S * self._rng.random()
--- a/packages/gateway/lacewingdrum_gateway/serving/request_handler.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/request_handler.py
@@ -5,7 +5,7 @@
 
 from result import Err
 
-from lacewingdrum_coordination import route_table
+from lacewingdrum_coordination import route_table, stop_admission
 from lacewingdrum_gateway import configuration_sync
 from lacewingdrum_gateway.runners import runner_list_sync
 from lacewingdrum_gateway.serving import (
@@ -15,27 +15,19 @@
     forwarding,
     outcomes,
     plans,
+    request_log,
     unrouted_answers,
 )
 from lacewingdrum_platform import headers as platform_headers
 from lacewingdrum_protocol import event_stream
 from lacewingdrum_runtime import decision_log, metrics
-from lacewingdrum_state import configurations, ids, requests
+from lacewingdrum_state import configurations, requests
 from lacewingdrum_transport import http_messages, responder as responders
 
 NOT_READY_RETRY_S = 0.5
 # A daemon that starts knows configuration and runners after a few calls.
 INITIAL_STATE_WAIT_S = 0.3
 INITIAL_STATE_POLL_S = 0.01
-LEAVING_RETRY_S = 0.1
-# Streams that start in this last share of a planned stop are refused, because
-# they might be aborted.
-STREAM_MIN_LEFT_SHARE = 0.6
-# Requests other than streams are refused if less time than this is left.
-CALL_MIN_LEFT_S = 1.2
-# Requests that are cut are counted by the age of the configuration in whole
-# seconds, up to this one.
-CONFIGURATION_AGE_MAX_S = 5
 
 
 class RequestHandler:
@@ -56,24 +48,23 @@
         self._forwarder = forwarder
         self._final_answers = answers
         self._clock = clock
-        self._decisions = decisions
         self._counts = counts
+        self._log = request_log.RequestLog(
+            configuration_updates, clock, decisions, counts
+        )
         self._unrouted = unrouted_answers.UnroutedAnswers(
             configuration_updates, decisions, counts
         )
         self._running: dict[asyncio.Future, active_request.ActiveRequest] = {}
-        self._stream_cutoff_s = float("inf")
-        self._call_cutoff_s = float("inf")
+        self._stop: stop_admission.StopAdmission | None = None
 
     def set_leaving(self, abort_s: float) -> None:
         """Begin to refuse requests that could not end before the stop.
 
         Args:
-            abort_s: when open requests will be aborted.
+            abort_s: when open requests will be interrupted.
         """
-        left_s = max(abort_s - self._clock(), 0.0)
-        self._stream_cutoff_s = abort_s - STREAM_MIN_LEFT_SHARE * left_s
-        self._call_cutoff_s = abort_s - CALL_MIN_LEFT_S
+        self._stop = stop_admission.StopAdmission(self._clock(), abort_s)
 
     def end_overdue(self) -> int:
         """End requests whose deadline passed while the VM was suspended.
@@ -134,7 +125,13 @@
         is_relayed: bool,
     ) -> None:
         caller_headers = platform_headers.parse_caller_headers(request.headers)
-        await self._wait_for_initial_state(request)
+        try:
+            await self._wait_for_initial_state(request)
+        except asyncio.CancelledError:
+            await self._unrouted.answer_unavailable(
+                caller_headers, responder, "leaving", final_answers.LEAVING_RETRY_S
+            )
+            raise
         table = self._configurations.table
         if table is None or not self._runner_list.is_known:
             await self._unrouted.answer_unavailable(
@@ -149,9 +146,10 @@
             )
             return
         found = allowed.ok_value
-        if self._is_too_late(found.route):
+        deadline_s = _deadline_s(request, caller_headers, found.route.timeout_ms)
+        if not self._may_begin(found.route, deadline_s):
             await self._unrouted.answer_unavailable(
-                caller_headers, responder, "leaving", LEAVING_RETRY_S
+                caller_headers, responder, "leaving", final_answers.LEAVING_RETRY_S
             )
             return
         name = route_table.pick_service(found.route, caller_headers.attempt_id)
@@ -167,7 +165,7 @@
             customer=found.customer,
             caller_headers=caller_headers,
             received_s=request.received_s,
-            deadline_s=_deadline_s(request, caller_headers, found.route.timeout_ms),
+            deadline_s=deadline_s,
         )
         expected = request.headers.get(platform_headers.RELAYED_ROUTE)
         if is_relayed and expected != routed.route_digest:
@@ -204,85 +202,60 @@
     async def _forward(self, active: active_request.ActiveRequest) -> None:
         running = asyncio.ensure_future(self._forwarder.forward(active))
         self._running[running] = active
-        if active.routed.route.is_retryable or active.routed.service.engine:
-            disconnected = asyncio.ensure_future(active.responder.disconnected.wait())
-            try:
-                await asyncio.wait(
-                    (running, disconnected), return_when=asyncio.FIRST_COMPLETED
-                )
-            finally:
-                disconnected.cancel()
-                if not running.done():
-                    running.cancel()
         try:
-            outcome = await running
-        except asyncio.CancelledError:
-            outcome = outcomes.Outcome.CALLER_GONE
-            if active.is_overdue or active.is_blamed:
-                outcome = await self._final_answers.give_up(active)
-            elif not active.responder.disconnected.is_set():
-                self._record(active, outcomes.Outcome.STOPPED)
-                raise
+            outcome = await self._run_to_end(active, running)
         except Exception:
-            self._record(active, outcomes.Outcome.INTERNAL_ERROR)
+            self._log.record(active, outcomes.Outcome.INTERNAL_ERROR)
             raise
         finally:
             del self._running[running]
-            if not running.done():
-                running.cancel()
-        self._record(active, outcome)
+        self._log.record(active, outcome)
 
-    def _record(
-        self, active: active_request.ActiveRequest, outcome: outcomes.Outcome
+    async def _run_to_end(
+        self, active: active_request.ActiveRequest, running: asyncio.Future
+    ) -> outcomes.Outcome:
+        """Return the outcome of a request, also if it is interrupted."""
+        try:
+            await self._wait_for_end(active, running)
+            return await running
+        except asyncio.CancelledError:
+            running.cancel()
+            await asyncio.wait((running,))
+        if not running.cancelled():
+            # It ended in the turn in which it was interrupted.
+            return running.result()
+        return await self._end_interrupted(active)
+
+    async def _wait_for_end(
+        self, active: active_request.ActiveRequest, running: asyncio.Future
     ) -> None:
-        routed = active.routed
-        now_s = self._clock()
-        elapsed_s = now_s - routed.received_s
-        service = routed.service.name
-        length = requests.length_class(routed.caller_headers.prompt_tokens)
-        self._counts.count("requests", outcome=outcome.value, service=service)
-        self._counts.time(metrics.Timing.COMPLETE, service, length, elapsed_s)
-        first_ms = None
-        if active.first_event_s is not None:
-            first_s = active.first_event_s - routed.received_s
-            first_ms = round(first_s * 1_000, 1)
-            self._counts.time(metrics.Timing.FIRST_TOKEN, service, length, first_s)
-        event = decision_log.DecisionEvent.FAILED
-        if outcome is outcomes.Outcome.ANSWERED:
-            event = decision_log.DecisionEvent.FINISHED
-        configuration_age_s = self._configurations.age_s
-        if outcome in outcomes.CUT_OUTCOMES:
-            self._counts.count(
-                "cut_requests",
-                outcome=outcome.value,
-                configuration_age_s=_age_class(configuration_age_s),
+        """Wait until a request has ended, or its caller has left it."""
+        if not (active.routed.route.is_retryable or active.routed.service.engine):
+            return
+        disconnected = asyncio.ensure_future(active.responder.disconnected.wait())
+        try:
+            await asyncio.wait(
+                (running, disconnected), return_when=asyncio.FIRST_COMPLETED
             )
-        self._decisions.record(
-            event,
-            ids.RequestId(active.outgoing.attempt_id),
-            outcome=outcome,
-            route=routed.route.name,
-            customer=routed.customer.name if routed.customer else "",
-            attempts=active.attempt_count,
-            elapsed_ms=round(elapsed_s * 1_000, 1),
-            first_event_ms=first_ms,
-            events=active.events.event_count,
-            longest_pause_ms=round(active.longest_pause_s * 1_000, 1),
-            configuration_age_s=round(configuration_age_s, 3),
-            **active.describe_answer_end(),
-        )
-
-    def _is_too_late(self, route: configurations.Route) -> bool:
-        is_stream = route.kind is configurations.RouteKind.STREAM
-        cutoff_s = self._stream_cutoff_s if is_stream else self._call_cutoff_s
-        return self._clock() > cutoff_s
+        finally:
+            disconnected.cancel()
+        if not running.done():
+            running.cancel()
 
+    async def _end_interrupted(
+        self, active: active_request.ActiveRequest
+    ) -> outcomes.Outcome:
+        """Give the caller the last answer of an interrupted request."""
+        if active.responder.disconnected.is_set():
+            return outcomes.Outcome.CALLER_GONE
+        if active.is_overdue or active.is_blamed:
+            return await self._final_answers.give_up(active)
+        return await self._final_answers.end_for_stop(active)
 
-def _age_class(age_s: float) -> str:
-    """Return the age in whole seconds as a metric's label."""
-    if age_s >= CONFIGURATION_AGE_MAX_S:
-        return f"{CONFIGURATION_AGE_MAX_S}+"
-    return str(int(age_s))
+    def _may_begin(self, route: configurations.Route, deadline_s: float) -> bool:
+        if self._stop is None:
+            return True
+        return self._stop.may_begin(route, deadline_s, self._clock())
 
 
 def _deadline_s(
--- a/packages/gateway/lacewingdrum_gateway/stop_test.py
+++ b/packages/gateway/lacewingdrum_gateway/stop_test.py
@@ -64,12 +64,12 @@
             ledger.answer_s = 1.4
         sends = [
             (after_s, "/order/x", f"o{number}-{after_s}", 3_000)
-            for after_s in (0.2, 1.7, 2.2, 3.2)
+            for after_s in (0.2, 1.7, 2.2)
             for number in range(3)
         ]
         answers = await stop_with_calls(site, sends)
         assert [one.status for one in answers[:3]] == [200, 200, 200]
-        assert [one.status for one in answers[3:]] == [503] * 9
+        assert [one.status for one in answers[3:]] == [503] * 6
         ran = {attempt_id for one in site.ledgers for attempt_id in one.runs}
         assert ran == {"o0-0.2", "o1-0.2", "o2-0.2"}
 
--- a/packages/transport/lacewingdrum_transport/http_server.py
+++ b/packages/transport/lacewingdrum_transport/http_server.py
@@ -14,6 +14,7 @@
 from lacewingdrum_transport import (
     byte_budget,
     byte_channel,
+    connection_end,
     http_messages,
     request_reader,
     responder as responders,
@@ -25,8 +26,6 @@
 ServerLimits = request_reader.ServerLimits
 Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
 
-LINGER_MAX_S = 1.0
-LINGER_BYTES_MAX = 64 * 1024 * 1024
 ACCEPT_BACKLOG = 1024
 OVERLOAD_RETRY_AFTER_S = 1
 
@@ -53,9 +52,12 @@
         self._server: asyncio.Server | None = None
         self._tasks: dict[asyncio.Task[None], byte_channel.ByteChannel] = {}
         self._busy: set[byte_channel.ByteChannel] = set()
+        # Requests without a whole answer; None while a request is being read.
+        self._unanswered: dict[byte_channel.ByteChannel, Responder | None] = {}
         self._no_busy_connections = asyncio.Event()
         self._no_busy_connections.set()
         self._leaving = False
+        self._is_closing = False
 
     @property
     def connection_count(self) -> int:
@@ -116,11 +118,15 @@
     async def close(self, grace_s: float = 0.0) -> int:
         """Wait for requests in progress, then close all connections.
 
+        Requests that are still in progress then are interrupted. Their
+        handlers can send a last answer for a moment; the server sends one
+        where a handler has sent none.
+
         Args:
             grace_s: how long to wait.
 
         Returns:
-            The number of requests that were aborted.
+            The number of requests that were interrupted.
         """
         self.set_leaving()
         self.stop_accepting()
@@ -128,13 +134,20 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(grace_s):
                     await self._no_busy_connections.wait()
-        aborted_count = len(self._busy)
-        tasks = tuple(self._tasks)
-        for task in tasks:
+        interrupted_count = len(self._unanswered)
+        self._is_closing = True
+        for task in self._tasks:
+            task.cancel()
+        if self._tasks:
+            await asyncio.wait(
+                tuple(self._tasks), timeout=connection_end.LAST_ANSWER_MAX_S
+            )
+        for task, channel in self._tasks.items():
             task.cancel()
-        if tasks:
-            await asyncio.wait(tasks)
-        return aborted_count
+            channel.abort()
+        if self._tasks:
+            await asyncio.wait(tuple(self._tasks))
+        return interrupted_count
 
     def _new_channel(self) -> byte_channel.ByteChannel:
         return byte_channel.ByteChannel(self._on_connected)
@@ -149,6 +162,7 @@
     def _on_task_done(self, task: asyncio.Task[None]) -> None:
         channel = self._tasks.pop(task)
         self._set_busy(channel, False)
+        self._unanswered.pop(channel, None)
         if task.cancelled():
             channel.abort()
             return
@@ -178,21 +192,34 @@
         # Connections that are being refused count too. From twice the limit
         # on, they are closed without discarding the caller's further data.
         if len(self._tasks) < 2 * self._limits.connections:
-            await _linger(channel)
+            await connection_end.linger(channel)
 
     async def _serve(self, channel: byte_channel.ByteChannel) -> None:
         connection = self._new_h11_connection()
+        try:
+            await self._serve_requests(channel, connection)
+        except asyncio.CancelledError:
+            await self._send_last_answer(channel, connection)
+            raise
+
+    async def _serve_requests(
+        self, channel: byte_channel.ByteChannel, connection: h11.Connection
+    ) -> None:
         reader = request_reader.RequestReader(
             channel, connection, self._limits, self._budget, self._clock
         )
         while await reader.wait_for_request():
             self._set_busy(channel, True)
+            self._unanswered[channel] = None
             try:
                 reusable = await self._serve_one(channel, connection, reader)
             finally:
                 reader.release()
+            del self._unanswered[channel]
+            if self._is_closing:
+                return
             if not reusable:
-                await _linger(channel)
+                await connection_end.linger(channel)
                 return
             connection.start_next_cycle()
             if not connection.trailing_data[0]:
@@ -223,6 +250,7 @@
         allows_body = request.method != "HEAD"
         timeout_s = self._limits.write_timeout_s
         responder = Responder(channel, connection, timeout_s, allows_body)
+        self._unanswered[channel] = responder
         if self._leaving:
             responder.close_after_response()
         try:
@@ -244,6 +272,22 @@
             http_messages.error_response(500, "internal", message, states.Ran.MAYBE)
         )
 
+    async def _send_last_answer(
+        self, channel: byte_channel.ByteChannel, connection: h11.Connection
+    ) -> None:
+        """End a connection whose request is interrupted.
+
+        A request that no handler has is refused. For one that a handler has
+        left without an answer nothing is promised.
+        """
+        if channel not in self._unanswered and not channel.has_unread:
+            return
+        responder = self._unanswered.get(channel)
+        if responder is None:
+            await connection_end.refuse_unread(channel, connection)
+        else:
+            await connection_end.answer_interrupted(responder)
+
     async def _send_error(
         self,
         channel: byte_channel.ByteChannel,
@@ -269,20 +313,3 @@
         responder = Responder(channel, connection, self._limits.write_timeout_s, True)
         responder.close_after_response()
         await responder.send(response)
-
-
-async def _linger(channel: byte_channel.ByteChannel) -> None:
-    """Discard further data of the caller for a limited time.
-
-    If the server closed the connection while the caller is still sending, the
-    response could be lost.
-    """
-    channel.write_eof()
-    loop = asyncio.get_running_loop()
-    deadline_s = loop.time() + LINGER_MAX_S
-    discarded_bytes = 0
-    while discarded_bytes < LINGER_BYTES_MAX and loop.time() < deadline_s:
-        data = await channel.read(deadline_s - loop.time())
-        if not data:
-            return
-        discarded_bytes += len(data)
--- a/packages/transport/lacewingdrum_transport/http_server_test.py
+++ b/packages/transport/lacewingdrum_transport/http_server_test.py
@@ -407,8 +407,10 @@
         call = asyncio.create_task(exchange(port, get))
         await entered.wait()
         assert await server.close() == 1
-        assert await call == b""
+        received = await call
         assert server.connection_count == 0
+    assert status_of(received) == 502
+    assert b"lacewingdrum-ran: maybe" in received.lower()
 
 
 async def test_close_gives_a_request_in_progress_a_last_answer():
--- a/packages/transport/lacewingdrum_transport/responder.py
+++ b/packages/transport/lacewingdrum_transport/responder.py
@@ -112,6 +112,14 @@
         self._check_is_open()
         return await self._write_last(self._serialize_end())
 
+    async def flush(self) -> bool:
+        """Wait until a complete response is written.
+
+        Returns:
+            False if the caller has disconnected or did not read in time.
+        """
+        return await self._channel.flush(self._write_timeout_s) or self._abort_stalled()
+
     def abort(self) -> None:
         """Abort the connection, so that the caller sees no clean end."""
         if self._is_self_delimited:
@@ -163,7 +171,7 @@
         """
         if self.disconnected.is_set() or not self._channel.write(data):
             return False
-        return await self._channel.flush(self._write_timeout_s) or self._abort_stalled()
+        return await self.flush()
 
     def _abort_stalled(self) -> bool:
         # A caller that never reads would otherwise occupy memory forever.
