A stream that ends at its deadline is recorded as over, not as cut

What operators saw: cut_requests_total counted streams past their deadline by the age of the configuration, and their lines said broken_off, so that the count could not tell cuts beside a change from requests whose time was over.

Change: an ended stream whose deadline has passed has the outcome time_over, as calls have.

The new test failed before (no time_over in 5 s).

--- a/packages/gateway/lacewingdrum_gateway/answer_end_test.py
+++ b/packages/gateway/lacewingdrum_gateway/answer_end_test.py
@@ -110,3 +110,15 @@
             r'cut_requests_total{configuration_age_s="[0-5]\+?",outcome="lost"} 1'
         )
         await site.wait_until(lambda: line.search(counts.text()))
+
+
+async def test_stream_that_is_ended_at_its_deadline_is_not_counted_as_cut():
+    async with platform_site.running_site() as site:
+        for engine in site.engines:
+            engine.event_interval_s = 0.4
+        headers = platform_site.prompt_headers(2_000, patience_ms=700)
+        answer = await site.call("/ask/x", "a1", headers=headers)
+        assert answer.status == 0
+        counts = site.gateways[0].daemon.components.counts
+        await site.wait_until(lambda: 'outcome="time_over"' in counts.text())
+        assert "cut_requests_total" not in counts.text()
--- a/packages/gateway/lacewingdrum_gateway/serving/final_answers.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/final_answers.py
@@ -132,7 +132,8 @@
             return outcomes.Outcome.ANSWERED if is_written else gone
         if responder.started:
             responder.abort()
-            return outcomes.Outcome.BROKEN_OFF
+            cut = outcomes.Outcome.BROKEN_OFF
+            return outcomes.Outcome.TIME_OVER if time_over else cut
         answer = _last_answer(active)
         if answer is not None:
             await responder.send(answer)
