Soak: requests that a planned stop took and that ran must be answered

Why it was missed: of requests sent while their gateway stopped the soak checked nothing, and its plain runners answered at once, so that none was at work at the end of a stop.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -104,7 +104,7 @@
         )
         if profile is faults.Profile.SOUND:
             violations += lost_checks.violations(
-                soak_callers.observed, soak_site.disruptions
+                soak_callers.observed, soak_site.runners, soak_site.disruptions
             )
         answered = callers.answered_share(soak_callers.observed)
         print(
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -65,11 +65,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Disruption:
-    """A time span in which a fault paused or stopped a gateway."""
+    """A time span in which a gateway was paused, killed or stopped."""
 
     gateway: int
     from_s: float
     to_s: float
+    is_planned_stop: bool = False
 
 
 def violations(
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -135,7 +135,7 @@
         return rng.choice(injections)
 
     def _draw_sound(self) -> Injection:
-        """Draw planned work, or the silence of a runner that goes on."""
+        """Draw planned work, or slow or silent runners that go on."""
         rng = self._rng
         span_s = rng.uniform(0.3, 3.0)
         gateway = rng.randrange(self._site.gateway_count)
@@ -144,6 +144,10 @@
         return rng.choice(
             (
                 Injection("runners pause", lambda: self._runners.silence(span_s)),
+                Injection(
+                    f"SIGTERM gateway {gateway}, plain runners are slow",
+                    lambda: self._stop_beside_slow_runners(gateway, build),
+                ),
                 Injection(
                     f"runner {runner} leaves",
                     lambda: self._runners.leave(runner, span_s),
@@ -198,6 +202,14 @@
         finally:
             self._busy_gateways.discard(gateway)
 
+    async def _stop_beside_slow_runners(
+        self, gateway: int, build: builds.Build | None
+    ) -> None:
+        await asyncio.gather(
+            self._runners.slow_down(site.GRACE_S),
+            self._kill(gateway, signal.SIGTERM, build),
+        )
+
     async def _pause(self, gateway: int, span_s: float) -> None:
         if gateway in self._busy_gateways:
             return
--- a/tests/soak/runner_faults.py
+++ b/tests/soak/runner_faults.py
@@ -8,6 +8,8 @@
 from tests.soak import checks, site
 
 SOUND_FAULTS = (Fault.PAUSE, Fault.SHED)
+# The shortest and longest time that slow plain runners need.
+SLOW_ANSWER_S = (0.8, 2.5)
 REQUEST_FAULTS = tuple(fault for fault in Fault if fault is not Fault.NONE)
 # Faults that take a while to be found last longer than others.
 CRASHING_FACTOR = 3.0
@@ -30,6 +32,15 @@
             *(self._draw_faults(number, span_s, SOUND_FAULTS) for number in chosen)
         )
 
+    async def slow_down(self, span_s: float) -> None:
+        """Let plain runners take up to most of the time limit of a request."""
+        answer_s = self._rng.uniform(*SLOW_ANSWER_S)
+        for ledger in self._site.ledgers:
+            ledger.answer_s = answer_s
+        await asyncio.sleep(span_s)
+        for ledger in self._site.ledgers:
+            ledger.answer_s = 0.0
+
     async def fail(self, runner: int, span_s: float) -> None:
         """Let requests at a runner fail in every way."""
         await self._draw_faults(runner, span_s, REQUEST_FAULTS)
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -185,7 +185,8 @@
         self.processes[number] = await self._spawn(number)
         await self.wait_until_ready(number)
         to_s = asyncio.get_running_loop().time()
-        self.disruptions.append(checks.Disruption(number, from_s, to_s))
+        is_planned = stop_signal is signal.SIGTERM
+        self.disruptions.append(checks.Disruption(number, from_s, to_s, is_planned))
 
     async def pause(self, number: int, pause_s: float) -> None:
         """Suspend a gateway's process for ``pause_s``."""
