A caller that only ends its stream gets an answer

Cause: eof_received set `disconnected`, which kept answers from being written and ended repeatable work in silence. A caller that closes its connection sends the same end.

Change: `input_ended` says that the caller can send no more, `is_disconnected` that nothing can be sent to it. What can be written is written: orders run on, calls go on for 0.25 s (rule: no work for callers that have left after 0.5 s), streams end at once with 502, 503 or broken off. No attempt begins later than that, which also holds for requests sent ahead by a caller that has left. Their ends no longer count in cut_requests_total; the line says `caller_ended`. Why no probe by an interim answer: docs/design/platform.md.

--- a/packages/daemon/lacewingdrum_daemon/request_handler.py
+++ b/packages/daemon/lacewingdrum_daemon/request_handler.py
@@ -157,7 +157,7 @@
 ) -> Failure | None:
     """Run ``work``, and cancel it when the caller disconnects."""
     task = asyncio.ensure_future(work)
-    gone = asyncio.ensure_future(responder.disconnected.wait())
+    gone = asyncio.ensure_future(responder.input_ended.wait())
     try:
         await asyncio.wait({task, gone}, return_when=asyncio.FIRST_COMPLETED)
         if task.done():
--- a/packages/gateway/lacewingdrum_gateway/serving/active_request.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/active_request.py
@@ -30,7 +30,8 @@
     ``repeat_at`` is a runner that the request may be sent to again, and
     ``repeat_count`` counts such repeats. ``suspect_attempt_count`` counts the
     failed attempts after which their runner was suspect. ``is_blamed`` is set
-    if the request is ended because its prompt probably crashes engines, and
+    if the request is ended because its prompt probably crashes engines,
+    ``has_caller_ended`` if because its caller may have left, and
     ``is_trial`` if it was let through to find out whether it does.
     ``is_relayed`` is set if a daemon that reaches no runner has passed the
     request on, after it had sent it to ``earlier_runner_count`` runners;
@@ -63,6 +64,7 @@
     is_overdue: bool = False
     is_blamed: bool = False
     is_trial: bool = False
+    has_caller_ended: bool = False
     is_relayed: bool = False
     earlier_runner_count: int = 0
     is_counted: bool = False
--- a/packages/gateway/lacewingdrum_gateway/serving/final_answers.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/final_answers.py
@@ -105,13 +105,34 @@
         Returns:
             The outcome.
         """
+        return await self._end_early(active, "leaving", outcomes.Outcome.STOPPED)
+
+    async def end_for_caller(
+        self, active: active_request.ActiveRequest
+    ) -> outcomes.Outcome:
+        """End a request whose caller has ended its stream, and may have left.
+
+        Args:
+            active: a request whose attempts have been interrupted.
+
+        Returns:
+            The outcome.
+        """
+        gone = outcomes.Outcome.CALLER_GONE
+        return await self._end_early(active, "caller_ended", gone)
+
+    async def _end_early(
+        self,
+        active: active_request.ActiveRequest,
+        code: str,
+        cut: outcomes.Outcome,
+    ) -> outcomes.Outcome:
         responder = active.responder
         responder.close_after_response()
         if not responder.started and not active.may_have_run:
-            return await self._send_refusal(active, "leaving", LEAVING_RETRY_S)
+            return await self._send_refusal(active, code, LEAVING_RETRY_S)
         outcome = await self.give_up(active)
-        is_cut = outcome in outcomes.CUT_OUTCOMES
-        return outcomes.Outcome.STOPPED if is_cut else outcome
+        return cut if outcome in outcomes.CUT_OUTCOMES else outcome
 
     async def give_up(self, active: active_request.ActiveRequest) -> outcomes.Outcome:
         """Answer the caller with a failure, or close a started stream.
--- a/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
@@ -13,6 +13,7 @@
     attempt_ends,
     attempt_log,
     attempt_race,
+    caller_ends,
     exchange as exchanges,
     final_answers,
     open_attempt,
@@ -111,6 +112,7 @@
             if active.race.waits_for_none:
                 await self._reach.wait_for_check()
             is_due = may_start and active.race.waits_for_none
+            is_due = is_due and caller_ends.may_send(active)
             step = await self._start_next(active) if is_due else Step.WAIT
             if isinstance(step, outcomes.Outcome):
                 return step
@@ -121,7 +123,7 @@
             for ended in await self._wait_for_ends(active, wait_s):
                 if isinstance(ended.result, outcomes.Outcome):
                     return ended.result
-                if responder.disconnected.is_set():
+                if responder.is_disconnected:
                     return outcomes.Outcome.CALLER_GONE
                 may_start = await self._apply_end(active, ended.attempt, ended.result)
         if responder.finished:
--- a/packages/gateway/lacewingdrum_gateway/serving/request_handler.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/request_handler.py
@@ -11,6 +11,7 @@
 from lacewingdrum_gateway.serving import (
     active_request,
     attempt,
+    caller_ends,
     final_answers,
     forwarding,
     outcomes,
@@ -189,6 +190,11 @@
             active.earlier_runner_count = platform_headers.parse_earlier_runners(
                 request.headers
             )
+        if not caller_ends.may_send(active):
+            await self._unrouted.answer_unavailable(
+                caller_headers, responder, "caller_ended", final_answers.LEAVING_RETRY_S
+            )
+            return
         await self._forward(active)
 
     async def _wait_for_initial_state(self, request: http_messages.HttpRequest) -> None:
@@ -229,27 +235,28 @@
     async def _wait_for_end(
         self, active: active_request.ActiveRequest, running: asyncio.Future
     ) -> None:
-        """Wait until a request has ended, or its caller has left it."""
-        if not (active.routed.route.is_retryable or active.routed.service.engine):
+        """Wait until a request has ended, or its caller may have left it."""
+        if not caller_ends.is_watched(active):
             return
-        disconnected = asyncio.ensure_future(active.responder.disconnected.wait())
+        left = asyncio.ensure_future(caller_ends.wait_until_over(active))
         try:
-            await asyncio.wait(
-                (running, disconnected), return_when=asyncio.FIRST_COMPLETED
-            )
+            await asyncio.wait((running, left), return_when=asyncio.FIRST_COMPLETED)
         finally:
-            disconnected.cancel()
+            left.cancel()
         if not running.done():
+            active.has_caller_ended = True
             running.cancel()
 
     async def _end_interrupted(
         self, active: active_request.ActiveRequest
     ) -> outcomes.Outcome:
         """Give the caller the last answer of an interrupted request."""
-        if active.responder.disconnected.is_set():
+        if active.responder.is_disconnected:
             return outcomes.Outcome.CALLER_GONE
         if active.is_overdue or active.is_blamed:
             return await self._final_answers.give_up(active)
+        if active.has_caller_ended:
+            return await self._final_answers.end_for_caller(active)
         return await self._final_answers.end_for_stop(active)
 
     def _may_begin(self, route: configurations.Route, deadline_s: float) -> bool:
--- a/packages/gateway/lacewingdrum_gateway/serving/request_log.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/request_log.py
@@ -47,7 +47,8 @@
         if outcome is outcomes.Outcome.ANSWERED:
             event = decision_log.DecisionEvent.FINISHED
         configuration_age_s = self._configurations.age_s
-        if outcome in outcomes.CUT_OUTCOMES:
+        caller_ended = active.responder.input_ended.is_set()
+        if outcome in outcomes.CUT_OUTCOMES and not caller_ended:
             self._counts.count(
                 "cut_requests",
                 outcome=outcome.value,
@@ -59,6 +60,7 @@
             outcome=outcome,
             route=routed.route.name,
             customer=routed.customer.name if routed.customer else "",
+            caller_ended=caller_ended,
             attempts=active.attempt_count,
             elapsed_ms=round(elapsed_s * 1_000, 1),
             first_event_ms=first_ms,
--- a/packages/transport/lacewingdrum_transport/byte_channel.py
+++ b/packages/transport/lacewingdrum_transport/byte_channel.py
@@ -33,8 +33,9 @@
 class ByteChannel(asyncio.Protocol):
     """Reads and writes the bytes of one TCP connection.
 
-    ``disconnected`` is set when the remote side has ended its stream or the
-    connection is lost. ``end`` says how the remote side's stream ended.
+    ``input_ended`` is set when the remote side has ended its stream or the
+    connection is lost. The remote side may still read in the first case.
+    ``end`` says how the remote side's stream ended.
 
     Args:
         on_connected: called with the channel once it is connected.
@@ -50,7 +51,8 @@
         on_connected: Callable[["ByteChannel"], None] | None = None,
         unacknowledged_limit_ms: int = 0,
     ) -> None:
-        self.disconnected = asyncio.Event()
+        self.input_ended = asyncio.Event()
+        self._input_ended_s = 0.0
         self.end = ChannelEnd.OPEN
         self.remote_address = ""
         self._on_connected = on_connected
@@ -62,7 +64,6 @@
         self._buffered_bytes = 0
         self._reading_paused = False
         self._writing_paused = False
-        self._read_closed = False
         self._is_lost = False
         self._read_waiter: asyncio.Future[bool] | None = None
         self._drain_waiters: set[asyncio.Future[bool]] = set()
@@ -122,7 +123,20 @@
 
         Bytes received before may still be unread.
         """
-        return self._read_closed
+        return self.input_ended.is_set()
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether bytes that are written now are not sent any more."""
+        transport = self._transport
+        return self._is_lost or transport is None or transport.is_closing()
+
+    @property
+    def since_input_ended_s(self) -> float:
+        """The time since ``input_ended`` was set; 0 if it is not."""
+        if not self.input_ended.is_set():
+            return 0.0
+        return self._loop.time() - self._input_ended_s
 
     @property
     def has_unread(self) -> bool:
@@ -148,7 +162,7 @@
         """
         if (
             not self._received_chunks
-            and not self._read_closed
+            and not self.read_closed
             and not await self._wait_readable(timeout_s)
         ):
             return None
@@ -172,8 +186,9 @@
             False if the connection was lost, so that none of the bytes were
             sent.
         """
-        if self._is_lost or self._transport is None or self._transport.is_closing():
+        if self.is_lost:
             return False
+        assert self._transport is not None
         self._transport.write(data)
         return True
 
@@ -278,8 +293,9 @@
             _resolve(waiter, drained)
 
     def _close_reading(self) -> None:
-        self._read_closed = True
-        self.disconnected.set()
+        if not self.input_ended.is_set():
+            self._input_ended_s = self._loop.time()
+            self.input_ended.set()
         self._wake_reader()
 
 
--- a/packages/transport/lacewingdrum_transport/responder.py
+++ b/packages/transport/lacewingdrum_transport/responder.py
@@ -21,10 +21,12 @@
 class Responder:
     """Sends the response to one request.
 
-    The sending methods return False if the caller has disconnected, or did
-    not read for so long that the connection was aborted. They do not raise
-    for that, since the handler may have to complete its work anyway. They
-    raise ``ResponseOrderError`` if they are called in a wrong order.
+    The sending methods return False if the connection is lost, or the caller
+    did not read for so long that it was aborted. They do not raise for that,
+    since the handler may have to complete its work anyway. ``input_ended`` is
+    set once the caller can send no more: it has left, or it has ended only
+    its own stream and still reads. The methods raise ``ResponseOrderError``
+    if they are called in a wrong order.
     ``allows_body`` is False for the response to a HEAD request.
     """
 
@@ -35,7 +37,7 @@
         write_timeout_s: float,
         allows_body: bool,
     ) -> None:
-        self.disconnected: asyncio.Event = channel.disconnected
+        self.input_ended: asyncio.Event = channel.input_ended
         self.started = False
         self.finished = False
         self._channel = channel
@@ -46,6 +48,16 @@
         # Whether a body that is broken off differs from a complete one.
         self._is_self_delimited = True
 
+    @property
+    def is_disconnected(self) -> bool:
+        """Whether the connection is lost, so that no answer can be sent."""
+        return self._channel.is_lost
+
+    @property
+    def since_input_ended_s(self) -> float:
+        """The time since the caller ended its stream; 0 if it has not."""
+        return self._channel.since_input_ended_s
+
     def close_after_response(self) -> None:
         """Make this the last response, announced by ``Connection: close``."""
         self._close_after_response = True
@@ -58,7 +70,7 @@
                 replaced by the server's own.
 
         Returns:
-            False if the caller has disconnected or did not read in time.
+            False if the connection is lost or the caller did not read in time.
         """
         allows_body = response.status not in STATUSES_WITHOUT_BODY
         headers = self._encode_headers(response.headers)
@@ -82,7 +94,7 @@
             first: a first part of the body, sent in the same write.
 
         Returns:
-            False if the caller has disconnected or did not read in time.
+            False if the connection is lost or the caller did not read in time.
         """
         data = self._serialize_head(status, self._encode_headers(headers))
         if first and self._method_allows_body:
@@ -96,18 +108,18 @@
             data: the part.
 
         Returns:
-            False if the caller has disconnected or did not read in time.
+            False if the connection is lost or the caller did not read in time.
         """
         self._check_is_open()
         if not self._method_allows_body or not data:
-            return not self.disconnected.is_set()
+            return not self.is_disconnected
         return await self._write(self._connection.send(h11.Data(data=data)) or b"")
 
     async def finish(self) -> bool:
         """End a streamed response cleanly.
 
         Returns:
-            False if the caller has disconnected or did not read in time.
+            False if the connection is lost or the caller did not read in time.
         """
         self._check_is_open()
         return await self._write_last(self._serialize_end())
@@ -116,7 +128,7 @@
         """Wait until a complete response is written.
 
         Returns:
-            False if the caller has disconnected or did not read in time.
+            False if the connection is lost or the caller did not read in time.
         """
         return await self._channel.flush(self._write_timeout_s) or self._abort_stalled()
 
@@ -160,7 +172,7 @@
         return data
 
     async def _write(self, data: bytes) -> bool:
-        if self.disconnected.is_set() or not self._channel.write(data):
+        if not self._channel.write(data):
             return False
         return await self._channel.drain(self._write_timeout_s) or self._abort_stalled()
 
@@ -169,7 +181,7 @@
 
         The response is then complete even if the process ends afterwards.
         """
-        if self.disconnected.is_set() or not self._channel.write(data):
+        if not self._channel.write(data):
             return False
         return await self.flush()
 
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -68,6 +68,8 @@
         self.born_ms = 1
         self.crashes = runner_crashes.RunnerCrashes(self._abort_all, self.start)
         self._server: asyncio.Server | None = None
+        # The connections of requests that the runner is at work on.
+        self._working: set[asyncio.StreamReader] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -80,6 +82,11 @@
         """Ids of the attempts that the runner ran, in order."""
         return [arrival.attempt_id for arrival in self.arrivals if arrival.ran]
 
+    @property
+    def awaited_count(self) -> int:
+        """Number of requests at work whose sender has not closed."""
+        return sum(not reader.at_eof() for reader in self._working)
+
     def entry(self, service: str, state: str = "ready") -> dict[str, object]:
         """Return the entry of the runner in the platform's store."""
         return {
@@ -161,7 +168,7 @@
                 )
             else:
                 is_reusable = await self._answer_request(
-                    connection, writer, path, headers, body
+                    connection, reader, writer, path, headers, body
                 )
             if not is_reusable:
                 await platform_connection.close_after_drain(writer)
@@ -219,6 +226,7 @@
     async def _answer_request(
         self,
         connection: h11.Connection,
+        reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         path: str,
         headers: dict[str, str],
@@ -268,6 +276,7 @@
         if is_reusable is not None:
             return is_reusable
         self.working_count += 1
+        self._working.add(reader)
         try:
             if fault in endless_answers.FAULTS:
                 await self.endless.send(writer, sealed_headers, fault)
@@ -291,4 +300,5 @@
             body = f"answer of {self.runner_id} to {attempt_id}".encode()
             return await platform_answers.send_body(answer, body, fault, self._tasks)
         finally:
+            self._working.discard(reader)
             self.working_count -= 1
--- a/standins/raw_caller.py
+++ b/standins/raw_caller.py
@@ -30,11 +30,54 @@
     headers: tuple[tuple[str, str], ...] = (),
     version: str = "1.1",
     on: platform_site.RunningGateway | None = None,
+    ends_stream: bool = False,
 ) -> Received:
-    """Send one request on a new connection, and read its answer to the end."""
+    """Send one request on a new connection, and read its answer to the end.
+
+    Args:
+        site: a running site.
+        path: the path, with the query.
+        attempt_id: the attempt id, which is also the body.
+        headers: headers in addition to the usual ones.
+        version: the version of HTTP.
+        on: the gateway to call; None means the first one.
+        ends_stream: whether the writing side is closed after the request.
+
+    Returns:
+        The answer; its status is 0 if the connection ended without one.
+    """
+    reader, writer = await send(site, path, attempt_id, headers, version, on)
+    if ends_stream:
+        writer.write_eof()
+    try:
+        return await _receive(reader)
+    finally:
+        writer.transport.abort()
+
+
+async def send(
+    site: platform_site.PlatformSite,
+    path: str,
+    attempt_id: str,
+    headers: tuple[tuple[str, str], ...] = (),
+    version: str = "1.1",
+    on: platform_site.RunningGateway | None = None,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Send one request on a new connection, and return the connection."""
     running = on or site.gateways[0]
     address = running.gateway_settings.vm.caller_address
     reader, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(format_request(path, attempt_id, headers, version))
+    return reader, writer
+
+
+def format_request(
+    path: str,
+    attempt_id: str,
+    headers: tuple[tuple[str, str], ...] = (),
+    version: str = "1.1",
+) -> bytes:
+    """Return the bytes of a request."""
     sent = (
         ("Host", "site.example"),
         ("Attempt-Id", attempt_id),
@@ -44,11 +87,7 @@
     )
     lines = "".join(f"{name}: {value}\r\n" for name, value in sent)
     # The attempt id as the body makes each request another one.
-    writer.write(f"POST {path} HTTP/{version}\r\n{lines}\r\n{attempt_id}".encode())
-    try:
-        return await _receive(reader)
-    finally:
-        writer.transport.abort()
+    return f"POST {path} HTTP/{version}\r\n{lines}\r\n{attempt_id}".encode()
 
 
 async def _receive(reader: asyncio.StreamReader) -> Received:
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -103,7 +103,7 @@
         Raises:
             ClientGone: always.
         """
-        await self._responder.disconnected.wait()
+        await self._responder.input_ended.wait()
         raise ClientGone
 
     async def _wait_if_silent(self) -> None:
