A completion whose caller ends its stream gets 502

The handler recorded caller_gone and sent nothing.

Change: the failure is sent where no answer has begun. Its status, which nobody ever got, was 499; it is 502 with "may have run" now. The new test failed before (500).

--- a/packages/daemon/lacewingdrum_daemon/request_handler.py
+++ b/packages/daemon/lacewingdrum_daemon/request_handler.py
@@ -98,6 +98,8 @@
         )
         self._count_outcome(failure)
         self._record_end(request, failure)
+        if failure is not None and not responder.started:
+            await answers.send_failure(responder, request_id, failure)
         return None
 
     async def _service_call(
@@ -155,14 +157,19 @@
 async def _run_until_disconnect(
     work: Awaitable[Failure | None], responder: http_server.Responder
 ) -> Failure | None:
-    """Run ``work``, and cancel it when the caller disconnects."""
+    """Run ``work``, and cancel it when the caller ends its stream.
+
+    The caller may have left, and completions are costly.
+    """
     task = asyncio.ensure_future(work)
     gone = asyncio.ensure_future(responder.input_ended.wait())
     try:
         await asyncio.wait({task, gone}, return_when=asyncio.FIRST_COMPLETED)
         if task.done():
             return task.result()
-        return Failure(ErrorCode.CALLER_GONE, "the caller is gone", states.Ran.MAYBE)
+        return Failure(
+            ErrorCode.CALLER_GONE, "the caller ended its stream", states.Ran.MAYBE
+        )
     finally:
         gone.cancel()
         if not task.done():
--- /dev/null
+++ b/packages/daemon/lacewingdrum_daemon/request_handler_test.py
@@ -0,0 +1,57 @@
+"""Tests of requests whose caller ends its stream before the answer."""
+
+import asyncio
+import types
+import unittest.mock
+
+from lacewingdrum_daemon import request_handler
+from lacewingdrum_protocol import callers_api
+from lacewingdrum_transport import http_server
+
+HOST = "127.0.0.1"
+TEST_TIMEOUT_S = 5.0
+REQUEST = (
+    f"POST {callers_api.COMPLETIONS_PATH} HTTP/1.1\r\nHost: h\r\n"
+    "Content-Length: 0\r\n\r\n"
+).encode()
+
+
+def make_handler(run) -> request_handler.RequestHandler:
+    """Return a handler whose completions are answered by ``run``."""
+    parts = {name: unittest.mock.Mock() for name in ("decisions", "daemon_metrics")}
+    request = unittest.mock.Mock(prompt_tokens=1, received_s=0.0)
+    call = types.SimpleNamespace(request=request, body=None)
+    return request_handler.RequestHandler(
+        own_readiness=unittest.mock.Mock(not_admitting_reason=lambda: ""),
+        health=unittest.mock.Mock(answer=lambda _: None),
+        parser=unittest.mock.Mock(completion=lambda *_: call),
+        model_calls=types.SimpleNamespace(run=run),
+        plain_service_calls=unittest.mock.Mock(),
+        plain_service_orders=unittest.mock.Mock(),
+        clock=lambda: 0.0,
+        **parts,
+    )
+
+
+async def test_completion_of_a_caller_that_ended_its_stream_may_have_run():
+    is_cancelled = asyncio.Event()
+
+    async def run(*_):
+        try:
+            await asyncio.Event().wait()
+        finally:
+            is_cancelled.set()
+
+    server = http_server.HttpServer(make_handler(run).handle)
+    port = await server.start(HOST, 0)
+    async with asyncio.timeout(TEST_TIMEOUT_S):
+        reader, writer = await asyncio.open_connection(HOST, port)
+        writer.write(REQUEST)
+        writer.write_eof()
+        received = await reader.read(-1)
+        writer.close()
+    await server.close()
+    assert is_cancelled.is_set()
+    assert received.startswith(b"HTTP/1.1 502 ")
+    assert b"lacewingdrum-ran: maybe" in received.lower()
+    assert b"caller_gone" in received
--- a/packages/protocol/lacewingdrum_protocol/callers_api.py
+++ b/packages/protocol/lacewingdrum_protocol/callers_api.py
@@ -71,7 +71,7 @@
     ErrorCode.NOT_READY: 503,
     ErrorCode.LEAVING: 503,
     ErrorCode.PATIENCE_OVER: 504,
-    ErrorCode.CALLER_GONE: 499,
+    ErrorCode.CALLER_GONE: 502,
     ErrorCode.RUNNER_LOST: 502,
     ErrorCode.STORE_DOWN: 503,
 }
