Test: answers that break off inside their head are no success

A report from elsewhere: a runner stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body.

--- a/standins/odd_answers.py
+++ b/standins/odd_answers.py
@@ -1,4 +1,4 @@
-"""Answers of runners that are no sound continuation of a stream."""
+"""Answers of runners that are no sound run of their request."""
 
 import asyncio
 import dataclasses
@@ -50,6 +50,27 @@
     is_broken_off: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RawAnswer:
+    """The bytes of an answer, before the runner closes its connection.
+
+    ``data`` is a function of the header lines that a sound answer begins with.
+    """
+
+    data: Callable[[bytes], bytes]
+
+
+async def send_raw(
+    writer: asyncio.StreamWriter,
+    answer: RawAnswer,
+    headers: platform_connection.Headers,
+) -> None:
+    """Send the bytes of an answer, which the runner's close is to follow."""
+    lines = "".join(f"{name}: {value}\r\n" for name, value in headers)
+    writer.write(answer.data(lines.encode()))
+    await asyncio.sleep(DELIVERY_S)
+
+
 async def send(
     connection: h11.Connection,
     writer: asyncio.StreamWriter,
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -41,7 +41,7 @@
         self.answer_s = 0.0
         # Whether answers have neither a length nor chunks.
         self.is_close_delimited = False
-        self.faults: list[Fault | odd_answers.OddAnswer] = []
+        self.faults: list[Fault | odd_answers.OddAnswer | odd_answers.RawAnswer] = []
         self.arrivals: list[ReceivedRequest] = []
         self.connection_count = 0
         self.working_count = 0
@@ -264,6 +264,9 @@
                 sealed_headers[-1],
                 int(headers.get("last-event-id") or 0),
             )
+        if isinstance(fault, odd_answers.RawAnswer):
+            await odd_answers.send_raw(writer, fault, sealed_headers)
+            return False
         if fault is Fault.SHED and self.retry_after:
             id_headers += (("Retry-After", self.retry_after),)
         if fault is Fault.HELPER_FAILED:
