A response whose status has no body is sent when it is streamed

What a caller would see: a closed connection with nothing said, if a handler streams a 204 or 304 with a part of a body. No path of the gateway is known to do so (a runner's 204 comes without a body); found by trying odd responses on the server.

Cause: the head counted as sent although h11 refused the body that was to go with it, so that the server aborted the connection. `send` left the body out, `start_stream` did not.

Change: both leave it out. The new test failed before (LocalProtocolError, an empty answer).

--- a/packages/transport/lacewingdrum_transport/responder.py
+++ b/packages/transport/lacewingdrum_transport/responder.py
@@ -43,7 +43,7 @@
         self._channel = channel
         self._connection = connection
         self._write_timeout_s = write_timeout_s
-        self._method_allows_body = allows_body
+        self._allows_body = allows_body
         self._close_after_response = False
         # Whether a body that is broken off differs from a complete one.
         self._is_self_delimited = True
@@ -72,12 +72,11 @@
         Returns:
             False if the connection is lost or the caller did not read in time.
         """
-        allows_body = response.status not in STATUSES_WITHOUT_BODY
         headers = self._encode_headers(response.headers)
-        if allows_body:
+        if response.status not in STATUSES_WITHOUT_BODY:
             headers.append((b"content-length", b"%d" % len(response.body)))
         data = self._serialize_head(response.status, headers)
-        if self._method_allows_body and allows_body and response.body:
+        if self._allows_body and response.body:
             data += self._connection.send(h11.Data(data=response.body)) or b""
         data += self._serialize_end()
         return await self._write_last(data)
@@ -97,7 +96,7 @@
             False if the connection is lost or the caller did not read in time.
         """
         data = self._serialize_head(status, self._encode_headers(headers))
-        if first and self._method_allows_body:
+        if first and self._allows_body:
             data += self._connection.send(h11.Data(data=first)) or b""
         return await self._write(data)
 
@@ -111,7 +110,7 @@
             False if the connection is lost or the caller did not read in time.
         """
         self._check_is_open()
-        if not self._method_allows_body or not data:
+        if not self._allows_body or not data:
             return not self.is_disconnected
         return await self._write(self._connection.send(h11.Data(data=data)) or b"")
 
@@ -162,6 +161,7 @@
         head = h11.Response(status_code=status, headers=headers)
         data = self._connection.send(head) or b""
         self.started = True
+        self._allows_body = self._allows_body and status not in STATUSES_WITHOUT_BODY
         version = self._connection.their_http_version or b""
         self._is_self_delimited = version >= _SELF_DELIMITED_VERSION
         return data
--- a/packages/transport/lacewingdrum_transport/responder_test.py
+++ b/packages/transport/lacewingdrum_transport/responder_test.py
@@ -64,3 +64,16 @@
         raise UnusualExit
 
     assert await is_reset_without_chunks(handle, False)
+
+
+async def test_stream_whose_status_has_no_body_is_answered():
+    async def handle(request, responder):
+        await responder.start_stream(int(request.path[1:]), (), b"first")
+        await responder.write(b"second")
+        await responder.finish()
+
+    for status in responders.STATUSES_WITHOUT_BODY:
+        async with serving(handle) as (_, port):
+            received = await exchange(port, GET.replace(b"/ ", b"/%d " % status))
+        assert received.startswith(b"HTTP/1.1 %d " % status)
+        assert received.endswith(b"\r\n\r\n")
