A request is answered if its connection's task fails

What a caller would see: a closed connection with nothing said, if reading its request raised an error that nobody foresaw ("connection task failed" in the log).

Change: a request that no handler has yet gets 500 as not run. The new test, with an error raised inside the reader, failed before (an empty answer).

--- a/packages/transport/lacewingdrum_transport/connection_end.py
+++ b/packages/transport/lacewingdrum_transport/connection_end.py
@@ -44,15 +44,42 @@
         channel: its connection.
         connection: the state of the protocol there.
     """
+    await _answer_unread(
+        channel,
+        connection,
+        http_messages.error_response(
+            503, "leaving", "not run: leaving", states.Ran.NO, LEAVING_RETRY_AFTER_S
+        ),
+    )
+
+
+async def fail_unread(
+    channel: byte_channel.ByteChannel, connection: h11.Connection
+) -> None:
+    """Answer a request that could not be read for a fault of the server.
+
+    Args:
+        channel: its connection.
+        connection: the state of the protocol there.
+    """
+    message = "not run: the server failed to read the request"
+    await _answer_unread(
+        channel,
+        connection,
+        http_messages.error_response(500, "internal", message, states.Ran.NO),
+    )
+
+
+async def _answer_unread(
+    channel: byte_channel.ByteChannel,
+    connection: h11.Connection,
+    answer: http_messages.HttpResponse,
+) -> None:
     if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
         return
     responder = responders.Responder(channel, connection, LAST_ANSWER_MAX_S, True)
     responder.close_after_response()
-    await responder.send(
-        http_messages.error_response(
-            503, "leaving", "not run: leaving", states.Ran.NO, LEAVING_RETRY_AFTER_S
-        )
-    )
+    await responder.send(answer)
 
 
 async def linger(channel: byte_channel.ByteChannel) -> None:
--- a/packages/transport/lacewingdrum_transport/http_server.py
+++ b/packages/transport/lacewingdrum_transport/http_server.py
@@ -201,6 +201,10 @@
         except asyncio.CancelledError:
             await self._send_last_answer(channel, connection)
             raise
+        except Exception:
+            if channel in self._unanswered and not self._unanswered[channel]:
+                await connection_end.fail_unread(channel, connection)
+            raise
 
     async def _serve_requests(
         self, channel: byte_channel.ByteChannel, connection: h11.Connection
--- a/packages/transport/lacewingdrum_transport/http_server_test.py
+++ b/packages/transport/lacewingdrum_transport/http_server_test.py
@@ -5,8 +5,9 @@
 import json
 import logging
 import unittest
+import unittest.mock
 
-from lacewingdrum_transport import http_server, socket_options
+from lacewingdrum_transport import http_server, request_reader, socket_options
 
 HOST = "127.0.0.1"
 TEST_TIMEOUT_S = 10.0
@@ -473,3 +474,16 @@
         received = await call
     assert status_of(received) == 503 and recorder.requests == []
     assert b"lacewingdrum-ran: no" in received.lower()
+
+
+async def test_request_whose_connection_task_fails_is_told_that_it_has_not_run():
+    recorder = Recorder()
+    fail = unittest.mock.patch.object(
+        request_reader.RequestReader, "read", side_effect=ValueError("unforeseen")
+    )
+    logs = unittest.TestCase().assertLogs(http_server.__name__, logging.ERROR)
+    async with serving(recorder) as (_, port):
+        with fail, logs:
+            received = await exchange(port, b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert status_of(received) == 500 and recorder.requests == []
+    assert b"lacewingdrum-ran: no" in received.lower()
