--- a/packages/daemon/lacewingdrum_daemon/request_handler_test.py
+++ b/packages/daemon/lacewingdrum_daemon/request_handler_test.py
@@ -1,4 +1,4 @@
-"""Tests of requests whose caller ends its stream before the answer."""
+"""Tests of requests whose caller or server ends before their answer."""
 
 import asyncio
 import types
@@ -55,3 +55,23 @@
     assert received.startswith(b"HTTP/1.1 502 ")
     assert b"lacewingdrum-ran: maybe" in received.lower()
     assert b"caller_gone" in received
+
+
+async def test_completion_that_a_stop_interrupts_may_have_run():
+    has_begun = asyncio.Event()
+
+    async def run(*_):
+        has_begun.set()
+        await asyncio.Event().wait()
+
+    server = http_server.HttpServer(make_handler(run).handle)
+    port = await server.start(HOST, 0)
+    async with asyncio.timeout(TEST_TIMEOUT_S):
+        reader, writer = await asyncio.open_connection(HOST, port)
+        writer.write(REQUEST)
+        await has_begun.wait()
+        assert await server.close() == 1
+        received = await reader.read(-1)
+        writer.close()
+    assert received.startswith(b"HTTP/1.1 502 ")
+    assert b"lacewingdrum-ran: maybe" in received.lower()
