A change after an outage is in force in time, whatever rows the store holds

Cause: the longest pause between two tries at the store grew with the daemons that are known, and rows of replaced daemons make known ones. All daemons doubled it in step, without jitter, so that none came first and told the others.

Change: `fleet_size_factor` counts daemons that are heard and not forgotten. `retry_pauses` doubles a pause, takes a random part of it between a half and the whole, and bounds it: a daemon that follows the store pauses at most for what `bounds.configuration_max_ms` (new, from `config_ms`) leaves beside the call; another one for what a large fleet takes, and not longer than it takes to see that it has to follow the store.

--- a/packages/gateway/lacewingdrum_gateway/configuration_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/configuration_sync.py
@@ -10,11 +10,12 @@
 """
 
 import asyncio
+import random
 from collections.abc import Callable
 
 from result import Err, Ok
 
-from lacewingdrum_coordination import route_table, store_followers
+from lacewingdrum_coordination import retry_pauses, route_table, store_followers
 from lacewingdrum_gateway import store_client
 from lacewingdrum_gateway.peers import peering
 from lacewingdrum_platform import desired_state, store_calls
@@ -25,7 +26,6 @@
 FEED_WAIT_S = 2.5
 FEED_WAIT_MAX_S = 15.0
 RETRY_MIN_S = 0.25
-RETRY_MAX_S = 1.0
 # Changes that follow each other within this time are read in one call.
 FEED_PAUSE_S = 0.25
 # A daemon that does not follow the feed reads the table at least this often.
@@ -47,6 +47,8 @@
         self,
         store: store_client.StoreClient,
         peers: peering.Peering,
+        in_force_max_s: float,
+        rng: random.Random,
         clock: Callable[[], float],
         decisions: decision_log.DecisionLog,
         counts: metrics.Metrics,
@@ -58,6 +60,8 @@
         self._packed_text: bytes | None = None
         self._store = store
         self._peers = peers
+        self._in_force_max_s = in_force_max_s
+        self._pauses = retry_pauses.RetryPauses(RETRY_MIN_S, rng)
         self._clock = clock
         self._decisions = decisions
         self._counts = counts
@@ -131,7 +135,6 @@
 
     async def _follow_store(self) -> None:
         after: store_versions.StoreVersion | None = None
-        retry_s = RETRY_MIN_S
         while True:
             if after is not None and not self._is_follower():
                 await self._wait_for_newer_version()
@@ -147,7 +150,7 @@
             match answer:
                 case Ok(rows):
                     after = rows.version
-                    retry_s = RETRY_MIN_S
+                    self._pauses.reset()
                     if rows.rows:
                         self._apply_rows(rows.rows)
                         await asyncio.sleep(FEED_PAUSE_S)
@@ -157,10 +160,18 @@
                     after = None
                     if error.reason is store_client.StoreErrorReason.HISTORY_GONE:
                         continue
-                    await asyncio.sleep(retry_s)
-                    retry_s = min(
-                        2 * retry_s, RETRY_MAX_S * self._peers.table.fleet_size_factor
-                    )
+                    await self._pause_after_failure()
+
+    async def _pause_after_failure(self) -> None:
+        """Wait before the next call; followers of the store wait less long."""
+        was_follower = self._is_follower()
+        bound_s = self._in_force_max_s if was_follower else UNFOLLOWED_READ_S
+        limit_s = retry_pauses.limit_s(self._peers.table.fleet_size_factor, bound_s)
+        end_s = self._clock() + self._pauses.take_s(limit_s)
+        while (left_s := end_s - self._clock()) > 0:
+            if self._is_follower() and not was_follower:
+                return
+            await asyncio.sleep(min(left_s, FOLLOWER_CHECK_S))
 
     def _is_follower(self) -> bool:
         table = self._peers.table
--- a/packages/gateway/lacewingdrum_gateway/fleet_components.py
+++ b/packages/gateway/lacewingdrum_gateway/fleet_components.py
@@ -86,7 +86,13 @@
         self.roster = runner_roster.RunnerRoster()
         self.health = runner_health.RunnerHealth()
         self.configurations = configuration_sync.ConfigurationSync(
-            self.store, self.peers, clock, self.decisions, self.counts
+            self.store,
+            self.peers,
+            own_settings.bounds.configuration_max_ms / units.MS_PER_S,
+            rng,
+            clock,
+            self.decisions,
+            self.counts,
         )
         self.runner_list = runner_list_sync.RunnerListSync(
             self.roster,
--- a/packages/gateway/lacewingdrum_gateway/peers/peer_table.py
+++ b/packages/gateway/lacewingdrum_gateway/peers/peer_table.py
@@ -38,6 +38,11 @@
     # Where the peer takes requests of daemons that reach no runner, or 0.
     relay_port: int = 0
 
+    @property
+    def is_heard(self) -> bool:
+        """Whether there was contact since the address was added."""
+        return self.last_seen_s > float("-inf")
+
 
 class PeerTable:
     """The daemons that this daemon knows.
@@ -74,11 +79,7 @@
     def hosts(self) -> frozenset[str]:
         """The IP addresses of the daemons that were heard, and of this one."""
         if self._hosts is None:
-            heard = (
-                peer.address
-                for peer in self._peers.values()
-                if peer.last_seen_s > float("-inf")
-            )
+            heard = (peer.address for peer in self._peers.values() if peer.is_heard)
             self._hosts = frozenset(
                 address.rpartition(":")[0] for address in (self.own_address, *heard)
             )
@@ -96,9 +97,14 @@
     def fleet_size_factor(self) -> float:
         """The factor for intervals that grow with the size of the fleet.
 
-        It is 1 while there are at most ``EXCHANGE_ALL_PEERS_MAX`` peers.
+        It is 1 while at most ``EXCHANGE_ALL_PEERS_MAX`` peers are heard.
         """
-        return max(1.0, len(self._peers) / EXCHANGE_ALL_PEERS_MAX)
+        return max(1.0, self.heard_count / EXCHANGE_ALL_PEERS_MAX)
+
+    @property
+    def heard_count(self) -> int:
+        """The number of daemons that were heard and are not forgotten."""
+        return sum(peer.is_heard for peer in self._peers.values())
 
     @property
     def daemon_count(self) -> int:
--- a/packages/gateway/lacewingdrum_gateway/settings.py
+++ b/packages/gateway/lacewingdrum_gateway/settings.py
@@ -98,6 +98,9 @@
         600_000.0,
         "longest time that memory is held on an engine before it is used",
     )
+    configuration_max_ms: float = _number(
+        2_000.0, 100.0, 600_000.0, "longest time until a configuration is in force"
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/standins/platform_processes.py
+++ b/standins/platform_processes.py
@@ -25,7 +25,7 @@
         self._folder = folder
         self._store_port = store_port
         self._ports = ports.PortPicker()
-        self._peer_port = self._ports.next()
+        self.peer_port = self._ports.next()
 
     def host(self, number: int) -> str:
         """Return the loopback address of a gateway."""
@@ -67,7 +67,7 @@
 host = "{host}"
 caller_address = "{host}:{self.caller_ports[number]}"
 ready_address = "{host}:{self.ready_ports[number]}"
-peer_port = {self._peer_port}
+peer_port = {self.peer_port}
 metrics_port = 0
 seeds = {seeds}
 [store]
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -11,6 +11,7 @@
 from lacewingdrum_transport import http_messages, http_server, responder
 
 HISTORY_ROWS = 1_000
+PAGE_ROWS = 500
 SILENT_CALL_S = 60.0
 JSON = (("Content-Type", "application/json"),)
 ERA_HEADER = "Store-Era"
@@ -178,7 +179,7 @@
             for table, key in sorted(self._rows)
             if table == query["table"] and key >= start
         ]
-        return self._encode_rows(rows)
+        return self._encode_rows(rows[:PAGE_ROWS], len(rows) > PAGE_ROWS)
 
     async def _feed(self, query: dict[str, str]) -> tuple[int, bytes]:
         after_version = int(query["after"])
@@ -206,8 +207,10 @@
             finally:
                 self.waiting_feeds -= 1
 
-    def _encode_rows(self, rows: list[dict[str, object]]) -> bytes:
-        fields = {"rows": rows, "has_more": False, "ver": self.version, "now_ms": 0}
+    def _encode_rows(
+        self, rows: list[dict[str, object]], has_more: bool = False
+    ) -> bytes:
+        fields = {"rows": rows, "has_more": has_more, "ver": self.version, "now_ms": 0}
         return json.dumps(fields).encode()
 
     def _row_fields(
