Rows of ended daemons take a bounded number of connections

What callers saw: beside 1,100 rows of replaced daemons a daemon had a ZeroMQ socket for each, and at about a thousand its loops failed one after another ("Too many open files"): peers were not checked, and the table of daemons was read again every half second. Each such row also shrank this daemon's part of the retry allowance, and stretched the intervals of heartbeats.

Evidence: `daemon_registry_test.test_rows_of_ended_daemons_take_few_sockets…` failed on the old code: no daemon heard the other in 5 s, and `_check_links` ended with ZMQError (Too many open files).

Change: addresses that only rows name are candidates (`candidate_addresses`). At most 64 are dialled at a time, those of the rows written last first; one that is silent for 5 s gives way while others wait. One that did not answer is doubtful until its row is written again: 16 of these are dialled at a time, and they count for nothing. Heartbeat intervals grow with the daemons heard.

--- a/packages/gateway/lacewingdrum_gateway/peers/daemon_registry.py
+++ b/packages/gateway/lacewingdrum_gateway/peers/daemon_registry.py
@@ -9,14 +9,18 @@
 
 from result import Err, Ok
 
+from lacewingdrum_coordination import daemon_rows
 from lacewingdrum_gateway import store_client
-from lacewingdrum_gateway.peers import peering
+from lacewingdrum_gateway.peers import candidate_addresses, peering
+from lacewingdrum_platform import store_calls
+from lacewingdrum_protocol import daemon_row_values
 from lacewingdrum_runtime import tasks
 from lacewingdrum_state import ids
 
 DAEMONS_TABLE = "daemons"
 TABLE_READ_INTERVAL_S = 10.0
 RETRY_S = 0.7
+DIAL_INTERVAL_S = 1.0
 
 
 class DaemonRegistry:
@@ -41,6 +45,8 @@
         self._value = str(incarnation).encode("ascii")
         self._clock = clock
         self._registration_due = asyncio.Event()
+        self._rows = daemon_rows.DaemonRows()
+        self._candidates = candidate_addresses.CandidateAddresses(peers.table)
         self._tasks = tasks.TaskSet()
 
     def start(self) -> None:
@@ -49,6 +55,7 @@
         self._registration_due.set()
         self._tasks.spawn_loop(self._register)
         self._tasks.spawn_loop(self._poll_table)
+        self._tasks.spawn_loop(self._dial)
 
     async def close(self) -> None:
         """Stop writing and reading; the row stays."""
@@ -70,13 +77,26 @@
         while True:
             rows = await self._store.read(DAEMONS_TABLE)
             if isinstance(rows, Ok):
-                self._apply({row.key for row in rows.ok_value.rows})
+                self._apply(rows.ok_value)
             wait_s = TABLE_READ_INTERVAL_S if isinstance(rows, Ok) else RETRY_S
             await asyncio.sleep(wait_s * self._peers.table.fleet_size_factor)
 
-    def _apply(self, addresses: set[str]) -> None:
-        if self._peers.own_address not in addresses:
+    def _apply(self, rows: store_calls.Rows) -> None:
+        found = tuple(
+            daemon_rows.DaemonRow(
+                ids.VmId(row.key), row.version, daemon_row_values.term_s(row.value)
+            )
+            for row in rows.rows
+            if row.value is not None
+        )
+        own = self._peers.own_address
+        if all(row.address != own for row in found):
             self._registration_due.set()
-        for address in sorted(addresses):
-            if self._peers.table.may_retry(ids.VmId(address), self._clock()):
-                self._peers.add_address(address)
+        heard = (own, *(peer.address for peer in self._peers.table.live))
+        self._rows.record_read(rows.version.era, found, heard, self._clock())
+        self._candidates.set_rows(self._rows.newest_first())
+
+    async def _dial(self) -> None:
+        while True:
+            self._peers.dial(self._candidates.take_turn(self._clock()))
+            await asyncio.sleep(DIAL_INTERVAL_S)
--- a/packages/gateway/lacewingdrum_gateway/peers/peer_table.py
+++ b/packages/gateway/lacewingdrum_gateway/peers/peer_table.py
@@ -5,8 +5,9 @@
 messages; its caller reports each contact and its time.
 """
 
-import dataclasses
+from collections.abc import Collection
 
+from lacewingdrum_gateway.peers import peer_state
 from lacewingdrum_state import ids
 
 # The address of a forgotten daemon may be added again after this time.
@@ -18,30 +19,7 @@
 # to each other. Above it, only the daemons of the same data centre do.
 EXCHANGE_ALL_PEERS_MAX = 12
 
-
-@dataclasses.dataclass(slots=True)
-class Peer:
-    """The known state of another daemon."""
-
-    address: ids.VmId
-    data_centre: ids.DataCentre = ids.DataCentre("")
-    incarnation: int = 0
-    last_seen_s: float = float("-inf")
-    known_since_s: float = 0.0
-    configuration_version: int = 0
-    is_leaving: bool = False
-    is_live: bool = False
-    # Ids and incarnations of runners that leave by what the peer knows.
-    leaving_runners: tuple[tuple[str, int], ...] = ()
-    # What the peer knows, by topic of news; see ``news_spread``.
-    digests: dict[str, int] = dataclasses.field(default_factory=dict)
-    # Where the peer takes requests of daemons that reach no runner, or 0.
-    relay_port: int = 0
-
-    @property
-    def is_heard(self) -> bool:
-        """Whether there was contact since the address was added."""
-        return self.last_seen_s > float("-inf")
+Peer = peer_state.Peer
 
 
 class PeerTable:
@@ -110,11 +88,17 @@
     def daemon_count(self) -> int:
         """The number of daemons, including those that may be partitioned.
 
-        This is the larger of the number of known daemons and the highest
-        number that were live at the same time. The latter never decreases,
-        also if daemons have left.
+        This is the larger of the number of known daemons, without doubtful
+        ones, and the highest number that were live at the same time. The
+        latter never decreases, also if daemons have left.
         """
-        return max(self._max_daemon_count, len(self._peers) + 1)
+        known_count = sum(not peer.is_doubtful for peer in self._peers.values())
+        return max(self._max_daemon_count, known_count + 1)
+
+    @property
+    def candidates(self) -> tuple[Peer, ...]:
+        """The dialled daemons that only rows of the store name."""
+        return tuple(peer for peer in self._peers.values() if peer.is_candidate)
 
     def rank_after(self, last: ids.VmId | None) -> int:
         """Return the place of this daemon if daemons take turns by address.
@@ -133,13 +117,15 @@
         return sum(sort_key(address) < own for address in self._live)
 
     def in_turn(self, turn: int, count: int) -> tuple[ids.VmId, ...]:
-        """Return some known daemons; consecutive turns reach all of them.
+        """Return some daemons, no candidates; consecutive turns reach all.
 
         Args:
             turn: the number of the turn.
             count: the most daemons to return.
         """
-        addresses = tuple(self._peers)
+        addresses = tuple(
+            peer.address for peer in self._peers.values() if not peer.is_candidate
+        )
         if len(addresses) <= count:
             return addresses
         start = turn * count % len(addresses)
@@ -164,18 +150,49 @@
         Returns:
             The daemon if it is new, else None.
         """
-        if address == self.own_address or address in self._peers:
+        if address == self.own_address:
+            return None
+        peer = self._peers.get(address)
+        if peer is not None:
+            peer.is_candidate = peer.is_doubtful = False
             return None
         self._forgotten_s.pop(address, None)
         peer = Peer(address, known_since_s=now_s)
         self._peers[address] = peer
         return peer
 
+    def add_candidate(self, address: ids.VmId, now_s: float) -> Peer | None:
+        """Add an address that only a row of the store names, if it is new."""
+        if address in self._peers:
+            return None
+        is_doubtful = address in self._forgotten_s
+        peer = self.add_address(address, now_s)
+        if peer is not None:
+            peer.is_candidate = True
+            peer.is_doubtful = is_doubtful
+        return peer
+
+    def forgotten_s(self, address: ids.VmId) -> float | None:
+        """Return when an address was forgotten, or None if it was not."""
+        return self._forgotten_s.get(address)
+
     def may_retry(self, address: ids.VmId, now_s: float) -> bool:
         """Return False for a time after an address was forgotten."""
         forgotten_s = self._forgotten_s.get(address)
         return forgotten_s is None or now_s - forgotten_s > FORGOTTEN_RETRY_DELAY_S
 
+    def trust_again(self, address: ids.VmId) -> None:
+        """Let an address be tried as if it had not been forgotten."""
+        self._forgotten_s.pop(address, None)
+
+    def drop_forgotten_except(self, addresses: Collection[ids.VmId]) -> None:
+        """Drop what is kept of forgotten addresses that nothing names."""
+        self._forgotten_s = {
+            address: forgotten_s
+            for address, forgotten_s in self._forgotten_s.items()
+            if address in addresses
+        }
+
     def seen(self, peer: Peer, now_s: float) -> bool:
         """Record contact with a daemon and mark it as live.
 
@@ -187,6 +204,7 @@
             Whether the daemon was not live before.
         """
         peer.last_seen_s = now_s
+        peer.is_candidate = peer.is_doubtful = False
         if peer.is_live:
             return False
         peer.is_live = True
@@ -222,11 +240,15 @@
             and peer.address not in self._seeds
         ]
         for address in dropped:
-            self._forgotten_s[address] = now_s
-            del self._peers[address]
-            self._hosts = None
+            self.forget(address, now_s)
         return dropped
 
+    def forget(self, address: ids.VmId, now_s: float) -> None:
+        """Remove a daemon that is not live."""
+        self._forgotten_s[address] = now_s
+        del self._peers[address]
+        self._hosts = None
+
     def work_peers(self) -> tuple[Peer, ...]:
         """Return the live daemons that exchange work reports with this one."""
         if self._work_peers is None:
--- a/packages/gateway/lacewingdrum_gateway/peers/peering.py
+++ b/packages/gateway/lacewingdrum_gateway/peers/peering.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from lacewingdrum_coordination import heartbeat_intervals
-from lacewingdrum_gateway.peers import peer_lists, peer_table
+from lacewingdrum_gateway.peers import candidate_addresses, peer_lists, peer_table
 from lacewingdrum_protocol import peer_messages
 from lacewingdrum_runtime import decision_log, metrics, tasks
 from lacewingdrum_state import addresses, ids
@@ -155,6 +155,13 @@
         if addresses.parse_address(name) is not None:
             self._connect(self.table.add_address(ids.VmId(name), self._clock()))
 
+    def dial(self, turn: candidate_addresses.Turn) -> None:
+        """Connect to daemons of the next turn, and end what they replace."""
+        for address in turn.given_up:
+            self._socket.disconnect(address)
+        for address in turn.dialled:
+            self._connect(self.table.get(address))
+
     def _send_heartbeat(self) -> None:
         targets = self._heartbeat_targets()
         receivers = self._lists.next_receivers()
@@ -213,7 +220,7 @@
 
     def _intervals(self) -> heartbeat_intervals.Intervals:
         return heartbeat_intervals.intervals(
-            len(self.table.work_peers()), len(self.table.known)
+            len(self.table.work_peers()), self.table.heard_count
         )
 
     def _check_silent_peers(self) -> None:
