Rows of ended daemons are removed from the store

What callers saw: nothing at once; but rows of replaced daemons stayed in the table of daemons for ever, and each daemon read and dialled them.

Cause: a row was written once and had no end (`DaemonRegistry.close`: "the row stays").

Evidence: on the code before (the stand-in of the store took removals too) `daemon_registry_test.test_rows_of_ended_daemons_of_any_build…` failed with a TimeoutError and `test_planned_stop_removes_the_row…` with an AssertionError.

A planned stop removes the own row if it still is its own. Reads and retries of the registry carry jitter.

After: the six tests of `daemon_registry_test` pass, each run by name.

--- a/packages/gateway/lacewingdrum_gateway/fleet_components.py
+++ b/packages/gateway/lacewingdrum_gateway/fleet_components.py
@@ -81,7 +81,7 @@
             table, vm.data_centre, incarnation, clock, self.decisions, self.counts
         )
         self.daemon_registry = daemon_registry.DaemonRegistry(
-            self.store, self.peers, incarnation, clock
+            self.store, self.peers, incarnation, rng, clock, self.counts
         )
         self.roster = runner_roster.RunnerRoster()
         self.health = runner_health.RunnerHealth()
--- a/packages/gateway/lacewingdrum_gateway/gateway.py
+++ b/packages/gateway/lacewingdrum_gateway/gateway.py
@@ -165,6 +165,7 @@
         components.callers_server.set_leaving()
         components.relay_server.set_leaving()
         components.peers.set_leaving()
+        components.daemon_registry.set_leaving()
         self._record_stop(decision_log.DecisionEvent.LEAVING, 0)
         abort_s = (
             stop_s + components.own_settings.bounds.stop_grace_s - ABORT_BEFORE_KILL_S
--- a/packages/gateway/lacewingdrum_gateway/store_client.py
+++ b/packages/gateway/lacewingdrum_gateway/store_client.py
@@ -8,7 +8,7 @@
 import dataclasses
 import enum
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from result import Err, Ok, Result
 
@@ -29,6 +29,7 @@
 
     NOT_DONE = "not_done"
     HISTORY_GONE = "history_gone"
+    CONFLICT = "conflict"
     NO_ANSWER = "no_answer"
     OLD_ERA = "old_era"
     MALFORMED = "malformed"
@@ -145,6 +146,29 @@
             return Err(StoreError(StoreErrorReason.HISTORY_GONE, "new era"))
         return answer
 
+    async def read_row(
+        self, table: str, key: str
+    ) -> Result[store_calls.Rows, StoreError]:
+        """Read one row; there is none in the answer if it does not exist."""
+        call = store_calls.read(table, key, key + "\x00")
+        return await self._rows(self._client, table, call, CALL_TIMEOUT_S)
+
+    async def remove(
+        self, table: str, rows: Iterable[tuple[str, int]]
+    ) -> Result[None, StoreError]:
+        """Remove all of some rows, or none.
+
+        Args:
+            table: the name of the table.
+            rows: key and version of each; at most ``REMOVALS_MAX``.
+
+        Returns:
+            None, or the error; it is ``CONFLICT`` if a row was written since.
+        """
+        call = store_calls.remove(table, rows)
+        answer = await self._call(self._client, call, CALL_TIMEOUT_S)
+        return Ok(None) if isinstance(answer, Ok) else answer
+
     async def put(self, table: str, key: str, value: bytes) -> Result[None, StoreError]:
         """Write a row.
 
@@ -197,6 +221,9 @@
             # The store works; only the requested history is missing.
             self._record_success()
             return Err(StoreError(StoreErrorReason.HISTORY_GONE, "history gone"))
+        if response.status == store_calls.CONFLICT_STATUS:
+            self._record_success()
+            return Err(StoreError(StoreErrorReason.CONFLICT, "a row was written"))
         if response.status != http_client.http_messages.STATUS_OK:
             return self._record_failure(
                 StoreErrorReason.NOT_DONE, f"status {response.status}"
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -7,6 +7,7 @@
 import enum
 import json
 import urllib.parse
+from typing import Any
 
 from lacewingdrum_transport import http_messages, http_server, responder
 
@@ -164,20 +165,29 @@
             case "/-/rows-feed":
                 return await self._feed(query)
             case "/-/rows-tx":
-                body = json.loads(request.body)
-                for row in body["puts"]:
-                    value = base64.b64decode(row["value"])
-                    self._apply_change(row["table"], row["key"], value)
-                return 200, json.dumps({"ver": self.version, "now_ms": 0}).encode()
+                return self._transact(json.loads(request.body))
         return 404, b"{}"
 
+    def _transact(self, body: dict[str, list[dict[str, Any]]]) -> tuple[int, bytes]:
+        """Apply all entries of a transaction, or none."""
+        for row in body["expected_rev"]:
+            _, version = self._rows.get((row["table"], row["key"]), (b"", 0))
+            if version != row["ver"]:
+                return 412, self._encode_rows([])
+        for row in body["puts"]:
+            value = base64.b64decode(row["value"])
+            self._apply_change(row["table"], row["key"], value)
+        for row in body["deletes"]:
+            self._apply_change(row["table"], row["key"], None)
+        return 200, json.dumps({"ver": self.version, "now_ms": 0}).encode()
+
     def _list_rows(self, query: dict[str, str]) -> bytes:
         self.read_counts[query["table"]] += 1
-        start = query.get("from", "")
+        start, end = query.get("from", ""), query.get("target", "")
         rows = [
             self._row_fields(table, key, *self._rows[table, key])
             for table, key in sorted(self._rows)
-            if table == query["table"] and key >= start
+            if table == query["table"] and key >= start and (not end or key < end)
         ]
         return self._encode_rows(rows[:PAGE_ROWS], len(rows) > PAGE_ROWS)
 
