Answers in tiny chunks do not hold the event loop

Cause: bytes of an answer were limited, events were not. A reader took all events out of 256 KiB, over 43,000, before it gave the loop back, and so did each other connection in the same turn. Empty lines and comments of a stream cost the same without any chunk.

Change: turn_budget counts what a connection reads and measures the turn that all connections share. After 16 events a connection looks at the time, after 5 ms of a turn or 256 events it waits in a queue, of which 16 go on in a turn. A connection reads 16 KiB at once, a stream is searched for events 512 bytes at once. event_allowance ends an answer with far more events than bytes (more than 4,096, one for 8 bytes and one a millisecond) as too_large, so that its runner is suspected. Parts of an answer count 64 bytes more each in the answer budget. The end of a stream is no longer searched for in the whole partial event, but in each part as it comes.

--- a/packages/gateway/lacewingdrum_gateway/serving/answer_memory.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/answer_memory.py
@@ -10,6 +10,8 @@
 # Answers up to this size are always held, whatever other answers occupy.
 ALWAYS_HELD_BYTES = 64 * 1024
 ANSWER_MAX_BYTES = 8 * 1024 * 1024
+# What each part after the first occupies beside its bytes.
+PART_OVERHEAD_BYTES = 64
 
 
 class HeldAnswer:
@@ -19,15 +21,17 @@
         self._budget = budget
         self._counted_bytes = 0
 
-    def resize(self, size_bytes: int) -> bool:
+    def resize(self, size_bytes: int, part_count: int = 0) -> bool:
         """Change what the answer occupies.
 
         Args:
             size_bytes: the bytes held from now on.
+            part_count: the number of parts after the first.
 
         Returns:
             False if an answer may not occupy so much; nothing is changed then.
         """
+        size_bytes += part_count * PART_OVERHEAD_BYTES
         counted_bytes = size_bytes if size_bytes > ALWAYS_HELD_BYTES else 0
         added_bytes = counted_bytes - self._counted_bytes
         if size_bytes > ANSWER_MAX_BYTES:
--- a/packages/gateway/lacewingdrum_gateway/serving/answer_memory_test.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/answer_memory_test.py
@@ -35,6 +35,15 @@
     assert memory.held_bytes == answer_memory.ANSWER_MAX_BYTES
 
 
+def test_parts_occupy_more_than_their_bytes():
+    memory = answer_memory.AnswerMemory(4 * answer_memory.ANSWER_MAX_BYTES)
+    held = memory.hold()
+    assert held.resize(2 * ALWAYS, part_count=100)
+    assert memory.held_bytes == 2 * ALWAYS + 100 * answer_memory.PART_OVERHEAD_BYTES
+    part_count = answer_memory.ANSWER_MAX_BYTES // answer_memory.PART_OVERHEAD_BYTES
+    assert not held.resize(1, part_count)
+
+
 class StalledFailure:
     """A failure whose body begins and does not go on."""
 
--- a/packages/gateway/lacewingdrum_gateway/serving/attempt.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/attempt.py
@@ -277,7 +277,7 @@
             if not part.ok_value:
                 return Ok(b"".join(parts))
             size_bytes += len(part.ok_value)
-            if not held.resize(size_bytes):
+            if not held.resize(size_bytes, len(parts)):
                 detail = f"no room for {size_bytes} bytes"
                 unknown = states.AttemptState.UNKNOWN
                 return Err(
--- a/packages/gateway/lacewingdrum_gateway/serving/stream_forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/stream_forwarding.py
@@ -17,11 +17,17 @@
     routing,
     stream_runs,
 )
+from lacewingdrum_protocol import event_stream
 from lacewingdrum_state import states
 from lacewingdrum_transport import http_client, http_messages
 
 # The slowdown of an engine is taken from the shortest of this many pauses.
 SLOWDOWN_PAUSES = 5
+# What is searched for events at once.
+FED_BYTES = 512
+# The lines of such an event are looked at once more at its end.
+LARGE_EVENT_BYTES = 64 * 1024
+LARGE_EVENT_LINE_WEIGHT = 4
 
 
 class StreamForwarder:
@@ -72,7 +78,7 @@
                 if not part.ok_value:
                     return await self._end_stream(active, attempt, reader)
                 count_before = events.run_event_count
-                data = events.feed(part.ok_value)
+                data = await _feed(events, reader, part.ok_value)
                 if data:
                     end = await self._forward_events(
                         active, attempt, reader, data, count_before
@@ -190,6 +196,21 @@
             attempt.pause_count, attempt.shortest_pause_s = 0, float("inf")
 
 
+async def _feed(
+    events: event_stream.EventStream, reader: http_client.ResponseReader, part: bytes
+) -> bytes:
+    """Return the events that are complete, after turns of the event loop."""
+    complete: list[bytes] = []
+    for start in range(0, len(part), FED_BYTES):
+        piece = part[start : start + FED_BYTES]
+        complete.append(events.feed(piece))
+        event_count = 1 + event_stream.count_blocks(piece)
+        if events.partial_bytes > LARGE_EVENT_BYTES:
+            event_count += LARGE_EVENT_LINE_WEIGHT * event_stream.count_lines(piece)
+        await reader.count_events(event_count)
+    return b"".join(complete)
+
+
 _CALLER_DISCONNECTED = attempt_ends.AttemptEnd(
     states.AttemptState.UNKNOWN, attempt_ends.EndReason.LOST, "the caller has gone"
 )
--- a/packages/protocol/lacewingdrum_protocol/event_stream.py
+++ b/packages/protocol/lacewingdrum_protocol/event_stream.py
@@ -12,14 +12,28 @@
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _EVENT_END_BYTES_MAX = 4
 _LINE_END = re.compile(rb"\r\n|\n|\r")
-_COMMENT_MARK = b":"
+_FIELD_BEGIN = re.compile(rb"(?:\A|[\r\n])[^:\r\n]")
+
+
+def count_blocks(data: bytes) -> int:
+    """Return how many blocks of lines end in these bytes.
+
+    Empty lines and comments are blocks too, though no events.
+    """
+    return len(_EVENT_END.findall(data))
+
+
+def count_lines(data: bytes) -> int:
+    """Return how many lines end in these bytes."""
+    return len(_LINE_END.findall(data))
 
 
 class EventStream:
     """Returns complete events unchanged, up to one that isn't the next one.
 
     ``fault`` is set by the first such event, which stays incomplete. Nothing
-    is returned after it.
+    is returned after it. ``is_inside_event`` says whether an event has begun
+    and its end has not been received; empty lines and comments belong to none.
 
     Args:
         last_event_id: The id of the last event that the caller has; empty if
@@ -28,6 +42,7 @@
 
     def __init__(self, last_event_id: str = "") -> None:
         self.fault: event_sequence.StreamFault | None = None
+        self.is_inside_event = False
         self._position = event_sequence.start_after(last_event_id)
         self._events_before_run = 0
         self._has_further_event = False
@@ -63,15 +78,6 @@
         """The number of bytes of an event that is not complete yet."""
         return len(self._partial_event)
 
-    @property
-    def is_inside_event(self) -> bool:
-        """Whether an event has begun and its end has not been received.
-
-        Empty lines and comments belong to no event.
-        """
-        lines = _LINE_END.split(self._partial_event)
-        return any(line and not line.startswith(_COMMENT_MARK) for line in lines)
-
     def feed(self, data: bytes) -> bytes:
         """Add received bytes.
 
@@ -85,7 +91,8 @@
             return b""
         # The bytes received before were searched then; only a mark of the end
         # may have begun in them.
-        start = max(len(self._partial_event) - _EVENT_END_BYTES_MAX + 1, 0)
+        searched_bytes = len(self._partial_event)
+        start = max(searched_bytes - _EVENT_END_BYTES_MAX + 1, 0)
         self._partial_event += data
         end = 0
         for match in _EVENT_END.finditer(self._partial_event, start):
@@ -100,6 +107,13 @@
             end = match.end()
         complete = bytes(self._partial_event[:end])
         del self._partial_event[:end]
+        if end:
+            self.is_inside_event = False
+            searched_bytes = 0
+        if not self.is_inside_event:
+            # The character before may end the line.
+            begun = _FIELD_BEGIN.search(self._partial_event, max(searched_bytes - 1, 0))
+            self.is_inside_event = begun is not None
         return complete
 
     def find_end_fault(self, is_end_stated: bool) -> event_sequence.StreamFault | None:
--- a/packages/transport/lacewingdrum_transport/byte_channel.py
+++ b/packages/transport/lacewingdrum_transport/byte_channel.py
@@ -13,6 +13,7 @@
 from lacewingdrum_transport import socket_options
 
 READ_BUFFER_BYTES = 256 * 1024
+READ_PART_BYTES = 16 * 1024
 WRITE_BUFFER_BYTES = 64 * 1024
 UNACKNOWLEDGED_LIMIT_MS = 5_000
 
@@ -58,8 +59,7 @@
         self._unacknowledged_limit_ms = unacknowledged_limit_ms
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
-        self._received_chunks: list[bytes] = []
-        self._buffered_bytes = 0
+        self._received = bytearray()
         self._reading_paused = False
         self._writing_paused = False
         self._read_closed = False
@@ -81,9 +81,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Buffer received bytes, and pause reading when the buffer is full."""
-        self._received_chunks.append(data)
-        self._buffered_bytes += len(data)
-        if self._buffered_bytes >= READ_BUFFER_BYTES and not self._reading_paused:
+        self._received += data
+        if len(self._received) >= READ_BUFFER_BYTES and not self._reading_paused:
             assert self._transport is not None
             self._reading_paused = True
             self._transport.pause_reading()
@@ -127,7 +126,7 @@
     @property
     def has_unread(self) -> bool:
         """Whether received bytes have not been read yet."""
-        return bool(self._received_chunks)
+        return bool(self._received)
 
     @property
     def unsent_bytes(self) -> int:
@@ -143,11 +142,11 @@
             timeout_s: how long to wait if no bytes are buffered.
 
         Returns:
-            All buffered bytes; ``b""`` at the end of the stream; ``None``
-            after a timeout.
+            At most ``READ_PART_BYTES`` of the buffered bytes; ``b""`` at the
+            end of the stream; ``None`` after a timeout.
         """
         if (
-            not self._received_chunks
+            not self._received
             and not self._read_closed
             and not await self._wait_readable(timeout_s)
         ):
@@ -245,14 +244,14 @@
         self._transport.abort()
 
     def _take_received(self) -> bytes:
-        chunks = self._received_chunks
-        self._received_chunks = []
-        self._buffered_bytes = 0
-        if self._reading_paused and not self._is_lost:
+        part = bytes(self._received[:READ_PART_BYTES])
+        del self._received[:READ_PART_BYTES]
+        has_room = len(self._received) < READ_BUFFER_BYTES // 2
+        if self._reading_paused and has_room and not self._is_lost:
             assert self._transport is not None
             self._reading_paused = False
             self._transport.resume_reading()
-        return chunks[0] if len(chunks) == 1 else b"".join(chunks)
+        return part
 
     async def _wait_readable(self, timeout_s: float) -> bool:
         if self._read_waiter is not None:
--- a/packages/transport/lacewingdrum_transport/client_connection.py
+++ b/packages/transport/lacewingdrum_transport/client_connection.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from lacewingdrum_state import fleet
-from lacewingdrum_transport import byte_channel, http_messages
+from lacewingdrum_transport import byte_channel, http_messages, turn_budget
 
 BYTES_PER_MIB = 1024 * 1024
 # h11 gives this status to a head, or a line between chunks, without end.
@@ -64,6 +64,7 @@
     """A connection to one address, with its h11 state.
 
     ``request_count`` is the number of requests that were sent on it.
+    ``turns`` counts what it reads in a turn of the event loop.
     """
 
     def __init__(
@@ -80,6 +81,7 @@
         self.idle_since_s = 0.0
         self.idle_limit_s = float("inf")
         self.request_count = 0
+        self.turns = turn_budget.ReadTurns()
         self._needs_data = False
 
     @property
@@ -104,6 +106,8 @@
             The event, or why none was received.
         """
         while True:
+            if self.turns.is_over and not await self.give_back(deadline_s):
+                return _not_in_time()
             event = self.buffered_event()
             if event is not None:
                 return event
@@ -111,11 +115,24 @@
             if failure is not None:
                 return failure
 
+    async def give_back(self, deadline_s: float) -> bool:
+        """Let the event loop serve other connections.
+
+        Args:
+            deadline_s: as for ``next_event``.
+
+        Returns:
+            False if it is over.
+        """
+        await self.turns.give_back()
+        return self.clock() < deadline_s
+
     def buffered_event(self) -> h11.Event | HttpClientError | None:
         """Return the next event, or None if more data must be received."""
         if self._needs_data:
             # Without new data, h11 would parse the rest of its buffer again.
             return None
+        self.turns.count()
         try:
             event = self.h11.next_event()
         except h11.RemoteProtocolError as error:
@@ -132,10 +149,12 @@
         return HttpClientError(ClientErrorReason.MALFORMED, True, "paused")
 
     async def _receive(self, deadline_s: float) -> HttpClientError | None:
+        if not self.channel.has_unread:
+            self.turns.reset()
         wait_s = max(deadline_s - self.clock(), 0.0)
         data = await self.channel.read(wait_s)
         if data is None:
-            return HttpClientError(ClientErrorReason.TIMEOUT, True, "no data in time")
+            return _not_in_time()
         if not data and self.channel.end is not byte_channel.ChannelEnd.REMOTE_CLOSED:
             # Only the server itself can end a response by closing.
             detail = f"connection {self.channel.end.value}"
@@ -170,6 +189,10 @@
         return Err(HttpClientError(ClientErrorReason.LOST, False, detail))
 
 
+def _not_in_time() -> HttpClientError:
+    return HttpClientError(ClientErrorReason.TIMEOUT, True, "no data in time")
+
+
 def build_request_head(
     address: fleet.Address,
     method: str,
--- a/packages/transport/lacewingdrum_transport/http_client_test.py
+++ b/packages/transport/lacewingdrum_transport/http_client_test.py
@@ -304,7 +304,7 @@
             previous_bytes = written_bytes
             await asyncio.sleep(0.2)
         (connection,) = client._in_use
-        held_bytes = connection.channel._buffered_bytes
+        held_bytes = len(connection.channel._received)
         assert held_bytes < 3 * byte_channel.READ_BUFFER_BYTES
         await reader.read(TEST_TIMEOUT_S)
         while written_bytes == previous_bytes:
--- a/packages/transport/lacewingdrum_transport/response_reader.py
+++ b/packages/transport/lacewingdrum_transport/response_reader.py
@@ -7,7 +7,12 @@
 import h11
 from result import Err, Ok, Result
 
-from lacewingdrum_transport import byte_channel, client_connection, http_messages
+from lacewingdrum_transport import (
+    byte_channel,
+    client_connection,
+    event_allowance,
+    http_messages,
+)
 
 # A pooled connection is not reused this close to the end of the server's
 # keep-alive timeout.
@@ -55,6 +60,7 @@
         self._connection = connection
         self._connection.idle_limit_s = _idle_limit_s(self.headers)
         self._release = release
+        self._allowance = event_allowance.EventAllowance(connection.clock)
         self._ended = False
         self._error: HttpClientError | None = None
 
@@ -70,8 +76,7 @@
             timeout_s: how long to wait for it.
 
         Returns:
-            All data received so far, or ``b""`` at the clean end of the
-            message.
+            Data received so far, or ``b""`` at the clean end of the message.
         """
         connection = self._connection
         deadline_s = connection.clock() + timeout_s
@@ -84,6 +89,20 @@
             return Err(self._error)
         return Ok(b"")
 
+    async def count_events(self, event_count: int) -> None:
+        """Count the events within a part, and let others have their turn.
+
+        An answer with far more events than bytes ends with an error.
+
+        Args:
+            event_count: the number of events.
+        """
+        turns = self._connection.turns
+        turns.count(event_count)
+        self._check_allowance(event_count, 0)
+        if turns.is_over:
+            await turns.give_back()
+
     async def close(self) -> None:
         """Release the connection; abort it if the message has not ended."""
         if not self._ended:
@@ -92,16 +111,27 @@
     def _join_buffered_data(self, data: bytes) -> bytes:
         """Join the parts already received, to be forwarded in one write."""
         parts = [data]
-        while not self._ended:
+        size_bytes = len(data)
+        turns = self._connection.turns
+        while not self._ended and not turns.is_over:
             event = self._connection.buffered_event()
             if isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
+                size_bytes += len(event.data)
             elif event is None:
                 break
             else:
                 self._on_end(event)
+        self._check_allowance(len(parts), size_bytes)
         return data if len(parts) == 1 else b"".join(parts)
 
+    def _check_allowance(self, event_count: int, size_bytes: int) -> None:
+        self._allowance.count(event_count, size_bytes)
+        if self._allowance.is_exceeded and not self._ended:
+            detail = "far more events than bytes"
+            reason = ClientErrorReason.TOO_LARGE
+            self._finish(HttpClientError(reason, True, detail))
+
     def _on_end(self, event: h11.Event | HttpClientError) -> None:
         if isinstance(event, h11.EndOfMessage):
             self._finish(None)
--- a/standins/endless_answers.py
+++ b/standins/endless_answers.py
@@ -10,12 +10,18 @@
 BLOCK = b"x" * 16_384
 # An answer that nobody closes ends after so much, so that a test fails.
 SENT_MAX_BYTES = 64 * 1024 * 1024
+CHUNKED = ("Transfer-Encoding", "chunked")
 FAULTS = frozenset(
     (
         Fault.ENDLESS_HEAD,
         Fault.ENDLESS_INTERIM,
         Fault.ENDLESS_BODY,
         Fault.ENDLESS_FAILURE,
+        Fault.ENDLESS_CHUNKS,
+        Fault.ENDLESS_EVENTS,
+        Fault.ENDLESS_LINES,
+        Fault.ENDLESS_FIELDS,
+        Fault.ENDLESS_COMMENT,
     )
 )
 
@@ -41,6 +47,21 @@
                 writer.write(platform_connection.format_head(headers))
             case Fault.ENDLESS_FAILURE:
                 writer.write(platform_connection.format_head(headers, 500))
+            case Fault.ENDLESS_CHUNKS:
+                block = b"1\r\nx\r\n" * 2_730
+                writer.write(platform_connection.format_head((*headers, CHUNKED)))
+            case Fault.ENDLESS_EVENTS:
+                block = b"2\r\n\n\n\r\n" * 2_340
+                writer.write(platform_connection.format_head((*headers, CHUNKED)))
+            case Fault.ENDLESS_LINES:
+                block = b"\n" * 16_384
+                writer.write(platform_connection.format_head(headers))
+            case Fault.ENDLESS_COMMENT:
+                block = b":\n" * 8_192
+                writer.write(platform_connection.format_head(headers))
+            case Fault.ENDLESS_FIELDS:
+                fields = b"a:\r\n" * 50_000
+                block = b"HTTP/1.1 102 Processing\r\n" + fields + b"\r\n"
         try:
             for _ in range(SENT_MAX_BYTES // len(block)):
                 writer.write(block)
--- a/standins/platform_answers.py
+++ b/standins/platform_answers.py
@@ -29,7 +29,9 @@
     ``CLOSE_BEFORE_EVENTS``, whose connection is closed right after the head,
     and ``CLOSE_INSIDE_EVENT``. ``PAUSE`` is no failure: the runner is silent
     for a while and goes on. The endless ones send bytes until the
-    connection is closed at the other side.
+    connection is closed at the other side: chunks of one byte, events of two
+    bytes in chunks, empty lines without chunks, heads of
+    many fields, or an event of short comments.
     """
 
     NONE = "none"
@@ -57,6 +59,11 @@
     ENDLESS_INTERIM = "endless_interim"
     ENDLESS_BODY = "endless_body"
     ENDLESS_FAILURE = "endless_failure"
+    ENDLESS_CHUNKS = "endless_chunks"
+    ENDLESS_EVENTS = "endless_events"
+    ENDLESS_LINES = "endless_lines"
+    ENDLESS_FIELDS = "endless_fields"
+    ENDLESS_COMMENT = "endless_comment"
 
 
 class AnswerWriter:
