Callers' tiny chunks and pipelined requests do not hold the event loop

Callers would see: all requests of a daemon wait while it reads the body of one caller that comes in tiny chunks, or answers requests sent without a pause on one connection, if none of them waits for a runner.

Cause: the reader of requests parsed one event after another, and one request after another, without giving the loop back, as the reader of answers did.

The body is held in one buffer. The time limit is looked at after each turn.

--- a/packages/transport/lacewingdrum_transport/loop_turns_test.py
+++ b/packages/transport/lacewingdrum_transport/loop_turns_test.py
@@ -1,19 +1,73 @@
-"""Tests that no server holds the event loop."""
+"""Tests that no caller or server holds the event loop."""
 
 import asyncio
 import contextlib
 
 from lacewingdrum_state import fleet
-from lacewingdrum_transport import http_client
+from lacewingdrum_transport import http_client, http_server
 from standins import loop_turns
 
 HOST = "127.0.0.1"
 MEASURED_S = 1.0
 CONNECTION_COUNT = 20
 TINY_CHUNKS = b"1\r\nx\r\n" * 40_000
+BODY_HEAD = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+PIPELINED = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n" * 9_000
 ANSWER_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
+async def respond(request, responder):
+    await responder.send(http_server.HttpResponse(200))
+
+
+async def caller_turn_ms(head: bytes, block: bytes) -> float:
+    """Return the longest turn of a server while callers send this."""
+    server = http_server.HttpServer(respond)
+    port = await server.start(HOST, 0)
+    connections = [
+        await asyncio.open_connection(HOST, port) for _ in range(CONNECTION_COUNT)
+    ]
+    async with loop_turns.measured() as longest:
+        for _, writer in connections:
+            writer.write(head + block)
+        await asyncio.sleep(MEASURED_S)
+    for _, writer in connections:
+        writer.transport.abort()
+    await server.close()
+    return longest.worked_ms
+
+
+async def test_callers_bodies_in_tiny_chunks_do_not_hold_the_loop():
+    worked_ms = await caller_turn_ms(BODY_HEAD, TINY_CHUNKS)
+    assert worked_ms <= loop_turns.TURN_MAX_MS, worked_ms
+
+
+async def test_endless_body_of_a_caller_in_tiny_chunks_is_refused_in_time():
+    limits = http_server.ServerLimits(body_timeout_s=0.3)
+    server = http_server.HttpServer(respond, limits)
+    port = await server.start(HOST, 0)
+    reader, writer = await asyncio.open_connection(HOST, port)
+    writer.write(BODY_HEAD)
+
+    async def send():
+        with contextlib.suppress(ConnectionError):
+            while True:
+                writer.write(TINY_CHUNKS)
+                await writer.drain()
+
+    sending = asyncio.ensure_future(send())
+    status = await asyncio.wait_for(reader.readline(), 3.0)
+    sending.cancel()
+    writer.transport.abort()
+    await server.close()
+    assert status.split()[1] == b"408", status
+
+
+async def test_pipelined_requests_do_not_hold_the_loop():
+    worked_ms = await caller_turn_ms(b"", PIPELINED)
+    assert worked_ms <= loop_turns.TURN_MAX_MS, worked_ms
+
+
 @contextlib.asynccontextmanager
 async def raw_server(block: bytes):
     """Yield the address of a server that sends this to each request."""
--- a/packages/transport/lacewingdrum_transport/request_reader.py
+++ b/packages/transport/lacewingdrum_transport/request_reader.py
@@ -12,7 +12,12 @@
 import h11
 from result import Err, Ok, Result
 
-from lacewingdrum_transport import byte_budget, byte_channel, http_messages
+from lacewingdrum_transport import (
+    byte_budget,
+    byte_channel,
+    http_messages,
+    turn_budget,
+)
 
 BYTES_PER_MIB = 1024 * 1024
 
@@ -81,6 +86,7 @@
         self._limits = limits
         self._budget = budget
         self._clock = clock
+        self._turns = turn_budget.ReadTurns()
         self._held_bytes = 0
         self._received_s = 0.0
 
@@ -91,9 +97,12 @@
             False if the caller disconnected or the idle timeout expired.
         """
         if self._connection.trailing_data[0]:
+            self._turns.count(turn_budget.FREE_EVENTS)
+            if self._turns.is_over:
+                await self._turns.give_back()
             self._received_s = self._clock()
             return True
-        data = await self._channel.read(self._limits.idle_timeout_s)
+        data = await self._read_channel(self._limits.idle_timeout_s)
         if not data:
             return False
         self._received_s = self._clock()
@@ -136,6 +145,11 @@
 
     async def _next_event(self, deadline_s: float) -> h11.Event | RequestError:
         while True:
+            if self._turns.is_over:
+                await self._turns.give_back()
+                if self._clock() >= deadline_s:
+                    return _not_in_time()
+            self._turns.count()
             event = self._connection.next_event()
             if event is h11.PAUSED:
                 return RequestError(RequestErrorReason.MALFORMED, "paused")
@@ -143,12 +157,16 @@
                 assert isinstance(event, h11.Event)
                 return event
             wait_s = deadline_s - self._clock()
-            data = await self._channel.read(wait_s) if wait_s > 0 else None
+            data = await self._read_channel(wait_s) if wait_s > 0 else None
             if data is None:
-                detail = "the request did not come whole in time"
-                return RequestError(RequestErrorReason.TIMEOUT, detail)
+                return _not_in_time()
             self._connection.receive_data(data)
 
+    async def _read_channel(self, timeout_s: float) -> bytes | None:
+        if not self._channel.has_unread:
+            self._turns.reset()
+        return await self._channel.read(timeout_s)
+
     def _check_head(self, head: h11.Request) -> RequestError | None:
         # h11 limits the size of a head only if it arrives in several reads.
         # Each header line has 4 bytes more than its name and value: a colon,
@@ -175,19 +193,19 @@
 
     async def _read_body(self) -> bytes | RequestError:
         deadline_s = self._clock() + self._limits.body_timeout_s
-        parts: list[bytes] = []
+        body = bytearray()
         while True:
             event = await self._next_event(deadline_s)
             if isinstance(event, RequestError):
                 return event
             if isinstance(event, h11.EndOfMessage):
-                return b"".join(parts)
+                return bytes(body)
             if not isinstance(event, h11.Data):
                 return RequestError(RequestErrorReason.CLOSED)
             error = self._acquire_body_bytes(len(event.data))
             if error is not None:
                 return error
-            parts.append(bytes(event.data))
+            body += event.data
 
     def _acquire_body_bytes(self, size_bytes: int) -> RequestError | None:
         if self._held_bytes + size_bytes > self._limits.body_bytes:
@@ -203,6 +221,11 @@
         return RequestError(RequestErrorReason.BODY_TOO_LARGE, detail)
 
 
+def _not_in_time() -> RequestError:
+    detail = "the request did not come whole in time"
+    return RequestError(RequestErrorReason.TIMEOUT, detail)
+
+
 def _protocol_error(error: h11.RemoteProtocolError) -> RequestError:
     if error.error_status_hint == 431:
         return RequestError(RequestErrorReason.HEADER_TOO_LARGE, "header too large")
