Leases of memory are tied to the incarnation of the engine that writes

What operators saw: memory stayed set aside for up to 5.9 s after the request that had used it was over (LEAK, free_ms is 4 s). The engine that was to write had crashed, its connections went silent, and 1.2 s later another incarnation listened at its address. The gateway renewed the leases at the sound engines for a request that no engine held any more.

Cause: a lease was renewed if any process accepted a connection at the address. Neither the id nor the time of birth of the reservation's engine was compared with anything.

Change: the engine is asked for its report. Its own word decides (born, or 421 for another id), before the list, which may be behind; a later birth in the list counts where the engine says nothing. No answer, or one without born, is not a yes: the lease is not renewed then, and the question is put again while the lease lasts, so that a sound engine that is silent for a second keeps the memory. It is asked on a new connection as before, so that an engine that takes none still counts as dead; one that resets it for lack of room is asked on a kept one. The decision is pure (lease_holders). HttpClient.request takes on_new_connection, as open does.

engine_memory_test: the test of an engine out of reach replaced runner_probe.probe, which is not called any more, so that it would have passed for no reason. Now the stand-in itself gives no answer for the same time, and the lease has to outlast the same time. The stand-in answers 421 to commands for another id, and its reports state born.

--- a/packages/gateway/lacewingdrum_gateway/components.py
+++ b/packages/gateway/lacewingdrum_gateway/components.py
@@ -55,6 +55,7 @@
         self.memory = engine_memory.EngineMemory(
             self.runner_client,
             self.notices,
+            self.roster,
             own_settings.bounds.lease_max_ms,
             own_settings.bounds.memory_unused_max_ms,
             clock,
--- a/packages/gateway/lacewingdrum_gateway/runners/engine_commands.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/engine_commands.py
@@ -21,7 +21,11 @@
         self._notices = notices
 
     async def call(
-        self, entry: runner_entries.RunnerEntry, call: store_calls.Call
+        self,
+        entry: runner_entries.RunnerEntry,
+        call: store_calls.Call,
+        timeout_s: float = CALL_TIMEOUT_S,
+        on_new_connection: bool = False,
     ) -> Result[http_messages.HttpResponse, str]:
         """Send a command; return the answer, or why there is none."""
         answer = await self._client.request(
@@ -30,7 +34,8 @@
             call.path,
             platform_headers.command_headers(entry.runner_id),
             call.body,
-            CALL_TIMEOUT_S,
+            timeout_s,
+            on_new_connection=on_new_connection,
             # The status is the whole answer to a command, and a report that
             # is cut off cannot be decoded.
             allow_close_delimited=True,
--- a/packages/gateway/lacewingdrum_gateway/runners/engine_memory.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/engine_memory.py
@@ -13,10 +13,11 @@
 
 from result import Err, Ok, Result
 
+from lacewingdrum_coordination import lease_holders, runner_roster
 from lacewingdrum_gateway.runners import (
     engine_commands,
+    lease_holder_check,
     runner_notices,
-    runner_probe,
 )
 from lacewingdrum_platform import engine_calls
 from lacewingdrum_runtime import decision_log, metrics, tasks
@@ -27,15 +28,8 @@
 RENEW_INTERVAL_S = 1.6
 # How soon a renewal that failed is tried again while the lease lasts.
 RENEW_RETRY_S = 0.2
-# A lease is renewed only if the decoding engine accepts a connection, so that
-# the memory expires within one lease if that engine dies. A lost packet may
-# delay one probe, but hardly ever both.
-DECODER_PROBE_ATTEMPTS = 2
-DECODER_PROBE_TIMEOUT_S = 0.4
 # The longest time from the decision to renew a lease until it is renewed.
-RENEWAL_MAX_S = (
-    DECODER_PROBE_ATTEMPTS * DECODER_PROBE_TIMEOUT_S + engine_commands.CALL_TIMEOUT_S
-)
+RENEWAL_MAX_S = lease_holder_check.CHECK_MAX_S + engine_commands.CALL_TIMEOUT_S
 # A lost packet may delay one report, but hardly ever those of two engines.
 REPORTING_ENGINES = 2
 RELEASE_ATTEMPTS = 3
@@ -55,6 +49,7 @@
     """Why the lease of memory is no longer renewed."""
 
     DECODER_UNREACHABLE = "decoder_unreachable"
+    DECODER_REPLACED = "decoder_replaced"
     UNUSED = "unused"
 
 
@@ -108,6 +103,7 @@
         self,
         client: http_client.HttpClient,
         notices: runner_notices.RunnerNotices,
+        roster: runner_roster.RunnerRoster,
         lease_max_ms: float,
         unused_max_ms: float,
         clock: Callable[[], float],
@@ -115,6 +111,7 @@
         counts: metrics.Metrics,
     ) -> None:
         self._commands = engine_commands.EngineCommands(client, notices)
+        self._holder_check = lease_holder_check.LeaseHolderCheck(self._commands, roster)
         self._lease_ms = int(min(LEASE_MS, lease_max_ms))
         self._unused_max_s = unused_max_ms / units.MS_PER_S
         self._clock = clock
@@ -201,7 +198,8 @@
                 held.renewed_s = sent_s
         lease_s = self._lease_ms / units.MS_PER_S
         is_leased = self._clock() < held.renewed_s + lease_s
-        if reason is LeaseEndReason.UNUSED or (reason and not is_leased):
+        may_recover = reason is LeaseEndReason.DECODER_UNREACHABLE and is_leased
+        if reason is not None and not may_recover:
             self._record_lease_end(held, reason)
             return None
         is_due = is_leased and held.renewed_s != sent_s
@@ -210,20 +208,21 @@
     async def _find_end_reason(self, held: HeldMemory) -> LeaseEndReason | None:
         """Return why the lease of held memory is not to be renewed now.
 
-        The decoding engine is unreachable, or a renewed lease could exceed the
-        limit for memory that no request uses.
+        The decoding engine has been replaced or does not say that it has not,
+        or a renewed lease could exceed the limit for memory that no request
+        uses.
         """
         if not held.is_used and self._could_exceed_unused_limit(held):
             held.is_used = await self._is_reported_used(held)
             if not held.is_used:
                 return LeaseEndReason.UNUSED
-        for _ in range(DECODER_PROBE_ATTEMPTS):
-            found = await runner_probe.probe(
-                held.decoder.address, DECODER_PROBE_TIMEOUT_S
-            )
-            if found is runner_probe.Reachability.ACCEPTED:
+        match await self._holder_check.find_state(held.decoder):
+            case lease_holders.HolderState.ALIVE:
                 return None
-        return LeaseEndReason.DECODER_UNREACHABLE
+            case lease_holders.HolderState.REPLACED:
+                return LeaseEndReason.DECODER_REPLACED
+            case lease_holders.HolderState.UNKNOWN:
+                return LeaseEndReason.DECODER_UNREACHABLE
 
     def _could_exceed_unused_limit(self, held: HeldMemory) -> bool:
         """Return whether a lease renewed now may end after the limit."""
@@ -237,9 +236,9 @@
             answer = await self._commands.call(entry, engine_calls.report())
             if isinstance(answer, Err):
                 continue
-            used_ids = engine_calls.decode_used_reservations(answer.ok_value.body)
-            if isinstance(used_ids, Ok):
-                return held.reservation_id in used_ids.ok_value
+            report = engine_calls.decode_report(answer.ok_value.body)
+            if isinstance(report, Ok):
+                return held.reservation_id in report.ok_value.used_reservations
         return False
 
     def _record_lease_end(self, held: HeldMemory, reason: LeaseEndReason) -> None:
--- a/packages/gateway/lacewingdrum_gateway/runners/engine_memory_test.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/engine_memory_test.py
@@ -2,11 +2,7 @@
 import unittest.mock
 
 from lacewingdrum_gateway import settings
-from lacewingdrum_gateway.runners import (
-    engine_commands,
-    engine_memory,
-    runner_probe,
-)
+from lacewingdrum_gateway.runners import engine_commands, engine_memory
 from standins import platform_runner, platform_site
 
 PATIENCE_MS = 15_000
@@ -94,22 +90,53 @@
     )
 
 
-async def test_memory_is_renewed_after_its_decoding_engine_was_out_of_reach():
+async def find_decoder(site) -> platform_runner.PlatformRunner:
+    """Return the engine that a request is at, once its memory is renewed."""
+    await asyncio.sleep(engine_memory.RENEW_INTERVAL_S + CLOCK_TOLERANCE_S)
+    assert reservation_count(site) > 0
+    (decoder,) = [one for one in site.engines if one.arrivals]
+    return decoder
+
+
+async def check_that_memory_expires(site) -> None:
+    await asyncio.sleep(RELEASE_MAX_S)
+    assert reservation_count(site) == 0
+
+
+async def test_memory_is_not_renewed_for_the_next_incarnation_of_a_crashed_engine():
     async with platform_site.running_site(engines=4) as site:
         call = await hold_memory_at_silent_engines(site, is_used=True)
-        real = runner_probe.probe
-        loop = asyncio.get_running_loop()
-        dark_until_s = loop.time() + engine_memory.RENEW_INTERVAL_S + DARK_S
+        # The list is behind.
+        (await find_decoder(site)).born_ms += 1
+        await check_that_memory_expires(site)
+        call.cancel()
+
+
+async def test_memory_is_not_renewed_for_another_runner_at_the_address_of_an_engine():
+    async with platform_site.running_site(engines=4) as site:
+        call = await hold_memory_at_silent_engines(site, is_used=True)
+        (await find_decoder(site)).runner_id += "-again"
+        await check_that_memory_expires(site)
+        call.cancel()
+
+
+async def test_memory_is_not_renewed_for_an_engine_that_does_not_say_who_it_is():
+    async with platform_site.running_site(engines=4) as site:
+        call = await hold_memory_at_silent_engines(site, is_used=True)
+        (await find_decoder(site)).is_born_reported = False
+        await check_that_memory_expires(site)
+        call.cancel()
 
-        async def probe(address, timeout_s, *args):
-            if loop.time() < dark_until_s:
-                await asyncio.sleep(timeout_s)
-                return runner_probe.Reachability.UNREACHABLE
-            return await real(address, timeout_s, *args)
 
-        with unittest.mock.patch.object(runner_probe, "probe", probe):
-            await asyncio.sleep(2 * engine_memory.LEASE_MS / 1_000)
-            assert reservation_count(site) > 0
+async def test_memory_is_renewed_after_its_decoding_engine_was_silent_for_a_moment():
+    async with platform_site.running_site(engines=4) as site:
+        call = await hold_memory_at_silent_engines(site, is_used=True)
+        (decoder,) = [one for one in site.engines if one.arrivals]
+        decoder.ignores_commands = True
+        await asyncio.sleep(engine_memory.RENEW_INTERVAL_S + DARK_S)
+        decoder.ignores_commands = False
+        await asyncio.sleep(engine_memory.LEASE_MS / 1_000 + CLOCK_TOLERANCE_S)
+        assert reservation_count(site) > 0
         call.cancel()
 
 
--- a/packages/transport/lacewingdrum_transport/http_client.py
+++ b/packages/transport/lacewingdrum_transport/http_client.py
@@ -59,6 +59,7 @@
         headers: http_messages.Headers = (),
         body: bytes = b"",
         timeout_s: float = 10.0,
+        on_new_connection: bool = False,
         allow_close_delimited: bool = False,
     ) -> Result[http_messages.HttpResponse, HttpClientError]:
         """Send a request and read the complete response.
@@ -70,6 +71,7 @@
             headers: names and values.
             body: the complete body.
             timeout_s: for the whole exchange.
+            on_new_connection: as for ``open``.
             allow_close_delimited: as for ``open``.
 
         Returns:
@@ -83,6 +85,7 @@
             headers,
             body,
             timeout_s,
+            on_new_connection=on_new_connection,
             allow_close_delimited=allow_close_delimited,
         )
         if isinstance(open_result, Err):
--- a/standins/platform_memory.py
+++ b/standins/platform_memory.py
@@ -33,12 +33,19 @@
     reserved[reservation_id] = MemoryReservation(tokens, expires_s, now_s)
 
 
-def format_report(reserved: dict[str, MemoryReservation]) -> bytes:
-    """Return the report of the reservations that have not expired."""
+def format_report(
+    reserved: dict[str, MemoryReservation], born: dict[str, int]
+) -> bytes:
+    """Return the report of the reservations that have not expired.
+
+    Args:
+        reserved: the reservations by id.
+        born: what the engine says of its start.
+    """
     now_s = asyncio.get_running_loop().time()
     tickets = [
         {"id": name, "state": "used" if item.is_used else "held"}
         for name, item in reserved.items()
         if item.until_s > now_s
     ]
-    return json.dumps({"phase": "colocated", "tickets": tickets}).encode()
+    return json.dumps({"phase": "colocated", "tickets": tickets, **born}).encode()
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -66,6 +66,10 @@
         self.endless = endless_answers.EndlessAnswers()
         # Distinguishes the incarnations of the runner.
         self.born_ms = 1
+        # Whether reports state it.
+        self.is_born_reported = True
+        # Whether commands, reports included, get no answer.
+        self.ignores_commands = False
         self.crashes = runner_crashes.RunnerCrashes(self._abort_all, self.start)
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -147,17 +151,20 @@
             if is_kept:
                 self._repeat_refusal(writer, Moment.LATE, attempt_id)
             is_kept = True
+            if path.startswith("/-/") and self.ignores_commands:
+                await asyncio.Event().wait()
             if path == "/-/order" and self.has_endless_commands:
                 await self.endless.send(writer, (), Fault.ENDLESS_BODY)
                 return
-            if path == "/-/order":
-                is_reusable = self._handle_command(connection, writer, body)
-            elif path == "/-/report":
-                is_reusable = self._report(connection, writer)
-            elif path.startswith("/-/"):
-                # A gateway of another test takes this port for its store.
+            if path.startswith("/-/"):
+                status, answer = self._handle_command(path, headers, body)
                 is_reusable = platform_connection.respond(
-                    connection, writer, 404, (), b"", self.is_close_delimited
+                    connection,
+                    writer,
+                    status,
+                    self._notices(),
+                    answer,
+                    self.is_close_delimited,
                 )
             else:
                 is_reusable = await self._answer_request(
@@ -181,31 +188,23 @@
             self.repeated_refusal.write(writer, moment, attempt_id, was_refused)
 
     def _handle_command(
-        self, connection: h11.Connection, writer: asyncio.StreamWriter, body: bytes
-    ) -> bool:
-        """Answer a command and return whether the connection is reusable."""
+        self, path: str, headers: dict[str, str], body: bytes
+    ) -> tuple[int, bytes]:
+        """Return the status and the body of the answer to a command."""
+        if headers.get("expect-instance", self.runner_id) != self.runner_id:
+            return 421, b""
+        if path == "/-/report":
+            born = {"born": self.born_ms} if self.is_born_reported else {}
+            return 200, platform_memory.format_report(self.reserved, born)
+        if path != "/-/order":
+            # A gateway of another test takes this port for its store.
+            return 404, b""
         command = json.loads(body)
         self.command_count += 1
-        status = 200
         if self.refuse_commands and command["op"] == "reserve":
-            status = 409
-        else:
-            platform_memory.apply_command(self.reserved, command)
-        return platform_connection.respond(
-            connection,
-            writer,
-            status,
-            self._notices(),
-            b'{"free":0}',
-            self.is_close_delimited,
-        )
-
-    def _report(self, connection: h11.Connection, writer: asyncio.StreamWriter) -> bool:
-        """Report the reservations that have not expired."""
-        body = platform_memory.format_report(self.reserved)
-        return platform_connection.respond(
-            connection, writer, 200, self._notices(), body, self.is_close_delimited
-        )
+            return 409, b'{"free":0}'
+        platform_memory.apply_command(self.reserved, command)
+        return 200, b'{"free":0}'
 
     def _notices(self) -> Headers:
         """Return the headers that each answer carries."""
