A connection accepted while its server closes is not cut silently

What callers saw: a request on a new connection, sent as a stop ended, reached the handler (so runners) and its connection was closed with nothing said; others hung until the process ended.

Cause: `close` interrupted the tasks that it found. A connection that asyncio had accepted but not yet made got a task afterwards, which took its request and was then cut with the others; a task that had not begun was cancelled before it could answer; and a server that is closed loses the sockets that it is just accepting.

Change: the listener is taken off the loop first, and what it has accepted is completed. Tasks begin before they are interrupted, connections made later are refused, and their tasks are waited for too. What only the kernel had accepted is still reset, unread.

Evidence: the new test closes the server 0 to 7 turns of the loop after a caller has connected; on the code before, the request of turn 3 was handled and not answered, and those of turns 2 and 4 got nothing.

--- a/packages/daemon/lacewingdrum_daemon/daemon.py
+++ b/packages/daemon/lacewingdrum_daemon/daemon.py
@@ -72,7 +72,7 @@
         await self._wait_for_abort(
             components.own_settings.limits.drain_notice_ms / units.MS_PER_S
         )
-        components.callers_server.stop_accepting()
+        await components.callers_server.stop_accepting()
         while (
             components.callers_server.busy_count and not self._abort_requested.is_set()
         ):
--- a/packages/transport/lacewingdrum_transport/connection_end.py
+++ b/packages/transport/lacewingdrum_transport/connection_end.py
@@ -1,18 +1,28 @@
 """Ends callers' connections so that each gets its last answer."""
 
 import asyncio
+import logging
 
 import h11
 
 from lacewingdrum_state import states
-from lacewingdrum_transport import byte_channel, http_messages, responder as responders
+from lacewingdrum_transport import (
+    byte_channel,
+    http_messages,
+    request_reader,
+    responder as responders,
+)
 
 # How long a request that is interrupted has for its last answer.
 LAST_ANSWER_MAX_S = 0.25
 LEAVING_RETRY_AFTER_S = 0.1
+OVERLOAD_RETRY_AFTER_S = 1
 LINGER_MAX_S = 1.0
 LINGER_BYTES_MAX = 64 * 1024 * 1024
 
+# Its lines keep the name of the server.
+_logger = logging.getLogger("lacewingdrum_transport.http_server")
+
 
 async def answer_interrupted(responder: responders.Responder) -> None:
     """End a request whose handler has been interrupted.
@@ -35,6 +45,41 @@
     )
 
 
+async def refuse(
+    channel: byte_channel.ByteChannel,
+    connection: h11.Connection,
+    error: request_reader.RequestError,
+    write_timeout_s: float,
+) -> None:
+    """Answer a request that the server does not read or cannot.
+
+    Args:
+        channel: its connection.
+        connection: the state of the protocol there.
+        error: why.
+        write_timeout_s: how long the caller may take to read the answer.
+    """
+    if error.reason is request_reader.RequestErrorReason.CLOSED:
+        return
+    if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+        channel.abort()
+        return
+    is_overloaded = error.reason is request_reader.RequestErrorReason.OVERLOADED
+    response = http_messages.error_response(
+        request_reader.STATUS_OF_REASON[error.reason],
+        error.reason.value,
+        error.detail,
+        states.Ran.NO,
+        OVERLOAD_RETRY_AFTER_S if is_overloaded else 0,
+    )
+    _logger.info(
+        "request refused: %s from %s", error.reason.value, channel.remote_address
+    )
+    responder = responders.Responder(channel, connection, write_timeout_s, True)
+    responder.close_after_response()
+    await responder.send(response)
+
+
 async def refuse_unread(
     channel: byte_channel.ByteChannel, connection: h11.Connection
 ) -> None:
--- a/packages/transport/lacewingdrum_transport/http_server.py
+++ b/packages/transport/lacewingdrum_transport/http_server.py
@@ -27,7 +27,8 @@
 Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
 
 ACCEPT_BACKLOG = 1024
-OVERLOAD_RETRY_AFTER_S = 1
+# Turns of the event loop from an accepted socket to its connection.
+ACCEPT_TURNS = 4
 
 _logger = logging.getLogger(__name__)
 
@@ -110,10 +111,17 @@
         """Close each connection after its next response."""
         self._leaving = True
 
-    def stop_accepting(self) -> None:
+    async def stop_accepting(self) -> None:
         """Stop accepting connections; open ones continue."""
-        if self._server is not None:
-            self._server.close()
+        if self._server is None:
+            return
+        loop = asyncio.get_running_loop()
+        for listener in self._server.sockets:
+            loop.remove_reader(listener.fileno())
+        # asyncio drops connections that a closed server is just accepting.
+        for _ in range(ACCEPT_TURNS):
+            await asyncio.sleep(0)
+        self._server.close()
 
     async def close(self, grace_s: float = 0.0) -> int:
         """Wait for requests in progress, then close all connections.
@@ -129,19 +137,19 @@
             The number of requests that were interrupted.
         """
         self.set_leaving()
-        self.stop_accepting()
+        await self.stop_accepting()
         if self._busy and grace_s > 0:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(grace_s):
                     await self._no_busy_connections.wait()
-        interrupted_count = len(self._unanswered)
         self._is_closing = True
-        for task in self._tasks:
+        serving = tuple(self._tasks)
+        # Tasks that have just been created begin, so that they can answer.
+        await asyncio.sleep(0)
+        interrupted_count = len(self._unanswered)
+        for task in serving:
             task.cancel()
-        if self._tasks:
-            await asyncio.wait(
-                tuple(self._tasks), timeout=connection_end.LAST_ANSWER_MAX_S
-            )
+        await self._wait_for_tasks(connection_end.LAST_ANSWER_MAX_S)
         for task, channel in self._tasks.items():
             task.cancel()
             channel.abort()
@@ -149,12 +157,24 @@
             await asyncio.wait(tuple(self._tasks))
         return interrupted_count
 
+    async def _wait_for_tasks(self, timeout_s: float) -> None:
+        """Wait for all tasks, also of connections accepted meanwhile."""
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + timeout_s
+        while self._tasks and (left_s := deadline_s - loop.time()) > 0:
+            await asyncio.wait(tuple(self._tasks), timeout=left_s)
+
     def _new_channel(self) -> byte_channel.ByteChannel:
         return byte_channel.ByteChannel(self._on_connected)
 
     def _on_connected(self, channel: byte_channel.ByteChannel) -> None:
-        full = len(self._tasks) >= self._limits.connections
-        coroutine = self._refuse(channel) if full else self._serve(channel)
+        is_full = len(self._tasks) >= self._limits.connections
+        if self._is_closing:
+            coroutine = self._refuse_leaving(channel)
+        elif is_full:
+            coroutine = self._refuse(channel)
+        else:
+            coroutine = self._serve(channel)
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks[task] = channel
         task.add_done_callback(self._on_task_done)
@@ -188,12 +208,19 @@
     async def _refuse(self, channel: byte_channel.ByteChannel) -> None:
         reason = request_reader.RequestErrorReason.OVERLOADED
         error = request_reader.RequestError(reason, "too many connections")
-        await self._send_error(channel, self._new_h11_connection(), error)
+        timeout_s = self._limits.write_timeout_s
+        await connection_end.refuse(
+            channel, self._new_h11_connection(), error, timeout_s
+        )
         # Connections that are being refused count too. From twice the limit
         # on, they are closed without discarding the caller's further data.
         if len(self._tasks) < 2 * self._limits.connections:
             await connection_end.linger(channel)
 
+    async def _refuse_leaving(self, channel: byte_channel.ByteChannel) -> None:
+        await connection_end.refuse_unread(channel, self._new_h11_connection())
+        await connection_end.linger(channel)
+
     async def _serve(self, channel: byte_channel.ByteChannel) -> None:
         connection = self._new_h11_connection()
         try:
@@ -242,7 +269,9 @@
                 done = connection.our_state is h11.DONE
                 return done and connection.their_state is h11.DONE
             case Err(error):
-                await self._send_error(channel, connection, error)
+                await connection_end.refuse(
+                    channel, connection, error, self._limits.write_timeout_s
+                )
         return False
 
     async def _handle(
@@ -291,29 +320,3 @@
             await connection_end.refuse_unread(channel, connection)
         else:
             await connection_end.answer_interrupted(responder)
-
-    async def _send_error(
-        self,
-        channel: byte_channel.ByteChannel,
-        connection: h11.Connection,
-        error: request_reader.RequestError,
-    ) -> None:
-        if error.reason is request_reader.RequestErrorReason.CLOSED:
-            return
-        if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            channel.abort()
-            return
-        overloaded = error.reason is request_reader.RequestErrorReason.OVERLOADED
-        response = http_messages.error_response(
-            request_reader.STATUS_OF_REASON[error.reason],
-            error.reason.value,
-            error.detail,
-            states.Ran.NO,
-            OVERLOAD_RETRY_AFTER_S if overloaded else 0,
-        )
-        _logger.info(
-            "request refused: %s from %s", error.reason.value, channel.remote_address
-        )
-        responder = Responder(channel, connection, self._limits.write_timeout_s, True)
-        responder.close_after_response()
-        await responder.send(response)
--- a/packages/transport/lacewingdrum_transport/http_server_test.py
+++ b/packages/transport/lacewingdrum_transport/http_server_test.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import logging
+import socket
 import unittest
 import unittest.mock
 
@@ -487,3 +488,45 @@
             received = await exchange(port, b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
     assert status_of(received) == 500 and recorder.requests == []
     assert b"lacewingdrum-ran: no" in received.lower()
+
+
+async def close_beside_a_new_connection(turns: int) -> tuple[bool, bytes]:
+    """Close a server some turns of the loop after a caller has connected.
+
+    Returns:
+        Whether the caller's request reached the handler, and what it received.
+    """
+    paths = []
+
+    async def handler(request, responder):
+        paths.append(request.path)
+        try:
+            await asyncio.sleep(TEST_TIMEOUT_S)
+        finally:
+            await asyncio.sleep(0.05)
+
+    async with serving(handler) as (server, port):
+        earlier = asyncio.ensure_future(
+            exchange(port, b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+        )
+        while not paths:
+            await asyncio.sleep(0)
+        with socket.create_connection((HOST, port)) as late:
+            late.sendall(b"GET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            await server.close()
+            assert status_of(await earlier) == 502
+            late.settimeout(0.2)
+            received = b""
+            with contextlib.suppress(ConnectionError, TimeoutError):
+                received = await asyncio.to_thread(late.recv, 65_536)
+    return "/2" in paths, received
+
+
+async def test_connection_accepted_while_the_server_closes_is_not_cut_silently():
+    for turns in range(8):
+        was_handled, received = await close_beside_a_new_connection(turns)
+        assert received or not was_handled, turns
+        # In the first two turns the server has not accepted the connection.
+        assert received or turns < 2, turns
