--- a/standins/raw_caller.py
+++ b/standins/raw_caller.py
@@ -55,6 +55,41 @@
         writer.transport.abort()
 
 
+class KeptCaller:
+    """A caller that sends its requests one after another on a connection."""
+
+    def __init__(
+        self,
+        site: platform_site.PlatformSite,
+        on: platform_site.RunningGateway | None = None,
+    ) -> None:
+        self._site = site
+        self._on = on
+        self._connection: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None
+        self._connection = None
+
+    async def call(
+        self, path: str, attempt_id: str, headers: tuple[tuple[str, str], ...] = ()
+    ) -> Received:
+        """Send a request, on a new connection if the last one has ended."""
+        if self._connection is None:
+            self._connection = await send(
+                self._site, path, attempt_id, headers, on=self._on
+            )
+        else:
+            self._connection[1].write(format_request(path, attempt_id, headers))
+        received = await _receive(self._connection[0])
+        if not received.is_whole or self._connection[0].at_eof():
+            self.close()
+        return received
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._connection is not None:
+            self._connection[1].transport.abort()
+            self._connection = None
+
+
 async def send(
     site: platform_site.PlatformSite,
     path: str,
