A leaving server answers the requests that were sent ahead

What callers saw: of two requests written at once to a server that had begun to leave, the first got its answer with Connection: close, and the second, which had been received whole, was discarded with the connection. The same two were both answered if the stop began during the first.

Cause: a leaving server announced the close with the next answer, whatever it had received.

Change: it announces it with the answer to the last request that it has received. A request that arrives after that crosses the close, as before.

The new test (three at once) failed before; in a trial with two, one was answered.

--- a/packages/transport/lacewingdrum_transport/http_server.py
+++ b/packages/transport/lacewingdrum_transport/http_server.py
@@ -108,7 +108,7 @@
         self._budget.set_limit(limits.held_body_bytes)
 
     def set_leaving(self) -> None:
-        """Close each connection after its next response."""
+        """Close each connection after its requests that have been received."""
         self._leaving = True
 
     async def stop_accepting(self) -> None:
@@ -284,7 +284,8 @@
         timeout_s = self._limits.write_timeout_s
         responder = Responder(channel, connection, timeout_s, allows_body)
         self._unanswered[channel] = responder
-        if self._leaving:
+        has_next = bool(connection.trailing_data[0]) or channel.has_unread
+        if self._leaving and not has_next:
             responder.close_after_response()
         try:
             await self._handler(request, responder)
--- a/packages/transport/lacewingdrum_transport/http_server_test.py
+++ b/packages/transport/lacewingdrum_transport/http_server_test.py
@@ -530,3 +530,18 @@
         assert received or not was_handled, turns
         # In the first two turns the server has not accepted the connection.
         assert received or turns < 2, turns
+
+
+async def test_leaving_server_answers_the_requests_that_were_sent_ahead():
+    recorder = Recorder()
+    async with serving(recorder) as (server, port):
+        reader, writer = await asyncio.open_connection(HOST, port)
+        while not server.connection_count:
+            await asyncio.sleep(0)
+        server.set_leaving()
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n" * 3)
+        received = await reader.read(-1)
+        writer.close()
+    answers = received.lower().split(b"http/1.1 200")[1:]
+    assert len(answers) == len(recorder.requests) == 3
+    assert [b"connection: close" in one for one in answers] == [False, False, True]
