The list of runners is retried with jitter after an outage of the store

What callers saw: in a large fleet, or beside rows of ended daemons, runners that had left during an outage were still used for some seconds after it.

--- a/packages/gateway/lacewingdrum_gateway/fleet_components.py
+++ b/packages/gateway/lacewingdrum_gateway/fleet_components.py
@@ -100,6 +100,7 @@
             self.store,
             self.peers,
             _listening_addresses(vm),
+            rng,
             clock,
             self.decisions,
             self.counts,
--- a/packages/gateway/lacewingdrum_gateway/runners/runner_list_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/runner_list_sync.py
@@ -7,11 +7,13 @@
 """
 
 import asyncio
+import random
 from collections.abc import Callable
 
 from result import Err
 
 from lacewingdrum_coordination import (
+    retry_pauses,
     runner_health,
     runner_list_history,
     runner_roster,
@@ -35,7 +37,8 @@
 AGE_PER_RANK_S = 0.12
 RANKS_MAX = 8
 RETRY_MIN_S = 0.3
-RETRY_MAX_S = 1.0
+# The longest pause after failed reads, in the largest fleets.
+RETRY_BOUND_S = 30.0
 REQUEST_INTERVAL_S = 0.3
 # If the newer of two lists is more than this much later, entries may have
 # expired during an outage of the store. Runners that are missing from the list
@@ -54,6 +57,7 @@
         store: store_client.StoreClient,
         peers: peering.Peering,
         own_addresses: runner_roster.DaemonAddresses,
+        rng: random.Random,
         clock: Callable[[], float],
         decisions: decision_log.DecisionLog,
         counts: metrics.Metrics,
@@ -63,6 +67,7 @@
         self._store = store
         self._peers = peers
         self._own_addresses = own_addresses
+        self._pauses = retry_pauses.RetryPauses(RETRY_MIN_S, rng)
         self._clock = clock
         self._decisions = decisions
         self._counts = counts
@@ -90,7 +95,6 @@
         await self._tasks.close()
 
     async def _read_in_turn(self) -> None:
-        retry_s = RETRY_MIN_S
         while True:
             rank = self._peers.table.rank_after(self._last_reader)
             due_s = AGE_MAX_S + AGE_PER_RANK_S * min(rank, RANKS_MAX)
@@ -99,14 +103,26 @@
                 await asyncio.sleep(min(wait_s, TICK_S * 4))
                 continue
             if await self._read():
-                retry_s = RETRY_MIN_S
+                self._pauses.reset()
                 continue
-            await asyncio.sleep(retry_s)
-            # In a large fleet each daemon retries more rarely, since one
-            # successful read is enough for all.
-            retry_s = min(
-                2 * retry_s, RETRY_MAX_S * self._peers.table.fleet_size_factor
-            )
+            await self._pause_after_failure()
+
+    async def _pause_after_failure(self) -> None:
+        """Wait before the next read; less long once fewer peers are heard."""
+        failed_s = self._clock()
+        pause_s = self._pauses.take_s(self._pause_limit_s())
+        while True:
+            passed_s = self._clock() - failed_s
+            left_s = min(pause_s, self._pause_limit_s()) - passed_s
+            if left_s <= 0:
+                return
+            await asyncio.sleep(min(left_s, TICK_S * 4))
+
+    def _pause_limit_s(self) -> float:
+        # In a large fleet each daemon retries more rarely, since one
+        # successful read is enough for all.
+        factor = self._peers.table.fleet_size_factor
+        return retry_pauses.limit_s(factor, RETRY_BOUND_S)
 
     def _set_daemons(self) -> None:
         own = self._own_addresses
