Messages of peers do not hold the event loop

Callers would see: a daemon that stands still while it handles what has queued up from its peers.

Cause: up to 64 messages were received in one turn of the loop and up to 256 handled in one, whatever they cost; acknowledgements were read until there were none, which a peer that sends without end never lets happen.

Change: a message counts as four events of turn_budget, where it is received and where it is handled. At most one queue of acknowledgements is read at once. AllowedKeys moves to peer_link, beside the keys.

--- a/packages/transport/lacewingdrum_transport/loop_turns_test.py
+++ b/packages/transport/lacewingdrum_transport/loop_turns_test.py
@@ -1,15 +1,18 @@
-"""Tests that no caller or server holds the event loop."""
+"""Tests that no caller, server or peer holds the event loop."""
 
 import asyncio
 import contextlib
+import time
 
-from lacewingdrum_state import fleet
-from lacewingdrum_transport import http_client, http_server
+from lacewingdrum_protocol import peer_messages
+from lacewingdrum_state import fleet, ids
+from lacewingdrum_transport import http_client, http_server, peer_link, peer_socket
 from standins import loop_turns
 
 HOST = "127.0.0.1"
 MEASURED_S = 1.0
 CONNECTION_COUNT = 20
+SENT_PER_TURN = 8
 TINY_CHUNKS = b"1\r\nx\r\n" * 40_000
 BODY_HEAD = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
 PIPELINED = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n" * 9_000
@@ -120,3 +123,76 @@
         answer = await client.request(address, "GET", "/", timeout_s=9.0)
         await client.close()
     assert answer.unwrap().body == event * 20_000
+
+
+@contextlib.asynccontextmanager
+async def flooded_socket(body, sender_count: int = 4):
+    """Yield a socket that peers send messages to without a pause."""
+    receiver = peer_socket.PeerSocket(ids.VmId("vm-0"))
+    port = await receiver.start(HOST, 0)
+    senders = []
+    for number in range(sender_count):
+        sender = peer_socket.PeerSocket(ids.VmId(f"vm-{number + 1}"))
+        await sender.start(HOST, 0)
+        sender.connect(receiver.vm_id, fleet.Address(HOST, port))
+        senders.append(sender)
+
+    data = peer_messages.encode(ids.VmId("vm-1"), body)
+
+    async def send():
+        while True:
+            for sender in SENT_PER_TURN * senders:
+                sender._links[receiver.vm_id].send(data)
+            await asyncio.sleep(0)
+
+    sending = asyncio.ensure_future(send())
+    try:
+        yield receiver
+    finally:
+        sending.cancel()
+        for one in (*senders, receiver):
+            await one.close()
+
+
+async def messages_turn_ms(body, handle) -> float:
+    """Return the longest turn while such messages are handled."""
+
+    async def receive(receiver):
+        while True:
+            handle(await receiver.receive())
+
+    async with flooded_socket(body) as receiver, loop_turns.measured() as longest:
+        receiving = asyncio.ensure_future(receive(receiver))
+        await asyncio.sleep(MEASURED_S)
+        receiving.cancel()
+    return longest.worked_ms
+
+
+async def test_messages_of_peers_do_not_hold_the_loop():
+    def handle(message):
+        end_s = time.thread_time() + 0.001
+        while time.thread_time() < end_s:
+            pass
+
+    worked_ms = await messages_turn_ms(
+        peer_messages.ReservationRelease("a", "b"), handle
+    )
+    assert worked_ms <= loop_turns.TURN_MAX_MS, worked_ms
+
+
+async def test_long_messages_of_peers_do_not_hold_the_loop():
+    names = tuple(f"10.0.0.1:{number}" for number in range(20_000))
+    heartbeat = peer_messages.Heartbeat(1, "north", False, (), peers=names)
+    worked_ms = await messages_turn_ms(heartbeat, lambda message: None)
+    assert worked_ms <= loop_turns.TURN_MAX_MS, worked_ms
+
+
+def test_acknowledgements_without_end_are_not_read_at_once():
+    class EndlessSocket:
+        read_count = 0
+
+        def recv_multipart(self, flags):
+            self.read_count += 1
+            assert self.read_count <= peer_link.RECEIVE_QUEUE_MESSAGES
+
+    assert peer_link._drain_acknowledgements(EndlessSocket())
--- a/packages/transport/lacewingdrum_transport/peer_link.py
+++ b/packages/transport/lacewingdrum_transport/peer_link.py
@@ -51,6 +51,20 @@
         socket.curve_secretkey = self.secret_key.encode("ascii")
 
 
+class AllowedKeys:
+    """Tells the ZeroMQ authenticator which public keys are allowed."""
+
+    def __init__(self, keys: CurveKeys) -> None:
+        self._allowed = frozenset(key.encode("ascii") for key in keys.peer_keys)
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        """Return whether the public key is allowed.
+
+        The authenticator of pyzmq requires this name.
+        """
+        return key in self._allowed
+
+
 class PeerLink:
     """Sends to one peer without blocking.
 
@@ -180,10 +194,10 @@
 
 
 def _drain_acknowledgements(socket: Socket) -> bool:
-    """Read all acknowledgements; return whether there were any."""
+    """Read the acknowledgements of a queue; return whether there were any."""
     has_received = False
     with contextlib.suppress(zmq.ZMQError):
-        while True:
+        for _ in range(RECEIVE_QUEUE_MESSAGES):
             socket.recv_multipart(zmq.NOBLOCK)
             has_received = True
     return has_received
--- a/packages/transport/lacewingdrum_transport/peer_socket.py
+++ b/packages/transport/lacewingdrum_transport/peer_socket.py
@@ -16,7 +16,7 @@
 
 from lacewingdrum_protocol import peer_messages, received_messages
 from lacewingdrum_state import fleet, ids
-from lacewingdrum_transport import peer_link
+from lacewingdrum_transport import peer_link, turn_budget
 
 SILENCE_LIMIT_S = 2.0
 RECEIVE_BATCH_MESSAGES = 64
@@ -24,6 +24,8 @@
 # since a wake-up of the event loop for each message would cost more than its
 # handling.
 RECEIVE_INTERVAL_S = 0.005
+# A message costs as much as so many events of an answer.
+MESSAGE_EVENTS = 4
 CURVE_DOMAIN = "peers"
 ACKNOWLEDGEMENT = b""
 
@@ -32,20 +34,6 @@
 RECEIVE_QUEUE_MESSAGES = peer_link.RECEIVE_QUEUE_MESSAGES
 
 
-class _AllowedKeys:
-    """Tells the ZeroMQ authenticator which public keys are allowed."""
-
-    def __init__(self, keys: CurveKeys) -> None:
-        self._allowed = frozenset(key.encode("ascii") for key in keys.peer_keys)
-
-    def callback(self, domain: str, key: bytes) -> bool:
-        """Return whether the public key is allowed.
-
-        The authenticator of pyzmq requires this name.
-        """
-        return key in self._allowed
-
-
 class PeerSocket:
     """Sends to peers without blocking, and receives from all of them.
 
@@ -75,6 +63,8 @@
             collections.deque()
         )
         self._message_received: asyncio.Event = asyncio.Event()
+        self._handled = turn_budget.ReadTurns()
+        self._batch = turn_budget.ReadTurns()
         self._context: peer_link.Context | None = None
         self._router: peer_link.Socket | None = None
         self._loop: asyncio.AbstractEventLoop | None = None
@@ -197,11 +187,16 @@
     async def receive(self) -> peer_messages.PeerMessage:
         """Wait for the next message.
 
-        Malformed messages are counted and dropped.
+        Malformed messages are counted and dropped. Where many wait, the event
+        loop serves others in between.
         """
+        if self._handled.is_over:
+            await self._handled.give_back()
         while not self._received:
+            self._handled.reset()
             self._message_received.clear()
             await self._message_received.wait()
+        self._handled.count(MESSAGE_EVENTS)
         return self._received.popleft()
 
     async def close(self) -> None:
@@ -244,7 +239,7 @@
         self._authenticator = zmq.auth.asyncio.AsyncioAuthenticator(self._context)
         self._authenticator.start()
         self._authenticator.configure_curve_callback(
-            CURVE_DOMAIN, credentials_provider=_AllowedKeys(self._keys)
+            CURVE_DOMAIN, credentials_provider=peer_link.AllowedKeys(self._keys)
         )
 
     def _on_readable(self) -> None:
@@ -274,7 +269,11 @@
         assert self._router is not None
         free_slots = RECEIVE_QUEUE_MESSAGES - len(self._received)
         max_count = min(RECEIVE_BATCH_MESSAGES, free_slots)
+        self._batch.reset()
         for message_count in range(max_count):
+            if self._batch.is_over:
+                return message_count
+            self._batch.count(MESSAGE_EVENTS)
             try:
                 frames = self._router.recv_multipart(zmq.NOBLOCK)
             except zmq.ZMQError:
