Each daemon measures and logs the lag of its event loop

loop_lag moves from the daemon to the runtime and serves the gateway too. The lateness of each wake-up goes into the histogram loop_late_seconds of the metrics address, and one of more than 200 ms into the log as loop_late. The clock of both does not run while the VM is suspended, which has its own line.

--- a/packages/daemon/lacewingdrum_daemon/components.py
+++ b/packages/daemon/lacewingdrum_daemon/components.py
@@ -18,7 +18,6 @@
     in_flight_attempts,
     large_answers,
     load_monitor,
-    loop_lag,
     membership_sync,
     operators,
     order_executor,
@@ -34,7 +33,7 @@
     settings,
 )
 from lacewingdrum_protocol import document_text, peer_messages
-from lacewingdrum_runtime import decision_log, metrics
+from lacewingdrum_runtime import decision_log, loop_lag, metrics
 from lacewingdrum_state import ids, units
 from lacewingdrum_transport import (
     http_client,
@@ -64,7 +63,7 @@
             logger, self.clock, own_settings.limits.explain_lines
         )
         self.metrics = metrics.Metrics()
-        self.lag = loop_lag.LoopLag(self.clock)
+        self.lag = loop_lag.LoopLag(self.clock, self.decisions, self.metrics)
         self._make_clients()
         self._make_coordination()
         self._make_servers()
--- a/packages/daemon/lacewingdrum_daemon/pressure.py
+++ b/packages/daemon/lacewingdrum_daemon/pressure.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable
 
 from lacewingdrum_coordination import admission, membership, overload, routing
-from lacewingdrum_daemon import attempt_executor, loop_lag, membership_sync
+from lacewingdrum_daemon import attempt_executor, membership_sync
+from lacewingdrum_runtime import loop_lag
 from lacewingdrum_state import ids, states
 
 
--- a/packages/gateway/lacewingdrum_gateway/components.py
+++ b/packages/gateway/lacewingdrum_gateway/components.py
@@ -1,6 +1,7 @@
 """The composition root of the gateway: creates and connects its components."""
 
 import logging
+import time
 
 from lacewingdrum_coordination import retry_allowance, route_table
 from lacewingdrum_gateway import fleet_components, server_limits, settings
@@ -20,7 +21,7 @@
     silence_watch,
     stream_forwarding,
 )
-from lacewingdrum_runtime import metrics
+from lacewingdrum_runtime import loop_lag, metrics
 from lacewingdrum_transport import (
     connector,
     http_client,
@@ -52,6 +53,7 @@
     ) -> None:
         super().__init__(own_settings, logger, connect_to_runners)
         clock, rng, table = self.clock, self.rng, self.peer_table
+        self.lag = loop_lag.LoopLag(time.monotonic, self.decisions, self.counts)
         self.memory = engine_memory.EngineMemory(
             self.runner_client,
             self.notices,
--- a/packages/gateway/lacewingdrum_gateway/gateway.py
+++ b/packages/gateway/lacewingdrum_gateway/gateway.py
@@ -93,6 +93,7 @@
             for seed in vm.seeds
             if (address := addresses.parse_address(seed)) is not None
         )
+        components.lag.start()
         components.work_sync.start()
         components.configurations.start()
         components.runner_list.start()
@@ -192,6 +193,7 @@
         """Close every component at once."""
         components = self.components
         await self._tasks.close()
+        await components.lag.close()
         await components.callers_server.close()
         await components.relay_server.close()
         await components.ready_server.close()
--- a/packages/gateway/lacewingdrum_gateway/loop_turns_test.py
+++ b/packages/gateway/lacewingdrum_gateway/loop_turns_test.py
@@ -59,3 +59,13 @@
 
 async def test_fields_of_a_head_do_not_hold_the_loop():
     await check_turns("/read/x", Fault.ENDLESS_FIELDS)
+
+
+async def test_daemon_serves_its_own_loop_lag():
+    async with platform_site.running_site() as site:
+        vm = site.gateways[0].gateway_settings.vm
+        await asyncio.sleep(0.2)
+        answer = await site.client.request(
+            platform_site.fleet.Address(vm.host, vm.metrics_port), "GET", "/metrics"
+        )
+    assert b"lacewingdrum_loop_late_seconds_bucket" in answer.unwrap().body
--- a/packages/runtime/lacewingdrum_runtime/decision_log.py
+++ b/packages/runtime/lacewingdrum_runtime/decision_log.py
@@ -74,6 +74,7 @@
     MEMORY_LAPSES = "memory_lapses"
     REPEAT_REFUSED = "repeat_refused"
     SUSPENDED = "suspended"
+    LOOP_LATE = "loop_late"
     LINES_DROPPED = "lines_dropped"
 
 
--- a/packages/runtime/lacewingdrum_runtime/metrics.py
+++ b/packages/runtime/lacewingdrum_runtime/metrics.py
@@ -10,6 +10,7 @@
 
 from hdrh import histogram
 
+from lacewingdrum_runtime import histograms
 from lacewingdrum_state import ids, states
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
@@ -44,6 +45,7 @@
         ] = {}
         self._sums_us: collections.Counter = collections.Counter()
         self._gauges: dict[str, Callable[[], float]] = {}
+        self._histograms: dict[str, histograms.Histogram] = {}
 
     def count(self, name: str, amount: float = 1, **labels: str) -> None:
         """Increase a counter.
@@ -65,6 +67,15 @@
         """
         self._gauges[name] = read
 
+    def histogram(self, name: str) -> histograms.Histogram:
+        """Return a new histogram of durations.
+
+        Args:
+            name: the name without prefix, with its unit.
+        """
+        self._histograms[name] = histograms.Histogram()
+        return self._histograms[name]
+
     def time(
         self,
         timing: Timing,
@@ -105,6 +116,8 @@
     def text(self) -> str:
         """Return all metrics in Prometheus' text format."""
         lines = [*self._counter_lines(), *self._gauge_lines(), *self._time_lines()]
+        for name, counted in sorted(self._histograms.items()):
+            lines.extend(counted.lines(f"{NAME_PREFIX}_{name}"))
         return "\n".join(lines) + "\n"
 
     def _counter_lines(self) -> list[str]:
