An attempt whose engine was replaced ends with the lease of its memory

What callers saw: a long prompt waited for the whole limit of silence (twice the objective, 6 s and more) for an engine that had crashed and was back, though the renewal of its leases already knew that another incarnation was there. The memory lay unused until the lease ended.

Cause: nothing led from the lease to the attempt.

Change: the engine's report is asked for beside the reservations, and what it states is the incarnation that the lease is tied to; the entry's where it states none in time. Once another one answers, the attempt ends as replaced (unknown, so that only what may be repeated is sent again), which releases the memory. HeldMemory has a module of its own.

--- a/packages/gateway/lacewingdrum_gateway/runners/engine_memory.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/engine_memory.py
@@ -16,6 +16,7 @@
 from lacewingdrum_coordination import lease_holders, runner_roster
 from lacewingdrum_gateway.runners import (
     engine_commands,
+    held_memory,
     lease_holder_check,
     runner_notices,
 )
@@ -25,7 +26,6 @@
 from lacewingdrum_transport import http_client, http_messages
 
 LEASE_MS = 3_600
-RENEW_INTERVAL_S = 1.6
 # How soon a renewal that failed is tried again while the lease lasts.
 RENEW_RETRY_S = 0.2
 # The longest time from the decision to renew a lease until it is renewed.
@@ -53,49 +53,6 @@
     UNUSED = "unused"
 
 
-class HeldMemory:
-    """Memory on several engines under one id, renewed until it is closed.
-
-    ``is_used`` is set once the request is known to have begun to run.
-    ``renewed_s`` is when the last calls that all engines answered were sent.
-    """
-
-    def __init__(
-        self,
-        owner: "EngineMemory",
-        decoder: runner_entries.RunnerEntry,
-        reservation_id: str,
-        entries: Sequence[runner_entries.RunnerEntry],
-        tokens: int,
-        reserved_s: float,
-    ) -> None:
-        self.reservation_id = reservation_id
-        self.decoder = decoder
-        self.entries = tuple(entries)
-        self.tokens = tokens
-        self.reserved_s = reserved_s
-        self.renewed_s = reserved_s
-        self.is_used = False
-        self._owner = owner
-        self._renewal: asyncio.Task[None] | None = None
-
-    def start(self) -> None:
-        """Start the renewal of the leases."""
-        self._renewal = asyncio.get_running_loop().create_task(self._renew())
-
-    def close(self) -> None:
-        """Stop the renewal and release the memory in the background."""
-        if self._renewal is not None:
-            self._renewal.cancel()
-        self._owner.release_in_background(self)
-
-    async def _renew(self) -> None:
-        wait_s: float | None = RENEW_INTERVAL_S
-        while wait_s is not None:
-            await asyncio.sleep(wait_s)
-            wait_s = await self._owner.renew(self)
-
-
 class EngineMemory:
     """Reserves memory on all of several engines, or on none."""
 
@@ -117,7 +74,7 @@
         self._clock = clock
         self._decisions = decisions
         self._counts = counts
-        self._held: dict[str, HeldMemory] = {}
+        self._held: dict[str, held_memory.HeldMemory] = {}
         self._tasks = tasks.TaskSet()
 
     async def close(self) -> None:
@@ -131,23 +88,30 @@
         decoder: runner_entries.RunnerEntry,
         entries: Sequence[runner_entries.RunnerEntry],
         tokens: int,
-    ) -> Result[HeldMemory, tuple[MemoryRefused, ...]]:
+        on_replaced: Callable[[], None],
+    ) -> Result[held_memory.HeldMemory, tuple[MemoryRefused, ...]]:
         """Reserve memory on all engines, or on none.
 
         Args:
             request_id: the request that needs the memory, for the log.
             reservation_id: a new id for each attempt.
-            decoder: the engine that the request is sent to.
+            decoder: the engine that the request is sent to. Its entry may be
+                of an earlier incarnation, as the list may be behind.
             entries: the engines that reserve memory.
             tokens: the memory to reserve on each engine.
+            on_replaced: called once the decoder is known to be another
+                incarnation, which does not hold the request.
 
         Returns:
             The memory, which the caller closes, or all refusals.
         """
-        held = HeldMemory(self, decoder, reservation_id, entries, tokens, self._clock())
+        now_s = self._clock()
+        held = held_memory.HeldMemory(
+            self, decoder, reservation_id, entries, tokens, now_s, on_replaced
+        )
         try:
-            answers = await asyncio.gather(
-                *(self.reserve_part(entry, held) for entry in entries)
+            held.decoder, answers = await asyncio.gather(
+                self._holder_check.identify(decoder), self._reserve_parts(held)
             )
         except asyncio.CancelledError:
             held.close()
@@ -178,7 +142,7 @@
         if held is not None:
             held.is_used = True
 
-    async def renew(self, held: HeldMemory) -> float | None:
+    async def renew(self, held: held_memory.HeldMemory) -> float | None:
         """Renew the leases of held memory, unless it is to expire.
 
         Args:
@@ -191,9 +155,7 @@
         sent_s = self._clock()
         reason = await self._find_end_reason(held)
         if reason is None:
-            answers = await asyncio.gather(
-                *(self.reserve_part(entry, held) for entry in held.entries)
-            )
+            answers = await self._reserve_parts(held)
             if not any(item and item.is_unreachable for item in answers):
                 held.renewed_s = sent_s
         lease_s = self._lease_ms / units.MS_PER_S
@@ -201,11 +163,15 @@
         may_recover = reason is LeaseEndReason.DECODER_UNREACHABLE and is_leased
         if reason is not None and not may_recover:
             self._record_lease_end(held, reason)
+            if reason is LeaseEndReason.DECODER_REPLACED:
+                held.on_replaced()
             return None
         is_due = is_leased and held.renewed_s != sent_s
-        return RENEW_RETRY_S if is_due else RENEW_INTERVAL_S
+        return RENEW_RETRY_S if is_due else held_memory.RENEW_INTERVAL_S
 
-    async def _find_end_reason(self, held: HeldMemory) -> LeaseEndReason | None:
+    async def _find_end_reason(
+        self, held: held_memory.HeldMemory
+    ) -> LeaseEndReason | None:
         """Return why the lease of held memory is not to be renewed now.
 
         The decoding engine has been replaced or does not say that it has not,
@@ -224,13 +190,13 @@
             case lease_holders.HolderState.UNKNOWN:
                 return LeaseEndReason.DECODER_UNREACHABLE
 
-    def _could_exceed_unused_limit(self, held: HeldMemory) -> bool:
+    def _could_exceed_unused_limit(self, held: held_memory.HeldMemory) -> bool:
         """Return whether a lease renewed now may end after the limit."""
         held_s = self._clock() - held.reserved_s
         lease_s = self._lease_ms / units.MS_PER_S
         return held_s + RENEWAL_MAX_S + lease_s > self._unused_max_s
 
-    async def _is_reported_used(self, held: HeldMemory) -> bool:
+    async def _is_reported_used(self, held: held_memory.HeldMemory) -> bool:
         """Ask engines that hold a part whether its request runs."""
         for entry in held.entries[:REPORTING_ENGINES]:
             answer = await self._commands.call(entry, engine_calls.report())
@@ -241,7 +207,9 @@
                 return held.reservation_id in report.ok_value.used_reservations
         return False
 
-    def _record_lease_end(self, held: HeldMemory, reason: LeaseEndReason) -> None:
+    def _record_lease_end(
+        self, held: held_memory.HeldMemory, reason: LeaseEndReason
+    ) -> None:
         self._counts.count("memory_leases_ended")
         self._decisions.record(
             decision_log.DecisionEvent.MEMORY_LAPSES,
@@ -253,8 +221,15 @@
             lease_ms=self._lease_ms,
         )
 
+    async def _reserve_parts(
+        self, held: held_memory.HeldMemory
+    ) -> list[MemoryRefused | None]:
+        return await asyncio.gather(
+            *(self.reserve_part(entry, held) for entry in held.entries)
+        )
+
     async def reserve_part(
-        self, entry: runner_entries.RunnerEntry, held: HeldMemory
+        self, entry: runner_entries.RunnerEntry, held: held_memory.HeldMemory
     ) -> MemoryRefused | None:
         """Reserve the part of one engine or renew its lease.
 
@@ -275,7 +250,7 @@
             return MemoryRefused(entry, f"status {status}")
         return None
 
-    def release_in_background(self, held: HeldMemory) -> None:
+    def release_in_background(self, held: held_memory.HeldMemory) -> None:
         """Release memory in the background, with retries."""
         self._held.pop(held.reservation_id, None)
         for entry in held.entries:
--- a/packages/gateway/lacewingdrum_gateway/runners/lease_holder_check.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/lease_holder_check.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 
 from result import Err, Ok, Result
 
@@ -29,6 +30,22 @@
         self._commands = commands
         self._roster = roster
 
+    async def identify(
+        self, entry: runner_entries.RunnerEntry
+    ) -> runner_entries.RunnerEntry:
+        """Return an engine's entry with the incarnation that it states now.
+
+        It is the entry itself if the engine states none in time.
+        """
+        stated: lease_holders.StatedIdentity | None = None
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(TIMEOUT_S):
+                answer = await self._commands.call(entry, engine_calls.report())
+                stated = _identity(answer)
+        if stated is None or not stated.born_ms:
+            return entry
+        return dataclasses.replace(entry, born_ms=stated.born_ms)
+
     async def find_state(
         self, entry: runner_entries.RunnerEntry
     ) -> lease_holders.HolderState:
--- a/packages/gateway/lacewingdrum_gateway/serving/attempt.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/attempt.py
@@ -150,6 +150,7 @@
         says_nothing = end.reason in (
             attempt_ends.EndReason.HELPER_FAILED,
             attempt_ends.EndReason.NO_MEMORY,
+            attempt_ends.EndReason.REPLACED,
         )
         is_sound = end.reason is attempt_ends.EndReason.SUPERSEDED and not was_silent
         if says_nothing or is_sound:
--- a/packages/gateway/lacewingdrum_gateway/serving/attempt_ends.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/attempt_ends.py
@@ -24,6 +24,7 @@
     NO_RECEIPT = "no_receipt"
     UNREACHABLE = "unreachable"
     SUPERSEDED = "superseded"
+    REPLACED = "replaced"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,6 +57,15 @@
     )
 
 
+def replaced() -> AttemptEnd:
+    """Return the end of an attempt whose runner was started again since."""
+    return AttemptEnd(
+        states.AttemptState.UNKNOWN,
+        EndReason.REPLACED,
+        "another incarnation is at its address",
+    )
+
+
 def open_failure(error: http_client.HttpClientError) -> AttemptEnd:
     """Return the end of an attempt that got no head of an answer."""
     detail = f"{error.reason.value} {error.detail}".strip()
--- a/packages/gateway/lacewingdrum_gateway/serving/exchange.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/exchange.py
@@ -1,6 +1,7 @@
 """Runs an attempt: sends the request and forwards the answer to the caller."""
 
 import contextlib
+import functools
 from collections.abc import Callable
 
 from result import Err, Ok
@@ -106,6 +107,7 @@
             plan.entry,
             plan.helpers,
             plan.helper_memory_tokens,
+            functools.partial(active.race.end, attempt, attempt_ends.replaced()),
         )
         if isinstance(reserved, Err):
             refusals = reserved.err_value
