Silent connections to the store are noticed within the bound for a change

Cause: nothing tied the feed's time-out to config_ms. Its wait (2.5 s, to 15 s in a large fleet), the limit for the answer (1.5 s) and the pause after a failure (0.25 s) added up. A call that failed said nothing of the other connections, and a change woke all feeds at once, so that no daemon heard sooner than another. In a large fleet a daemon that heard nothing of its followers waited 4 s or more for them to count as lost.

Change: StoreDeadlines derives all waits from bounds.config_ms of the settings (a new key, 2000 by default). StoreConnections closes all open connections to the store when a call on them times out or is cut, and makes the calls on them once more on new ones; a feed asks again without a wait, so that it has the newest version at once. A slow store is given twice its last answer's time. After a change the feeds of the daemons end in turn. A daemon that hears none of its followers for 0.4 of the bound reads the table. StoreFollowing holds what ConfigurationSync knew of peers, to keep that module short.

Price, from the code, feed calls a second of all daemons (config_ms 2, 3, 4 s): 6 daemons 2.4 before, 6 now (0.4 and 1.0 a daemon); 80 in 3 data centres 3.0 and 14 (0.04 and 0.18); 360 in 12: 13 and 47 (0.04 and 0.13).

Evidence: the four tests of silent_paths_test failed on the code before: 5 of 6 plays with two and with six gateways (known 2.5 to 4.4 s after the change), 6 of 6 and 4 of 6 where one daemon follows for five (to 11.9 s); they pass, and store_connections_test's cases.

Tests that changed: StoreClient's new argument; a constant that moved (same value). The stand-in site reaches the store through the fault proxy that stood there already.

--- a/packages/coordination/lacewingdrum_coordination/store_followers.py
+++ b/packages/coordination/lacewingdrum_coordination/store_followers.py
@@ -26,8 +26,29 @@
         own: the daemon.
         group: the daemons that it hears in its data centre, and itself.
     """
-    own_rank = _rank(own)
-    return sum(_rank(other) < own_rank for other in group) < FOLLOWERS_MAX
+    return _place(own, group) < FOLLOWERS_MAX
+
+
+def followers(group: Collection[ids.VmId]) -> tuple[ids.VmId, ...]:
+    """Return the daemons of a data centre that follow the store.
+
+    Args:
+        group: the daemons that one of them hears, and itself.
+    """
+    return tuple(sorted(group, key=_rank)[:FOLLOWERS_MAX])
+
+
+def first_wait_share(own: ids.VmId, following: Collection[ids.VmId]) -> float:
+    """Return which share of its usual wait a feed waits after a change.
+
+    A change ends all feeds at once. After it they end in turn, so that one
+    daemon soon notices that the store's connections are silent.
+
+    Args:
+        own: the daemon.
+        following: the daemons that follow the store, and itself.
+    """
+    return (_place(own, following) + 1) / max(len(following), 1)
 
 
 def pick_holder(own: ids.VmId, holders: Collection[ids.VmId]) -> ids.VmId:
@@ -47,5 +68,11 @@
     return READ_SPREAD_S * coordinators.stable_hash(own) / HASH_RANGE
 
 
+def _place(own: ids.VmId, group: Collection[ids.VmId]) -> int:
+    """Return how many daemons of a group come before a daemon."""
+    own_rank = _rank(own)
+    return sum(_rank(other) < own_rank for other in group)
+
+
 def _rank(address: ids.VmId) -> tuple[int, ids.VmId]:
     return coordinators.stable_hash(address), address
--- a/packages/coordination/lacewingdrum_coordination/store_followers_test.py
+++ b/packages/coordination/lacewingdrum_coordination/store_followers_test.py
@@ -37,3 +37,9 @@
     assert picked == [
         store_followers.pick_holder(taker, holders[::-1]) for taker in takers
     ]
+
+
+def test_feeds_of_all_daemons_end_in_turn_after_a_change():
+    shares = sorted(store_followers.first_wait_share(own, FLEET) for own in FLEET)
+    assert shares == [(place + 1) / len(FLEET) for place in range(len(FLEET))]
+    assert store_followers.first_wait_share(FLEET[0], FLEET[:1]) == 1.0
--- a/packages/gateway/lacewingdrum_gateway/configuration_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/configuration_sync.py
@@ -14,27 +14,20 @@
 
 from result import Err, Ok
 
-from lacewingdrum_coordination import route_table, store_followers
-from lacewingdrum_gateway import store_client
+from lacewingdrum_coordination import route_table, store_deadlines, store_followers
+from lacewingdrum_gateway import store_client, store_following
 from lacewingdrum_gateway.peers import peering
 from lacewingdrum_platform import desired_state, store_calls
 from lacewingdrum_protocol import packed_text, peer_messages
 from lacewingdrum_runtime import decision_log, metrics, tasks
 from lacewingdrum_state import ids, store_versions
 
-FEED_WAIT_S = 2.5
-FEED_WAIT_MAX_S = 15.0
 RETRY_MIN_S = 0.25
 RETRY_MAX_S = 1.0
-# Changes that follow each other within this time are read in one call.
-FEED_PAUSE_S = 0.25
 # A daemon that does not follow the feed reads the table at least this often.
 UNFOLLOWED_READ_S = 30.0
 # The longest time until a daemon notices that it has to follow the feed.
 FOLLOWER_CHECK_S = 0.5
-# The time that a peer of the same data centre has to send a version. It may
-# have to send it to a dozen others over a narrow link.
-NEAR_ANSWER_S = 0.8
 # The time that the feed has to deliver a version before a peer is asked.
 PEER_REQUEST_DELAY_S = 0.5
 REQUEST_INTERVAL_S = 0.4
@@ -47,6 +40,7 @@
         self,
         store: store_client.StoreClient,
         peers: peering.Peering,
+        deadlines: store_deadlines.StoreDeadlines,
         clock: Callable[[], float],
         decisions: decision_log.DecisionLog,
         counts: metrics.Metrics,
@@ -58,6 +52,8 @@
         self._packed_text: bytes | None = None
         self._store = store
         self._peers = peers
+        self._deadlines = deadlines
+        self._following = store_following.StoreFollowing(peers.table, deadlines)
         self._clock = clock
         self._decisions = decisions
         self._counts = counts
@@ -124,16 +120,17 @@
         )
         self._applied.set()
         self._peers.set_version(found.version)
-        if self._is_follower():
+        if self._following.is_follower:
             self._peers.announce()
         for handler in self._applied_handlers:
             handler(self.table)
 
     async def _follow_store(self) -> None:
         after: store_versions.StoreVersion | None = None
+        has_changed = False
         retry_s = RETRY_MIN_S
         while True:
-            if after is not None and not self._is_follower():
+            if after is not None and not self._following.is_follower:
                 await self._wait_for_newer_version()
                 if await self._take_from_near_peer():
                     continue
@@ -142,15 +139,18 @@
                 answer = await self._store.read(store_calls.CONFIGURATION_TABLE)
             else:
                 answer = await self._store.follow(
-                    store_calls.CONFIGURATION_TABLE, after, self._feed_wait_s()
+                    store_calls.CONFIGURATION_TABLE,
+                    after,
+                    self._following.feed_wait_s(has_changed),
                 )
             match answer:
                 case Ok(rows):
                     after = rows.version
                     retry_s = RETRY_MIN_S
-                    if rows.rows:
+                    has_changed = bool(rows.rows)
+                    if has_changed:
                         self._apply_rows(rows.rows)
-                        await asyncio.sleep(FEED_PAUSE_S)
+                        await asyncio.sleep(self._deadlines.feed_pause_s)
                 case Err(error):
                     # The feed may not repeat changes of the meantime, so the
                     # whole table is read again.
@@ -162,69 +162,46 @@
                         2 * retry_s, RETRY_MAX_S * self._peers.table.fleet_size_factor
                     )
 
-    def _is_follower(self) -> bool:
-        table = self._peers.table
-        return table.exchanges_all_work_reports or store_followers.is_follower(
-            self._peers.own_address, table.work_group()
-        )
-
     async def _wait_for_newer_version(self) -> None:
         """Wait until a peer has a newer version, for a limited time.
 
-        The wait also ends when this daemon has to follow the feed.
+        The wait also ends when this daemon has to follow the feed, or when it
+        hears none of the daemons that follow it.
         """
-        end_s = self._clock() + UNFOLLOWED_READ_S
-        while self._clock() < end_s and not self._is_follower():
+        start_s = self._clock()
+        end_s = start_s + UNFOLLOWED_READ_S
+        while self._clock() < end_s and not self._following.is_follower:
+            silence_s = self._clock() - max(start_s, self._following.followers_seen_s())
+            left_s = self._deadlines.followers_silence_s - silence_s
+            if left_s <= 0:
+                return
             try:
-                async with asyncio.timeout(FOLLOWER_CHECK_S):
+                async with asyncio.timeout(min(left_s, FOLLOWER_CHECK_S)):
                     await self._newer_announced.wait()
             except TimeoutError:
                 continue
             self._newer_announced.clear()
-            if self._newest_version_heard() <= self.version:
+            if self._following.newest_version_heard() <= self.version:
                 # It has come in the meantime.
                 continue
             await asyncio.sleep(store_followers.read_delay_s(self._peers.own_address))
             return
 
-    def _newest_version_heard(self) -> int:
-        live = self._peers.table.live
-        return max((peer.configuration_version for peer in live), default=0)
-
-    def _pick_newer_near_peer(self) -> peering.Peer | None:
-        """Return a near peer with the newest version, if that is newer."""
-        near = self._peers.table.work_peers()
-        newest = max((peer.configuration_version for peer in near), default=0)
-        if newest <= self.version:
-            return None
-        holders = [
-            peer.address for peer in near if peer.configuration_version == newest
-        ]
-        return self._peers.table.get(
-            store_followers.pick_holder(self._peers.own_address, holders)
-        )
-
     async def _take_from_near_peer(self) -> bool:
         """Ask a near peer for its newer version; return whether it came."""
-        holder = self._pick_newer_near_peer()
-        if holder is None or self._is_follower():
+        holder = self._following.pick_newer_near_peer(self.version)
+        if holder is None or self._following.is_follower:
             return False
         self._applied.clear()
         self._last_request_s = self._clock()
         self._peers.send(holder.address, self._request())
         try:
-            async with asyncio.timeout(NEAR_ANSWER_S):
+            async with asyncio.timeout(self._deadlines.near_answer_s):
                 await self._applied.wait()
         except TimeoutError:
             return False
         return True
 
-    def _feed_wait_s(self) -> float:
-        # In a large fleet, this daemon learns of a change from the heartbeat
-        # of some peer even if its own feed stays silent, so the feed may wait
-        # longer.
-        return min(FEED_WAIT_S * self._peers.table.fleet_size_factor, FEED_WAIT_MAX_S)
-
     def _apply_rows(self, rows: tuple[store_calls.Row, ...]) -> None:
         for row in rows:
             if row.key == store_calls.CONFIGURATION_KEY and row.value is not None:
@@ -240,7 +217,7 @@
     def _request_configuration(self, address: ids.VmId) -> None:
         now_s = self._clock()
         if (
-            self._newest_version_heard() <= self.version
+            self._following.newest_version_heard() <= self.version
             or now_s - self._last_request_s < REQUEST_INTERVAL_S
         ):
             return
--- a/packages/gateway/lacewingdrum_gateway/configuration_sync_test.py
+++ b/packages/gateway/lacewingdrum_gateway/configuration_sync_test.py
@@ -3,7 +3,7 @@
 import re
 import unittest.mock
 
-from lacewingdrum_coordination import store_followers
+from lacewingdrum_coordination import store_deadlines, store_followers
 from lacewingdrum_gateway import configuration_sync
 from lacewingdrum_gateway.peers import peer_table
 from lacewingdrum_protocol import peer_messages
@@ -41,7 +41,7 @@
         async with platform_site.running_site(gateways=5) as site:
             site.store.put_json("op", "config", platform_site.make_configuration(2))
             await wait_for_version(site, 2, APPLIED_TIMEOUT_S)
-            await asyncio.sleep(2 * configuration_sync.FEED_PAUSE_S)
+            await asyncio.sleep(2 * store_deadlines.FEED_PAUSE_MAX_S)
             feeds = site.store.waiting_feeds
             assert feeds == 1, f"{feeds} daemons follow the store"
 
@@ -107,7 +107,7 @@
             # After a change only the follower waits at the store for the next.
             site.store.put_json("op", "config", platform_site.make_configuration(2))
             await wait_for_version(site, 2, TAKE_OVER_S)
-            await asyncio.sleep(2 * configuration_sync.FEED_PAUSE_S)
+            await asyncio.sleep(2 * store_deadlines.FEED_PAUSE_MAX_S)
             site.store.put_json("op", "config", large)
             await wait_for_version(site, 3, TAKE_OVER_S)
             texts = [one.daemon.components.counts.text() for one in site.gateways]
--- a/packages/gateway/lacewingdrum_gateway/fleet_components.py
+++ b/packages/gateway/lacewingdrum_gateway/fleet_components.py
@@ -9,6 +9,7 @@
     engine_work_registry,
     runner_health,
     runner_roster,
+    store_deadlines,
 )
 from lacewingdrum_gateway import configuration_sync, settings, store_client
 from lacewingdrum_gateway.crashes import crash_sync, crash_watch
@@ -70,8 +71,11 @@
         vm = own_settings.vm
         self.counts = metrics.Metrics()
         self.decisions = decision_log.DecisionLog(logger, clock, EXPLAIN_LINES)
+        deadlines = store_deadlines.StoreDeadlines(
+            own_settings.bounds.config_ms / units.MS_PER_S
+        )
         self.store = store_client.StoreClient(
-            own_settings.store.address, clock, self.decisions, self.counts
+            own_settings.store.address, deadlines, clock, self.decisions, self.counts
         )
         self.peer_table = table = peer_table.PeerTable(
             ids.VmId(f"{vm.host}:{vm.peer_port}"), vm.data_centre
@@ -86,7 +90,7 @@
         self.roster = runner_roster.RunnerRoster()
         self.health = runner_health.RunnerHealth()
         self.configurations = configuration_sync.ConfigurationSync(
-            self.store, self.peers, clock, self.decisions, self.counts
+            self.store, self.peers, deadlines, clock, self.decisions, self.counts
         )
         self.runner_list = runner_list_sync.RunnerListSync(
             self.roster,
--- a/packages/gateway/lacewingdrum_gateway/settings.py
+++ b/packages/gateway/lacewingdrum_gateway/settings.py
@@ -98,6 +98,12 @@
         600_000.0,
         "longest time that memory is held on an engine before it is used",
     )
+    config_ms: float = _number(
+        2_000.0,
+        500.0,
+        600_000.0,
+        "from an acknowledged change of the configuration until it is in force",
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/gateway/lacewingdrum_gateway/silent_paths_test.py
@@ -0,0 +1,106 @@
+"""Tests of open connections that go silent for good while new ones work."""
+
+import asyncio
+import contextlib
+import time
+import unittest.mock
+
+from lacewingdrum_coordination import store_followers
+from lacewingdrum_gateway.peers import peer_table
+from standins import platform_site
+
+# Operators allow two seconds from an acknowledged change until it is in force.
+CONFIG_S = 2.0
+# Between a change, which wakes all feeds at once, and the silence.
+AFTER_CHANGE_S = (0.05, 0.6)
+# Between the silence and the next change.
+BEFORE_CHANGE_S = (0.05, 0.6, 2.0)
+TAKEN_TIMEOUT_S = 25.0
+
+
+async def test_dropped_route_is_refused_in_time_by_two_gateways():
+    async with platform_site.running_site(gateways=2) as site:
+        late = await late_changes(site, AFTER_CHANGE_S, are_peers_silent=False)
+        assert not late, late
+
+
+async def test_dropped_route_is_refused_in_time_by_six_gateways_without_peers():
+    async with platform_site.running_site(gateways=6) as site:
+        late = await late_changes(site, AFTER_CHANGE_S[:1], are_peers_silent=True)
+        assert not late, late
+
+
+async def test_dropped_route_is_refused_in_time_when_a_few_daemons_follow():
+    async with running_large_site(gateways=5) as site:
+        late = await late_changes(site, AFTER_CHANGE_S[:1], are_peers_silent=False)
+        assert not late, late
+
+
+async def test_dropped_route_is_refused_in_time_when_followers_are_not_heard():
+    async with running_large_site(gateways=5) as site:
+        late = await late_changes(site, AFTER_CHANGE_S[:1], are_peers_silent=True)
+        assert not late, late
+
+
+@contextlib.asynccontextmanager
+async def running_large_site(gateways: int):
+    """Yield a site where one of several daemons follows the store for all."""
+    limit = unittest.mock.patch.object(peer_table, "EXCHANGE_ALL_PEERS_MAX", 1)
+    few = unittest.mock.patch.object(store_followers, "FOLLOWERS_MAX", 1)
+    with limit, few:
+        async with platform_site.running_site(gateways=gateways) as site:
+            yield site
+
+
+async def late_changes(
+    site, after_change_s: tuple[float, ...], are_peers_silent: bool
+) -> list[str]:
+    """Return the plays in which a gateway has run a dropped route too late."""
+    late = []
+    version = 1
+    for after_s in after_change_s:
+        for before_s in BEFORE_CHANGE_S:
+            version += 2
+            late += await play(site, version, after_s, before_s, are_peers_silent)
+    return late
+
+
+async def play(
+    site, version: int, after_s: float, before_s: float, are_peers_silent: bool
+) -> list[str]:
+    put_version(site, version - 1, has_orders=True)
+    await until_taken(site, version - 1)
+    await asyncio.sleep(after_s)
+    site.silence_store_connections()
+    if are_peers_silent:
+        site.silence_peer_connections()
+    await asyncio.sleep(before_s)
+    put_version(site, version, has_orders=False)
+    start_s = time.monotonic()
+    await asyncio.sleep(CONFIG_S)
+    answers = await asyncio.gather(
+        *(site.call("/order/x", f"o{version}", on=one) for one in site.gateways)
+    )
+    late_count = sum(answer.status != 404 for answer in answers)
+    await until_taken(site, version)
+    taken_s = time.monotonic() - start_s
+    if not late_count:
+        return []
+    return [f"{late_count} late, {after_s=} {before_s=}, known after {taken_s:.1f} s"]
+
+
+def put_version(site, version: int, has_orders: bool) -> None:
+    configuration = platform_site.make_configuration(version)
+    if not has_orders:
+        routes = [one for one in configuration["routes"] if one["name"] != "order"]
+        configuration["routes"] = routes
+    site.store.put_json("op", "config", configuration)
+
+
+async def until_taken(site, version: int) -> None:
+    await site.wait_until(
+        lambda: all(
+            one.daemon.configuration_version == version for one in site.gateways
+        ),
+        TAKEN_TIMEOUT_S,
+    )
--- a/packages/gateway/lacewingdrum_gateway/store_answers_test.py
+++ b/packages/gateway/lacewingdrum_gateway/store_answers_test.py
@@ -5,6 +5,7 @@
 import logging
 import time
 
+from lacewingdrum_coordination import store_deadlines
 from lacewingdrum_gateway import store_client
 from lacewingdrum_runtime import decision_log, metrics
 from lacewingdrum_state import store_versions
@@ -33,7 +34,11 @@
     async with http_client_test.RawServer(EMPTY_ANSWER, EMPTY_ANSWER) as server:
         decisions = decision_log.DecisionLog(logging.getLogger("store"), time.time)
         client = store_client.StoreClient(
-            server.address, time.monotonic, decisions, metrics.Metrics()
+            server.address,
+            store_deadlines.StoreDeadlines(2.0),
+            time.monotonic,
+            decisions,
+            metrics.Metrics(),
         )
         version = store_versions.StoreVersion(0, 1)
         assert (await client.follow("servers", version, 0.0)).is_ok()
--- a/packages/gateway/lacewingdrum_gateway/store_client.py
+++ b/packages/gateway/lacewingdrum_gateway/store_client.py
@@ -12,14 +12,12 @@
 
 from result import Err, Ok, Result
 
+from lacewingdrum_coordination import store_deadlines
+from lacewingdrum_gateway import store_connections
 from lacewingdrum_platform import store_calls
 from lacewingdrum_runtime import decision_log, metrics
 from lacewingdrum_state import fleet, store_versions
-from lacewingdrum_transport import http_client
-
-CONNECT_TIMEOUT_S = 0.6
-CALL_TIMEOUT_S = 1.5
-ANSWER_MAX_BYTES = 16 * 1024 * 1024
+from lacewingdrum_transport import http_messages
 
 _log = logging.getLogger(__name__)
 
@@ -56,20 +54,14 @@
     def __init__(
         self,
         address: fleet.Address,
+        deadlines: store_deadlines.StoreDeadlines,
         clock: Callable[[], float],
         decisions: decision_log.DecisionLog,
         counts: metrics.Metrics,
     ) -> None:
-        self._address = address
-        limits = http_client.ClientLimits(
-            connect_timeout_s=CONNECT_TIMEOUT_S,
-            unacknowledged_limit_ms=int(CALL_TIMEOUT_S * 1_000),
-            body_bytes=ANSWER_MAX_BYTES,
+        self._connections = store_connections.StoreConnections(
+            address, deadlines, clock, counts
         )
-        self._client = http_client.HttpClient(limits, clock)
-        # An answer of the feed may be empty, which would empty a table that is
-        # read on the same connection, if the store sends it once more.
-        self._feed_client = http_client.HttpClient(limits, clock)
         self._clock = clock
         self._decisions = decisions
         self._counts = counts
@@ -87,8 +79,7 @@
 
     async def close(self) -> None:
         """Close every connection to the store."""
-        await self._client.close()
-        await self._feed_client.close()
+        await self._connections.close()
 
     async def read(self, table: str) -> Result[store_calls.Rows, StoreError]:
         """Read a whole table.
@@ -104,7 +95,8 @@
         start = ""
         while True:
             call = store_calls.read(table, start)
-            answer = await self._rows(self._client, table, call, CALL_TIMEOUT_S)
+            request = store_connections.StoreRequest(call, call)
+            answer = await self._rows(table, request)
             if isinstance(answer, Err):
                 return answer
             page = answer.ok_value
@@ -138,9 +130,13 @@
             of the store from an older copy this is ``HISTORY_GONE``, because
             the changes of the new era may have lower versions.
         """
-        call = store_calls.feed(table, after.version, int(wait_s * 1_000))
-        timeout_s = wait_s + CALL_TIMEOUT_S
-        answer = await self._rows(self._feed_client, table, call, timeout_s)
+        request = store_connections.StoreRequest(
+            store_calls.feed(table, after.version, int(wait_s * 1_000)),
+            store_calls.feed(table, after.version, 0),
+            wait_s,
+            is_feed=True,
+        )
+        answer = await self._rows(table, request)
         if isinstance(answer, Ok) and answer.ok_value.version.era != after.era:
             return Err(StoreError(StoreErrorReason.HISTORY_GONE, "new era"))
         return answer
@@ -157,17 +153,13 @@
             None, or the error if the write is not confirmed.
         """
         call = store_calls.put(table, key, value)
-        answer = await self._call(self._client, call, CALL_TIMEOUT_S)
+        answer = await self._call(store_connections.StoreRequest(call, call))
         return Ok(None) if isinstance(answer, Ok) else answer
 
     async def _rows(
-        self,
-        client: http_client.HttpClient,
-        table: str,
-        call: store_calls.Call,
-        timeout_s: float,
+        self, table: str, request: store_connections.StoreRequest
     ) -> Result[store_calls.Rows, StoreError]:
-        answer = await self._call(client, call, timeout_s)
+        answer = await self._call(request)
         if isinstance(answer, Err):
             return answer
         rows, faults = store_calls.decode_rows(
@@ -181,12 +173,9 @@
         return Ok(rows)
 
     async def _call(
-        self, client: http_client.HttpClient, call: store_calls.Call, timeout_s: float
+        self, request: store_connections.StoreRequest
     ) -> Result[_Answer, StoreError]:
-        headers = (("Content-Type", "application/json"),) if call.body else ()
-        answer = await client.request(
-            self._address, call.method, call.path, headers, call.body, timeout_s
-        )
+        answer = await self._connections.request(request)
         if isinstance(answer, Err):
             error = answer.err_value
             detail = f"{error.reason.value} {error.detail}".strip()
@@ -197,7 +186,7 @@
             # The store works; only the requested history is missing.
             self._record_success()
             return Err(StoreError(StoreErrorReason.HISTORY_GONE, "history gone"))
-        if response.status != http_client.http_messages.STATUS_OK:
+        if response.status != http_messages.STATUS_OK:
             return self._record_failure(
                 StoreErrorReason.NOT_DONE, f"status {response.status}"
             )
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -5,12 +5,19 @@
 import dataclasses
 import logging
 
+import zmq
 from result import Ok
 
 from lacewingdrum_gateway import gateway, settings
 from lacewingdrum_state import fleet, ids
 from lacewingdrum_transport import http_client, http_messages
-from standins import platform_runner, platform_store, ports, runner_paths
+from standins import (
+    fault_proxy,
+    platform_runner,
+    platform_store,
+    ports,
+    runner_paths,
+)
 
 HOST = "127.0.0.1"
 MODEL = "model"
@@ -99,22 +106,26 @@
 
 
 class PlatformSite:
-    """A store, runners of two services, and gateways that know seeds."""
+    """A store, runners of two services, and gateways that know seeds.
+
+    Gateways reach the store by ``store_path``.
+    """
 
     def __init__(self, bounds: settings.BoundsSettings | None = None) -> None:
         self.bounds = bounds or settings.BoundsSettings()
         self.store = platform_store.PlatformStore()
+        self.store_path = fault_proxy.FaultProxy(0)
         self.engines: list[platform_runner.PlatformRunner] = []
         self.ledgers: list[platform_runner.PlatformRunner] = []
         self.gateways: list[RunningGateway] = []
         self.client = http_client.HttpClient()
         self._ports = ports.PortPicker()
-        self._store_port = 0
         self._gateway_count = 0
 
     async def start(self, engines: int = 2, ledgers: int = 2) -> None:
         """Start the store and the runners, and store the configuration."""
-        self._store_port = await self.store.start()
+        self.store_path.target_port = await self.store.start()
+        await self.store_path.start()
         self.store.put_json("op", "config", make_configuration())
         for number in range(engines):
             self.engines.append(await self._start_runner(f"e{number}", MODEL))
@@ -174,7 +185,7 @@
                 metrics_port=self._ports.next(),
                 seeds=seeds,
             ),
-            store=settings.StoreSettings(fleet.Address(HOST, self._store_port)),
+            store=settings.StoreSettings(fleet.Address(HOST, self.store_path.port)),
             bounds=dataclasses.replace(self.bounds, stop_grace_s=STOP_GRACE_S),
         )
         logger = logging.getLogger("lacewingdrum.site")
@@ -197,6 +208,18 @@
         )
         await running.daemon.start()
 
+    def silence_store_connections(self) -> None:
+        """Let open connections to the store go silent; new ones work."""
+        self.store_path.silence(fault_proxy.PathFault.NONE)
+
+    def silence_peer_connections(self) -> None:
+        """Let open connections between gateways go silent; new ones work."""
+        for running in self.gateways:
+            for link in running.daemon.components.peers._socket._links.values():
+                # A link that is silent already has no connection.
+                with contextlib.suppress(zmq.ZMQError):
+                    link._dealer.disconnect(f"tcp://{link.address}")
+
     async def close(self) -> None:
         """Close the gateways, the runners and the store."""
         await self.client.close()
@@ -204,6 +227,7 @@
             await running.daemon.close()
         for runner in (*self.engines, *self.ledgers):
             await runner.close()
+        await self.store_path.close()
         await self.store.close()
 
     async def wait_until(self, condition, timeout_s: float = WAIT_TIMEOUT_S) -> None:  # type: ignore[no-untyped-def]
