A silent connection between daemons is replaced before its peer counts as lost

What a test shows (no operator has reported it), for a data centre of 22 daemons and more and between data centres of a large fleet: after connections between daemons have gone silent, their peers count as lost (peer_lost, silent) though all are up and reachable by new connections.

Cause: the silence after which a connection was replaced was that after which its peer is lost, five intervals of heartbeats: 54 s between data centres with 194 daemons.

Change: a connection is replaced after two and a half intervals without an acknowledgement, 2 s at the least as before. With fewer than 22 daemons near each other these 2 s are still longer than the 1.25 s and more after which a peer is lost.

--- a/packages/coordination/lacewingdrum_coordination/heartbeat_intervals.py
+++ b/packages/coordination/lacewingdrum_coordination/heartbeat_intervals.py
@@ -19,6 +19,11 @@
 RECEIVE_MAX_S = 0.02
 # A peer is lost after a silence of this many heartbeat intervals.
 MISSED_HEARTBEATS_MAX = 5
+# Before that, a connection on which this many intervals brought no
+# acknowledgement is replaced, so that heartbeats arrive in time on a new one.
+UNACKNOWLEDGED_INTERVALS_MAX = 2.5
+# A peer that is suspended for a moment still reads what waits for it then.
+LINK_SILENCE_MIN_S = 2.0
 # A daemon that has been silent for this time is forgotten.
 FORGET_SILENCE_MIN_S = 20.0
 
@@ -51,6 +56,16 @@
         """The silence after which a peer of another data centre is lost."""
         return MISSED_HEARTBEATS_MAX * (self.remote_s + self.work_peers_s)
 
+    @property
+    def work_peer_link_silence_s(self) -> float:
+        """The silence after which a connection to a work peer is replaced."""
+        return _link_silence_s(self.work_peers_s)
+
+    @property
+    def remote_link_silence_s(self) -> float:
+        """The silence after which any other connection is replaced."""
+        return _link_silence_s(self.remote_s + self.work_peers_s)
+
 
 def intervals(work_peer_count: int, known_count: int) -> Intervals:
     """Return the intervals of a daemon.
@@ -64,3 +79,7 @@
         max(REMOTE_MIN_S, REMOTE_S_PER_PEER * known_count),
         min(RECEIVE_S_PER_PEER * known_count, RECEIVE_MAX_S),
     )
+
+
+def _link_silence_s(interval_s: float) -> float:
+    return max(UNACKNOWLEDGED_INTERVALS_MAX * interval_s, LINK_SILENCE_MIN_S)
--- a/packages/coordination/lacewingdrum_coordination/heartbeat_intervals_test.py
+++ b/packages/coordination/lacewingdrum_coordination/heartbeat_intervals_test.py
@@ -3,6 +3,8 @@
 # Choices at engines are made from what peers have reported. In this time the
 # largest fleet starts about ten requests in each data centre.
 REPORTS_SEEN_S = 0.025
+# Silence is looked for each 0.5 s, and a connection takes 0.1 s.
+RECONNECT_S = 0.6
 
 
 def test_small_fleet_sends_often_and_a_large_one_at_a_constant_cost():
@@ -33,3 +35,13 @@
         found = heartbeat_intervals.intervals(known_count // 5, known_count)
         assert found.forget_silence_s > found.remote_silence_s
         assert found.forget_silence_s > found.work_peer_silence_s
+
+
+def test_silent_connection_is_replaced_before_its_peer_counts_as_lost():
+    for known_count in (120, 194, 359):
+        found = heartbeat_intervals.intervals(known_count // 5, known_count)
+        remote_s = found.remote_s + found.work_peers_s
+        heard_s = found.remote_link_silence_s + remote_s
+        assert heard_s + RECONNECT_S < found.remote_silence_s
+        heard_s = found.work_peer_link_silence_s + found.work_peers_s
+        assert heard_s + RECONNECT_S < found.work_peer_silence_s
--- a/packages/gateway/lacewingdrum_gateway/peers/peering.py
+++ b/packages/gateway/lacewingdrum_gateway/peers/peering.py
@@ -17,9 +17,6 @@
 from lacewingdrum_state import addresses, ids
 from lacewingdrum_transport import peer_socket
 
-# A connection is rebuilt after its peer was silent for at least this time.
-CONNECTION_SILENCE_MIN_S = 2.0
-
 Peer = peer_table.Peer
 LeavingRunners = tuple[tuple[ids.RunnerId, int], ...]
 _log = logging.getLogger(__name__)
@@ -220,14 +217,13 @@
         now_s = self._clock()
         intervals = self._intervals()
         for peer in self.table.live:
-            silent_s = (
-                intervals.work_peer_silence_s
-                if self.table.exchanges_work_reports(peer)
-                else intervals.remote_silence_s
-            )
-            self._socket.set_silence_limit(
-                peer.address, max(silent_s, CONNECTION_SILENCE_MIN_S)
-            )
+            if self.table.exchanges_work_reports(peer):
+                silent_s = intervals.work_peer_silence_s
+                link_silent_s = intervals.work_peer_link_silence_s
+            else:
+                silent_s = intervals.remote_silence_s
+                link_silent_s = intervals.remote_link_silence_s
+            self._socket.set_silence_limit(peer.address, link_silent_s)
             if now_s - peer.last_seen_s > silent_s:
                 self._mark_peer_lost(peer, "silent")
         for address in self.table.forget_silent(now_s, intervals.forget_silence_s):
--- a/packages/gateway/lacewingdrum_gateway/silent_paths_test.py
+++ b/packages/gateway/lacewingdrum_gateway/silent_paths_test.py
@@ -5,7 +5,7 @@
 import time
 import unittest.mock
 
-from lacewingdrum_coordination import store_followers
+from lacewingdrum_coordination import heartbeat_intervals, store_followers
 from lacewingdrum_gateway.peers import peer_table
 from standins import platform_site
 
@@ -16,6 +16,9 @@
 # Between the silence and the next change.
 BEFORE_CHANGE_S = (0.05, 0.6, 2.0)
 TAKEN_TIMEOUT_S = 25.0
+# As between 33 daemons of a data centre.
+HEARTBEAT_S = 1.0
+LOST_AFTER_S = (heartbeat_intervals.MISSED_HEARTBEATS_MAX + 2) * HEARTBEAT_S
 
 
 async def test_dropped_route_is_refused_in_time_by_two_gateways():
@@ -42,6 +45,19 @@
         assert not late, late
 
 
+async def test_peers_do_not_count_as_lost_while_only_their_connections_are():
+    slow = unittest.mock.patch.object(
+        heartbeat_intervals, "WORK_PEERS_MIN_S", HEARTBEAT_S
+    )
+    with slow:
+        async with platform_site.running_site(gateways=3) as site:
+            await asyncio.sleep(HEARTBEAT_S)
+            site.silence_peer_connections()
+            await asyncio.sleep(LOST_AFTER_S)
+            texts = [one.daemon.components.counts.text() for one in site.gateways]
+    assert all('peers_lost_total{reason="silent"}' not in text for text in texts)
+
+
 @contextlib.asynccontextmanager
 async def running_large_site(gateways: int):
     """Yield a site where one of several daemons follows the store for all."""
