Pooled connections to a peer that has fallen silent are not used again

What callers could meet (shown by a test, not seen at a site): a daemon that is cut off from all runners passes requests on; once its peer had fallen silent, the requests under way were given up, but the next ones were written to other pooled connections to that peer.

Cause: the loss of a peer cast doubt on requests, not on the connections kept to it.

--- a/packages/gateway/lacewingdrum_gateway/components.py
+++ b/packages/gateway/lacewingdrum_gateway/components.py
@@ -196,6 +196,7 @@
         self.work_sync.on_peer_suspicion(self.probe.probe_now)
         self.crash_watch.on_blamed(self._on_part_blamed)
         self.reach.on_silence(forwarder.record_lost_paths)
+        self.peers.on_peer_lost(self.relay.close_idle_connections)
         self.peers.on_peer_lost(forwarder.record_lost_peer)
         self.reach.on_change(self.peers.announce)
         self.peers.set_relay_port_source(self._relay_port)
--- a/packages/gateway/lacewingdrum_gateway/serving/relay.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/relay.py
@@ -26,7 +26,7 @@
 )
 from lacewingdrum_platform import headers as platform_headers
 from lacewingdrum_runtime import decision_log, metrics
-from lacewingdrum_state import addresses, configurations, fleet, states
+from lacewingdrum_state import addresses, configurations, fleet, ids, states
 from lacewingdrum_transport import http_client, http_messages
 
 # A request that a peer could not serve either goes to so many peers in all.
@@ -181,6 +181,12 @@
             await active.responder.send(answer)
         return outcomes.Outcome.ANSWERED
 
+    def close_idle_connections(self, address: ids.VmId) -> None:
+        """Close pooled connections to a peer that may have gone silent."""
+        peer = self._peers.table.get(address)
+        if peer is not None and peer.relay_port:
+            self._client.close_idle(_relay_address(peer))
+
     def record_end(self, result: attempt_race.Result) -> None:
         """Count how an attempt at a peer has ended."""
         match result:
--- a/packages/gateway/lacewingdrum_gateway/silent_paths_test.py
+++ b/packages/gateway/lacewingdrum_gateway/silent_paths_test.py
@@ -7,7 +7,8 @@
 
 from lacewingdrum_coordination import heartbeat_intervals, store_followers
 from lacewingdrum_gateway.peers import peer_table
-from standins import platform_site
+from lacewingdrum_state import fleet
+from standins import platform_site, runner_paths
 
 # Operators allow two seconds from an acknowledged change until it is in force.
 CONFIG_S = 2.0
@@ -58,6 +59,27 @@
     assert all('peers_lost_total{reason="silent"}' not in text for text in texts)
 
 
+async def test_pooled_connections_to_a_silent_peer_are_not_used_again():
+    async with platform_site.running_site(gateways=2) as site:
+        cut_off, peer = site.gateways
+        components = cut_off.daemon.components
+        vm = peer.gateway_settings.vm
+        relay_address = fleet.Address(vm.host, vm.relay_port)
+        await site.wait_until(lambda: all(relay_ports_known(site)))
+        cut_off.paths.cut(runner_paths.Cut.NEW_REFUSED)
+        assert await components.reach.confirm_cut_off()
+        assert (await site.call("/read/x", "r1", on=cut_off)).status == 200
+        assert components.peer_client.idle_count(relay_address) == 1
+        site.silence_peer_connections()
+        await site.wait_until(lambda: not components.peers.table.live)
+        assert components.peer_client.idle_count(relay_address) == 0
+
+
+def relay_ports_known(site) -> list[bool]:
+    tables = (one.daemon.components.peers.table for one in site.gateways)
+    return [any(peer.relay_port for peer in table.live) for table in tables]
+
+
 @contextlib.asynccontextmanager
 async def running_large_site(gateways: int):
     """Yield a site where one of several daemons follows the store for all."""
