--- a/packages/gateway/lacewingdrum_gateway/store_connections.py
+++ b/packages/gateway/lacewingdrum_gateway/store_connections.py
@@ -3,7 +3,8 @@
 An open connection may go silent for good while new ones work. So a call that
 times out or is cut casts doubt on all connections that are open: they are
 closed, and the calls on them are made once more on new ones. Each call may be
-made twice: it reads, writes a whole row of this daemon, or removes versions of rows.
+made twice: it reads, writes a whole row of this daemon, or removes certain
+versions of rows.
 """
 
 import dataclasses
