A request goes on elsewhere once its runner is listed as born again

What callers saw: a stream at an engine that had crashed with its connections gone silent waited for the whole limit of silence, although the list of runners had shown for seconds that the engine was started again.

Cause: a new incarnation in the list changed what is known of the runner's health, and nothing for the attempts that its earlier one had.

Change: these attempts are marked like those of a daemon that lost its paths, so that another one is made beside them. They are not ended: where the list was behind when they were made, they run at the new incarnation, and go on. An entry of another id with the same address, which anybody may write, does not count.

Evidence: test_request_does_not_wait_for_an_engine_that_is_listed_as_born_again failed before (no answer within 1.5 s) and passes. Open: an attempt without reserved memory at an engine that is back under another id still waits for the limit of silence.

--- a/packages/gateway/lacewingdrum_gateway/components.py
+++ b/packages/gateway/lacewingdrum_gateway/components.py
@@ -198,6 +198,7 @@
         self.crash_watch.on_blamed(self._on_part_blamed)
         self.reach.on_silence(forwarder.record_lost_paths)
         self.peers.on_peer_lost(forwarder.record_lost_peer)
+        self.runner_list.on_born_again(forwarder.record_born_again)
         self.reach.on_change(self.peers.announce)
         self.peers.set_relay_port_source(self._relay_port)
 
--- a/packages/gateway/lacewingdrum_gateway/runners/runner_list_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/runner_list_sync.py
@@ -71,6 +71,9 @@
         self._last_request_s = float("-inf")
         self._last_reader: ids.VmId | None = None
         self._recorded_faults: set[str] = set()
+        self._born_again_handlers: list[
+            Callable[[runner_entries.RunnerEntry], None]
+        ] = []
         self._tasks = tasks.TaskSet()
 
     @property
@@ -89,6 +92,12 @@
         """Stop reading."""
         await self._tasks.close()
 
+    def on_born_again(
+        self, handler: Callable[[runner_entries.RunnerEntry], None]
+    ) -> None:
+        """Register a handler for the entries of new incarnations."""
+        self._born_again_handlers.append(handler)
+
     async def _read_in_turn(self) -> None:
         retry_s = RETRY_MIN_S
         while True:
@@ -179,6 +188,10 @@
                 list_version=change.list_version.version,
                 list_era=change.list_version.era,
             )
+            entry = self._roster.get(change.runner_id)
+            if change.kind == "born_again" and entry is not None:
+                for handler in self._born_again_handlers:
+                    handler(entry)
 
     def _push_since(self, base: int) -> peer_messages.RunnerListPush:
         change = self._history.change_since(base)
--- a/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
@@ -24,7 +24,7 @@
     routing,
     silence_watch,
 )
-from lacewingdrum_state import ids
+from lacewingdrum_state import ids, runner_entries
 
 # Attempts end by themselves at the deadline of their request; their ends are
 # awaited for this long after it.
@@ -98,6 +98,17 @@
         for active in self._retryable:
             active.race.record_lost_paths(open_attempt.OpenAttempt.is_at_runner)
 
+    def record_born_again(self, entry: runner_entries.RunnerEntry) -> None:
+        """Let requests go on elsewhere that an earlier incarnation had.
+
+        Their attempts stay open, as the list may have been behind when they
+        were made.
+        """
+        for active in self._retryable:
+            active.race.record_lost_paths(
+                lambda attempt: attempt.is_planned_before(entry)
+            )
+
     def record_lost_peer(self, address: ids.VmId) -> None:
         """Let requests go on elsewhere that are at a peer that fell silent."""
         for active in self._retryable:
--- a/packages/gateway/lacewingdrum_gateway/serving/open_attempt.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/open_attempt.py
@@ -5,7 +5,7 @@
 from lacewingdrum_gateway.peers import peering
 from lacewingdrum_gateway.serving import attempt_ends, plans
 from lacewingdrum_protocol import event_stream
-from lacewingdrum_state import ids
+from lacewingdrum_state import ids, runner_entries
 from lacewingdrum_transport import http_client
 
 # The time of progress of an attempt from which nothing is awaited yet.
@@ -60,6 +60,15 @@
         """Return whether this daemon has sent the request to a runner."""
         return isinstance(self.source, RunnerSource)
 
+    def is_planned_before(self, entry: runner_entries.RunnerEntry) -> bool:
+        """Return whether it was planned by an earlier entry of a runner."""
+        match self.source:
+            case RunnerSource(plan):
+                is_same_id = plan.entry.runner_id == entry.runner_id
+                return is_same_id and 0 < plan.entry.born_ms < entry.born_ms
+            case PeerSource():
+                return False
+
     def is_at_peer(self, address: ids.VmId) -> bool:
         """Return whether it was passed on to the peer at an address."""
         match self.source:
