Attempts of one request at several daemons have ids of their own

In the registry of work each replaced and ended the other's entry.

Cause: the id was the request's and a count of attempts, which each daemon began at 1. So two requests under one id at the same daemon shared it as well.

Change: WorkIds appends a hash of the daemon's address and incarnation, and a count of its own.

--- a/packages/coordination/lacewingdrum_coordination/engine_work_registry.py
+++ b/packages/coordination/lacewingdrum_coordination/engine_work_registry.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import xxhash
+
 from lacewingdrum_coordination import engine_load
 from lacewingdrum_state import ids
 
@@ -37,9 +39,24 @@
     loss: float
 
 
-def work_id(request_id: str, attempt_number: int) -> str:
-    """Return the id of the work of one attempt of a request."""
-    return f"{request_id}{ATTEMPT_SEPARATOR}{attempt_number}"
+class WorkIds:
+    """Gives the work of each attempt an id that no other attempt has.
+
+    Several daemons may make attempts for one request, and one may get an id of
+    a request twice. A daemon that was started again does not know its ids of
+    before.
+    """
+
+    def __init__(self, daemon: ids.VmId, incarnation: int) -> None:
+        source = f"{daemon} {incarnation}"
+        self._source = f"{xxhash.xxh32_intdigest(source.encode()):08x}"
+        self._count = 0
+
+    def next(self, request_id: str, attempt_number: int) -> str:
+        """Return a new id for an attempt of a request."""
+        self._count += 1
+        name = f"{request_id}{ATTEMPT_SEPARATOR}{attempt_number}"
+        return f"{name}.{self._source}{self._count:x}"
 
 
 def request_id_of(name: str) -> str:
--- a/packages/coordination/lacewingdrum_coordination/engine_work_registry_test.py
+++ b/packages/coordination/lacewingdrum_coordination/engine_work_registry_test.py
@@ -5,6 +5,7 @@
 OTHER = ids.RunnerId("e2")
 NORTH = ids.VmId("10.0.0.1:7")
 SOUTH = ids.VmId("10.0.0.2:7")
+WORK_IDS = engine_work_registry.WorkIds(NORTH, 1)
 
 
 def part(
@@ -86,10 +87,23 @@
 def test_retried_request_is_one_arrival_and_can_be_excluded():
     registry = engine_work_registry.EngineWorkRegistry()
     for number in (1, 2, 3):
-        name = engine_work_registry.work_id("a", number)
+        name = WORK_IDS.next("a", number)
         registry.start(started(name), 1.0 + number / 10)
         registry.end(name)
-    registry.start(started(engine_work_registry.work_id("b", 1)), 1.0)
+    registry.start(started(WORK_IDS.next("b", 1)), 1.0)
     assert len(registry.arrivals(1.5)) == 2
     (other,) = registry.arrivals(1.5, "a")
     assert other.started_s == 1.0
+
+
+def test_attempts_of_one_request_at_several_daemons_have_different_ids():
+    sources = [
+        engine_work_registry.WorkIds(daemon, incarnation)
+        for daemon in (NORTH, SOUTH)
+        for incarnation in (1, 2)
+    ]
+    names = [source.next("a:b", number) for source in sources for number in (1, 1, 2)]
+    assert len(set(names)) == len(names)
+    assert {engine_work_registry.request_id_of(name) for name in names} == {"a:b"}
+    # Engines get them in a header whose entries "," and "/" divide.
+    assert not set(",/ ") & set("".join(names))
--- a/packages/gateway/lacewingdrum_gateway/components.py
+++ b/packages/gateway/lacewingdrum_gateway/components.py
@@ -159,6 +159,7 @@
                 self.memory,
                 answers,
                 self.work_sync,
+                self.work_ids,
                 clock,
             ),
             self.relay,
--- a/packages/gateway/lacewingdrum_gateway/fleet_components.py
+++ b/packages/gateway/lacewingdrum_gateway/fleet_components.py
@@ -127,6 +127,9 @@
             lambda: self.reach.is_cut_off,
         )
         self.engine_work = engine_work_registry.EngineWorkRegistry()
+        self.work_ids = engine_work_registry.WorkIds(
+            self.peers.own_address, incarnation
+        )
         self.work_sync = work_sync.WorkSync(
             self.engine_work,
             self.health,
--- a/packages/gateway/lacewingdrum_gateway/serving/exchange.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/exchange.py
@@ -37,6 +37,7 @@
         memory: engine_memory.EngineMemory,
         answers: answer_memory.AnswerMemory,
         work_updates: work_sync.WorkSync,
+        work_ids: engine_work_registry.WorkIds,
         clock: Callable[[], float],
     ) -> None:
         self._sender = sender
@@ -45,13 +46,14 @@
         self._memory = memory
         self._answers = answers
         self._work_updates = work_updates
+        self._work_ids = work_ids
         self._clock = clock
 
     def source(
         self, active: active_request.ActiveRequest, plan: plans.Plan
     ) -> open_attempt.RunnerSource:
         """Return where the next attempt of a request goes."""
-        work_id = engine_work_registry.work_id(
+        work_id = self._work_ids.next(
             active.outgoing.attempt_id, active.attempt_count + 1
         )
         return open_attempt.RunnerSource(plan, work_id)
