Ports that tests pick are held until their servers listen, and after

What was seen, once each and listed in KNOWN-RED.txt: a dead runner that no peer suspected (suspicion_test), and a connection refused to the first daemon (guarantee_test).

Cause: PortPicker looked for a free port and let it go, so that any process could have it until it was bound, or once a runner was dead.

Change: the picker keeps a bound socket for each port, on all addresses, until its site is closed. With SO_REUSEADDR servers can listen beside it, as often as they like; others cannot bind it, and the kernel gives it to nobody. The runners and the store of PlatformSite have picked ports as well, so that those of dead runners are held.

--- a/packages/gateway/lacewingdrum_gateway/early_listener_test.py
+++ b/packages/gateway/lacewingdrum_gateway/early_listener_test.py
@@ -33,13 +33,15 @@
 
 
 def test_connection_made_before_the_daemon_is_loaded_is_served(folder: pathlib.Path):
-    address = f"127.0.0.1:{ports.PortPicker().next()}"
+    picker = ports.PortPicker()
+    address = f"127.0.0.1:{picker.next()}"
     text = f'[vm]\ncaller_address = "{address}"\n'
     listener = early_listener.open_listener(write_settings(folder, text))
     assert listener is not None
     with contextlib.closing(listener):
         answer = asyncio.run(serve_a_connection_made_before(listener))
     assert answer.endswith(b"served")
+    picker.close()
 
 
 def test_faulty_settings_are_left_to_the_daemon(folder: pathlib.Path):
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -127,6 +127,7 @@
             child.send_signal(signal.SIGTERM)
         await asyncio.gather(*(self._stop_child(child) for child in self._children))
         await self.http.close()
+        self._ports.close()
 
     async def start_daemon(self, plan: DaemonPlan) -> DaemonProcess:
         """Start a daemon and add it to the membership list."""
--- a/standins/platform_processes.py
+++ b/standins/platform_processes.py
@@ -54,6 +54,7 @@
             if process.returncode is None:
                 process.kill()
             await process.wait()
+        self._ports.close()
 
     def _settings(self, number: int) -> str:
         host = self.host(number)
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -114,7 +114,7 @@
 
     async def start(self, engines: int = 2, ledgers: int = 2) -> None:
         """Start the store and the runners, and store the configuration."""
-        self._store_port = await self.store.start()
+        self._store_port = await self.store.start(port=self._ports.next())
         self.store.put_json("op", "config", make_configuration())
         for number in range(engines):
             self.engines.append(await self._start_runner(f"e{number}", MODEL))
@@ -125,7 +125,7 @@
         self, runner_id: str, service: str
     ) -> platform_runner.PlatformRunner:
         runner = platform_runner.PlatformRunner(runner_id)
-        await runner.start()
+        await runner.start(self._ports.next())
 
         def register_restart() -> None:
             runner.born_ms += 1
@@ -205,6 +205,7 @@
         for runner in (*self.engines, *self.ledgers):
             await runner.close()
         await self.store.close()
+        self._ports.close()
 
     async def wait_until(self, condition, timeout_s: float = WAIT_TIMEOUT_S) -> None:  # type: ignore[no-untyped-def]
         """Wait until a condition holds.
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -69,11 +69,11 @@
         self._restarts: list[asyncio.Future[None]] = []
         self._folder = folder
         self._rng = rng
-        picker = ports.PortPicker()
-        self._peer_port = picker.next()
-        self.metrics_port = picker.next()
-        self.caller_ports = [picker.next() for _ in range(gateway_count)]
-        self._ready_ports = [picker.next() for _ in range(gateway_count)]
+        self._ports = ports.PortPicker()
+        self._peer_port = self._ports.next()
+        self.metrics_port = self._ports.next()
+        self.caller_ports = [self._ports.next() for _ in range(gateway_count)]
+        self._ready_ports = [self._ports.next() for _ in range(gateway_count)]
 
     async def start(self) -> None:
         """Start everything; the gateways may not be ready yet."""
@@ -230,6 +230,7 @@
         for runner in self.runners:
             await runner.close()
         await self.store.close()
+        self._ports.close()
         return faults
 
     async def _add_runner(self, name: str, service: str) -> None:
