--- a/packages/gateway/lacewingdrum_gateway/components.py
+++ b/packages/gateway/lacewingdrum_gateway/components.py
@@ -161,6 +161,7 @@
                 self.memory,
                 answers,
                 self.work_sync,
+                self.work_ids,
                 clock,
             ),
             self.relay,
@@ -201,6 +202,7 @@
         self.reach.on_silence(forwarder.record_lost_paths)
         self.peers.on_peer_lost(self.relay.close_idle_connections)
         self.peers.on_peer_lost(forwarder.record_lost_peer)
+        self.runner_list.on_born_again(forwarder.record_born_again)
         self.reach.on_change(self.peers.announce)
         self.peers.set_relay_port_source(self._relay_port)
 
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -124,7 +124,8 @@
 
     async def start(self, engines: int = 2, ledgers: int = 2) -> None:
         """Start the store and the runners, and store the configuration."""
-        self.store_path.target_port = await self.store.start()
+        store_port = self._ports.next()
+        self.store_path.target_port = await self.store.start(port=store_port)
         await self.store_path.start()
         self.store.put_json("op", "config", make_configuration())
         for number in range(engines):
@@ -136,7 +137,7 @@
         self, runner_id: str, service: str
     ) -> platform_runner.PlatformRunner:
         runner = platform_runner.PlatformRunner(runner_id)
-        await runner.start()
+        await runner.start(self._ports.next())
 
         def register_restart() -> None:
             runner.born_ms += 1
@@ -229,6 +230,7 @@
             await runner.close()
         await self.store_path.close()
         await self.store.close()
+        self._ports.close()
 
     async def wait_until(self, condition, timeout_s: float = WAIT_TIMEOUT_S) -> None:  # type: ignore[no-untyped-def]
         """Wait until a condition holds.
