Rows are dialled as soon as they are read

What went wrong: since a daemon dialled what it had read up to a second later, at the next tick. A daemon that starts heard the others later, and took itself for a follower of the store in the meantime.

Change: the next addresses are dialled after each read too.

--- a/packages/gateway/lacewingdrum_gateway/peers/daemon_registry.py
+++ b/packages/gateway/lacewingdrum_gateway/peers/daemon_registry.py
@@ -141,12 +141,16 @@
         heard = (own, *(peer.address for peer in self._peers.table.live))
         self._rows.record_read(rows.version.era, found, heard, self._clock())
         self._candidates.set_rows(self._rows.newest_first())
+        self._dial_next()
 
     async def _dial(self) -> None:
         while True:
-            self._peers.dial(self._candidates.take_turn(self._clock()))
+            self._dial_next()
             await asyncio.sleep(DIAL_INTERVAL_S)
 
+    def _dial_next(self) -> None:
+        self._peers.dial(self._candidates.take_turn(self._clock()))
+
     async def _remove_expired(self) -> None:
         """Remove expired rows, unless that is the part of another daemon."""
         staying = (
--- a/packages/gateway/lacewingdrum_gateway/peers/daemon_registry_test.py
+++ b/packages/gateway/lacewingdrum_gateway/peers/daemon_registry_test.py
@@ -15,6 +15,7 @@
 TERM_S = 1.0
 DEAD_ROWS = 120
 REMOVED_S = 6.0
+HEARD_S = 2.0
 
 
 @contextlib.contextmanager
@@ -109,3 +110,16 @@
         assert all(len(table.known) <= most for table in tables)
         assert site.store.read_counts["daemons"] == reads_before
         assert all(table.fleet_size_factor == 1.0 for table in tables)
+
+
+async def test_rows_are_dialled_as_soon_as_they_are_read():
+    rare = unittest.mock.patch.object(daemon_registry, "DIAL_INTERVAL_S", 60.0)
+    with rare:
+        async with platform_site.running_site(gateways=0) as site:
+            for _ in range(2):
+                # No seed is alive.
+                await site.start_gateway(("127.0.0.77:1",))
+                await wait_for_rows(site, addresses_of(site))
+            await site.wait_until(
+                lambda: all(one.daemon.peer_count for one in site.gateways), HEARD_S
+            )
