Answers of the store with many rows do not hold the event loop

Callers would see: a daemon that stands still while it decodes one answer of the store. Rows that cannot be read cost most, since each of them was logged.

Cause: an answer was limited to 16 MiB, its rows were not, and all of them were decoded, and their faults logged, in one turn of the loop.

At most 100 faults of one answer are logged, with their number; the metric counts all.

--- a/packages/gateway/lacewingdrum_gateway/store_client.py
+++ b/packages/gateway/lacewingdrum_gateway/store_client.py
@@ -15,11 +15,12 @@
 from lacewingdrum_platform import store_calls
 from lacewingdrum_runtime import decision_log, metrics
 from lacewingdrum_state import fleet, store_versions
-from lacewingdrum_transport import http_client
+from lacewingdrum_transport import http_client, turn_budget
 
 CONNECT_TIMEOUT_S = 0.6
 CALL_TIMEOUT_S = 1.5
 ANSWER_MAX_BYTES = 16 * 1024 * 1024
+LOGGED_FAULTS_MAX = 100
 
 _log = logging.getLogger(__name__)
 
@@ -170,12 +171,13 @@
         answer = await self._call(client, call, timeout_s)
         if isinstance(answer, Err):
             return answer
-        rows, faults = store_calls.decode_rows(
-            answer.ok_value.body, answer.ok_value.era, table
-        )
-        for fault in faults:
-            self._counts.count("store_faults", kind="row")
+        rows, faults = await _decode(answer.ok_value, table)
+        if faults:
+            self._counts.count("store_faults", len(faults), kind="row")
+        for fault in faults[:LOGGED_FAULTS_MAX]:
             _log.warning("store: %s", fault)
+        if len(faults) > LOGGED_FAULTS_MAX:
+            _log.warning("store: %d faults, the first are logged", len(faults))
         if rows is None:
             return Err(StoreError(StoreErrorReason.MALFORMED, str(faults[0])))
         return Ok(rows)
@@ -252,3 +254,17 @@
             away_s=self._clock() - self._failed_since_s,
         )
         self._failed_since_s = None
+
+
+async def _decode(answer: _Answer, table: str) -> store_calls.DecodedRows:
+    """Decode the rows of an answer, in turns of the event loop."""
+    turns = turn_budget.ReadTurns()
+    steps = store_calls.decode_rows_in_steps(answer.body, answer.era, table)
+    while True:
+        try:
+            turns.count(next(steps))
+        except StopIteration as ended:
+            decoded: store_calls.DecodedRows = ended.value
+            return decoded
+        if turns.is_over:
+            await turns.give_back()
--- a/standins/loop_turns.py
+++ b/standins/loop_turns.py
@@ -37,5 +37,7 @@
     try:
         yield longest
     finally:
+        # The turn that ends the block is measured too.
+        await asyncio.sleep(0)
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
