Empty lines of an engine's answer do not hold the daemon's event loop

Customers would see the daemon of lacewingdrumd stand still beside engines that send empty lines without end, as those of the gateway did.

Cause: the same as for the gateway's streams: a chunk of 16 KiB counts as one event, and holds that many lines.

Change: completion_stream parses 512 bytes at once, each as an event of turn_budget.

--- a/packages/transport/lacewingdrum_transport/completion_stream.py
+++ b/packages/transport/lacewingdrum_transport/completion_stream.py
@@ -12,6 +12,8 @@
 # The end of the HTTP message directly follows the last event. It is waited for
 # because the connection can be reused only after it.
 END_OF_MESSAGE_TIMEOUT_S = 0.2
+# What is parsed at once; one piece counts as an event.
+PARSED_BYTES = 512
 
 _part_decoder = msgspec.json.Decoder(runner_api.CompletionPart)
 
@@ -62,8 +64,19 @@
             reason = runner_errors.RunnerErrorReason.LOST
             self._error = runner_errors.RunnerError(reason, None, detail)
             return
+        await self._parse(received.ok_value)
+
+    async def _parse(self, received: bytes) -> None:
+        """Parse received bytes, and let others have their turn in between."""
+        for start in range(0, len(received), PARSED_BYTES):
+            self._parse_piece(received[start : start + PARSED_BYTES])
+            if self._done or self._error is not None:
+                return
+            await self._reader.count_events(1)
+
+    def _parse_piece(self, piece: bytes) -> None:
         try:
-            for data in self._parser.feed(received.ok_value):
+            for data in self._parser.feed(piece):
                 if data == runner_api.DONE_DATA:
                     self._done = True
                     return
--- a/packages/transport/lacewingdrum_transport/loop_turns_test.py
+++ b/packages/transport/lacewingdrum_transport/loop_turns_test.py
@@ -6,7 +6,13 @@
 
 from lacewingdrum_protocol import peer_messages
 from lacewingdrum_state import fleet, ids
-from lacewingdrum_transport import http_client, http_server, peer_link, peer_socket
+from lacewingdrum_transport import (
+    completion_stream,
+    http_client,
+    http_server,
+    peer_link,
+    peer_socket,
+)
 from standins import loop_turns
 
 HOST = "127.0.0.1"
@@ -107,6 +113,30 @@
     assert longest.worked_ms <= loop_turns.TURN_MAX_MS, longest.worked_ms
 
 
+async def test_empty_lines_of_completions_do_not_hold_the_loop():
+    client = http_client.HttpClient()
+    chunk = b"4000\r\n" + b"\n" * 16_384 + b"\r\n"
+
+    async def complete(address):
+        reader = (await client.open(address, "GET", "/")).unwrap()
+        stream = completion_stream.CompletionStream(reader)
+        await stream.next(MEASURED_S)
+        await stream.close()
+
+    async with raw_server(chunk * 100) as address:
+        async with loop_turns.measured() as longest:
+            calls = [
+                asyncio.ensure_future(complete(address))
+                for _ in range(CONNECTION_COUNT)
+            ]
+            await asyncio.wait(calls, timeout=MEASURED_S)
+        for call in calls:
+            call.cancel()
+        await asyncio.gather(*calls, return_exceptions=True)
+        await client.close()
+    assert longest.worked_ms <= loop_turns.TURN_MAX_MS, longest.worked_ms
+
+
 async def test_answer_of_far_more_chunks_than_bytes_is_ended():
     client = http_client.HttpClient()
     async with raw_server(TINY_CHUNKS) as address:
