A request sent ahead of an answer is refused when its server closes

Callers that had sent a second request while the first answer was being written saw their connection closed with nothing said of the second, though the process held it whole. Cause: when a server closes, an interrupted connection ended after the answer at hand; looks at what was sent ahead only before that. The answer at hand carries no `Connection: close`, as it was promised to be followed by another.

Both ways lead there, a handler that returns when interrupted, and one that does not. Requests that h11 holds already, as their connection gives its turn back, are refused too; no test shows that window.

--- a/packages/transport/lacewingdrum_transport/connection_end.py
+++ b/packages/transport/lacewingdrum_transport/connection_end.py
@@ -98,6 +98,22 @@
     )
 
 
+async def refuse_next(
+    channel: byte_channel.ByteChannel, connection: h11.Connection
+) -> None:
+    """Refuse a request that was sent ahead, if another answer may follow.
+
+    Args:
+        channel: its connection.
+        connection: the state of the protocol there, after a whole request.
+    """
+    has_next = bool(connection.trailing_data[0]) or channel.has_unread
+    states_now = (connection.our_state, connection.their_state)
+    if has_next and not channel.is_lost and states_now == (h11.DONE, h11.DONE):
+        connection.start_next_cycle()
+        await refuse_unread(channel, connection)
+
+
 async def fail_unread(
     channel: byte_channel.ByteChannel, connection: h11.Connection
 ) -> None:
--- a/packages/transport/lacewingdrum_transport/http_server.py
+++ b/packages/transport/lacewingdrum_transport/http_server.py
@@ -248,6 +248,7 @@
                 reader.release()
             del self._unanswered[channel]
             if self._is_closing:
+                await connection_end.refuse_next(channel, connection)
                 return
             if not reusable:
                 await connection_end.linger(channel)
@@ -311,13 +312,15 @@
     ) -> None:
         """End a connection whose request is interrupted.
 
-        A request that no handler has is refused. For one that a handler has
-        left without an answer nothing is promised.
+        A request that no handler has is refused, also one that was sent ahead.
+        For one that a handler has left without an answer nothing is promised.
         """
-        if channel not in self._unanswered and not channel.has_unread:
+        has_unread = connection.trailing_data[0] or channel.has_unread
+        if channel not in self._unanswered and not has_unread:
             return
         responder = self._unanswered.get(channel)
         if responder is None:
             await connection_end.refuse_unread(channel, connection)
-        else:
-            await connection_end.answer_interrupted(responder)
+            return
+        await connection_end.answer_interrupted(responder)
+        await connection_end.refuse_next(channel, connection)
