A stop tells requests of which nothing was sent that they have not run

Callers whose completion waited for its memory, or whose order waited for the connection to its runner, got 502 "may have run" at the end of a stop (or once they had ended their stream), although no byte had gone to a runner, so that an order could not be sent again. Cause: an attempt counts as one that may have run from its plan on, which is right while it can still begin, but not once it has been interrupted. Attempts now record that they are being sent, and the last answer asks for that.

--- a/packages/gateway/lacewingdrum_gateway/serving/active_request.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/active_request.py
@@ -165,6 +165,12 @@
         """Whether any attempt may have run, or may still."""
         return bool(self.race.attempts) or self.has_unknown_end
 
+    @property
+    def was_sent(self) -> bool:
+        """Whether any attempt may have run, once all have been interrupted."""
+        is_sent = any(attempt.is_sent for attempt in self.race.attempts)
+        return is_sent or self.has_unknown_end
+
     @property
     def has_unknown_end(self) -> bool:
         """Whether any attempt that has ended may have run."""
--- a/packages/gateway/lacewingdrum_gateway/serving/attempt.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/attempt.py
@@ -66,6 +66,7 @@
         attempt_headers: platform_headers.AttemptHeaders,
         timeout_s: float,
         on_new_connection: bool,
+        on_send: Callable[[], None],
     ) -> Result[http_client.ResponseReader, attempt_ends.AttemptEnd]:
         """Send a request and wait for the head of a successful answer.
 
@@ -76,6 +77,7 @@
             timeout_s: the time limit for the head of the answer.
             on_new_connection: whether to open a new connection instead of
                 reusing one.
+            on_send: called before the first byte is sent.
 
         Returns:
             The answer, which the caller of this method closes, or the end of
@@ -90,6 +92,7 @@
             timeout_s,
             on_new_connection=on_new_connection,
             allow_close_delimited=True,
+            on_send=on_send,
         )
         if isinstance(opened, Err):
             return Err(attempt_ends.open_failure(opened.err_value))
--- a/packages/gateway/lacewingdrum_gateway/serving/exchange.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/exchange.py
@@ -159,6 +159,7 @@
             on_new_connection=retry_limits.needs_new_connection(
                 active, plan.entry.runner_id
             ),
+            on_send=attempt.record_send,
         )
         match opened:
             case Err(end):
--- a/packages/gateway/lacewingdrum_gateway/serving/final_answers.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/final_answers.py
@@ -129,7 +129,7 @@
     ) -> outcomes.Outcome:
         responder = active.responder
         responder.close_after_response()
-        if not responder.started and not active.may_have_run:
+        if not responder.started and not active.was_sent:
             return await self._send_refusal(active, code, LEAVING_RETRY_S)
         outcome = await self.give_up(active)
         return cut if outcome in outcomes.CUT_OUTCOMES else outcome
--- a/packages/gateway/lacewingdrum_gateway/serving/open_attempt.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/open_attempt.py
@@ -40,7 +40,8 @@
     the caller is slow to read. ``has_lost_path`` is set once it is known that
     the source cannot be reached. ``is_silent`` is set while another attempt
     may be made beside this one, and ``was_silent`` from then on.
-    ``cancelled_end`` says why the attempt was cancelled.
+    ``cancelled_end`` says why the attempt was cancelled. ``is_sent`` is set
+    before the first byte goes to the source.
     """
 
     number: int
@@ -53,6 +54,7 @@
     is_silent: bool = False
     was_silent: bool = False
     cancelled_end: attempt_ends.AttemptEnd | None = None
+    is_sent: bool = False
     shortest_pause_s: float = float("inf")
     pause_count: int = 0
 
@@ -77,6 +79,10 @@
             case RunnerSource():
                 return False
 
+    def record_send(self) -> None:
+        """Record that the request is being sent, so that it may run."""
+        self.is_sent = True
+
     def record_progress(self, now_s: float) -> None:
         """Record that the attempt has been sent or has brought an event."""
         self.progress_s = now_s
--- a/packages/gateway/lacewingdrum_gateway/serving/relay.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/relay.py
@@ -141,6 +141,7 @@
             active.outgoing.body,
             left_s,
             on_new_connection=not active.routed.route.is_retryable,
+            on_send=attempt.record_send,
         )
         if isinstance(opened, Err):
             return attempt_ends.open_failure(opened.err_value)
--- a/packages/transport/lacewingdrum_transport/http_client.py
+++ b/packages/transport/lacewingdrum_transport/http_client.py
@@ -106,6 +106,7 @@
         timeout_s: float = 10.0,
         on_new_connection: bool = False,
         allow_close_delimited: bool = False,
+        on_send: Callable[[], None] | None = None,
     ) -> Result[ResponseReader, HttpClientError]:
         """Send a request and wait for the response's head.
 
@@ -120,6 +121,7 @@
             allow_close_delimited: accept a body whose end is the close of the
                 connection. If the connection is reset, the response counts as
                 lost.
+            on_send: called before the first byte is sent.
 
         Returns:
             The response, which the caller must close, or why the request
@@ -140,6 +142,8 @@
             return Err(connection)
         is_handed_over = False
         failure: HttpClientError | None = None
+        if on_send is not None:
+            on_send()
         try:
             answer = await response_reader.exchange(
                 connection, head.ok_value, body, deadline_s, allow_close_delimited
