A stop whose engines are silent ends before the kill

Operators saw a planned stop end by SIGKILL, with exit code and last log lines lost, though all callers had their answers. Cause: open requests are interrupted 0.5 s before the kill, and then the release of their memory was awaited for up to 0.6 s where an engine does not answer.

The wait now ends 0.1 s before the kill; what is not released ends with its lease.

Three further tests pass before and after: a stop beside silent engines and a silent store, requests that a peer relayed to the stopping daemon, and memory that is given back.

--- a/packages/gateway/lacewingdrum_gateway/gateway.py
+++ b/packages/gateway/lacewingdrum_gateway/gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 import socket
 import time
 
@@ -17,6 +18,8 @@
 DRAIN_POLL_S = 0.05
 # Open requests are interrupted this long before the grace period ends.
 ABORT_BEFORE_KILL_S = 0.5
+# The rest of a stop, after memory has been given back, needs this long.
+CLOSE_MARGIN_S = 0.1
 SUSPENSION_CHECK_S = 0.1
 # Only a suspension moves the two monotonic clocks apart by this much at once.
 SUSPENSION_MIN_S = 0.3
@@ -187,11 +190,16 @@
             )
         )
         self._record_stop(decision_log.DecisionEvent.STOPPED, aborted_count)
-        await self.close()
+        close_s = abort_s + ABORT_BEFORE_KILL_S - CLOSE_MARGIN_S
+        await self.close(close_s - components.clock())
         return aborted_count
 
-    async def close(self) -> None:
-        """Close every component at once."""
+    async def close(self, release_s: float = math.inf) -> None:
+        """Close every component at once.
+
+        Args:
+            release_s: how long the release of memory may take.
+        """
         components = self.components
         await self._tasks.close()
         await components.lag.close()
@@ -203,7 +211,7 @@
         await components.reach.close()
         await components.runner_list.close()
         await components.configurations.close()
-        await components.memory.close()
+        await components.memory.close(release_s)
         await components.work_sync.close()
         await components.crash_sync.close()
         await components.daemon_registry.close()
--- a/packages/gateway/lacewingdrum_gateway/runners/engine_memory.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/engine_memory.py
@@ -77,9 +77,13 @@
         self._held: dict[str, held_memory.HeldMemory] = {}
         self._tasks = tasks.TaskSet()
 
-    async def close(self) -> None:
-        """Wait for pending releases, for a limited time."""
-        await self._tasks.close(engine_commands.CALL_TIMEOUT_S)
+    async def close(self, grace_s: float) -> None:
+        """Wait for pending releases, for one call or until a stop ends.
+
+        Args:
+            grace_s: the time that is left.
+        """
+        await self._tasks.close(min(grace_s, engine_commands.CALL_TIMEOUT_S))
 
     async def reserve(
         self,
