HEAD requests that a server refuses get their refusal

Callers whose HEAD request was refused by the server itself (target or head not accepted, body not in time, a close meanwhile) saw their connection closed with nothing said, in calm too. Cause: refusals were sent with a body, which h11 rejects after a HEAD request; the connection task failed, and its own last answer could not be sent after that.

The server's connection now knows whether an answer may have a body, and all refusals ask it.

--- a/packages/transport/lacewingdrum_transport/closing_test.py
+++ b/packages/transport/lacewingdrum_transport/closing_test.py
@@ -90,3 +90,15 @@
         answers = await asyncio.gather(*calls)
     assert all(one.startswith(b"HTTP/1.1 502") for one in answers)
     assert took_s < KILL_S, took_s
+
+
+async def test_head_request_whose_body_has_not_arrived_is_refused_at_a_close():
+    recorder = http_server_test.Recorder()
+    head = b"HEAD / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n"
+    async with http_server_test.serving(recorder) as (server, port):
+        call = asyncio.ensure_future(http_server_test.exchange(port, head + b"ab"))
+        while not server.busy_count:
+            await asyncio.sleep(0)
+        await server.close()
+        received = await call
+    assert received.startswith(b"HTTP/1.1 503"), received
--- a/packages/transport/lacewingdrum_transport/connection_end.py
+++ b/packages/transport/lacewingdrum_transport/connection_end.py
@@ -11,6 +11,7 @@
     http_messages,
     request_reader,
     responder as responders,
+    server_connection,
 )
 
 # How long a request that is interrupted has for its last answer.
@@ -47,7 +48,7 @@
 
 async def refuse(
     channel: byte_channel.ByteChannel,
-    connection: h11.Connection,
+    connection: server_connection.ServerConnection,
     error: request_reader.RequestError,
     write_timeout_s: float,
 ) -> None:
@@ -75,13 +76,13 @@
     _logger.info(
         "request refused: %s from %s", error.reason.value, channel.remote_address
     )
-    responder = responders.Responder(channel, connection, write_timeout_s, True)
+    responder = _new_responder(channel, connection, write_timeout_s)
     responder.close_after_response()
     await responder.send(response)
 
 
 async def refuse_unread(
-    channel: byte_channel.ByteChannel, connection: h11.Connection
+    channel: byte_channel.ByteChannel, connection: server_connection.ServerConnection
 ) -> None:
     """Refuse a request that has not been read completely.
 
@@ -99,7 +100,7 @@
 
 
 async def refuse_next(
-    channel: byte_channel.ByteChannel, connection: h11.Connection
+    channel: byte_channel.ByteChannel, connection: server_connection.ServerConnection
 ) -> None:
     """Refuse a request that was sent ahead, if another answer may follow.
 
@@ -115,7 +116,7 @@
 
 
 async def fail_unread(
-    channel: byte_channel.ByteChannel, connection: h11.Connection
+    channel: byte_channel.ByteChannel, connection: server_connection.ServerConnection
 ) -> None:
     """Answer a request that could not be read for a fault of the server.
 
@@ -133,16 +134,25 @@
 
 async def _answer_unread(
     channel: byte_channel.ByteChannel,
-    connection: h11.Connection,
+    connection: server_connection.ServerConnection,
     answer: http_messages.HttpResponse,
 ) -> None:
     if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
         return
-    responder = responders.Responder(channel, connection, LAST_ANSWER_MAX_S, True)
+    responder = _new_responder(channel, connection, LAST_ANSWER_MAX_S)
     responder.close_after_response()
     await responder.send(answer)
 
 
+def _new_responder(
+    channel: byte_channel.ByteChannel,
+    connection: server_connection.ServerConnection,
+    write_timeout_s: float,
+) -> responders.Responder:
+    allows_body = connection.allows_body
+    return responders.Responder(channel, connection, write_timeout_s, allows_body)
+
+
 async def linger(channel: byte_channel.ByteChannel) -> None:
     """Discard further data of the caller for a limited time.
 
--- a/packages/transport/lacewingdrum_transport/http_server.py
+++ b/packages/transport/lacewingdrum_transport/http_server.py
@@ -18,6 +18,7 @@
     http_messages,
     request_reader,
     responder as responders,
+    server_connection,
 )
 
 HttpRequest = http_messages.HttpRequest
@@ -200,29 +201,25 @@
         if not self._busy:
             self._no_busy_connections.set()
 
-    def _new_h11_connection(self) -> h11.Connection:
-        return h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
-        )
+    def _new_connection(self) -> server_connection.ServerConnection:
+        return server_connection.ServerConnection(self._limits.header_bytes)
 
     async def _refuse(self, channel: byte_channel.ByteChannel) -> None:
         reason = request_reader.RequestErrorReason.OVERLOADED
         error = request_reader.RequestError(reason, "too many connections")
         timeout_s = self._limits.write_timeout_s
-        await connection_end.refuse(
-            channel, self._new_h11_connection(), error, timeout_s
-        )
+        await connection_end.refuse(channel, self._new_connection(), error, timeout_s)
         # Connections that are being refused count too. From twice the limit
         # on, they are closed without discarding the caller's further data.
         if len(self._tasks) < 2 * self._limits.connections:
             await connection_end.linger(channel)
 
     async def _refuse_leaving(self, channel: byte_channel.ByteChannel) -> None:
-        await connection_end.refuse_unread(channel, self._new_h11_connection())
+        await connection_end.refuse_unread(channel, self._new_connection())
         await connection_end.linger(channel)
 
     async def _serve(self, channel: byte_channel.ByteChannel) -> None:
-        connection = self._new_h11_connection()
+        connection = self._new_connection()
         try:
             await self._serve_requests(channel, connection)
         except asyncio.CancelledError:
@@ -234,7 +231,9 @@
             raise
 
     async def _serve_requests(
-        self, channel: byte_channel.ByteChannel, connection: h11.Connection
+        self,
+        channel: byte_channel.ByteChannel,
+        connection: server_connection.ServerConnection,
     ) -> None:
         reader = request_reader.RequestReader(
             channel, connection, self._limits, self._budget, self._clock
@@ -260,7 +259,7 @@
     async def _serve_one(
         self,
         channel: byte_channel.ByteChannel,
-        connection: h11.Connection,
+        connection: server_connection.ServerConnection,
         reader: request_reader.RequestReader,
     ) -> bool:
         """Serve a request; return whether another one may follow it."""
@@ -278,12 +277,11 @@
     async def _handle(
         self,
         channel: byte_channel.ByteChannel,
-        connection: h11.Connection,
+        connection: server_connection.ServerConnection,
         request: HttpRequest,
     ) -> None:
-        allows_body = request.method != "HEAD"
         timeout_s = self._limits.write_timeout_s
-        responder = Responder(channel, connection, timeout_s, allows_body)
+        responder = Responder(channel, connection, timeout_s, connection.allows_body)
         self._unanswered[channel] = responder
         has_next = bool(connection.trailing_data[0]) or channel.has_unread
         if self._leaving and not has_next:
@@ -308,7 +306,9 @@
         )
 
     async def _send_last_answer(
-        self, channel: byte_channel.ByteChannel, connection: h11.Connection
+        self,
+        channel: byte_channel.ByteChannel,
+        connection: server_connection.ServerConnection,
     ) -> None:
         """End a connection whose request is interrupted.
 
--- a/packages/transport/lacewingdrum_transport/http_server_test.py
+++ b/packages/transport/lacewingdrum_transport/http_server_test.py
@@ -545,3 +545,12 @@
     answers = received.lower().split(b"http/1.1 200")[1:]
     assert len(answers) == len(recorder.requests) == 3
     assert [b"connection: close" in one for one in answers] == [False, False, True]
+
+
+async def test_head_request_that_cannot_be_served_is_not_cut_silently():
+    large = b"X-A: " + b"a" * 1_200 + b"\r\n"
+    for target, headers, status in ((b"*", b"", 400), (b"/", large, 431)):
+        head = b"HEAD %s HTTP/1.1\r\nHost: h\r\n%s\r\n" % (target, headers)
+        async with serving(Recorder()) as (_, port):
+            received = await exchange(port, head)
+        assert status_of(received) == status and received.endswith(b"\r\n\r\n")
