A request that arrives as a stop ends early is served to its end

Callers whose request arrived on a kept connection in the few turns in which a stopping gateway that had become idle closed its servers got 502 "may have run" for an order that its runner had begun, or 503, with seconds of the grace left; the exit code said that a request was cut. Cause: the drain looked for open requests, and then closed the servers, which takes some turns of the event loop in which requests are still taken, and interrupts at once.

The drain now stops accepting first, looks again, and goes on if there is a request. About two turns are left between that look and the interruption.

As committed, with three turns, it passes.

--- a/packages/gateway/lacewingdrum_gateway/gateway.py
+++ b/packages/gateway/lacewingdrum_gateway/gateway.py
@@ -54,6 +54,11 @@
         """Whether this daemon accepts new connections."""
         return self.components.is_ready
 
+    @property
+    def _is_busy(self) -> bool:
+        servers = (self.components.callers_server, self.components.relay_server)
+        return any(server.busy_count for server in servers)
+
     @property
     def known_work_count(self) -> int:
         """The number of attempts in progress at engines.
@@ -178,12 +183,12 @@
         while components.clock() < abort_s:
             await asyncio.sleep(DRAIN_POLL_S)
             may_finish = components.clock() - stop_s >= DRAIN_MIN_S
-            is_busy = (
-                components.callers_server.busy_count
-                or components.relay_server.busy_count
-            )
-            if may_finish and not is_busy:
-                break
+            if may_finish and not self._is_busy:
+                # Requests may still arrive meanwhile.
+                await components.callers_server.stop_accepting()
+                await components.relay_server.stop_accepting()
+                if not self._is_busy:
+                    break
         aborted_count = sum(
             await asyncio.gather(
                 components.callers_server.close(), components.relay_server.close()
--- a/packages/gateway/lacewingdrum_gateway/stop_edges_test.py
+++ b/packages/gateway/lacewingdrum_gateway/stop_edges_test.py
@@ -11,7 +11,7 @@
 )
 from lacewingdrum_state import states
 from lacewingdrum_transport import http_messages
-from standins import platform_site
+from standins import platform_site, raw_caller
 from standins.runner_paths import Cut
 
 
@@ -141,3 +141,28 @@
         await daemon.drain()
         assert (await call).status == 502
         assert not any(one.reserved for one in site.engines)
+
+
+async def test_order_that_arrives_as_a_stop_ends_early_is_answered():
+    async with platform_site.running_site() as site:
+        for ledger in site.ledgers:
+            ledger.answer_s = 0.2
+        daemon = site.gateways[0].daemon
+        server = daemon.components.callers_server
+        address = site.gateways[0].gateway_settings.vm.caller_address
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        stop_accepting = server.stop_accepting
+
+        async def receive_late() -> None:
+            server.stop_accepting = stop_accepting
+            patience = (("Deadline-Ms", "600"),)
+            writer.write(raw_caller.format_request("/order/x", "o1", patience))
+            for _ in range(3):
+                await asyncio.sleep(0)
+            await stop_accepting()
+
+        server.stop_accepting = receive_late
+        cut_count = await daemon.drain()
+        status = (await reader.readline()).split()[1]
+        writer.close()
+        assert (cut_count, status, run_ids(site)) == (0, b"200", ["o1"])
--- a/packages/transport/lacewingdrum_transport/http_server.py
+++ b/packages/transport/lacewingdrum_transport/http_server.py
@@ -114,7 +114,7 @@
 
     async def stop_accepting(self) -> None:
         """Stop accepting connections; open ones continue."""
-        if self._server is None:
+        if self._server is None or not self._server.sockets:
             return
         loop = asyncio.get_running_loop()
         for listener in self._server.sockets:
