--- a/packages/transport/lacewingdrum_transport/connection_end.py
+++ b/packages/transport/lacewingdrum_transport/connection_end.py
@@ -11,6 +11,7 @@
     http_messages,
     request_reader,
     responder as responders,
+    server_connection,
 )
 
 # How long a request that is interrupted has for its last answer.
@@ -47,7 +48,7 @@
 
 async def refuse(
     channel: byte_channel.ByteChannel,
-    connection: h11.Connection,
+    connection: server_connection.ServerConnection,
     error: request_reader.RequestError,
     write_timeout_s: float,
 ) -> None:
@@ -75,13 +76,13 @@
     _logger.info(
         "request refused: %s from %s", error.reason.value, channel.remote_address
     )
-    responder = responders.Responder(channel, connection, write_timeout_s, True)
+    responder = _new_responder(channel, connection, write_timeout_s)
     responder.close_after_response()
     await responder.send(response)
 
 
 async def refuse_unread(
-    channel: byte_channel.ByteChannel, connection: h11.Connection
+    channel: byte_channel.ByteChannel, connection: server_connection.ServerConnection
 ) -> None:
     """Refuse a request that has not been read completely.
 
@@ -98,8 +99,24 @@
     )
 
 
+async def refuse_next(
+    channel: byte_channel.ByteChannel, connection: server_connection.ServerConnection
+) -> None:
+    """Refuse a request that was sent ahead, if another answer may follow.
+
+    Args:
+        channel: its connection.
+        connection: the state of the protocol there, after a whole request.
+    """
+    has_next = bool(connection.trailing_data[0]) or channel.has_unread
+    states_now = (connection.our_state, connection.their_state)
+    if has_next and not channel.is_lost and states_now == (h11.DONE, h11.DONE):
+        connection.start_next_cycle()
+        await refuse_unread(channel, connection)
+
+
 async def fail_unread(
-    channel: byte_channel.ByteChannel, connection: h11.Connection
+    channel: byte_channel.ByteChannel, connection: server_connection.ServerConnection
 ) -> None:
     """Answer a request that could not be read for a fault of the server.
 
@@ -117,16 +134,25 @@
 
 async def _answer_unread(
     channel: byte_channel.ByteChannel,
-    connection: h11.Connection,
+    connection: server_connection.ServerConnection,
     answer: http_messages.HttpResponse,
 ) -> None:
     if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
         return
-    responder = responders.Responder(channel, connection, LAST_ANSWER_MAX_S, True)
+    responder = _new_responder(channel, connection, LAST_ANSWER_MAX_S)
     responder.close_after_response()
     await responder.send(answer)
 
 
+def _new_responder(
+    channel: byte_channel.ByteChannel,
+    connection: server_connection.ServerConnection,
+    write_timeout_s: float,
+) -> responders.Responder:
+    allows_body = connection.allows_body
+    return responders.Responder(channel, connection, write_timeout_s, allows_body)
+
+
 async def linger(channel: byte_channel.ByteChannel) -> None:
     """Discard further data of the caller for a limited time.
 
