--- a/packages/gateway/lacewingdrum_gateway/repeated_refusals_test.py
+++ b/packages/gateway/lacewingdrum_gateway/repeated_refusals_test.py
@@ -156,12 +156,16 @@
             await faulty.close()
 
 
+def ignore_replacement() -> None:
+    """Do nothing, since no engine of these tests is started again."""
+
+
 async def reserve_memory(site, name: str):
     """Reserve memory on all engines; return it, or None if one refused."""
     components = site.gateways[0].daemon.components
     entries = components.roster.of_service(platform_site.MODEL)
     reserved = await components.memory.reserve(
-        ids.RequestId(name), name, entries[0], entries, 1_000
+        ids.RequestId(name), name, entries[0], entries, 1_000, ignore_replacement
     )
     return reserved.ok()
 
@@ -198,6 +202,8 @@
         components = site.gateways[0].daemon.components
         listed = components.roster.of_service(platform_site.MODEL)[0]
         entry = dataclasses.replace(listed, address=server.address)
-        await components.memory.reserve(ids.RequestId("r"), "r", entry, (entry,), 1_000)
+        await components.memory.reserve(
+            ids.RequestId("r"), "r", entry, (entry,), 1_000, ignore_replacement
+        )
         await site.wait_until(lambda: server.request_count == 2)
         assert server.connection_count == 2
