--- a/packages/transport/lacewingdrum_transport/http_server.py
+++ b/packages/transport/lacewingdrum_transport/http_server.py
@@ -14,6 +14,7 @@
 from lacewingdrum_transport import (
     byte_budget,
     byte_channel,
+    connection_acceptor,
     connection_end,
     http_messages,
     request_reader,
@@ -27,10 +28,6 @@
 ServerLimits = request_reader.ServerLimits
 Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
 
-ACCEPT_BACKLOG = 1024
-# Turns of the event loop from an accepted socket to its connection.
-ACCEPT_TURNS = 4
-
 _logger = logging.getLogger(__name__)
 
 
@@ -51,7 +48,7 @@
         self._limits = limits or ServerLimits()
         self._clock = clock
         self._budget = byte_budget.ByteBudget(self._limits.held_body_bytes)
-        self._server: asyncio.Server | None = None
+        self._acceptor = connection_acceptor.ConnectionAcceptor(self._new_channel)
         self._tasks: dict[asyncio.Task[None], byte_channel.ByteChannel] = {}
         self._busy: set[byte_channel.ByteChannel] = set()
         # Requests without a whole answer; None while a request is being read.
@@ -87,17 +84,7 @@
         Raises:
             OSError: the address cannot be bound.
         """
-        loop = asyncio.get_running_loop()
-        if listener is None:
-            self._server = await loop.create_server(
-                self._new_channel, host, port, backlog=ACCEPT_BACKLOG
-            )
-        else:
-            self._server = await loop.create_server(
-                self._new_channel, sock=listener, backlog=ACCEPT_BACKLOG
-            )
-        bound: int = self._server.sockets[0].getsockname()[1]
-        return bound
+        return await self._acceptor.start(host, port, listener)
 
     def set_limits(self, limits: ServerLimits) -> None:
         """Set the limits.
@@ -114,15 +101,7 @@
 
     async def stop_accepting(self) -> None:
         """Stop accepting connections; open ones continue."""
-        if self._server is None or not self._server.sockets:
-            return
-        loop = asyncio.get_running_loop()
-        for listener in self._server.sockets:
-            loop.remove_reader(listener.fileno())
-        # asyncio drops connections that a closed server is just accepting.
-        for _ in range(ACCEPT_TURNS):
-            await asyncio.sleep(0)
-        self._server.close()
+        await self._acceptor.stop()
 
     async def close(self, grace_s: float = 0.0) -> int:
         """Wait for requests in progress, then close all connections.
