Long streams do not begin late in a long planned stop

What callers would see: with a grace period of over 8 s, streams that were taken later than 3 s after the stop began, and that could outlast it, were broken off at its end.

Cause: the border was a share of the stop alone.

The new test failed before; suspected by the review, not seen in a run of the system.

--- a/packages/coordination/lacewingdrum_coordination/stop_admission.py
+++ b/packages/coordination/lacewingdrum_coordination/stop_admission.py
@@ -6,8 +6,10 @@
 
 # A request whose deadline is over needs this long for its last answer.
 LAST_ANSWER_MARGIN_S = 0.1
-# Resumable streams last long, so they begin in this first share of a stop.
+# Resumable streams last long, so they begin in this first share of a stop, and
+# not much later than callers reach other daemons.
 STREAM_BEGIN_SHARE = 0.4
+STREAM_BEGIN_MAX_S = 3.0
 # Other idempotent requests begin while this much time is left.
 CALL_MIN_LEFT_S = 1.2
 
@@ -40,6 +42,6 @@
         if not route.is_retryable:
             return False
         if route.kind is configurations.RouteKind.STREAM:
-            stop_s = self.abort_s - self.begin_s
-            return now_s <= self.begin_s + STREAM_BEGIN_SHARE * stop_s
+            begin_max_s = STREAM_BEGIN_SHARE * (self.abort_s - self.begin_s)
+            return now_s <= self.begin_s + min(begin_max_s, STREAM_BEGIN_MAX_S)
         return now_s <= self.abort_s - CALL_MIN_LEFT_S
--- a/packages/coordination/lacewingdrum_coordination/stop_admission_test.py
+++ b/packages/coordination/lacewingdrum_coordination/stop_admission_test.py
@@ -39,3 +39,11 @@
     assert may_begin(STREAM, 2.9, 10.0, is_resumable=True)
     assert not may_begin(STREAM, 3.1, 10.0, is_resumable=True)
     assert not may_begin(STREAM, 0.1, 10.0)
+
+
+def test_long_stream_does_not_begin_late_in_a_long_stop():
+    long_stop = stop_admission.StopAdmission(BEGIN_S, BEGIN_S + 30.0)
+    of_kind = route("/x/", kind=STREAM, is_resumable=True)
+    assert long_stop.may_begin(of_kind, BEGIN_S + 33.0, BEGIN_S + 2.9)
+    assert not long_stop.may_begin(of_kind, BEGIN_S + 33.0, BEGIN_S + 3.1)
+    assert long_stop.may_begin(of_kind, BEGIN_S + 25.0, BEGIN_S + 15.0)
