--- a/packages/gateway/lacewingdrum_gateway/endless_answers_test.py
+++ b/packages/gateway/lacewingdrum_gateway/endless_answers_test.py
@@ -92,3 +92,13 @@
         sent_bytes = sum(one.endless.sent_bytes for one in site.engines)
         assert sent_bytes < TAKEN_MAX_BYTES * len(site.engines)
         assert await suspicion_count(site) > 0
+
+
+async def test_empty_lines_of_a_runner_do_not_precede_the_events_of_another():
+    async with platform_site.running_site() as site:
+        shared = [Fault.ENDLESS_LINES]
+        for engine in site.engines:
+            engine.faults = shared
+        answer = await site.call("/ask/x", "a1", headers=ASK)
+        assert answer.status == 200
+        assert answer.body == EVENTS, (len(answer.body), answer.body[:8])
