--- a/packages/gateway/lacewingdrum_gateway/fleet_components.py
+++ b/packages/gateway/lacewingdrum_gateway/fleet_components.py
@@ -81,12 +81,18 @@
             table, vm.data_centre, incarnation, clock, self.decisions, self.counts
         )
         self.daemon_registry = daemon_registry.DaemonRegistry(
-            self.store, self.peers, incarnation, clock
+            self.store, self.peers, incarnation, rng, clock, self.counts
         )
         self.roster = runner_roster.RunnerRoster()
         self.health = runner_health.RunnerHealth()
         self.configurations = configuration_sync.ConfigurationSync(
-            self.store, self.peers, clock, self.decisions, self.counts
+            self.store,
+            self.peers,
+            own_settings.bounds.configuration_max_ms / units.MS_PER_S,
+            rng,
+            clock,
+            self.decisions,
+            self.counts,
         )
         self.runner_list = runner_list_sync.RunnerListSync(
             self.roster,
--- a/packages/transport/lacewingdrum_transport/byte_channel.py
+++ b/packages/transport/lacewingdrum_transport/byte_channel.py
@@ -13,6 +13,7 @@
 from lacewingdrum_transport import socket_options
 
 READ_BUFFER_BYTES = 256 * 1024
+READ_PART_BYTES = 16 * 1024
 WRITE_BUFFER_BYTES = 64 * 1024
 UNACKNOWLEDGED_LIMIT_MS = 5_000
 
@@ -33,8 +34,9 @@
 class ByteChannel(asyncio.Protocol):
     """Reads and writes the bytes of one TCP connection.
 
-    ``disconnected`` is set when the remote side has ended its stream or the
-    connection is lost. ``end`` says how the remote side's stream ended.
+    ``input_ended`` is set when the remote side has ended its stream or the
+    connection is lost. The remote side may still read in the first case.
+    ``end`` says how the remote side's stream ended.
 
     Args:
         on_connected: called with the channel once it is connected.
@@ -50,7 +52,8 @@
         on_connected: Callable[["ByteChannel"], None] | None = None,
         unacknowledged_limit_ms: int = 0,
     ) -> None:
-        self.disconnected = asyncio.Event()
+        self.input_ended = asyncio.Event()
+        self._input_ended_s = 0.0
         self.end = ChannelEnd.OPEN
         self.remote_address = ""
         self._on_connected = on_connected
@@ -58,11 +61,9 @@
         self._unacknowledged_limit_ms = unacknowledged_limit_ms
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
-        self._received_chunks: list[bytes] = []
-        self._buffered_bytes = 0
+        self._received = bytearray()
         self._reading_paused = False
         self._writing_paused = False
-        self._read_closed = False
         self._is_lost = False
         self._read_waiter: asyncio.Future[bool] | None = None
         self._drain_waiters: set[asyncio.Future[bool]] = set()
@@ -81,9 +82,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Buffer received bytes, and pause reading when the buffer is full."""
-        self._received_chunks.append(data)
-        self._buffered_bytes += len(data)
-        if self._buffered_bytes >= READ_BUFFER_BYTES and not self._reading_paused:
+        self._received += data
+        if len(self._received) >= READ_BUFFER_BYTES and not self._reading_paused:
             assert self._transport is not None
             self._reading_paused = True
             self._transport.pause_reading()
@@ -122,12 +122,25 @@
 
         Bytes received before may still be unread.
         """
-        return self._read_closed
+        return self.input_ended.is_set()
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether bytes that are written now are not sent any more."""
+        transport = self._transport
+        return self._is_lost or transport is None or transport.is_closing()
+
+    @property
+    def since_input_ended_s(self) -> float:
+        """The time since ``input_ended`` was set; 0 if it is not."""
+        if not self.input_ended.is_set():
+            return 0.0
+        return self._loop.time() - self._input_ended_s
 
     @property
     def has_unread(self) -> bool:
         """Whether received bytes have not been read yet."""
-        return bool(self._received_chunks)
+        return bool(self._received)
 
     @property
     def unsent_bytes(self) -> int:
@@ -143,12 +156,12 @@
             timeout_s: how long to wait if no bytes are buffered.
 
         Returns:
-            All buffered bytes; ``b""`` at the end of the stream; ``None``
-            after a timeout.
+            At most ``READ_PART_BYTES`` of the buffered bytes; ``b""`` at the
+            end of the stream; ``None`` after a timeout.
         """
         if (
-            not self._received_chunks
-            and not self._read_closed
+            not self._received
+            and not self.read_closed
             and not await self._wait_readable(timeout_s)
         ):
             return None
@@ -172,8 +185,9 @@
             False if the connection was lost, so that none of the bytes were
             sent.
         """
-        if self._is_lost or self._transport is None or self._transport.is_closing():
+        if self.is_lost:
             return False
+        assert self._transport is not None
         self._transport.write(data)
         return True
 
@@ -245,14 +259,14 @@
         self._transport.abort()
 
     def _take_received(self) -> bytes:
-        chunks = self._received_chunks
-        self._received_chunks = []
-        self._buffered_bytes = 0
-        if self._reading_paused and not self._is_lost:
+        part = bytes(self._received[:READ_PART_BYTES])
+        del self._received[:READ_PART_BYTES]
+        has_room = len(self._received) < READ_BUFFER_BYTES // 2
+        if self._reading_paused and has_room and not self._is_lost:
             assert self._transport is not None
             self._reading_paused = False
             self._transport.resume_reading()
-        return chunks[0] if len(chunks) == 1 else b"".join(chunks)
+        return part
 
     async def _wait_readable(self, timeout_s: float) -> bool:
         if self._read_waiter is not None:
@@ -278,8 +292,9 @@
             _resolve(waiter, drained)
 
     def _close_reading(self) -> None:
-        self._read_closed = True
-        self.disconnected.set()
+        if not self.input_ended.is_set():
+            self._input_ended_s = self._loop.time()
+            self.input_ended.set()
         self._wake_reader()
 
 
--- a/packages/transport/lacewingdrum_transport/http_client_test.py
+++ b/packages/transport/lacewingdrum_transport/http_client_test.py
@@ -304,7 +304,7 @@
             previous_bytes = written_bytes
             await asyncio.sleep(0.2)
         (connection,) = client._in_use
-        held_bytes = connection.channel._buffered_bytes
+        held_bytes = len(connection.channel._received)
         assert held_bytes < 3 * byte_channel.READ_BUFFER_BYTES
         await reader.read(TEST_TIMEOUT_S)
         while written_bytes == previous_bytes:
@@ -318,7 +318,7 @@
     async def handler(request, responder):
         await responder.start_stream(200, ())
         await responder.write(b"one")
-        await responder.disconnected.wait()
+        await responder.input_ended.wait()
         disconnect_seen.set()
 
     async with client_with_server(handler) as (client, address, _):
--- /dev/null
+++ b/packages/transport/lacewingdrum_transport/loop_turns_test.py
@@ -0,0 +1,122 @@
+"""Tests that no caller or server holds the event loop."""
+
+import asyncio
+import contextlib
+
+from lacewingdrum_state import fleet
+from lacewingdrum_transport import http_client, http_server
+from standins import loop_turns
+
+HOST = "127.0.0.1"
+MEASURED_S = 1.0
+CONNECTION_COUNT = 20
+TINY_CHUNKS = b"1\r\nx\r\n" * 40_000
+BODY_HEAD = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+PIPELINED = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n" * 9_000
+ANSWER_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+async def respond(request, responder):
+    await responder.send(http_server.HttpResponse(200))
+
+
+async def caller_turn_ms(head: bytes, block: bytes) -> float:
+    """Return the longest turn of a server while callers send this."""
+    server = http_server.HttpServer(respond)
+    port = await server.start(HOST, 0)
+    connections = [
+        await asyncio.open_connection(HOST, port) for _ in range(CONNECTION_COUNT)
+    ]
+    async with loop_turns.measured() as longest:
+        for _, writer in connections:
+            writer.write(head + block)
+        await asyncio.sleep(MEASURED_S)
+    for _, writer in connections:
+        writer.transport.abort()
+    await server.close()
+    return longest.worked_ms
+
+
+async def test_callers_bodies_in_tiny_chunks_do_not_hold_the_loop():
+    worked_ms = await caller_turn_ms(BODY_HEAD, TINY_CHUNKS)
+    assert worked_ms <= loop_turns.TURN_MAX_MS, worked_ms
+
+
+async def test_endless_body_of_a_caller_in_tiny_chunks_is_refused_in_time():
+    limits = http_server.ServerLimits(body_timeout_s=0.3)
+    server = http_server.HttpServer(respond, limits)
+    port = await server.start(HOST, 0)
+    reader, writer = await asyncio.open_connection(HOST, port)
+    writer.write(BODY_HEAD)
+
+    async def send():
+        with contextlib.suppress(ConnectionError):
+            while True:
+                writer.write(TINY_CHUNKS)
+                await writer.drain()
+
+    sending = asyncio.ensure_future(send())
+    status = await asyncio.wait_for(reader.readline(), 3.0)
+    sending.cancel()
+    writer.transport.abort()
+    await server.close()
+    assert status.split()[1] == b"408", status
+
+
+async def test_pipelined_requests_do_not_hold_the_loop():
+    worked_ms = await caller_turn_ms(b"", PIPELINED)
+    assert worked_ms <= loop_turns.TURN_MAX_MS, worked_ms
+
+
+@contextlib.asynccontextmanager
+async def raw_server(block: bytes):
+    """Yield the address of a server that sends this to each request."""
+    writers = []
+
+    async def on_connection(reader, writer):
+        writers.append(writer)
+        with contextlib.suppress(ConnectionError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(ANSWER_HEAD + block)
+            await writer.drain()
+            await reader.read()
+
+    server = await asyncio.start_server(on_connection, HOST, 0)
+    try:
+        yield fleet.Address(HOST, server.sockets[0].getsockname()[1])
+    finally:
+        server.close()
+        for writer in writers:
+            writer.transport.abort()
+        await asyncio.sleep(0.01)
+
+
+async def test_feeds_of_the_store_in_tiny_chunks_do_not_hold_the_loop():
+    client = http_client.HttpClient()
+    async with raw_server(TINY_CHUNKS) as address:
+        async with loop_turns.measured() as longest:
+            calls = (
+                client.request(address, "GET", "/", timeout_s=MEASURED_S)
+                for _ in range(CONNECTION_COUNT)
+            )
+            await asyncio.gather(*calls)
+        await client.close()
+    assert longest.worked_ms <= loop_turns.TURN_MAX_MS, longest.worked_ms
+
+
+async def test_answer_of_far_more_chunks_than_bytes_is_ended():
+    client = http_client.HttpClient()
+    async with raw_server(TINY_CHUNKS) as address:
+        answer = await client.request(address, "GET", "/", timeout_s=5.0)
+        await client.close()
+    assert answer.unwrap_err().reason is http_client.ClientErrorReason.TOO_LARGE
+
+
+async def test_stream_of_many_small_events_is_not_ended():
+    event = b"data: a\n\n"
+    chunks = (b"%x\r\n%b\r\n" % (len(event), event)) * 20_000
+    client = http_client.HttpClient()
+    async with raw_server(chunks + b"0\r\n\r\n") as address:
+        answer = await client.request(address, "GET", "/", timeout_s=9.0)
+        await client.close()
+    assert answer.unwrap().body == event * 20_000
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -41,7 +41,7 @@
         self.answer_s = 0.0
         # Whether answers have neither a length nor chunks.
         self.is_close_delimited = False
-        self.faults: list[Fault | odd_answers.OddAnswer] = []
+        self.faults: list[Fault | odd_answers.OddAnswer | odd_answers.RawAnswer] = []
         self.arrivals: list[ReceivedRequest] = []
         self.connection_count = 0
         self.working_count = 0
@@ -66,8 +66,14 @@
         self.endless = endless_answers.EndlessAnswers()
         # Distinguishes the incarnations of the runner.
         self.born_ms = 1
+        # Whether reports state it.
+        self.is_born_reported = True
+        # Whether commands, reports included, get no answer.
+        self.ignores_commands = False
         self.crashes = runner_crashes.RunnerCrashes(self._abort_all, self.start)
         self._server: asyncio.Server | None = None
+        # The connections of requests that the runner is at work on.
+        self._working: set[asyncio.StreamReader] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -80,6 +86,11 @@
         """Ids of the attempts that the runner ran, in order."""
         return [arrival.attempt_id for arrival in self.arrivals if arrival.ran]
 
+    @property
+    def awaited_count(self) -> int:
+        """Number of requests at work whose sender has not closed."""
+        return sum(not reader.at_eof() for reader in self._working)
+
     def entry(self, service: str, state: str = "ready") -> dict[str, object]:
         """Return the entry of the runner in the platform's store."""
         return {
@@ -147,21 +158,24 @@
             if is_kept:
                 self._repeat_refusal(writer, Moment.LATE, attempt_id)
             is_kept = True
+            if path.startswith("/-/") and self.ignores_commands:
+                await asyncio.Event().wait()
             if path == "/-/order" and self.has_endless_commands:
                 await self.endless.send(writer, (), Fault.ENDLESS_BODY)
                 return
-            if path == "/-/order":
-                is_reusable = self._handle_command(connection, writer, body)
-            elif path == "/-/report":
-                is_reusable = self._report(connection, writer)
-            elif path.startswith("/-/"):
-                # A gateway of another test takes this port for its store.
+            if path.startswith("/-/"):
+                status, answer = self._handle_command(path, headers, body)
                 is_reusable = platform_connection.respond(
-                    connection, writer, 404, (), b"", self.is_close_delimited
+                    connection,
+                    writer,
+                    status,
+                    self._notices(),
+                    answer,
+                    self.is_close_delimited,
                 )
             else:
                 is_reusable = await self._answer_request(
-                    connection, writer, path, headers, body
+                    connection, reader, writer, path, headers, body
                 )
             if not is_reusable:
                 await platform_connection.close_after_drain(writer)
@@ -181,31 +195,23 @@
             self.repeated_refusal.write(writer, moment, attempt_id, was_refused)
 
     def _handle_command(
-        self, connection: h11.Connection, writer: asyncio.StreamWriter, body: bytes
-    ) -> bool:
-        """Answer a command and return whether the connection is reusable."""
+        self, path: str, headers: dict[str, str], body: bytes
+    ) -> tuple[int, bytes]:
+        """Return the status and the body of the answer to a command."""
+        if headers.get("expect-instance", self.runner_id) != self.runner_id:
+            return 421, b""
+        if path == "/-/report":
+            born = {"born": self.born_ms} if self.is_born_reported else {}
+            return 200, platform_memory.format_report(self.reserved, born)
+        if path != "/-/order":
+            # A gateway of another test takes this port for its store.
+            return 404, b""
         command = json.loads(body)
         self.command_count += 1
-        status = 200
         if self.refuse_commands and command["op"] == "reserve":
-            status = 409
-        else:
-            platform_memory.apply_command(self.reserved, command)
-        return platform_connection.respond(
-            connection,
-            writer,
-            status,
-            self._notices(),
-            b'{"free":0}',
-            self.is_close_delimited,
-        )
-
-    def _report(self, connection: h11.Connection, writer: asyncio.StreamWriter) -> bool:
-        """Report the reservations that have not expired."""
-        body = platform_memory.format_report(self.reserved)
-        return platform_connection.respond(
-            connection, writer, 200, self._notices(), body, self.is_close_delimited
-        )
+            return 409, b'{"free":0}'
+        platform_memory.apply_command(self.reserved, command)
+        return 200, b'{"free":0}'
 
     def _notices(self) -> Headers:
         """Return the headers that each answer carries."""
@@ -219,6 +225,7 @@
     async def _answer_request(
         self,
         connection: h11.Connection,
+        reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         path: str,
         headers: dict[str, str],
@@ -256,6 +263,9 @@
                 sealed_headers[-1],
                 int(headers.get("last-event-id") or 0),
             )
+        if isinstance(fault, odd_answers.RawAnswer):
+            await odd_answers.send_raw(writer, fault, sealed_headers)
+            return False
         if fault is Fault.SHED and self.retry_after:
             id_headers += (("Retry-After", self.retry_after),)
         if fault is Fault.HELPER_FAILED:
@@ -268,6 +278,7 @@
         if is_reusable is not None:
             return is_reusable
         self.working_count += 1
+        self._working.add(reader)
         try:
             if fault in endless_answers.FAULTS:
                 await self.endless.send(writer, sealed_headers, fault)
@@ -291,4 +302,5 @@
             body = f"answer of {self.runner_id} to {attempt_id}".encode()
             return await platform_answers.send_body(answer, body, fault, self._tasks)
         finally:
+            self._working.discard(reader)
             self.working_count -= 1
