--- a/packages/gateway/lacewingdrum_gateway/components.py
+++ b/packages/gateway/lacewingdrum_gateway/components.py
@@ -1,6 +1,7 @@
 """The composition root of the gateway: creates and connects its components."""
 
 import logging
+import time
 
 from lacewingdrum_coordination import retry_allowance, route_table
 from lacewingdrum_gateway import fleet_components, server_limits, settings
@@ -20,7 +21,7 @@
     silence_watch,
     stream_forwarding,
 )
-from lacewingdrum_runtime import metrics
+from lacewingdrum_runtime import loop_lag, metrics
 from lacewingdrum_transport import (
     connector,
     http_client,
@@ -52,6 +53,7 @@
     ) -> None:
         super().__init__(own_settings, logger, connect_to_runners)
         clock, rng, table = self.clock, self.rng, self.peer_table
+        self.lag = loop_lag.LoopLag(time.monotonic, self.decisions, self.counts)
         self.memory = engine_memory.EngineMemory(
             self.runner_client,
             self.notices,
@@ -197,6 +199,7 @@
         self.work_sync.on_peer_suspicion(self.probe.probe_now)
         self.crash_watch.on_blamed(self._on_part_blamed)
         self.reach.on_silence(forwarder.record_lost_paths)
+        self.peers.on_peer_lost(self.relay.close_idle_connections)
         self.peers.on_peer_lost(forwarder.record_lost_peer)
         self.reach.on_change(self.peers.announce)
         self.peers.set_relay_port_source(self._relay_port)
--- a/packages/gateway/lacewingdrum_gateway/settings.py
+++ b/packages/gateway/lacewingdrum_gateway/settings.py
@@ -99,7 +99,10 @@
         "longest time that memory is held on an engine before it is used",
     )
     configuration_max_ms: float = _number(
-        2_000.0, 100.0, 600_000.0, "longest time until a configuration is in force"
+        2_000.0,
+        500.0,
+        600_000.0,
+        "from an acknowledged change of the configuration until it is in force",
     )
 
 
