--- a/packages/gateway/lacewingdrum_gateway/serving/stream_forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/stream_forwarding.py
@@ -23,9 +23,10 @@
 
 # The slowdown of an engine is taken from the shortest of this many pauses.
 SLOWDOWN_PAUSES = 5
-# What is searched for events at once.
+# A stream is searched for events in pieces of this size.
 FED_BYTES = 512
-# The lines of such an event are looked at once more at its end.
+# The end of a larger event costs another look at all of its lines, so each of
+# them counts as several events.
 LARGE_EVENT_BYTES = 64 * 1024
 LARGE_EVENT_LINE_WEIGHT = 4
 
