Empty lines and comments of a stream wait for the event that they precede

What callers saw: a runner that sent empty lines without end was given up as too_large, another one answered, and its events came after some thousand bytes of the first one's empty lines. All events were there once.

Cause: EventStream returned every whole block of lines, also blocks that are no event, so that they were passed on, and the response began, before anything of the answer had come.

Change: such blocks stay with the partial event and are returned with the event after them; an end of the run returns them as before. They count as held bytes of the answer.

--- a/packages/protocol/lacewingdrum_protocol/event_stream.py
+++ b/packages/protocol/lacewingdrum_protocol/event_stream.py
@@ -47,6 +47,8 @@
         self._events_before_run = 0
         self._has_further_event = False
         self._partial_event = bytearray()
+        # How much of it are whole blocks that are no event.
+        self._preceding_bytes = 0
 
     @property
     def last_event_id(self) -> str:
@@ -70,12 +72,12 @@
 
     @property
     def partial_event(self) -> bytes:
-        """The bytes of an event that is not complete yet."""
+        """The bytes of an event that is not complete yet, and before it."""
         return bytes(self._partial_event)
 
     @property
     def partial_bytes(self) -> int:
-        """The number of bytes of an event that is not complete yet."""
+        """The number of bytes in ``partial_event``."""
         return len(self._partial_event)
 
     def feed(self, data: bytes) -> bytes:
@@ -85,16 +87,18 @@
             data: The next bytes of the stream; they may end inside an event.
 
         Returns:
-            The events that are now complete and go on with the stream.
+            The events that are now complete and go on with the stream. Empty
+            lines and comments are returned with the event that follows them.
         """
         if self.fault is not None:
             return b""
         # The bytes received before were searched then; only a mark of the end
         # may have begun in them.
         searched_bytes = len(self._partial_event)
-        start = max(searched_bytes - _EVENT_END_BYTES_MAX + 1, 0)
+        end = self._preceding_bytes
+        start = max(searched_bytes - _EVENT_END_BYTES_MAX + 1, end)
         self._partial_event += data
-        end = 0
+        complete_bytes = 0
         for match in _EVENT_END.finditer(self._partial_event, start):
             block = bytes(self._partial_event[end : match.end()])
             advanced = event_sequence.advance(
@@ -103,17 +107,20 @@
             if isinstance(advanced, Err):
                 self.fault = advanced.err_value
                 break
-            self._position = advanced.ok_value
             end = match.end()
-        complete = bytes(self._partial_event[:end])
-        del self._partial_event[:end]
-        if end:
+            if advanced.ok_value is not self._position:
+                self._position = advanced.ok_value
+                complete_bytes = end
+        if end > self._preceding_bytes:
             self.is_inside_event = False
-            searched_bytes = 0
+            searched_bytes = end
         if not self.is_inside_event:
             # The character before may end the line.
             begun = _FIELD_BEGIN.search(self._partial_event, max(searched_bytes - 1, 0))
             self.is_inside_event = begun is not None
+        complete = bytes(self._partial_event[:complete_bytes])
+        del self._partial_event[:complete_bytes]
+        self._preceding_bytes = end - complete_bytes
         return complete
 
     def find_end_fault(self, is_end_stated: bool) -> event_sequence.StreamFault | None:
--- a/packages/protocol/lacewingdrum_protocol/event_stream_test.py
+++ b/packages/protocol/lacewingdrum_protocol/event_stream_test.py
@@ -38,6 +38,17 @@
         assert not stream.is_inside_event
 
 
+def test_lines_that_are_no_event_are_returned_with_the_event_after_them():
+    stream = event_stream.EventStream()
+    assert stream.feed(b"\n\n: ping\n\n") == b""
+    assert stream.feed(b"\n") == b"" and not stream.is_inside_event
+    assert stream.partial_event == b"\n\n: ping\n\n\n"
+    assert stream.feed(WHOLE + b": ping\n\n") == b"\n\n: ping\n\n\n" + WHOLE
+    assert stream.partial_event == b": ping\n\n" and stream.event_count == 2
+    assert stream.feed(b"id: 3") == b"" and stream.is_inside_event
+    assert stream.feed(b"\n\n") == b": ping\n\nid: 3\n\n"
+
+
 def test_bytes_of_an_incomplete_event_are_counted():
     stream = event_stream.EventStream()
     stream.feed(WHOLE + b"x" * 100)
