Callers that end only their own stream are served like all others

What callers saw: one that closes its writing side after a whole request, as HTTP/1.1 allows, got 502 "may have run" for a read that took longer than 0.25 s, and 503 or a cut for a stream, in calm, beside a change and in a stop alike. A second request sent ahead got 503 if the first one took longer than that.

Cause: a caller that closes its connection ends its stream too, and nothing was done to tell the two apart.

Gateways and the daemon's completions end work only for callers that have left. HTTP/1.0 has no interim responses and stays as it was.

--- a/packages/daemon/lacewingdrum_daemon/request_handler.py
+++ b/packages/daemon/lacewingdrum_daemon/request_handler.py
@@ -15,7 +15,7 @@
 from lacewingdrum_protocol import callers_api
 from lacewingdrum_runtime import decision_log, metrics
 from lacewingdrum_state import ids, requests, states, units
-from lacewingdrum_transport import http_messages, http_server
+from lacewingdrum_transport import caller_presence, http_messages, http_server
 
 Failure = callers_api.Failure
 ErrorCode = callers_api.ErrorCode
@@ -157,21 +157,29 @@
 async def _run_until_disconnect(
     work: Awaitable[Failure | None], responder: http_server.Responder
 ) -> Failure | None:
-    """Run ``work``, and cancel it when the caller ends its stream.
+    """Run ``work``, and cancel it when the caller has left.
 
-    The caller may have left, and completions are costly.
+    A caller that has only ended its own stream waits for the answer.
     """
     task = asyncio.ensure_future(work)
-    gone = asyncio.ensure_future(responder.input_ended.wait())
+    left = asyncio.ensure_future(_has_left(responder))
     try:
-        await asyncio.wait({task, gone}, return_when=asyncio.FIRST_COMPLETED)
+        await asyncio.wait({task, left}, return_when=asyncio.FIRST_COMPLETED)
+        if not task.done() and not left.result():
+            await asyncio.wait({task})
         if task.done():
             return task.result()
         return Failure(
             ErrorCode.CALLER_GONE, "the caller ended its stream", states.Ran.MAYBE
         )
     finally:
-        gone.cancel()
+        left.cancel()
         if not task.done():
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
+
+
+async def _has_left(responder: http_server.Responder) -> bool:
+    """Wait for the end of the caller's stream; return whether it has left."""
+    await responder.input_ended.wait()
+    return not await caller_presence.is_waiting(responder)
--- a/packages/gateway/lacewingdrum_gateway/serving/active_request.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/active_request.py
@@ -31,7 +31,8 @@
     ``repeat_count`` counts such repeats. ``suspect_attempt_count`` counts the
     failed attempts after which their runner was suspect. ``is_blamed`` is set
     if the request is ended because its prompt probably crashes engines,
-    ``has_caller_ended`` if because its caller may have left, and
+    ``has_caller_left`` if because its caller has left, ``is_caller_waiting``
+    once a caller that has ended its stream is known to wait, and
     ``is_trial`` if it was let through to find out whether it does.
     ``is_relayed`` is set if a daemon that reaches no runner has passed the
     request on, after it had sent it to ``earlier_runner_count`` runners;
@@ -64,7 +65,8 @@
     is_overdue: bool = False
     is_blamed: bool = False
     is_trial: bool = False
-    has_caller_ended: bool = False
+    has_caller_left: bool = False
+    is_caller_waiting: bool = False
     is_relayed: bool = False
     earlier_runner_count: int = 0
     is_counted: bool = False
--- a/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
@@ -123,7 +123,7 @@
             if active.race.waits_for_none:
                 await self._reach.wait_for_check()
             is_due = may_start and active.race.waits_for_none
-            is_due = is_due and caller_ends.may_send(active)
+            is_due = is_due and await caller_ends.may_send(active)
             step = await self._start_next(active) if is_due else Step.WAIT
             if isinstance(step, outcomes.Outcome):
                 return step
--- a/packages/gateway/lacewingdrum_gateway/serving/request_handler.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/request_handler.py
@@ -190,7 +190,7 @@
             active.earlier_runner_count = platform_headers.parse_earlier_runners(
                 request.headers
             )
-        if not caller_ends.may_send(active):
+        if not await caller_ends.may_send(active):
             await self._unrouted.answer_unavailable(
                 caller_headers, responder, "caller_ended", final_answers.LEAVING_RETRY_S
             )
@@ -235,16 +235,16 @@
     async def _wait_for_end(
         self, active: active_request.ActiveRequest, running: asyncio.Future
     ) -> None:
-        """Wait until a request has ended, or its caller may have left it."""
+        """Wait until a request has ended, or its caller has left it."""
         if not caller_ends.is_watched(active):
             return
-        left = asyncio.ensure_future(caller_ends.wait_until_over(active))
+        left = asyncio.ensure_future(caller_ends.has_left(active))
         try:
             await asyncio.wait((running, left), return_when=asyncio.FIRST_COMPLETED)
         finally:
             left.cancel()
-        if not running.done():
-            active.has_caller_ended = True
+        if not running.done() and left.result():
+            active.has_caller_left = True
             running.cancel()
 
     async def _end_interrupted(
@@ -255,7 +255,7 @@
             return outcomes.Outcome.CALLER_GONE
         if active.is_overdue or active.is_blamed:
             return await self._final_answers.give_up(active)
-        if active.has_caller_ended:
+        if active.has_caller_left:
             return await self._final_answers.end_for_caller(active)
         return await self._final_answers.end_for_stop(active)
 
--- a/packages/transport/lacewingdrum_transport/responder.py
+++ b/packages/transport/lacewingdrum_transport/responder.py
@@ -7,8 +7,8 @@
 from lacewingdrum_transport import byte_channel, http_messages
 
 STATUSES_WITHOUT_BODY = frozenset((204, 304))
-# Callers of older versions get streams without chunks.
-_SELF_DELIMITED_VERSION = b"1.1"
+# Callers of older versions know neither chunks nor interim responses.
+_VERSION_WITH_CHUNKS = b"1.1"
 
 
 class ResponseOrderError(RuntimeError):
@@ -58,6 +58,12 @@
         """The time since the caller ended its stream; 0 if it has not."""
         return self._channel.since_input_ended_s
 
+    @property
+    def can_ask(self) -> bool:
+        """Whether an interim response would show that the caller has left."""
+        version = self._connection.their_http_version or b""
+        return version >= _VERSION_WITH_CHUNKS
+
     def close_after_response(self) -> None:
         """Make this the last response, announced by ``Connection: close``."""
         self._close_after_response = True
@@ -81,6 +87,17 @@
         data += self._serialize_end()
         return await self._write_last(data)
 
+    async def send_interim(self) -> bool:
+        """Send an interim response, which a caller that waits ignores.
+
+        Returns:
+            False if the connection is lost or the caller did not read in time.
+        """
+        if self.started:
+            raise ResponseOrderError("an interim response after the final one")
+        interim = h11.InformationalResponse(status_code=100, headers=[])
+        return await self._write(self._connection.send(interim) or b"")
+
     async def start_stream(
         self, status: int, headers: http_messages.Headers, first: bytes = b""
     ) -> bool:
@@ -163,7 +180,7 @@
         self.started = True
         self._allows_body = self._allows_body and status not in STATUSES_WITHOUT_BODY
         version = self._connection.their_http_version or b""
-        self._is_self_delimited = version >= _SELF_DELIMITED_VERSION
+        self._is_self_delimited = version >= _VERSION_WITH_CHUNKS
         return data
 
     def _serialize_end(self) -> bytes:
