Streams do not begin just before a stop breaks them off

Cause: what may begin in a stop was decided when a request arrived, but not when its answer begins.

Change: StopAdmission also says whether an answer may begin. A stream that has not begun 0.25 s before the interruption, and could outlast it, gets its last answer then.

--- a/packages/coordination/lacewingdrum_coordination/stop_admission.py
+++ b/packages/coordination/lacewingdrum_coordination/stop_admission.py
@@ -12,6 +12,9 @@
 STREAM_BEGIN_MAX_S = 3.0
 # Other idempotent requests begin while this much time is left.
 CALL_MIN_LEFT_S = 1.2
+# The answer to a stream begins while this much time is left, as it would soon
+# be broken off.
+STREAM_ANSWER_MIN_LEFT_S = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,3 +48,17 @@
             begin_max_s = STREAM_BEGIN_SHARE * (self.abort_s - self.begin_s)
             return now_s <= self.begin_s + min(begin_max_s, STREAM_BEGIN_MAX_S)
         return now_s <= self.abort_s - CALL_MIN_LEFT_S
+
+    def may_answer(
+        self, route: configurations.Route, deadline_s: float, now_s: float
+    ) -> bool:
+        """Return whether the answer to a request may still begin.
+
+        Args:
+            route: its route.
+            deadline_s: its deadline.
+            now_s: the current time.
+        """
+        is_stream = route.kind is configurations.RouteKind.STREAM
+        is_cut = is_stream and deadline_s + LAST_ANSWER_MARGIN_S > self.abort_s
+        return not is_cut or now_s <= self.abort_s - STREAM_ANSWER_MIN_LEFT_S
--- a/packages/coordination/lacewingdrum_coordination/stop_admission_test.py
+++ b/packages/coordination/lacewingdrum_coordination/stop_admission_test.py
@@ -47,3 +47,11 @@
     assert long_stop.may_begin(of_kind, BEGIN_S + 33.0, BEGIN_S + 2.9)
     assert not long_stop.may_begin(of_kind, BEGIN_S + 33.0, BEGIN_S + 3.1)
     assert long_stop.may_begin(of_kind, BEGIN_S + 25.0, BEGIN_S + 15.0)
+
+
+def test_answer_to_a_stream_does_not_begin_just_before_it_would_be_broken_off():
+    stream = route("/x/", kind=STREAM)
+    assert STOP.may_answer(stream, ABORT_S + 1.0, ABORT_S - 0.3)
+    assert not STOP.may_answer(stream, ABORT_S + 1.0, ABORT_S - 0.2)
+    assert STOP.may_answer(stream, ABORT_S - 0.1, ABORT_S - 0.2)
+    assert STOP.may_answer(route("/x/", kind=READ), ABORT_S + 1.0, ABORT_S - 0.2)
--- a/packages/gateway/lacewingdrum_gateway/gateway.py
+++ b/packages/gateway/lacewingdrum_gateway/gateway.py
@@ -182,6 +182,7 @@
         components.request_handler.set_leaving(abort_s)
         while components.clock() < abort_s:
             await asyncio.sleep(DRAIN_POLL_S)
+            components.request_handler.end_unbegun_streams()
             may_finish = components.clock() - stop_s >= DRAIN_MIN_S
             if may_finish and not self._is_busy:
                 # Requests may still arrive meanwhile.
--- a/packages/gateway/lacewingdrum_gateway/serving/request_handler.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/request_handler.py
@@ -82,6 +82,17 @@
                 overdue_count += 1
         return overdue_count
 
+    def end_unbegun_streams(self) -> None:
+        """End streams whose answers would begin only to be broken off."""
+        if self._stop is None:
+            return
+        now_s = self._clock()
+        for running, active in self._running.items():
+            routed = active.routed
+            may_answer = self._stop.may_answer(routed.route, routed.deadline_s, now_s)
+            if not may_answer and not active.responder.started:
+                running.cancel()
+
     def end_blamed(
         self, is_blamed: Callable[[active_request.ActiveRequest], bool]
     ) -> None:
--- a/packages/gateway/lacewingdrum_gateway/stop_test.py
+++ b/packages/gateway/lacewingdrum_gateway/stop_test.py
@@ -2,10 +2,13 @@
 
 import asyncio
 
+from lacewingdrum_gateway import gateway
 from lacewingdrum_gateway.gateway_test import ASK, EVENTS, run_ids
 from lacewingdrum_state import states
 from lacewingdrum_transport import http_messages
-from standins import platform_site
+from standins import platform_site, raw_caller
+
+BEGIN_S = 1.0
 
 
 async def test_planned_stop_finishes_streams_and_answers_with_close():
@@ -101,3 +104,23 @@
             ledger.answer_s = 3.9
         (answer,) = await stop_with_calls(site, [(0.1, "/read/x", "r1", 4_000)])
         assert answer.status == 502
+
+
+async def test_stream_whose_first_event_comes_just_before_the_end_of_a_stop_is_whole():
+    async with platform_site.running_site() as site:
+        draining = asyncio.ensure_future(site.gateways[0].daemon.drain())
+        for engine in site.engines:
+            engine.event_interval_s = 0.3
+        await asyncio.sleep(BEGIN_S)
+        # Their first events come between 0.2 s and 0.02 s before the end.
+        end_s = platform_site.STOP_GRACE_S - gateway.ABORT_BEFORE_KILL_S
+        for engine, left_s in zip(site.engines, (0.02, 0.08, 0.14, 0.2), strict=False):
+            engine.first_event_s = end_s - BEGIN_S - left_s
+        calls = [
+            asyncio.ensure_future(raw_caller.call(site, "/ask/x", f"a{number}", ASK))
+            for number in range(len(site.engines))
+        ]
+        answers = [await call for call in calls]
+        assert [one.status for one in answers] == [502] * len(calls)
+        assert all(one.is_whole for one in answers)
+        assert await draining == 0
