The end of a large event does not hold the event loop

What callers saw: a stream with one event of 8 MB held the daemon at the event's end: 76 ms for one line, 205 ms for lines of 8 bytes (one feed, processor time).

Pieces of a stream are bounded, but the block of lines that ends with a piece was matched as a whole.

Change: a block of more than 4 KiB is checked while it comes. The lines checked so far are replaced by a few that stand for them, so that its end is matched with these and the last 4 KiB at most. The bytes themselves are passed on unchanged. An id of 1 KiB and more in a large event is no event, as it could not be named in a header again. Lines of a large event count as one event each, no longer as four: they are looked at once.

Evidence: event_stream_test.test_end_of_an_event_of_megabytes_does_not_take_long and test_large_events_are_judged_like_small_ones (an id's fault is new) failed before.

--- a/packages/gateway/lacewingdrum_gateway/serving/stream_forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/stream_forwarding.py
@@ -25,10 +25,6 @@
 SLOWDOWN_PAUSES = 5
 # A stream is searched for events in pieces of this size.
 FED_BYTES = 512
-# The end of a larger event costs another look at all of its lines, so each of
-# them counts as several events.
-LARGE_EVENT_BYTES = 64 * 1024
-LARGE_EVENT_LINE_WEIGHT = 4
 
 
 class StreamForwarder:
@@ -206,8 +202,9 @@
         piece = part[start : start + FED_BYTES]
         complete.append(events.feed(piece))
         event_count = 1 + event_stream.count_blocks(piece)
-        if events.partial_bytes > LARGE_EVENT_BYTES:
-            event_count += LARGE_EVENT_LINE_WEIGHT * event_stream.count_lines(piece)
+        if events.partial_bytes > event_stream.CHECKED_PART_BYTES:
+            # The lines of a large event are checked one by one.
+            event_count += event_stream.count_lines(piece)
         await reader.count_events(event_count)
     return b"".join(complete)
 
--- a/packages/protocol/lacewingdrum_protocol/event_sequence.py
+++ b/packages/protocol/lacewingdrum_protocol/event_sequence.py
@@ -25,8 +25,12 @@
 _LINES = rb"(?:(?:%b|%b)?%b)*+" % (_FIELD, _COMMENT, _LINE_END)
 _ID_LINE = rb"id:[ ]?(?P<id>[^\r\n]*)" + _LINE_END
 _BLOCK = re.compile(_LEADING_LINES + _LINES + rb"(?:%b%b)?" % (_ID_LINE, _LINES))
+_LEADING_BLOCK = re.compile(_LEADING_LINES)
 _ANY_FIELD = re.compile(rb"(?:^|[\r\n])[^:\r\n]")
 _NUMBER = re.compile(r"[0-9]{1,18}")
+# The beginning of a long line says which field it is. An id must fit into a
+# header, by which a caller names its last event.
+LINE_BEGIN_BYTES = 1024
 
 
 class StreamFault(enum.Enum):
@@ -95,6 +99,30 @@
     return _advance_numbered(position, event_id, number, is_first_of_run)
 
 
+def shorten(lines: bytes) -> Result[bytes, StreamFault]:
+    """Return fewer lines that stand for the beginning of a large block.
+
+    A block that begins with them is what it would be with all lines. Of a last
+    line without an end, more of which may follow, the beginning is kept.
+
+    Args:
+        lines: the beginning of a block.
+    """
+    whole_bytes = max(lines.rfind(b"\n"), lines.rfind(b"\r")) + 1
+    matched = _BLOCK.fullmatch(lines, 0, whole_bytes)
+    if matched is None:
+        return Err(StreamFault.FOREIGN)
+    rest = lines[whole_bytes : whole_bytes + LINE_BEGIN_BYTES]
+    if len(rest) == LINE_BEGIN_BYTES and rest.startswith(b"id:"):
+        return Err(StreamFault.FOREIGN)
+    if matched["id"] is not None:
+        return Ok(b"id: " + matched["id"] + b"\n" + rest)
+    if not _ANY_FIELD.search(lines, 0, whole_bytes):
+        return Ok(rest)
+    is_leading = _LEADING_BLOCK.fullmatch(lines, 0, whole_bytes) is not None
+    return Ok((b"x:\n" if is_leading else b"data\n") + rest)
+
+
 def _advance_unnumbered(
     position: Position, event_id: str, is_first_of_run: bool
 ) -> Result[Position, StreamFault]:
--- a/packages/protocol/lacewingdrum_protocol/event_stream.py
+++ b/packages/protocol/lacewingdrum_protocol/event_stream.py
@@ -5,12 +5,14 @@
 
 import re
 
-from result import Err
+from result import Err, Ok
 
 from lacewingdrum_protocol import event_sequence
 
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _EVENT_END_BYTES_MAX = 4
+# A large event is checked in parts of this size as it comes.
+CHECKED_PART_BYTES = 4 * 1024
 _LINE_END = re.compile(rb"\r\n|\n|\r")
 _FIELD_BEGIN = re.compile(rb"(?:\A|[\r\n])[^:\r\n]")
 
@@ -49,6 +51,10 @@
         self._partial_event = bytearray()
         # How much of it are whole blocks that are no event.
         self._preceding_bytes = 0
+        # How much of it has been checked, and the lines that stand for what
+        # has been checked of a block that is not complete.
+        self._checked_bytes = 0
+        self._checked_lines = b""
 
     @property
     def last_event_id(self) -> str:
@@ -100,14 +106,17 @@
         self._partial_event += data
         complete_bytes = 0
         for match in _EVENT_END.finditer(self._partial_event, start):
-            block = bytes(self._partial_event[end : match.end()])
+            unchecked = self._partial_event[self._checked_bytes : match.end()]
             advanced = event_sequence.advance(
-                self._position, block, self.run_event_count == 0
+                self._position,
+                self._checked_lines + unchecked,
+                self.run_event_count == 0,
             )
             if isinstance(advanced, Err):
                 self.fault = advanced.err_value
                 break
-            end = match.end()
+            end = self._checked_bytes = match.end()
+            self._checked_lines = b""
             if advanced.ok_value is not self._position:
                 self._position = advanced.ok_value
                 complete_bytes = end
@@ -121,8 +130,21 @@
         complete = bytes(self._partial_event[:complete_bytes])
         del self._partial_event[:complete_bytes]
         self._preceding_bytes = end - complete_bytes
+        self._checked_bytes -= complete_bytes
+        if self.partial_bytes - self._checked_bytes >= CHECKED_PART_BYTES:
+            self._check_part()
         return complete
 
+    def _check_part(self) -> None:
+        """Check what has come of a large event, so that its end is cheap."""
+        lines = self._checked_lines + self._partial_event[self._checked_bytes :]
+        self._checked_bytes = self.partial_bytes
+        match event_sequence.shorten(lines):
+            case Ok(shortened):
+                self._checked_lines = shortened
+            case Err(fault):
+                self.fault = fault
+
     def find_end_fault(self, is_end_stated: bool) -> event_sequence.StreamFault | None:
         """Return why the end of the run is not that of the stream, or None.
 
--- a/packages/protocol/lacewingdrum_protocol/event_stream_test.py
+++ b/packages/protocol/lacewingdrum_protocol/event_stream_test.py
@@ -4,11 +4,22 @@
 
 from hypothesis import given, strategies
 
-from lacewingdrum_protocol import event_stream
+from lacewingdrum_protocol import event_sequence, event_stream
 
+PIECE_BYTES = 512
+# Nothing else is served meanwhile.
+TURN_MAX_S = 0.05
 WHOLE = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 
 
+def feed_all(data: bytes) -> event_stream.EventStream:
+    """Return a stream that has received these bytes in pieces."""
+    stream = event_stream.EventStream()
+    for start in range(0, len(data), PIECE_BYTES):
+        stream.feed(data[start : start + PIECE_BYTES])
+    return stream
+
+
 def test_only_complete_events_are_returned():
     stream = event_stream.EventStream()
     assert stream.feed(b"id: 1\nda") == b""
@@ -67,6 +78,32 @@
     assert elapsed_s(40_000) < 12 * elapsed_s(5_000) + 0.05
 
 
+def test_end_of_an_event_of_megabytes_does_not_take_long():
+    size_bytes = 8_000_000
+    for lines in (b"data: " + b"x" * size_bytes + b"\n", b"data: x\n" * 1_000_000):
+        event = b"id: 1\n" + lines + b"\n"
+        stream = event_stream.EventStream()
+        for start in range(0, len(event), PIECE_BYTES):
+            begun_s = time.process_time()
+            complete = stream.feed(event[start : start + PIECE_BYTES])
+            assert time.process_time() - begun_s < TURN_MAX_S
+        assert complete == event and stream.last_event_id == "1"
+
+
+def test_large_events_are_judged_like_small_ones():
+    large = b"data: " + b"x" * 40_000 + b"\n"
+    for lines in (large * 3, b": ping\n" * 9_000, b"a-field: 1\n" * 4_000):
+        for whole in (b"id: 3\n" + large, lines + b"data: a\nid: 3\n"):
+            stream = feed_all(whole + b"\n")
+            assert stream.last_event_id == "3" and stream.event_count == 1
+        stream = feed_all(lines + b"data: a\nid: 3\nid: 4\n\n")
+        assert stream.fault is event_sequence.StreamFault.FOREIGN
+    assert feed_all(large + b"field: late\n" + large).fault is not None
+    assert feed_all(b"id: " + b"3" * 40_000).fault is not None
+    assert feed_all(b"name" * 10_000 + b"\n\n").fault is not None
+    assert feed_all(b": ping\n" * 9_000 + b"\n").event_count == 0
+
+
 @given(strategies.lists(strategies.integers(0, len(WHOLE)), max_size=6))
 def test_events_are_the_same_for_any_chunk_boundaries(boundaries):
     stream = event_stream.EventStream()
