--- a/packages/gateway/lacewingdrum_gateway/runners/engine_memory.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/engine_memory.py
@@ -50,8 +50,25 @@
 
     DECODER_UNREACHABLE = "decoder_unreachable"
     DECODER_REPLACED = "decoder_replaced"
+    HELPER_REPLACED = "helper_replaced"
     UNUSED = "unused"
 
+    @property
+    def ends_attempt(self) -> bool:
+        """Whether the attempt that uses the memory cannot succeed any more."""
+        return self in (
+            LeaseEndReason.DECODER_REPLACED,
+            LeaseEndReason.HELPER_REPLACED,
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseEnd:
+    """Why a lease is no longer renewed, and the engine that shows it."""
+
+    reason: LeaseEndReason
+    runner_id: ids.RunnerId
+
 
 class EngineMemory:
     """Reserves memory on all of several engines, or on none."""
@@ -99,12 +116,12 @@
         Args:
             request_id: the request that needs the memory, for the log.
             reservation_id: a new id for each attempt.
-            decoder: the engine that the request is sent to. Its entry may be
-                of an earlier incarnation, as the list may be behind.
+            decoder: the engine that the request is sent to. Entries may be of
+                earlier incarnations, as the list may be behind.
             entries: the engines that reserve memory.
             tokens: the memory to reserve on each engine.
-            on_replaced: called once the decoder is known to be another
-                incarnation, which does not hold the request.
+            on_replaced: called once the decoder or a helper is known to be
+                another incarnation, which holds nothing of the request.
 
         Returns:
             The memory, which the caller closes, or all refusals.
@@ -114,8 +131,10 @@
             self, decoder, reservation_id, entries, tokens, now_s, on_replaced
         )
         try:
-            held.decoder, answers = await asyncio.gather(
-                self._holder_check.identify(decoder), self._reserve_parts(held)
+            held.decoder, held.entries, answers = await asyncio.gather(
+                self._holder_check.identify(decoder),
+                self._holder_check.identify_all(held.entries),
+                self._reserve_parts(held),
             )
         except asyncio.CancelledError:
             held.close()
@@ -157,42 +176,47 @@
             out of reach for a moment is asked again while the lease lasts.
         """
         sent_s = self._clock()
-        reason = await self._find_end_reason(held)
-        if reason is None:
+        end = await self._find_end(held)
+        if end is None:
             answers = await self._reserve_parts(held)
             if not any(item and item.is_unreachable for item in answers):
                 held.renewed_s = sent_s
         lease_s = self._lease_ms / units.MS_PER_S
         is_leased = self._clock() < held.renewed_s + lease_s
-        may_recover = reason is LeaseEndReason.DECODER_UNREACHABLE and is_leased
-        if reason is not None and not may_recover:
-            self._record_lease_end(held, reason)
-            if reason is LeaseEndReason.DECODER_REPLACED:
-                held.on_replaced()
-            return None
+        if end is not None:
+            may_recover = end.reason is LeaseEndReason.DECODER_UNREACHABLE
+            if not (may_recover and is_leased):
+                self._record_lease_end(held, end)
+                if end.reason.ends_attempt:
+                    held.on_replaced()
+                return None
         is_due = is_leased and held.renewed_s != sent_s
         return RENEW_RETRY_S if is_due else held_memory.RENEW_INTERVAL_S
 
-    async def _find_end_reason(
-        self, held: held_memory.HeldMemory
-    ) -> LeaseEndReason | None:
+    async def _find_end(self, held: held_memory.HeldMemory) -> LeaseEnd | None:
         """Return why the lease of held memory is not to be renewed now.
 
         The decoding engine has been replaced or does not say that it has not,
-        or a renewed lease could exceed the limit for memory that no request
-        uses.
+        a helper has been replaced and has lost its part, or a renewed lease
+        could exceed the limit for memory that no request uses.
         """
+        decoder_id = held.decoder.runner_id
         if not held.is_used and self._could_exceed_unused_limit(held):
             held.is_used = await self._is_reported_used(held)
             if not held.is_used:
-                return LeaseEndReason.UNUSED
-        match await self._holder_check.find_state(held.decoder):
-            case lease_holders.HolderState.ALIVE:
-                return None
+                return LeaseEnd(LeaseEndReason.UNUSED, decoder_id)
+        decoder_state, replaced = await asyncio.gather(
+            self._holder_check.find_state(held.decoder, on_new_connection=True),
+            self._holder_check.find_replaced(held.entries),
+        )
+        match decoder_state:
             case lease_holders.HolderState.REPLACED:
-                return LeaseEndReason.DECODER_REPLACED
+                return LeaseEnd(LeaseEndReason.DECODER_REPLACED, decoder_id)
             case lease_holders.HolderState.UNKNOWN:
-                return LeaseEndReason.DECODER_UNREACHABLE
+                return LeaseEnd(LeaseEndReason.DECODER_UNREACHABLE, decoder_id)
+        if replaced is not None:
+            return LeaseEnd(LeaseEndReason.HELPER_REPLACED, replaced.runner_id)
+        return None
 
     def _could_exceed_unused_limit(self, held: held_memory.HeldMemory) -> bool:
         """Return whether a lease renewed now may end after the limit."""
@@ -211,16 +235,14 @@
                 return held.reservation_id in report.ok_value.used_reservations
         return False
 
-    def _record_lease_end(
-        self, held: held_memory.HeldMemory, reason: LeaseEndReason
-    ) -> None:
+    def _record_lease_end(self, held: held_memory.HeldMemory, end: LeaseEnd) -> None:
         self._counts.count("memory_leases_ended")
         self._decisions.record(
             decision_log.DecisionEvent.MEMORY_LAPSES,
             None,
             reservation_id=held.reservation_id,
-            runner_id=held.decoder.runner_id,
-            reason=reason,
+            runner_id=end.runner_id,
+            reason=end.reason,
             held_ms=round((self._clock() - held.reserved_s) * units.MS_PER_S),
             lease_ms=self._lease_ms,
         )
--- a/packages/gateway/lacewingdrum_gateway/runners/engine_memory_test.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/engine_memory_test.py
@@ -3,6 +3,7 @@
 import unittest.mock
 
 from lacewingdrum_gateway import settings
+from lacewingdrum_gateway.gateway_test import EVENTS
 from lacewingdrum_gateway.runners import (
     engine_commands,
     engine_memory,
@@ -140,6 +141,46 @@
         call.cancel()
 
 
+async def test_memory_is_not_renewed_once_a_helper_was_replaced_and_lost_its_part():
+    async with platform_site.running_site(engines=4) as site:
+        call = await hold_memory_at_silent_engines(site, is_used=True)
+        decoder = await find_decoder(site)
+        (helper, *_) = [one for one in site.engines if one.reserved]
+        assert helper is not decoder
+        # The list is behind.
+        helper.born_ms += 1
+        lost = set(helper.reserved)
+        helper.reserved.clear()
+        async with memory_that_expires(site):
+            await asyncio.sleep(held_memory.RENEW_INTERVAL_S)
+        assert lost and not lost & set(helper.reserved)
+        call.cancel()
+
+
+async def test_request_goes_on_elsewhere_once_a_helper_was_replaced():
+    async with platform_site.running_site(engines=8) as site:
+        call = await hold_memory_at_silent_engines(site, is_used=True)
+        (helper, *_) = [one for one in site.engines if one.reserved]
+        for engine in site.engines:
+            engine.faults = []
+        helper.born_ms += 1
+        async with asyncio.timeout(RELEASE_MAX_S):
+            answer = await call
+        assert answer.status == 200 and answer.body == EVENTS
+
+
+async def test_memory_is_renewed_for_helpers_that_were_reborn_before_the_request():
+    async with platform_site.running_site(engines=4) as site:
+        for engine in site.engines[1:]:
+            # The list is behind.
+            engine.born_ms += 1
+        call = await hold_memory_at_silent_engines(site, is_used=True)
+        held = held_names(site)
+        await asyncio.sleep(engine_memory.LEASE_MS / 1_000 + CLOCK_TOLERANCE_S)
+        assert held and held_names(site) == held
+        call.cancel()
+
+
 async def test_memory_is_not_renewed_for_an_engine_that_does_not_say_who_it_is():
     async with platform_site.running_site(engines=4) as site:
         call = await hold_memory_at_silent_engines(site, is_used=True)
--- a/packages/gateway/lacewingdrum_gateway/runners/held_memory.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/held_memory.py
@@ -24,8 +24,9 @@
 
     ``is_used`` is set once the request is known to have begun to run.
     ``renewed_s`` is when the last calls that all engines answered were sent.
-    ``decoder`` is the incarnation that the request is sent to, and
-    ``on_replaced`` is called once another one is known to be in its place.
+    ``decoder`` is the incarnation that the request is sent to, ``entries`` are
+    those that hold a part of it, and ``on_replaced`` is called once any of
+    them is known to have been replaced by another one.
     """
 
     def __init__(
--- a/packages/gateway/lacewingdrum_gateway/runners/lease_holder_check.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/lease_holder_check.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+from collections.abc import Iterable, Sequence
 
 from result import Err, Ok, Result
 
@@ -46,13 +47,34 @@
             return entry
         return dataclasses.replace(entry, born_ms=stated.born_ms)
 
+    async def identify_all(
+        self, entries: Iterable[runner_entries.RunnerEntry]
+    ) -> tuple[runner_entries.RunnerEntry, ...]:
+        """Return the entries of some engines as ``identify`` does."""
+        return tuple(await asyncio.gather(*map(self.identify, entries)))
+
+    async def find_replaced(
+        self, entries: Sequence[runner_entries.RunnerEntry]
+    ) -> runner_entries.RunnerEntry | None:
+        """Return one of these that another incarnation has replaced, if any.
+
+        They are asked on kept connections, which end with an incarnation.
+        """
+        found = await asyncio.gather(*(self.find_state(entry) for entry in entries))
+        for entry, state in zip(entries, found, strict=True):
+            if state is lease_holders.HolderState.REPLACED:
+                return entry
+        return None
+
     async def find_state(
-        self, entry: runner_entries.RunnerEntry
+        self, entry: runner_entries.RunnerEntry, on_new_connection: bool = False
     ) -> lease_holders.HolderState:
         """Return whether an incarnation of an engine is alive.
 
         Args:
             entry: the incarnation.
+            on_new_connection: whether it is asked on a new connection, which a
+                dead engine does not accept.
 
         Returns:
             ``UNKNOWN`` if the engine did not say it within ``CHECK_MAX_S``.
@@ -62,7 +84,7 @@
             stated: lease_holders.StatedIdentity | None = None
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(TIMEOUT_S):
-                    stated = _identity(await self._ask(entry))
+                    stated = _identity(await self._ask(entry, on_new_connection))
             listed = self._roster.get(entry.runner_id)
             found = lease_holders.find_state(entry, stated, listed)
             if found is not lease_holders.HolderState.UNKNOWN:
@@ -70,16 +92,20 @@
         return found
 
     async def _ask(
-        self, entry: runner_entries.RunnerEntry
+        self, entry: runner_entries.RunnerEntry, on_new_connection: bool
     ) -> Result[http_messages.HttpResponse, str]:
-        """Ask on a new connection, which a dead engine does not accept.
+        """Ask an engine who it is.
 
-        An engine that has no room for one resets it. It can still be asked on
-        a connection that is kept.
+        An engine that has no room for a new connection resets it. It can still
+        be asked on a connection that is kept.
         """
         call = engine_calls.report()
-        answer = await self._commands.call(entry, call, on_new_connection=True)
-        if answer == Err(http_client.ClientErrorReason.LOST.value):
+        answer = await self._commands.call(
+            entry, call, on_new_connection=on_new_connection
+        )
+        if on_new_connection and answer == Err(
+            http_client.ClientErrorReason.LOST.value
+        ):
             return await self._commands.call(entry, call)
         return answer
 
