--- a/packages/gateway/lacewingdrum_gateway/caller_end_test.py
+++ b/packages/gateway/lacewingdrum_gateway/caller_end_test.py
@@ -76,6 +76,7 @@
 
 
 async def test_slow_reads_and_streams_of_callers_that_ended_their_stream_are_answered():
+    # They got 502 or 503, as if their callers had left.
     async with platform_site.running_site() as site:
         set_slow(site)
         for path, headers in (("/read/x", ()), ("/ask/x", ASK)):
@@ -114,6 +115,7 @@
 
 
 async def test_stream_goes_on_after_its_caller_ended_its_own():
+    # It was broken off, as if its caller had left.
     async with platform_site.running_site() as site:
         for engine in site.engines:
             engine.event_interval_s = 0.4
@@ -157,6 +159,7 @@
 
 
 async def test_pipelined_requests_of_a_caller_that_ended_its_stream_are_answered():
+    # The second one was refused, as if its caller had left.
     async with platform_site.running_site() as site:
         set_slow(site)
         reader, writer = await raw_caller.send(site, "/order/x", "o1")
--- a/packages/gateway/lacewingdrum_gateway/loop_turns_test.py
+++ b/packages/gateway/lacewingdrum_gateway/loop_turns_test.py
@@ -34,10 +34,12 @@
 
 
 async def test_chunks_of_one_byte_do_not_hold_the_loop():
+    # All chunks of 256 KiB were read in one turn, for over a second.
     await check_turns("/read/x", Fault.ENDLESS_CHUNKS)
 
 
 async def test_stream_in_chunks_of_one_byte_does_not_hold_the_loop():
+    # The same, in a stream.
     await check_turns("/ask/x", Fault.ENDLESS_CHUNKS, headers=ASK)
 
 
--- a/packages/gateway/lacewingdrum_gateway/runners/engine_memory_test.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/engine_memory_test.py
@@ -123,6 +123,7 @@
 
 
 async def test_memory_is_not_renewed_for_the_next_incarnation_of_a_crashed_engine():
+    # Leases were renewed if anything accepted connections there.
     async with platform_site.running_site(engines=4) as site:
         call = await hold_memory_at_silent_engines(site, is_used=True)
         decoder = await find_decoder(site)
@@ -133,6 +134,7 @@
 
 
 async def test_memory_is_not_renewed_for_another_runner_at_the_address_of_an_engine():
+    # Leases were renewed if anything accepted connections there.
     async with platform_site.running_site(engines=4) as site:
         call = await hold_memory_at_silent_engines(site, is_used=True)
         decoder = await find_decoder(site)
@@ -142,6 +144,7 @@
 
 
 async def test_memory_is_not_renewed_once_a_helper_was_replaced_and_lost_its_part():
+    # A reborn helper got a new part with each renewal.
     async with platform_site.running_site(engines=4) as site:
         call = await hold_memory_at_silent_engines(site, is_used=True)
         decoder = await find_decoder(site)
@@ -158,6 +161,7 @@
 
 
 async def test_request_goes_on_elsewhere_once_a_helper_was_replaced():
+    # The request stayed with an engine that had lost a helper.
     async with platform_site.running_site(engines=8) as site:
         call = await hold_memory_at_silent_engines(site, is_used=True)
         (helper, *_) = [one for one in site.engines if one.reserved]
--- a/packages/gateway/lacewingdrum_gateway/stop_test.py
+++ b/packages/gateway/lacewingdrum_gateway/stop_test.py
@@ -62,6 +62,7 @@
 
 
 async def test_order_accepted_in_a_stop_is_answered_before_its_end():
+    # Orders were taken, run and closed without an answer at the end.
     async with platform_site.running_site() as site:
         for ledger in site.ledgers:
             ledger.answer_s = 1.4
@@ -78,6 +79,7 @@
 
 
 async def test_order_that_outlasts_a_stop_is_refused_from_its_begin():
+    # Orders were taken that could not end before the process did.
     async with platform_site.running_site() as site:
         for ledger in site.ledgers:
             ledger.answer_s = 3.8
@@ -87,6 +89,7 @@
 
 
 async def test_order_from_before_a_stop_is_told_at_its_end_that_it_may_have_run():
+    # The connection was closed with nothing said.
     async with platform_site.running_site() as site:
         for ledger in site.ledgers:
             ledger.answer_s = 3.9
@@ -99,6 +102,7 @@
 
 
 async def test_read_still_at_work_at_the_end_of_a_stop_is_answered():
+    # The connection was closed with nothing said.
     async with platform_site.running_site() as site:
         for ledger in site.ledgers:
             ledger.answer_s = 3.9
@@ -107,6 +111,7 @@
 
 
 async def test_stream_whose_first_event_comes_just_before_the_end_of_a_stop_is_whole():
+    # Streams began and were broken off milliseconds later.
     async with platform_site.running_site() as site:
         draining = asyncio.ensure_future(site.gateways[0].daemon.drain())
         for engine in site.engines:
--- a/packages/protocol/lacewingdrum_protocol/event_stream_test.py
+++ b/packages/protocol/lacewingdrum_protocol/event_stream_test.py
@@ -50,6 +50,7 @@
 
 
 def test_lines_that_are_no_event_are_returned_with_the_event_after_them():
+    # They preceded the events of another runner.
     stream = event_stream.EventStream()
     assert stream.feed(b"\n\n: ping\n\n") == b""
     assert stream.feed(b"\n") == b"" and not stream.is_inside_event
@@ -79,6 +80,7 @@
 
 
 def test_end_of_an_event_of_megabytes_does_not_take_long():
+    # All lines of the event were matched at once, for up to 0.2 s.
     size_bytes = 8_000_000
     for lines in (b"data: " + b"x" * size_bytes + b"\n", b"data: x\n" * 1_000_000):
         event = b"id: 1\n" + lines + b"\n"
