--- a/packages/gateway/lacewingdrum_gateway/odd_entries_test.py
+++ b/packages/gateway/lacewingdrum_gateway/odd_entries_test.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from lacewingdrum_gateway.runners import runner_list_sync
+from lacewingdrum_gateway.runners import runner_list_codec
 from lacewingdrum_protocol import (
     crash_messages,
     limit_messages,
@@ -162,7 +162,8 @@
     async with site_that_follows_the_list(gateways=2) as site:
         older, other = (running.daemon.components for running in site.gateways)
         good = [
-            runner_list_sync.message_from_entry(entry) for entry in older.roster.entries
+            runner_list_codec.message_from_entry(entry)
+            for entry in older.roster.entries
         ]
         odd = [
             msgspec.structs.replace(good[0], runner_id="odd", **{name: value})
--- a/packages/gateway/lacewingdrum_gateway/odd_tables_test.py
+++ b/packages/gateway/lacewingdrum_gateway/odd_tables_test.py
@@ -11,7 +11,7 @@
 from result import Ok
 
 from lacewingdrum_coordination import engine_times, route_table
-from lacewingdrum_gateway.runners import runner_list_sync
+from lacewingdrum_gateway.runners import runner_list_codec
 from lacewingdrum_platform import desired_state, runner_rows, store_calls
 from lacewingdrum_protocol import peer_messages
 from lacewingdrum_state import ids
@@ -55,12 +55,12 @@
     entries = [runner_rows.decode(row.key, row.value)[0] for row in found.rows]
     taken = [entry for entry in entries if entry is not None]
     assert "good" in [entry.runner_id for entry in taken]
-    sent = tuple(map(runner_list_sync.message_from_entry, taken))
+    sent = tuple(map(runner_list_codec.message_from_entry, taken))
     push = peer_messages.RunnerListPush(1, 0, 1, 0, sent)
     received = peer_messages.decode(peer_messages.encode("a", push))
     assert isinstance(received, Ok)
     changed = received.ok_value.body.changed
-    assert [runner_list_sync.entry_from_message(item) for item in changed] == taken
+    assert [runner_list_codec.entry_from_message(item) for item in changed] == taken
 
 
 @SETTINGS
--- a/packages/gateway/lacewingdrum_gateway/runners/runner_list_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/runner_list_sync.py
@@ -20,16 +20,11 @@
 )
 from lacewingdrum_gateway import store_client
 from lacewingdrum_gateway.peers import peering
+from lacewingdrum_gateway.runners import runner_list_codec
 from lacewingdrum_platform import runner_rows, store_calls
 from lacewingdrum_protocol import peer_messages
 from lacewingdrum_runtime import decision_log, metrics, tasks
-from lacewingdrum_state import (
-    addresses,
-    ids,
-    runner_entries,
-    states,
-    store_versions,
-)
+from lacewingdrum_state import ids, runner_entries, store_versions
 
 # The age of the list is checked at least every four ticks.
 TICK_S = 0.05
@@ -216,7 +211,7 @@
             age_ms=int((self._clock() - self._roster.as_of_s) * 1_000),
             digest=change.digest,
             base=change.base,
-            changed=tuple(message_from_entry(entry) for entry in change.changed),
+            changed=tuple(map(runner_list_codec.message_from_entry, change.changed)),
             removed=change.removed,
             era=self._roster.version.era,
         )
@@ -248,7 +243,7 @@
             self._set_daemons()
             self._roster.confirm(version, as_of_s)
             return
-        entries = self._history.apply(_change_from_push(push))
+        entries = self._history.apply(runner_list_codec.change_from_push(push))
         if entries is None:
             self._request_list(sender)
             return
@@ -260,51 +255,3 @@
     ) -> None:
         if self.is_known:
             self._peers.send(sender, self._push_since(request.digest))
-
-
-def _change_from_push(
-    push: peer_messages.RunnerListPush,
-) -> runner_list_history.ListChange:
-    entries = (entry_from_message(message) for message in push.changed)
-    return runner_list_history.ListChange(
-        base=push.base,
-        digest=push.digest,
-        changed=tuple(entry for entry in entries if entry is not None),
-        removed=tuple(ids.RunnerId(name) for name in push.removed),
-    )
-
-
-def message_from_entry(
-    entry: runner_entries.RunnerEntry,
-) -> peer_messages.RunnerListEntry:
-    """Return the message for an entry."""
-    return peer_messages.RunnerListEntry(
-        runner_id=entry.runner_id,
-        service=entry.service,
-        data_centre=entry.data_centre,
-        address=str(entry.address),
-        slots=entry.slots,
-        leaving=entry.state is states.MemberState.LEAVING,
-        born_ms=entry.born_ms,
-    )
-
-
-def entry_from_message(
-    message: peer_messages.RunnerListEntry,
-) -> runner_entries.RunnerEntry | None:
-    """Return the entry that a peer sent, or None if it names no runner."""
-    address = addresses.parse_address(message.address)
-    if address is None:
-        return None
-    leaving = states.MemberState.LEAVING
-    entry = runner_entries.RunnerEntry(
-        runner_id=ids.RunnerId(message.runner_id),
-        service=ids.ServiceName(message.service),
-        data_centre=ids.DataCentre(message.data_centre),
-        address=address,
-        slots=message.slots,
-        state=leaving if message.leaving else states.MemberState.LIVE,
-        born_ms=message.born_ms,
-    )
-    # A peer of an older version may pass on entries that this one refuses.
-    return entry if runner_entries.find_fault(entry) is None else None
