Streams that a stop ends early are interrupted once

A stream was interrupted again with each poll of the stop until it had ended, which could have broken its clean-up. Found by reading; no run shows it.

--- a/packages/gateway/lacewingdrum_gateway/serving/active_request.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/active_request.py
@@ -31,6 +31,7 @@
     ``repeat_count`` counts such repeats. ``suspect_attempt_count`` counts the
     failed attempts after which their runner was suspect. ``is_blamed`` is set
     if the request is ended because its prompt probably crashes engines,
+    ``is_ended_early`` if because its answer would begin too late in a stop,
     ``has_caller_left`` if because its caller has left, ``is_caller_waiting``
     once a caller that has ended its stream is known to wait, and
     ``is_trial`` if it was let through to find out whether it does.
@@ -65,6 +66,7 @@
     is_overdue: bool = False
     is_blamed: bool = False
     is_trial: bool = False
+    is_ended_early: bool = False
     has_caller_left: bool = False
     is_caller_waiting: bool = False
     is_relayed: bool = False
--- a/packages/gateway/lacewingdrum_gateway/serving/request_handler.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/request_handler.py
@@ -90,8 +90,10 @@
         for running, active in self._running.items():
             routed = active.routed
             may_answer = self._stop.may_answer(routed.route, routed.deadline_s, now_s)
-            if not may_answer and not active.responder.started:
-                running.cancel()
+            if may_answer or active.responder.started or active.is_ended_early:
+                continue
+            active.is_ended_early = True
+            running.cancel()
 
     def end_blamed(
         self, is_blamed: Callable[[active_request.ActiveRequest], bool]
