--- a/packages/gateway/lacewingdrum_gateway/gateway.py
+++ b/packages/gateway/lacewingdrum_gateway/gateway.py
@@ -180,9 +180,10 @@
             stop_s + components.own_settings.bounds.stop_grace_s - ABORT_BEFORE_KILL_S
         )
         components.request_handler.set_leaving(abort_s)
+        aborted_count = 0
         while components.clock() < abort_s:
             await asyncio.sleep(DRAIN_POLL_S)
-            components.request_handler.end_unbegun_streams()
+            aborted_count += components.request_handler.end_unbegun_streams()
             may_finish = components.clock() - stop_s >= DRAIN_MIN_S
             if may_finish and not self._is_busy:
                 # Requests may still arrive meanwhile.
@@ -190,7 +191,7 @@
                 await components.relay_server.stop_accepting()
                 if not self._is_busy:
                     break
-        aborted_count = sum(
+        aborted_count += sum(
             await asyncio.gather(
                 components.callers_server.close(), components.relay_server.close()
             )
--- a/packages/gateway/lacewingdrum_gateway/serving/request_handler.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/request_handler.py
@@ -82,11 +82,16 @@
                 overdue_count += 1
         return overdue_count
 
-    def end_unbegun_streams(self) -> None:
-        """End streams whose answers would begin only to be broken off."""
+    def end_unbegun_streams(self) -> int:
+        """End streams whose answers would begin only to be broken off.
+
+        Returns:
+            The number of these streams.
+        """
         if self._stop is None:
-            return
+            return 0
         now_s = self._clock()
+        ended_count = 0
         for running, active in self._running.items():
             routed = active.routed
             may_answer = self._stop.may_answer(routed.route, routed.deadline_s, now_s)
@@ -94,6 +99,8 @@
                 continue
             active.is_ended_early = True
             running.cancel()
+            ended_count += 1
+        return ended_count
 
     def end_blamed(
         self, is_blamed: Callable[[active_request.ActiveRequest], bool]
--- a/packages/gateway/lacewingdrum_gateway/stop_test.py
+++ b/packages/gateway/lacewingdrum_gateway/stop_test.py
@@ -128,4 +128,4 @@
         answers = [await call for call in calls]
         assert [one.status for one in answers] == [502] * len(calls)
         assert all(one.is_whole for one in answers)
-        assert await draining == 0
+        assert await draining == len(calls)
