Test: a connection that brought an answer of a request gets no order of memory

It is as strict as its name again: the writer is another engine, both first answers are foreign, and the release must come on a third connection.

--- a/packages/gateway/lacewingdrum_gateway/repeated_refusals_test.py
+++ b/packages/gateway/lacewingdrum_gateway/repeated_refusals_test.py
@@ -197,13 +197,15 @@
     foreign = b"HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nContent-Length: 0\r\n\r\n"
     async with (
         platform_site.running_site() as site,
-        http_client_test.RawServer(foreign, EMPTY_ANSWER) as server,
+        http_client_test.RawServer(foreign, foreign, EMPTY_ANSWER) as server,
     ):
         components = site.gateways[0].daemon.components
-        listed = components.roster.of_service(platform_site.MODEL)[0]
-        entry = dataclasses.replace(listed, address=server.address)
+        decoder, listed, *_ = components.roster.of_service(platform_site.MODEL)
+        helper = dataclasses.replace(listed, address=server.address)
         await components.memory.reserve(
-            ids.RequestId("r"), "r", entry, (entry,), 1_000, ignore_replacement
+            ids.RequestId("r"), "r", decoder, (helper,), 1_000, ignore_replacement
         )
-        await site.wait_until(lambda: server.request_count == 2)
-        assert server.connection_count == 2
+        # The report and the reservation were asked for at once, and the
+        # release must use neither of their connections.
+        await site.wait_until(lambda: server.request_count == 3)
+        assert server.connection_count == 3
