--- a/packages/gateway/lacewingdrum_gateway/runners/engine_memory.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/engine_memory.py
@@ -131,10 +131,8 @@
             self, decoder, reservation_id, entries, tokens, now_s, on_replaced
         )
         try:
-            held.decoder, held.entries, answers = await asyncio.gather(
-                self._holder_check.identify(decoder),
-                self._holder_check.identify_all(held.entries),
-                self._reserve_parts(held),
+            held.decoder, answers = await asyncio.gather(
+                self._holder_check.identify(decoder), self._reserve_parts(held)
             )
         except asyncio.CancelledError:
             held.close()
@@ -165,6 +163,14 @@
         if held is not None:
             held.is_used = True
 
+    async def identify_helpers(self, held: held_memory.HeldMemory) -> None:
+        """Find out which incarnations have reserved, on the same connections.
+
+        Args:
+            held: the memory that they hold.
+        """
+        held.entries = await self._holder_check.identify_all(held.entries)
+
     async def renew(self, held: held_memory.HeldMemory) -> float | None:
         """Renew the leases of held memory, unless it is to expire.
 
--- a/packages/gateway/lacewingdrum_gateway/runners/held_memory.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/held_memory.py
@@ -12,6 +12,9 @@
 class Owner(Protocol):
     """Sends the commands that renew and release held memory."""
 
+    async def identify_helpers(self, held: "HeldMemory") -> None:
+        """Find out which incarnations hold the parts."""
+
     async def renew(self, held: "HeldMemory") -> float | None:
         """Renew the leases; return the time until the next renewal, if any."""
 
@@ -61,6 +64,7 @@
         self._owner.release_in_background(self)
 
     async def _renew(self) -> None:
+        await self._owner.identify_helpers(self)
         wait_s: float | None = RENEW_INTERVAL_S
         while wait_s is not None:
             await asyncio.sleep(wait_s)
