--- a/packages/gateway/lacewingdrum_gateway/runners/engine_memory_test.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/engine_memory_test.py
@@ -186,6 +186,7 @@
 
 
 async def test_memory_is_not_renewed_for_an_engine_that_does_not_say_who_it_is():
+    # Leases were renewed if anything accepted connections there.
     async with platform_site.running_site(engines=4) as site:
         call = await hold_memory_at_silent_engines(site, is_used=True)
         decoder = await find_decoder(site)
--- a/packages/gateway/lacewingdrum_gateway/serving/caller_ends.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/caller_ends.py
@@ -10,7 +10,8 @@
 from lacewingdrum_state import configurations
 from lacewingdrum_transport import caller_presence
 
-# Runners may be at work for 0.5 s after a caller has left.
+# Callers that know no interim responses are taken to have left after this
+# time. Runners may be at work for 0.5 s after a caller has left.
 CALL_WORK_S = 0.25
 
 
@@ -51,7 +52,7 @@
 
     A daemon that has passed a request on closes only whole connections.
     """
-    return active.responder.can_ask and not active.is_relayed
+    return active.responder.accepts_interim and not active.is_relayed
 
 
 def _unknown_s(active: active_request.ActiveRequest) -> float:
--- a/packages/protocol/lacewingdrum_protocol/event_sequence.py
+++ b/packages/protocol/lacewingdrum_protocol/event_sequence.py
@@ -119,6 +119,7 @@
         return Ok(b"id: " + matched["id"] + b"\n" + rest)
     if not _ANY_FIELD.search(lines, 0, whole_bytes):
         return Ok(rest)
+    # One line of the last kind that has come stands for all of them.
     is_leading = _LEADING_BLOCK.fullmatch(lines, 0, whole_bytes) is not None
     return Ok((b"x:\n" if is_leading else b"data\n") + rest)
 
--- a/packages/transport/lacewingdrum_transport/caller_presence.py
+++ b/packages/transport/lacewingdrum_transport/caller_presence.py
@@ -28,7 +28,7 @@
     Returns:
         False if the caller has left, or if it cannot be asked.
     """
-    if not responder.can_ask:
+    if not responder.accepts_interim:
         return False
     for pause_s in PAUSES_S:
         if responder.started or not await responder.send_interim():
--- a/packages/transport/lacewingdrum_transport/responder.py
+++ b/packages/transport/lacewingdrum_transport/responder.py
@@ -59,8 +59,8 @@
         return self._channel.since_input_ended_s
 
     @property
-    def can_ask(self) -> bool:
-        """Whether an interim response would show that the caller has left."""
+    def accepts_interim(self) -> bool:
+        """Whether the caller knows interim responses, as of HTTP/1.1."""
         version = self._connection.their_http_version or b""
         return version >= _VERSION_WITH_CHUNKS
 
