--- a/packages/gateway/lacewingdrum_gateway/settings.py
+++ b/packages/gateway/lacewingdrum_gateway/settings.py
@@ -104,6 +104,18 @@
         600_000.0,
         "from an acknowledged change of the configuration until it is in force",
     )
+    evacuation_max_ms: float = _number(
+        5_000.0,
+        500.0,
+        600_000.0,
+        "from an acknowledged evacuation until no request goes to its data centre",
+    )
+    cold_overage: float = _number(
+        1.0, 1.0, 100.0, "how many times its stated rate a cold runner may get"
+    )
+    cold_slack: float = _number(
+        0.0, 0.0, 1e6, "requests in one second that a cold runner may get beyond that"
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/state/lacewingdrum_state/configurations.py
+++ b/packages/state/lacewingdrum_state/configurations.py
@@ -77,14 +77,42 @@
     read_ms_per_pair: float
     chunk_tokens: int
     steps_per_pass: int
+    # Added to each step of a decoder whose prompt is held by several engines.
+    hop_ms: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ColdLimit:
+    """What a runner takes while it is cold, which it is after its start.
+
+    ``duration_s`` is how long a runner stays cold; ``requests_per_s`` is what
+    it takes from all daemons together meanwhile.
+    """
+
+    duration_s: float
+    requests_per_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DataCentreDelay:
+    """The delay of the network, one way, between two data centres."""
+
+    data_centres: frozenset[ids.DataCentre]
+    delay_ms: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
-    """A service; ``engine`` is None for a plain service."""
+    """A service; ``engine`` is None for a plain service.
+
+    ``cold_limit`` is None if its runners are never cold. Pairs of data centres
+    that ``delays`` does not name are as near as one data centre.
+    """
 
     name: ids.ServiceName
     engine: EnginePerformanceModel | None
+    cold_limit: ColdLimit | None = None
+    delays: tuple[DataCentreDelay, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
