--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -68,6 +68,8 @@
         self.born_ms = 1
         # Whether reports state it.
         self.is_born_reported = True
+        # How many reports it has given.
+        self.report_count = 0
         # Whether commands, reports included, get no answer.
         self.ignores_commands = False
         self.crashes = runner_crashes.RunnerCrashes(self._abort_all, self.start)
@@ -201,6 +203,7 @@
         if headers.get("expect-instance", self.runner_id) != self.runner_id:
             return 421, b""
         if path == "/-/report":
+            self.report_count += 1
             born = {"born": self.born_ms} if self.is_born_reported else {}
             return 200, platform_memory.format_report(self.reserved, born)
         if path != "/-/order":
