--- a/packages/gateway/lacewingdrum_gateway/crashing_parts_test.py
+++ b/packages/gateway/lacewingdrum_gateway/crashing_parts_test.py
@@ -180,8 +180,8 @@
 async def test_trial_of_a_part_that_still_crashes_takes_one_engine():
     async with crashing_site() as site:
         statuses = await send_trial(site)
-        assert statuses.count(503) == len(statuses) - 1
-        assert len(crash_times_s(site)) == 1
+        assert statuses.count(503) == len(statuses) - 1, statuses
+        assert len(crash_times_s(site)) == 1, crash_times_s(site)
 
 
 async def test_part_that_no_longer_crashes_engines_comes_back_after_a_trial():
--- a/packages/gateway/lacewingdrum_gateway/store_client.py
+++ b/packages/gateway/lacewingdrum_gateway/store_client.py
@@ -98,7 +98,7 @@
         start = ""
         while True:
             call = store_calls.read(table, start)
-            request = store_connections.StoreRequest(call, call)
+            request = _at_once(call, "read", table)
             answer = await self._rows(table, request)
             if isinstance(answer, Err):
                 return answer
@@ -138,6 +138,7 @@
             store_calls.feed(table, after.version, 0),
             wait_s,
             is_feed=True,
+            kind=f"{store_calls.content_of(table)}_feed",
         )
         answer = await self._rows(table, request)
         if isinstance(answer, Ok) and answer.ok_value.version.era != after.era:
@@ -149,7 +150,7 @@
     ) -> Result[store_calls.Rows, StoreError]:
         """Read one row; there is none in the answer if it does not exist."""
         call = store_calls.read(table, key, key + "\x00")
-        return await self._rows(table, store_connections.StoreRequest(call, call))
+        return await self._rows(table, _at_once(call, "read_row", table))
 
     async def remove(
         self, table: str, rows: Iterable[tuple[str, int]]
@@ -164,7 +165,7 @@
             None, or the error; it is ``CONFLICT`` if a row was written since.
         """
         call = store_calls.remove(table, rows)
-        answer = await self._call(store_connections.StoreRequest(call, call))
+        answer = await self._call(_at_once(call, "remove", table))
         return Ok(None) if isinstance(answer, Ok) else answer
 
     async def put(self, table: str, key: str, value: bytes) -> Result[None, StoreError]:
@@ -179,7 +180,7 @@
             None, or the error if the write is not confirmed.
         """
         call = store_calls.put(table, key, value)
-        answer = await self._call(store_connections.StoreRequest(call, call))
+        answer = await self._call(_at_once(call, "put", table))
         return Ok(None) if isinstance(answer, Ok) else answer
 
     async def _rows(
@@ -206,21 +207,21 @@
         if isinstance(answer, Err):
             error = answer.err_value
             detail = f"{error.reason.value} {error.detail}".strip()
-            return self._record_failure(StoreErrorReason.NO_ANSWER, detail)
+            return self._record_failure(request, StoreErrorReason.NO_ANSWER, detail)
         response = answer.ok_value
         era = self._take_era(store_calls.parse_era(response.headers))
         if response.status == store_calls.HISTORY_GONE_STATUS:
             # The store works; only the requested history is missing.
-            self._record_success()
+            self._record_success(request)
             return Err(StoreError(StoreErrorReason.HISTORY_GONE, "history gone"))
         if response.status == store_calls.CONFLICT_STATUS:
-            self._record_success()
+            self._record_success(request)
             return Err(StoreError(StoreErrorReason.CONFLICT, "a row was written"))
         if response.status != http_messages.STATUS_OK:
             return self._record_failure(
-                StoreErrorReason.NOT_DONE, f"status {response.status}"
+                request, StoreErrorReason.NOT_DONE, f"status {response.status}"
             )
-        self._record_success()
+        self._record_success(request)
         if era < (self._era or 0):
             return Err(StoreError(StoreErrorReason.OLD_ERA, f"era {era}"))
         return Ok(_Answer(response.body, era))
@@ -247,8 +248,13 @@
                 handler()
         return stated
 
-    def _record_failure(self, reason: StoreErrorReason, detail: str) -> Err[StoreError]:
-        self._counts.count("store_calls", outcome=reason.value)
+    def _record_failure(
+        self,
+        request: store_connections.StoreRequest,
+        reason: StoreErrorReason,
+        detail: str,
+    ) -> Err[StoreError]:
+        self._counts.count("store_calls", outcome=reason.value, kind=request.kind)
         if self._failed_since_s is None:
             self._failed_since_s = self._clock()
             self._decisions.record(
@@ -260,8 +266,8 @@
             )
         return Err(StoreError(reason, detail))
 
-    def _record_success(self) -> None:
-        self._counts.count("store_calls", outcome="done")
+    def _record_success(self, request: store_connections.StoreRequest) -> None:
+        self._counts.count("store_calls", outcome="done", kind=request.kind)
         if self._failed_since_s is None:
             return
         self._decisions.record(
@@ -273,6 +279,14 @@
         self._failed_since_s = None
 
 
+def _at_once(
+    call: store_calls.Call, verb: str, table: str
+) -> store_connections.StoreRequest:
+    """Return the request of a call that the store answers at once."""
+    kind = f"{store_calls.content_of(table)}_{verb}"
+    return store_connections.StoreRequest(call, call, kind=kind)
+
+
 async def _decode(answer: _Answer, table: str) -> store_calls.DecodedRows:
     """Decode the rows of an answer, in turns of the event loop."""
     turns = turn_budget.ReadTurns()
--- a/packages/gateway/lacewingdrum_gateway/store_connections.py
+++ b/packages/gateway/lacewingdrum_gateway/store_connections.py
@@ -35,13 +35,15 @@
     """A call, and what is called on a new connection if it is in doubt.
 
     The store may wait for ``wait_s`` before it answers ``call``, if this is
-    one of the feed, and it answers ``call_again`` at once.
+    one of the feed, and it answers ``call_again`` at once. ``kind`` names what
+    is called in metrics.
     """
 
     call: store_calls.Call
     call_again: store_calls.Call
     wait_s: float = 0.0
     is_feed: bool = False
+    kind: str = ""
 
 
 class _Connections:
--- a/standins/platform_processes.py
+++ b/standins/platform_processes.py
@@ -16,14 +16,21 @@
     Args:
         folder: the folder for their settings.
         store_port: the port of the stand-in for the store.
+        configuration_max_ms: the bound for a change of the configuration.
     """
 
-    def __init__(self, folder: pathlib.Path, store_port: int) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        store_port: int,
+        configuration_max_ms: float = 2_000.0,
+    ) -> None:
         self.processes: list[asyncio.subprocess.Process] = []
         self.caller_ports: list[int] = []
         self.ready_ports: list[int] = []
         self._folder = folder
         self._store_port = store_port
+        self._configuration_max_ms = configuration_max_ms
         self._ports = ports.PortPicker()
         self.peer_port = self._ports.next()
 
@@ -73,4 +80,6 @@
 seeds = {seeds}
 [store]
 address = "127.0.0.1:{self._store_port}"
+[bounds]
+configuration_max_ms = {self._configuration_max_ms}
 """
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -56,6 +56,8 @@
         self.mode = StoreMode.HEALTHY
         self.delay_s = 0.0
         self.call_count = 0
+        # Calls by kind and table.
+        self.call_counts: collections.Counter[str] = collections.Counter()
         # Whole reads of each table.
         self.read_counts: collections.Counter[str] = collections.Counter()
         # Calls of the feed that wait for a change.
@@ -170,6 +172,8 @@
 
     def _transact(self, body: dict[str, list[dict[str, Any]]]) -> tuple[int, bytes]:
         """Apply all entries of a transaction, or none."""
+        written = [*body["puts"], *body["deletes"]]
+        self.call_counts[f"write {written[0]['table']}"] += 1
         for row in body["expected_rev"]:
             _, version = self._rows.get((row["table"], row["key"]), (b"", 0))
             if version != row["ver"]:
@@ -183,6 +187,7 @@
 
     def _list_rows(self, query: dict[str, str]) -> bytes:
         self.read_counts[query["table"]] += 1
+        self.call_counts[f"read {query['table']}"] += 1
         start, end = query.get("from", ""), query.get("target", "")
         rows = [
             self._row_fields(table, key, *self._rows[table, key])
@@ -192,6 +197,7 @@
         return self._encode_rows(rows[:PAGE_ROWS], len(rows) > PAGE_ROWS)
 
     async def _feed(self, query: dict[str, str]) -> tuple[int, bytes]:
+        self.call_counts[f"feed {query['table']}"] += 1
         after_version = int(query["after"])
         loop = asyncio.get_running_loop()
         end_s = loop.time() + int(query["wait_ms"]) / 1_000
