Feeds of followers end in turn and wait longer

Cause: in a large fleet most calls to the store are feeds of followers, and each waited a quarter of the bound for itself, as if nobody else noticed a silent connection.

Change: followers of a data centre tell each other when their feeds end (FeedTurn) and aim at ends that are 0.14 of the bound apart, so that a feed of three waits 0.42 of it. Whoever hears no turns, of daemons before this build, of ones cut off or turned away by the store, waits a quarter as before. Fleets of 13 daemons or fewer are as before.

--- a/packages/coordination/lacewingdrum_coordination/store_deadlines.py
+++ b/packages/coordination/lacewingdrum_coordination/store_deadlines.py
@@ -10,6 +10,10 @@
 FEED_WAIT_SHARE = 0.5
 # A daemon that follows the feed for others leaves time to pass a change on.
 FOLLOWER_FEED_WAIT_SHARE = 0.25
+# Feeds of daemons that follow for others end so far apart. Three turns, an
+# answer and the way to the other daemons fit in the bound, so that it holds
+# also if two of three followers are lost when connections go silent.
+FEED_TURN_SHARE = 0.14
 ANSWER_SHARE = 0.2
 NEAR_ANSWER_SHARE = 0.2
 # A peer may have to send a version to a dozen others over a narrow link.
@@ -39,6 +43,11 @@
         share = FOLLOWER_FEED_WAIT_SHARE if follows_for_others else FEED_WAIT_SHARE
         return share * self.in_force_s
 
+    @property
+    def feed_turn_s(self) -> float:
+        """The time between ends of feeds that follow for others."""
+        return FEED_TURN_SHARE * self.in_force_s
+
     @property
     def answer_s(self) -> float:
         """The time for an answer on a connection that may have gone silent."""
--- a/packages/gateway/lacewingdrum_gateway/configuration_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/configuration_sync.py
@@ -88,6 +88,7 @@
         self._peers.on_message(
             peer_messages.ConfigurationPush, self._on_configuration_push
         )
+        self._peers.on_message(peer_messages.FeedTurn, self._on_feed_turn)
         self._peers.on_heartbeat(self._on_heartbeat)
         self._tasks.spawn_loop(self._follow_store)
 
@@ -147,7 +148,7 @@
                 answer = await self._store.follow(
                     store_calls.CONFIGURATION_TABLE,
                     after,
-                    self._following.feed_wait_s(has_changed),
+                    self._begin_feed(has_changed),
                 )
             match answer:
                 case Ok(rows):
@@ -165,6 +166,17 @@
                         continue
                     await self._pause_after_failure()
 
+    def _begin_feed(self, has_changed: bool) -> float:
+        """Return how long the next feed waits; tell the other followers."""
+        wait_s = self._following.feed_wait_s(has_changed, self._clock())
+        turn = peer_messages.FeedTurn(int(wait_s * 1_000))
+        for address in self._following.other_followers():
+            self._peers.send(address, turn)
+        return wait_s
+
+    def _on_feed_turn(self, sender: ids.VmId, turn: peer_messages.FeedTurn) -> None:
+        self._following.record_turn(sender, turn.wait_ms / 1_000, self._clock())
+
     async def _pause_after_failure(self) -> None:
         """Wait before the next call; followers of the store wait less long."""
         was_follower = self._following.is_follower
--- a/packages/gateway/lacewingdrum_gateway/configuration_sync_test.py
+++ b/packages/gateway/lacewingdrum_gateway/configuration_sync_test.py
@@ -16,6 +16,7 @@
 APPLIED_TIMEOUT_S = 1.0
 # Operators allow two seconds from an acknowledged change until it is in force.
 TAKE_OVER_S = 2.0
+CALM_S = 3.0
 SENT_BYTES = re.compile(r"^lacewingdrum_configuration_sent_bytes_total (\S+)$", re.M)
 
 
@@ -46,6 +47,18 @@
             assert feeds == 1, f"{feeds} daemons follow the store"
 
 
+async def test_feeds_of_followers_that_take_turns_make_few_calls():
+    limit = unittest.mock.patch.object(peer_table, "EXCHANGE_ALL_PEERS_MAX", 1)
+    with limit:
+        async with platform_site.running_site(gateways=5) as site:
+            await asyncio.sleep(TAKE_OVER_S)
+            before = site.store.call_counts["feed op"]
+            await asyncio.sleep(CALM_S)
+            calls = site.store.call_counts["feed op"] - before
+    turn_s = store_deadlines.StoreDeadlines(TAKE_OVER_S).feed_turn_s
+    assert calls <= CALM_S / turn_s + 2, calls
+
+
 async def test_change_is_read_from_the_store_by_followers_only():
     limit = unittest.mock.patch.object(peer_table, "EXCHANGE_ALL_PEERS_MAX", 1)
     few = unittest.mock.patch.object(store_followers, "FOLLOWERS_MAX", 1)
--- a/packages/gateway/lacewingdrum_gateway/silent_paths_test.py
+++ b/packages/gateway/lacewingdrum_gateway/silent_paths_test.py
@@ -46,6 +46,18 @@
         assert not late, late
 
 
+async def test_dropped_route_is_refused_in_time_when_followers_take_turns():
+    async with running_large_site(gateways=5, followers=3) as site:
+        late = await late_changes(site, AFTER_CHANGE_S, are_peers_silent=False)
+        assert not late, late
+
+
+async def test_dropped_route_is_refused_in_time_when_taking_turns_without_peers():
+    async with running_large_site(gateways=5, followers=3) as site:
+        late = await late_changes(site, AFTER_CHANGE_S[:1], are_peers_silent=True)
+        assert not late, late
+
+
 async def test_peers_do_not_count_as_lost_while_only_their_connections_are():
     slow = unittest.mock.patch.object(
         heartbeat_intervals, "WORK_PEERS_MIN_S", HEARTBEAT_S
@@ -81,10 +93,10 @@
 
 
 @contextlib.asynccontextmanager
-async def running_large_site(gateways: int):
-    """Yield a site where one of several daemons follows the store for all."""
+async def running_large_site(gateways: int, followers: int = 1):
+    """Yield a site where a few of its daemons follow the store for all."""
     limit = unittest.mock.patch.object(peer_table, "EXCHANGE_ALL_PEERS_MAX", 1)
-    few = unittest.mock.patch.object(store_followers, "FOLLOWERS_MAX", 1)
+    few = unittest.mock.patch.object(store_followers, "FOLLOWERS_MAX", followers)
     with limit, few:
         async with platform_site.running_site(gateways=gateways) as site:
             yield site
--- a/packages/gateway/lacewingdrum_gateway/store_following.py
+++ b/packages/gateway/lacewingdrum_gateway/store_following.py
@@ -1,7 +1,8 @@
 """Says how a daemon follows the store, from the daemons that it hears."""
 
-from lacewingdrum_coordination import store_deadlines, store_followers
+from lacewingdrum_coordination import feed_turns, store_deadlines, store_followers
 from lacewingdrum_gateway.peers import peer_table
+from lacewingdrum_state import ids
 
 
 class StoreFollowing:
@@ -14,6 +15,7 @@
     ) -> None:
         self._table = table
         self._deadlines = deadlines
+        self._turns = feed_turns.FeedTurns(table.own_address, deadlines)
 
     @property
     def is_follower(self) -> bool:
@@ -23,27 +25,40 @@
             table.own_address, table.work_group()
         )
 
-    def feed_wait_s(self, has_changed: bool) -> float:
+    def record_turn(self, address: ids.VmId, wait_s: float, now_s: float) -> None:
+        """Record that the feed of another follower has begun."""
+        self._turns.record(address, wait_s, now_s)
+
+    def feed_wait_s(self, has_changed: bool, now_s: float) -> float:
         """Return how long the store may wait for a change.
 
         Args:
             has_changed: whether the last call of the feed, or a read of the
                 table, has brought rows.
+            now_s: the current time.
         """
         table = self._table
-        follows_for_others = not table.exchanges_all_work_reports
-        wait_s = self._deadlines.feed_wait_s(follows_for_others)
+        if not table.exchanges_all_work_reports:
+            return self._turns.wait_s(self._followers(), has_changed, now_s)
+        wait_s = self._deadlines.feed_wait_s(False)
         if not has_changed:
             return wait_s
-        following = table.work_group()
-        if follows_for_others:
-            following = frozenset(store_followers.followers(following))
-        return wait_s * store_followers.first_wait_share(table.own_address, following)
+        share = store_followers.first_wait_share(table.own_address, table.work_group())
+        return wait_s * share
+
+    def other_followers(self) -> tuple[ids.VmId, ...]:
+        """Return the daemons that take turns with this one."""
+        table = self._table
+        if table.exchanges_all_work_reports:
+            return ()
+        return tuple(item for item in self._followers() if item != table.own_address)
+
+    def _followers(self) -> tuple[ids.VmId, ...]:
+        return store_followers.followers(self._table.work_group())
 
     def followers_seen_s(self) -> float:
         """Return when a daemon that follows the store was heard last."""
-        followers = store_followers.followers(self._table.work_group())
-        peers = (self._table.get(address) for address in followers)
+        peers = (self._table.get(address) for address in self._followers())
         return max(
             (peer.last_seen_s for peer in peers if peer is not None),
             default=float("-inf"),
--- a/packages/protocol/lacewingdrum_protocol/peer_messages.py
+++ b/packages/protocol/lacewingdrum_protocol/peer_messages.py
@@ -177,6 +177,15 @@
     is_packed: bool = False
 
 
+class FeedTurn(msgspec.Struct, frozen=True, array_like=True, tag="fdt"):
+    """Tells the other followers of the store that a feed begins.
+
+    ``wait_ms`` is how long the store may wait for a change.
+    """
+
+    wait_ms: int
+
+
 class RunnerListEntry(msgspec.Struct, frozen=True, array_like=True):
     """A runner's entry in the platform's table."""
 
@@ -218,6 +227,7 @@
     Heartbeat
     | ConfigurationRequest
     | ConfigurationPush
+    | FeedTurn
     | RunnerListPush
     | RunnerListRequest
     | work_messages.WorkUpdate
