--- a/packages/gateway/lacewingdrum_gateway/peers/daemon_registry.py
+++ b/packages/gateway/lacewingdrum_gateway/peers/daemon_registry.py
@@ -30,6 +30,8 @@
 RETRY_S = 0.7
 DIAL_INTERVAL_S = 1.0
 REMOVAL_PAUSE_S = 1.0
+# A wait follows the number of daemons that are heard this often.
+GROWTH_CHECK_S = 1.0
 
 
 class DaemonRegistry:
@@ -118,14 +120,24 @@
                     pauses.reset()
                     self._apply(rows)
                     await self._remove_expired()
-                    interval_s = (
-                        TABLE_READ_INTERVAL_S * self._peers.table.fleet_size_factor
-                    )
-                    wait_s = retry_pauses.spread_s(interval_s, self._rng)
+                    await self._wait_for_next_read()
                 case Err(_):
                     self._rows.record_failure()
-                    wait_s = pauses.take_s(self._pause_limit_s())
-            await asyncio.sleep(wait_s)
+                    await asyncio.sleep(pauses.take_s(self._pause_limit_s()))
+
+    async def _wait_for_next_read(self) -> None:
+        """Wait a part of the interval, which grows as more daemons are heard.
+
+        A daemon hears few at its first read, when a whole fleet starts.
+        """
+        start_s = self._clock()
+        share_s = retry_pauses.spread_s(TABLE_READ_INTERVAL_S, self._rng)
+        while True:
+            end_s = start_s + share_s * self._peers.table.fleet_size_factor
+            left_s = end_s - self._clock()
+            if left_s <= 0:
+                return
+            await asyncio.sleep(min(left_s, GROWTH_CHECK_S))
 
     def _apply(self, rows: store_calls.Rows) -> None:
         found = tuple(
--- a/packages/gateway/lacewingdrum_gateway/peers/daemon_registry_test.py
+++ b/packages/gateway/lacewingdrum_gateway/peers/daemon_registry_test.py
@@ -4,7 +4,7 @@
 import contextlib
 import unittest.mock
 
-from lacewingdrum_gateway.peers import candidate_addresses, daemon_registry
+from lacewingdrum_gateway.peers import candidate_addresses, daemon_registry, peer_table
 from lacewingdrum_protocol import daemon_row_values
 from standins import platform_site, slope_dead_rows
 
@@ -112,6 +112,17 @@
         assert all(table.fleet_size_factor == 1.0 for table in tables)
 
 
+async def test_daemons_of_a_fleet_that_starts_read_the_rows_once():
+    interval = unittest.mock.patch.object(
+        daemon_registry, "TABLE_READ_INTERVAL_S", ROWS_READ_S
+    )
+    limit = unittest.mock.patch.object(peer_table, "EXCHANGE_ALL_PEERS_MAX", 1)
+    with interval, limit:
+        async with platform_site.running_site(gateways=6) as site:
+            await asyncio.sleep(1.2 * ROWS_READ_S)
+            assert site.store.read_counts["daemons"] == len(site.gateways)
+
+
 async def test_rows_are_dialled_as_soon_as_they_are_read():
     rare = unittest.mock.patch.object(daemon_registry, "DIAL_INTERVAL_S", 60.0)
     with rare:
