Pieces of completions and long messages are counted by their size

Cause: two tests of the event loop's turns failed once each beside load. A trace shows what fills their longest turns: twenty connections that each parse 16 pieces of 512 empty lines before they look at the time, 0.6 to 1.0 ms each and 20 to 22 ms together; and four messages of 289 KB that are received before the first look, 10 ms. Neither is the garbage collector. Processor time grows beside load, as caches are shared.

Change: a piece counts as eight events, and a message as one event more for each 4,096 bytes, so that the shared budget of a turn acts after two pieces, or one such message.

--- a/packages/transport/lacewingdrum_transport/completion_stream.py
+++ b/packages/transport/lacewingdrum_transport/completion_stream.py
@@ -12,8 +12,10 @@
 # The end of the HTTP message directly follows the last event. It is waited for
 # because the connection can be reused only after it.
 END_OF_MESSAGE_TIMEOUT_S = 0.2
-# What is parsed at once; one piece counts as an event.
+# What is parsed at once. A piece may consist of empty lines, which take as
+# long as many events.
 PARSED_BYTES = 512
+PIECE_EVENTS = 8
 
 _part_decoder = msgspec.json.Decoder(runner_api.CompletionPart)
 
@@ -72,7 +74,7 @@
             self._parse_piece(received[start : start + PARSED_BYTES])
             if self._done or self._error is not None:
                 return
-            await self._reader.count_events(1)
+            await self._reader.count_events(PIECE_EVENTS)
 
     def _parse_piece(self, piece: bytes) -> None:
         try:
--- a/packages/transport/lacewingdrum_transport/peer_socket.py
+++ b/packages/transport/lacewingdrum_transport/peer_socket.py
@@ -24,8 +24,10 @@
 # since a wake-up of the event loop for each message would cost more than its
 # handling.
 RECEIVE_INTERVAL_S = 0.005
-# A message costs as much as so many events of an answer.
+# A message costs as much as so many events of an answer, and a long one as
+# much as one more for each so many bytes.
 MESSAGE_EVENTS = 4
+EVENT_BYTES = 4_096
 CURVE_DOMAIN = "peers"
 ACKNOWLEDGEMENT = b""
 
@@ -273,11 +275,11 @@
         for message_count in range(max_count):
             if self._batch.is_over:
                 return message_count
-            self._batch.count(MESSAGE_EVENTS)
             try:
                 frames = self._router.recv_multipart(zmq.NOBLOCK)
             except zmq.ZMQError:
                 return message_count
+            self._batch.count(MESSAGE_EVENTS + sum(map(len, frames)) // EVENT_BYTES)
             self._on_frames(self._router, frames)
         return max_count
 
