--- a/packages/gateway/lacewingdrum_gateway/runners/engine_memory_test.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/engine_memory_test.py
@@ -165,7 +165,7 @@
     async with platform_site.running_site(engines=8) as site:
         call = await hold_memory_at_silent_engines(site, is_used=True)
         (helper, *_) = [one for one in site.engines if one.reserved]
-        # A helper that says who it is only after it was reborn is no other one.
+        # One that says who it is only after it was reborn is no other one.
         await site.wait_until(lambda: helper.report_count > 0)
         for engine in site.engines:
             engine.faults = []
