Shares of a runner's rate have a module of their own

Cause: limits of cold runners need the same order of daemons and the same token buckets as limits that runners name.

Change: rate_shares holds both; runner_limits uses them.

--- a/packages/coordination/lacewingdrum_coordination/runner_limits.py
+++ b/packages/coordination/lacewingdrum_coordination/runner_limits.py
@@ -11,41 +11,25 @@
 
 import xxhash
 
-from lacewingdrum_coordination import coordinators
+from lacewingdrum_coordination import rate_shares
 from lacewingdrum_state import ids, named_limits, runner_entries
 
 PER_S_MIN = 0.1
 PER_S_MAX = 1_000_000.0
-# A token bucket holds what its daemon may send in this time, and at least one
-# request.
-BURST_S = 0.25
 # Answers overtake each other: one without a limit that arrives this soon after
 # one with a limit may be the older of the two.
 OVERTAKING_S = 0.25
 LIMITS_MAX = 1_024
 
 
-# Addresses of daemons and their data centres; the latter are empty where
-# daemons send to the runners of all data centres alike.
-Daemons = tuple[tuple[ids.VmId, ids.DataCentre], ...]
-
-
-@dataclasses.dataclass(slots=True)
-class _Bucket:
-    """The requests that this daemon may send now, as of ``as_of_s``."""
-
-    tokens: float
-    as_of_s: float
-
-
 class RunnerLimits:
     """The limits that runners name, and this daemon's part of them."""
 
     def __init__(self) -> None:
         self._limits: dict[ids.RunnerId, named_limits.RunnerLimit] = {}
-        self._buckets: dict[ids.RunnerId, _Bucket] = {}
+        self._buckets: dict[ids.RunnerId, rate_shares.TokenBucket] = {}
         self._shares: dict[ids.RunnerId, float] = {}
-        self._daemons: Daemons = ()
+        self._daemons: rate_shares.Daemons = ()
         self._own_address = ids.VmId("")
         self._digest: int | None = 0
 
@@ -70,7 +54,7 @@
             self._digest = xxhash.xxh3_64_intdigest(text) if lines else 0
         return self._digest
 
-    def set_daemons(self, own_address: ids.VmId, daemons: Daemons) -> None:
+    def set_daemons(self, own_address: ids.VmId, daemons: rate_shares.Daemons) -> None:
         """Set the daemons that divide the limits.
 
         Args:
@@ -150,12 +134,12 @@
         limit = self._limits.get(runner_id)
         return 1.0 / limit.per_s if limit is not None and limit.per_s else 0.0
 
-    def _fill(self, runner_id: ids.RunnerId, share: float, now_s: float) -> _Bucket:
-        bucket = self._buckets.setdefault(runner_id, _Bucket(0.0, now_s))
-        most = max(1.0, share * BURST_S)
-        gained = max(now_s - bucket.as_of_s, 0.0) * share
-        bucket.tokens = min(bucket.tokens + gained, most)
-        bucket.as_of_s = now_s
+    def _fill(
+        self, runner_id: ids.RunnerId, share: float, now_s: float
+    ) -> rate_shares.TokenBucket:
+        new = rate_shares.TokenBucket(0.0, now_s)
+        bucket = self._buckets.setdefault(runner_id, new)
+        bucket.fill(share, now_s)
         return bucket
 
     def _share(self, entry: runner_entries.RunnerEntry) -> float:
@@ -168,11 +152,7 @@
     def _compute_share(self, entry: runner_entries.RunnerEntry) -> float:
         per_s = self._limits[entry.runner_id].per_s or 0.0
         in_order = sorted(
-            self._daemons,
-            key=lambda daemon: (
-                daemon[1] != entry.data_centre,
-                coordinators.stable_hash(f"{entry.runner_id}\x1f{daemon[0]}"),
-            ),
+            self._daemons, key=lambda daemon: rate_shares.sort_key(entry, daemon)
         )
         count = max(1, min(int(per_s), len(in_order)))
         chosen = [address for address, _ in in_order[:count]]
