Cold runners get a bounded number of requests from all daemons

Cause: a cold runner takes a stated rate, and crashes well above it. Runners of a whole data centre may return cold together, and no daemon knew of it.

Change: rows of the store say which runners are cold, and lists carry it to all daemons; new incarnations count as cold too. cold_limits divides the stated rate among so many daemons that a second's rates and all token buckets stay below the bound, whoever hears whom: sharing_daemons counts silent daemons too, and one that has started waits until it has heard all that it knows, for 60 s at most. Daemons name silent ones to those that are new. After the warm-up the other daemons follow within 1.5 s. A cold engine reads no parts for others and counts as slower.

--- /dev/null
+++ b/packages/gateway/lacewingdrum_gateway/cold_runners_test.py
@@ -0,0 +1,117 @@
+"""Tests of runners that are cold."""
+
+import asyncio
+import time
+
+import msgspec
+
+from lacewingdrum_gateway import settings
+from lacewingdrum_protocol import peer_messages
+from standins import platform_site
+
+ASK = platform_site.prompt_headers(400)
+# With the bounds below, 8 x 1.5 + 4 requests in any one second.
+BOUND = 16
+BOUNDS = settings.BoundsSettings(cold_overage=1.5, cold_slack=4.0)
+# From when the runners' rows say it until all gateways know it.
+CONTACT_S = 1.5
+LEARNT_S = 2.5
+
+
+def configuration(**cold):
+    services = [
+        {
+            "name": platform_site.MODEL,
+            "max_conns": 400,
+            "engine": platform_site.ENGINE,
+            **cold,
+        },
+        {"name": platform_site.LEDGER, "max_conns": 100},
+    ]
+    return platform_site.make_configuration(2, services=services)
+
+
+async def configure(site, **cold):
+    site.store.put_json("op", "config", configuration(**cold))
+    await site.wait_until(
+        lambda: all(
+            running.daemon.components.configurations.table.configuration.version == 2
+            for running in site.gateways
+        )
+    )
+    await asyncio.sleep(LEARNT_S)
+
+
+async def turn_cold(site, engines, left_ms):
+    for engine in engines:
+        engine.cold_left_ms = left_ms
+        row = engine.entry(platform_site.MODEL)
+        site.store.put_json("servers", engine.runner_id, row)
+    await asyncio.sleep(CONTACT_S)
+
+
+async def send_many(site, per_s, length_s):
+    tasks = []
+    end_s = time.monotonic() + length_s
+    while time.monotonic() < end_s:
+        running = site.gateways[len(tasks) % len(site.gateways)]
+        call = site.call("/ask/x", f"n{time.monotonic()}", headers=ASK, on=running)
+        tasks.append(asyncio.ensure_future(call))
+        await asyncio.sleep(1 / per_s)
+    return [(await task).status for task in tasks]
+
+
+def most_in_a_second(runner, after_s):
+    times_s = [item.arrived_s for item in runner.arrivals if item.arrived_s > after_s]
+    return max(
+        (sum(0 <= time_s - from_s <= 1.0 for time_s in times_s) for from_s in times_s),
+        default=0,
+    )
+
+
+async def test_cold_engine_gets_no_more_than_its_bound_from_all_gateways():
+    async with platform_site.running_site(gateways=3, engines=2, bounds=BOUNDS) as site:
+        await configure(site, cold_s=60.0, cold_per_s=8.0)
+        await turn_cold(site, site.engines, 60_000)
+        start_s = time.monotonic()
+        statuses = await send_many(site, 60.0, 4.0)
+        for engine in site.engines:
+            assert 4 <= most_in_a_second(engine, start_s) <= BOUND
+        assert statuses.count(200) >= 40 and set(statuses) <= {200, 503}
+
+
+async def test_warm_engine_is_used_while_another_one_is_cold_for_ever():
+    async with platform_site.running_site(gateways=2, engines=2, bounds=BOUNDS) as site:
+        await configure(site, cold_s=60.0, cold_per_s=8.0)
+        await turn_cold(site, site.engines[:1], 10**11)
+        start_s = time.monotonic()
+        statuses = await send_many(site, 20.0, 2.0)
+        assert statuses.count(200) == len(statuses)
+        assert most_in_a_second(site.engines[0], start_s) <= BOUND
+
+
+async def test_runners_of_a_service_without_a_limit_are_never_cold():
+    async with platform_site.running_site(gateways=2, engines=1) as site:
+        await configure(site)
+        await turn_cold(site, site.engines, 60_000)
+        statuses = await send_many(site, 40.0, 1.0)
+        assert statuses.count(200) == len(statuses)
+        assert not site.gateways[0].daemon.components.cold_sync.limits.has_any
+
+
+async def test_gateway_that_starts_learns_cold_runners_while_the_store_is_away():
+    async with platform_site.running_site(gateways=2, engines=2, bounds=BOUNDS) as site:
+        await configure(site, cold_s=60.0, cold_per_s=8.0)
+        await turn_cold(site, site.engines, 60_000)
+        site.store_path.stop_listening()
+        site.store_path.reset()
+        late = await site.add_gateway(("127.0.0.1:1",))
+        known = late.daemon.components.cold_sync.limits.runners
+        await site.wait_until(lambda: len(known.all) == 2)
+
+
+def test_list_of_a_build_without_cold_reports_is_read():
+    push = peer_messages.RunnerListPush(1, 0, 1, 0)
+    raw = msgspec.msgpack.decode(msgspec.msgpack.encode(push))
+    older = msgspec.convert(raw[:-1], peer_messages.RunnerListPush)
+    assert older == push and not older.cold
--- a/packages/gateway/lacewingdrum_gateway/components.py
+++ b/packages/gateway/lacewingdrum_gateway/components.py
@@ -86,6 +86,7 @@
             self.roster,
             self.health,
             self.limit_sync.limits,
+            self.cold_sync.limits,
             table,
             own_settings.vm.data_centre,
             clock,
@@ -222,6 +223,7 @@
         self.callers_server.set_limits(server_limits.for_callers(limits, table))
         self.relay_server.set_limits(server_limits.for_daemons(limits, table))
         self.roster.set_services(table.services)
+        self.cold_sync.set_services(table.configuration.services)
 
     def _relay_port(self) -> int:
         """Return where this daemon takes requests of others, or 0."""
--- a/packages/gateway/lacewingdrum_gateway/fleet_components.py
+++ b/packages/gateway/lacewingdrum_gateway/fleet_components.py
@@ -6,6 +6,7 @@
 import time
 
 from lacewingdrum_coordination import (
+    cold_limits,
     engine_work_registry,
     runner_health,
     runner_roster,
@@ -15,6 +16,7 @@
 from lacewingdrum_gateway.crashes import crash_sync, crash_watch
 from lacewingdrum_gateway.peers import daemon_registry, peer_table, peering
 from lacewingdrum_gateway.runners import (
+    cold_sync,
     limit_sync,
     reach_monitor,
     runner_list_sync,
@@ -98,9 +100,21 @@
             self.decisions,
             self.counts,
         )
+        self.cold_sync = cold_sync.ColdSync(
+            self.roster,
+            self.peers,
+            vm.data_centre,
+            cold_limits.Overage(
+                own_settings.bounds.cold_overage, own_settings.bounds.cold_slack
+            ),
+            clock,
+            self.decisions,
+            self.counts,
+        )
         self.runner_list = runner_list_sync.RunnerListSync(
             self.roster,
             self.health,
+            self.cold_sync,
             self.store,
             self.peers,
             _listening_addresses(vm),
--- a/packages/gateway/lacewingdrum_gateway/gateway.py
+++ b/packages/gateway/lacewingdrum_gateway/gateway.py
@@ -107,6 +107,7 @@
         components.runner_list.start()
         components.notices.start()
         components.limit_sync.start()
+        components.cold_sync.start()
         components.crash_watch.start()
         components.crash_sync.start()
         await components.peers.start(vm.host, vm.peer_port, seeds)
--- a/packages/gateway/lacewingdrum_gateway/runners/runner_candidates.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/runner_candidates.py
@@ -2,9 +2,14 @@
 
 from collections.abc import Callable
 
-from lacewingdrum_coordination import runner_health, runner_limits, runner_roster
+from lacewingdrum_coordination import (
+    cold_limits,
+    runner_health,
+    runner_limits,
+    runner_roster,
+)
 from lacewingdrum_gateway.peers import peer_table
-from lacewingdrum_state import ids, runner_entries
+from lacewingdrum_state import ids, runner_entries, units
 
 # In units of worth.
 OTHER_DATA_CENTRE_COST = 0.01
@@ -23,6 +28,7 @@
         roster: runner_roster.RunnerRoster,
         health: runner_health.RunnerHealth,
         limits: runner_limits.RunnerLimits,
+        cold: cold_limits.ColdLimits,
         peers: peer_table.PeerTable,
         data_centre: ids.DataCentre,
         clock: Callable[[], float],
@@ -30,6 +36,7 @@
         self._roster = roster
         self._health = health
         self._limits = limits
+        self._cold = cold
         self._peers = peers
         self._data_centre = data_centre
         self._clock = clock
@@ -56,17 +63,32 @@
     def _limit_wait_s(self, entry: runner_entries.RunnerEntry, now_s: float) -> float:
         """Return when a runner takes a further request from some daemon."""
         wait_s = self._limits.wait_s(entry, now_s)
-        return min(wait_s, self._limits.interval_s(entry.runner_id))
+        wait_s = min(wait_s, self._limits.interval_s(entry.runner_id))
+        return max(wait_s, self._cold.wait_s(entry, now_s))
 
     def record_send(self, entry: runner_entries.RunnerEntry) -> None:
         """Count a request that is sent to a runner now."""
-        self._limits.take(entry, self._clock())
+        now_s = self._clock()
+        self._limits.take(entry, now_s)
+        self._cold.take(entry, now_s)
 
     def may_help(self, entry: runner_entries.RunnerEntry, now_s: float) -> bool:
         """Return whether an engine is expected to prefill parts for others."""
-        return self._health.may_help(
-            entry.runner_id, now_s
-        ) and not self._limits.is_limited(entry)
+        return (
+            self._health.may_help(entry.runner_id, now_s)
+            and not self._limits.is_limited(entry)
+            and not self._cold.is_cold(entry, now_s)
+        )
+
+    def slowdown(self, entry: runner_entries.RunnerEntry, now_s: float) -> float:
+        """Return how many times slower than stated a cold engine is."""
+        return self._cold.slowdown(entry, now_s) if self._cold.has_any else 1.0
+
+    def cold_left_ms(self, entry: runner_entries.RunnerEntry) -> int:
+        """Return how long a runner stays cold; 0 if it is not."""
+        cold = self._cold.runners.get(entry)
+        left_s = cold.left_s(self._clock()) if cold is not None else 0.0
+        return round(left_s * units.MS_PER_S)
 
     def of_service(
         self, service: ids.ServiceName, excluded: set[ids.RunnerId]
@@ -87,6 +109,10 @@
             and not self._health.pause_left_s(entry.runner_id, now_s)
             and not (has_limits and self._limits.wait_s(entry, now_s))
         ]
+        if self._cold.has_any:
+            remaining = [
+                entry for entry in remaining if self._cold.admits(entry, now_s)
+            ]
         healthy = [
             entry for entry in remaining if not self._health.is_suspect(entry.runner_id)
         ]
@@ -95,6 +121,10 @@
         # Either daemons in other data centres do not report their work here,
         # or there are too many runners to evaluate all of them.
         local = [entry for entry in healthy if entry.data_centre == self._data_centre]
+        if self._cold.has_any and all(
+            self._cold.is_cold(entry, now_s) for entry in local
+        ):
+            return healthy or remaining
         return local or healthy or remaining
 
     def penalty(
--- a/packages/gateway/lacewingdrum_gateway/runners/runner_list_codec.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/runner_list_codec.py
@@ -1,8 +1,17 @@
 """Converts the list of runners to and from the messages between daemons."""
 
+import math
+
 from lacewingdrum_coordination import runner_list_history
 from lacewingdrum_protocol import peer_messages
-from lacewingdrum_state import addresses, ids, runner_entries, states
+from lacewingdrum_state import (
+    addresses,
+    bounds,
+    cold_reports,
+    ids,
+    runner_entries,
+    states,
+)
 
 
 def change_from_push(
@@ -52,3 +61,21 @@
     )
     # A peer of an older version may pass on entries that this one refuses.
     return entry if runner_entries.find_fault(entry) is None else None
+
+
+def message_from_cold(report: cold_reports.ColdReport) -> peer_messages.ColdReport:
+    """Return the message for a report of a cold runner."""
+    left_ms = min(max(math.ceil(report.left_ms), 0), bounds.AGE_MAX_MS)
+    return peer_messages.ColdReport(report.runner_id, report.born_ms, left_ms)
+
+
+def cold_from_push(
+    push: peer_messages.RunnerListPush,
+) -> tuple[cold_reports.ColdReport, ...]:
+    """Return what a peer has reported of cold runners."""
+    return tuple(
+        cold_reports.ColdReport(
+            ids.RunnerId(message.runner_id), message.born_ms, message.left_ms
+        )
+        for message in push.cold
+    )
--- a/packages/gateway/lacewingdrum_gateway/runners/runner_list_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/runner_list_sync.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from result import Err
 
@@ -20,11 +20,11 @@
 )
 from lacewingdrum_gateway import store_client
 from lacewingdrum_gateway.peers import peering
-from lacewingdrum_gateway.runners import runner_list_codec
+from lacewingdrum_gateway.runners import cold_sync, runner_list_codec
 from lacewingdrum_platform import runner_rows, store_calls
 from lacewingdrum_protocol import peer_messages
 from lacewingdrum_runtime import decision_log, metrics, tasks
-from lacewingdrum_state import ids, runner_entries, store_versions
+from lacewingdrum_state import cold_reports, ids, runner_entries, store_versions
 
 # The age of the list is checked at least every four ticks.
 TICK_S = 0.05
@@ -49,6 +49,7 @@
         self,
         roster: runner_roster.RunnerRoster,
         health: runner_health.RunnerHealth,
+        cold: cold_sync.ColdSync,
         store: store_client.StoreClient,
         peers: peering.Peering,
         own_addresses: runner_roster.DaemonAddresses,
@@ -59,6 +60,7 @@
     ) -> None:
         self._roster = roster
         self._health = health
+        self._cold = cold
         self._store = store
         self._peers = peers
         self._own_addresses = own_addresses
@@ -139,9 +141,8 @@
         if isinstance(answer, Err):
             return False
         rows = answer.ok_value
-        entries = tuple(
-            entry for row in rows.rows if (entry := self._entry(row)) is not None
-        )
+        found = [(self._entry(row), row) for row in rows.rows]
+        entries = tuple(entry for entry, _ in found if entry is not None)
         listed = runner_entries.RunnerList(rows.version, entries)
         if listed.version < self._roster.version:
             # The store lags behind; a peer has sent a newer list.
@@ -151,9 +152,26 @@
         previous_digest = self._history.digest
         self._last_reader = self._peers.own_address
         self._apply(listed, read_start_s, "store")
-        self._peers.broadcast(self._push_since(previous_digest or self._history.digest))
+        reports = self._cold_reports(found)
+        self._cold.record_reports(reports, self._clock(), "store")
+        self._peers.broadcast(
+            self._push_since(previous_digest or self._history.digest, reports)
+        )
         return True
 
+    def _cold_reports(
+        self, found: Iterable[tuple[runner_entries.RunnerEntry | None, store_calls.Row]]
+    ) -> tuple[cold_reports.ColdReport, ...]:
+        """Return what the rows of runners say of how long they stay cold."""
+        return tuple(
+            cold_reports.ColdReport(entry.runner_id, entry.born_ms, left_ms)
+            for entry, row in found
+            if entry is not None
+            and row.value is not None
+            and self._cold.may_be_cold(entry)
+            and (left_ms := runner_rows.cold_left_ms(row.value))
+        )
+
     def _entry(self, row: store_calls.Row) -> runner_entries.RunnerEntry | None:
         if row.value is None:
             return None
@@ -186,6 +204,7 @@
         changes = self._roster.apply(listed, as_of_s, self._missing_kept_until_s)
         if changes:
             self._history.record(self._roster.entries)
+        self._cold.record_list(self._roster.entries, source)
         for change in changes:
             if change.kind in ("born_again", "gone"):
                 self._health.forget(change.runner_id)
@@ -204,7 +223,9 @@
                 for handler in self._born_again_handlers:
                     handler(entry)
 
-    def _push_since(self, base: int) -> peer_messages.RunnerListPush:
+    def _push_since(
+        self, base: int, cold: tuple[cold_reports.ColdReport, ...]
+    ) -> peer_messages.RunnerListPush:
         change = self._history.change_since(base)
         return peer_messages.RunnerListPush(
             version=self._roster.version.version,
@@ -214,6 +235,7 @@
             changed=tuple(map(runner_list_codec.message_from_entry, change.changed)),
             removed=change.removed,
             era=self._roster.version.era,
+            cold=tuple(map(runner_list_codec.message_from_cold, cold)),
         )
 
     def _on_heartbeat(self, peer: peering.Peer) -> None:
@@ -242,6 +264,7 @@
         if push.digest == self._history.digest:
             self._set_daemons()
             self._roster.confirm(version, as_of_s)
+            self._record_cold(sender, push)
             return
         entries = self._history.apply(runner_list_codec.change_from_push(push))
         if entries is None:
@@ -249,9 +272,18 @@
             return
         listed = runner_entries.RunnerList(version, entries)
         self._apply(listed, as_of_s, f"peer {sender}")
+        self._record_cold(sender, push)
+
+    def _record_cold(
+        self, sender: ids.VmId, push: peer_messages.RunnerListPush
+    ) -> None:
+        reports = runner_list_codec.cold_from_push(push)
+        self._cold.record_reports(reports, self._clock(), f"peer {sender}")
 
     def _on_list_request(
         self, sender: ids.VmId, request: peer_messages.RunnerListRequest
     ) -> None:
         if self.is_known:
-            self._peers.send(sender, self._push_since(request.digest))
+            self._peers.send(
+                sender, self._push_since(request.digest, self._cold.known_reports())
+            )
--- a/packages/gateway/lacewingdrum_gateway/serving/plans.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/plans.py
@@ -47,6 +47,7 @@
     first_event_ms: float
     cost: float
     candidate_count: int
+    cold_left_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/gateway/lacewingdrum_gateway/serving/routing.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/routing.py
@@ -186,6 +186,7 @@
             first_event_ms=routed.route.objective_ms,
             cost=chosen.cost,
             candidate_count=len(entries),
+            cold_left_ms=self.candidates.cold_left_ms(chosen.entry),
         )
 
     def _plan_engines(
@@ -220,7 +221,10 @@
                 self.candidates.penalty(entry, worth, now_s)
                 + self._peer_owned_cost(entry),
                 self._fill_order(group_id, entry.runner_id),
-                self._work_updates.slowdown(entry.runner_id),
+                max(
+                    self._work_updates.slowdown(entry.runner_id),
+                    self.candidates.slowdown(entry, now_s),
+                ),
                 only_runner in (None, entry.runner_id),
                 self.candidates.may_help(entry, now_s),
             )
@@ -246,6 +250,7 @@
             first_event_ms=choice.first_event_ms,
             cost=choice.lost_worth,
             candidate_count=len(entries),
+            cold_left_ms=self.candidates.cold_left_ms(choice.entries[0]),
         )
         is_large = (
             engine_times.prefill_ms(engine, prompt_tokens, 1) > REFUSE_PREFILL_MIN_MS
--- a/packages/gateway/lacewingdrum_gateway/serving/routing_test.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/routing_test.py
@@ -1,12 +1,14 @@
 import random
 
 from lacewingdrum_coordination import (
+    cold_limits,
     engine_load,
     engine_work_registry,
     runner_health,
     runner_limits,
     runner_roster,
     runner_roster_test,
+    sharing_daemons,
 )
 from lacewingdrum_gateway.peers import peer_table
 from lacewingdrum_gateway.runners import runner_candidates
@@ -37,6 +39,10 @@
         roster,
         runner_health.RunnerHealth(),
         runner_limits.RunnerLimits(),
+        cold_limits.ColdLimits(
+            sharing_daemons.SharingDaemons(peers.own_address, data_centre, 0.0),
+            cold_limits.Overage(1.0, 0.0),
+        ),
         peers,
         data_centre,
         lambda: NOW_S,
--- a/packages/protocol/lacewingdrum_protocol/peer_messages.py
+++ b/packages/protocol/lacewingdrum_protocol/peer_messages.py
@@ -189,6 +189,14 @@
     born_ms: int
 
 
+class ColdReport(msgspec.Struct, frozen=True, array_like=True):
+    """That an incarnation of a runner stays cold for ``left_ms``."""
+
+    runner_id: str
+    born_ms: int
+    left_ms: bounds.AgeMs
+
+
 class RunnerListPush(msgspec.Struct, frozen=True, array_like=True, tag="run"):
     """The runner list at a version of the store, as changes from another list.
 
@@ -197,6 +205,7 @@
     The list was read from the platform's store ``age_ms`` ago and has the
     digest ``digest``. ``changed`` and ``removed`` are relative to the list
     with the digest ``base``. If ``base`` is 0, ``changed`` is the whole list.
+    ``cold`` is what the sender knows of cold runners, as of when it sends.
     """
 
     version: bounds.Count
@@ -206,6 +215,13 @@
     changed: tuple[RunnerListEntry, ...] = ()
     removed: tuple[str, ...] = ()
     era: bounds.Era = 0
+    cold: tuple[ColdReport, ...] = ()
+
+
+class SilentDaemons(msgspec.Struct, frozen=True, array_like=True, tag="sil"):
+    """Daemons that the sender knows and does not hear, for one that is new."""
+
+    addresses: tuple[str, ...]
 
 
 class RunnerListRequest(msgspec.Struct, frozen=True, array_like=True, tag="rua"):
@@ -220,6 +236,7 @@
     | ConfigurationPush
     | RunnerListPush
     | RunnerListRequest
+    | SilentDaemons
     | work_messages.WorkUpdate
     | work_messages.WorkRequest
     | work_messages.WorkSnapshot
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -66,6 +66,7 @@
         self.endless = endless_answers.EndlessAnswers()
         # Distinguishes the incarnations of the runner.
         self.born_ms = 1
+        self.cold_left_ms: object = 0
         # Whether reports state it.
         self.is_born_reported = True
         # Whether commands, reports included, get no answer.
@@ -100,7 +101,7 @@
             "version": "v1",
             "slots": 8,
             "state": state,
-            "cold_left_ms": 0,
+            "cold_left_ms": self.cold_left_ms,
             "seq": 1,
             "born": self.born_ms,
         }
--- a/standins/slope_news.py
+++ b/standins/slope_news.py
@@ -13,11 +13,13 @@
 from collections.abc import Callable
 
 from lacewingdrum_coordination import (
+    cold_limits,
     crash_evidence,
     request_fingerprint,
     runner_health,
     runner_limits,
     runner_roster,
+    sharing_daemons,
 )
 from lacewingdrum_gateway.crashes import crash_codec
 from lacewingdrum_gateway.peers import peer_table
@@ -74,6 +76,10 @@
         roster,
         runner_health.RunnerHealth(),
         known,
+        cold_limits.ColdLimits(
+            sharing_daemons.SharingDaemons(peers.own_address, DATA_CENTRE, 0.0),
+            cold_limits.Overage(1.0, 0.0),
+        ),
         peers,
         DATA_CENTRE,
         time.monotonic,
