Tests of cold limits see daemons that are added while others are cut

Change: a test adds 60 daemons while the 12 that divide a limit are cut, and the simulated daemons forget old ones as time passes.

--- a/packages/coordination/lacewingdrum_coordination/cold_limits_test.py
+++ b/packages/coordination/lacewingdrum_coordination/cold_limits_test.py
@@ -59,6 +59,7 @@
                 self.daemons.record_named(other.daemons.addresses, now_s)
 
     def turn_cold(self, entries, now_s, left_ms=3_000.0):
+        self.daemons.forget_old(now_s)
         for item in entries:
             said = cold_reports.ColdReport(item.runner_id, item.born_ms, left_ms)
             self.limits.runners.record(item, said, now_s)
@@ -181,6 +182,20 @@
     assert most_in_a_second(send_all(vms, entry(), 400.0, 2.98)) <= BOUND
 
 
+def test_daemons_added_while_those_that_divide_a_limit_are_cut_send_nothing():
+    vms = fleet_of(30)
+    for vm in vms:
+        vm.is_cut = vm.daemons.own_place(entry()) < 12
+    vms += [Vm(number, 20.0) for number in range(30, 90)]
+    for now_s in (20.0, 20.2):
+        for vm in vms:
+            vm.hear(vms, now_s)
+    for vm in vms:
+        vm.turn_cold([entry()], 30.0)
+    sent_s = send_all(vms, entry(), 30.0, 2.98)
+    assert sent_s and most_in_a_second(sent_s) <= BOUND
+
+
 def test_daemon_that_has_just_started_sends_nothing_to_cold_engines():
     late = Vm(1, 100.0)
     late.daemons.record_named([ids.VmId("10.0.0.2:7")], 100.0)
