Evacuated data centres get no request

Change: evacuation_rows finds them among the rows that ConfigurationSync reads anyway, EvacuationRegister merges rows, whole reads and peers' news by (era, version), EvacuationSync spreads them; RunnerCandidates leaves such runners out, and an attempt that is being connected, or whose memory is being reserved, is looked at once more right before its first byte.

--- /dev/null
+++ b/packages/coordination/lacewingdrum_coordination/evacuation_register_test.py
@@ -0,0 +1,162 @@
+import hypothesis
+from hypothesis import strategies
+
+from lacewingdrum_coordination import evacuation_register
+from lacewingdrum_state import evacuations, ids, store_versions
+
+NORTH, SOUTH = ids.DataCentre("north"), ids.DataCentre("south")
+DAEMONS = 4
+
+
+def at(version: int, era: int = 1) -> store_versions.StoreVersion:
+    return store_versions.StoreVersion(era, version)
+
+
+def row(version: int, is_active: bool, era: int = 1, name=NORTH, is_read=False):
+    return evacuations.Evacuation(name, is_active, at(version, era), is_read)
+
+
+def settled() -> evacuation_register.EvacuationRegister:
+    register = evacuation_register.EvacuationRegister()
+    register.apply_read(at(1), ())
+    register.end_return()
+    return register
+
+
+def test_read_ends_evacuations_that_it_lacks_and_no_newer_ones():
+    register = settled()
+    register.apply([row(5, True), row(9, True, name=SOUTH)])
+    changed = register.apply_read(at(7), ())
+    assert [(item.data_centre, item.is_active) for item in changed] == [(NORTH, False)]
+    assert register.active == {SOUTH}
+
+
+def test_older_news_that_arrives_after_a_read_begins_nothing():
+    register = settled()
+    register.apply_read(at(7), ())
+    register.apply([row(5, True)])
+    assert not register.active and register.digest, "peers are not told that it ended"
+
+
+def test_evacuation_lasts_while_a_returned_store_lacks_its_row():
+    register = settled()
+    register.apply([row(5, True)])
+    register.apply_read(at(3, 2), ())
+    assert register.active == {NORTH}
+    register.apply([row(4, True, 2)])
+    register.end_return()
+    assert register.active == {NORTH}
+
+
+def test_evacuation_that_was_taken_away_does_not_return_with_the_store():
+    register = settled()
+    register.apply([row(5, True)])
+    register.apply([row(8, False)])
+    register.apply_read(at(6, 2), [row(5, True, 2, is_read=True)])
+    register.apply([row(5, True, 2, is_read=True)])
+    assert not register.active
+    register.apply([row(7, False, 2)])
+    register.end_return()
+    assert not register.active
+
+
+def test_row_written_after_the_return_counts_at_once():
+    register = settled()
+    register.apply([row(5, True)])
+    register.apply_read(at(3, 2), ())
+    register.apply([row(4, False, 2)])
+    assert not register.active
+    register.apply([row(6, True, 2)])
+    assert register.active == {NORTH}
+
+
+def test_rows_of_the_copy_count_once_nobody_has_written_others():
+    register = settled()
+    register.apply([row(5, True)])
+    register.apply_read(at(3, 2), [row(2, True, 2, SOUTH, is_read=True)])
+    assert register.active == {NORTH, SOUTH}
+    register.end_return()
+    assert register.active == {SOUTH}
+
+
+def test_daemon_that_starts_after_a_return_takes_the_belief_of_its_peers():
+    register = evacuation_register.EvacuationRegister()
+    register.apply_read(at(6, 2), [row(5, True, 2, is_read=True)])
+    assert register.active == {NORTH}
+    register.apply([row(8, False)])
+    assert not register.active
+
+
+def test_two_returns_at_once_keep_the_belief_of_before_both():
+    register = settled()
+    register.apply([row(5, True)])
+    register.apply_read(at(3, 2), ())
+    register.apply_read(at(2, 3), ())
+    assert register.active == {NORTH}
+    register.end_return()
+    assert not register.active
+
+
+@hypothesis.given(strategies.data())
+def test_any_order_of_rows_reads_and_news_ends_in_the_same_state(data):
+    steps = data.draw(
+        strategies.lists(
+            strategies.tuples(strategies.sampled_from((NORTH, SOUTH)), st_bool),
+            min_size=1,
+            max_size=8,
+        )
+    )
+    return_after = data.draw(strategies.integers(0, len(steps)))
+    copied_at = data.draw(strategies.integers(0, return_after))
+    seen, last, active = _observe(steps, return_after, copied_at)
+    registers = [evacuation_register.EvacuationRegister() for _ in range(DAEMONS)]
+    for number, register in enumerate(registers):
+        part = seen if number == 0 else data.draw(strategies.lists(_of(seen)))
+        for take in data.draw(strategies.permutations([*part, last])):
+            take(register)
+    for _ in range(2):
+        _exchange(registers, data)
+        for register in registers:
+            register.end_return()
+    _exchange(registers, data)
+    assert {register.active for register in registers} == {active}
+    assert len({register.digest for register in registers}) == 1
+
+
+st_bool = strategies.booleans()
+
+
+def _of(seen):
+    return strategies.sampled_from(seen)
+
+
+def _observe(steps, return_after: int, copied_at: int):
+    """Return all that can be seen, the last read, and what is in force."""
+    era, version, rows, copied, seen = 1, 10, {}, ({}, 10), []
+    seen.append(_reading(era, version, rows))
+    for number, (name, is_active) in enumerate(steps):
+        if number == copied_at:
+            copied = (dict(rows), version)
+        if number == return_after:
+            rows, version, era = dict(copied[0]), copied[1], 2
+            seen.append(_reading(era, version, rows))
+        version += 1
+        rows[name] = version
+        if not is_active:
+            del rows[name]
+        item = row(version, is_active, era, name)
+        seen.append(lambda register, item=item: register.apply([item]))
+        seen.append(_reading(era, version, rows))
+    return seen, _reading(era, version, rows), frozenset(rows)
+
+
+def _reading(era: int, version: int, rows: dict):
+    found = [row(at_, True, era, name, is_read=True) for name, at_ in rows.items()]
+    return lambda register: register.apply_read(at(version, era), found)
+
+
+def _exchange(registers, data) -> None:
+    for _ in range(3):
+        for register in data.draw(strategies.permutations(registers)):
+            for other in registers:
+                other.apply(register.all)
--- a/packages/gateway/lacewingdrum_gateway/components.py
+++ b/packages/gateway/lacewingdrum_gateway/components.py
@@ -89,6 +89,7 @@
             table,
             own_settings.vm.data_centre,
             clock,
+            self.evacuation_sync.register,
         )
         planner = routing.Planner(
             candidates,
@@ -177,7 +178,7 @@
         )
         self.request_handler = request_handler.RequestHandler(
             self.configurations,
-            self.runner_list,
+            lambda: self.knows_fleet,
             forwarder,
             answers_without_runner,
             clock,
@@ -214,9 +215,14 @@
     @property
     def is_synchronized(self) -> bool:
         """Whether this daemon knows what it needs to serve requests."""
-        known = self.configurations.table is not None and self.runner_list.is_known
+        known = self.configurations.table is not None and self.knows_fleet
         return known and self.work_sync.is_initial_sync_done
 
+    @property
+    def knows_fleet(self) -> bool:
+        """Whether this daemon knows the runners and where work may begin."""
+        return self.runner_list.is_known and self.evacuation_sync.is_known
+
     def _on_configuration_applied(self, table: route_table.RouteTable) -> None:
         limits = self.own_settings.limits
         self.callers_server.set_limits(server_limits.for_callers(limits, table))
--- a/packages/gateway/lacewingdrum_gateway/configuration_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/configuration_sync.py
@@ -68,6 +68,7 @@
         self._newer_announced = asyncio.Event()
         self._applied = asyncio.Event()
         self._applied_handlers: list[Callable[[route_table.RouteTable], None]] = []
+        self._rows_handlers: list[Callable[[store_calls.Rows, bool], None]] = []
         self._tasks = tasks.TaskSet()
 
     @property
@@ -99,6 +100,14 @@
         """Register a handler for configurations that come into force."""
         self._applied_handlers.append(handler)
 
+    def on_rows(self, handler: Callable[[store_calls.Rows, bool], None]) -> None:
+        """Register a handler for rows of the operators' table.
+
+        It is given the rows and whether they are the whole table. It is called
+        before a configuration among them comes into force.
+        """
+        self._rows_handlers.append(handler)
+
     def _apply(self, text: bytes, source: str) -> None:
         found, faults = desired_state.decode(text)
         for fault in faults:
@@ -151,9 +160,12 @@
                 )
             match answer:
                 case Ok(rows):
+                    is_whole = after is None
                     after = rows.version
                     self._pauses.reset()
                     has_changed = bool(rows.rows)
+                    for handler in self._rows_handlers:
+                        handler(rows, is_whole)
                     if has_changed:
                         self._apply_rows(rows.rows)
                         await asyncio.sleep(self._deadlines.feed_pause_s)
--- a/packages/gateway/lacewingdrum_gateway/fleet_components.py
+++ b/packages/gateway/lacewingdrum_gateway/fleet_components.py
@@ -11,7 +11,12 @@
     runner_roster,
     store_deadlines,
 )
-from lacewingdrum_gateway import configuration_sync, settings, store_client
+from lacewingdrum_gateway import (
+    configuration_sync,
+    evacuation_sync,
+    settings,
+    store_client,
+)
 from lacewingdrum_gateway.crashes import crash_sync, crash_watch
 from lacewingdrum_gateway.peers import daemon_registry, peer_table, peering
 from lacewingdrum_gateway.runners import (
@@ -98,6 +103,15 @@
             self.decisions,
             self.counts,
         )
+        self.evacuation_sync = evacuation_sync.EvacuationSync(
+            self.configurations,
+            self.peers,
+            own_settings.bounds.evacuation_max_ms / units.MS_PER_S,
+            rng,
+            clock,
+            self.decisions,
+            self.counts,
+        )
         self.runner_list = runner_list_sync.RunnerListSync(
             self.roster,
             self.health,
--- a/packages/gateway/lacewingdrum_gateway/odd_messages_test.py
+++ b/packages/gateway/lacewingdrum_gateway/odd_messages_test.py
@@ -8,6 +8,7 @@
 
 from lacewingdrum_protocol import (
     crash_messages,
+    evacuation_messages,
     limit_messages,
     peer_messages,
     work_messages,
@@ -25,6 +26,8 @@
     work_messages.WorkSnapshot,
     crash_messages.CrashNews,
     limit_messages.LimitNews,
+    evacuation_messages.EvacuationNews,
+    evacuation_messages.EvacuationRequest,
 )
 BATCH_MESSAGES = 20
 BATCH_S = 0.05
--- a/packages/gateway/lacewingdrum_gateway/runners/runner_candidates.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/runner_candidates.py
@@ -2,7 +2,12 @@
 
 from collections.abc import Callable
 
-from lacewingdrum_coordination import runner_health, runner_limits, runner_roster
+from lacewingdrum_coordination import (
+    evacuation_register,
+    runner_health,
+    runner_limits,
+    runner_roster,
+)
 from lacewingdrum_gateway.peers import peer_table
 from lacewingdrum_state import ids, runner_entries
 
@@ -26,6 +31,7 @@
         peers: peer_table.PeerTable,
         data_centre: ids.DataCentre,
         clock: Callable[[], float],
+        evacuations: evacuation_register.EvacuationRegister,
     ) -> None:
         self._roster = roster
         self._health = health
@@ -33,13 +39,15 @@
         self._peers = peers
         self._data_centre = data_centre
         self._clock = clock
+        self._evacuations = evacuations
 
     def pause_left_s(self, service: ids.ServiceName) -> float:
         """Return how long no runner of a service takes a request.
 
         Returns:
             The shortest time that is left; 0 if some runner takes requests,
-            or if the service has no runner.
+            or if the service has no runner. An evacuation ends at no time
+            that is known, so runners that it leaves out do not count.
         """
         now_s = self._clock()
         return min(
@@ -49,10 +57,26 @@
                     self._limit_wait_s(entry, now_s),
                 )
                 for entry in self._roster.of_service(service)
+                if not self.is_evacuated(entry)
             ),
             default=0.0,
         )
 
+    def is_evacuated(self, entry: runner_entries.RunnerEntry) -> bool:
+        """Return whether no request may begin at a runner's data centre."""
+        return self._evacuations.is_evacuated(entry.data_centre)
+
+    def evacuated_count(self, service: ids.ServiceName) -> int:
+        """Return how many runners of a service evacuations leave out."""
+        if not self._evacuations.active:
+            return 0
+        return sum(map(self.is_evacuated, self._roster.of_service(service)))
+
+    def has_only_evacuated(self, service: ids.ServiceName) -> bool:
+        """Return whether a service has runners, all of them evacuated."""
+        evacuated_count = self.evacuated_count(service)
+        return 0 < evacuated_count == len(self._roster.of_service(service))
+
     def _limit_wait_s(self, entry: runner_entries.RunnerEntry, now_s: float) -> float:
         """Return when a runner takes a further request from some daemon."""
         wait_s = self._limits.wait_s(entry, now_s)
@@ -84,6 +108,7 @@
             entry
             for entry in listed
             if entry.runner_id not in excluded
+            and not self.is_evacuated(entry)
             and not self._health.pause_left_s(entry.runner_id, now_s)
             and not (has_limits and self._limits.wait_s(entry, now_s))
         ]
--- a/packages/gateway/lacewingdrum_gateway/serving/attempt.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/attempt.py
@@ -67,6 +67,7 @@
         timeout_s: float,
         on_new_connection: bool,
         on_send: Callable[[], None],
+        may_send: Callable[[], bool],
     ) -> Result[http_client.ResponseReader, attempt_ends.AttemptEnd]:
         """Send a request and wait for the head of a successful answer.
 
@@ -78,6 +79,7 @@
             on_new_connection: whether to open a new connection instead of
                 reusing one.
             on_send: called before the first byte is sent.
+            may_send: whether the attempt may still begin once it is connected.
 
         Returns:
             The answer, which the caller of this method closes, or the end of
@@ -93,6 +95,7 @@
             on_new_connection=on_new_connection,
             allow_close_delimited=True,
             on_send=on_send,
+            may_send=may_send,
         )
         if isinstance(opened, Err):
             return Err(attempt_ends.open_failure(opened.err_value))
@@ -154,6 +157,7 @@
             attempt_ends.EndReason.HELPER_FAILED,
             attempt_ends.EndReason.NO_MEMORY,
             attempt_ends.EndReason.REPLACED,
+            attempt_ends.EndReason.EVACUATED,
         )
         is_sound = end.reason is attempt_ends.EndReason.SUPERSEDED and not was_silent
         if says_nothing or is_sound:
--- a/packages/gateway/lacewingdrum_gateway/serving/attempt_ends.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/attempt_ends.py
@@ -25,6 +25,7 @@
     UNREACHABLE = "unreachable"
     SUPERSEDED = "superseded"
     REPLACED = "replaced"
+    EVACUATED = "evacuated"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,6 +49,18 @@
     return AttemptEnd(states.AttemptState.UNKNOWN, EndReason.SUPERSEDED)
 
 
+def evacuated(at_fault: fleet.Address | None = None) -> AttemptEnd:
+    """Return the end of an attempt that an evacuation has kept from beginning.
+
+    Args:
+        at_fault: the helper in the evacuated data centre, if it is not the
+            runner that the request would have been sent to.
+    """
+    return AttemptEnd(
+        states.AttemptState.UNSENT, EndReason.EVACUATED, at_fault=at_fault
+    )
+
+
 def unreachable() -> AttemptEnd:
     """Return the end of a silent attempt whose runner cannot be reached."""
     return AttemptEnd(
@@ -69,6 +82,8 @@
 def open_failure(error: http_client.HttpClientError) -> AttemptEnd:
     """Return the end of an attempt that got no head of an answer."""
     detail = f"{error.reason.value} {error.detail}".strip()
+    if error.reason is http_client.ClientErrorReason.WITHDRAWN:
+        return evacuated()
     if not error.may_have_been_sent:
         return AttemptEnd(states.AttemptState.UNSENT, EndReason.NOT_CONNECTED, detail)
     return _unknown_outcome(error, detail)
--- a/packages/gateway/lacewingdrum_gateway/serving/attempt_log.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/attempt_log.py
@@ -44,6 +44,7 @@
             helpers=[helper.runner_id for helper in plan.helpers],
             prompt_tokens=routed.caller_headers.prompt_tokens,
             candidates=plan.candidate_count,
+            evacuated=plan.evacuated_count,
             first_expected_ms=round(plan.first_event_ms, 1),
             cost=round(plan.cost, 3),
             left_ms=round(active.left_s(self._clock()) * 1_000),
--- a/packages/gateway/lacewingdrum_gateway/serving/exchange.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/exchange.py
@@ -76,6 +76,8 @@
             the attempt.
         """
         plan, work_id = source.plan, source.work_id
+        if self._is_evacuated(plan):
+            return self._evacuated(plan)
         runner_id = plan.entry.runner_id
         in_flight = self._planner.in_flight
         in_flight[runner_id] = in_flight.get(runner_id, 0) + 1
@@ -160,10 +162,12 @@
                 active, plan.entry.runner_id
             ),
             on_send=attempt.record_send,
+            may_send=lambda: not self._is_evacuated(plan),
         )
         match opened:
             case Err(end):
-                return end
+                is_evacuated = end.reason is attempt_ends.EndReason.EVACUATED
+                return self._evacuated(plan) if is_evacuated else end
             case Ok(reader):
                 attempt.answer = reader
                 attempt.record_progress(self._clock())
@@ -171,6 +175,17 @@
                     return await self._streams.forward(active, attempt, reader)
                 return await self._forward_whole(active, attempt, reader)
 
+    def _is_evacuated(self, plan: plans.Plan) -> bool:
+        return any(map(self._planner.candidates.is_evacuated, plan.entries))
+
+    def _evacuated(self, plan: plans.Plan) -> attempt_ends.AttemptEnd:
+        """Return the end of an attempt, with the helper that is evacuated."""
+        is_evacuated = self._planner.candidates.is_evacuated
+        if is_evacuated(plan.entry):
+            return attempt_ends.evacuated()
+        helper = next(filter(is_evacuated, plan.helpers), None)
+        return attempt_ends.evacuated(helper.address if helper is not None else None)
+
     async def _forward_whole(
         self,
         active: active_request.ActiveRequest,
--- a/packages/gateway/lacewingdrum_gateway/serving/final_answers.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/final_answers.py
@@ -13,6 +13,8 @@
 RETRY_AFTER_MIN_S = 0.15
 RETRY_AFTER_JITTER_S = 0.35
 REFUSED_RETRY_AFTER_S = 1.5
+# Operators end an evacuation at a time that nobody knows before.
+EVACUATED_RETRY_AFTER_S = 2.0
 # Callers reach another daemon at once.
 LEAVING_RETRY_S = 0.1
 # Callers are asked to wait no longer than this share of their time left.
@@ -160,10 +162,13 @@
             await responder.send(answer)
             return outcomes.Outcome.RUNNER_FAILURE
         if not active.may_have_run:
+            code = "no_runner" if not active.ends else "runners_refused"
             pause_s = self._candidates.pause_left_s(active.routed.service.name)
+            if self._candidates.has_only_evacuated(active.routed.service.name):
+                code, pause_s = "evacuated", EVACUATED_RETRY_AFTER_S
             spread_s = RETRY_AFTER_JITTER_S * self._rng.random()
             retry_s = max(pause_s, RETRY_AFTER_MIN_S) + spread_s
-            code = "no_runner" if not active.ends else "runners_refused"
+            self._record_left_out(active, code, retry_s)
             response = http_messages.error_response(
                 503,
                 code,
@@ -188,6 +193,22 @@
         )
         return outcomes.Outcome.TIME_OVER if time_over else outcomes.Outcome.LOST
 
+    def _record_left_out(
+        self, active: active_request.ActiveRequest, code: str, retry_s: float
+    ) -> None:
+        """Log a refusal that evacuations may have a part in."""
+        count = self._candidates.evacuated_count(active.routed.service.name)
+        if not count:
+            return
+        self._decisions.record(
+            decision_log.DecisionEvent.REFUSED,
+            active.request_id,
+            reason=code,
+            evacuated=count,
+            retry_after_s=round(retry_s, 2),
+            configuration_version=active.config_version,
+        )
+
     def _retry_after_crashes_s(self, active: active_request.ActiveRequest) -> float:
         """Return when a request that may crash runners can return, else 0."""
         if not (active.may_crash_runners or active.is_blamed):
--- a/packages/gateway/lacewingdrum_gateway/serving/plans.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/plans.py
@@ -36,7 +36,8 @@
     part of its prompt. ``work`` is empty for plain services.
     ``first_event_ms`` is the expected time until the first event; for a plain
     service it is the route's objective. ``cost`` is the worth that is expected
-    to be lost.
+    to be lost. ``evacuated_count`` is how many runners evacuations
+    leave out.
     """
 
     entry: runner_entries.RunnerEntry
@@ -47,6 +48,12 @@
     first_event_ms: float
     cost: float
     candidate_count: int
+    evacuated_count: int = 0
+
+    @property
+    def entries(self) -> tuple[runner_entries.RunnerEntry, ...]:
+        """All runners that have a part in the attempt."""
+        return (self.entry, *self.helpers)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/gateway/lacewingdrum_gateway/serving/request_handler.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/request_handler.py
@@ -7,7 +7,6 @@
 
 from lacewingdrum_coordination import route_table, stop_admission
 from lacewingdrum_gateway import configuration_sync
-from lacewingdrum_gateway.runners import runner_list_sync
 from lacewingdrum_gateway.serving import (
     active_request,
     attempt,
@@ -37,7 +36,7 @@
     def __init__(
         self,
         configuration_updates: configuration_sync.ConfigurationSync,
-        runner_list: runner_list_sync.RunnerListSync,
+        knows_fleet: Callable[[], bool],
         forwarder: forwarding.Forwarder,
         answers: final_answers.FinalAnswers,
         clock: Callable[[], float],
@@ -45,7 +44,7 @@
         counts: metrics.Metrics,
     ) -> None:
         self._configurations = configuration_updates
-        self._runner_list = runner_list
+        self._knows_fleet = knows_fleet
         self._forwarder = forwarder
         self._final_answers = answers
         self._clock = clock
@@ -154,7 +153,7 @@
             )
             raise
         table = self._configurations.table
-        if table is None or not self._runner_list.is_known:
+        if table is None or not self._knows_fleet():
             await self._unrouted.answer_unavailable(
                 caller_headers, responder, "not_ready", NOT_READY_RETRY_S
             )
@@ -220,7 +219,7 @@
     async def _wait_for_initial_state(self, request: http_messages.HttpRequest) -> None:
         """Wait a moment for configuration and runners after a start."""
         until_s = request.received_s + INITIAL_STATE_WAIT_S
-        while not (self._configurations.table and self._runner_list.is_known):
+        while not (self._configurations.table and self._knows_fleet()):
             if self._clock() >= until_s:
                 return
             await asyncio.sleep(INITIAL_STATE_POLL_S)
--- a/packages/gateway/lacewingdrum_gateway/serving/routing.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/routing.py
@@ -186,6 +186,7 @@
             first_event_ms=routed.route.objective_ms,
             cost=chosen.cost,
             candidate_count=len(entries),
+            evacuated_count=self.candidates.evacuated_count(routed.service.name),
         )
 
     def _plan_engines(
@@ -246,6 +247,7 @@
             first_event_ms=choice.first_event_ms,
             cost=choice.lost_worth,
             candidate_count=len(entries),
+            evacuated_count=self.candidates.evacuated_count(routed.service.name),
         )
         is_large = (
             engine_times.prefill_ms(engine, prompt_tokens, 1) > REFUSE_PREFILL_MIN_MS
--- a/packages/gateway/lacewingdrum_gateway/serving/routing_test.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/routing_test.py
@@ -3,6 +3,7 @@
 from lacewingdrum_coordination import (
     engine_load,
     engine_work_registry,
+    evacuation_register,
     runner_health,
     runner_limits,
     runner_roster,
@@ -40,6 +41,7 @@
         peers,
         data_centre,
         lambda: NOW_S,
+        evacuation_register.EvacuationRegister(),
     )
     return routing.Planner(
         candidates,
--- a/packages/protocol/lacewingdrum_protocol/peer_messages.py
+++ b/packages/protocol/lacewingdrum_protocol/peer_messages.py
@@ -7,7 +7,12 @@
 import msgspec
 from result import Err, Ok, Result
 
-from lacewingdrum_protocol import crash_messages, limit_messages, work_messages
+from lacewingdrum_protocol import (
+    crash_messages,
+    evacuation_messages,
+    limit_messages,
+    work_messages,
+)
 from lacewingdrum_state import bounds, decoding, states
 
 WIRE_VERSION = 1
@@ -225,6 +230,7 @@
     | work_messages.WorkSnapshot
     | crash_messages.CrashNews
     | limit_messages.LimitNews
+    | evacuation_messages.Body
     | DocumentPush
     | DocumentRequest
     | LoadSummary
--- a/packages/runtime/lacewingdrum_runtime/decision_log.py
+++ b/packages/runtime/lacewingdrum_runtime/decision_log.py
@@ -59,6 +59,7 @@
     RUNNER_SUSPECTED = "runner_suspected"
     RUNNER_PAUSED = "runner_paused"
     RUNNER_LIMITED = "runner_limited"
+    EVACUATION_CHANGED = "evacuation_changed"
     RUNNER_CRASHED = "runner_crashed"
     PROMPT_PART_CHANGED = "prompt_part_changed"
     CRASHING_REQUEST_CHANGED = "crashing_request_changed"
--- a/packages/transport/lacewingdrum_transport/client_connection.py
+++ b/packages/transport/lacewingdrum_transport/client_connection.py
@@ -45,6 +45,7 @@
     POOL_EXHAUSTED = "pool_exhausted"
     TIMEOUT = "timeout"
     TOO_LARGE = "too_large"
+    WITHDRAWN = "withdrawn"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/transport/lacewingdrum_transport/http_client.py
+++ b/packages/transport/lacewingdrum_transport/http_client.py
@@ -107,6 +107,7 @@
         on_new_connection: bool = False,
         allow_close_delimited: bool = False,
         on_send: Callable[[], None] | None = None,
+        may_send: Callable[[], bool] | None = None,
     ) -> Result[ResponseReader, HttpClientError]:
         """Send a request and wait for the response's head.
 
@@ -122,6 +123,7 @@
                 connection. If the connection is reset, the response counts as
                 lost.
             on_send: called before the first byte is sent.
+            may_send: called before ``on_send``; nothing is sent if not.
 
         Returns:
             The response, which the caller must close, or why the request
@@ -142,6 +144,9 @@
             return Err(connection)
         is_handed_over = False
         failure: HttpClientError | None = None
+        if may_send is not None and not may_send():
+            self._discard(connection, False)
+            return Err(HttpClientError(ClientErrorReason.WITHDRAWN, False))
         if on_send is not None:
             on_send()
         try:
--- a/standins/slope_news.py
+++ b/standins/slope_news.py
@@ -14,6 +14,7 @@
 
 from lacewingdrum_coordination import (
     crash_evidence,
+    evacuation_register,
     request_fingerprint,
     runner_health,
     runner_limits,
@@ -77,6 +78,7 @@
         peers,
         DATA_CENTRE,
         time.monotonic,
+        evacuation_register.EvacuationRegister(),
     )
 
 
