--- a/packages/gateway/lacewingdrum_gateway/evacuation_test.py
+++ b/packages/gateway/lacewingdrum_gateway/evacuation_test.py
@@ -4,10 +4,13 @@
 import contextlib
 import unittest.mock
 
+from result import Ok
+
 from lacewingdrum_coordination import store_followers
 from lacewingdrum_gateway import evacuation_sync
 from lacewingdrum_gateway.peers import peer_table
 from lacewingdrum_state import evacuations, ids, store_versions
+from lacewingdrum_transport import http_messages
 from standins import platform_site, platform_store
 
 ROW = "evacuate/north"
@@ -171,6 +174,19 @@
         )
 
 
+async def test_daemon_that_the_store_turns_away_keeps_to_evacuations():
+    async with placed_site(gateways=3) as site:
+        lone = site.gateways[2]
+        refused = http_messages.HttpResponse(503)
+        store = lone.daemon.components.store
+        store._connections.request = unittest.mock.AsyncMock(return_value=Ok(refused))
+        # Waiting feeds end now.
+        site.store.forget_history()
+        evacuate(site)
+        await wait_known(site)
+        assert not await count_north(site, lone)
+
+
 async def test_attempt_that_is_being_connected_is_not_sent_any_more():
     async with placed_site(gateways=1, ledgers=2) as site:
         client = site.gateways[0].daemon.components.runner_client
