--- a/packages/gateway/lacewingdrum_gateway/serving/routing.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/routing.py
@@ -187,6 +187,7 @@
             cost=chosen.cost,
             candidate_count=len(entries),
             cold_left_ms=self.candidates.cold_left_ms(chosen.entry),
+            evacuated_count=self.candidates.evacuated_count(routed.service.name),
         )
 
     def _plan_engines(
@@ -251,6 +252,7 @@
             cost=choice.lost_worth,
             candidate_count=len(entries),
             cold_left_ms=self.candidates.cold_left_ms(choice.entries[0]),
+            evacuated_count=self.candidates.evacuated_count(routed.service.name),
         )
         is_large = (
             engine_times.prefill_ms(engine, prompt_tokens, 1) > REFUSE_PREFILL_MIN_MS
--- a/packages/gateway/lacewingdrum_gateway/serving/routing_test.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/routing_test.py
@@ -4,6 +4,7 @@
     cold_limits,
     engine_load,
     engine_work_registry,
+    evacuation_register,
     runner_health,
     runner_limits,
     runner_roster,
@@ -46,6 +47,7 @@
         peers,
         data_centre,
         lambda: NOW_S,
+        evacuation_register.EvacuationRegister(),
     )
     return routing.Planner(
         candidates,
--- a/standins/slope_news.py
+++ b/standins/slope_news.py
@@ -15,6 +15,7 @@
 from lacewingdrum_coordination import (
     cold_limits,
     crash_evidence,
+    evacuation_register,
     request_fingerprint,
     runner_health,
     runner_limits,
@@ -83,6 +84,7 @@
         peers,
         DATA_CENTRE,
         time.monotonic,
+        evacuation_register.EvacuationRegister(),
     )
 
 
