A second engine goes on with a stream whose next event is late

Cause: a lost packet holds an event back for 200 ms, which with a pass of 50 ms or more exceeds pauses of 200 and 250 ms.

Change: late_events decides from the stated speeds when a second engine can still make the next event within the pause objective; silence_watch asks one then if the work and the recent events of the engine do not explain the silence, within the retry allowance. The engine is not suspected. Acts on resumable routes with a pause objective only.

--- a/packages/gateway/lacewingdrum_gateway/serving/attempt_log.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/attempt_log.py
@@ -72,6 +72,26 @@
             events=attempt.events.run_event_count,
         )
 
+    def record_late_event(
+        self,
+        active: active_request.ActiveRequest,
+        attempt: open_attempt.OpenAttempt,
+        plan: plans.Plan,
+        expected_pause_ms: float,
+    ) -> None:
+        """Record that another engine may go on, as the next event is late."""
+        silent_s = self._clock() - attempt.progress_s
+        self._counts.count("late_events")
+        self._decisions.record(
+            decision_log.DecisionEvent.EVENT_LATE,
+            active.request_id,
+            attempt=attempt.number,
+            runner_id=plan.entry.runner_id,
+            silent_ms=round(silent_s * 1_000, 1),
+            expected_ms=round(expected_pause_ms, 1),
+            events=attempt.events.run_event_count,
+        )
+
     def record_end(
         self,
         active: active_request.ActiveRequest,
--- a/packages/gateway/lacewingdrum_gateway/serving/attempt_race.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/attempt_race.py
@@ -47,7 +47,7 @@
     @property
     def waits_for_none(self) -> bool:
         """Whether there is no attempt from which an answer is awaited."""
-        return all(attempt.is_silent for attempt in self._attempts)
+        return all(item.is_silent or item.is_late for item in self._attempts)
 
     def start(
         self, attempt: open_attempt.OpenAttempt, work: Coroutine[Any, Any, Result]
@@ -71,7 +71,7 @@
         for other in self._attempts:
             if other is not attempt:
                 self.end(other, _SUPERSEDED)
-        attempt.is_silent = attempt.has_lost_path = False
+        attempt.is_silent = attempt.is_late = attempt.has_lost_path = False
         return True
 
     def end(
--- a/packages/gateway/lacewingdrum_gateway/serving/open_attempt.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/open_attempt.py
@@ -39,7 +39,9 @@
     brought a whole event; it is ``NOT_AWAITED_S`` until it is sent, and while
     the caller is slow to read. ``has_lost_path`` is set once it is known that
     the source cannot be reached. ``is_silent`` is set while another attempt
-    may be made beside this one, and ``was_silent`` from then on.
+    may be made beside this one, and ``was_silent`` from then on. ``is_late``
+    is set while another one may be made because the next event is late, though
+    nothing speaks against the runner.
     ``cancelled_end`` says why the attempt was cancelled. ``is_sent`` is set
     before the first byte goes to the source.
     """
@@ -53,6 +55,7 @@
     has_lost_path: bool = False
     is_silent: bool = False
     was_silent: bool = False
+    is_late: bool = False
     cancelled_end: attempt_ends.AttemptEnd | None = None
     is_sent: bool = False
     shortest_pause_s: float = float("inf")
--- a/packages/gateway/lacewingdrum_gateway/serving/routing.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/routing.py
@@ -91,6 +91,14 @@
         load = self._engine_work.load(plan.entry.runner_id)
         return engine_times.decode_pass_ms(engine, load.writers, load.context_tokens)
 
+    def expected_pause_ms(self, routed: plans.RoutedRequest, plan: plans.Plan) -> float:
+        """Return the pause between events that an engine's work explains."""
+        runner_id = plan.entry.runner_id
+        unread = self._engine_work.load(runner_id).unread.values()
+        prefill_ms = sum(entry.work.read_ms for entry in unread)
+        pass_ms = self.stated_pass_ms(routed, plan) + prefill_ms
+        return pass_ms * self._work_updates.slowdown(runner_id)
+
     def prefill_backlog_s(self, plan: plans.Plan) -> float:
         """Return the prefill backlog of the decoding engine of a plan."""
         load = self._engine_work.load(plan.entry.runner_id)
--- a/packages/gateway/lacewingdrum_gateway/serving/silence_limits.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/silence_limits.py
@@ -1,5 +1,6 @@
 """Decides how long a runner may be silent before another one is asked too."""
 
+from lacewingdrum_coordination import late_events
 from lacewingdrum_gateway.serving import active_request, open_attempt, plans, routing
 from lacewingdrum_state import configurations
 
@@ -38,6 +39,38 @@
                     return self._pause_s(active, plan)
                 return _first_event_s(active, attempt, plan)
 
+    def resume_window(
+        self, active: active_request.ActiveRequest, attempt: open_attempt.OpenAttempt
+    ) -> late_events.ResumeWindow | None:
+        """Return when another engine is to go on with an attempt's stream.
+
+        Returns:
+            The window, or None if no other engine may do so in time.
+        """
+        routed = active.routed
+        engine, pause_ms = routed.service.engine, routed.route.pause_objective_ms
+        if engine is None or not pause_ms or not attempt.is_at_runner():
+            return None
+        if not _can_retry_elsewhere(active):
+            return None
+        prompt_tokens = routed.caller_headers.prompt_tokens
+        return late_events.resume_window(engine, prompt_tokens, pause_ms)
+
+    def expected_pause_ms(
+        self,
+        active: active_request.ActiveRequest,
+        attempt: open_attempt.OpenAttempt,
+        plan: plans.Plan,
+    ) -> float:
+        """Return the pause between events that is usual at an engine now.
+
+        Its work and its recent events explain it.
+        """
+        expected_ms = self._planner.expected_pause_ms(active.routed, plan)
+        if not attempt.pause_count:
+            return expected_ms
+        return max(expected_ms, attempt.shortest_pause_s * 1_000)
+
     def _pause_s(self, active: active_request.ActiveRequest, plan: plans.Plan) -> float:
         """Return how long a runner may be silent between two events."""
         pause_s = active.routed.route.pause_objective_ms / 1_000
--- a/packages/gateway/lacewingdrum_gateway/serving/silence_watch.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/silence_watch.py
@@ -16,6 +16,8 @@
 
 # How often it is checked what has become of a silent runner.
 CHECK_INTERVAL_S = 0.25
+# An event counts as late only after a pause that shows the engine's speed.
+EVENTS_BEFORE_LATE = 2
 
 
 class SilenceWatch:
@@ -45,6 +47,8 @@
                 self._check(active, attempt)
             elif attempt.has_lost_path or self._until_silent_s(active, attempt) <= 0:
                 self._record_silence(active, attempt)
+            elif not attempt.is_late:
+                self._check_next_event(active, attempt)
 
     def until_next_s(self, active: active_request.ActiveRequest) -> float:
         """Return the time until the attempts are to be looked at again."""
@@ -60,7 +64,45 @@
         # An attempt that is not sent yet, or whose caller reads slowly, may be
         # awaited right after this check.
         limit_s = self._silence.limit_s(active, attempt)
-        return min(self._until_silent_s(active, attempt), limit_s)
+        until_s = min(self._until_silent_s(active, attempt), limit_s)
+        if attempt.is_late:
+            return min(until_s, CHECK_INTERVAL_S)
+        return min(until_s, self._until_window_s(active, attempt))
+
+    def _until_window_s(
+        self, active: active_request.ActiveRequest, attempt: open_attempt.OpenAttempt
+    ) -> float:
+        """Return the time until the next event of an attempt may be late.
+
+        It is the whole time before the window if nothing has come yet, or if
+        the window of the present pause has begun.
+        """
+        window = self._silence.resume_window(active, attempt)
+        if window is None:
+            return float("inf")
+        from_s = window.from_ms / 1_000
+        until_s = attempt.progress_s + from_s - self._clock()
+        return until_s if 0 < until_s < from_s else from_s
+
+    def _check_next_event(
+        self, active: active_request.ActiveRequest, attempt: open_attempt.OpenAttempt
+    ) -> None:
+        """Let another engine go on with a stream whose next event is late.
+
+        Its own runner is not suspected, as a lost packet is the usual reason.
+        """
+        if attempt.events.run_event_count < EVENTS_BEFORE_LATE:
+            return
+        window = self._silence.resume_window(active, attempt)
+        source = attempt.source
+        if window is None or not isinstance(source, open_attempt.RunnerSource):
+            return
+        silent_ms = (self._clock() - attempt.progress_s) * 1_000
+        expected_ms = self._silence.expected_pause_ms(active, attempt, source.plan)
+        if window.is_due(silent_ms, expected_ms):
+            attempt.is_late = True
+            self._log.record_late_event(active, attempt, source.plan, expected_ms)
+            retry_limits.apply_silence(active, source.plan, is_suspect=False)
 
     def _until_silent_s(
         self, active: active_request.ActiveRequest, attempt: open_attempt.OpenAttempt
--- a/packages/runtime/lacewingdrum_runtime/decision_log.py
+++ b/packages/runtime/lacewingdrum_runtime/decision_log.py
@@ -69,6 +69,7 @@
     PEER_JOINED = "peer_joined"
     PEER_LOST = "peer_lost"
     ATTEMPT_SILENT = "attempt_silent"
+    EVENT_LATE = "event_late"
     ATTEMPT_ENDED = "attempt_ended"
     MEMORY_RESERVED = "memory_reserved"
     MEMORY_LAPSES = "memory_lapses"
