--- a/packages/gateway/lacewingdrum_gateway/runners/runner_candidates.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/runner_candidates.py
@@ -10,7 +10,7 @@
     runner_roster,
 )
 from lacewingdrum_gateway.peers import peer_table
-from lacewingdrum_state import ids, runner_entries, units
+from lacewingdrum_state import configurations, ids, runner_entries, units
 
 # In units of worth.
 OTHER_DATA_CENTRE_COST = 0.01
@@ -92,6 +92,16 @@
         self._limits.take(entry, now_s)
         self._cold.take(entry, now_s)
 
+    def delay_ms(
+        self, service: configurations.Service, entry: runner_entries.RunnerEntry
+    ) -> float:
+        """Return the stated delay, one way, to a runner's data centre."""
+        pair = frozenset((self._data_centre, entry.data_centre))
+        for delay in service.delays:
+            if delay.data_centres == pair:
+                return delay.delay_ms
+        return 0.0
+
     def may_help(self, entry: runner_entries.RunnerEntry, now_s: float) -> bool:
         """Return whether an engine is expected to prefill parts for others."""
         return (
--- a/packages/gateway/lacewingdrum_gateway/serving/attempt.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/attempt.py
@@ -68,6 +68,7 @@
         on_new_connection: bool,
         on_send: Callable[[], None],
         may_send: Callable[[], bool],
+        connect_timeout_s: float,
     ) -> Result[http_client.ResponseReader, attempt_ends.AttemptEnd]:
         """Send a request and wait for the head of a successful answer.
 
@@ -80,6 +81,7 @@
                 reusing one.
             on_send: called before the first byte is sent.
             may_send: whether the attempt may still begin once it is connected.
+            connect_timeout_s: the time limit for a new connection.
 
         Returns:
             The answer, which the caller of this method closes, or the end of
@@ -96,6 +98,7 @@
             allow_close_delimited=True,
             on_send=on_send,
             may_send=may_send,
+            connect_timeout_s=connect_timeout_s,
         )
         if isinstance(opened, Err):
             return Err(attempt_ends.open_failure(opened.err_value))
--- a/packages/gateway/lacewingdrum_gateway/serving/exchange.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/exchange.py
@@ -6,7 +6,7 @@
 
 from result import Err, Ok
 
-from lacewingdrum_coordination import engine_work_registry
+from lacewingdrum_coordination import connect_timeouts, engine_work_registry
 from lacewingdrum_gateway.runners import engine_memory, work_sync
 from lacewingdrum_gateway.serving import (
     active_request,
@@ -163,6 +163,10 @@
             ),
             on_send=attempt.record_send,
             may_send=lambda: not self._is_evacuated(plan),
+            connect_timeout_s=connect_timeouts.connect_timeout_s(
+                active.routed.route.objective_ms,
+                self._planner.candidates.delay_ms(active.routed.service, plan.entry),
+            ),
         )
         match opened:
             case Err(end):
--- a/packages/transport/lacewingdrum_transport/http_client.py
+++ b/packages/transport/lacewingdrum_transport/http_client.py
@@ -108,6 +108,7 @@
         allow_close_delimited: bool = False,
         on_send: Callable[[], None] | None = None,
         may_send: Callable[[], bool] | None = None,
+        connect_timeout_s: float = float("inf"),
     ) -> Result[ResponseReader, HttpClientError]:
         """Send a request and wait for the response's head.
 
@@ -124,6 +125,8 @@
                 lost.
             on_send: called before the first byte is sent.
             may_send: called before ``on_send``; nothing is sent if not.
+            connect_timeout_s: how long to wait for the connection, if that is
+                shorter than the client's limit.
 
         Returns:
             The response, which the caller must close, or why the request
@@ -139,7 +142,8 @@
         if not on_new_connection:
             connection = self._take_idle(address)
         if connection is None:
-            connection = await self._connect(address, timeout_s)
+            connect_s = min(timeout_s, connect_timeout_s)
+            connection = await self._connect(address, connect_s)
         if isinstance(connection, HttpClientError):
             return Err(connection)
         is_handed_over = False
