Late events leave half of the retry allowance to requests that fail

Cause: a stream whose next event is late asked a second engine as long as the retry allowance lasted, so that on lossy links requests whose runners then failed had none left.

Change: such attempts take a retry only from the first half of the allowance.

--- a/packages/coordination/lacewingdrum_coordination/retry_allowance.py
+++ b/packages/coordination/lacewingdrum_coordination/retry_allowance.py
@@ -35,26 +35,38 @@
         self._window(self._requests, service, now_s).append(now_s)
 
     def has_left(
-        self, service: ids.ServiceName, daemon_count: int, now_s: float
+        self,
+        service: ids.ServiceName,
+        daemon_count: int,
+        now_s: float,
+        usable_share: float = 1.0,
     ) -> bool:
         """Return whether ``take`` would return True."""
         requests = self._window(self._requests, service, now_s)
         retries = self._window(self._retries, service, now_s)
         allowed = self._slack / max(daemon_count, 1) + self._ratio * len(requests)
-        return len(retries) + 1 <= allowed * RESTART_FACTOR
+        return len(retries) + 1 <= allowed * RESTART_FACTOR * usable_share
 
-    def take(self, service: ids.ServiceName, daemon_count: int, now_s: float) -> bool:
+    def take(
+        self,
+        service: ids.ServiceName,
+        daemon_count: int,
+        now_s: float,
+        usable_share: float = 1.0,
+    ) -> bool:
         """Take one retry from the allowance, if there is one left.
 
         Args:
             service: the service that the request is sent to.
             daemon_count: the number of daemons that share the allowance.
             now_s: the current time.
+            usable_share: the part of the allowance that may be used; the rest
+                is kept for other retries.
 
         Returns:
             Whether the request may be retried; if so, the retry is counted.
         """
-        if not self.has_left(service, daemon_count, now_s):
+        if not self.has_left(service, daemon_count, now_s, usable_share):
             return False
         self._window(self._retries, service, now_s).append(now_s)
         return True
--- a/packages/coordination/lacewingdrum_coordination/retry_allowance_test.py
+++ b/packages/coordination/lacewingdrum_coordination/retry_allowance_test.py
@@ -37,3 +37,10 @@
         allowance.record_request(MODEL, 11.5 + number / 100)
     assert allowance.has_left(MODEL, 1, 12.5)
     assert retries_taken(allowance, 1, 12.5) == 10
+
+
+def test_part_of_the_allowance_is_kept_for_other_retries():
+    allowance = retry_allowance.RetryAllowance(0.2, 100, 10)
+    late = [allowance.take(MODEL, 1, 1.0, usable_share=0.5) for _ in range(100)]
+    assert sum(late) == 25
+    assert retries_taken(allowance, 1, 1.0) == 25
--- a/packages/gateway/lacewingdrum_gateway/serving/attempt_race.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/attempt_race.py
@@ -49,6 +49,12 @@
         """Whether there is no attempt from which an answer is awaited."""
         return all(item.is_silent or item.is_late for item in self._attempts)
 
+    @property
+    def is_only_late(self) -> bool:
+        """Whether the next event of an attempt is late, and none is silent."""
+        is_silent = any(item.is_silent for item in self._attempts)
+        return not is_silent and any(item.is_late for item in self._attempts)
+
     def start(
         self, attempt: open_attempt.OpenAttempt, work: Coroutine[Any, Any, Result]
     ) -> None:
--- a/packages/gateway/lacewingdrum_gateway/serving/retry_permits.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/retry_permits.py
@@ -7,6 +7,10 @@
 from lacewingdrum_gateway.serving import active_request
 from lacewingdrum_runtime import decision_log, metrics
 
+# The part of the allowance that streams use whose next event is late, though
+# nothing has failed. The rest is kept for requests that have failed.
+LATE_EVENTS_SHARE = 0.5
+
 
 class RetryPermits:
     """Counts requests, and takes a retry for each further attempt."""
@@ -32,7 +36,10 @@
     def lacks_retry(self, active: active_request.ActiveRequest) -> bool:
         """Return whether a retry was refused and would be again."""
         return active.is_retry_refused and not self._allowance.has_left(
-            active.routed.service.name, self._peers.daemon_count, self._clock()
+            active.routed.service.name,
+            self._peers.daemon_count,
+            self._clock(),
+            _usable_share(active),
         )
 
     def take(self, active: active_request.ActiveRequest) -> bool:
@@ -43,7 +50,7 @@
     def _take_retry(self, active: active_request.ActiveRequest) -> bool:
         service = active.routed.service.name
         is_allowed = self._allowance.take(
-            service, self._peers.daemon_count, self._clock()
+            service, self._peers.daemon_count, self._clock(), _usable_share(active)
         )
         if not is_allowed and not active.is_retry_refused:
             # A silent request asks at each check; only the first refusal is
@@ -58,3 +65,7 @@
                 daemon_count=self._peers.daemon_count,
             )
         return is_allowed
+
+
+def _usable_share(active: active_request.ActiveRequest) -> float:
+    return LATE_EVENTS_SHARE if active.race.is_only_late else 1.0
