Daemons that follow others read the store more rarely in a large fleet

Cause: each daemon that follows no feed reads the configuration once each 30 s, in case its followers miss something, so that the calls of all grow with the fleet: 24 in 10 s of 87 daemons.

Change: the interval grows with the daemons that are heard, while the wait lasts. Tests of turns wait until all daemons hear each other; their bounds are as they were.

--- a/packages/gateway/lacewingdrum_gateway/configuration_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/configuration_sync.py
@@ -29,7 +29,9 @@
 from lacewingdrum_state import ids, store_versions
 
 RETRY_MIN_S = 0.25
-# A daemon that does not follow the feed reads the table at least this often.
+# A daemon that does not follow the feed reads the table at least this often,
+# and more rarely the more daemons it hears, so that all together make as many
+# calls in a larger fleet.
 UNFOLLOWED_READ_S = 30.0
 # The longest time until a daemon notices that it has to follow the feed.
 FOLLOWER_CHECK_S = 0.5
@@ -195,8 +197,7 @@
         hears none of the daemons that follow it.
         """
         start_s = self._clock()
-        end_s = start_s + UNFOLLOWED_READ_S
-        while self._clock() < end_s and not self._following.is_follower:
+        while not (self._following.is_follower or self._is_read_due(start_s)):
             silence_s = self._clock() - max(start_s, self._following.followers_seen_s())
             left_s = self._deadlines.followers_silence_s - silence_s
             if left_s <= 0:
@@ -213,6 +214,10 @@
             await asyncio.sleep(store_followers.read_delay_s(self._peers.own_address))
             return
 
+    def _is_read_due(self, start_s: float) -> bool:
+        factor = self._peers.table.fleet_size_factor
+        return self._clock() - start_s >= UNFOLLOWED_READ_S * factor
+
     async def _take_from_near_peer(self) -> bool:
         """Ask a near peer for its newer version; return whether it came."""
         holder = self._following.pick_newer_near_peer(self.version)
--- a/packages/gateway/lacewingdrum_gateway/configuration_sync_test.py
+++ b/packages/gateway/lacewingdrum_gateway/configuration_sync_test.py
@@ -17,6 +17,7 @@
 # Operators allow two seconds from an acknowledged change until it is in force.
 TAKE_OVER_S = 2.0
 CALM_S = 3.0
+HEARD_TIMEOUT_S = 20.0
 SENT_BYTES = re.compile(r"^lacewingdrum_configuration_sent_bytes_total (\S+)$", re.M)
 
 
@@ -51,6 +52,8 @@
     limit = unittest.mock.patch.object(peer_table, "EXCHANGE_ALL_PEERS_MAX", 1)
     with limit:
         async with platform_site.running_site(gateways=5) as site:
+            await until_all_hear_each_other(site)
+            # They take turns after two rounds.
             await asyncio.sleep(TAKE_OVER_S)
             before = site.store.call_counts["feed op"]
             await asyncio.sleep(CALM_S)
@@ -59,6 +62,23 @@
     assert calls <= CALM_S / turn_s + 2, calls
 
 
+async def test_daemons_that_follow_others_read_the_store_more_rarely_in_a_large_fleet():
+    limit = unittest.mock.patch.object(peer_table, "EXCHANGE_ALL_PEERS_MAX", 1)
+    few = unittest.mock.patch.object(store_followers, "FOLLOWERS_MAX", 1)
+    often = unittest.mock.patch.object(
+        configuration_sync, "UNFOLLOWED_READ_S", CALM_S / 3
+    )
+    with limit, few, often:
+        async with platform_site.running_site(gateways=6) as site:
+            await until_all_hear_each_other(site)
+            # Waits that began before all were heard end.
+            await asyncio.sleep(CALM_S / 3)
+            before = site.store.read_counts["op"]
+            await asyncio.sleep(CALM_S)
+            others = len(site.gateways) - 1
+            assert site.store.read_counts["op"] - before <= others
+
+
 async def test_change_is_read_from_the_store_by_followers_only():
     limit = unittest.mock.patch.object(peer_table, "EXCHANGE_ALL_PEERS_MAX", 1)
     few = unittest.mock.patch.object(store_followers, "FOLLOWERS_MAX", 1)
@@ -139,6 +159,14 @@
         assert json.loads(sent[0].text)["version"] == 1 and not sent[0].is_packed
 
 
+async def until_all_hear_each_other(site) -> None:
+    others = len(site.gateways) - 1
+    await site.wait_until(
+        lambda: all(one.daemon.peer_count == others for one in site.gateways),
+        HEARD_TIMEOUT_S,
+    )
+
+
 async def wait_for_version(site, version: int, timeout_s: float) -> None:
     await site.wait_until(
         lambda: all(
--- a/packages/gateway/lacewingdrum_gateway/crashing_parts_test.py
+++ b/packages/gateway/lacewingdrum_gateway/crashing_parts_test.py
@@ -12,6 +12,7 @@
 BUDGET_REQUESTS = 3
 CRASHES_KNOWN = 5
 CRASHING = "bad1"
+HEARD_TIMEOUT_S = 20.0
 
 
 def headers_with(first: str, middle: str, number: int):
@@ -179,7 +180,7 @@
     """
     updates = site.gateways[0].daemon.components.crash_sync
     updates.add(crashes_under(CRASHING, age_s=70.0))
-    await site.wait_until(lambda: all_know_the_same(site))
+    await site.wait_until(lambda: all_know_the_same(site), HEARD_TIMEOUT_S)
     statuses = []
     for number, running in enumerate(site.gateways * 3):
         headers = headers_with("aa", CRASHING, number)
