Daemons of all data centres report work to each other in an evacuation

Change: while a data centre is evacuated, work is reported to all daemons, and all engines that are left are candidates everywhere, filled in one order.

--- a/packages/gateway/lacewingdrum_gateway/fleet_components.py
+++ b/packages/gateway/lacewingdrum_gateway/fleet_components.py
@@ -8,6 +8,7 @@
 from lacewingdrum_coordination import (
     cold_limits,
     engine_work_registry,
+    report_reach,
     runner_health,
     runner_roster,
     store_deadlines,
@@ -172,6 +173,7 @@
         self.work_sync = work_sync.WorkSync(
             self.engine_work,
             self.health,
+            report_reach.ReportReach(self.evacuation_sync.register),
             self.peers,
             clock,
             self.decisions,
--- a/packages/gateway/lacewingdrum_gateway/runners/runner_candidates.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/runner_candidates.py
@@ -65,6 +65,12 @@
             default=0.0,
         )
 
+    @property
+    def uses_all_engines(self) -> bool:
+        """Whether the work on engines of all data centres is known here."""
+        is_small_fleet = self._peers.exchanges_all_work_reports
+        return is_small_fleet or bool(self._evacuations.active)
+
     def is_evacuated(self, entry: runner_entries.RunnerEntry) -> bool:
         """Return whether no request may begin at a runner's data centre."""
         return self._evacuations.is_evacuated(entry.data_centre)
@@ -147,10 +153,11 @@
         healthy = [
             entry for entry in remaining if not self._health.is_suspect(entry.runner_id)
         ]
-        if self._peers.exchanges_all_work_reports and len(healthy) <= CANDIDATES_MAX:
+        if self.uses_all_engines and len(healthy) <= CANDIDATES_MAX:
             return healthy or remaining
         # Either daemons in other data centres do not report their work here,
-        # or there are too many runners to evaluate all of them.
+        # as they do in an evacuation, or there are too many runners to
+        # evaluate all of them.
         local = [entry for entry in healthy if entry.data_centre == self._data_centre]
         if self._cold.has_any and all(
             self._cold.is_cold(entry, now_s) for entry in local
--- a/packages/gateway/lacewingdrum_gateway/runners/work_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/work_sync.py
@@ -11,6 +11,7 @@
     engine_load,
     engine_slowdowns,
     engine_work_registry,
+    report_reach,
     runner_health,
 )
 from lacewingdrum_gateway.peers import peering
@@ -36,11 +37,13 @@
         self,
         engine_work: engine_work_registry.EngineWorkRegistry,
         health: runner_health.RunnerHealth,
+        reach: report_reach.ReportReach,
         peers: peering.Peering,
         clock: Callable[[], float],
         decisions: decision_log.DecisionLog,
         counts: metrics.Metrics,
     ) -> None:
+        self._reach = reach
         self._engine_work = engine_work
         self._health = health
         self._peers = peers
@@ -209,7 +212,10 @@
         self._new_started, self._new_first_events, self._new_ended = [], [], []
         self._new_slowdowns, self._new_help_refused, self._new_suspected = {}, [], []
         self._new_pauses = []
-        self._peers.broadcast_to_work_peers(update)
+        if self._reach.is_fleet_wide(self._clock()):
+            self._peers.broadcast(update)
+        else:
+            self._peers.broadcast_to_work_peers(update)
 
     def _on_work_update(
         self, sender: ids.VmId, update: work_messages.WorkUpdate
@@ -243,10 +249,10 @@
 
     def _on_heartbeat(self, peer: peering.Peer) -> None:
         """Request the work of a peer until its snapshot has arrived."""
-        if (
-            peer.address not in self._synced
-            and self._peers.table.exchanges_work_reports(peer)
-        ):
+        if peer.address in self._synced:
+            return
+        is_fleet_wide = self._reach.is_fleet_wide(self._clock())
+        if is_fleet_wide or self._peers.table.exchanges_work_reports(peer):
             self._peers.send(peer.address, work_messages.WorkRequest())
 
     def _on_work_request(
--- a/packages/gateway/lacewingdrum_gateway/serving/routing.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/routing.py
@@ -222,7 +222,10 @@
         )
         work_group = self._peers.work_group()
         self._owners.update(work_group, self._peers.maybe_partitioned(now_s))
-        group_id = min(work_group)
+        if self.candidates.uses_all_engines:
+            group_id = min(address for address, _ in self._peers.senders())
+        else:
+            group_id = min(work_group)
         candidates = [
             engine_costs.Candidate(
                 entry,
