Runners of all data centres are considered where few own ones are left

Cause: a daemon of a fleet whose daemons do not all exchange work reports placed every request on its own data centre's healthy runners, down to the last one.

Change: if fewer than half as many healthy runners are left there as in a data centre on average, those of all data centres are candidates.

--- a/packages/gateway/lacewingdrum_gateway/runners/runner_candidates.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/runner_candidates.py
@@ -13,6 +13,9 @@
 PAUSED_FOR_PEERS_COST_SHARE = 0.4
 # Above this number, runners of other data centres are not considered.
 CANDIDATES_MAX = 150
+# They are considered if the own data centre has less than this ratio of the
+# runners that a data centre has on average.
+LOCAL_RATIO_MIN = 0.5
 
 
 class RunnerCandidates:
@@ -105,7 +108,9 @@
         # Either daemons in other data centres do not report their work here,
         # or there are too many runners to evaluate all of them.
         local = [entry for entry in healthy if entry.data_centre == self._data_centre]
-        return local or healthy or remaining
+        if _is_few(local, healthy):
+            return healthy or remaining
+        return local
 
     def penalty(
         self, entry: runner_entries.RunnerEntry, worth: float, now_s: float
@@ -126,3 +131,16 @@
         if entry.data_centre != self._data_centre:
             cost += OTHER_DATA_CENTRE_COST
         return cost
+
+
+def _is_few(
+    local: list[runner_entries.RunnerEntry],
+    healthy: list[runner_entries.RunnerEntry],
+) -> bool:
+    """Return whether too few runners are left in the own data centre.
+
+    They would get all of its requests while those of others have room.
+    """
+    data_centres = {entry.data_centre for entry in healthy}
+    mean = len(healthy) / max(len(data_centres), 1)
+    return not local or len(local) < LOCAL_RATIO_MIN * mean
