--- a/packages/gateway/lacewingdrum_gateway/repeated_refusals_test.py
+++ b/packages/gateway/lacewingdrum_gateway/repeated_refusals_test.py
@@ -61,7 +61,8 @@
     """Let runners have connections that have carried a request."""
     set_refusal(site, None)
     calls = (call(site, kind, f"{name}-{item}") for item in range(KEPT_CONNECTIONS))
-    assert all(answer.status == 200 for answer in await asyncio.gather(*calls))
+    statuses = [answer.status for answer in await asyncio.gather(*calls)]
+    assert all(status == 200 for status in statuses), statuses
 
 
 async def check_calls(site, kind: str, is_repeatable: bool) -> None:
