Cold runners of the own data centre go before runners of others

Cause: daemons whose own data centre had cold runners only also looked at those of other data centres.

Change: a daemon uses the cold runners near it that it may send to, and others only where it has none.

--- a/packages/gateway/lacewingdrum_gateway/runners/runner_candidates.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/runner_candidates.py
@@ -121,10 +121,6 @@
         # Either daemons in other data centres do not report their work here,
         # or there are too many runners to evaluate all of them.
         local = [entry for entry in healthy if entry.data_centre == self._data_centre]
-        if self._cold.has_any and all(
-            self._cold.is_cold(entry, now_s) for entry in local
-        ):
-            return healthy or remaining
         return local or healthy or remaining
 
     def penalty(
