Max-min division is a module of its own

Cause: the gateway needs the daemon's max-min shares, which stood inside its overload control. No behaviour changes.

--- a/packages/coordination/lacewingdrum_coordination/overload.py
+++ b/packages/coordination/lacewingdrum_coordination/overload.py
@@ -11,7 +11,7 @@
 import dataclasses
 import math
 
-from lacewingdrum_coordination import routing
+from lacewingdrum_coordination import max_min_fairness, routing
 from lacewingdrum_state import ids, requests
 
 WINDOW_S = 30.0
@@ -134,7 +134,9 @@
         flooding = self._flooding_customers()
         if not flooding or sum(offered.values()) <= FLOOD_LOAD_RATIO * capacity_tokens:
             return {}
-        granted = fair_grants(offered, self._shares, FLOOD_LOAD_RATIO * capacity_tokens)
+        granted = max_min_fairness.fair_grants(
+            offered, self._shares, FLOOD_LOAD_RATIO * capacity_tokens
+        )
         return {
             customer: granted[customer]
             for customer in flooding
@@ -189,41 +191,3 @@
         return math.inf
     ratio = 1 + (TARGET_BACKLOG_S - supply.backlog_s) / BACKLOG_SPAN_S
     return supply.rate_tokens_per_s * max(MIN_SUPPLY_RATIO, ratio)
-
-
-def fair_grants(
-    offered: dict[ids.CustomerId, float],
-    shares: dict[ids.CustomerId, float],
-    affordable_tokens: float,
-) -> dict[ids.CustomerId, float]:
-    """Divide capacity among customers by weighted max-min fairness.
-
-    A customer that offers less than its share leaves the rest to others.
-
-    Args:
-        offered: tokens that each customer offers.
-        shares: the customers' weights.
-        affordable_tokens: tokens to divide.
-
-    Returns:
-        Tokens granted to each customer.
-    """
-    granted: dict[ids.CustomerId, float] = {}
-    waiting = dict(offered)
-    remaining = affordable_tokens
-    while waiting:
-        weight = sum(shares[customer] for customer in waiting)
-        tokens_per_share = remaining / weight
-        satisfied = [
-            customer
-            for customer, tokens in waiting.items()
-            if tokens <= tokens_per_share * shares[customer]
-        ]
-        if not satisfied:
-            for customer in waiting:
-                granted[customer] = tokens_per_share * shares[customer]
-            return granted
-        for customer in satisfied:
-            granted[customer] = waiting.pop(customer)
-            remaining -= granted[customer]
-    return granted
