Requests wait or are refused by rank and share when room is short

Cause: a gateway refused one large prompt when its cost to others passed its worth, with a fixed time to come back, and knew no rank, share or wait.

Change: RoomControl puts less urgent requests off before they hold a slot or memory, for half of the time in which they would still be in time; by rank, customers within their share, objective, returned callers, arrival. What its caller would have given up is refused at once. Retry-After follows from the work that waits and from promises made before. A quarter of the engines' time goes to less urgent ranks at the least. Reports of work carry rank and a hash of the customer, as last fields with defaults. Design: docs/design/room.md.

--- a/packages/coordination/lacewingdrum_coordination/engine_work_registry.py
+++ b/packages/coordination/lacewingdrum_coordination/engine_work_registry.py
@@ -18,12 +18,16 @@
     """The work of one attempt of a request, as sent by a daemon.
 
     ``left_ms`` is the time from the start of the work until its deadline.
+    ``rank`` is the request's, 0 for the most urgent, or None if the daemon
+    does not tell. ``customer`` is a short hash of its customer, or empty.
     """
 
     work_id: str
     daemon: ids.VmId
     parts: tuple[engine_load.Work, ...]
     left_ms: float
+    rank: int | None = None
+    customer: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -31,12 +35,18 @@
     """A recently started request.
 
     ``first_due_ms`` is the time from the start until its first event is due;
-    ``loss`` is the worth lost if it is late.
+    ``loss`` is the worth lost if it is late. ``read_ms`` is the prefill time
+    of the part of the engine ``runner_id``, which decodes. ``rank`` and
+    ``customer`` are those of ``StartedWork``.
     """
 
     started_s: float
     first_due_ms: float
     loss: float
+    runner_id: ids.RunnerId
+    read_ms: float
+    rank: int | None = None
+    customer: str = ""
 
 
 class WorkIds:
@@ -117,7 +127,15 @@
             if work.writes:
                 name = request_id_of(started.work_id)
                 self._arrivals.pop(name, None)
-                self._arrivals[name] = Arrival(now_s, work.first_due_ms, work.loss)
+                self._arrivals[name] = Arrival(
+                    now_s,
+                    work.first_due_ms,
+                    work.loss,
+                    work.runner_id,
+                    work.read_ms,
+                    started.rank,
+                    started.customer,
+                )
             load = self._loads.get(work.runner_id)
             if load is None:
                 load = self._loads[work.runner_id] = engine_load.EngineLoad()
@@ -149,7 +167,7 @@
                 for part in started.parts
             )
             left_ms = max(started.left_ms - elapsed_ms, 0.0)
-            remaining.append(StartedWork(work_id, daemon, parts, left_ms))
+            remaining.append(dataclasses.replace(started, parts=parts, left_ms=left_ms))
         return tuple(remaining)
 
     def has_first_event(self, work_id: str) -> bool:
--- a/packages/gateway/lacewingdrum_gateway/components.py
+++ b/packages/gateway/lacewingdrum_gateway/components.py
@@ -16,6 +16,7 @@
     relay,
     request_handler,
     retry_permits,
+    room_control,
     routing,
     silence_limits,
     silence_watch,
@@ -34,6 +35,7 @@
 PEER_UNACKNOWLEDGED_MAX_MS = 1_200
 PEER_IDLE_S = 4.0
 ANSWER_MEMORY_SHARE = 0.15
+WAITING_BODY_MEMORY_SHARE = 0.15
 
 
 class Components(fleet_components.FleetComponents):
@@ -172,6 +174,19 @@
             self.health,
             self.crash_watch,
             answers_without_runner,
+            room_control.RoomControl(
+                self.work_sync.shares,
+                table,
+                int(
+                    own_settings.limits.memory_mb
+                    * server_limits.BYTES_PER_MB
+                    * WAITING_BODY_MEMORY_SHARE
+                ),
+                clock,
+                rng,
+                self.decisions,
+                self.counts,
+            ),
             attempt_records,
             clock,
         )
--- a/packages/gateway/lacewingdrum_gateway/runners/work_codec.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/work_codec.py
@@ -10,7 +10,9 @@
 ) -> work_messages.WorkStarted:
     """Return the message for work that was sent to engines."""
     parts = tuple(_part_message(part) for part in started.parts)
-    return work_messages.WorkStarted(started.work_id, parts, started.left_ms)
+    return work_messages.WorkStarted(
+        started.work_id, parts, started.left_ms, started.rank, started.customer
+    )
 
 
 def _part_message(work: engine_load.Work) -> work_messages.WorkPart:
--- a/packages/gateway/lacewingdrum_gateway/runners/work_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/work_sync.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from lacewingdrum_coordination import (
+    customer_shares,
     engine_load,
     engine_slowdowns,
     engine_work_registry,
@@ -47,6 +48,7 @@
         self._clock = clock
         self._decisions = decisions
         self._counts = counts
+        self.shares = customer_shares.CustomerShares()
         self._new_started: list[work_messages.WorkStarted] = []
         self._new_first_events: list[str] = []
         self._new_ended: list[str] = []
@@ -91,7 +93,12 @@
             self._flush()
 
     def record_start(
-        self, work_id: str, parts: tuple[engine_load.Work, ...], left_ms: float
+        self,
+        work_id: str,
+        parts: tuple[engine_load.Work, ...],
+        left_ms: float,
+        rank: int | None = None,
+        customer: str = "",
     ) -> None:
         """Record own work that is sent to engines now, and announce it.
 
@@ -99,14 +106,21 @@
             work_id: identifies the attempt.
             parts: the work of each engine.
             left_ms: time until the deadline of the request.
+            rank: the request's rank, 0 for the most urgent.
+            customer: a short hash of its customer, or empty.
         """
         started = engine_work_registry.StartedWork(
-            work_id, self._peers.own_address, parts, left_ms
+            work_id, self._peers.own_address, parts, left_ms, rank, customer
         )
-        self._engine_work.start(started, self._clock())
+        self._start(started, self._clock())
         self._new_started.append(work_codec.to_message(started))
         self._flush_soon()
 
+    def _start(self, started: engine_work_registry.StartedWork, now_s: float) -> None:
+        work_ms = sum(part.read_ms for part in started.parts)
+        self.shares.record(started.customer, work_ms, now_s)
+        self._engine_work.start(started, now_s)
+
     def record_first_event(self, work_id: str) -> None:
         """Record the first event of own work and announce it.
 
@@ -217,9 +231,14 @@
         now_s = self._clock()
         for started in update.started:
             parts = tuple(work_codec.part_from_message(part) for part in started.parts)
-            self._engine_work.start(
+            self._start(
                 engine_work_registry.StartedWork(
-                    started.work_id, sender, parts, started.left_ms
+                    started.work_id,
+                    sender,
+                    parts,
+                    started.left_ms,
+                    started.rank,
+                    started.customer,
                 ),
                 now_s,
             )
--- a/packages/gateway/lacewingdrum_gateway/serving/active_request.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/active_request.py
@@ -41,6 +41,9 @@
     ``relayed_to`` holds the daemons that this one has passed it on to.
     ``may_crash_runners`` is set if it is not sent on for that reason, and
     ``is_retry_refused`` while the retry allowance has none for it.
+    ``has_returned`` says whether its caller came back after a refusal, once
+    that was looked at. ``put_off_until_s`` is set once it has been put off as
+    room was short, and ``put_off_s`` is for how long it was.
     """
 
     routed: plans.RoutedRequest
@@ -75,6 +78,9 @@
     relayed_to: set[ids.VmId] = dataclasses.field(default_factory=set)
     may_crash_runners: bool = False
     is_retry_refused: bool = False
+    has_returned: bool | None = None
+    put_off_until_s: float | None = None
+    put_off_s: float = 0.0
     _fingerprint: ids.RequestFingerprint | None = None
     _subjects: crashes.Subjects | None = None
 
--- a/packages/gateway/lacewingdrum_gateway/serving/exchange.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/exchange.py
@@ -81,7 +81,11 @@
         in_flight[runner_id] = in_flight.get(runner_id, 0) + 1
         if plan.work:
             self._work_updates.record_start(
-                work_id, plan.work, active.left_s(self._clock()) * 1_000
+                work_id,
+                plan.work,
+                active.left_s(self._clock()) * 1_000,
+                active.routed.rank,
+                active.routed.customer_digest,
             )
         try:
             if not plan.helper_memory_tokens:
--- a/packages/gateway/lacewingdrum_gateway/serving/final_answers.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/final_answers.py
@@ -5,7 +5,7 @@
 
 from lacewingdrum_gateway.crashes import crash_watch
 from lacewingdrum_gateway.runners import runner_candidates
-from lacewingdrum_gateway.serving import active_request, outcomes, plans
+from lacewingdrum_gateway.serving import active_request, outcomes, room_control
 from lacewingdrum_runtime import decision_log, metrics
 from lacewingdrum_state import crashes, states
 from lacewingdrum_transport import http_messages
@@ -15,8 +15,6 @@
 REFUSED_RETRY_AFTER_S = 1.5
 # Callers reach another daemon at once.
 LEAVING_RETRY_S = 0.1
-# Callers are asked to wait no longer than this share of their time left.
-RETRY_AFTER_TIME_LEFT_SHARE = 0.3
 
 
 class FinalAnswers:
@@ -38,26 +36,18 @@
         self._decisions = decisions
         self._counts = counts
 
-    async def refuse_costly(
-        self, active: active_request.ActiveRequest, reason: plans.TooCostly
+    async def refuse_without_room(
+        self, active: active_request.ActiveRequest, refusal: room_control.Refusal
     ) -> outcomes.Outcome:
         """Refuse a request that has not run, and say when to retry it."""
-        retry_s = REFUSED_RETRY_AFTER_S * (1.0 + self._rng.random())
-        retry_s = min(
-            retry_s, active.left_s(self._clock()) * RETRY_AFTER_TIME_LEFT_SHARE
-        )
         self._decisions.record(
             decision_log.DecisionEvent.REFUSED,
             active.request_id,
-            reason="costs_others_more",
-            prompt_tokens=active.routed.caller_headers.prompt_tokens,
-            lost=round(reason.lost_worth, 2),
-            worth=round(reason.worth, 2),
-            first_expected_ms=round(reason.first_event_ms),
-            retry_after_s=round(retry_s, 2),
+            retry_after_s=round(refusal.retry_s, 2),
             configuration_version=active.config_version,
+            **refusal.fields,
         )
-        return await self._send_refusal(active, "overloaded", retry_s)
+        return await self._send_refusal(active, "overloaded", refusal.retry_s)
 
     async def refuse_blamed(
         self, active: active_request.ActiveRequest, blame: crashes.Blame
--- a/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
@@ -3,7 +3,7 @@
 import enum
 from collections.abc import Callable
 
-from lacewingdrum_coordination import runner_health
+from lacewingdrum_coordination import runner_health, short_room
 from lacewingdrum_gateway.crashes import crash_watch
 from lacewingdrum_gateway.peers import peering
 from lacewingdrum_gateway.runners import reach_monitor, work_sync
@@ -22,6 +22,7 @@
     relay as relays,
     retry_limits,
     retry_permits,
+    room_control,
     routing,
     silence_watch,
 )
@@ -40,6 +41,7 @@
 
     STARTED = "started"
     WAIT = "wait"
+    PUT_OFF = "put_off"
 
 
 class Forwarder:
@@ -58,6 +60,7 @@
         health: runner_health.RunnerHealth,
         crashes: crash_watch.CrashWatch,
         answers: final_answers.FinalAnswers,
+        room: room_control.RoomControl,
         log: attempt_log.AttemptLog,
         clock: Callable[[], float],
     ) -> None:
@@ -73,6 +76,7 @@
         self._health = health
         self._crashes = crashes
         self._final_answers = answers
+        self._room = room
         self._log = log
         self._clock = clock
 
@@ -127,6 +131,8 @@
             step = await self._start_next(active) if is_due else Step.WAIT
             if isinstance(step, outcomes.Outcome):
                 return step
+            if step is Step.PUT_OFF:
+                continue
             if not active.race.attempts:
                 break
             wait_s = self._silences.until_next_s(active)
@@ -179,9 +185,17 @@
             return Step.WAIT
         self._record_request(active)
         plan = self._plan(active)
+        if plan is None:
+            return Step.WAIT
+        match self._room.decide(active, plan):
+            case room_control.Refusal() as refusal:
+                return await self._final_answers.refuse_without_room(active, refusal)
+            case short_room.PutOff() as put_off:
+                await self._room.wait(active, plan, put_off)
+                return Step.PUT_OFF
         if isinstance(plan, plans.TooCostly):
-            return await self._final_answers.refuse_costly(active, plan)
-        if plan is None or not self._permits.take(active):
+            plan = plan.plan
+        if not self._permits.take(active):
             return Step.WAIT
         return self._start_at_runner(active, plan)
 
@@ -195,6 +209,8 @@
                 active.excluded,
                 active.only_runner,
                 not active.may_have_run,
+                self._room.over_share(active),
+                active.put_off_until_s is not None,
             )
             may_repeat = plan is None and active.only_runner is None
             if not may_repeat or not retry_limits.allow_repeat(active):
--- a/packages/gateway/lacewingdrum_gateway/serving/plans.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/plans.py
@@ -2,9 +2,12 @@
 
 import dataclasses
 
-from lacewingdrum_coordination import coordinators, engine_load
+from lacewingdrum_coordination import coordinators, engine_load, service_room
 from lacewingdrum_state import configurations, requests, runner_entries
 
+DEFAULT_OBJECTIVE_MS = 1_000.0
+CUSTOMER_DIGITS = 8
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RoutedRequest:
@@ -27,6 +30,25 @@
         found = f"{self.route.name}\x1f{self.service.name}\x1f{customer}"
         return f"{coordinators.stable_hash(found):x}"
 
+    @property
+    def rank(self) -> int:
+        """The customer's rank or the route's; 0 is the most urgent."""
+        if self.customer is not None and self.customer.priority is not None:
+            return self.customer.priority
+        return self.route.priority
+
+    @property
+    def objective_ms(self) -> float:
+        """The objective for the first event."""
+        return self.route.objective_ms or DEFAULT_OBJECTIVE_MS
+
+    @property
+    def customer_digest(self) -> str:
+        """A short hash of the customer, which other daemons compare."""
+        if self.customer is None:
+            return ""
+        return f"{coordinators.stable_hash(self.customer.name):x}"[:CUSTOMER_DIGITS]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Plan:
@@ -36,7 +58,9 @@
     part of its prompt. ``work`` is empty for plain services.
     ``first_event_ms`` is the expected time until the first event; for a plain
     service it is the route's objective. ``cost`` is the worth that is expected
-    to be lost.
+    to be lost. ``prefill_ms`` is the prefill time of the whole prompt on one
+    engine, and ``room`` what more urgent requests have beside this one, or
+    None if none lacks any.
     """
 
     entry: runner_entries.RunnerEntry
@@ -47,12 +71,15 @@
     first_event_ms: float
     cost: float
     candidate_count: int
+    prefill_ms: float = 0.0
+    room: service_room.Room | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TooCostly:
-    """A request that is refused because it costs others too much worth."""
+    """A plan that is not to be made, as it costs others too much worth."""
 
     lost_worth: float
     worth: float
     first_event_ms: float
+    plan: Plan
--- a/packages/gateway/lacewingdrum_gateway/serving/routing.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/routing.py
@@ -13,6 +13,7 @@
     engine_work_registry,
     request_worth,
     service_choice,
+    service_room,
 )
 from lacewingdrum_gateway.peers import peer_table
 from lacewingdrum_gateway.runners import runner_candidates, work_sync
@@ -23,7 +24,6 @@
 LATE_LOSS_SHARE = 0.75
 # The least time until the objective that attempts are planned with.
 OBJECTIVE_LEFT_MIN_MS = 20.0
-DEFAULT_OBJECTIVE_MS = 1_000.0
 # A request is refused if it costs other requests more than this multiple of
 # its own worth.
 REFUSE_LOST_WORTH_RATIO = 1.4
@@ -52,11 +52,7 @@
     plan: plans.Plan
     total_cost: float
     worth: float
-    is_large: bool
-
-    @property
-    def is_too_costly(self) -> bool:
-        return self.is_large and self.total_cost > REFUSE_LOST_WORTH_RATIO * self.worth
+    is_too_costly: bool
 
 
 class Planner:
@@ -102,6 +98,8 @@
         excluded: set[ids.RunnerId],
         only_runner: ids.RunnerId | None = None,
         may_refuse: bool = True,
+        over_share: str = "",
+        is_known: bool = False,
     ) -> plans.Plan | plans.TooCostly | None:
         """Plan the next attempt of a request.
 
@@ -111,6 +109,8 @@
             only_runner: the only runner that the request may be sent to, or
                 None if there is no such restriction.
             may_refuse: whether the request has not run and may be refused.
+            over_share: its customer, if that is over its share, else empty.
+            is_known: whether it has been planned before.
 
         Returns:
             The plan, ``TooCostly`` if other requests would lose too much
@@ -122,12 +122,17 @@
         engine = routed.service.engine
         if engine is None or not routed.caller_headers.prompt_tokens:
             return self._plan_service(routed, entries, only_runner)
-        planned = self._plan_engines(routed, engine, entries, excluded, only_runner)
+        if not excluded and not is_known:
+            self._record_worth(routed, engine)
+        planned = self._plan_engines(routed, engine, entries, only_runner, over_share)
         if planned is None:
             return None
         if may_refuse and planned.is_too_costly:
             return plans.TooCostly(
-                planned.total_cost, planned.worth, planned.plan.first_event_ms
+                planned.total_cost,
+                planned.worth,
+                planned.plan.first_event_ms,
+                planned.plan,
             )
         return planned.plan
 
@@ -193,14 +198,12 @@
         routed: plans.RoutedRequest,
         engine: configurations.EnginePerformanceModel,
         entries: list[runner_entries.RunnerEntry],
-        excluded: set[ids.RunnerId],
         only_runner: ids.RunnerId | None,
+        over_share: str,
     ) -> _CostedPlan | None:
         now_s = self._clock()
         route, prompt_tokens = routed.route.name, routed.caller_headers.prompt_tokens
-        objective_ms = routed.route.objective_ms or DEFAULT_OBJECTIVE_MS
-        if not excluded:
-            self._worth.record(engine, route, objective_ms, prompt_tokens)
+        objective_ms = routed.objective_ms
         worth = self._worth.estimate(engine, route, prompt_tokens)
         elapsed_ms = (now_s - routed.received_s) * 1_000
         demand = engine_costs.RequestNeeds(
@@ -237,6 +240,10 @@
             choice.lost_worth
             + request_worth.WORTH_PER_PREFILL_MS * choice.weighted_prefill_ms
         )
+        prefill_ms = engine_times.prefill_ms(engine, prompt_tokens, 1)
+        is_large = prefill_ms > REFUSE_PREFILL_MIN_MS
+        is_too_costly = is_large and total_cost > REFUSE_LOST_WORTH_RATIO * worth
+        is_late = choice.first_event_ms > demand.objective_left_ms
         plan = plans.Plan(
             entry=choice.entries[0],
             helpers=choice.entries[1:],
@@ -246,21 +253,59 @@
             first_event_ms=choice.first_event_ms,
             cost=choice.lost_worth,
             candidate_count=len(entries),
+            prefill_ms=prefill_ms,
+            room=self._room(
+                routed,
+                engine,
+                candidates,
+                choice,
+                arrivals,
+                over_share,
+                is_late or is_too_costly,
+            ),
         )
-        is_large = (
-            engine_times.prefill_ms(engine, prompt_tokens, 1) > REFUSE_PREFILL_MIN_MS
+        return _CostedPlan(plan, total_cost, worth, is_too_costly)
+
+    def _record_worth(
+        self,
+        routed: plans.RoutedRequest,
+        engine: configurations.EnginePerformanceModel,
+    ) -> None:
+        self._worth.record(
+            engine,
+            routed.route.name,
+            routed.objective_ms,
+            routed.caller_headers.prompt_tokens,
+        )
+
+    def _room(
+        self,
+        routed: plans.RoutedRequest,
+        engine: configurations.EnginePerformanceModel,
+        candidates: list[engine_costs.Candidate],
+        choice: engine_choice.Choice,
+        arrivals: list[engine_work_registry.Arrival],
+        over_share: str,
+        is_needed: bool,
+    ) -> service_room.Room | None:
+        """Return the room beside a choice, if any request may lack some."""
+        urgent = service_room.more_urgent(arrivals, routed.rank, over_share)
+        if urgent:
+            known = {item.entry.runner_id for item in candidates}
+            urgent = [item for item in urgent if item.runner_id in known]
+        if not urgent and not is_needed:
+            return None
+        planned_ms = {part.runner_id: part.read_ms for part in choice.work}
+        return service_room.measure(
+            engine, candidates, planned_ms, urgent, routed.rank, self._clock()
         )
-        return _CostedPlan(plan, total_cost, worth, is_large)
 
 
 def _priority(routed: plans.RoutedRequest, objective_ms: float) -> int:
     """Return the priority for the engine; 0 is the most urgent."""
-    rank = routed.route.priority
-    if routed.customer is not None and routed.customer.priority is not None:
-        rank = routed.customer.priority
     objective_rank = 2
     if objective_ms <= URGENT_OBJECTIVE_MS:
         objective_rank = 0
     elif objective_ms <= MIDDLE_OBJECTIVE_MS:
         objective_rank = 1
-    return min(rank * PRIORITY_STEP + objective_rank, PRIORITY_MAX)
+    return min(routed.rank * PRIORITY_STEP + objective_rank, PRIORITY_MAX)
--- a/packages/protocol/lacewingdrum_protocol/work_messages.py
+++ b/packages/protocol/lacewingdrum_protocol/work_messages.py
@@ -24,11 +24,18 @@
 
 
 class WorkStarted(msgspec.Struct, frozen=True, array_like=True):
-    """The work of a request that the sender assigned to engines."""
+    """The work of a request that the sender assigned to engines.
+
+    ``rank`` is the request's, 0 for the most urgent; daemons that do not know
+    the field tell none. ``customer`` is a short hash of its customer, empty if
+    it has none, or if the sender does not know the field.
+    """
 
     work_id: str
     parts: Annotated[tuple[WorkPart, ...], msgspec.Meta(min_length=1)]
     left_ms: bounds.Finite
+    rank: int | None = None
+    customer: str = ""
 
 
 class EngineSlowdown(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/runtime/lacewingdrum_runtime/decision_log.py
+++ b/packages/runtime/lacewingdrum_runtime/decision_log.py
@@ -33,6 +33,7 @@
 
     ROUTED = "routed"
     ADMITTED = "admitted"
+    PUT_OFF = "put_off"
     REFUSED = "refused"
     FINISHED = "finished"
     FAILED = "failed"
