--- a/packages/coordination/lacewingdrum_coordination/customer_shares.py
+++ b/packages/coordination/lacewingdrum_coordination/customer_shares.py
@@ -18,8 +18,8 @@
 # A customer is over its share if its work exceeds its grant and an equal share
 # by this factor, and consists of at least this many requests. One long prompt,
 # or what varies by chance, puts no customer over its share.
-OVER_EQUAL_RATIO = 2.0
-OVER_SHARE_MIN_REQUESTS = 8
+OVER_EQUAL_RATIO = 3.0
+OVER_SHARE_MIN_REQUESTS = 20
 UPDATE_INTERVAL_S = 0.25
 # Older requests are forgotten first.
 RECORDS_MAX = 20_000
--- a/packages/coordination/lacewingdrum_coordination/least_share.py
+++ b/packages/coordination/lacewingdrum_coordination/least_share.py
@@ -2,7 +2,7 @@
 
 # Less urgent requests go on, although more urgent ones lack room, while they
 # use less than this share of the engines' time.
-LEAST_SHARE_RATIO = 0.25
+LEAST_SHARE_RATIO = 0.1
 # Work that was not used up to this long ago may be used later.
 UNUSED_S = 4.0
 
--- a/packages/coordination/lacewingdrum_coordination/service_room.py
+++ b/packages/coordination/lacewingdrum_coordination/service_room.py
@@ -1,12 +1,13 @@
 """Measures the room of a service's engines for its more urgent requests.
 
-Room is short if, once a request is placed, too few slots remain in which the
-more urgent requests that are expected next would begin within their
-objective.
+Room is short if the more urgent requests that are expected next would find no
+slot in which they begin within their objective. What a request itself
+would take from them is not counted, as the choice of engines weighs that.
 """
 
 import dataclasses
-from collections.abc import Collection, Mapping, Sequence
+import math
+from collections.abc import Collection, Sequence
 
 from lacewingdrum_coordination import engine_costs, engine_work_registry
 from lacewingdrum_state import configurations, ids, units
@@ -20,7 +21,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Room:
-    """The room of a service once a request is placed.
+    """The room of a service for requests that are more urgent than one.
 
     ``free_slots`` are those in which a more urgent request would begin in
     time, ``expected_arrivals`` the more urgent requests that are expected
@@ -44,7 +45,9 @@
         """Whether more urgent requests lack room."""
         if self.is_idle or not self.expected_arrivals:
             return False
-        return self.free_slots < max(self.expected_arrivals, 1.0)
+        # Answers end about as fast as requests arrive; what arrives beside
+        # that varies by the root of its number.
+        return self.free_slots < max(math.sqrt(self.expected_arrivals), 1.0)
 
     @property
     def is_half_free(self) -> bool:
@@ -82,17 +85,17 @@
 def measure(
     model: configurations.EnginePerformanceModel,
     candidates: Sequence[engine_costs.Candidate],
-    planned_ms: Mapping[ids.RunnerId, float],
+    planned: Collection[ids.RunnerId],
     urgent: Collection[engine_work_registry.Arrival],
     rank: int,
     now_s: float,
 ) -> Room:
-    """Measure the room that more urgent requests have beside a request.
+    """Measure the room that requests more urgent than one have.
 
     Args:
         model: the engine parameters that the operators state.
         candidates: the engines that may get work.
-        planned_ms: the prefill time that the request adds to engines.
+        planned: the engines that the request would use.
         urgent: the more urgent requests of the last second.
         rank: the rank of the request.
         now_s: the current time, on the clock of the work registry.
@@ -115,11 +118,8 @@
         taken += min(load.writers, model.slots)
         has_queue = has_queue or load.writers > model.slots
         slots = model.slots - load.writers
-        added_ms = planned_ms.get(candidate.entry.runner_id)
-        if added_ms is not None:
+        if candidate.entry.runner_id in planned:
             is_idle = is_idle and not load.entries
-            backlog_ms += added_ms * candidate.slowdown
-            slots -= 1
         if slots > 0 and backlog_ms <= usable_ms:
             free_slots += slots
     window_ms = engine_work_registry.ARRIVAL_WINDOW_S * units.MS_PER_S
--- a/packages/coordination/lacewingdrum_coordination/waiting_requests.py
+++ b/packages/coordination/lacewingdrum_coordination/waiting_requests.py
@@ -4,6 +4,7 @@
 import dataclasses
 import heapq
 import itertools
+import math
 
 WAITING_MAX = 10_000
 
@@ -94,18 +95,27 @@
         place = bisect.bisect_left(self._ordered, order, key=_order)
         return sum(item.work_ms for item in self._ordered[:place])
 
-    def take_due(self, now_s: float) -> list[Waiting]:
-        """Remove and return the first request, and those out of time."""
-        due: list[Waiting] = []
-        while self._ends and self._ends[0][0] <= now_s:
+    def next_end_s(self) -> float:
+        """Return when the next wait ends, or infinity."""
+        while self._ends and id(self._ends[0][2]) not in self._present:
+            heapq.heappop(self._ends)
+        return self._ends[0][0] if self._ends else math.inf
+
+    def take_ended(self, now_s: float) -> list[Waiting]:
+        """Remove and return the requests whose wait is over."""
+        ended: list[Waiting] = []
+        while self.next_end_s() <= now_s:
             _, _, waiting = heapq.heappop(self._ends)
-            if id(waiting) in self._present:
-                due.append(waiting)
-                self.remove(waiting)
-        if self._ordered:
-            due.append(self._ordered[0])
-            self.remove(self._ordered[0])
-        return due
+            ended.append(waiting)
+            self.remove(waiting)
+        return ended
+
+    def take_first(self) -> list[Waiting]:
+        """Remove and return the request that goes on first, if any waits."""
+        first = self._ordered[:1]
+        for waiting in first:
+            self.remove(waiting)
+        return first
 
 
 def _order(waiting: Waiting) -> Order:
--- a/packages/gateway/lacewingdrum_gateway/serving/room_control.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/room_control.py
@@ -18,9 +18,10 @@
 from lacewingdrum_runtime import decision_log, metrics
 from lacewingdrum_state import ids
 
-# How often waiting requests are looked at; each time is varied by up to half,
-# so that daemons do not all let requests go on at the same moment.
+# How often some daemon of all lets a waiting request go on. Reports of work
+# take about as long, so that the next daemon sees what the one before did.
 CHECK_INTERVAL_S = 0.02
+CHECK_INTERVAL_MAX_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,6 +72,7 @@
         self._patience = usual_patience.UsualPatience()
         self._services: dict[ids.ServiceName, _ServiceState] = {}
         self._wakers: dict[int, asyncio.Future[bool]] = {}
+        self._turn_s: float | None = None
         self._timer: asyncio.TimerHandle | None = None
         counts.gauge("waiting_requests", lambda: float(len(self._wakers)))
 
@@ -150,7 +152,7 @@
         self._wakers[id(entry)] = turn
         for dropped in queue.add(entry):
             self._wake(dropped, has_place=False)
-        self._check_soon()
+        self._schedule()
         try:
             if not await turn:
                 # It has no place: it may wait no longer.
@@ -236,21 +238,43 @@
             )
         return state
 
-    def _check_soon(self) -> None:
-        if self._timer is None and self._wakers:
-            delay_s = CHECK_INTERVAL_S * (0.5 + self._rng.random())
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(delay_s, self._check)
+    def _schedule(self) -> None:
+        """Look again when some request's turn comes, or a wait ends."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if not self._wakers:
+            return
+        now_s = self._clock()
+        if self._turn_s is None:
+            interval_s = CHECK_INTERVAL_S * max(self._peers.daemon_count, 1)
+            interval_s = min(interval_s, CHECK_INTERVAL_MAX_S)
+            self._turn_s = now_s + interval_s * (0.5 + self._rng.random())
+        ends_s = (queue.next_end_s() for queue in self._queues())
+        due_s = min(self._turn_s, *ends_s)
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(max(due_s - now_s, 0.0), self._check)
 
     def _check(self) -> None:
-        """Let the first request of each service ask, and those out of time."""
-        self._timer = None
+        """Let those ask whose wait is over, and on a turn the first ones."""
         now_s = self._clock()
-        for state in self._services.values():
-            for queue in (state.waiting, state.costly):
-                for entry in queue.take_due(now_s):
-                    self._wake(entry, has_place=True)
-        self._check_soon()
+        is_turn = self._turn_s is not None and self._turn_s <= now_s
+        if is_turn:
+            self._turn_s = None
+        for queue in self._queues():
+            woken = queue.take_ended(now_s)
+            if is_turn:
+                woken += queue.take_first()
+            for entry in woken:
+                self._wake(entry, has_place=True)
+        self._schedule()
+
+    def _queues(self) -> list[waiting_requests.WaitingRequests]:
+        return [
+            queue
+            for state in self._services.values()
+            for queue in (state.waiting, state.costly)
+        ]
 
     def _wake(self, entry: waiting_requests.Waiting, has_place: bool) -> None:
         turn = self._wakers.get(id(entry))
--- a/packages/gateway/lacewingdrum_gateway/serving/routing.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/routing.py
@@ -17,7 +17,7 @@
 )
 from lacewingdrum_gateway.peers import peer_table
 from lacewingdrum_gateway.runners import runner_candidates, work_sync
-from lacewingdrum_gateway.serving import plans
+from lacewingdrum_gateway.serving import engine_priority, plans
 from lacewingdrum_state import configurations, ids, runner_entries
 
 # The share of a request's worth that is lost if its first event is late.
@@ -27,6 +27,8 @@
 # A request is refused if it costs other requests more than this multiple of
 # its own worth.
 REFUSE_LOST_WORTH_RATIO = 1.4
+# The same while requests of a more urgent rank arrive.
+YIELD_LOST_WORTH_RATIO = 0.25
 # Prompts with a shorter prefill interfere too little to be refused.
 REFUSE_PREFILL_MIN_MS = 500.0
 # Cost in units of worth that is added to an engine if it is assigned to a
@@ -35,10 +37,6 @@
 PEER_OWNED_COST = 0.4
 HASH_RANGE = 1 << 64
 CACHED_FILL_ORDERS_MAX = 10_000
-PRIORITY_MAX = 9
-PRIORITY_STEP = 3
-URGENT_OBJECTIVE_MS = 500.0
-MIDDLE_OBJECTIVE_MS = 2_000.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -242,14 +240,16 @@
         )
         prefill_ms = engine_times.prefill_ms(engine, prompt_tokens, 1)
         is_large = prefill_ms > REFUSE_PREFILL_MIN_MS
-        is_too_costly = is_large and total_cost > REFUSE_LOST_WORTH_RATIO * worth
+        has_urgent = bool(service_room.more_urgent(arrivals, routed.rank, over_share))
+        ratio = YIELD_LOST_WORTH_RATIO if has_urgent else REFUSE_LOST_WORTH_RATIO
+        is_too_costly = is_large and total_cost > ratio * worth
         is_late = choice.first_event_ms > demand.objective_left_ms
         plan = plans.Plan(
             entry=choice.entries[0],
             helpers=choice.entries[1:],
             work=choice.work,
             helper_memory_tokens=choice.helper_memory_tokens,
-            priority=_priority(routed, objective_ms),
+            priority=engine_priority.of_request(routed),
             first_event_ms=choice.first_event_ms,
             cost=choice.lost_worth,
             candidate_count=len(entries),
@@ -295,17 +295,7 @@
             urgent = [item for item in urgent if item.runner_id in known]
         if not urgent and not is_needed:
             return None
-        planned_ms = {part.runner_id: part.read_ms for part in choice.work}
+        planned = {part.runner_id for part in choice.work}
         return service_room.measure(
-            engine, candidates, planned_ms, urgent, routed.rank, self._clock()
+            engine, candidates, planned, urgent, routed.rank, self._clock()
         )
-
-
-def _priority(routed: plans.RoutedRequest, objective_ms: float) -> int:
-    """Return the priority for the engine; 0 is the most urgent."""
-    objective_rank = 2
-    if objective_ms <= URGENT_OBJECTIVE_MS:
-        objective_rank = 0
-    elif objective_ms <= MIDDLE_OBJECTIVE_MS:
-        objective_rank = 1
-    return min(routed.rank * PRIORITY_STEP + objective_rank, PRIORITY_MAX)
