Too costly prompts are refused at once again; what would be late waits

The lower bound counts arrivals of a more urgent rank only, and lets the prompt go on at the end of its wait. A request that would be late while no slot is free waits behind those that would be in time, and is refused at the end of its wait.

--- a/packages/coordination/lacewingdrum_coordination/service_room.py
+++ b/packages/coordination/lacewingdrum_coordination/service_room.py
@@ -25,13 +25,15 @@
 
     ``free_slots`` are those in which a more urgent request would begin in
     time, ``expected_arrivals`` the more urgent requests that are expected
-    within their objective. ``has_lower_rank`` is set if any of these has a
+    within their objective. ``open_slots`` counts all slots that are not taken.
+    ``has_lower_rank`` is set if any of these has a
     rank that is more urgent than the request's. ``is_idle`` is set if the
     planned engines have no work. ``work_ahead_ms`` is the prefill that is left
     on all engines together.
     """
 
     free_slots: int
+    open_slots: int
     expected_arrivals: float
     has_lower_rank: bool
     taken_ratio: float
@@ -108,7 +110,7 @@
         due_ms = sum(item.first_due_ms for item in urgent) / len(urgent)
         read_ms = sum(item.read_ms for item in urgent) / len(urgent)
     usable_ms = due_ms * IN_TIME_RATIO - read_ms
-    free_slots = taken = 0
+    free_slots = open_slots = taken = 0
     work_ahead_ms = 0.0
     has_queue, is_idle = False, True
     for candidate in candidates:
@@ -120,11 +122,13 @@
         slots = model.slots - load.writers
         if candidate.entry.runner_id in planned:
             is_idle = is_idle and not load.entries
+        open_slots += max(slots, 0)
         if slots > 0 and backlog_ms <= usable_ms:
             free_slots += slots
     window_ms = engine_work_registry.ARRIVAL_WINDOW_S * units.MS_PER_S
     return Room(
         free_slots,
+        open_slots,
         len(urgent) * due_ms / window_ms,
         any(item.rank is not None and item.rank < rank for item in urgent),
         taken / max(len(candidates) * model.slots, 1),
--- a/packages/coordination/lacewingdrum_coordination/short_room.py
+++ b/packages/coordination/lacewingdrum_coordination/short_room.py
@@ -31,6 +31,7 @@
     OVER_SHARE = "over_share"
     EARLIER_FIRST = "earlier_first"
     TOO_LATE = "too_late"
+    IN_TIME_FIRST = "in_time_first"
     WAITING_FULL = "waiting_full"
 
 
@@ -65,8 +66,10 @@
 
     The times are those left: ``objective_left_ms`` until its first event is
     late, ``give_up_left_ms`` until its caller has abandoned it or its deadline
-    is there. ``first_event_ms`` is the expected time to the first event if it
-    goes on now. ``put_off_until_s`` is set once it has been put off, and
+    is there. ``is_too_costly`` is set if it costs others more than it is
+    worth, and ``costs_urgent`` if it costs requests of a more urgent rank a
+    part of that. ``first_event_ms`` is the expected time to the first event if
+    it goes on now. ``put_off_until_s`` is set once it has been put off, and
     ``may_wait`` unset if it must not be put off. ``room`` is None if nobody
     lacks any.
     """
@@ -75,11 +78,17 @@
     objective_left_ms: float
     give_up_left_ms: float
     is_too_costly: bool
+    costs_urgent: bool
     is_over_share: bool
     may_wait: bool
     put_off_until_s: float | None
     room: service_room.Room | None
 
+    @property
+    def is_late(self) -> bool:
+        """Whether the first event is expected after the objective."""
+        return self.first_event_ms > self.objective_left_ms
+
 
 def give_up_ms(objective_ms: float, pause_objective_ms: float) -> float:
     """Return the time after which a caller has abandoned a stream."""
@@ -112,18 +121,24 @@
     may_refuse = room is not None and not room.is_half_free
     if may_refuse and asking.first_event_ms > asking.give_up_left_ms:
         return Refuse(Reason.TOO_LATE)
+    if asking.is_too_costly:
+        refuse = Refuse(Reason.COSTS_OTHERS_MORE)
+        return refuse if may_refuse else Proceed()
     reason = _shortage(asking, has_earlier_waiting)
     if reason is None:
         return Proceed()
     until_s = asking.put_off_until_s
     if until_s is None:
-        spare_ms = asking.objective_left_ms - asking.first_event_ms
+        left_ms = asking.objective_left_ms
+        if reason is Reason.IN_TIME_FIRST:
+            left_ms = asking.give_up_left_ms
+        spare_ms = left_ms - asking.first_event_ms
         until_s = now_s + PUT_OFF_RATIO * max(spare_ms, 0.0) / 1_000
     if asking.may_wait and (until_s - now_s) * 1_000 >= PUT_OFF_MIN_MS:
         return PutOff(until_s, reason)
     if not may_refuse:
         return Proceed()
-    if reason is Reason.COSTS_OTHERS_MORE:
+    if reason is Reason.IN_TIME_FIRST:
         return Refuse(reason)
     lacks_room = room is not None and room.is_short
     if lacks_room and asking.is_over_share:
@@ -135,13 +150,13 @@
 
 def _shortage(asking: Asking, has_earlier_waiting: bool) -> Reason | None:
     room = asking.room
-    if room is not None and room.is_half_free and room.is_idle:
-        return None
-    if asking.is_too_costly:
-        return Reason.COSTS_OTHERS_MORE
     if room is not None and room.is_idle:
         return None
+    if asking.costs_urgent:
+        return Reason.MORE_URGENT_FIRST
     if room is not None and room.is_short:
         over = Reason.OVER_SHARE
         return over if asking.is_over_share else Reason.MORE_URGENT_FIRST
+    if room is not None and asking.is_late and not room.open_slots:
+        return Reason.IN_TIME_FIRST
     return Reason.EARLIER_FIRST if has_earlier_waiting else None
--- a/packages/coordination/lacewingdrum_coordination/short_room_test.py
+++ b/packages/coordination/lacewingdrum_coordination/short_room_test.py
@@ -9,6 +9,7 @@
 NOW_S = 100.0
 SHORT = service_room.Room(
     free_slots=1,
+    open_slots=1,
     expected_arrivals=5.0,
     has_lower_rank=True,
     taken_ratio=0.9,
@@ -22,6 +23,7 @@
     objective_left_ms=5_000.0,
     give_up_left_ms=9_000.0,
     is_too_costly=False,
+    costs_urgent=False,
     is_over_share=False,
     may_wait=True,
     put_off_until_s=None,
--- a/packages/coordination/lacewingdrum_coordination/waiting_requests.py
+++ b/packages/coordination/lacewingdrum_coordination/waiting_requests.py
@@ -13,13 +13,14 @@
 class Order:
     """The place of a request; the lowest goes on first.
 
-    Requests go by rank, those of customers within their share first, then by
-    the objective of their route, then those that came back after a refusal,
-    then by arrival.
+    Requests go by rank, those of customers within their share first, then
+    those that would still be in time, then by the objective of their route,
+    then those that came back after a refusal, then by arrival.
     """
 
     rank: int
     is_over_share: bool
+    is_late: bool
     objective_ms: float
     is_new: bool
     arrived_s: float
--- a/packages/coordination/lacewingdrum_coordination/waiting_requests_test.py
+++ b/packages/coordination/lacewingdrum_coordination/waiting_requests_test.py
@@ -14,7 +14,7 @@
 
 
 def make(rank, arrived_s, is_new=True, until_s=1e9, is_over=False):
-    order = waiting_requests.Order(rank, is_over, 300.0, is_new, arrived_s)
+    order = waiting_requests.Order(rank, is_over, False, 300.0, is_new, arrived_s)
     return waiting_requests.Waiting(order, until_s, 100, 25.0)
 
 
--- a/packages/gateway/lacewingdrum_gateway/serving/plans.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/plans.py
@@ -59,8 +59,9 @@
     ``first_event_ms`` is the expected time until the first event; for a plain
     service it is the route's objective. ``cost`` is the worth that is expected
     to be lost. ``prefill_ms`` is the prefill time of the whole prompt on one
-    engine, and ``room`` what more urgent requests have beside this one, or
-    None if none lacks any.
+    engine. ``costs_urgent`` is set if requests of a more urgent rank would
+    lose a part of its worth, and ``room`` is what more urgent requests have
+    beside this one, or None if none lacks any.
     """
 
     entry: runner_entries.RunnerEntry
@@ -72,6 +73,7 @@
     cost: float
     candidate_count: int
     prefill_ms: float = 0.0
+    costs_urgent: bool = False
     room: service_room.Room | None = None
 
 
--- a/packages/gateway/lacewingdrum_gateway/serving/room_control.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/room_control.py
@@ -34,14 +34,9 @@
 
 @dataclasses.dataclass(slots=True)
 class _ServiceState:
-    """What this daemon knows of the requests for one service.
-
-    ``costly`` holds those that wait as they would cost others too much; no
-    other request waits for them.
-    """
+    """What this daemon knows of the requests for one service."""
 
     waiting: waiting_requests.WaitingRequests
-    costly: waiting_requests.WaitingRequests
     returns: promised_returns.PromisedReturns
     least: least_share.LeastShare
 
@@ -110,7 +105,9 @@
         asking = self._asking(active, planned, plan, now_s)
         decision = short_room.decide(
             asking,
-            state.waiting.has_before(self._order(active, asking.is_over_share)),
+            state.waiting.has_before(
+                self._order(active, asking.is_over_share, asking.is_late)
+            ),
             state.least.has_any(engine_count, now_s),
             now_s,
         )
@@ -140,10 +137,13 @@
         started_s = self._clock()
         active.put_off_until_s = put_off.until_s
         state = self._state(active.routed.service.name)
-        is_costly = put_off.reason is short_room.Reason.COSTS_OTHERS_MORE
-        queue = state.costly if is_costly else state.waiting
+        queue = state.waiting
         entry = waiting_requests.Waiting(
-            self._order(active, bool(self.over_share(active))),
+            self._order(
+                active,
+                bool(self.over_share(active)),
+                put_off.reason is short_room.Reason.IN_TIME_FIRST,
+            ),
             put_off.until_s,
             len(active.outgoing.body),
             plan.prefill_ms,
@@ -179,6 +179,7 @@
             objective_left_ms=routed.objective_ms - elapsed_ms,
             give_up_left_ms=min(give_up_ms - elapsed_ms, active.left_s(now_s) * 1_000),
             is_too_costly=isinstance(planned, plans.TooCostly),
+            costs_urgent=plan.costs_urgent,
             is_over_share=bool(self.over_share(active)),
             may_wait=not (active.is_relayed or active.is_trial or active.attempt_count),
             put_off_until_s=active.put_off_until_s,
@@ -196,7 +197,8 @@
         routed = active.routed
         plan = planned.plan if isinstance(planned, plans.TooCostly) else planned
         state = self._state(routed.service.name)
-        order = self._order(active, bool(self.over_share(active)))
+        is_over_share = bool(self.over_share(active))
+        order = self._order(active, is_over_share, is_late=True)
         elapsed_ms = (now_s - routed.received_s) * 1_000
         late_ms = plan.first_event_ms - (routed.objective_ms - elapsed_ms)
         retry_s = state.returns.promise(
@@ -212,12 +214,16 @@
         return Refusal(retry_s, self._log.refusal_fields(active, planned, reason))
 
     def _order(
-        self, active: active_request.ActiveRequest, is_over_share: bool
+        self,
+        active: active_request.ActiveRequest,
+        is_over_share: bool,
+        is_late: bool,
     ) -> waiting_requests.Order:
         routed = active.routed
         return waiting_requests.Order(
             routed.rank,
             is_over_share,
+            is_late,
             routed.objective_ms,
             not active.has_returned,
             routed.received_s,
@@ -231,8 +237,7 @@
         state = self._services.get(service)
         if state is None:
             state = self._services[service] = _ServiceState(
-                waiting_requests.WaitingRequests(self._body_bytes_max // 2),
-                waiting_requests.WaitingRequests(self._body_bytes_max // 2),
+                waiting_requests.WaitingRequests(self._body_bytes_max),
                 promised_returns.PromisedReturns(),
                 least_share.LeastShare(),
             )
@@ -270,11 +275,7 @@
         self._schedule()
 
     def _queues(self) -> list[waiting_requests.WaitingRequests]:
-        return [
-            queue
-            for state in self._services.values()
-            for queue in (state.waiting, state.costly)
-        ]
+        return [state.waiting for state in self._services.values()]
 
     def _wake(self, entry: waiting_requests.Waiting, has_place: bool) -> None:
         turn = self._wakers.get(id(entry))
--- a/packages/gateway/lacewingdrum_gateway/serving/routing.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/routing.py
@@ -27,7 +27,7 @@
 # A request is refused if it costs other requests more than this multiple of
 # its own worth.
 REFUSE_LOST_WORTH_RATIO = 1.4
-# The same while requests of a more urgent rank arrive.
+# It gives way to arrivals of a more urgent rank from this multiple on.
 YIELD_LOST_WORTH_RATIO = 0.25
 # Prompts with a shorter prefill interfere too little to be refused.
 REFUSE_PREFILL_MIN_MS = 500.0
@@ -240,9 +240,11 @@
         )
         prefill_ms = engine_times.prefill_ms(engine, prompt_tokens, 1)
         is_large = prefill_ms > REFUSE_PREFILL_MIN_MS
-        has_urgent = bool(service_room.more_urgent(arrivals, routed.rank, over_share))
-        ratio = YIELD_LOST_WORTH_RATIO if has_urgent else REFUSE_LOST_WORTH_RATIO
-        is_too_costly = is_large and total_cost > ratio * worth
+        is_too_costly = is_large and total_cost > REFUSE_LOST_WORTH_RATIO * worth
+        costs_urgent = is_large and total_cost > YIELD_LOST_WORTH_RATIO * worth
+        costs_urgent = costs_urgent and bool(
+            service_room.more_urgent(arrivals, routed.rank, "")
+        )
         is_late = choice.first_event_ms > demand.objective_left_ms
         plan = plans.Plan(
             entry=choice.entries[0],
@@ -254,6 +256,7 @@
             cost=choice.lost_worth,
             candidate_count=len(entries),
             prefill_ms=prefill_ms,
+            costs_urgent=costs_urgent,
             room=self._room(
                 routed,
                 engine,
