--- a/packages/coordination/lacewingdrum_coordination/service_room.py
+++ b/packages/coordination/lacewingdrum_coordination/service_room.py
@@ -51,6 +51,11 @@
         # that varies by the root of its number.
         return self.free_slots < max(math.sqrt(self.expected_arrivals), 1.0)
 
+    @property
+    def has_urgent_load(self) -> bool:
+        """Whether half is taken and more urgent requests keep arriving."""
+        return self.expected_arrivals >= 1.0 and not self.is_half_free
+
     @property
     def is_half_free(self) -> bool:
         """Whether so little is taken that no request may be refused."""
--- a/packages/coordination/lacewingdrum_coordination/short_room.py
+++ b/packages/coordination/lacewingdrum_coordination/short_room.py
@@ -152,7 +152,7 @@
     room = asking.room
     if room is not None and room.is_idle:
         return None
-    if asking.costs_urgent:
+    if asking.costs_urgent and room is not None and room.has_urgent_load:
         return Reason.MORE_URGENT_FIRST
     if room is not None and room.is_short:
         over = Reason.OVER_SHARE
--- a/packages/coordination/lacewingdrum_coordination/short_room_test.py
+++ b/packages/coordination/lacewingdrum_coordination/short_room_test.py
@@ -58,6 +58,16 @@
     assert decide(at_end(room=room)) == short_room.Proceed()
 
 
+def test_costly_prompt_gives_way_only_while_more_urgent_requests_keep_arriving():
+    room = dataclasses.replace(SHORT, free_slots=90)
+    costly = dataclasses.replace(ASKING, costs_urgent=True, room=room)
+    assert isinstance(decide(costly), short_room.PutOff)
+    assert decide(at_end(costs_urgent=True, room=room)) == short_room.Proceed()
+    for change in ({"taken_ratio": 0.3}, {"expected_arrivals": 0.6}):
+        calm = dataclasses.replace(room, **change)
+        assert decide(dataclasses.replace(costly, room=calm)) == short_room.Proceed()
+
+
 def test_customer_over_its_share_is_refused_at_the_end_of_its_wait():
     refused = decide(at_end(is_over_share=True), least=True)
     assert refused == short_room.Refuse(short_room.Reason.OVER_SHARE)
