Merge waiting for room, off unless a setting asks for it

So the composition root wires it only where serving.waits_for_room is set; without it large prompts are refused as before, and no room is measured.

--- a/packages/gateway/lacewingdrum_gateway/components.py
+++ b/packages/gateway/lacewingdrum_gateway/components.py
@@ -16,6 +16,7 @@
     relay,
     request_handler,
     retry_permits,
+    room_control,
     routing,
     silence_limits,
     silence_watch,
@@ -34,6 +35,7 @@
 PEER_UNACKNOWLEDGED_MAX_MS = 1_200
 PEER_IDLE_S = 4.0
 ANSWER_MEMORY_SHARE = 0.15
+WAITING_BODY_MEMORY_SHARE = 0.15
 
 
 class Components(fleet_components.FleetComponents):
@@ -99,6 +101,7 @@
             clock,
             rng,
             table,
+            own_settings.serving.waits_for_room,
         )
         attempt_records = attempt_log.AttemptLog(
             self.roster, clock, self.decisions, self.counts
@@ -174,6 +177,7 @@
             self.health,
             self.crash_watch,
             answers_without_runner,
+            self._room_control() if own_settings.serving.waits_for_room else None,
             attempt_records,
             clock,
         )
@@ -208,6 +212,18 @@
         self.reach.on_change(self.peers.announce)
         self.peers.set_relay_port_source(self._relay_port)
 
+    def _room_control(self) -> room_control.RoomControl:
+        memory_bytes = self.own_settings.limits.memory_mb * server_limits.BYTES_PER_MB
+        return room_control.RoomControl(
+            self.work_sync.shares,
+            self.peer_table,
+            int(memory_bytes * WAITING_BODY_MEMORY_SHARE),
+            self.clock,
+            self.rng,
+            self.decisions,
+            self.counts,
+        )
+
     @property
     def is_ready(self) -> bool:
         """Whether this daemon accepts new connections."""
--- a/packages/gateway/lacewingdrum_gateway/serving/final_answers.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/final_answers.py
@@ -5,7 +5,12 @@
 
 from lacewingdrum_gateway.crashes import crash_watch
 from lacewingdrum_gateway.runners import runner_candidates
-from lacewingdrum_gateway.serving import active_request, outcomes, plans
+from lacewingdrum_gateway.serving import (
+    active_request,
+    outcomes,
+    plans,
+    room_control,
+)
 from lacewingdrum_runtime import decision_log, metrics
 from lacewingdrum_state import crashes, states
 from lacewingdrum_transport import http_messages
@@ -61,6 +66,19 @@
         )
         return await self._send_refusal(active, "overloaded", retry_s)
 
+    async def refuse_without_room(
+        self, active: active_request.ActiveRequest, refusal: room_control.Refusal
+    ) -> outcomes.Outcome:
+        """Refuse a request that has not run, and say when to retry it."""
+        self._decisions.record(
+            decision_log.DecisionEvent.REFUSED,
+            active.request_id,
+            retry_after_s=round(refusal.retry_s, 2),
+            configuration_version=active.config_version,
+            **refusal.fields,
+        )
+        return await self._send_refusal(active, "overloaded", refusal.retry_s)
+
     async def refuse_blamed(
         self, active: active_request.ActiveRequest, blame: crashes.Blame
     ) -> outcomes.Outcome:
--- a/packages/gateway/lacewingdrum_gateway/serving/plans.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/plans.py
@@ -2,9 +2,12 @@
 
 import dataclasses
 
-from lacewingdrum_coordination import coordinators, engine_load
+from lacewingdrum_coordination import coordinators, engine_load, service_room
 from lacewingdrum_state import configurations, requests, runner_entries
 
+DEFAULT_OBJECTIVE_MS = 1_000.0
+CUSTOMER_DIGITS = 8
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RoutedRequest:
@@ -27,6 +30,25 @@
         found = f"{self.route.name}\x1f{self.service.name}\x1f{customer}"
         return f"{coordinators.stable_hash(found):x}"
 
+    @property
+    def rank(self) -> int:
+        """The customer's rank or the route's; 0 is the most urgent."""
+        if self.customer is not None and self.customer.priority is not None:
+            return self.customer.priority
+        return self.route.priority
+
+    @property
+    def objective_ms(self) -> float:
+        """The objective for the first event."""
+        return self.route.objective_ms or DEFAULT_OBJECTIVE_MS
+
+    @property
+    def customer_digest(self) -> str:
+        """A short hash of the customer, which other daemons compare."""
+        if self.customer is None:
+            return ""
+        return f"{coordinators.stable_hash(self.customer.name):x}"[:CUSTOMER_DIGITS]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Plan:
@@ -37,7 +59,10 @@
     ``first_event_ms`` is the expected time until the first event; for a plain
     service it is the route's objective. ``cost`` is the worth that is expected
     to be lost. ``evacuated_count`` is how many runners evacuations
-    leave out.
+    leave out. ``prefill_ms`` is the prefill time of the whole prompt on one
+    engine. ``costs_urgent`` is set if requests of a more urgent rank would
+    lose a part of its worth, and ``room`` is what more urgent requests have
+    beside this one, or None if none lacks any.
     """
 
     entry: runner_entries.RunnerEntry
@@ -50,6 +75,9 @@
     candidate_count: int
     cold_left_ms: int = 0
     evacuated_count: int = 0
+    prefill_ms: float = 0.0
+    costs_urgent: bool = False
+    room: service_room.Room | None = None
 
     @property
     def entries(self) -> tuple[runner_entries.RunnerEntry, ...]:
@@ -59,8 +87,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TooCostly:
-    """A request that is refused because it costs others too much worth."""
+    """A plan that is not to be made, as it costs others too much worth."""
 
     lost_worth: float
     worth: float
     first_event_ms: float
+    plan: Plan
--- a/packages/gateway/lacewingdrum_gateway/settings.py
+++ b/packages/gateway/lacewingdrum_gateway/settings.py
@@ -127,6 +127,17 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServingSettings:
+    """How requests are served when a service is short of room."""
+
+    waits_for_room: bool = toml_keys.field(
+        toml_rules.Flag(),
+        False,
+        "whether less urgent requests wait, or are refused, while room is short",
+    )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Settings:
     """The whole file, with one field for each section."""
@@ -135,6 +146,7 @@
     store: StoreSettings
     limits: LimitsSettings = LimitsSettings()
     bounds: BoundsSettings = BoundsSettings()
+    serving: ServingSettings = ServingSettings()
 
 
 SECTIONS: dict[str, type] = {
@@ -142,6 +154,7 @@
     "store": StoreSettings,
     "limits": LimitsSettings,
     "bounds": BoundsSettings,
+    "serving": ServingSettings,
 }
 
 
