--- a/packages/gateway/lacewingdrum_gateway/serving/room_control_test.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/room_control_test.py
@@ -37,7 +37,18 @@
 
 def make_plan(room=SHORT):
     entry = replay_room_kinds.make_entry(1)
-    return plans.Plan(entry, (), ("work",), 0, 6, 500.0, 0.1, 24, 900.0, False, room)
+    return plans.Plan(
+        entry,
+        (),
+        ("work",),
+        helper_memory_tokens=0,
+        priority=6,
+        first_event_ms=500.0,
+        cost=0.1,
+        candidate_count=24,
+        prefill_ms=900.0,
+        room=room,
+    )
 
 
 def test_put_off_is_logged_and_ends_at_its_bound_with_a_refusal_or_a_start():
