An end found by a read is news once

Cause: an evacuation that a read of the table lacked took the version of each later read, so every read was a change, went to all peers and made the digests differ; a peer's older end even set the version back. Change: the end is kept with the version of the first read that lacked the row. Test: a second read that lacks the row returns no change (failed before).

--- a/packages/coordination/lacewingdrum_coordination/evacuation_register.py
+++ b/packages/coordination/lacewingdrum_coordination/evacuation_register.py
@@ -148,9 +148,11 @@
         newest = max((item for item in learnt if item is not None), key=_rank)
         is_missing = data_centre not in self._own_read
         if newest.is_active and is_missing and newest.version < self._own_read_version:
-            return evacuations.Evacuation(
+            # Kept, so that later reads which lack the row are no news.
+            newest = evacuations.Evacuation(
                 data_centre, False, self._own_read_version, is_read=True
             )
+            self._read[data_centre] = newest
         return newest
 
 
--- a/packages/coordination/lacewingdrum_coordination/evacuation_register_test.py
+++ b/packages/coordination/lacewingdrum_coordination/evacuation_register_test.py
@@ -31,6 +31,17 @@
     assert register.active == {SOUTH}
 
 
+def test_an_end_is_news_of_the_first_read_that_lacks_the_row_alone():
+    register = settled()
+    register.apply([row(5, True)])
+    assert register.apply_read(at(7), ())
+    digest = register.digest
+    assert register.apply_read(at(8), ()) == ()
+    assert register.apply_read(at(10), ()) == ()
+    assert register.apply([row(6, False, is_read=True)]) == ()
+    assert register.digest == digest
+
+
 def test_older_news_that_arrives_after_a_read_begins_nothing():
     register = settled()
     register.apply_read(at(7), ())
