Rows written after a return count though only reads show them

Cause: within the window after a return every row of a read counted as one of the older copy, so an evacuation ordered anew was not kept to for the window if the feed failed. Change: the version of the first read of an era is kept, rows of later reads above it count at once. Test: failed before.

--- a/packages/coordination/lacewingdrum_coordination/evacuation_register.py
+++ b/packages/coordination/lacewingdrum_coordination/evacuation_register.py
@@ -7,6 +7,7 @@
 before what is read there, and only rows seen as they changed are newer.
 """
 
+import dataclasses
 from collections.abc import Iterable
 
 import xxhash
@@ -33,6 +34,8 @@
         self._changed: _ByDataCentre = {}
         # Of reads in this era, by this daemon and by its peers.
         self._read: _ByDataCentre = {}
+        # Rows above the version of the first read were written after a return.
+        self._first_read: store_versions.StoreVersion | None = None
         self._own_read_version = store_versions.NO_VERSION
         self._own_read: frozenset[ids.DataCentre] = frozenset()
         self._beliefs: _ByDataCentre = {}
@@ -81,9 +84,12 @@
         """
         found = tuple(found)
         self._begin_era(version.era)
-        if version >= self._own_read_version and version.era == self.era:
-            self._own_read_version = version
-            self._own_read = frozenset(item.data_centre for item in found)
+        if version.era == self.era:
+            first = self._first_read = min(self._first_read or version, version)
+            if version >= self._own_read_version:
+                self._own_read_version = version
+                self._own_read = frozenset(item.data_centre for item in found)
+            found = tuple(_with_origin(item, first) for item in found)
         self.is_known = True
         return self.apply(found)
 
@@ -121,6 +127,7 @@
         self.is_after_return = True
         self._changed = dict(self._beliefs)
         self._read = {}
+        self._first_read = None
         self._own_read_version = store_versions.NO_VERSION
         self._own_read = frozenset()
 
@@ -156,6 +163,13 @@
         return newest
 
 
+def _with_origin(
+    item: evacuations.Evacuation, first_read: store_versions.StoreVersion
+) -> evacuations.Evacuation:
+    """Return a row of a read as one seen as it changed if it is no copy's."""
+    return dataclasses.replace(item, is_read=item.version <= first_read)
+
+
 def _rank(item: evacuations.Evacuation) -> tuple[store_versions.StoreVersion, bool]:
     return item.version, item.is_active
 
--- a/packages/coordination/lacewingdrum_coordination/evacuation_register_test.py
+++ b/packages/coordination/lacewingdrum_coordination/evacuation_register_test.py
@@ -81,6 +81,15 @@
     assert register.active == {NORTH}
 
 
+def test_row_that_a_later_read_shows_first_counts_at_once_after_a_return():
+    register = settled()
+    register.apply([row(5, True), row(8, False)])
+    register.apply_read(at(6, 2), [row(5, True, 2, is_read=True)])
+    assert not register.active
+    register.apply_read(at(12, 2), [row(11, True, 2, is_read=True)])
+    assert register.active == {NORTH}
+
+
 def test_rows_of_the_copy_count_once_nobody_has_written_others():
     register = settled()
     register.apply([row(5, True)])
