A daemon that starts asks a peer for evacuations though it has read them

Cause: the read of a store that has returned without an operators' row made a daemon that started then ready, and it sent requests there until a digest put it right. Test: with digests taken out of the heartbeats, a late daemon sends none (failed before).

--- a/packages/gateway/lacewingdrum_gateway/evacuation_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/evacuation_sync.py
@@ -2,7 +2,8 @@
 
 The rows come with those of the configuration, which only some daemons follow
 in a large fleet; the others learn of them from these. A daemon that starts
-waits a moment until it has read the table, or a peer has sent what it knows.
+waits a moment until a peer has sent what it knows, as the store may have
+returned from a copy; without peers it waits until it has read the table.
 """
 
 import asyncio
@@ -47,6 +48,7 @@
         self._decisions = decisions
         self._counts = counts
         self._configured_s = float("inf")
+        self._has_answer = False
         self._last_request_s = float("-inf")
         self._learnt_s: dict[ids.DataCentre, float] = {}
         self._era: int | None = None
@@ -65,8 +67,17 @@
     @property
     def is_known(self) -> bool:
         """Whether requests may begin: all is known, or the wait is over."""
-        waited_s = self._clock() - self._configured_s
-        return self.register.is_known or waited_s > INITIAL_WAIT_MAX_S
+        if self._is_wait_over:
+            return True
+        return self.register.is_known and not self._awaits_answer
+
+    @property
+    def _is_wait_over(self) -> bool:
+        return self._clock() - self._configured_s > INITIAL_WAIT_MAX_S
+
+    @property
+    def _awaits_answer(self) -> bool:
+        return bool(self._peers.table.live) and not self._has_answer
 
     def start(self) -> None:
         """Begin to learn from the store and to exchange with the peers."""
@@ -106,7 +117,7 @@
         before = self.register.active
         changed = self.register.apply(map(_from_report, news.evacuations))
         if news.is_whole:
-            self.register.is_known = True
+            self._has_answer = self.register.is_known = True
         is_same_era = news.era == self.register.era
         seen_s = now_s - news.era_age_ms / units.MS_PER_S if is_same_era else now_s
         self._time_return(seen_s)
@@ -126,10 +137,10 @@
             self._peers.send(sender, self._to_message(self.register.all, True))
 
     def _on_heartbeat(self, peer: peering.Peer) -> None:
-        """Ask a peer while nothing is known, as the store may not answer."""
+        """Ask a peer after the start, also if the store has answered."""
         now_s = self._clock()
         is_due = now_s - self._last_request_s >= REQUEST_INTERVAL_S
-        if not self.register.is_known and is_due:
+        if is_due and not self._has_answer and not self._is_wait_over:
             self._last_request_s = now_s
             self._peers.send(peer.address, evacuation_messages.EvacuationRequest())
 
--- a/packages/gateway/lacewingdrum_gateway/evacuation_test.py
+++ b/packages/gateway/lacewingdrum_gateway/evacuation_test.py
@@ -7,8 +7,8 @@
 from result import Ok
 
 from lacewingdrum_coordination import store_followers
-from lacewingdrum_gateway import evacuation_sync
-from lacewingdrum_gateway.peers import peer_table
+from lacewingdrum_gateway import evacuation_sync, settings
+from lacewingdrum_gateway.peers import news_spread, peer_table
 from lacewingdrum_state import evacuations, ids, store_versions
 from lacewingdrum_transport import http_messages
 from standins import platform_site, platform_store
@@ -36,9 +36,12 @@
 
 
 @contextlib.asynccontextmanager
-async def placed_site(gateways: int = 1, ledgers: int = 2, engines: int = 2):
+async def placed_site(
+    gateways: int = 1, ledgers: int = 2, engines: int = 2, bound_ms: float = 5_000.0
+):
     """Yield a site with one runner of each service in the south."""
-    async with platform_site.running_site(0, engines, ledgers) as site:
+    bounds = settings.BoundsSettings(evacuation_max_ms=bound_ms)
+    async with platform_site.running_site(0, engines, ledgers, bounds) as site:
         place_south(site)
         for _ in range(gateways):
             await site.add_gateway(SEEDS)
@@ -151,6 +154,20 @@
         assert not await count_north(site, late)
 
 
+async def test_daemon_that_starts_after_a_return_asks_a_peer_though_it_has_read():
+    no_digests = unittest.mock.patch.object(
+        news_spread.NewsSpread, "_on_heartbeat", lambda *_: None
+    )
+    with no_digests:
+        async with placed_site(bound_ms=60_000.0) as site:
+            copied = site.store.copy()
+            evacuate(site)
+            await wait_known(site)
+            site.store.restore(copied)
+            late = await site.add_gateway(SEEDS)
+            assert not await count_north(site, late)
+
+
 async def test_daemon_beside_peers_that_send_no_evacuations_becomes_ready():
     mute = unittest.mock.patch.object(
         evacuation_sync.EvacuationSync, "_on_request", lambda *_: None
