An unsent attempt frees no runner beyond the route's limit

Cause: where a request could go only to one runner, as its route allows no further one, an attempt there that was not sent (evacuated, not connected) lifted that restriction, and the next plan took a further runner. Change: with no runner left the restriction stays. Test: failed before.

--- a/packages/gateway/lacewingdrum_gateway/serving/retry_limits.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/retry_limits.py
@@ -68,9 +68,7 @@
         active.suspect_attempt_count += 1
     helper = next((item for item in plan.helpers if item.address == end.at_fault), None)
     if helper is None:
-        active.only_runner = None
-        if not _has_runners_left(active):
-            allow_repeat(active)
+        _release_choice(active, end)
         return None
     active.excluded.add(helper.runner_id)
     # The attempt failed because of its helper; the runner that the request was
@@ -82,6 +80,21 @@
     return helper.runner_id
 
 
+def _release_choice(
+    active: active_request.ActiveRequest, end: attempt_ends.AttemptEnd
+) -> None:
+    """Let the next attempt go to another runner, if there may be one."""
+    if _has_runners_left(active):
+        active.only_runner = None
+        return
+    if end.state is states.AttemptState.UNSENT and active.only_runner is not None:
+        # An unsent attempt may always be followed by one, which must not go
+        # to a further runner.
+        return
+    active.only_runner = None
+    allow_repeat(active)
+
+
 def apply_relay_end(
     active: active_request.ActiveRequest,
     end: attempt_ends.AttemptEnd,
