Refusals for want of engines outside an evacuation say so

Cause: only a service whose runners were all evacuated was refused with `evacuated` and a Retry-After of 2 s and more; a prompt that needs more engines than are left was told to return within half a second. Change: the same answer where runners are left out, none elsewhere pauses, and no attempt began or the last one ended as evacuated; such refusals count in refusals, costly ones log how many runners are left out. Tests: both refusals failed before; the case that is planned elsewhere is back.

--- a/packages/gateway/lacewingdrum_gateway/evacuation_test.py
+++ b/packages/gateway/lacewingdrum_gateway/evacuation_test.py
@@ -21,10 +21,10 @@
 SEEDS = ("127.0.0.1:1",)
 
 
-def place_south(site) -> None:
-    """Let the first runner of each service be far from the daemons."""
+def place_south(site, engines: int = 1) -> None:
+    """Let the first runners of each service be far from the daemons."""
     for runner, service in (
-        (site.engines[0], platform_site.MODEL),
+        *((engine, platform_site.MODEL) for engine in site.engines[:engines]),
         (site.ledgers[0], platform_site.LEDGER),
     ):
         entry = {**runner.entry(service), "zone": "south"}
@@ -37,12 +37,16 @@
 
 @contextlib.asynccontextmanager
 async def placed_site(
-    gateways: int = 1, ledgers: int = 2, engines: int = 2, bound_ms: float = 5_000.0
+    gateways: int = 1,
+    ledgers: int = 2,
+    engines: int = 2,
+    bound_ms: float = 5_000.0,
+    south_engines: int = 1,
 ):
-    """Yield a site with one runner of each service in the south."""
+    """Yield a site with a runner of each service in the south."""
     bounds = settings.BoundsSettings(evacuation_max_ms=bound_ms)
     async with platform_site.running_site(0, engines, ledgers, bounds) as site:
-        place_south(site)
+        place_south(site, south_engines)
         for _ in range(gateways):
             await site.add_gateway(SEEDS)
         yield site
@@ -230,28 +234,54 @@
         assert not site.ledgers[1].arrivals
 
 
+ALL_ENGINES = platform_site.prompt_headers(900_000)
+
+
+def assert_refused(answer) -> None:
+    assert answer.status == 503
+    assert answer.header("Lacewingdrum-Ran") == "no"
+    assert float(answer.header("Retry-After")) >= 2.0, "nobody knows of a sooner end"
+
+
+async def evacuate_while_reserving(site):
+    """Send a prompt that needs three engines; evacuate before it begins."""
+    memory = site.gateways[0].daemon.components.memory
+    reserve, reached, go_on = memory.reserve, asyncio.Event(), asyncio.Event()
+
+    async def reserve_slowly(*args):
+        reserved = await reserve(*args)
+        reached.set()
+        await go_on.wait()
+        return reserved
+
+    memory.reserve = reserve_slowly
+    call = asyncio.ensure_future(site.call("/digest/x", "d", headers=ALL_ENGINES))
+    await asyncio.wait_for(reached.wait(), 5.0)
+    evacuate(site)
+    await wait_known(site)
+    go_on.set()
+    return await call
+
+
 async def test_attempt_whose_memory_is_being_reserved_is_not_sent_any_more():
-    all_engines = platform_site.prompt_headers(900_000)
     async with placed_site(engines=3) as site:
-        memory = site.gateways[0].daemon.components.memory
-        reserve, reached, go_on = memory.reserve, asyncio.Event(), asyncio.Event()
+        assert_refused(await evacuate_while_reserving(site))
+        assert not any(engine.arrivals for engine in site.engines)
 
-        async def reserve_slowly(*args):
-            reserved = await reserve(*args)
-            reached.set()
-            await go_on.wait()
-            return reserved
 
-        memory.reserve = reserve_slowly
-        call = asyncio.ensure_future(site.call("/digest/x", "d", headers=all_engines))
-        await asyncio.wait_for(reached.wait(), 5.0)
+async def test_attempt_whose_memory_is_being_reserved_is_planned_elsewhere():
+    async with placed_site(engines=5, south_engines=3) as site:
+        assert (await evacuate_while_reserving(site)).status == 200
+        assert not any(engine.arrivals for engine in site.engines[3:])
+
+
+async def test_prompt_for_which_too_few_engines_are_left_is_refused_for_longer():
+    async with placed_site(engines=3) as site:
         evacuate(site)
         await wait_known(site)
-        go_on.set()
-        answer = await call
-        assert answer.status == 503
-        assert answer.header("Lacewingdrum-Ran") == "no"
-        assert not any(engine.arrivals for engine in site.engines)
+        assert_refused(await site.call("/digest/x", "d", headers=ALL_ENGINES))
+        metrics = site.gateways[0].daemon.components.counts.text()
+        assert 'refusals_total{reason="evacuated"} 1' in metrics
 
 
 async def test_evacuation_lasts_although_the_store_returns_without_it():
--- a/packages/gateway/lacewingdrum_gateway/serving/final_answers.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/final_answers.py
@@ -5,7 +5,7 @@
 
 from lacewingdrum_gateway.crashes import crash_watch
 from lacewingdrum_gateway.runners import runner_candidates
-from lacewingdrum_gateway.serving import active_request, outcomes, plans
+from lacewingdrum_gateway.serving import active_request, attempt_ends, outcomes, plans
 from lacewingdrum_runtime import decision_log, metrics
 from lacewingdrum_state import crashes, states
 from lacewingdrum_transport import http_messages
@@ -56,6 +56,7 @@
             lost=round(reason.lost_worth, 2),
             worth=round(reason.worth, 2),
             first_expected_ms=round(reason.first_event_ms),
+            evacuated=self._candidates.evacuated_count(active.routed.service.name),
             retry_after_s=round(retry_s, 2),
             configuration_version=active.config_version,
         )
@@ -162,10 +163,7 @@
             await responder.send(answer)
             return outcomes.Outcome.RUNNER_FAILURE
         if not active.may_have_run:
-            code = "no_runner" if not active.ends else "runners_refused"
-            pause_s = self._candidates.pause_left_s(active.routed.service.name)
-            if self._candidates.has_only_evacuated(active.routed.service.name):
-                code, pause_s = "evacuated", EVACUATED_RETRY_AFTER_S
+            code, pause_s = self._why_not_run(active, time_over)
             spread_s = RETRY_AFTER_JITTER_S * self._rng.random()
             retry_s = max(pause_s, RETRY_AFTER_MIN_S) + spread_s
             self._record_left_out(active, code, retry_s)
@@ -193,6 +191,21 @@
         )
         return outcomes.Outcome.TIME_OVER if time_over else outcomes.Outcome.LOST
 
+    def _why_not_run(
+        self, active: active_request.ActiveRequest, time_over: bool
+    ) -> tuple[str, float]:
+        """Return why no runner has run a request, and how long that lasts."""
+        service = active.routed.service.name
+        pause_s = self._candidates.pause_left_s(service)
+        is_evacuated = self._candidates.has_only_evacuated(service)
+        if not pause_s and not time_over and self._candidates.evacuated_count(service):
+            # Those elsewhere are too few, or have no room.
+            last = active.ends[-1].reason if active.ends else None
+            is_evacuated |= last in (None, attempt_ends.EndReason.EVACUATED)
+        if is_evacuated:
+            return "evacuated", EVACUATED_RETRY_AFTER_S
+        return "no_runner" if not active.ends else "runners_refused", pause_s
+
     def _record_left_out(
         self, active: active_request.ActiveRequest, code: str, retry_s: float
     ) -> None:
@@ -200,6 +213,8 @@
         count = self._candidates.evacuated_count(active.routed.service.name)
         if not count:
             return
+        if code == "evacuated":
+            self._counts.count("refusals", reason=code)
         self._decisions.record(
             decision_log.DecisionEvent.REFUSED,
             active.request_id,
