Ended evacuations make room for further ones

Cause: names of ended evacuations were kept for good, and a 257th data centre was silently not evacuated. Change: the oldest ended one by version is dropped; where 256 are evacuated at once, a further one is counted, logged and shown by a gauge. Tests: both failed before.

--- a/packages/coordination/lacewingdrum_coordination/evacuation_register.py
+++ b/packages/coordination/lacewingdrum_coordination/evacuation_register.py
@@ -25,12 +25,15 @@
     ``era`` is the newest era of the store, None before the first. ``is_known``
     is set once a whole table, or all that a peer knows, has been taken.
     ``is_after_return`` is set from a new era on until ``end_return``.
+    ``refused_count`` counts evacuations that were not kept, as
+    ``DATA_CENTRES_MAX`` others last.
     """
 
     def __init__(self) -> None:
         self.era: int | None = None
         self.is_known = False
         self.is_after_return = False
+        self.refused_count = 0
         self._changed: _ByDataCentre = {}
         # Of reads in this era, by this daemon and by its peers.
         self._read: _ByDataCentre = {}
@@ -106,11 +109,22 @@
             is_of_read = item.is_read and item.version.era == self.era
             by_data_centre = self._read if is_of_read else self._changed
             known = by_data_centre.get(item.data_centre)
-            is_room = known is not None or len(by_data_centre) < DATA_CENTRES_MAX
-            if is_room and (known is None or _rank(item) > _rank(known)):
+            if known is None or _rank(item) > _rank(known):
                 by_data_centre[item.data_centre] = item
+                self._drop_excess(by_data_centre, item)
         return self._update()
 
+    def _drop_excess(
+        self, by_data_centre: _ByDataCentre, added: evacuations.Evacuation
+    ) -> None:
+        """Drop the oldest ended evacuation, or else the added one."""
+        if len(by_data_centre) <= DATA_CENTRES_MAX:
+            return
+        ended = [item for item in by_data_centre.values() if not item.is_active]
+        dropped = min(ended, key=_rank) if ended else added
+        del by_data_centre[dropped.data_centre]
+        self.refused_count += dropped.is_active
+
     def end_return(self) -> tuple[evacuations.Evacuation, ...]:
         """Let what was read in the newest era count like all else.
 
--- a/packages/coordination/lacewingdrum_coordination/evacuation_register_test.py
+++ b/packages/coordination/lacewingdrum_coordination/evacuation_register_test.py
@@ -143,6 +143,27 @@
     assert len({register.digest for register in registers}) == 1
 
 
+def test_oldest_ended_evacuations_make_room_for_further_ones():
+    register, limit = settled(), evacuation_register.DATA_CENTRES_MAX
+    names = [ids.DataCentre(f"d{number}") for number in range(limit)]
+    for number, name in enumerate(names):
+        register.apply([row(2 * number + 2, True, name=name)])
+        register.apply([row(2 * number + 3, False, name=name)])
+    register.apply([row(9_000, True)])
+    assert register.active == {NORTH}
+    assert {item.data_centre for item in register.all} == {NORTH, *names[1:]}
+
+
+def test_evacuations_beyond_the_limit_are_counted():
+    register, limit = settled(), evacuation_register.DATA_CENTRES_MAX
+    register.apply(
+        row(number + 2, True, name=ids.DataCentre(f"d{number}"))
+        for number in range(limit + 1)
+    )
+    assert len(register.active) == limit
+    assert register.refused_count == 1
+
+
 st_bool = strategies.booleans()
 
 
--- a/packages/gateway/lacewingdrum_gateway/evacuation_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/evacuation_sync.py
@@ -49,6 +49,7 @@
         self._counts = counts
         self._configured_s = float("inf")
         self._has_answer = False
+        self._refused_count = 0
         self._last_request_s = float("-inf")
         self._learnt_s: dict[ids.DataCentre, float] = {}
         self._era: int | None = None
@@ -88,6 +89,7 @@
         self._peers.on_heartbeat(self._on_heartbeat)
         self._spread.start()
         self._counts.gauge("evacuated_data_centres", lambda: len(self.register.active))
+        self._counts.gauge("refused_evacuations", lambda: self.register.refused_count)
 
     async def close(self) -> None:
         """Cancel the timer."""
@@ -186,6 +188,14 @@
             ages_ms: how long the source has known it.
         """
         now_s = self._clock()
+        if self.register.refused_count > self._refused_count:
+            self._refused_count = self.register.refused_count
+            self._decisions.record(
+                decision_log.DecisionEvent.EVACUATIONS_FULL,
+                None,
+                source=source,
+                refused_count=self._refused_count,
+            )
         for item in changed:
             age_ms = ages_ms.get(item.data_centre, 0)
             self._learnt_s[item.data_centre] = now_s - age_ms / units.MS_PER_S
