Rows of a copy do not outlive a second return of the store

Cause: a daemon that started after a return believed a row of the copy; after a second return its peers took that row for one seen in the feed of a later era, and evacuated a data centre again whose evacuation had ended. Change: of earlier eras, what was only read within the window after a return counts less than all that was seen as it changed, or believed when the window had ended. Tests: both failed before; any order of rows, reads and news still ends alike.

--- a/packages/coordination/lacewingdrum_coordination/evacuation_register.py
+++ b/packages/coordination/lacewingdrum_coordination/evacuation_register.py
@@ -109,7 +109,9 @@
             is_of_read = item.is_read and item.version.era == self.era
             by_data_centre = self._read if is_of_read else self._changed
             known = by_data_centre.get(item.data_centre)
-            if known is None or _rank(item) > _rank(known):
+            # What was read in an earlier era may be of its copy.
+            rank = _rank if is_of_read else _settled_rank
+            if known is None or rank(item) > rank(known):
                 by_data_centre[item.data_centre] = item
                 self._drop_excess(by_data_centre, item)
         return self._update()
@@ -137,9 +139,16 @@
     def _begin_era(self, era: int) -> None:
         if self.era is not None and era <= self.era:
             return
+        beliefs = self._beliefs
+        if not self.is_after_return:
+            # No rows of a copy are among them.
+            beliefs = {
+                data_centre: dataclasses.replace(item, is_read=False)
+                for data_centre, item in beliefs.items()
+            }
         self.era = era
         self.is_after_return = True
-        self._changed = dict(self._beliefs)
+        self._changed = dict(beliefs)
         self._read = {}
         self._first_read = None
         self._own_read_version = store_versions.NO_VERSION
@@ -188,6 +197,12 @@
     return item.version, item.is_active
 
 
+def _settled_rank(
+    item: evacuations.Evacuation,
+) -> tuple[bool, store_versions.StoreVersion, bool]:
+    return not item.is_read, item.version, item.is_active
+
+
 def _differs(
     before: evacuations.Evacuation | None, now: evacuations.Evacuation
 ) -> bool:
--- a/packages/coordination/lacewingdrum_coordination/evacuation_register_test.py
+++ b/packages/coordination/lacewingdrum_coordination/evacuation_register_test.py
@@ -117,6 +117,29 @@
     assert not register.active
 
 
+def test_row_of_a_copy_that_a_peer_believed_does_not_outlive_a_second_return():
+    register, fresh = settled(), evacuation_register.EvacuationRegister()
+    register.apply([row(5, True), row(8, False)])
+    for one in (register, fresh):
+        one.apply_read(at(6, 2), [row(5, True, 2, is_read=True)])
+        one.apply_read(at(6, 3), [row(5, True, 3, is_read=True)])
+    assert fresh.active == {NORTH}
+    register.apply(fresh.all)
+    assert not register.active
+    fresh.apply(register.all)
+    assert not fresh.active
+
+
+def test_end_found_by_a_read_outlives_a_second_return_beside_such_a_row():
+    register = settled()
+    register.apply([row(5, True)])
+    register.apply_read(at(8), ())
+    register.apply_read(at(6, 2), [row(5, True, 2, is_read=True)])
+    register.apply_read(at(6, 3), [row(5, True, 3, is_read=True)])
+    register.apply([row(5, True, 2, is_read=True)])
+    assert not register.active
+
+
 @hypothesis.given(strategies.data())
 def test_any_order_of_rows_reads_and_news_ends_in_the_same_state(data):
     steps = data.draw(
