A request that may not be sent keeps its connection in the pool

Cause: the check right before the first byte stood before the block that frees the connection, so a check that raised left it counted; and a healthy connection was closed. Change: the check is inside, the connection goes back to the pool. Tests: both failed before.

--- a/packages/transport/lacewingdrum_transport/http_client.py
+++ b/packages/transport/lacewingdrum_transport/http_client.py
@@ -148,12 +148,13 @@
             return Err(connection)
         is_handed_over = False
         failure: HttpClientError | None = None
-        if may_send is not None and not may_send():
-            self._discard(connection, False)
-            return Err(HttpClientError(ClientErrorReason.WITHDRAWN, False))
-        if on_send is not None:
-            on_send()
         try:
+            if may_send is not None and not may_send():
+                is_handed_over = True
+                self._keep_idle(connection)
+                return Err(HttpClientError(ClientErrorReason.WITHDRAWN, False))
+            if on_send is not None:
+                on_send()
             answer = await response_reader.exchange(
                 connection, head.ok_value, body, deadline_s, allow_close_delimited
             )
@@ -270,13 +271,20 @@
                 del self._idle[address]
 
     def _release(self, connection: _Connection, timed_out: bool) -> None:
+        if not connection.reusable:
+            self._discard(connection, timed_out)
+            return
+        connection.h11.start_next_cycle()
+        self._keep_idle(connection)
+
+    def _keep_idle(self, connection: _Connection) -> None:
+        """Keep a connection on which the next request can be sent."""
         idle = self._idle.setdefault(connection.address, [])
         full = len(idle) >= self._limits.idle_per_address
-        if self._closed or full or not connection.reusable:
-            self._discard(connection, timed_out)
+        if self._closed or full or not connection.is_quiescent:
+            self._discard(connection, False)
             return
         self._in_use.discard(connection)
-        connection.h11.start_next_cycle()
         connection.idle_since_s = self._clock()
         idle.append(connection)
         # An idle connection that gets anything is of no use, and bytes without
--- a/packages/transport/lacewingdrum_transport/http_client_test.py
+++ b/packages/transport/lacewingdrum_transport/http_client_test.py
@@ -97,6 +97,25 @@
         assert server.connection_count == 1
 
 
+async def test_connection_is_kept_for_the_next_request_if_this_one_may_not_be_sent():
+    async with raw_server(COMPLETE_RESPONSE) as (client, server):
+        withdrawn = await client.open(
+            server.address, "GET", "/", may_send=lambda: False
+        )
+        assert withdrawn.unwrap_err().reason is Reason.WITHDRAWN
+        assert client.idle_count(server.address) == 1
+        assert (await get(client, server)).unwrap().status == 200
+        assert (server.connection_count, server.request_count) == (1, 1)
+
+
+async def test_connection_is_not_counted_any_more_after_a_failed_check():
+    limits = http_client.ClientLimits(connections_per_address=1)
+    async with raw_server(COMPLETE_RESPONSE, limits=limits) as (client, server):
+        with contextlib.suppress(ZeroDivisionError):
+            await client.open(server.address, "GET", "/", may_send=lambda: 1 / 0)
+        assert (await get(client, server)).unwrap().status == 200
+
+
 async def test_interrupted_responses_are_errors():
     assert await error_of(b"!") == (Reason.LOST, True)
     assert await error_of(b"!HTTP/1.1 200 OK\r\nContent-Le") == (Reason.LOST, True)
