Calls to the store keep to the bound of evacuations too

Cause: waits and pauses of the feed followed the bound of the configuration alone, so a smaller bound of evacuations was broken by design. Change: the smaller of both. Test: failed before.

--- a/packages/gateway/lacewingdrum_gateway/evacuation_test.py
+++ b/packages/gateway/lacewingdrum_gateway/evacuation_test.py
@@ -99,6 +99,12 @@
         assert await count_north(site)
 
 
+async def test_calls_to_the_store_keep_to_the_bound_of_evacuations():
+    async with placed_site(bound_ms=1_000.0) as site:
+        components = site.gateways[0].daemon.components
+        assert components.configurations._deadlines.in_force_s == 1.0
+
+
 async def test_evacuations_in_quick_succession_end_as_the_last_one_says():
     async with placed_site(gateways=3) as site:
         for _ in range(6):
--- a/packages/gateway/lacewingdrum_gateway/fleet_components.py
+++ b/packages/gateway/lacewingdrum_gateway/fleet_components.py
@@ -78,8 +78,10 @@
         vm = own_settings.vm
         self.counts = metrics.Metrics()
         self.decisions = decision_log.DecisionLog(logger, clock, EXPLAIN_LINES)
+        bounds = own_settings.bounds
+        # The same calls bring configurations and evacuations.
         deadlines = store_deadlines.StoreDeadlines(
-            own_settings.bounds.configuration_max_ms / units.MS_PER_S
+            min(bounds.configuration_max_ms, bounds.evacuation_max_ms) / units.MS_PER_S
         )
         self.store = store_client.StoreClient(
             own_settings.store.address, deadlines, clock, self.decisions, self.counts
