News of an earlier era that a read before the return lacked begins nothing

Cause: the last own read was forgotten with the era, so a late peer's older row evacuated a data centre until the window ended; it cost refusals. Change: the last read of the era before is kept. Test: failed before.

--- a/packages/coordination/lacewingdrum_coordination/evacuation_register.py
+++ b/packages/coordination/lacewingdrum_coordination/evacuation_register.py
@@ -41,6 +41,9 @@
         self._first_read: store_versions.StoreVersion | None = None
         self._own_read_version = store_versions.NO_VERSION
         self._own_read: frozenset[ids.DataCentre] = frozenset()
+        # The last own read of an earlier era.
+        self._earlier_read_version = store_versions.NO_VERSION
+        self._earlier_read: frozenset[ids.DataCentre] = frozenset()
         self._beliefs: _ByDataCentre = {}
         self._active: frozenset[ids.DataCentre] = frozenset()
         self._digest: int | None = 0
@@ -106,6 +109,7 @@
         """
         for item in found:
             self._begin_era(item.version.era)
+            item = self._apply_earlier_read(item)
             is_of_read = item.is_read and item.version.era == self.era
             by_data_centre = self._read if is_of_read else self._changed
             known = by_data_centre.get(item.data_centre)
@@ -116,6 +120,18 @@
                 self._drop_excess(by_data_centre, item)
         return self._update()
 
+    def _apply_earlier_read(
+        self, item: evacuations.Evacuation
+    ) -> evacuations.Evacuation:
+        """Return what was last read of an evacuation of an earlier era."""
+        version = self._earlier_read_version
+        is_earlier = item.version.era == version.era and item.version < version
+        if not item.is_active or not is_earlier:
+            return item
+        if item.data_centre in self._earlier_read:
+            return item
+        return evacuations.Evacuation(item.data_centre, False, version)
+
     def _drop_excess(
         self, by_data_centre: _ByDataCentre, added: evacuations.Evacuation
     ) -> None:
@@ -151,6 +167,9 @@
         self._changed = dict(beliefs)
         self._read = {}
         self._first_read = None
+        if self._own_read_version != store_versions.NO_VERSION:
+            self._earlier_read_version = self._own_read_version
+            self._earlier_read = self._own_read
         self._own_read_version = store_versions.NO_VERSION
         self._own_read = frozenset()
 
--- a/packages/coordination/lacewingdrum_coordination/evacuation_register_test.py
+++ b/packages/coordination/lacewingdrum_coordination/evacuation_register_test.py
@@ -140,6 +140,14 @@
     assert not register.active
 
 
+def test_older_news_after_a_return_begins_nothing_that_a_read_before_lacked():
+    register = settled()
+    register.apply_read(at(9), ())
+    register.apply_read(at(3, 2), ())
+    register.apply([row(5, True)])
+    assert not register.active
+
+
 @hypothesis.given(strategies.data())
 def test_any_order_of_rows_reads_and_news_ends_in_the_same_state(data):
     steps = data.draw(
