Tests of evacuations wait for conditions and see both sides of the window

Two tests of a returning store ended within the window of 4 s, so they showed nothing of its end; they now follow it to its end, with the row written again and without. The wait for the news was 2 s, which no promise says and which failed once under load (with a load of 19 to 25 on 7 cores): it is the bound that the site has, 5 s or 4 s.

--- a/packages/gateway/lacewingdrum_gateway/evacuation_test.py
+++ b/packages/gateway/lacewingdrum_gateway/evacuation_test.py
@@ -9,13 +9,15 @@
 from lacewingdrum_coordination import store_followers
 from lacewingdrum_gateway import evacuation_sync, settings
 from lacewingdrum_gateway.peers import news_spread, peer_table
-from lacewingdrum_state import evacuations, ids, store_versions
+from lacewingdrum_state import evacuations, ids, store_versions, units
 from lacewingdrum_transport import http_messages
 from standins import platform_site, platform_store
 
 ROW = "evacuate/north"
 NORTH = ids.DataCentre("north")
-KNOWN_S = 2.0
+BOUND_MS = 5_000.0
+RETURN_BOUND_MS = 4_000.0
+NORTH_USED_S = 10.0
 ASK = platform_site.prompt_headers(400)
 REQUESTS = 12
 SEEDS = ("127.0.0.1:1",)
@@ -40,7 +42,7 @@
     gateways: int = 1,
     ledgers: int = 2,
     engines: int = 2,
-    bound_ms: float = 5_000.0,
+    bound_ms: float = BOUND_MS,
     south_engines: int = 1,
 ):
     """Yield a site with a runner of each service in the south."""
@@ -70,7 +72,7 @@
         lambda: all(
             register(one).is_evacuated(NORTH) == is_active for one in site.gateways
         ),
-        KNOWN_S,
+        site.bounds.evacuation_max_ms / units.MS_PER_S,
     )
 
 
@@ -88,15 +90,43 @@
     return len(site.engines[1].arrivals) + len(site.ledgers[1].arrivals)
 
 
+async def wait_for_north(site, on=None) -> None:
+    """Send requests until the north gets one."""
+    async with asyncio.timeout(NORTH_USED_S):
+        while not await count_north(site, on):
+            pass
+
+
+async def wait_for_return(site) -> None:
+    """Let the store return; wait until all daemons are in the window."""
+    await site.wait_until(
+        lambda: all(
+            register(one).era == site.store.era and register(one).is_after_return
+            for one in site.gateways
+        ),
+        RETURN_BOUND_MS / units.MS_PER_S,
+    )
+
+
+async def watch_window(site, is_active: bool) -> None:
+    """Wait until the window has ended; nothing may change meanwhile."""
+    is_open = True
+    while is_open:
+        await asyncio.sleep(0.05)
+        is_open = any(register(one).is_after_return for one in site.gateways)
+        for one in site.gateways:
+            assert register(one).is_evacuated(NORTH) == is_active
+
+
 async def test_no_request_begins_in_an_evacuated_data_centre_until_it_ends():
     async with placed_site(gateways=2) as site:
-        assert await count_north(site)
+        await wait_for_north(site)
         evacuate(site)
         await wait_known(site)
         assert not await count_north(site)
         site.store.delete("op", ROW)
         await wait_known(site, False)
-        assert await count_north(site)
+        await wait_for_north(site)
 
 
 async def test_calls_to_the_store_keep_to_the_bound_of_evacuations():
@@ -291,30 +321,38 @@
 
 
 async def test_evacuation_lasts_although_the_store_returns_without_it():
-    async with placed_site(gateways=2) as site:
+    async with placed_site(gateways=2, bound_ms=RETURN_BOUND_MS) as site:
         copied = site.store.copy()
         evacuate(site)
         await wait_known(site)
         site.store.restore(copied)
-        for _ in range(3):
-            assert not await count_north(site)
-            await asyncio.sleep(0.3)
+        await wait_for_return(site)
+        assert not await count_north(site)
         evacuate(site)
-        await asyncio.sleep(KNOWN_S)
+        await watch_window(site, True)
+        assert not await count_north(site)
+        site.store.restore(copied)
+        # Nobody writes it again.
+        await wait_for_return(site)
         assert not await count_north(site)
+        await wait_known(site, False)
 
 
 async def test_evacuation_that_has_ended_does_not_return_with_the_store():
-    async with placed_site(gateways=2) as site:
+    async with placed_site(gateways=2, bound_ms=RETURN_BOUND_MS) as site:
         evacuate(site)
         await wait_known(site)
         copied = site.store.copy()
         site.store.delete("op", ROW)
         await wait_known(site, False)
         site.store.restore(copied)
-        for _ in range(10):
-            assert not any(register(one).active for one in site.gateways)
-            await asyncio.sleep(0.15)
+        await wait_for_return(site)
         site.store.delete("op", ROW)
+        await watch_window(site, False)
         late = await site.add_gateway(SEEDS)
-        assert await count_north(site, late)
+        await wait_for_north(site, late)
+        site.store.restore(copied)
+        # Nobody takes it back again.
+        await wait_for_return(site)
+        assert not any(register(one).active for one in site.gateways)
+        await wait_known(site)
