An evacuation lasts whatever the value of its row is

Cause: a row whose value could not be decoded counted as missing from a read of the whole table, which ended the evacuation, though only its key says it. Change: such rows are kept apart with their keys and versions.

--- a/packages/gateway/lacewingdrum_gateway/store_client.py
+++ b/packages/gateway/lacewingdrum_gateway/store_client.py
@@ -93,7 +93,7 @@
         Returns:
             All rows with the version of the first page, or the error.
         """
-        rows: list[store_calls.Row] = []
+        pages: list[store_calls.Rows] = []
         version: store_versions.StoreVersion | None = None
         start = ""
         while True:
@@ -109,9 +109,9 @@
             if page.version.era != version.era:
                 detail = f"era {page.version.era} within a read of {version.era}"
                 return Err(StoreError(StoreErrorReason.OLD_ERA, detail))
-            rows.extend(page.rows)
+            pages.append(page)
             if not page.has_more:
-                return Ok(store_calls.Rows(tuple(rows), version, False))
+                return Ok(store_calls.join(pages))
             if page.last_key < start or not page.last_key:
                 # Rows that were not read must not count as gone.
                 detail = f"a page that ends at {page.last_key!r}, before {start!r}"
