Runners that evacuations leave out are counted once for each list

Cause: while an evacuation lasts each plan walked all runners of its service. Change: the count is kept until the list or the evacuations change.

--- a/packages/gateway/lacewingdrum_gateway/runners/runner_candidates.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/runner_candidates.py
@@ -20,6 +20,10 @@
 # Above this number, runners of other data centres are not considered.
 CANDIDATES_MAX = 150
 
+_EvacuatedCount = tuple[
+    frozenset[ids.DataCentre], tuple[runner_entries.RunnerEntry, ...], int
+]
+
 
 class RunnerCandidates:
     """The runners of each service that may get a request now."""
@@ -43,6 +47,8 @@
         self._data_centre = data_centre
         self._clock = clock
         self._evacuations = evacuations
+        # The count of each service, and what it was made from.
+        self._evacuated_counts: dict[ids.ServiceName, _EvacuatedCount] = {}
 
     def pause_left_s(self, service: ids.ServiceName) -> float:
         """Return how long no runner of a service takes a request.
@@ -71,9 +77,15 @@
 
     def evacuated_count(self, service: ids.ServiceName) -> int:
         """Return how many runners of a service evacuations leave out."""
-        if not self._evacuations.active:
+        active = self._evacuations.active
+        if not active:
             return 0
-        return sum(map(self.is_evacuated, self._roster.of_service(service)))
+        listed = self._roster.of_service(service)
+        counted = self._evacuated_counts.get(service)
+        if counted is None or counted[0] is not active or counted[1] is not listed:
+            counted = (active, listed, sum(map(self.is_evacuated, listed)))
+            self._evacuated_counts[service] = counted
+        return counted[2]
 
     def has_only_evacuated(self, service: ids.ServiceName) -> bool:
         """Return whether a service has runners, all of them evacuated."""
