A daemon that serves without knowing the evacuations says so once

Cause: a daemon that neither the store nor a peer tells the evacuations began to serve without a word. The test of it showed nothing: the peer that it muted had registered its handlers before and did answer. Change: one log line when the wait is over; the test mutes the peer from its start and waits for the line. A test of the log line and the gauge of evacuations. Names and comments of the register and its synchronization say what they are.

--- a/packages/coordination/lacewingdrum_coordination/evacuation_register.py
+++ b/packages/coordination/lacewingdrum_coordination/evacuation_register.py
@@ -3,8 +3,9 @@
 Of all that is learnt of a data centre the newest version of the store counts,
 so the order of arrival does not matter. A read of the whole table is news of
 each evacuation that it lacks. A store that returns from an older copy shows
-rows of that copy for a while; until ``end_return`` the belief of before goes
-before what is read there, and only rows seen as they changed are newer.
+rows of that copy for a while; until ``end_return`` the state known before the
+return takes precedence over what is read, and only rows seen as they changed
+are newer.
 """
 
 import dataclasses
@@ -34,16 +35,20 @@
         self.is_known = False
         self.is_after_return = False
         self.refused_count = 0
+        # Rows seen as they changed, and all that was known in earlier eras.
         self._changed: _ByDataCentre = {}
-        # Of reads in this era, by this daemon and by its peers.
+        # Of reads in this era, by this daemon and by its peers: rows that may
+        # be of an older copy, and ends that are found as a row is missing.
         self._read: _ByDataCentre = {}
-        # Rows above the version of the first read were written after a return.
+        # The first own read; rows above its version are no copy's.
         self._first_read: store_versions.StoreVersion | None = None
+        # The newest own read of this era, and the data centres that it shows.
         self._own_read_version = store_versions.NO_VERSION
         self._own_read: frozenset[ids.DataCentre] = frozenset()
         # The last own read of an earlier era.
         self._earlier_read_version = store_versions.NO_VERSION
         self._earlier_read: frozenset[ids.DataCentre] = frozenset()
+        # What counts of all that.
         self._beliefs: _ByDataCentre = {}
         self._active: frozenset[ids.DataCentre] = frozenset()
         self._digest: int | None = 0
@@ -74,6 +79,10 @@
         """Return whether no request may begin at runners of a data centre."""
         return data_centre in self._active
 
+    def set_known(self) -> None:
+        """Record that a peer has sent all that it knows."""
+        self.is_known = True
+
     def apply_read(
         self,
         version: store_versions.StoreVersion,
--- a/packages/coordination/lacewingdrum_coordination/evacuation_register_test.py
+++ b/packages/coordination/lacewingdrum_coordination/evacuation_register_test.py
@@ -6,6 +6,7 @@
 
 NORTH, SOUTH = ids.DataCentre("north"), ids.DataCentre("south")
 DAEMONS = 4
+st_bool = strategies.booleans()
 
 
 def at(version: int, era: int = 1) -> store_versions.StoreVersion:
@@ -195,9 +196,6 @@
     assert register.refused_count == 1
 
 
-st_bool = strategies.booleans()
-
-
 def _of(seen):
     return strategies.sampled_from(seen)
 
--- a/packages/gateway/lacewingdrum_gateway/evacuation_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/evacuation_sync.py
@@ -18,8 +18,8 @@
 from lacewingdrum_runtime import decision_log, metrics
 from lacewingdrum_state import evacuations, ids, store_versions, units
 
-# The share of the bound for an evacuation for which the belief of before goes
-# before the rows of a store that has returned from an older copy.
+# The share of the bound for an evacuation for which the state known before a
+# return of the store takes precedence over the rows of its older copy.
 RETURN_WINDOW_SHARE = 0.8
 # How long a daemon with a configuration waits for the evacuations; peers of
 # earlier builds send none.
@@ -49,6 +49,7 @@
         self._counts = counts
         self._configured_s = float("inf")
         self._has_answer = False
+        self._has_warned = False
         self._refused_count = 0
         self._last_request_s = float("-inf")
         self._learnt_s: dict[ids.DataCentre, float] = {}
@@ -107,7 +108,7 @@
             changed = self.register.apply_read(rows.version, found)
         else:
             changed = self.register.apply(found)
-        self._time_return(self._clock())
+        self._schedule_return_end(self._clock())
         self._record(before, changed, "store", {})
         if changed:
             self._spread.send(self._to_message(changed))
@@ -119,10 +120,11 @@
         before = self.register.active
         changed = self.register.apply(map(_from_report, news.evacuations))
         if news.is_whole:
-            self._has_answer = self.register.is_known = True
+            self._has_answer = True
+            self.register.set_known()
         is_same_era = news.era == self.register.era
         seen_s = now_s - news.era_age_ms / units.MS_PER_S if is_same_era else now_s
-        self._time_return(seen_s)
+        self._schedule_return_end(seen_s)
         ages_ms = {
             ids.DataCentre(report.data_centre): report.age_ms
             for report in news.evacuations
@@ -141,12 +143,15 @@
     def _on_heartbeat(self, peer: peering.Peer) -> None:
         """Ask a peer after the start, also if the store has answered."""
         now_s = self._clock()
+        if self._is_wait_over and not self.register.is_known and not self._has_warned:
+            self._has_warned = True
+            self._decisions.record(decision_log.DecisionEvent.EVACUATIONS_UNKNOWN, None)
         is_due = now_s - self._last_request_s >= REQUEST_INTERVAL_S
         if is_due and not self._has_answer and not self._is_wait_over:
             self._last_request_s = now_s
             self._peers.send(peer.address, evacuation_messages.EvacuationRequest())
 
-    def _time_return(self, seen_s: float) -> None:
+    def _schedule_return_end(self, seen_s: float) -> None:
         """Let what is read in a new era count a while after it was first seen.
 
         Args:
@@ -163,9 +168,9 @@
             self._return_timer.cancel()
         left_s = max(seen_s + self._return_window_s - self._clock(), 0.0)
         loop = asyncio.get_running_loop()
-        self._return_timer = loop.call_later(left_s, self._end_return)
+        self._return_timer = loop.call_later(left_s, self._end_return_window)
 
-    def _end_return(self) -> None:
+    def _end_return_window(self) -> None:
         before = self.register.active
         changed = self.register.end_return()
         self._record(before, changed, "store, after its return", {})
--- a/packages/gateway/lacewingdrum_gateway/evacuation_test.py
+++ b/packages/gateway/lacewingdrum_gateway/evacuation_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import logging
 import unittest.mock
 
 from result import Ok
@@ -90,6 +91,15 @@
     return len(site.engines[1].arrivals) + len(site.ledgers[1].arrivals)
 
 
+def logged():
+    """Return what keeps the lines that the daemons of a site log."""
+    return unittest.TestCase().assertLogs("lacewingdrum.site", logging.INFO)
+
+
+def events(logs) -> list[str]:
+    return [line.getMessage() for line in logs.records]
+
+
 async def wait_for_north(site, on=None) -> None:
     """Send requests until the north gets one."""
     async with asyncio.timeout(NORTH_USED_S):
@@ -129,6 +139,22 @@
         await wait_for_north(site)
 
 
+async def test_evacuations_are_logged_once_and_shown_by_a_gauge():
+    async with placed_site() as site:
+        counts = site.gateways[0].daemon.components.counts
+        with logged() as logs:
+            evacuate(site)
+            await wait_known(site)
+            assert "evacuated_data_centres 1" in counts.text()
+            site.store.delete("op", ROW)
+            await wait_known(site, False)
+        assert "evacuated_data_centres 0" in counts.text()
+        changes = [one for one in logs.records if one.msg == "evacuation_changed"]
+        assert [one.is_active for one in changes] == [True, False]
+        assert changes[0].data_centre == NORTH
+        assert changes[0].source == "store"
+
+
 async def test_calls_to_the_store_keep_to_the_bound_of_evacuations():
     async with placed_site(bound_ms=1_000.0) as site:
         components = site.gateways[0].daemon.components
@@ -212,12 +238,15 @@
     mute = unittest.mock.patch.object(
         evacuation_sync.EvacuationSync, "_on_request", lambda *_: None
     )
-    async with placed_site() as site:
-        site.store.mode = platform_store.StoreMode.BUSY
-        with mute:
-            late = await site.start_gateway(SEEDS)
-            await site.wait_until(lambda: late.daemon.configuration_version)
-            await site.wait_until(lambda: late.daemon.is_ready, 6.0)
+    # The daemon that is there registers its handlers when it starts.
+    with mute:
+        async with placed_site() as site:
+            site.store.mode = platform_store.StoreMode.BUSY
+            with logged() as logs:
+                late = await site.start_gateway(SEEDS)
+                await site.wait_until(lambda: late.daemon.configuration_version)
+                await site.wait_until(lambda: late.daemon.is_ready, 6.0)
+                await site.wait_until(lambda: "evacuations_unknown" in events(logs))
 
 
 async def test_daemon_that_missed_the_news_is_brought_up_to_date():
--- a/packages/runtime/lacewingdrum_runtime/decision_log.py
+++ b/packages/runtime/lacewingdrum_runtime/decision_log.py
@@ -61,6 +61,7 @@
     RUNNER_LIMITED = "runner_limited"
     RUNNER_COLD = "runner_cold"
     EVACUATION_CHANGED = "evacuation_changed"
+    EVACUATIONS_UNKNOWN = "evacuations_unknown"
     EVACUATIONS_FULL = "evacuations_full"
     RUNNER_CRASHED = "runner_crashed"
     PROMPT_PART_CHANGED = "prompt_part_changed"
