--- a/packages/coordination/lacewingdrum_coordination/evacuation_register.py
+++ b/packages/coordination/lacewingdrum_coordination/evacuation_register.py
@@ -3,10 +3,12 @@
 Of all that is learnt of a data centre the newest version of the store counts,
 so the order of arrival does not matter. A read of the whole table is news of
 each evacuation that it lacks. A store that returns from an older copy shows
-rows of that copy for a while; until ``end_return`` the belief of before goes
-before what is read there, and only rows seen as they changed are newer.
+rows of that copy for a while; until ``end_return`` the state known before the
+return takes precedence over what is read, and only rows seen as they changed
+are newer.
 """
 
+import dataclasses
 from collections.abc import Iterable
 
 import xxhash
@@ -24,17 +26,29 @@
     ``era`` is the newest era of the store, None before the first. ``is_known``
     is set once a whole table, or all that a peer knows, has been taken.
     ``is_after_return`` is set from a new era on until ``end_return``.
+    ``refused_count`` counts evacuations that were not kept, as
+    ``DATA_CENTRES_MAX`` others last.
     """
 
     def __init__(self) -> None:
         self.era: int | None = None
         self.is_known = False
         self.is_after_return = False
+        self.refused_count = 0
+        # Rows seen as they changed, and all that was known in earlier eras.
         self._changed: _ByDataCentre = {}
-        # Of reads in this era, by this daemon and by its peers.
+        # Of reads in this era, by this daemon and by its peers: rows that may
+        # be of an older copy, and ends that are found as a row is missing.
         self._read: _ByDataCentre = {}
+        # The first own read; rows above its version are no copy's.
+        self._first_read: store_versions.StoreVersion | None = None
+        # The newest own read of this era, and the data centres that it shows.
         self._own_read_version = store_versions.NO_VERSION
         self._own_read: frozenset[ids.DataCentre] = frozenset()
+        # The last own read of an earlier era.
+        self._earlier_read_version = store_versions.NO_VERSION
+        self._earlier_read: frozenset[ids.DataCentre] = frozenset()
+        # What counts of all that.
         self._beliefs: _ByDataCentre = {}
         self._active: frozenset[ids.DataCentre] = frozenset()
         self._digest: int | None = 0
@@ -65,6 +79,10 @@
         """Return whether no request may begin at runners of a data centre."""
         return data_centre in self._active
 
+    def set_known(self) -> None:
+        """Record that a peer has sent all that it knows."""
+        self.is_known = True
+
     def apply_read(
         self,
         version: store_versions.StoreVersion,
@@ -81,9 +99,12 @@
         """
         found = tuple(found)
         self._begin_era(version.era)
-        if version >= self._own_read_version and version.era == self.era:
-            self._own_read_version = version
-            self._own_read = frozenset(item.data_centre for item in found)
+        if version.era == self.era:
+            first = self._first_read = min(self._first_read or version, version)
+            if version >= self._own_read_version:
+                self._own_read_version = version
+                self._own_read = frozenset(item.data_centre for item in found)
+            found = tuple(_with_origin(item, first) for item in found)
         self.is_known = True
         return self.apply(found)
 
@@ -97,14 +118,40 @@
         """
         for item in found:
             self._begin_era(item.version.era)
+            item = self._apply_earlier_read(item)
             is_of_read = item.is_read and item.version.era == self.era
             by_data_centre = self._read if is_of_read else self._changed
             known = by_data_centre.get(item.data_centre)
-            is_room = known is not None or len(by_data_centre) < DATA_CENTRES_MAX
-            if is_room and (known is None or _rank(item) > _rank(known)):
+            # What was read in an earlier era may be of its copy.
+            rank = _rank if is_of_read else _settled_rank
+            if known is None or rank(item) > rank(known):
                 by_data_centre[item.data_centre] = item
+                self._drop_excess(by_data_centre, item)
         return self._update()
 
+    def _apply_earlier_read(
+        self, item: evacuations.Evacuation
+    ) -> evacuations.Evacuation:
+        """Return what was last read of an evacuation of an earlier era."""
+        version = self._earlier_read_version
+        is_earlier = item.version.era == version.era and item.version < version
+        if not item.is_active or not is_earlier:
+            return item
+        if item.data_centre in self._earlier_read:
+            return item
+        return evacuations.Evacuation(item.data_centre, False, version)
+
+    def _drop_excess(
+        self, by_data_centre: _ByDataCentre, added: evacuations.Evacuation
+    ) -> None:
+        """Drop the oldest ended evacuation, or else the added one."""
+        if len(by_data_centre) <= DATA_CENTRES_MAX:
+            return
+        ended = [item for item in by_data_centre.values() if not item.is_active]
+        dropped = min(ended, key=_rank) if ended else added
+        del by_data_centre[dropped.data_centre]
+        self.refused_count += dropped.is_active
+
     def end_return(self) -> tuple[evacuations.Evacuation, ...]:
         """Let what was read in the newest era count like all else.
 
@@ -117,10 +164,21 @@
     def _begin_era(self, era: int) -> None:
         if self.era is not None and era <= self.era:
             return
+        beliefs = self._beliefs
+        if not self.is_after_return:
+            # No rows of a copy are among them.
+            beliefs = {
+                data_centre: dataclasses.replace(item, is_read=False)
+                for data_centre, item in beliefs.items()
+            }
         self.era = era
         self.is_after_return = True
-        self._changed = dict(self._beliefs)
+        self._changed = dict(beliefs)
         self._read = {}
+        self._first_read = None
+        if self._own_read_version != store_versions.NO_VERSION:
+            self._earlier_read_version = self._own_read_version
+            self._earlier_read = self._own_read
         self._own_read_version = store_versions.NO_VERSION
         self._own_read = frozenset()
 
@@ -148,16 +206,31 @@
         newest = max((item for item in learnt if item is not None), key=_rank)
         is_missing = data_centre not in self._own_read
         if newest.is_active and is_missing and newest.version < self._own_read_version:
-            return evacuations.Evacuation(
+            # Kept, so that later reads which lack the row are no news.
+            newest = evacuations.Evacuation(
                 data_centre, False, self._own_read_version, is_read=True
             )
+            self._read[data_centre] = newest
         return newest
 
 
+def _with_origin(
+    item: evacuations.Evacuation, first_read: store_versions.StoreVersion
+) -> evacuations.Evacuation:
+    """Return a row of a read as one seen as it changed if it is no copy's."""
+    return dataclasses.replace(item, is_read=item.version <= first_read)
+
+
 def _rank(item: evacuations.Evacuation) -> tuple[store_versions.StoreVersion, bool]:
     return item.version, item.is_active
 
 
+def _settled_rank(
+    item: evacuations.Evacuation,
+) -> tuple[bool, store_versions.StoreVersion, bool]:
+    return not item.is_read, item.version, item.is_active
+
+
 def _differs(
     before: evacuations.Evacuation | None, now: evacuations.Evacuation
 ) -> bool:
--- a/packages/coordination/lacewingdrum_coordination/evacuation_register_test.py
+++ b/packages/coordination/lacewingdrum_coordination/evacuation_register_test.py
@@ -6,6 +6,7 @@
 
 NORTH, SOUTH = ids.DataCentre("north"), ids.DataCentre("south")
 DAEMONS = 4
+st_bool = strategies.booleans()
 
 
 def at(version: int, era: int = 1) -> store_versions.StoreVersion:
@@ -31,6 +32,17 @@
     assert register.active == {SOUTH}
 
 
+def test_an_end_is_news_of_the_first_read_that_lacks_the_row_alone():
+    register = settled()
+    register.apply([row(5, True)])
+    assert register.apply_read(at(7), ())
+    digest = register.digest
+    assert register.apply_read(at(8), ()) == ()
+    assert register.apply_read(at(10), ()) == ()
+    assert register.apply([row(6, False, is_read=True)]) == ()
+    assert register.digest == digest
+
+
 def test_older_news_that_arrives_after_a_read_begins_nothing():
     register = settled()
     register.apply_read(at(7), ())
@@ -70,6 +82,15 @@
     assert register.active == {NORTH}
 
 
+def test_row_that_a_later_read_shows_first_counts_at_once_after_a_return():
+    register = settled()
+    register.apply([row(5, True), row(8, False)])
+    register.apply_read(at(6, 2), [row(5, True, 2, is_read=True)])
+    assert not register.active
+    register.apply_read(at(12, 2), [row(11, True, 2, is_read=True)])
+    assert register.active == {NORTH}
+
+
 def test_rows_of_the_copy_count_once_nobody_has_written_others():
     register = settled()
     register.apply([row(5, True)])
@@ -97,6 +118,37 @@
     assert not register.active
 
 
+def test_row_of_a_copy_that_a_peer_believed_does_not_outlive_a_second_return():
+    register, fresh = settled(), evacuation_register.EvacuationRegister()
+    register.apply([row(5, True), row(8, False)])
+    for one in (register, fresh):
+        one.apply_read(at(6, 2), [row(5, True, 2, is_read=True)])
+        one.apply_read(at(6, 3), [row(5, True, 3, is_read=True)])
+    assert fresh.active == {NORTH}
+    register.apply(fresh.all)
+    assert not register.active
+    fresh.apply(register.all)
+    assert not fresh.active
+
+
+def test_end_found_by_a_read_outlives_a_second_return_beside_such_a_row():
+    register = settled()
+    register.apply([row(5, True)])
+    register.apply_read(at(8), ())
+    register.apply_read(at(6, 2), [row(5, True, 2, is_read=True)])
+    register.apply_read(at(6, 3), [row(5, True, 3, is_read=True)])
+    register.apply([row(5, True, 2, is_read=True)])
+    assert not register.active
+
+
+def test_older_news_after_a_return_begins_nothing_that_a_read_before_lacked():
+    register = settled()
+    register.apply_read(at(9), ())
+    register.apply_read(at(3, 2), ())
+    register.apply([row(5, True)])
+    assert not register.active
+
+
 @hypothesis.given(strategies.data())
 def test_any_order_of_rows_reads_and_news_ends_in_the_same_state(data):
     steps = data.draw(
@@ -123,7 +175,25 @@
     assert len({register.digest for register in registers}) == 1
 
 
-st_bool = strategies.booleans()
+def test_oldest_ended_evacuations_make_room_for_further_ones():
+    register, limit = settled(), evacuation_register.DATA_CENTRES_MAX
+    names = [ids.DataCentre(f"d{number}") for number in range(limit)]
+    for number, name in enumerate(names):
+        register.apply([row(2 * number + 2, True, name=name)])
+        register.apply([row(2 * number + 3, False, name=name)])
+    register.apply([row(9_000, True)])
+    assert register.active == {NORTH}
+    assert {item.data_centre for item in register.all} == {NORTH, *names[1:]}
+
+
+def test_evacuations_beyond_the_limit_are_counted():
+    register, limit = settled(), evacuation_register.DATA_CENTRES_MAX
+    register.apply(
+        row(number + 2, True, name=ids.DataCentre(f"d{number}"))
+        for number in range(limit + 1)
+    )
+    assert len(register.active) == limit
+    assert register.refused_count == 1
 
 
 def _of(seen):
--- a/packages/gateway/lacewingdrum_gateway/evacuation_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/evacuation_sync.py
@@ -2,7 +2,8 @@
 
 The rows come with those of the configuration, which only some daemons follow
 in a large fleet; the others learn of them from these. A daemon that starts
-waits a moment until it has read the table, or a peer has sent what it knows.
+waits a moment until a peer has sent what it knows, as the store may have
+returned from a copy; without peers it waits until it has read the table.
 """
 
 import asyncio
@@ -17,8 +18,8 @@
 from lacewingdrum_runtime import decision_log, metrics
 from lacewingdrum_state import evacuations, ids, store_versions, units
 
-# The share of the bound for an evacuation for which the belief of before goes
-# before the rows of a store that has returned from an older copy.
+# The share of the bound for an evacuation for which the state known before a
+# return of the store takes precedence over the rows of its older copy.
 RETURN_WINDOW_SHARE = 0.8
 # How long a daemon with a configuration waits for the evacuations; peers of
 # earlier builds send none.
@@ -47,6 +48,9 @@
         self._decisions = decisions
         self._counts = counts
         self._configured_s = float("inf")
+        self._has_answer = False
+        self._has_warned = False
+        self._refused_count = 0
         self._last_request_s = float("-inf")
         self._learnt_s: dict[ids.DataCentre, float] = {}
         self._era: int | None = None
@@ -65,8 +69,17 @@
     @property
     def is_known(self) -> bool:
         """Whether requests may begin: all is known, or the wait is over."""
-        waited_s = self._clock() - self._configured_s
-        return self.register.is_known or waited_s > INITIAL_WAIT_MAX_S
+        if self._is_wait_over:
+            return True
+        return self.register.is_known and not self._awaits_answer
+
+    @property
+    def _is_wait_over(self) -> bool:
+        return self._clock() - self._configured_s > INITIAL_WAIT_MAX_S
+
+    @property
+    def _awaits_answer(self) -> bool:
+        return bool(self._peers.table.live) and not self._has_answer
 
     def start(self) -> None:
         """Begin to learn from the store and to exchange with the peers."""
@@ -77,6 +90,7 @@
         self._peers.on_heartbeat(self._on_heartbeat)
         self._spread.start()
         self._counts.gauge("evacuated_data_centres", lambda: len(self.register.active))
+        self._counts.gauge("refused_evacuations", lambda: self.register.refused_count)
 
     async def close(self) -> None:
         """Cancel the timer."""
@@ -94,7 +108,7 @@
             changed = self.register.apply_read(rows.version, found)
         else:
             changed = self.register.apply(found)
-        self._time_return(self._clock())
+        self._schedule_return_end(self._clock())
         self._record(before, changed, "store", {})
         if changed:
             self._spread.send(self._to_message(changed))
@@ -106,10 +120,11 @@
         before = self.register.active
         changed = self.register.apply(map(_from_report, news.evacuations))
         if news.is_whole:
-            self.register.is_known = True
+            self._has_answer = True
+            self.register.set_known()
         is_same_era = news.era == self.register.era
         seen_s = now_s - news.era_age_ms / units.MS_PER_S if is_same_era else now_s
-        self._time_return(seen_s)
+        self._schedule_return_end(seen_s)
         ages_ms = {
             ids.DataCentre(report.data_centre): report.age_ms
             for report in news.evacuations
@@ -126,14 +141,17 @@
             self._peers.send(sender, self._to_message(self.register.all, True))
 
     def _on_heartbeat(self, peer: peering.Peer) -> None:
-        """Ask a peer while nothing is known, as the store may not answer."""
+        """Ask a peer after the start, also if the store has answered."""
         now_s = self._clock()
+        if self._is_wait_over and not self.register.is_known and not self._has_warned:
+            self._has_warned = True
+            self._decisions.record(decision_log.DecisionEvent.EVACUATIONS_UNKNOWN, None)
         is_due = now_s - self._last_request_s >= REQUEST_INTERVAL_S
-        if not self.register.is_known and is_due:
+        if is_due and not self._has_answer and not self._is_wait_over:
             self._last_request_s = now_s
             self._peers.send(peer.address, evacuation_messages.EvacuationRequest())
 
-    def _time_return(self, seen_s: float) -> None:
+    def _schedule_return_end(self, seen_s: float) -> None:
         """Let what is read in a new era count a while after it was first seen.
 
         Args:
@@ -150,9 +168,9 @@
             self._return_timer.cancel()
         left_s = max(seen_s + self._return_window_s - self._clock(), 0.0)
         loop = asyncio.get_running_loop()
-        self._return_timer = loop.call_later(left_s, self._end_return)
+        self._return_timer = loop.call_later(left_s, self._end_return_window)
 
-    def _end_return(self) -> None:
+    def _end_return_window(self) -> None:
         before = self.register.active
         changed = self.register.end_return()
         self._record(before, changed, "store, after its return", {})
@@ -175,6 +193,14 @@
             ages_ms: how long the source has known it.
         """
         now_s = self._clock()
+        if self.register.refused_count > self._refused_count:
+            self._refused_count = self.register.refused_count
+            self._decisions.record(
+                decision_log.DecisionEvent.EVACUATIONS_FULL,
+                None,
+                source=source,
+                refused_count=self._refused_count,
+            )
         for item in changed:
             age_ms = ages_ms.get(item.data_centre, 0)
             self._learnt_s[item.data_centre] = now_s - age_ms / units.MS_PER_S
--- a/packages/gateway/lacewingdrum_gateway/evacuation_test.py
+++ b/packages/gateway/lacewingdrum_gateway/evacuation_test.py
@@ -2,29 +2,32 @@
 
 import asyncio
 import contextlib
+import logging
 import unittest.mock
 
 from result import Ok
 
 from lacewingdrum_coordination import store_followers
-from lacewingdrum_gateway import evacuation_sync
-from lacewingdrum_gateway.peers import peer_table
-from lacewingdrum_state import evacuations, ids, store_versions
+from lacewingdrum_gateway import evacuation_sync, settings
+from lacewingdrum_gateway.peers import news_spread, peer_table
+from lacewingdrum_state import evacuations, ids, store_versions, units
 from lacewingdrum_transport import http_messages
 from standins import platform_site, platform_store
 
 ROW = "evacuate/north"
 NORTH = ids.DataCentre("north")
-KNOWN_S = 2.0
+BOUND_MS = 5_000.0
+RETURN_BOUND_MS = 4_000.0
+NORTH_USED_S = 10.0
 ASK = platform_site.prompt_headers(400)
 REQUESTS = 12
 SEEDS = ("127.0.0.1:1",)
 
 
-def place_south(site) -> None:
-    """Let the first runner of each service be far from the daemons."""
+def place_south(site, engines: int = 1) -> None:
+    """Let the first runners of each service be far from the daemons."""
     for runner, service in (
-        (site.engines[0], platform_site.MODEL),
+        *((engine, platform_site.MODEL) for engine in site.engines[:engines]),
         (site.ledgers[0], platform_site.LEDGER),
     ):
         entry = {**runner.entry(service), "zone": "south"}
@@ -36,10 +39,17 @@
 
 
 @contextlib.asynccontextmanager
-async def placed_site(gateways: int = 1, ledgers: int = 2, engines: int = 2):
-    """Yield a site with one runner of each service in the south."""
-    async with platform_site.running_site(0, engines, ledgers) as site:
-        place_south(site)
+async def placed_site(
+    gateways: int = 1,
+    ledgers: int = 2,
+    engines: int = 2,
+    bound_ms: float = BOUND_MS,
+    south_engines: int = 1,
+):
+    """Yield a site with a runner of each service in the south."""
+    bounds = settings.BoundsSettings(evacuation_max_ms=bound_ms)
+    async with platform_site.running_site(0, engines, ledgers, bounds) as site:
+        place_south(site, south_engines)
         for _ in range(gateways):
             await site.add_gateway(SEEDS)
         yield site
@@ -63,7 +73,7 @@
         lambda: all(
             register(one).is_evacuated(NORTH) == is_active for one in site.gateways
         ),
-        KNOWN_S,
+        site.bounds.evacuation_max_ms / units.MS_PER_S,
     )
 
 
@@ -81,15 +91,74 @@
     return len(site.engines[1].arrivals) + len(site.ledgers[1].arrivals)
 
 
+def logged():
+    """Return what keeps the lines that the daemons of a site log."""
+    return unittest.TestCase().assertLogs("lacewingdrum.site", logging.INFO)
+
+
+def events(logs) -> list[str]:
+    return [line.getMessage() for line in logs.records]
+
+
+async def wait_for_north(site, on=None) -> None:
+    """Send requests until the north gets one."""
+    async with asyncio.timeout(NORTH_USED_S):
+        while not await count_north(site, on):
+            pass
+
+
+async def wait_for_return(site) -> None:
+    """Let the store return; wait until all daemons are in the window."""
+    await site.wait_until(
+        lambda: all(
+            register(one).era == site.store.era and register(one).is_after_return
+            for one in site.gateways
+        ),
+        RETURN_BOUND_MS / units.MS_PER_S,
+    )
+
+
+async def watch_window(site, is_active: bool) -> None:
+    """Wait until the window has ended; nothing may change meanwhile."""
+    is_open = True
+    while is_open:
+        await asyncio.sleep(0.05)
+        is_open = any(register(one).is_after_return for one in site.gateways)
+        for one in site.gateways:
+            assert register(one).is_evacuated(NORTH) == is_active
+
+
 async def test_no_request_begins_in_an_evacuated_data_centre_until_it_ends():
     async with placed_site(gateways=2) as site:
-        assert await count_north(site)
+        await wait_for_north(site)
         evacuate(site)
         await wait_known(site)
         assert not await count_north(site)
         site.store.delete("op", ROW)
         await wait_known(site, False)
-        assert await count_north(site)
+        await wait_for_north(site)
+
+
+async def test_evacuations_are_logged_once_and_shown_by_a_gauge():
+    async with placed_site() as site:
+        counts = site.gateways[0].daemon.components.counts
+        with logged() as logs:
+            evacuate(site)
+            await wait_known(site)
+            assert "evacuated_data_centres 1" in counts.text()
+            site.store.delete("op", ROW)
+            await wait_known(site, False)
+        assert "evacuated_data_centres 0" in counts.text()
+        changes = [one for one in logs.records if one.msg == "evacuation_changed"]
+        assert [one.is_active for one in changes] == [True, False]
+        assert changes[0].data_centre == NORTH
+        assert changes[0].source == "store"
+
+
+async def test_calls_to_the_store_keep_to_the_bound_of_evacuations():
+    async with placed_site(bound_ms=1_000.0) as site:
+        components = site.gateways[0].daemon.components
+        assert components.configurations._deadlines.in_force_s == 1.0
 
 
 async def test_evacuations_in_quick_succession_end_as_the_last_one_says():
@@ -151,16 +220,33 @@
         assert not await count_north(site, late)
 
 
+async def test_daemon_that_starts_after_a_return_asks_a_peer_though_it_has_read():
+    no_digests = unittest.mock.patch.object(
+        news_spread.NewsSpread, "_on_heartbeat", lambda *_: None
+    )
+    with no_digests:
+        async with placed_site(bound_ms=60_000.0) as site:
+            copied = site.store.copy()
+            evacuate(site)
+            await wait_known(site)
+            site.store.restore(copied)
+            late = await site.add_gateway(SEEDS)
+            assert not await count_north(site, late)
+
+
 async def test_daemon_beside_peers_that_send_no_evacuations_becomes_ready():
     mute = unittest.mock.patch.object(
         evacuation_sync.EvacuationSync, "_on_request", lambda *_: None
     )
-    async with placed_site() as site:
-        site.store.mode = platform_store.StoreMode.BUSY
-        with mute:
-            late = await site.start_gateway(SEEDS)
-            await site.wait_until(lambda: late.daemon.configuration_version)
-            await site.wait_until(lambda: late.daemon.is_ready, 6.0)
+    # The daemon that is there registers its handlers when it starts.
+    with mute:
+        async with placed_site() as site:
+            site.store.mode = platform_store.StoreMode.BUSY
+            with logged() as logs:
+                late = await site.start_gateway(SEEDS)
+                await site.wait_until(lambda: late.daemon.configuration_version)
+                await site.wait_until(lambda: late.daemon.is_ready, 6.0)
+                await site.wait_until(lambda: "evacuations_unknown" in events(logs))
 
 
 async def test_daemon_that_missed_the_news_is_brought_up_to_date():
@@ -213,55 +299,89 @@
         assert not site.ledgers[1].arrivals
 
 
+ALL_ENGINES = platform_site.prompt_headers(900_000)
+
+
+def assert_refused(answer) -> None:
+    assert answer.status == 503
+    assert answer.header("Lacewingdrum-Ran") == "no"
+    assert float(answer.header("Retry-After")) >= 2.0, "nobody knows of a sooner end"
+
+
+async def evacuate_while_reserving(site):
+    """Send a prompt that needs three engines; evacuate before it begins."""
+    memory = site.gateways[0].daemon.components.memory
+    reserve, reached, go_on = memory.reserve, asyncio.Event(), asyncio.Event()
+
+    async def reserve_slowly(*args):
+        reserved = await reserve(*args)
+        reached.set()
+        await go_on.wait()
+        return reserved
+
+    memory.reserve = reserve_slowly
+    call = asyncio.ensure_future(site.call("/digest/x", "d", headers=ALL_ENGINES))
+    await asyncio.wait_for(reached.wait(), 5.0)
+    evacuate(site)
+    await wait_known(site)
+    go_on.set()
+    return await call
+
+
 async def test_attempt_whose_memory_is_being_reserved_is_not_sent_any_more():
-    all_engines = platform_site.prompt_headers(900_000)
     async with placed_site(engines=3) as site:
-        memory = site.gateways[0].daemon.components.memory
-        reserve, reached, go_on = memory.reserve, asyncio.Event(), asyncio.Event()
+        assert_refused(await evacuate_while_reserving(site))
+        assert not any(engine.arrivals for engine in site.engines)
 
-        async def reserve_slowly(*args):
-            reserved = await reserve(*args)
-            reached.set()
-            await go_on.wait()
-            return reserved
 
-        memory.reserve = reserve_slowly
-        call = asyncio.ensure_future(site.call("/digest/x", "d", headers=all_engines))
-        await asyncio.wait_for(reached.wait(), 5.0)
+async def test_attempt_whose_memory_is_being_reserved_is_planned_elsewhere():
+    async with placed_site(engines=5, south_engines=3) as site:
+        assert (await evacuate_while_reserving(site)).status == 200
+        assert not any(engine.arrivals for engine in site.engines[3:])
+
+
+async def test_prompt_for_which_too_few_engines_are_left_is_refused_for_longer():
+    async with placed_site(engines=3) as site:
         evacuate(site)
         await wait_known(site)
-        go_on.set()
-        answer = await call
-        assert answer.status == 503
-        assert answer.header("Lacewingdrum-Ran") == "no"
-        assert not any(engine.arrivals for engine in site.engines)
+        assert_refused(await site.call("/digest/x", "d", headers=ALL_ENGINES))
+        metrics = site.gateways[0].daemon.components.counts.text()
+        assert 'refusals_total{reason="evacuated"} 1' in metrics
 
 
 async def test_evacuation_lasts_although_the_store_returns_without_it():
-    async with placed_site(gateways=2) as site:
+    async with placed_site(gateways=2, bound_ms=RETURN_BOUND_MS) as site:
         copied = site.store.copy()
         evacuate(site)
         await wait_known(site)
         site.store.restore(copied)
-        for _ in range(3):
-            assert not await count_north(site)
-            await asyncio.sleep(0.3)
+        await wait_for_return(site)
+        assert not await count_north(site)
         evacuate(site)
-        await asyncio.sleep(KNOWN_S)
+        await watch_window(site, True)
         assert not await count_north(site)
+        site.store.restore(copied)
+        # Nobody writes it again.
+        await wait_for_return(site)
+        assert not await count_north(site)
+        await wait_known(site, False)
 
 
 async def test_evacuation_that_has_ended_does_not_return_with_the_store():
-    async with placed_site(gateways=2) as site:
+    async with placed_site(gateways=2, bound_ms=RETURN_BOUND_MS) as site:
         evacuate(site)
         await wait_known(site)
         copied = site.store.copy()
         site.store.delete("op", ROW)
         await wait_known(site, False)
         site.store.restore(copied)
-        for _ in range(10):
-            assert not any(register(one).active for one in site.gateways)
-            await asyncio.sleep(0.15)
+        await wait_for_return(site)
         site.store.delete("op", ROW)
+        await watch_window(site, False)
         late = await site.add_gateway(SEEDS)
-        assert await count_north(site, late)
+        await wait_for_north(site, late)
+        site.store.restore(copied)
+        # Nobody takes it back again.
+        await wait_for_return(site)
+        assert not any(register(one).active for one in site.gateways)
+        await wait_known(site)
