Daemons that nobody hears any more end; a long cut is learnt from again

Cause: a daemon that another one named counted as heard now, and seeds were named anew four times a second, so that two daemons kept a dead one for ever and the dead took the places of those that divide a limit. A daemon that had dropped all others after a long cut knew one at its first contact and divided the rate by two. Change: silent daemons are named with their age, seeds and rows make nobody younger, names of addresses are checked, one message names 256 at most. A daemon that hears nobody drops nobody, and after 60 s of that it learns the others again before it sends.

--- a/packages/coordination/lacewingdrum_coordination/cold_limits_test.py
+++ b/packages/coordination/lacewingdrum_coordination/cold_limits_test.py
@@ -56,7 +56,7 @@
         for other in others:
             if other is not self and not (self.is_cut or other.is_cut):
                 self.daemons.record_heard(other.address, other.data_centre, now_s)
-                self.daemons.record_named(other.daemons.addresses, now_s)
+                self.daemons.record_reported(other.daemons.reports(now_s), now_s)
 
     def turn_cold(self, entries, now_s, left_ms=3_000.0):
         self.daemons.forget_old(now_s)
@@ -217,9 +217,10 @@
     vms = fleet_of(30)
     chosen = next(vm for vm in vms if vm.daemons.own_place(entry()) == 12)
     before = next(vm for vm in vms if vm.daemons.own_place(entry()) == 3)
-    for vm in vms:
-        if vm is not before:
-            chosen.daemons.record_heard(vm.address, vm.data_centre, 599.0)
+    for now_s in range(1, 600, 30):
+        for vm in vms:
+            if vm is not before:
+                chosen.daemons.record_heard(vm.address, vm.data_centre, now_s)
     chosen.daemons.forget_old(601.0)
     chosen.turn_cold([entry()], 601.0)
     sent_s = send_all([chosen], entry(), 601.0, 2.9)
--- a/packages/coordination/lacewingdrum_coordination/sharing_daemons.py
+++ b/packages/coordination/lacewingdrum_coordination/sharing_daemons.py
@@ -15,12 +15,16 @@
 from lacewingdrum_coordination import rate_shares
 from lacewingdrum_state import ids, runner_entries
 
-# A daemon counts for this time after it was last heard or named.
+# A daemon counts for this time after it was last heard, here or elsewhere, or
+# after it was first named if it never was.
 KEPT_S = 600.0
 # Within this time of its first contact a daemon learns all others.
 LEARNING_S = 2.0
 # After this time a daemon no longer waits for others that it has not heard.
 UNHEARD_S = 60.0
+# A daemon that has heard nobody for this time learns the others again, since
+# those that were added meanwhile no longer wait for it.
+LOST_TOUCH_S = 60.0
 # A daemon that knows no other one is taken to be alone after this time.
 ALONE_S = 8.0
 DAEMONS_MAX = 4_096
@@ -32,6 +36,20 @@
     data_centre: ids.DataCentre
     last_s: float
     is_heard: bool = False
+    was_heard: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DaemonReport:
+    """What another daemon says of one that it may not hear.
+
+    ``age_s`` is the time since it was last heard, or since it was first named
+    if ``was_heard`` is not set.
+    """
+
+    address: ids.VmId
+    age_s: float
+    was_heard: bool
 
 
 class SharingDaemons:
@@ -50,7 +68,10 @@
         self._started_s = started_s
         self._first_contact_s: float | None = None
         self._is_learnt = False
+        self._last_contact_s = started_s
         self._others: dict[ids.VmId, _Known] = {}
+        # When daemons were last heard that have been dropped since.
+        self._dropped_s: dict[ids.VmId, float] = {}
         # Both change when the place of this daemon may change; the second one
         # only when it may come to be among those that divide a limit.
         self.version = 0
@@ -72,33 +93,76 @@
         """Record contact with a daemon."""
         if address == self._own[0]:
             return
+        if now_s - self._last_contact_s > LOST_TOUCH_S:
+            self._learn_again()
+        self._last_contact_s = now_s
         if self._first_contact_s is None:
             self._first_contact_s = now_s
+        self._dropped_s.pop(address, None)
         known = self._add(address, now_s)
-        if known is not None:
-            known.is_heard = True
-        if known is not None and data_centre not in (
-            known.data_centre,
-            UNKNOWN_DATA_CENTRE,
-        ):
+        if known is None:
+            return
+        known.is_heard = known.was_heard = True
+        known.last_s = max(known.last_s, now_s)
+        if data_centre not in (known.data_centre, UNKNOWN_DATA_CENTRE):
             known.data_centre = data_centre
             self._record_change(now_s)
 
     def record_named(self, addresses: Iterable[ids.VmId], now_s: float) -> None:
-        """Record daemons that others, seeds or the store name."""
+        """Record daemons that seeds or the store name.
+
+        That does not show that they still run, so that those which are known
+        or have been dropped get no older or younger by it.
+        """
         for address in addresses:
-            if address != self._own[0]:
+            if address != self._own[0] and address not in self._dropped_s:
                 self._add(address, now_s)
 
+    def record_reported(self, reports: Iterable[DaemonReport], now_s: float) -> None:
+        """Record daemons that another one knows, with their age."""
+        for report in reports:
+            address, age_s = report.address, max(report.age_s, 0.0)
+            last_s = now_s - age_s
+            is_dropped = address in self._dropped_s
+            is_newer = last_s > self._dropped_s.get(address, float("-inf"))
+            if address == self._own[0] or not age_s <= KEPT_S:
+                continue
+            if is_dropped and not (report.was_heard and is_newer):
+                continue
+            self._dropped_s.pop(address, None)
+            known = self._add(address, last_s)
+            if known is not None and report.was_heard:
+                known.was_heard = True
+                known.last_s = max(known.last_s, last_s)
+
+    def reports(self, now_s: float) -> tuple[DaemonReport, ...]:
+        """Return the other daemons, those that were heard latest first."""
+        in_order = sorted(self._others.items(), key=lambda item: -item[1].last_s)
+        return tuple(
+            DaemonReport(address, max(now_s - known.last_s, 0.0), known.was_heard)
+            for address, known in in_order
+        )
+
     def forget_old(self, now_s: float) -> None:
-        """Drop daemons that were neither heard nor named for long."""
+        """Drop daemons that nobody has heard for long.
+
+        A daemon that hears nobody, or learns the others again, drops none: it
+        keeps its small part of a limit.
+        """
+        has_touch = now_s - self._last_contact_s <= LOST_TOUCH_S
+        if self._first_contact_s is not None:
+            has_touch = has_touch and self.is_learnt(now_s)
+        if not has_touch:
+            return
         old = [
             address
             for address, known in self._others.items()
             if now_s - known.last_s > KEPT_S
         ]
         for address in old:
-            del self._others[address]
+            if len(self._dropped_s) >= DAEMONS_MAX:
+                del self._dropped_s[next(iter(self._dropped_s))]
+            self._dropped_s[address] = self._others.pop(address).last_s
         if old:
             self._record_change(now_s)
 
@@ -127,14 +191,19 @@
             for address, known in self._others.items()
         )
 
-    def _add(self, address: ids.VmId, now_s: float) -> _Known | None:
+    def _learn_again(self) -> None:
+        self._is_learnt = False
+        self._first_contact_s = None
+        for known in self._others.values():
+            known.is_heard = False
+
+    def _add(self, address: ids.VmId, last_s: float) -> _Known | None:
         known = self._others.get(address)
         if known is None:
             if len(self._others) >= DAEMONS_MAX:
                 return None
-            known = self._others[address] = _Known(UNKNOWN_DATA_CENTRE, now_s)
+            known = self._others[address] = _Known(UNKNOWN_DATA_CENTRE, last_s)
             self.version += 1
-        known.last_s = max(known.last_s, now_s)
         return known
 
     def _record_change(self, now_s: float) -> None:
--- a/packages/gateway/lacewingdrum_gateway/runners/cold_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/cold_sync.py
@@ -12,6 +12,7 @@
 from lacewingdrum_protocol import peer_messages
 from lacewingdrum_runtime import decision_log, metrics
 from lacewingdrum_state import (
+    addresses,
     cold_reports,
     configurations,
     ids,
@@ -22,6 +23,8 @@
 # Known daemons, and runners that are warm again, are looked at this often.
 UPDATE_INTERVAL_S = 0.25
 EARLY_MAX = 8
+# Silent daemons that one message names, those that were heard latest first.
+SILENT_MAX = 256
 
 
 class ColdSync:
@@ -139,14 +142,27 @@
     def _send_silent(self, address: ids.VmId) -> None:
         """Name the daemons that a new one may not hear of by others."""
         live = {address, *(peer.address for peer in self._peers.table.live)}
-        silent = tuple(item for item in self._daemons.addresses if item not in live)
+        silent = tuple(
+            peer_messages.SilentDaemon(
+                report.address, report.age_s * units.MS_PER_S, report.was_heard
+            )
+            for report in self._daemons.reports(self._clock())
+            if report.address not in live
+        )
         if silent:
-            self._peers.send(address, peer_messages.SilentDaemons(silent))
+            message = peer_messages.SilentDaemons(silent[:SILENT_MAX])
+            self._peers.send(address, message)
 
     def _on_silent(self, sender: ids.VmId, news: peer_messages.SilentDaemons) -> None:
         del sender
-        found = (ids.VmId(name) for name in news.addresses)
-        self._daemons.record_named(found, self._clock())
+        found = (
+            sharing_daemons.DaemonReport(
+                ids.VmId(item.address), item.age_ms / units.MS_PER_S, item.was_heard
+            )
+            for item in news.daemons
+            if addresses.parse_address(item.address) is not None
+        )
+        self._daemons.record_reported(found, self._clock())
 
     def _update(self, now_s: float) -> None:
         if now_s - self._updated_s < UPDATE_INTERVAL_S:
--- a/packages/protocol/lacewingdrum_protocol/peer_messages.py
+++ b/packages/protocol/lacewingdrum_protocol/peer_messages.py
@@ -232,10 +232,18 @@
     cold: tuple[ColdReport, ...] = ()
 
 
+class SilentDaemon(msgspec.Struct, frozen=True, array_like=True):
+    """A daemon, and the time since it was last heard, or else first named."""
+
+    address: str
+    age_ms: float
+    was_heard: bool
+
+
 class SilentDaemons(msgspec.Struct, frozen=True, array_like=True, tag="sil"):
     """Daemons that the sender knows and does not hear, for one that is new."""
 
-    addresses: tuple[str, ...]
+    daemons: tuple[SilentDaemon, ...]
 
 
 class RunnerListRequest(msgspec.Struct, frozen=True, array_like=True, tag="rua"):
