Requests to cold runners are counted when their first byte is sent

Cause: a token was taken when a request was planned. Requests planned while their runner was dark or counted as warm connected for up to half a second and were sent together when it was back cold, without a token. Change: a plan keeps a token for 0.5 s, and the first byte takes it. A request whose runner has turned cold or was started again since, with no token left, ends unsent as withheld and is planned again. Result: the site test with 60 requests that connect while an engine turns cold fails without the check before the first byte, and passes with it; so do two tests of the decision.

--- a/packages/coordination/lacewingdrum_coordination/cold_limits.py
+++ b/packages/coordination/lacewingdrum_coordination/cold_limits.py
@@ -22,6 +22,8 @@
 # A daemon that comes to divide a limit sends nothing for this time, in which
 # the one that it follows learns of that.
 HANDOVER_S = 1.0
+# A planned request keeps a token for at most this time, in which it connects.
+RESERVED_S = 0.5
 # From when a runner is warm until all daemons use it.
 SLOW_START_S = 1.5
 # How many times slower than stated an engine is that has just turned cold.
@@ -74,6 +76,14 @@
     place: int
     division: Division
     bucket: rate_shares.TokenBucket | None = None
+    # When requests were planned that are not sent yet.
+    planned_s: list[float] = dataclasses.field(default_factory=list)
+
+    def reserved_count(self, now_s: float) -> int:
+        """Return how many planned requests keep a token."""
+        first_s = now_s - RESERVED_S
+        self.planned_s = [time_s for time_s in self.planned_s if time_s > first_s]
+        return len(self.planned_s)
 
     def per_s(self, daemon_count: int) -> float:
         return self.division.per_s / min(self.division.daemon_count, daemon_count)
@@ -132,7 +142,8 @@
         per_s = share.per_s(self._daemons.count)
         share.bucket.fill(per_s, now_s)
         start_s = max(share.bucket.as_of_s - now_s, 0.0)
-        return start_s + max(1.0 - share.bucket.tokens, 0.0) / per_s
+        tokens = share.bucket.tokens - share.reserved_count(now_s)
+        return start_s + max(1.0 - tokens, 0.0) / per_s
 
     def admits(self, entry: runner_entries.RunnerEntry, now_s: float) -> bool:
         """Return whether this daemon may send to a runner; count if not."""
@@ -141,14 +152,30 @@
         self.withheld_count += 1
         return False
 
-    def take(self, entry: runner_entries.RunnerEntry, now_s: float) -> None:
-        """Count a request that this daemon sends now."""
+    def reserve(self, entry: runner_entries.RunnerEntry, now_s: float) -> None:
+        """Keep a token for a request that is planned now."""
+        cold = self.runners.get(entry)
+        if cold is not None and now_s < cold.until_s:
+            self._share(cold, now_s).planned_s.append(now_s)
+
+    def take(self, entry: runner_entries.RunnerEntry, now_s: float) -> bool:
+        """Count a request whose first byte is sent now, if it may be sent.
+
+        The runner may have turned cold since the request was planned.
+        """
         cold = self.runners.get(entry)
         if cold is None or now_s >= cold.until_s:
-            return
-        bucket = self._share(cold, now_s).bucket
-        if bucket is not None:
-            bucket.tokens -= 1.0
+            return True
+        share = self._share(cold, now_s)
+        if share.planned_s:
+            del share.planned_s[0]
+        if share.bucket is not None:
+            share.bucket.fill(share.per_s(self._daemons.count), now_s)
+        if share.bucket is None or share.bucket.tokens < 1.0:
+            self.withheld_count += 1
+            return False
+        share.bucket.tokens -= 1.0
+        return True
 
     def forget_warm(self, now_s: float) -> tuple[cold_runners.ColdRunner, ...]:
         """Drop and return the runners that all daemons use again."""
--- a/packages/coordination/lacewingdrum_coordination/cold_limits_test.py
+++ b/packages/coordination/lacewingdrum_coordination/cold_limits_test.py
@@ -67,8 +67,8 @@
     def send(self, item, now_s, most=50):
         count = 0
         while count < most and not self.limits.wait_s(item, now_s):
-            self.limits.take(item, now_s)
-            count += 1
+            self.limits.reserve(item, now_s)
+            count += self.limits.take(item, now_s)
         return count
 
 
@@ -245,3 +245,31 @@
     vm.turn_cold([entry()], 0.0)
     slowdowns = [vm.limits.slowdown(entry(), now_s) for now_s in (0.0, 1.5, 3.0)]
     assert slowdowns == [cold_limits.SLOWDOWN, (1 + cold_limits.SLOWDOWN) / 2, 1.0]
+
+
+def test_requests_that_connect_for_long_keep_to_the_bound_when_they_are_sent():
+    vms = fleet_of(87)
+    for vm in vms:
+        vm.turn_cold([entry()], 20.0)
+    rng = random.Random(7)
+    planned, sent_s = [], []
+    for step in range(int(2.9 / STEP_S)):
+        now_s = 20.0 + step * STEP_S
+        for vm in vms:
+            while not vm.limits.wait_s(entry(), now_s):
+                vm.limits.reserve(entry(), now_s)
+                planned.append((now_s + rng.choice((0.0, 0.06, 0.4)), vm))
+        for due in [item for item in planned if item[0] <= now_s]:
+            planned.remove(due)
+            sent_s += [now_s] * due[1].limits.take(entry(), now_s)
+    assert len(sent_s) >= 20 and most_in_a_second(sent_s) <= BOUND
+
+
+def test_requests_planned_while_a_runner_counted_as_warm_need_a_token():
+    vms = fleet_of(30)
+    for vm in vms:
+        assert not vm.limits.wait_s(entry(), 20.0)
+        vm.limits.reserve(entry(), 20.0)
+        vm.turn_cold([entry()], 20.3)
+    assert not any(vm.limits.take(entry(), 20.4) for vm in vms for _ in range(5))
+    assert any(vm.limits.take(entry(), 21.5) for vm in vms)
--- a/packages/coordination/lacewingdrum_coordination/cold_runners.py
+++ b/packages/coordination/lacewingdrum_coordination/cold_runners.py
@@ -56,10 +56,9 @@
         """The runners that are cold, or were until shortly before."""
         return tuple(self._cold.values())
 
-    @property
-    def may_be_cold(self) -> bool:
-        """Whether the runners of any service can be cold."""
-        return bool(self._limits)
+    def has_limit(self, service: ids.ServiceName) -> bool:
+        """Return whether the runners of a service can be cold."""
+        return service in self._limits
 
     def set_limits(self, limits: Limits) -> None:
         """Set the services whose runners can be cold."""
--- a/packages/gateway/lacewingdrum_gateway/cold_runners_test.py
+++ b/packages/gateway/lacewingdrum_gateway/cold_runners_test.py
@@ -90,6 +90,34 @@
         assert most_in_a_second(site.engines[0], start_s) <= BOUND
 
 
+async def test_requests_that_connect_while_an_engine_turns_cold_need_a_token():
+    async with platform_site.running_site(gateways=2, engines=1, bounds=BOUNDS) as site:
+        await configure(site, cold_s=60.0, cold_per_s=8.0)
+        first = site.gateways[0]
+        client = first.daemon.components.runner_client
+        connect, waiting, go_on = client._connect, [], asyncio.Event()
+
+        async def connect_slowly(address, timeout_s):
+            waiting.append(address)
+            await go_on.wait()
+            return await connect(address, timeout_s)
+
+        client._connect = connect_slowly
+        calls = [
+            asyncio.ensure_future(
+                site.call("/ask/x", f"c{number}", headers=ASK, on=first)
+            )
+            for number in range(60)
+        ]
+        await site.wait_until(lambda: len(waiting) > 2 * BOUND)
+        await turn_cold(site, site.engines, 60_000)
+        start_s = time.monotonic()
+        go_on.set()
+        statuses = {(await call).status for call in calls}
+        assert most_in_a_second(site.engines[0], start_s) <= BOUND
+        assert statuses <= {200, 503, 504}
+
+
 async def test_runners_of_a_service_without_a_limit_are_never_cold():
     async with platform_site.running_site(gateways=2, engines=1) as site:
         await configure(site)
--- a/packages/gateway/lacewingdrum_gateway/runners/runner_candidates.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/runner_candidates.py
@@ -86,11 +86,23 @@
         wait_s = min(wait_s, self._limits.interval_s(entry.runner_id))
         return max(wait_s, self._cold.wait_s(entry, now_s))
 
-    def record_send(self, entry: runner_entries.RunnerEntry) -> None:
-        """Count a request that is sent to a runner now."""
+    def record_plan(self, entry: runner_entries.RunnerEntry) -> None:
+        """Count a request that is planned now for a runner."""
         now_s = self._clock()
         self._limits.take(entry, now_s)
-        self._cold.take(entry, now_s)
+        self._cold.reserve(entry, now_s)
+
+    def may_send(self, entry: runner_entries.RunnerEntry) -> bool:
+        """Return whether a planned request may be sent now; count it if so.
+
+        It may not if its runner has turned cold or was started again since,
+        and this daemon has no request left that it may send.
+        """
+        newest = self._roster.get(entry.runner_id)
+        is_older = newest is not None and newest.born_ms > entry.born_ms
+        if is_older and self._cold.runners.has_limit(entry.service):
+            return False
+        return self._cold.take(entry, self._clock())
 
     def delay_ms(
         self, service: configurations.Service, entry: runner_entries.RunnerEntry
--- a/packages/gateway/lacewingdrum_gateway/serving/attempt.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/attempt.py
@@ -161,6 +161,7 @@
             attempt_ends.EndReason.NO_MEMORY,
             attempt_ends.EndReason.REPLACED,
             attempt_ends.EndReason.EVACUATED,
+            attempt_ends.EndReason.WITHHELD,
         )
         is_sound = end.reason is attempt_ends.EndReason.SUPERSEDED and not was_silent
         if says_nothing or is_sound:
--- a/packages/gateway/lacewingdrum_gateway/serving/attempt_ends.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/attempt_ends.py
@@ -26,6 +26,7 @@
     SUPERSEDED = "superseded"
     REPLACED = "replaced"
     EVACUATED = "evacuated"
+    WITHHELD = "withheld"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,6 +62,11 @@
     )
 
 
+def withheld() -> AttemptEnd:
+    """Return the end of an attempt that was connected and may not begin."""
+    return AttemptEnd(states.AttemptState.UNSENT, EndReason.WITHHELD)
+
+
 def unreachable() -> AttemptEnd:
     """Return the end of a silent attempt whose runner cannot be reached."""
     return AttemptEnd(
@@ -83,7 +89,7 @@
     """Return the end of an attempt that got no head of an answer."""
     detail = f"{error.reason.value} {error.detail}".strip()
     if error.reason is http_client.ClientErrorReason.WITHDRAWN:
-        return evacuated()
+        return withheld()
     if not error.may_have_been_sent:
         return AttemptEnd(states.AttemptState.UNSENT, EndReason.NOT_CONNECTED, detail)
     return _unknown_outcome(error, detail)
--- a/packages/gateway/lacewingdrum_gateway/serving/exchange.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/exchange.py
@@ -162,7 +162,7 @@
                 active, plan.entry.runner_id
             ),
             on_send=attempt.record_send,
-            may_send=lambda: not self._is_evacuated(plan),
+            may_send=lambda: self._may_send(plan),
             connect_timeout_s=connect_timeouts.connect_timeout_s(
                 active.routed.route.objective_ms,
                 self._planner.candidates.delay_ms(active.routed.service, plan.entry),
@@ -170,7 +170,8 @@
         )
         match opened:
             case Err(end):
-                is_evacuated = end.reason is attempt_ends.EndReason.EVACUATED
+                is_withheld = end.reason is attempt_ends.EndReason.WITHHELD
+                is_evacuated = is_withheld and self._is_evacuated(plan)
                 return self._evacuated(plan) if is_evacuated else end
             case Ok(reader):
                 attempt.answer = reader
@@ -179,6 +180,12 @@
                     return await self._streams.forward(active, attempt, reader)
                 return await self._forward_whole(active, attempt, reader)
 
+    def _may_send(self, plan: plans.Plan) -> bool:
+        """Return whether the first byte may be sent now; count it if so."""
+        if self._is_evacuated(plan):
+            return False
+        return self._planner.candidates.may_send(plan.entry)
+
     def _is_evacuated(self, plan: plans.Plan) -> bool:
         return any(map(self._planner.candidates.is_evacuated, plan.entries))
 
--- a/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
@@ -215,7 +215,7 @@
         source = self._exchange.source(active, plan)
         attempt = active.new_attempt(source, self._clock())
         self._log.record_plan(active, plan)
-        self._planner.candidates.record_send(plan.entry)
+        self._planner.candidates.record_plan(plan.entry)
         active.race.start(attempt, self._exchange.run(active, attempt, source))
         return Step.STARTED
 
--- a/packages/gateway/lacewingdrum_gateway/serving/retry_limits.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/retry_limits.py
@@ -59,7 +59,8 @@
         The helper that refused to prefill its part, or None.
     """
     runner_id = plan.entry.runner_id
-    active.excluded.add(runner_id)
+    if end.reason is not attempt_ends.EndReason.WITHHELD:
+        active.excluded.add(runner_id)
     if end.state is not states.AttemptState.UNSENT:
         active.sent_to.add(runner_id)
     if end.reason is attempt_ends.EndReason.FOREIGN_ANSWER:
