A runner that is reached again counts as cold; warm ones are forgotten in time

Cause: a probe ended the suspicion of a runner that had crashed before any row said that it was cold, and all daemons sent their usual load. Known daemons and warm runners were looked at with heartbeats and reports only, so that a daemon that heard nobody, with the store away, never forgot a runner that was warm. Change: a runner that accepted no connection here and does now is cold for the stated time, by a probe or by a request. ColdSync has a timer, and close.

--- a/packages/coordination/lacewingdrum_coordination/cold_limits.py
+++ b/packages/coordination/lacewingdrum_coordination/cold_limits.py
@@ -106,6 +106,8 @@
         self._shares: dict[ids.RunnerId, _Share] = {}
         # How often a runner was left out of a choice.
         self.withheld_count = 0
+        # The runners that have turned cold as they were reached again.
+        self._reached: list[cold_runners.ColdRunner] = []
 
     @property
     def has_any(self) -> bool:
@@ -152,6 +154,17 @@
         self.withheld_count += 1
         return False
 
+    def record_reached(self, entry: runner_entries.RunnerEntry, now_s: float) -> None:
+        """Record that a runner that was not reached accepts connections."""
+        cold = self.runners.record_reached(entry, now_s)
+        if cold is not None:
+            self._reached.append(cold)
+
+    def take_reached(self) -> tuple[cold_runners.ColdRunner, ...]:
+        """Return those that turned cold as they were reached; forget that."""
+        reached, self._reached = tuple(self._reached), []
+        return reached
+
     def reserve(self, entry: runner_entries.RunnerEntry, now_s: float) -> None:
         """Keep a token for a request that is planned now."""
         cold = self.runners.get(entry)
--- a/packages/coordination/lacewingdrum_coordination/cold_runners.py
+++ b/packages/coordination/lacewingdrum_coordination/cold_runners.py
@@ -132,6 +132,20 @@
             return None
         return self._cold[entry.runner_id]
 
+    def record_reached(
+        self, entry: runner_entries.RunnerEntry, now_s: float
+    ) -> ColdRunner | None:
+        """Record that a runner accepts connections again, as after a start.
+
+        Its row may not say yet that it is cold.
+        """
+        limit = self._limits.get(entry.service)
+        if limit is None:
+            return None
+        left_ms = limit.duration_s * 1_000
+        report = cold_reports.ColdReport(entry.runner_id, entry.born_ms, left_ms)
+        return self.record(entry, report, now_s)
+
     def forget_warm(self, now_s: float) -> tuple[ColdRunner, ...]:
         """Drop the runners that have been warm for long enough."""
         ended = tuple(cold for cold in self.all if now_s >= cold.until_s + self._kept_s)
--- a/packages/coordination/lacewingdrum_coordination/runner_health.py
+++ b/packages/coordination/lacewingdrum_coordination/runner_health.py
@@ -22,6 +22,7 @@
     as_of_s: float = 0.0
     suspect_since_s: float | None = None
     failed_probe_count: int = 0
+    is_unconnected: bool = False
     last_contact_s: float = float("-inf")
     help_refused_at_s: float = float("-inf")
     paused_until_s: float = float("-inf")
@@ -141,6 +142,19 @@
         observed = self._by_runner.get(runner_id)
         if observed is not None:
             observed.failed_probe_count += 1
+            observed.is_unconnected = True
+
+    def record_unconnected(self, runner_id: ids.RunnerId, now_s: float) -> None:
+        """Record that a runner accepted no connection for a request."""
+        self._decayed(runner_id, now_s).is_unconnected = True
+
+    def take_unconnected(self, runner_id: ids.RunnerId) -> bool:
+        """Return whether the last connection to a runner failed; forget it."""
+        observed = self._by_runner.get(runner_id)
+        if observed is None or not observed.is_unconnected:
+            return False
+        observed.is_unconnected = False
+        return True
 
     def is_unreachable(self, runner_id: ids.RunnerId) -> bool:
         """Return whether a runner accepts no connection, time and again."""
@@ -154,6 +168,7 @@
             if suspect_since_s is not None and suspect_since_s >= since_s:
                 observed.suspect_since_s = None
                 observed.failed_probe_count = 0
+                observed.is_unconnected = False
                 observed.failures = 0.0
 
     def is_suspect(self, runner_id: ids.RunnerId) -> bool:
--- a/packages/gateway/lacewingdrum_gateway/cold_runners_test.py
+++ b/packages/gateway/lacewingdrum_gateway/cold_runners_test.py
@@ -7,8 +7,10 @@
 
 from lacewingdrum_gateway import settings
 from lacewingdrum_protocol import peer_messages
+from lacewingdrum_state import ids
 from standins import platform_site
 
+MODEL = ids.ServiceName(platform_site.MODEL)
 ASK = platform_site.prompt_headers(400)
 # With the bounds below, 8 x 1.5 + 4 requests in any one second.
 BOUND = 16
@@ -127,6 +129,18 @@
         assert not site.gateways[0].daemon.components.cold_sync.limits.has_any
 
 
+async def test_gateway_that_hears_nobody_forgets_runners_that_are_warm():
+    async with platform_site.running_site(gateways=1, engines=1, bounds=BOUNDS) as site:
+        await configure(site, cold_s=0.2, cold_per_s=8.0)
+        site.store_path.stop_listening()
+        site.store_path.reset()
+        limits = site.gateways[0].daemon.components.cold_sync.limits
+        (entry,) = site.gateways[0].daemon.components.roster.of_service(MODEL)
+        limits.record_reached(entry, time.monotonic())
+        assert limits.has_any
+        await site.wait_until(lambda: not limits.has_any)
+
+
 async def test_gateway_that_starts_learns_cold_runners_while_the_store_is_away():
     async with platform_site.running_site(gateways=2, engines=2, bounds=BOUNDS) as site:
         await configure(site, cold_s=60.0, cold_per_s=8.0)
--- a/packages/gateway/lacewingdrum_gateway/fleet_components.py
+++ b/packages/gateway/lacewingdrum_gateway/fleet_components.py
@@ -164,6 +164,7 @@
             self.decisions,
             connect_to_runners,
             lambda: self.reach.is_cut_off,
+            self.cold_sync.limits,
         )
         self.engine_work = engine_work_registry.EngineWorkRegistry()
         self.work_ids = engine_work_registry.WorkIds(
--- a/packages/gateway/lacewingdrum_gateway/gateway.py
+++ b/packages/gateway/lacewingdrum_gateway/gateway.py
@@ -219,6 +219,7 @@
         await components.probe.close()
         await components.reach.close()
         await components.runner_list.close()
+        await components.cold_sync.close()
         await components.configurations.close()
         await components.evacuation_sync.close()
         await components.memory.close(release_s)
--- a/packages/gateway/lacewingdrum_gateway/runners/cold_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/cold_sync.py
@@ -1,5 +1,6 @@
 """Learns which runners are cold, and which daemons may send to them."""
 
+import asyncio
 from collections.abc import Callable, Iterable, Mapping
 
 from lacewingdrum_coordination import (
@@ -10,7 +11,7 @@
 )
 from lacewingdrum_gateway.peers import peering
 from lacewingdrum_protocol import peer_messages
-from lacewingdrum_runtime import decision_log, metrics
+from lacewingdrum_runtime import decision_log, metrics, tasks
 from lacewingdrum_state import (
     addresses,
     cold_reports,
@@ -50,20 +51,25 @@
         self._decisions = decisions
         self._counts = counts
         self._services: dict[ids.ServiceName, configurations.ColdLimit] = {}
-        self._updated_s = float("-inf")
         self._withheld_count = 0
         # Reports that came, from a source, before a configuration was known.
         self._is_configured = False
         self._early: list[tuple[tuple[cold_reports.ColdReport, ...], str]] = []
         # The live daemons that know which others this one does not hear.
         self._told: set[ids.VmId] = set()
+        self._tasks = tasks.TaskSet()
 
     def start(self) -> None:
-        """Begin to learn the daemons from their heartbeats."""
+        """Begin to learn the daemons, and to forget what is past."""
         self._peers.on_heartbeat(self._on_heartbeat)
         self._peers.on_message(peer_messages.SilentDaemons, self._on_silent)
         self._peers.on_peer_lost(self._told.discard)
         self._counts.gauge("cold_runners", self._cold_count)
+        self._tasks.spawn_loop(self._update_regularly)
+
+    async def close(self) -> None:
+        """Stop the updates."""
+        await self._tasks.close()
 
     def set_services(
         self, services: Mapping[ids.ServiceName, configurations.Service]
@@ -113,7 +119,6 @@
             cold = self.limits.runners.record(entry, report, now_s)
             if cold is not None:
                 self._record_turn(cold, now_s, source)
-        self._update(now_s)
 
     def known_reports(self) -> tuple[cold_reports.ColdReport, ...]:
         """Return what is known of the runners that are cold now."""
@@ -137,7 +142,6 @@
         if self._services and peer.address not in self._told:
             self._told.add(peer.address)
             self._send_silent(peer.address)
-        self._update(now_s)
 
     def _send_silent(self, address: ids.VmId) -> None:
         """Name the daemons that a new one may not hear of by others."""
@@ -164,13 +168,17 @@
         )
         self._daemons.record_reported(found, self._clock())
 
+    async def _update_regularly(self) -> None:
+        while True:
+            await asyncio.sleep(UPDATE_INTERVAL_S)
+            self._update(self._clock())
+
     def _update(self, now_s: float) -> None:
-        if now_s - self._updated_s < UPDATE_INTERVAL_S:
-            return
-        self._updated_s = now_s
         known = (peer.address for peer in self._peers.table.known)
         self._daemons.record_named(known, now_s)
         self._daemons.forget_old(now_s)
+        for cold in self.limits.take_reached():
+            self._record_turn(cold, now_s, "reached")
         for cold in self.limits.forget_warm(now_s):
             self._record_turn(cold, now_s, "time")
         withheld_count = self.limits.withheld_count
--- a/packages/gateway/lacewingdrum_gateway/runners/runner_candidates.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/runner_candidates.py
@@ -102,7 +102,10 @@
         is_older = newest is not None and newest.born_ms > entry.born_ms
         if is_older and self._cold.runners.has_limit(entry.service):
             return False
-        return self._cold.take(entry, self._clock())
+        now_s = self._clock()
+        if self._health.take_unconnected(entry.runner_id):
+            self._cold.record_reached(entry, now_s)
+        return self._cold.take(entry, now_s)
 
     def delay_ms(
         self, service: configurations.Service, entry: runner_entries.RunnerEntry
--- a/packages/gateway/lacewingdrum_gateway/runners/runner_probe.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/runner_probe.py
@@ -4,7 +4,7 @@
 import enum
 from collections.abc import Callable
 
-from lacewingdrum_coordination import runner_health, runner_roster
+from lacewingdrum_coordination import cold_limits, runner_health, runner_roster
 from lacewingdrum_runtime import decision_log, tasks
 from lacewingdrum_state import fleet, ids
 from lacewingdrum_transport import connector
@@ -68,7 +68,9 @@
         decisions: decision_log.DecisionLog,
         connect: connector.Connect,
         is_paused: Callable[[], bool],
+        cold: cold_limits.ColdLimits,
     ) -> None:
+        self._cold = cold
         self._connect = connect
         self._is_paused = is_paused
         self._roster = roster
@@ -105,6 +107,8 @@
         if found is not Reachability.ACCEPTED:
             self._health.record_failed_probe(runner_id)
             return
+        if self._health.take_unconnected(runner_id):
+            self._cold.record_reached(entry, self._clock())
         self._health.clear_suspicion(runner_id)
         self._decisions.record(
             decision_log.DecisionEvent.RUNNER_CLEARED, None, runner_id=runner_id
--- a/packages/gateway/lacewingdrum_gateway/serving/attempt.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/attempt.py
@@ -248,6 +248,8 @@
         detail: str,
     ) -> None:
         runner_id = entry.runner_id
+        if reason is attempt_ends.EndReason.NOT_CONNECTED:
+            self._health.record_unconnected(runner_id, self._clock())
         if self._health.suspect(runner_id, self._clock()):
             self._reach.call_unless_cut_off(
                 functools.partial(self._work_updates.report_suspected, runner_id)
