A row of a runner counts once for how long it stays cold

Cause: a row that said 400 ms and was not written again made a turn to cold at each read, with an empty bucket and a slow start. Where too many runners were kept, one that was still cold was dropped. Change: reports carry the row's number, and each daemon counts a row of an incarnation once. The runner that is warm first is dropped. Rows of stand-ins are numbered.

--- a/packages/coordination/lacewingdrum_coordination/cold_runners.py
+++ b/packages/coordination/lacewingdrum_coordination/cold_runners.py
@@ -45,6 +45,9 @@
         self._limits: dict[ids.ServiceName, configurations.ColdLimit] = {}
         self._newest: dict[ids.RunnerId, int] | None = None
         self._cold: dict[ids.RunnerId, ColdRunner] = {}
+        # The last rows that said for how long a runner stays cold: the start
+        # time of its incarnation and the row's number.
+        self._rows: dict[ids.RunnerId, tuple[int, int]] = {}
 
     @property
     def has_any(self) -> bool:
@@ -114,6 +117,8 @@
     ) -> ColdRunner | None:
         """Record a report of a listed runner.
 
+        A row is read and told several times, and counts once.
+
         Args:
             entry: the runner.
             report: how long an incarnation of it stays cold.
@@ -127,11 +132,24 @@
         is_other = report.born_ms != entry.born_ms
         if limit is None or is_other or not report.left_ms > 0:
             return None
+        if self._is_repeated(report):
+            return None
         left_s = min(report.left_ms / 1_000, limit.duration_s)
         if not self._extend(entry, limit, now_s, now_s + left_s):
             return None
         return self._cold[entry.runner_id]
 
+    def _is_repeated(self, report: cold_reports.ColdReport) -> bool:
+        if report.seq is None:
+            return False
+        row = report.born_ms, report.seq
+        if self._rows.get(report.runner_id) == row:
+            return True
+        if len(self._rows) >= RUNNERS_MAX:
+            del self._rows[next(iter(self._rows))]
+        self._rows[report.runner_id] = row
+        return False
+
     def record_reached(
         self, entry: runner_entries.RunnerEntry, now_s: float
     ) -> ColdRunner | None:
@@ -168,6 +186,7 @@
             known.until_s = max(known.until_s, until_s)
             return False
         if known is None and len(self._cold) >= RUNNERS_MAX:
-            del self._cold[next(iter(self._cold))]
+            first = min(self._cold.values(), key=lambda cold: cold.until_s)
+            del self._cold[first.entry.runner_id]
         self._cold[entry.runner_id] = ColdRunner(entry, limit, now_s, until_s)
         return True
--- a/packages/coordination/lacewingdrum_coordination/cold_runners_test.py
+++ b/packages/coordination/lacewingdrum_coordination/cold_runners_test.py
@@ -1,5 +1,7 @@
 """Tests of which runners count as cold."""
 
+import dataclasses
+
 from lacewingdrum_coordination import cold_runners
 from lacewingdrum_coordination.cold_limits_test import entry, LIMIT, report, SERVICE
 
@@ -68,3 +70,25 @@
     runners.record(entry(), report(), 10.0)
     runners.set_limits({})
     assert not runners.has_any
+
+
+def test_row_that_stays_unchanged_keeps_a_runner_cold_once():
+    runners = known()
+    said = dataclasses.replace(report(left_ms=400.0), seq=7)
+    assert runners.record(entry(), said, 10.0) is not None
+    for step in range(20):
+        assert runners.record(entry(), said, 10.5 + step / 2) is None
+    assert left_s(runners, 20.5) == 0.0
+    for again in (dataclasses.replace(said, seq=8), report(left_ms=400.0)):
+        assert runners.record(entry(), again, 21.0 + (again.seq is None)) is not None
+    assert runners.record(entry(born_ms=2), report(born_ms=2), 30.0) is not None
+
+
+def test_runner_that_is_still_cold_is_kept_when_there_are_too_many():
+    runners = known()
+    runners.record(entry(), report(), 10.0)
+    for number in range(1, cold_runners.RUNNERS_MAX + 9):
+        said = report(left_ms=100.0, number=number)
+        runners.record(entry(number), said, 10.0)
+    assert left_s(runners, 11.0) == 2.0
+    assert len(runners.all) == cold_runners.RUNNERS_MAX
--- a/packages/gateway/lacewingdrum_gateway/runners/runner_list_codec.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/runner_list_codec.py
@@ -66,7 +66,9 @@
 def message_from_cold(report: cold_reports.ColdReport) -> peer_messages.ColdReport:
     """Return the message for a report of a cold runner."""
     left_ms = min(max(math.ceil(report.left_ms), 0), bounds.AGE_MAX_MS)
-    return peer_messages.ColdReport(report.runner_id, report.born_ms, left_ms)
+    return peer_messages.ColdReport(
+        report.runner_id, report.born_ms, left_ms, report.seq
+    )
 
 
 def cold_from_push(
@@ -75,7 +77,10 @@
     """Return what a peer has reported of cold runners."""
     return tuple(
         cold_reports.ColdReport(
-            ids.RunnerId(message.runner_id), message.born_ms, message.left_ms
+            ids.RunnerId(message.runner_id),
+            message.born_ms,
+            message.left_ms,
+            message.seq,
         )
         for message in push.cold
     )
--- a/packages/gateway/lacewingdrum_gateway/runners/runner_list_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/runner_list_sync.py
@@ -164,12 +164,14 @@
     ) -> tuple[cold_reports.ColdReport, ...]:
         """Return what the rows of runners say of how long they stay cold."""
         return tuple(
-            cold_reports.ColdReport(entry.runner_id, entry.born_ms, left_ms)
+            cold_reports.ColdReport(
+                entry.runner_id, entry.born_ms, said.cold_left_ms, said.seq
+            )
             for entry, row in found
             if entry is not None
             and row.value is not None
             and self._cold.may_be_cold(entry)
-            and (left_ms := runner_rows.cold_left_ms(row.value))
+            and (said := runner_rows.coldness(row.value)) is not None
         )
 
     def _entry(self, row: store_calls.Row) -> runner_entries.RunnerEntry | None:
--- a/packages/protocol/lacewingdrum_protocol/peer_messages.py
+++ b/packages/protocol/lacewingdrum_protocol/peer_messages.py
@@ -204,11 +204,15 @@
 
 
 class ColdReport(msgspec.Struct, frozen=True, array_like=True):
-    """That an incarnation of a runner stays cold for ``left_ms``."""
+    """That an incarnation of a runner stays cold for ``left_ms``.
+
+    ``seq`` counts its rows.
+    """
 
     runner_id: str
     born_ms: int
     left_ms: bounds.AgeMs
+    seq: int | None = None
 
 
 class RunnerListPush(msgspec.Struct, frozen=True, array_like=True, tag="run"):
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -67,6 +67,7 @@
         # Distinguishes the incarnations of the runner.
         self.born_ms = 1
         self.cold_left_ms: object = 0
+        self.seq = 0
         # Whether reports state it.
         self.is_born_reported = True
         # How many reports it has given.
@@ -95,7 +96,8 @@
         return sum(not reader.at_eof() for reader in self._working)
 
     def entry(self, service: str, state: str = "ready") -> dict[str, object]:
-        """Return the entry of the runner in the platform's store."""
+        """Return the next entry of the runner in the platform's store."""
+        self.seq += 1
         return {
             "service": service,
             "address": self.address,
@@ -104,7 +106,7 @@
             "slots": 8,
             "state": state,
             "cold_left_ms": self.cold_left_ms,
-            "seq": 1,
+            "seq": self.seq,
             "born": self.born_ms,
         }
 
