Far runners stay candidates while a local one is cold; waits are of some daemon

Cause: other data centres were looked at only while all local runners were cold, so that the first warm one got the requests of all its daemons. The wait that callers are told was this daemon's own, up to the whole cold time. A changed limit did not reach the division of a runner that was cold already. Change: others are looked at until all local runners are in full use; the wait is at most the time between two requests of all daemons; a share is divided anew when its limit has changed, and dropped with its runner.

--- a/packages/coordination/lacewingdrum_coordination/cold_limits.py
+++ b/packages/coordination/lacewingdrum_coordination/cold_limits.py
@@ -72,6 +72,7 @@
     """
 
     since_s: float
+    limit: configurations.ColdLimit
     version: int
     place: int
     division: Division
@@ -147,6 +148,18 @@
         tokens = share.bucket.tokens - share.reserved_count(now_s)
         return start_s + max(1.0 - tokens, 0.0) / per_s
 
+    def interval_s(self, entry: runner_entries.RunnerEntry) -> float:
+        """Return the longest time between requests of all daemons to a runner.
+
+        Returns:
+            Infinity if none may be sent; 0 if the runner is not cold.
+        """
+        cold = self.runners.get(entry)
+        if cold is None:
+            return 0.0
+        per_s = divide(cold.limit, self._overage).per_s
+        return 1.0 / per_s if per_s else float("inf")
+
     def admits(self, entry: runner_entries.RunnerEntry, now_s: float) -> bool:
         """Return whether this daemon may send to a runner; count if not."""
         if not self.wait_s(entry, now_s):
@@ -190,6 +203,16 @@
         share.bucket.tokens -= 1.0
         return True
 
+    def set_limits(self, limits: cold_runners.Limits) -> None:
+        """Set the services whose runners can be cold."""
+        self.runners.set_limits(limits)
+        known = {cold.entry.runner_id for cold in self.runners.all}
+        self._shares = {
+            runner_id: share
+            for runner_id, share in self._shares.items()
+            if runner_id in known
+        }
+
     def forget_warm(self, now_s: float) -> tuple[cold_runners.ColdRunner, ...]:
         """Drop and return the runners that all daemons use again."""
         ended = self.runners.forget_warm(now_s)
@@ -207,8 +230,10 @@
     def _share(self, cold: cold_runners.ColdRunner, now_s: float) -> _Share:
         runner_id = cold.entry.runner_id
         share = self._shares.get(runner_id)
-        if share is None or share.since_s != cold.since_s:
-            share = _Share(cold.since_s, -1, 0, divide(cold.limit, self._overage))
+        if share is None or (share.since_s, share.limit) != (cold.since_s, cold.limit):
+            # Its bucket begins empty, also where the limit has changed.
+            division = divide(cold.limit, self._overage)
+            share = _Share(cold.since_s, cold.limit, -1, 0, division)
             self._shares[runner_id] = share
         if share.version != self._daemons.version:
             share.version = self._daemons.version
--- a/packages/gateway/lacewingdrum_gateway/runners/runner_candidates.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/runner_candidates.py
@@ -1,6 +1,6 @@
 """Selects the runners that a request may be sent to."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from lacewingdrum_coordination import (
     cold_limits,
@@ -84,7 +84,8 @@
         """Return when a runner takes a further request from some daemon."""
         wait_s = self._limits.wait_s(entry, now_s)
         wait_s = min(wait_s, self._limits.interval_s(entry.runner_id))
-        return max(wait_s, self._cold.wait_s(entry, now_s))
+        cold_wait_s = self._cold.wait_s(entry, now_s)
+        return max(wait_s, min(cold_wait_s, self._cold.interval_s(entry)))
 
     def record_plan(self, entry: runner_entries.RunnerEntry) -> None:
         """Count a request that is planned now for a runner."""
@@ -167,12 +168,20 @@
         # Either daemons in other data centres do not report their work here,
         # or there are too many runners to evaluate all of them.
         local = [entry for entry in healthy if entry.data_centre == self._data_centre]
-        if self._cold.has_any and all(
-            self._cold.is_cold(entry, now_s) for entry in local
-        ):
+        if self._cold.has_any and self._has_cold_nearby(listed):
+            # The first local runner that is warm must not get the requests
+            # of all daemons of its data centre.
             return healthy or remaining
         return local or healthy or remaining
 
+    def _has_cold_nearby(self, listed: Iterable[runner_entries.RunnerEntry]) -> bool:
+        """Return whether a local runner is cold, or not in full use yet."""
+        return any(
+            entry.data_centre == self._data_centre
+            and self._cold.runners.get(entry) is not None
+            for entry in listed
+        )
+
     def penalty(
         self, entry: runner_entries.RunnerEntry, worth: float, now_s: float
     ) -> float:
