Reports of cold runners are kept and told also before a configuration is known

Cause: a reader without a configuration dropped reports for all. A daemon counted as informed also if the message to it was dropped. Change: any runner may be cold until a configuration is known; a daemon is informed again until the message is on its way. Changed limits go to the division too.

--- a/packages/coordination/lacewingdrum_coordination/cold_limits_test.py
+++ b/packages/coordination/lacewingdrum_coordination/cold_limits_test.py
@@ -273,3 +273,19 @@
         vm.turn_cold([entry()], 20.3)
     assert not any(vm.limits.take(entry(), 20.4) for vm in vms for _ in range(5))
     assert any(vm.limits.take(entry(), 21.5) for vm in vms)
+
+
+def test_limit_that_is_lowered_while_an_engine_is_cold_holds_at_once():
+    vms = fleet_of(30)
+    for vm in vms:
+        vm.turn_cold([entry()], 20.0)
+    sent_s = send_all(vms, entry(), 20.0, 1.0)
+    lower = configurations.ColdLimit(3.0, 2.0)
+    for vm in vms:
+        vm.limits.set_limits({SERVICE: lower})
+        vm.turn_cold([entry()], 21.0)
+    later_s = send_all(vms, entry(), 21.0, 2.9)
+    assert sent_s and later_s and most_in_a_second(later_s) <= 2.0 * 1.5 + 5.0
+    for vm in vms:
+        vm.limits.set_limits({})
+        assert not vm.limits.has_any and not vm.limits._shares
--- a/packages/gateway/lacewingdrum_gateway/runners/cold_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/cold_sync.py
@@ -80,15 +80,18 @@
             for name, service in services.items()
             if service.cold_limit is not None
         }
-        self.limits.runners.set_limits(self._services)
+        self.limits.set_limits(self._services)
         self._is_configured = True
         early, self._early = self._early, []
         for reports, source in early:
             self.record_reports(reports, self._clock(), source)
 
     def may_be_cold(self, entry: runner_entries.RunnerEntry) -> bool:
-        """Return whether runners of the service of this one can be cold."""
-        return entry.service in self._services
+        """Return whether runners of the service of this one can be cold.
+
+        They may be as long as no configuration is known.
+        """
+        return entry.service in self._services or not self._is_configured
 
     def record_list(
         self, entries: Iterable[runner_entries.RunnerEntry], source: str
@@ -139,12 +142,16 @@
     def _on_heartbeat(self, peer: peering.Peer) -> None:
         now_s = self._clock()
         self._daemons.record_heard(peer.address, peer.data_centre, now_s)
-        if self._services and peer.address not in self._told:
+        is_told = peer.address in self._told or not self._services
+        if not is_told and self._send_silent(peer.address):
             self._told.add(peer.address)
-            self._send_silent(peer.address)
 
-    def _send_silent(self, address: ids.VmId) -> None:
-        """Name the daemons that a new one may not hear of by others."""
+    def _send_silent(self, address: ids.VmId) -> bool:
+        """Name the daemons that a new one may not hear of by others.
+
+        Returns:
+            Whether they are on their way.
+        """
         live = {address, *(peer.address for peer in self._peers.table.live)}
         silent = tuple(
             peer_messages.SilentDaemon(
@@ -153,9 +160,10 @@
             for report in self._daemons.reports(self._clock())
             if report.address not in live
         )
-        if silent:
-            message = peer_messages.SilentDaemons(silent[:SILENT_MAX])
-            self._peers.send(address, message)
+        if not silent:
+            return True
+        message = peer_messages.SilentDaemons(silent[:SILENT_MAX])
+        return self._peers.send(address, message)
 
     def _on_silent(self, sender: ids.VmId, news: peer_messages.SilentDaemons) -> None:
         del sender
