--- a/packages/coordination/lacewingdrum_coordination/sharing_daemons.py
+++ b/packages/coordination/lacewingdrum_coordination/sharing_daemons.py
@@ -70,6 +70,8 @@
         self._is_learnt = False
         self._last_contact_s = started_s
         self._others: dict[ids.VmId, _Known] = {}
+        # Whether one that was heard is not counted, as there are too many.
+        self._lacks_room = False
         # When daemons were last heard that have been dropped since.
         self._dropped_s: dict[ids.VmId, float] = {}
         # Both change when the place of this daemon may change; the second one
@@ -99,8 +101,9 @@
         if self._first_contact_s is None:
             self._first_contact_s = now_s
         self._dropped_s.pop(address, None)
-        known = self._add(address, now_s)
+        known = self._add(address, now_s, is_heard=True)
         if known is None:
+            self._lacks_room = True
             return
         known.is_heard = known.was_heard = True
         known.last_s = max(known.last_s, now_s)
@@ -150,9 +153,7 @@
         keeps its small part of a limit.
         """
         has_touch = now_s - self._last_contact_s <= LOST_TOUCH_S
-        if self._first_contact_s is not None:
-            has_touch = has_touch and self.is_learnt(now_s)
-        if not has_touch:
+        if not has_touch or not self._has_learnt(now_s):
             return
         old = [
             address
@@ -164,12 +165,19 @@
                 del self._dropped_s[next(iter(self._dropped_s))]
             self._dropped_s[address] = self._others.pop(address).last_s
         if old:
+            self._lacks_room = False
             self._record_change(now_s)
 
     def is_learnt(self, now_s: float) -> bool:
         """Return whether this daemon knows the others, and they know it."""
         if self._first_contact_s is None:
             return not self._others and now_s - self._started_s >= ALONE_S
+        return self._has_learnt(now_s) and not self._lacks_room
+
+    def _has_learnt(self, now_s: float) -> bool:
+        """Return whether the time since the first contact is enough."""
+        if self._first_contact_s is None:
+            return False
         if not self._is_learnt:
             passed_s = now_s - self._first_contact_s
             are_heard = all(known.is_heard for known in self._others.values())
@@ -197,13 +205,21 @@
         for known in self._others.values():
             known.is_heard = False
 
-    def _add(self, address: ids.VmId, last_s: float) -> _Known | None:
+    def _add(
+        self, address: ids.VmId, last_s: float, is_heard: bool = False
+    ) -> _Known | None:
+        """Return a daemon, added if there is room; one only named makes it."""
         known = self._others.get(address)
-        if known is None:
-            if len(self._others) >= DAEMONS_MAX:
+        if known is not None:
+            return known
+        if len(self._others) >= DAEMONS_MAX:
+            named = (key for key, item in self._others.items() if not item.was_heard)
+            first = next(named, None) if is_heard else None
+            if first is None:
                 return None
-            known = self._others[address] = _Known(UNKNOWN_DATA_CENTRE, last_s)
-            self.version += 1
+            del self._others[first]
+        known = self._others[address] = _Known(UNKNOWN_DATA_CENTRE, last_s)
+        self.version += 1
         return known
 
     def _record_change(self, now_s: float) -> None:
--- a/packages/coordination/lacewingdrum_coordination/sharing_daemons_test.py
+++ b/packages/coordination/lacewingdrum_coordination/sharing_daemons_test.py
@@ -1,5 +1,7 @@
 """Tests of which daemons count as those that may send requests."""
 
+import unittest.mock
+
 from lacewingdrum_coordination import sharing_daemons
 from lacewingdrum_coordination.cold_limits_test import (
     BOUND,
@@ -58,3 +60,21 @@
         vm.turn_cold([entry()], 701.0)
     assert not send_all([chosen], entry(), 701.0, 2.9)
     assert most_in_a_second(send_all(vms, entry(), 701.0, 2.9)) <= BOUND
+
+
+def test_daemon_that_is_heard_counts_also_when_too_many_are_named():
+    with unittest.mock.patch.object(sharing_daemons, "DAEMONS_MAX", 3):
+        vm, *others = fleet_of(5)
+        daemons = sharing_daemons.SharingDaemons(vm.address, vm.data_centre, 0.0)
+        daemons.record_named([other.address for other in others[:3]], 0.0)
+        for other in reversed(others[1:]):
+            daemons.record_heard(other.address, other.data_centre, 1.0)
+        assert set(daemons.addresses) == {other.address for other in others[1:]}
+        assert daemons.is_learnt(4.0)
+        daemons.record_heard(others[0].address, others[0].data_centre, 4.0)
+        assert not daemons.is_learnt(100.0)
+        for now_s in range(5, 700, 50):
+            daemons.record_heard(others[0].address, others[0].data_centre, now_s)
+            daemons.forget_old(now_s)
+        assert daemons.addresses == (others[0].address,)
+        assert daemons.is_learnt(660.0)
