A daemon looks up its place at a cold runner at most four times a second

Change: it is kept for 0.25 s, which is less than a daemon that is added waits. Result: at most 5 look-ups for 200 daemons named within a second, and the property tests of the bound pass; the time of a choice was not measured.

--- a/packages/coordination/lacewingdrum_coordination/cold_limits.py
+++ b/packages/coordination/lacewingdrum_coordination/cold_limits.py
@@ -24,6 +24,9 @@
 HANDOVER_S = 1.0
 # A planned request keeps a token for at most this time, in which it connects.
 RESERVED_S = 0.5
+# The place of a daemon is looked up at most this often. One that is added
+# begins to send later than that after it is heard.
+PLACE_INTERVAL_S = 0.25
 # From when a runner is warm until all daemons use it.
 SLOW_START_S = 1.5
 # How many times slower than stated an engine is that has just turned cold.
@@ -76,6 +79,7 @@
     version: int
     place: int
     division: Division
+    placed_s: float = float("-inf")
     bucket: rate_shares.TokenBucket | None = None
     # When requests were planned that are not sent yet.
     planned_s: list[float] = dataclasses.field(default_factory=list)
@@ -235,7 +239,9 @@
             division = divide(cold.limit, self._overage)
             share = _Share(cold.since_s, cold.limit, -1, 0, division)
             self._shares[runner_id] = share
-        if share.version != self._daemons.version:
+        is_changed = share.version != self._daemons.version
+        if is_changed and now_s - share.placed_s >= PLACE_INTERVAL_S:
+            share.placed_s = now_s
             share.version = self._daemons.version
             share.place = self._daemons.own_place(cold.entry)
         self._update_bucket(share, now_s)
--- a/packages/coordination/lacewingdrum_coordination/cold_limits_test.py
+++ b/packages/coordination/lacewingdrum_coordination/cold_limits_test.py
@@ -1,6 +1,7 @@
 """Tests of how daemons together keep to what cold runners take."""
 
 import random
+import unittest.mock
 
 import hypothesis
 from hypothesis import strategies
@@ -289,3 +290,16 @@
     for vm in vms:
         vm.limits.set_limits({})
         assert not vm.limits.has_any and not vm.limits._shares
+
+
+def test_place_is_not_looked_up_for_each_daemon_that_is_heard():
+    vm, *others = fleet_of(90)
+    vm.turn_cold([entry()], 20.0)
+    with unittest.mock.patch.object(
+        vm.daemons, "own_place", side_effect=vm.daemons.own_place
+    ) as own_place:
+        for number in range(200):
+            now_s = 20.0 + number / 200
+            vm.daemons.record_named([ids.VmId(f"10.1.0.{number}:7")], now_s)
+            vm.limits.wait_s(entry(), now_s)
+    assert own_place.call_count <= 5
