Silent daemons are named 0.75 s after a daemon is heard anew

Cause: at the end of a cut every pair of daemons named all those that were not heard yet, up to a whole data centre. Change: they are named after 0.75 s, when most have been heard, and 256 at most. Result: a site test with 400 silent daemons: a gateway that starts learns 256 of them and sends nothing yet; the end of a large cut was not played.

--- a/packages/gateway/lacewingdrum_gateway/cold_runners_test.py
+++ b/packages/gateway/lacewingdrum_gateway/cold_runners_test.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import time
+import unittest.mock
 
 import msgspec
 
 from lacewingdrum_gateway import settings
+from lacewingdrum_gateway.runners import cold_sync
 from lacewingdrum_protocol import peer_messages
 from lacewingdrum_state import ids
 from standins import platform_site
@@ -141,6 +143,28 @@
         await site.wait_until(lambda: not limits.has_any)
 
 
+async def test_gateway_that_starts_learns_of_silent_ones_but_not_of_those_heard():
+    async with platform_site.running_site(gateways=2, engines=1, bounds=BOUNDS) as site:
+        await configure(site, cold_s=60.0, cold_per_s=8.0)
+        first, second = (running.daemon.components for running in site.gateways)
+        for number in range(400):
+            silent = ids.VmId(f"10.9.{number // 200}.{number % 200}:7")
+            north = ids.DataCentre("north")
+            first.cold_sync._daemons.record_heard(silent, north, time.monotonic())
+        with unittest.mock.patch.object(
+            second.peers, "send", side_effect=second.peers.send
+        ) as send:
+            late = await site.add_gateway(("127.0.0.1:1",))
+            daemons = late.daemon.components.cold_sync._daemons
+            await site.wait_until(lambda: daemons.count == 3 + cold_sync.SILENT_MAX)
+            named = [
+                call.args[1]
+                for call in send.call_args_list
+                if isinstance(call.args[1], peer_messages.SilentDaemons)
+            ]
+        assert not named and not daemons.is_learnt(time.monotonic() + 5.0)
+
+
 async def test_gateway_that_starts_learns_cold_runners_while_the_store_is_away():
     async with platform_site.running_site(gateways=2, engines=2, bounds=BOUNDS) as site:
         await configure(site, cold_s=60.0, cold_per_s=8.0)
--- a/packages/gateway/lacewingdrum_gateway/runners/cold_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/cold_sync.py
@@ -23,6 +23,9 @@
 
 # Known daemons, and runners that are warm again, are looked at this often.
 UPDATE_INTERVAL_S = 0.25
+# After a cut most daemons that are silent now are heard within this time, and
+# need not be named. It is shorter than a new daemon learns the others.
+NAMING_DELAY_S = 0.75
 EARLY_MAX = 8
 # Silent daemons that one message names, those that were heard latest first.
 SILENT_MAX = 256
@@ -57,13 +60,15 @@
         self._early: list[tuple[tuple[cold_reports.ColdReport, ...], str]] = []
         # The live daemons that know which others this one does not hear.
         self._told: set[ids.VmId] = set()
+        # From when on the others are told.
+        self._untold: dict[ids.VmId, float] = {}
         self._tasks = tasks.TaskSet()
 
     def start(self) -> None:
         """Begin to learn the daemons, and to forget what is past."""
         self._peers.on_heartbeat(self._on_heartbeat)
         self._peers.on_message(peer_messages.SilentDaemons, self._on_silent)
-        self._peers.on_peer_lost(self._told.discard)
+        self._peers.on_peer_lost(self._on_peer_lost)
         self._counts.gauge("cold_runners", self._cold_count)
         self._tasks.spawn_loop(self._update_regularly)
 
@@ -142,9 +147,20 @@
     def _on_heartbeat(self, peer: peering.Peer) -> None:
         now_s = self._clock()
         self._daemons.record_heard(peer.address, peer.data_centre, now_s)
-        is_told = peer.address in self._told or not self._services
-        if not is_told and self._send_silent(peer.address):
-            self._told.add(peer.address)
+        if self._services and peer.address not in self._told:
+            self._untold.setdefault(peer.address, now_s + NAMING_DELAY_S)
+
+    def _on_peer_lost(self, address: ids.VmId) -> None:
+        self._told.discard(address)
+        self._untold.pop(address, None)
+
+    def _tell_new(self, now_s: float) -> None:
+        """Name the silent daemons to those that were heard anew."""
+        due = [address for address, due_s in self._untold.items() if now_s >= due_s]
+        for address in due:
+            if self._send_silent(address):
+                self._told.add(address)
+                del self._untold[address]
 
     def _send_silent(self, address: ids.VmId) -> bool:
         """Name the daemons that a new one may not hear of by others.
@@ -185,6 +201,7 @@
         known = (peer.address for peer in self._peers.table.known)
         self._daemons.record_named(known, now_s)
         self._daemons.forget_old(now_s)
+        self._tell_new(now_s)
         for cold in self.limits.take_reached():
             self._record_turn(cold, now_s, "reached")
         for cold in self.limits.forget_warm(now_s):
