--- a/packages/coordination/lacewingdrum_coordination/cold_limits.py
+++ b/packages/coordination/lacewingdrum_coordination/cold_limits.py
@@ -22,6 +22,11 @@
 # A daemon that comes to divide a limit sends nothing for this time, in which
 # the one that it follows learns of that.
 HANDOVER_S = 1.0
+# A planned request keeps a token for at most this time, in which it connects.
+RESERVED_S = 0.5
+# The place of a daemon is looked up at most this often. One that is added
+# begins to send later than that after it is heard.
+PLACE_INTERVAL_S = 0.25
 # From when a runner is warm until all daemons use it.
 SLOW_START_S = 1.5
 # How many times slower than stated an engine is that has just turned cold.
@@ -70,10 +75,20 @@
     """
 
     since_s: float
+    limit: configurations.ColdLimit
     version: int
     place: int
     division: Division
+    placed_s: float = float("-inf")
     bucket: rate_shares.TokenBucket | None = None
+    # When requests were planned that are not sent yet.
+    planned_s: list[float] = dataclasses.field(default_factory=list)
+
+    def reserved_count(self, now_s: float) -> int:
+        """Return how many planned requests keep a token."""
+        first_s = now_s - RESERVED_S
+        self.planned_s = [time_s for time_s in self.planned_s if time_s > first_s]
+        return len(self.planned_s)
 
     def per_s(self, daemon_count: int) -> float:
         return self.division.per_s / min(self.division.daemon_count, daemon_count)
@@ -96,6 +111,8 @@
         self._shares: dict[ids.RunnerId, _Share] = {}
         # How often a runner was left out of a choice.
         self.withheld_count = 0
+        # The runners that have turned cold as they were reached again.
+        self._reached: list[cold_runners.ColdRunner] = []
 
     @property
     def has_any(self) -> bool:
@@ -132,7 +149,20 @@
         per_s = share.per_s(self._daemons.count)
         share.bucket.fill(per_s, now_s)
         start_s = max(share.bucket.as_of_s - now_s, 0.0)
-        return start_s + max(1.0 - share.bucket.tokens, 0.0) / per_s
+        tokens = share.bucket.tokens - share.reserved_count(now_s)
+        return start_s + max(1.0 - tokens, 0.0) / per_s
+
+    def interval_s(self, entry: runner_entries.RunnerEntry) -> float:
+        """Return the longest time between requests of all daemons to a runner.
+
+        Returns:
+            Infinity if none may be sent; 0 if the runner is not cold.
+        """
+        cold = self.runners.get(entry)
+        if cold is None:
+            return 0.0
+        per_s = divide(cold.limit, self._overage).per_s
+        return 1.0 / per_s if per_s else float("inf")
 
     def admits(self, entry: runner_entries.RunnerEntry, now_s: float) -> bool:
         """Return whether this daemon may send to a runner; count if not."""
@@ -141,14 +171,51 @@
         self.withheld_count += 1
         return False
 
-    def take(self, entry: runner_entries.RunnerEntry, now_s: float) -> None:
-        """Count a request that this daemon sends now."""
+    def record_reached(self, entry: runner_entries.RunnerEntry, now_s: float) -> None:
+        """Record that a runner that was not reached accepts connections."""
+        cold = self.runners.record_reached(entry, now_s)
+        if cold is not None:
+            self._reached.append(cold)
+
+    def take_reached(self) -> tuple[cold_runners.ColdRunner, ...]:
+        """Return those that turned cold as they were reached; forget that."""
+        reached, self._reached = tuple(self._reached), []
+        return reached
+
+    def reserve(self, entry: runner_entries.RunnerEntry, now_s: float) -> None:
+        """Keep a token for a request that is planned now."""
+        cold = self.runners.get(entry)
+        if cold is not None and now_s < cold.until_s:
+            self._share(cold, now_s).planned_s.append(now_s)
+
+    def take(self, entry: runner_entries.RunnerEntry, now_s: float) -> bool:
+        """Count a request whose first byte is sent now, if it may be sent.
+
+        The runner may have turned cold since the request was planned.
+        """
         cold = self.runners.get(entry)
         if cold is None or now_s >= cold.until_s:
-            return
-        bucket = self._share(cold, now_s).bucket
-        if bucket is not None:
-            bucket.tokens -= 1.0
+            return True
+        share = self._share(cold, now_s)
+        if share.planned_s:
+            del share.planned_s[0]
+        if share.bucket is not None:
+            share.bucket.fill(share.per_s(self._daemons.count), now_s)
+        if share.bucket is None or share.bucket.tokens < 1.0:
+            self.withheld_count += 1
+            return False
+        share.bucket.tokens -= 1.0
+        return True
+
+    def set_limits(self, limits: cold_runners.Limits) -> None:
+        """Set the services whose runners can be cold."""
+        self.runners.set_limits(limits)
+        known = {cold.entry.runner_id for cold in self.runners.all}
+        self._shares = {
+            runner_id: share
+            for runner_id, share in self._shares.items()
+            if runner_id in known
+        }
 
     def forget_warm(self, now_s: float) -> tuple[cold_runners.ColdRunner, ...]:
         """Drop and return the runners that all daemons use again."""
@@ -167,10 +234,14 @@
     def _share(self, cold: cold_runners.ColdRunner, now_s: float) -> _Share:
         runner_id = cold.entry.runner_id
         share = self._shares.get(runner_id)
-        if share is None or share.since_s != cold.since_s:
-            share = _Share(cold.since_s, -1, 0, divide(cold.limit, self._overage))
+        if share is None or (share.since_s, share.limit) != (cold.since_s, cold.limit):
+            # Its bucket begins empty, also where the limit has changed.
+            division = divide(cold.limit, self._overage)
+            share = _Share(cold.since_s, cold.limit, -1, 0, division)
             self._shares[runner_id] = share
-        if share.version != self._daemons.version:
+        is_changed = share.version != self._daemons.version
+        if is_changed and now_s - share.placed_s >= PLACE_INTERVAL_S:
+            share.placed_s = now_s
             share.version = self._daemons.version
             share.place = self._daemons.own_place(cold.entry)
         self._update_bucket(share, now_s)
--- a/packages/coordination/lacewingdrum_coordination/cold_runners.py
+++ b/packages/coordination/lacewingdrum_coordination/cold_runners.py
@@ -45,6 +45,9 @@
         self._limits: dict[ids.ServiceName, configurations.ColdLimit] = {}
         self._newest: dict[ids.RunnerId, int] | None = None
         self._cold: dict[ids.RunnerId, ColdRunner] = {}
+        # The last rows that said for how long a runner stays cold: the start
+        # time of its incarnation and the row's number.
+        self._rows: dict[ids.RunnerId, tuple[int, int]] = {}
 
     @property
     def has_any(self) -> bool:
@@ -56,10 +59,9 @@
         """The runners that are cold, or were until shortly before."""
         return tuple(self._cold.values())
 
-    @property
-    def may_be_cold(self) -> bool:
-        """Whether the runners of any service can be cold."""
-        return bool(self._limits)
+    def has_limit(self, service: ids.ServiceName) -> bool:
+        """Return whether the runners of a service can be cold."""
+        return service in self._limits
 
     def set_limits(self, limits: Limits) -> None:
         """Set the services whose runners can be cold."""
@@ -115,6 +117,8 @@
     ) -> ColdRunner | None:
         """Record a report of a listed runner.
 
+        A row is read and told several times, and counts once.
+
         Args:
             entry: the runner.
             report: how long an incarnation of it stays cold.
@@ -128,11 +132,38 @@
         is_other = report.born_ms != entry.born_ms
         if limit is None or is_other or not report.left_ms > 0:
             return None
+        if self._is_repeated(report):
+            return None
         left_s = min(report.left_ms / 1_000, limit.duration_s)
         if not self._extend(entry, limit, now_s, now_s + left_s):
             return None
         return self._cold[entry.runner_id]
 
+    def _is_repeated(self, report: cold_reports.ColdReport) -> bool:
+        if report.seq is None:
+            return False
+        row = report.born_ms, report.seq
+        if self._rows.get(report.runner_id) == row:
+            return True
+        if len(self._rows) >= RUNNERS_MAX:
+            del self._rows[next(iter(self._rows))]
+        self._rows[report.runner_id] = row
+        return False
+
+    def record_reached(
+        self, entry: runner_entries.RunnerEntry, now_s: float
+    ) -> ColdRunner | None:
+        """Record that a runner accepts connections again, as after a start.
+
+        Its row may not say yet that it is cold.
+        """
+        limit = self._limits.get(entry.service)
+        if limit is None:
+            return None
+        left_ms = limit.duration_s * 1_000
+        report = cold_reports.ColdReport(entry.runner_id, entry.born_ms, left_ms)
+        return self.record(entry, report, now_s)
+
     def forget_warm(self, now_s: float) -> tuple[ColdRunner, ...]:
         """Drop the runners that have been warm for long enough."""
         ended = tuple(cold for cold in self.all if now_s >= cold.until_s + self._kept_s)
@@ -155,6 +186,7 @@
             known.until_s = max(known.until_s, until_s)
             return False
         if known is None and len(self._cold) >= RUNNERS_MAX:
-            del self._cold[next(iter(self._cold))]
+            first = min(self._cold.values(), key=lambda cold: cold.until_s)
+            del self._cold[first.entry.runner_id]
         self._cold[entry.runner_id] = ColdRunner(entry, limit, now_s, until_s)
         return True
--- a/packages/gateway/lacewingdrum_gateway/runners/cold_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/cold_sync.py
@@ -1,5 +1,6 @@
 """Learns which runners are cold, and which daemons may send to them."""
 
+import asyncio
 from collections.abc import Callable, Iterable, Mapping
 
 from lacewingdrum_coordination import (
@@ -10,8 +11,9 @@
 )
 from lacewingdrum_gateway.peers import peering
 from lacewingdrum_protocol import peer_messages
-from lacewingdrum_runtime import decision_log, metrics
+from lacewingdrum_runtime import decision_log, metrics, tasks
 from lacewingdrum_state import (
+    addresses,
     cold_reports,
     configurations,
     ids,
@@ -21,7 +23,12 @@
 
 # Known daemons, and runners that are warm again, are looked at this often.
 UPDATE_INTERVAL_S = 0.25
+# After a cut most daemons that are silent now are heard within this time, and
+# need not be named. It is shorter than a new daemon learns the others.
+NAMING_DELAY_S = 0.75
 EARLY_MAX = 8
+# Silent daemons that one message names, those that were heard latest first.
+SILENT_MAX = 256
 
 
 class ColdSync:
@@ -47,20 +54,27 @@
         self._decisions = decisions
         self._counts = counts
         self._services: dict[ids.ServiceName, configurations.ColdLimit] = {}
-        self._updated_s = float("-inf")
         self._withheld_count = 0
         # Reports that came, from a source, before a configuration was known.
         self._is_configured = False
         self._early: list[tuple[tuple[cold_reports.ColdReport, ...], str]] = []
         # The live daemons that know which others this one does not hear.
         self._told: set[ids.VmId] = set()
+        # From when on the others are told.
+        self._untold: dict[ids.VmId, float] = {}
+        self._tasks = tasks.TaskSet()
 
     def start(self) -> None:
-        """Begin to learn the daemons from their heartbeats."""
+        """Begin to learn the daemons, and to forget what is past."""
         self._peers.on_heartbeat(self._on_heartbeat)
         self._peers.on_message(peer_messages.SilentDaemons, self._on_silent)
-        self._peers.on_peer_lost(self._told.discard)
+        self._peers.on_peer_lost(self._on_peer_lost)
         self._counts.gauge("cold_runners", self._cold_count)
+        self._tasks.spawn_loop(self._update_regularly)
+
+    async def close(self) -> None:
+        """Stop the updates."""
+        await self._tasks.close()
 
     def set_services(
         self, services: Mapping[ids.ServiceName, configurations.Service]
@@ -71,15 +85,18 @@
             for name, service in services.items()
             if service.cold_limit is not None
         }
-        self.limits.runners.set_limits(self._services)
+        self.limits.set_limits(self._services)
         self._is_configured = True
         early, self._early = self._early, []
         for reports, source in early:
             self.record_reports(reports, self._clock(), source)
 
     def may_be_cold(self, entry: runner_entries.RunnerEntry) -> bool:
-        """Return whether runners of the service of this one can be cold."""
-        return entry.service in self._services
+        """Return whether runners of the service of this one can be cold.
+
+        They may be as long as no configuration is known.
+        """
+        return entry.service in self._services or not self._is_configured
 
     def record_list(
         self, entries: Iterable[runner_entries.RunnerEntry], source: str
@@ -110,7 +127,6 @@
             cold = self.limits.runners.record(entry, report, now_s)
             if cold is not None:
                 self._record_turn(cold, now_s, source)
-        self._update(now_s)
 
     def known_reports(self) -> tuple[cold_reports.ColdReport, ...]:
         """Return what is known of the runners that are cold now."""
@@ -132,29 +148,62 @@
         now_s = self._clock()
         self._daemons.record_heard(peer.address, peer.data_centre, now_s)
         if self._services and peer.address not in self._told:
-            self._told.add(peer.address)
-            self._send_silent(peer.address)
-        self._update(now_s)
+            self._untold.setdefault(peer.address, now_s + NAMING_DELAY_S)
+
+    def _on_peer_lost(self, address: ids.VmId) -> None:
+        self._told.discard(address)
+        self._untold.pop(address, None)
 
-    def _send_silent(self, address: ids.VmId) -> None:
-        """Name the daemons that a new one may not hear of by others."""
+    def _tell_new(self, now_s: float) -> None:
+        """Name the silent daemons to those that were heard anew."""
+        due = [address for address, due_s in self._untold.items() if now_s >= due_s]
+        for address in due:
+            if self._send_silent(address):
+                self._told.add(address)
+                del self._untold[address]
+
+    def _send_silent(self, address: ids.VmId) -> bool:
+        """Name the daemons that a new one may not hear of by others.
+
+        Returns:
+            Whether they are on their way.
+        """
         live = {address, *(peer.address for peer in self._peers.table.live)}
-        silent = tuple(item for item in self._daemons.addresses if item not in live)
-        if silent:
-            self._peers.send(address, peer_messages.SilentDaemons(silent))
+        silent = tuple(
+            peer_messages.SilentDaemon(
+                report.address, report.age_s * units.MS_PER_S, report.was_heard
+            )
+            for report in self._daemons.reports(self._clock())
+            if report.address not in live
+        )
+        if not silent:
+            return True
+        message = peer_messages.SilentDaemons(silent[:SILENT_MAX])
+        return self._peers.send(address, message)
 
     def _on_silent(self, sender: ids.VmId, news: peer_messages.SilentDaemons) -> None:
         del sender
-        found = (ids.VmId(name) for name in news.addresses)
-        self._daemons.record_named(found, self._clock())
+        found = (
+            sharing_daemons.DaemonReport(
+                ids.VmId(item.address), item.age_ms / units.MS_PER_S, item.was_heard
+            )
+            for item in news.daemons
+            if addresses.parse_address(item.address) is not None
+        )
+        self._daemons.record_reported(found, self._clock())
+
+    async def _update_regularly(self) -> None:
+        while True:
+            await asyncio.sleep(UPDATE_INTERVAL_S)
+            self._update(self._clock())
 
     def _update(self, now_s: float) -> None:
-        if now_s - self._updated_s < UPDATE_INTERVAL_S:
-            return
-        self._updated_s = now_s
         known = (peer.address for peer in self._peers.table.known)
         self._daemons.record_named(known, now_s)
         self._daemons.forget_old(now_s)
+        self._tell_new(now_s)
+        for cold in self.limits.take_reached():
+            self._record_turn(cold, now_s, "reached")
         for cold in self.limits.forget_warm(now_s):
             self._record_turn(cold, now_s, "time")
         withheld_count = self.limits.withheld_count
--- a/packages/gateway/lacewingdrum_gateway/runners/runner_candidates.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/runner_candidates.py
@@ -105,13 +105,29 @@
         """Return when a runner takes a further request from some daemon."""
         wait_s = self._limits.wait_s(entry, now_s)
         wait_s = min(wait_s, self._limits.interval_s(entry.runner_id))
-        return max(wait_s, self._cold.wait_s(entry, now_s))
+        cold_wait_s = self._cold.wait_s(entry, now_s)
+        return max(wait_s, min(cold_wait_s, self._cold.interval_s(entry)))
 
-    def record_send(self, entry: runner_entries.RunnerEntry) -> None:
-        """Count a request that is sent to a runner now."""
+    def record_plan(self, entry: runner_entries.RunnerEntry) -> None:
+        """Count a request that is planned now for a runner."""
         now_s = self._clock()
         self._limits.take(entry, now_s)
-        self._cold.take(entry, now_s)
+        self._cold.reserve(entry, now_s)
+
+    def may_send(self, entry: runner_entries.RunnerEntry) -> bool:
+        """Return whether a planned request may be sent now; count it if so.
+
+        It may not if its runner has turned cold or was started again since,
+        and this daemon has no request left that it may send.
+        """
+        newest = self._roster.get(entry.runner_id)
+        is_older = newest is not None and newest.born_ms > entry.born_ms
+        if is_older and self._cold.runners.has_limit(entry.service):
+            return False
+        now_s = self._clock()
+        if self._health.take_unconnected(entry.runner_id):
+            self._cold.record_reached(entry, now_s)
+        return self._cold.take(entry, now_s)
 
     def delay_ms(
         self, service: configurations.Service, entry: runner_entries.RunnerEntry
--- a/packages/protocol/lacewingdrum_protocol/peer_messages.py
+++ b/packages/protocol/lacewingdrum_protocol/peer_messages.py
@@ -204,11 +204,15 @@
 
 
 class ColdReport(msgspec.Struct, frozen=True, array_like=True):
-    """That an incarnation of a runner stays cold for ``left_ms``."""
+    """That an incarnation of a runner stays cold for ``left_ms``.
+
+    ``seq`` counts its rows.
+    """
 
     runner_id: str
     born_ms: int
     left_ms: bounds.AgeMs
+    seq: int | None = None
 
 
 class RunnerListPush(msgspec.Struct, frozen=True, array_like=True, tag="run"):
@@ -232,10 +236,18 @@
     cold: tuple[ColdReport, ...] = ()
 
 
+class SilentDaemon(msgspec.Struct, frozen=True, array_like=True):
+    """A daemon, and the time since it was last heard, or else first named."""
+
+    address: str
+    age_ms: float
+    was_heard: bool
+
+
 class SilentDaemons(msgspec.Struct, frozen=True, array_like=True, tag="sil"):
     """Daemons that the sender knows and does not hear, for one that is new."""
 
-    addresses: tuple[str, ...]
+    daemons: tuple[SilentDaemon, ...]
 
 
 class RunnerListRequest(msgspec.Struct, frozen=True, array_like=True, tag="rua"):
