--- a/packages/coordination/lacewingdrum_coordination/cold_limits.py
+++ b/packages/coordination/lacewingdrum_coordination/cold_limits.py
@@ -249,7 +249,7 @@
 
     def _update_bucket(self, share: _Share, now_s: float) -> None:
         is_first = share.place < share.division.daemon_count
-        if not (is_first and self._daemons.is_learnt(now_s)):
+        if not (is_first and self._daemons.knows_all(now_s)):
             share.bucket = None
         elif share.bucket is None:
             start_s = max(now_s, self._daemons.improved_s + HANDOVER_S)
--- a/packages/coordination/lacewingdrum_coordination/sharing_daemons.py
+++ b/packages/coordination/lacewingdrum_coordination/sharing_daemons.py
@@ -67,7 +67,7 @@
         self._own = (own_address, data_centre)
         self._started_s = started_s
         self._first_contact_s: float | None = None
-        self._is_learnt = False
+        self._knows_all = False
         self._last_contact_s = started_s
         self._others: dict[ids.VmId, _Known] = {}
         # Whether one that was heard is not counted, as there are too many.
@@ -168,7 +168,7 @@
             self._lacks_room = False
             self._record_change(now_s)
 
-    def is_learnt(self, now_s: float) -> bool:
+    def knows_all(self, now_s: float) -> bool:
         """Return whether this daemon knows the others, and they know it."""
         if self._first_contact_s is None:
             return not self._others and now_s - self._started_s >= ALONE_S
@@ -178,12 +178,12 @@
         """Return whether the time since the first contact is enough."""
         if self._first_contact_s is None:
             return False
-        if not self._is_learnt:
+        if not self._knows_all:
             passed_s = now_s - self._first_contact_s
             are_heard = all(known.is_heard for known in self._others.values())
-            is_long = passed_s >= UNHEARD_S
-            self._is_learnt = is_long or (are_heard and passed_s >= LEARNING_S)
-        return self._is_learnt
+            waited_long = passed_s >= UNHEARD_S
+            self._knows_all = waited_long or (are_heard and passed_s >= LEARNING_S)
+        return self._knows_all
 
     def own_place(self, entry: runner_entries.RunnerEntry) -> int:
         """Return how many daemons come before this one at a runner.
@@ -200,7 +200,7 @@
         )
 
     def _learn_again(self) -> None:
-        self._is_learnt = False
+        self._knows_all = False
         self._first_contact_s = None
         for known in self._others.values():
             known.is_heard = False
--- a/packages/coordination/lacewingdrum_coordination/sharing_daemons_test.py
+++ b/packages/coordination/lacewingdrum_coordination/sharing_daemons_test.py
@@ -70,11 +70,11 @@
         for other in reversed(others[1:]):
             daemons.record_heard(other.address, other.data_centre, 1.0)
         assert set(daemons.addresses) == {other.address for other in others[1:]}
-        assert daemons.is_learnt(4.0)
+        assert daemons.knows_all(4.0)
         daemons.record_heard(others[0].address, others[0].data_centre, 4.0)
-        assert not daemons.is_learnt(100.0)
+        assert not daemons.knows_all(100.0)
         for now_s in range(5, 700, 50):
             daemons.record_heard(others[0].address, others[0].data_centre, now_s)
             daemons.forget_old(now_s)
         assert daemons.addresses == (others[0].address,)
-        assert daemons.is_learnt(660.0)
+        assert daemons.knows_all(660.0)
--- a/packages/gateway/lacewingdrum_gateway/cold_runners_test.py
+++ b/packages/gateway/lacewingdrum_gateway/cold_runners_test.py
@@ -162,7 +162,7 @@
                 for call in send.call_args_list
                 if isinstance(call.args[1], peer_messages.SilentDaemons)
             ]
-        assert not named and not daemons.is_learnt(time.monotonic() + 5.0)
+        assert not named and not daemons.knows_all(time.monotonic() + 5.0)
 
 
 async def test_gateway_that_starts_learns_cold_runners_while_the_store_is_away():
--- a/packages/gateway/lacewingdrum_gateway/runners/cold_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/cold_sync.py
@@ -26,7 +26,7 @@
 # After a cut most daemons that are silent now are heard within this time, and
 # need not be named. It is shorter than a new daemon learns the others.
 NAMING_DELAY_S = 0.75
-EARLY_MAX = 8
+UNCONFIGURED_MAX = 8
 # Silent daemons that one message names, those that were heard latest first.
 SILENT_MAX = 256
 
@@ -57,11 +57,13 @@
         self._withheld_count = 0
         # Reports that came, from a source, before a configuration was known.
         self._is_configured = False
-        self._early: list[tuple[tuple[cold_reports.ColdReport, ...], str]] = []
+        self._unconfigured_reports: list[
+            tuple[tuple[cold_reports.ColdReport, ...], str]
+        ] = []
         # The live daemons that know which others this one does not hear.
-        self._told: set[ids.VmId] = set()
+        self._informed_peers: set[ids.VmId] = set()
         # From when on the others are told.
-        self._untold: dict[ids.VmId, float] = {}
+        self._due_peers: dict[ids.VmId, float] = {}
         self._tasks = tasks.TaskSet()
 
     def start(self) -> None:
@@ -87,8 +89,8 @@
         }
         self.limits.set_limits(self._services)
         self._is_configured = True
-        early, self._early = self._early, []
-        for reports, source in early:
+        reports_before, self._unconfigured_reports = self._unconfigured_reports, []
+        for reports, source in reports_before:
             self.record_reports(reports, self._clock(), source)
 
     def may_be_cold(self, entry: runner_entries.RunnerEntry) -> bool:
@@ -118,7 +120,9 @@
         """
         found = tuple(reports)
         if found and not self._is_configured:
-            self._early = [*self._early, (found, source)][-EARLY_MAX:]
+            self._unconfigured_reports = [*self._unconfigured_reports, (found, source)][
+                -UNCONFIGURED_MAX:
+            ]
             return
         for report in found:
             entry = self._roster.get(report.runner_id)
@@ -147,20 +151,20 @@
     def _on_heartbeat(self, peer: peering.Peer) -> None:
         now_s = self._clock()
         self._daemons.record_heard(peer.address, peer.data_centre, now_s)
-        if self._services and peer.address not in self._told:
-            self._untold.setdefault(peer.address, now_s + NAMING_DELAY_S)
+        if self._services and peer.address not in self._informed_peers:
+            self._due_peers.setdefault(peer.address, now_s + NAMING_DELAY_S)
 
     def _on_peer_lost(self, address: ids.VmId) -> None:
-        self._told.discard(address)
-        self._untold.pop(address, None)
+        self._informed_peers.discard(address)
+        self._due_peers.pop(address, None)
 
     def _tell_new(self, now_s: float) -> None:
         """Name the silent daemons to those that were heard anew."""
-        due = [address for address, due_s in self._untold.items() if now_s >= due_s]
+        due = [address for address, due_s in self._due_peers.items() if now_s >= due_s]
         for address in due:
             if self._send_silent(address):
-                self._told.add(address)
-                del self._untold[address]
+                self._informed_peers.add(address)
+                del self._due_peers[address]
 
     def _send_silent(self, address: ids.VmId) -> bool:
         """Name the daemons that a new one may not hear of by others.
@@ -217,7 +221,7 @@
     ) -> None:
         """Record that a runner has turned cold, or is in full use again."""
         left_s = cold.left_s(now_s)
-        self._counts.count("runner_turns", to="cold" if left_s else "warm")
+        self._counts.count("cold_changes", to="cold" if left_s else "warm")
         self._decisions.record(
             decision_log.DecisionEvent.RUNNER_COLD,
             None,
