A daemon that starts waits for evacuations only if a peer knows some

Change: it waits only while the digest in a peer's heartbeat shows evacuations that it does not know. Where nothing was ever evacuated, and beside builds that know no evacuations, a start is as before.

--- a/packages/gateway/lacewingdrum_gateway/evacuation_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/evacuation_sync.py
@@ -25,6 +25,8 @@
 # earlier builds send none.
 INITIAL_WAIT_MAX_S = 2.0
 REQUEST_INTERVAL_S = 0.2
+# Names the digest in heartbeats.
+TOPIC = "evacuations"
 
 
 class EvacuationSync:
@@ -57,7 +59,7 @@
         self._era_seen_s = float("inf")
         self._return_timer: asyncio.TimerHandle | None = None
         self._spread = news_spread.NewsSpread(
-            "evacuations",
+            TOPIC,
             lambda: self.register.digest,
             lambda: self._to_message(self.register.all),
             peers,
@@ -79,7 +81,11 @@
 
     @property
     def _awaits_answer(self) -> bool:
-        return bool(self._peers.table.live) and not self._has_answer
+        """Whether a peer knows what this daemon does not, and is to say it."""
+        known = (0, self.register.digest)
+        return not self._has_answer and any(
+            peer.digests.get(TOPIC, 0) not in known for peer in self._peers.table.live
+        )
 
     def start(self) -> None:
         """Begin to learn from the store and to exchange with the peers."""
