A late event does not use up the runners of a stream whose path is lost

Cause: an attempt whose next event is late has its runner in sent_to, and silence_limits counted the runner of the awaited attempt once more, so that the stream seemed to have no runner left and was never silent. A peer that takes over was told of a runner that had been asked beside the late event and had brought nothing.

Change: runners of open attempts count once; the peer is not told of such a runner.

--- a/packages/gateway/lacewingdrum_gateway/serving/active_request.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/active_request.py
@@ -141,8 +141,32 @@
             source,
             self.events.next_run(),
             now_s,
+            is_beside_late=self.race.is_only_late,
         )
 
+    def awaited_runners(self) -> set[ids.RunnerId]:
+        """Return the runners of the open attempts."""
+        return {
+            item.source.plan.entry.runner_id
+            for item in self.race.attempts
+            if isinstance(item.source, open_attempt.RunnerSource)
+        }
+
+    def reached_runner_count(self) -> int:
+        """Return how many runners count once this daemon has lost its paths.
+
+        One that was asked beside a late event, and has brought nothing, does
+        not: what was late then was the path.
+        """
+        unreached = {
+            item.source.plan.entry.runner_id
+            for item in self.race.attempts
+            if isinstance(item.source, open_attempt.RunnerSource)
+            and item.is_beside_late
+            and not item.events.run_event_count
+        }
+        return len(self.sent_to - unreached) + self.earlier_runner_count
+
     def pass_on(self, attempt: open_attempt.OpenAttempt) -> bool:
         """Let an attempt send the caller what it has brought.
 
--- a/packages/gateway/lacewingdrum_gateway/serving/open_attempt.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/open_attempt.py
@@ -41,7 +41,7 @@
     the source cannot be reached. ``is_silent`` is set while another attempt
     may be made beside this one, and ``was_silent`` from then on. ``is_late``
     is set while another one may be made because the next event is late, though
-    nothing speaks against the runner.
+    nothing speaks against the runner; ``is_beside_late`` is set for that one.
     ``cancelled_end`` says why the attempt was cancelled. ``is_sent`` is set
     before the first byte goes to the source.
     """
@@ -56,6 +56,7 @@
     is_silent: bool = False
     was_silent: bool = False
     is_late: bool = False
+    is_beside_late: bool = False
     cancelled_end: attempt_ends.AttemptEnd | None = None
     is_sent: bool = False
     shortest_pause_s: float = float("inf")
--- a/packages/gateway/lacewingdrum_gateway/serving/relay.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/relay.py
@@ -135,7 +135,7 @@
                 active.outgoing.headers,
                 max(int(left_s * 1_000), 1),
                 attempt.events.last_event_id,
-                len(active.sent_to) + active.earlier_runner_count,
+                active.reached_runner_count(),
                 active.routed.route_digest,
             ),
             active.outgoing.body,
--- a/packages/gateway/lacewingdrum_gateway/serving/silence_limits.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/silence_limits.py
@@ -97,6 +97,8 @@
 def _can_retry_elsewhere(active: active_request.ActiveRequest) -> bool:
     """Return whether the request may be retried at another runner."""
     route = active.routed.route
-    sent_count = len(active.sent_to) + active.earlier_runner_count
+    # The runner of an attempt whose next event is late counts once.
+    used = active.sent_to | active.awaited_runners()
+    used_count = len(used) + active.earlier_runner_count
     is_repeatable = route.is_retryable and active.events.is_resumable
-    return is_repeatable and sent_count + 1 < route.max_attempts
+    return is_repeatable and used_count < route.max_attempts
