--- a/packages/coordination/lacewingdrum_coordination/cold_limits.py
+++ b/packages/coordination/lacewingdrum_coordination/cold_limits.py
@@ -20,7 +20,7 @@
 # The rate of a single daemon that may send one request in any one second.
 SINGLE_PER_S = 0.9
 # A daemon that comes to divide a limit sends nothing for this time, in which
-# the one that it follows learns of that.
+# the daemon whose part it takes over learns of that.
 HANDOVER_S = 1.0
 # A planned request keeps a token for at most this time, in which it connects.
 RESERVED_S = 0.5
@@ -252,5 +252,5 @@
         if not (is_first and self._daemons.knows_all(now_s)):
             share.bucket = None
         elif share.bucket is None:
-            start_s = max(now_s, self._daemons.improved_s + HANDOVER_S)
+            start_s = max(now_s, self._daemons.place_gained_s + HANDOVER_S)
             share.bucket = rate_shares.TokenBucket(0.0, start_s)
--- a/packages/coordination/lacewingdrum_coordination/sharing_daemons.py
+++ b/packages/coordination/lacewingdrum_coordination/sharing_daemons.py
@@ -74,10 +74,10 @@
         self._lacks_room = False
         # When daemons were last heard that have been dropped since.
         self._dropped_s: dict[ids.VmId, float] = {}
-        # Both change when the place of this daemon may change; the second one
-        # only when it may come to be among those that divide a limit.
+        # The version rises when the place of this daemon may change. The time
+        # is when it may last have come to divide a limit.
         self.version = 0
-        self.improved_s = started_s
+        self.place_gained_s = started_s
 
     @property
     def count(self) -> int:
@@ -109,7 +109,7 @@
         known.last_s = max(known.last_s, now_s)
         if data_centre not in (known.data_centre, UNKNOWN_DATA_CENTRE):
             known.data_centre = data_centre
-            self._record_change(now_s)
+            self._record_possible_gain(now_s)
 
     def record_named(self, addresses: Iterable[ids.VmId], now_s: float) -> None:
         """Record daemons that seeds or the store name.
@@ -166,7 +166,7 @@
             self._dropped_s[address] = self._others.pop(address).last_s
         if old:
             self._lacks_room = False
-            self._record_change(now_s)
+            self._record_possible_gain(now_s)
 
     def knows_all(self, now_s: float) -> bool:
         """Return whether this daemon knows the others, and they know it."""
@@ -222,6 +222,6 @@
         self.version += 1
         return known
 
-    def _record_change(self, now_s: float) -> None:
+    def _record_possible_gain(self, now_s: float) -> None:
         self.version += 1
-        self.improved_s = now_s
+        self.place_gained_s = now_s
