--- a/review/7/case.py
+++ b/review/7/case.py
@@ -14,8 +14,8 @@
 # 2 of 7 machines, which is within the share of 0.3.
 CHANGED = 2
 CHANGES = 6
-CHANGE_INTERVAL_S = 0.65
-FIRST_CHANGE_S = 0.15
+CHANGE_INTERVAL_S = 0.58
+FIRST_CHANGE_S = 0.08
 ENDS = 3
 STOP_MAX_S = 10.0
 WATCH_S = 8.0
