--- a/packages/gateway/lacewingdrum_gateway/main.py
+++ b/packages/gateway/lacewingdrum_gateway/main.py
@@ -9,7 +9,7 @@
 import time
 
 from lacewingdrum_gateway import gateway, line_output, settings
-from lacewingdrum_runtime import decision_log
+from lacewingdrum_runtime import decision_log, held_signals
 from lacewingdrum_transport import connector
 
 EXIT_ABORTED_REQUESTS = 1
@@ -33,20 +33,32 @@
     output.start()
     logger = logging.getLogger(decision_log.ROOT_LOGGER)
     daemon = gateway.Gateway(found, path, logger, connect_to_runners)
+    _handle_signals(daemon)
+    try:
+        return await _run(daemon, listener)
+    finally:
+        held_signals.hold()
+        output.close()
+
+
+def _handle_signals(daemon: gateway.Gateway) -> None:
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, daemon.request_stop)
     loop.add_signal_handler(signal.SIGINT, daemon.request_stop)
     loop.add_signal_handler(signal.SIGHUP, daemon.request_reload)
+    held_signals.deliver()
+
+
+async def _run(daemon: gateway.Gateway, listener: socket.socket | None) -> int:
+    """Run the daemon until its stop has ended, and return the exit code."""
     try:
         await daemon.start(listener)
     except OSError as error:
         logging.getLogger(__name__).error("cannot listen: %s", error)
         await daemon.close()
-        output.close()
         return EXIT_CANNOT_LISTEN
     await daemon.stop_requested.wait()
     aborted_count = await daemon.drain()
-    output.close()
     return EXIT_ABORTED_REQUESTS if aborted_count else 0
 
 
