A settings signal does not end lacewingdrumd

What callers saw: SIGHUP, at any time, ended the product's own daemon and cut its requests.

Cause: it had no handler for SIGHUP, so that the default action held.

Change: its entry point is start.py, which holds the handled signals back until main has set the handlers, as in the gateway. SIGHUP reads the settings file again and logs what it found; both daemons share settings_reload for that.

--- a/packages/daemon/lacewingdrum_daemon/daemon.py
+++ b/packages/daemon/lacewingdrum_daemon/daemon.py
@@ -8,7 +8,7 @@
 import logging
 
 from lacewingdrum_daemon import components as daemon_components, settings
-from lacewingdrum_runtime import decision_log
+from lacewingdrum_runtime import decision_log, settings_reload
 from lacewingdrum_state import units
 
 DRAIN_POLL_INTERVAL_S = 0.05
@@ -24,8 +24,14 @@
         logger: receives the decision lines.
     """
 
-    def __init__(self, own_settings: settings.Settings, logger: logging.Logger) -> None:
+    def __init__(
+        self,
+        own_settings: settings.Settings,
+        settings_path: str,
+        logger: logging.Logger,
+    ) -> None:
         self._components = daemon_components.Components(own_settings, logger)
+        self._settings_path = settings_path
         self.stop_requested = asyncio.Event()
         self._abort_requested = asyncio.Event()
 
@@ -57,6 +63,15 @@
             self._abort_requested.set()
         self.stop_requested.set()
 
+    def request_reload(self) -> None:
+        """Read the settings again and log whether they changed."""
+        settings_reload.record_reload(
+            settings.load,
+            self._settings_path,
+            self._components.own_settings,
+            self._components.decisions,
+        )
+
     async def drain(self) -> int:
         """Refuse new requests, finish those in progress, and close.
 
--- a/packages/daemon/lacewingdrum_daemon/main.py
+++ b/packages/daemon/lacewingdrum_daemon/main.py
@@ -9,7 +9,7 @@
 from cleo.io.inputs import argv_input
 
 from lacewingdrum_daemon import daemon, settings
-from lacewingdrum_runtime import decision_log
+from lacewingdrum_runtime import decision_log, held_signals
 
 EXIT_ABORTED_REQUESTS = 1
 EXIT_INVALID_SETTINGS = 2
@@ -41,15 +41,25 @@
             print(f"lacewingdrumd: {error}", file=sys.stderr)
         if loaded is None:
             return EXIT_INVALID_SETTINGS
-        return asyncio.run(_serve(loaded))
+        return asyncio.run(_serve(loaded, path))
 
 
-async def _serve(loaded: settings.Settings) -> int:
+async def _serve(loaded: settings.Settings, path: str) -> int:
     logger = decision_log.set_up_logging(loaded.vm.vm_id, loaded.vm.data_centre)
-    root = daemon.Daemon(loaded, logger)
+    root = daemon.Daemon(loaded, path, logger)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, root.request_stop)
+    loop.add_signal_handler(signal.SIGHUP, root.request_reload)
+    held_signals.deliver()
+    try:
+        return await _run(root)
+    finally:
+        held_signals.hold()
+
+
+async def _run(root: daemon.Daemon) -> int:
+    """Run the daemon until its stop has ended, and return the exit code."""
     try:
         await root.start()
     except OSError as error:
@@ -69,7 +79,3 @@
     # There is only one subcommand, so users do not type its name.
     arguments = ["lacewingdrumd", RunCommand.name, *sys.argv[1:]]
     return app.run(argv_input.ArgvInput(arguments))
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- a/packages/gateway/lacewingdrum_gateway/gateway.py
+++ b/packages/gateway/lacewingdrum_gateway/gateway.py
@@ -7,7 +7,7 @@
 import time
 
 from lacewingdrum_gateway import components as gateway_components, settings
-from lacewingdrum_runtime import decision_log, tasks
+from lacewingdrum_runtime import decision_log, settings_reload, tasks
 from lacewingdrum_state import addresses, ids
 from lacewingdrum_transport import connector
 
@@ -150,13 +150,11 @@
 
         Changes take effect only after a restart.
         """
-        found, errors = settings.load(self._settings_path)
-        same = found == self.components.own_settings
-        self.components.decisions.record(
-            decision_log.DecisionEvent.RELOADED,
-            None,
-            changed=not same,
-            errors=[str(error) for error in errors],
+        settings_reload.record_reload(
+            settings.load,
+            self._settings_path,
+            self.components.own_settings,
+            self.components.decisions,
         )
 
     async def drain(self) -> int:
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -136,7 +136,7 @@
         addresses = [fleet.Address(ports.HOST, self._ports.next()) for _ in range(3)]
         path = self.folder / f"{plan.vm_id}-{incarnation}.toml"
         path.write_text(self._settings(plan, addresses))
-        arguments = ["-m", "lacewingdrum_daemon.main", "--settings", str(path)]
+        arguments = ["-m", "lacewingdrum_daemon.start", "--settings", str(path)]
         child = await processes.start(plan.vm_id, arguments, self.folder, False)
         self._children.append(child)
         daemon = DaemonProcess(child, plan, incarnation, *addresses)
--- a/tests/end_to_end_test.py
+++ b/tests/end_to_end_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import signal
 
 from standins import answers
 from tests import whole_system
@@ -111,3 +112,22 @@
                 assert streamed_text(outcome.body) == (expected, True)
 
     asyncio.run(main())
+
+
+def test_settings_signal_aborts_no_request(folder):
+    # SIGHUP had its default action: the daemon ended with all its requests.
+    async def main():
+        options = ("--decode-step-s", "0.05")
+        plan = whole_system.plan(options=options)
+        async with whole_system.running(plan, folder) as deployment:
+            daemon = deployment.daemons["vm-0"].child
+            call = asyncio.ensure_future(
+                whole_system.complete(deployment, "vm-0", "a prompt", 20, True)
+            )
+            await asyncio.sleep(0.3)
+            daemon.send_signal(signal.SIGHUP)
+            expected = answers.answer_text("a prompt", 0, 20)
+            assert streamed_text((await call).body) == (expected, True)
+            assert '"reloaded"' in daemon.log.read_text()
+
+    asyncio.run(main())
