--- a/packages/coordination/lacewingdrum_coordination/runner_health.py
+++ b/packages/coordination/lacewingdrum_coordination/runner_health.py
@@ -1,8 +1,12 @@
-"""Tracks runner failures, contacts, suspicions, pauses and refused help."""
+"""Tracks runner failures, contacts, suspicions, pauses and refused help.
+
+All but the pauses is forgotten when a runner is gone.
+"""
 
 import dataclasses
 import math
 
+from lacewingdrum_coordination import runner_pauses
 from lacewingdrum_state import ids
 
 HALF_LIFE_S = 4.0
@@ -25,7 +29,6 @@
     is_unconnected: bool = False
     last_contact_s: float = float("-inf")
     help_refused_at_s: float = float("-inf")
-    paused_until_s: float = float("-inf")
     peer_paused_until_s: float = float("-inf")
 
 
@@ -33,6 +36,7 @@
     """Observations of runners; the failure counts decay with time."""
 
     def __init__(self) -> None:
+        self.pauses = runner_pauses.RunnerPauses()
         self._by_runner: dict[ids.RunnerId, _RunnerObservations] = {}
 
     def record_attempt(
@@ -104,13 +108,6 @@
             or now_s - observed.help_refused_at_s >= HELP_REFUSAL_PAUSE_S
         )
 
-    def pause(self, runner_id: ids.RunnerId, until_s: float, now_s: float) -> None:
-        """Record that a runner wants no request from this daemon for now."""
-        observed = self._by_runner.setdefault(
-            runner_id, _RunnerObservations(as_of_s=now_s)
-        )
-        observed.paused_until_s = max(observed.paused_until_s, until_s)
-
     def record_peer_pause(
         self, runner_id: ids.RunnerId, until_s: float, now_s: float
     ) -> None:
@@ -120,11 +117,6 @@
         )
         observed.peer_paused_until_s = max(observed.peer_paused_until_s, until_s)
 
-    def pause_left_s(self, runner_id: ids.RunnerId, now_s: float) -> float:
-        """Return how long a runner still wants no request, or 0."""
-        observed = self._by_runner.get(runner_id)
-        return max(observed.paused_until_s - now_s, 0.0) if observed else 0.0
-
     def is_paused_for_peers(self, runner_id: ids.RunnerId, now_s: float) -> bool:
         """Return whether a runner wants no request from some peer."""
         observed = self._by_runner.get(runner_id)
--- a/packages/gateway/lacewingdrum_gateway/cut_off_daemons_test.py
+++ b/packages/gateway/lacewingdrum_gateway/cut_off_daemons_test.py
@@ -250,8 +250,9 @@
         for running in site.gateways[1:]:
             components = running.daemon.components
             for ledger in site.ledgers:
-                runner_id, now_s = ids.RunnerId(ledger.runner_id), components.clock()
-                components.health.pause(runner_id, now_s + 2.0, now_s)
+                entry = components.roster.get(ids.RunnerId(ledger.runner_id))
+                now_s = components.clock()
+                components.health.pauses.record(entry, now_s + 2.0, now_s)
         answer = await call_read(site, 0, "o1", "order")
         assert answer.status == 503 and answer.header("Lacewingdrum-Ran") == "no"
         assert float(answer.header("Retry-After")) > 1.5
--- a/packages/gateway/lacewingdrum_gateway/hedged_attempts_test.py
+++ b/packages/gateway/lacewingdrum_gateway/hedged_attempts_test.py
@@ -51,8 +51,9 @@
         for running in site.gateways[1:]:
             components = running.daemon.components
             for ledger in site.ledgers:
-                runner_id, now_s = ids.RunnerId(ledger.runner_id), components.clock()
-                components.health.pause(runner_id, now_s + 9.0, now_s)
+                entry = components.roster.get(ids.RunnerId(ledger.runner_id))
+                now_s = components.clock()
+                components.health.pauses.record(entry, now_s + 9.0, now_s)
         call = asyncio.ensure_future(
             site.call("/read/x", "r1", headers=(("Deadline-Ms", "3000"),))
         )
--- a/packages/gateway/lacewingdrum_gateway/runners/runner_candidates.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/runner_candidates.py
@@ -65,7 +65,7 @@
         return min(
             (
                 max(
-                    self._health.pause_left_s(entry.runner_id, now_s),
+                    self._health.pauses.left_s(entry, now_s),
                     self._limit_wait_s(entry, now_s),
                 )
                 for entry in self._roster.of_service(service)
@@ -174,7 +174,7 @@
             for entry in listed
             if entry.runner_id not in excluded
             and not self.is_evacuated(entry)
-            and not self._health.pause_left_s(entry.runner_id, now_s)
+            and not self._health.pauses.left_s(entry, now_s)
             and not (has_limits and self._limits.wait_s(entry, now_s))
         ]
         if self._cold.has_any:
--- a/packages/gateway/lacewingdrum_gateway/runners/runner_notices.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/runner_notices.py
@@ -58,7 +58,7 @@
         ):
             self._peers.announce()
         if answer_headers.pause_s:
-            self._record_pause(entry.runner_id, answer_headers.pause_s)
+            self._record_pause(entry, answer_headers.pause_s)
         # The answer of a successor at its address says nothing of its limit.
         if not answer_headers.is_other_runner:
             self._limits.observe(entry, answer_headers)
@@ -77,15 +77,15 @@
             address=str(entry.address),
         )
 
-    def _record_pause(self, runner_id: ids.RunnerId, pause_s: float) -> None:
+    def _record_pause(self, entry: runner_entries.RunnerEntry, pause_s: float) -> None:
         now_s = self._clock()
-        self._health.pause(runner_id, now_s + pause_s, now_s)
-        self._work_updates.report_pause(runner_id, pause_s)
+        self._health.pauses.record(entry, now_s + pause_s, now_s)
+        self._work_updates.report_pause(entry.runner_id, pause_s)
         self._counts.count("runner_pauses")
         self._decisions.record(
             decision_log.DecisionEvent.RUNNER_PAUSED,
             None,
-            runner_id=runner_id,
+            runner_id=entry.runner_id,
             for_s=pause_s,
         )
 
