A lapsed entry does not end a runner's limit

Cause: LimitSync forgot the limits of runners that are not listed, and a limit is known again only with the first answer.

Change: a limit is kept for 120 s after its runner was last listed. It belongs to an incarnation, as before.

--- a/packages/coordination/lacewingdrum_coordination/runner_limits.py
+++ b/packages/coordination/lacewingdrum_coordination/runner_limits.py
@@ -8,6 +8,7 @@
 """
 
 import dataclasses
+from collections.abc import Container
 
 import xxhash
 
@@ -20,6 +21,9 @@
 # one with a limit may be the older of the two.
 OVERTAKING_S = 0.25
 LIMITS_MAX = 1_024
+# A limit is forgotten when its runner has not been listed for this long: its
+# entry may expire and come back while the runner goes on.
+UNLISTED_KEPT_S = 120.0
 
 
 class RunnerLimits:
@@ -27,6 +31,7 @@
 
     def __init__(self) -> None:
         self._limits: dict[ids.RunnerId, named_limits.RunnerLimit] = {}
+        self._unlisted_since_s: dict[ids.RunnerId, float] = {}
         self._buckets: dict[ids.RunnerId, rate_shares.TokenBucket] = {}
         self._shares: dict[ids.RunnerId, float] = {}
         self._daemons: rate_shares.Daemons = ()
@@ -93,10 +98,27 @@
 
     def forget(self, runner_id: ids.RunnerId) -> None:
         """Drop what is known of a runner that is gone."""
-        for by_runner in (self._limits, self._buckets, self._shares):
-            by_runner.pop(runner_id, None)
+        self._limits.pop(runner_id, None)
+        self._unlisted_since_s.pop(runner_id, None)
+        self._buckets.pop(runner_id, None)
+        self._shares.pop(runner_id, None)
         self._digest = None
 
+    def forget_unlisted(self, listed: Container[ids.RunnerId], now_s: float) -> None:
+        """Drop the limits of runners that have long not been listed.
+
+        Args:
+            listed: the runners of the newest list.
+            now_s: the current time.
+        """
+        for runner_id in tuple(self._limits):
+            if runner_id in listed:
+                self._unlisted_since_s.pop(runner_id, None)
+                continue
+            since_s = self._unlisted_since_s.setdefault(runner_id, now_s)
+            if now_s - since_s > UNLISTED_KEPT_S:
+                self.forget(runner_id)
+
     def is_limited(self, entry: runner_entries.RunnerEntry) -> bool:
         """Return whether this incarnation of a runner names a limit."""
         limit = self._limits.get(entry.runner_id)
--- a/packages/coordination/lacewingdrum_coordination/runner_limits_test.py
+++ b/packages/coordination/lacewingdrum_coordination/runner_limits_test.py
@@ -129,3 +129,14 @@
     waits_s = [known.wait_s(entry(), 100.0) for known in known_limits]
     dividing = [number for number, wait_s in enumerate(waits_s) if wait_s < 10.0]
     assert len(dividing) == 8 and all(number % 4 == 1 for number in dividing)
+
+
+def test_limit_is_forgotten_when_its_runner_has_long_not_been_listed():
+    (known,) = fleet(1, 2.0)
+    kept_s = runner_limits.UNLISTED_KEPT_S
+    known.forget_unlisted((), 0.0)
+    known.forget_unlisted({entry().runner_id}, kept_s + 1.0)
+    known.forget_unlisted((), kept_s + 2.0)
+    assert known.is_limited(entry())
+    known.forget_unlisted((), 2 * kept_s + 3.0)
+    assert not known.is_limited(entry()) and not known.has_any
--- a/packages/coordination/lacewingdrum_coordination/runner_roster.py
+++ b/packages/coordination/lacewingdrum_coordination/runner_roster.py
@@ -62,6 +62,10 @@
             ids.ServiceName, tuple[runner_entries.RunnerEntry, ...]
         ] = {}
 
+    def __contains__(self, runner_id: object) -> bool:
+        """Return whether the list has a runner."""
+        return runner_id in self._entries
+
     @property
     def entries(self) -> tuple[runner_entries.RunnerEntry, ...]:
         """All entries of the list."""
--- a/packages/gateway/lacewingdrum_gateway/lapsed_entry_test.py
+++ b/packages/gateway/lacewingdrum_gateway/lapsed_entry_test.py
@@ -1,7 +1,13 @@
 """Tests of runners whose entries expire and come back while they go on."""
 
 import asyncio
+import time
 
+from lacewingdrum_gateway.runner_limits_test import (
+    allowed,
+    most_arrivals,
+    send_evenly,
+)
 from standins import platform_site
 from standins.platform_runner import Fault
 
@@ -54,3 +60,17 @@
         await let_entry_lapse(site, paused, LEDGER)
         await read_often(site, "r", 20)
         assert len(paused.arrivals) > arrived_count
+
+
+async def test_limit_of_a_runner_whose_entry_lapsed_holds_at_its_return():
+    # It was dropped with the entry, and nothing bounded the first requests.
+    async with platform_site.running_site(gateways=3, ledgers=2) as site:
+        limited = site.ledgers[0]
+        limited.limit_per_s = "1"
+        await send_evenly(site, "/read/x", 20.0, 2.0)
+        for ledger in site.ledgers:
+            ledger.answer_s = 1.0
+        await let_entry_lapse(site, limited, LEDGER)
+        returned_s = time.monotonic()
+        await send_evenly(site, "/read/x", 40.0, 3.0)
+        assert most_arrivals(limited, returned_s) <= allowed(1.0)
--- a/packages/gateway/lacewingdrum_gateway/runners/limit_sync.py
+++ b/packages/gateway/lacewingdrum_gateway/runners/limit_sync.py
@@ -74,9 +74,8 @@
             self._spread.send(_to_message((limit,), self._clock()))
 
     def _digest(self) -> int:
-        for limit in self.limits.all:
-            if self._roster.get(limit.runner_id) is None:
-                self.limits.forget(limit.runner_id)
+        if self.limits.has_any:
+            self.limits.forget_unlisted(self._roster, self._clock())
         return self.limits.digest
 
     def _record_unreadable(self, entry: runner_entries.RunnerEntry) -> None:
