An early answer is complete only once the upload has been received

The caller got the part as the whole answer.

Cause: the end of the runner's stream was taken for the end of the answer. A runner that crashes ends its stream too, and the reset that then answers the rest of the upload was not looked for.

Evidence: of six ways in which such an answer can end, two passed the part on as complete on: an end of the stream with a reset after it, and one after which the upload is not read. A reset at once, a close with unread bytes and silence did not.

Change: at the end of an answer without a length the client waits until the runner's kernel has all of the request, and takes a reset or the end of the time for a broken answer. The state of the socket tells it: a pending error, and the bytes that are not acknowledged.

--- a/packages/transport/lacewingdrum_transport/byte_channel.py
+++ b/packages/transport/lacewingdrum_transport/byte_channel.py
@@ -16,6 +16,7 @@
 READ_PART_BYTES = 16 * 1024
 WRITE_BUFFER_BYTES = 64 * 1024
 UNACKNOWLEDGED_LIMIT_MS = 5_000
+ACKNOWLEDGED_POLL_S = 0.01
 
 
 class ChannelEnd(enum.Enum):
@@ -231,6 +232,32 @@
         self._transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         return not self._is_lost
 
+    async def confirm_received(self, timeout_s: float) -> bool:
+        """Wait until the remote side's kernel has received all written bytes.
+
+        A remote side that has ended its stream, and whose connection is then
+        reset, is told from one that still reads.
+
+        Args:
+            timeout_s: how long to wait.
+
+        Returns:
+            False if the connection was lost or the timeout expired.
+        """
+        deadline_s = self._loop.time() + timeout_s
+        while not self.is_lost:
+            assert self._transport is not None
+            if socket_options.is_broken(self._transport):
+                self.abort()
+                break
+            unacknowledged_bytes = socket_options.unacknowledged_bytes(self._transport)
+            if not self.unsent_bytes and not unacknowledged_bytes:
+                return True
+            if self._loop.time() >= deadline_s:
+                break
+            await asyncio.sleep(ACKNOWLEDGED_POLL_S)
+        return False
+
     def write_eof(self) -> None:
         """Close the write side of the connection."""
         if self._transport is None or self._transport.is_closing():
--- a/packages/transport/lacewingdrum_transport/response_reader.py
+++ b/packages/transport/lacewingdrum_transport/response_reader.py
@@ -84,6 +84,9 @@
             event = await connection.next_event(deadline_s)
             if isinstance(event, h11.Data):
                 return Ok(self._join_buffered_data(bytes(event.data)))
+            if not await self._is_sure_end(deadline_s):
+                detail = "connection ended before the request was received"
+                event = HttpClientError(ClientErrorReason.LOST, True, detail)
             self._on_end(event)
         if self._error is not None:
             return Err(self._error)
@@ -108,6 +111,19 @@
         if not self._ended:
             self._finish(HttpClientError(ClientErrorReason.CLOSED, True, "closed here"))
 
+    async def _is_sure_end(self, deadline_s: float) -> bool:
+        """Return whether no reset can follow the end of the response.
+
+        A server that ends its stream before it has the whole request may have
+        broken off: what is still sent to it is then answered by a reset.
+        """
+        channel = self._connection.channel
+        if self.answer_end is not AnswerEnd.CONNECTION_CLOSE:
+            return True
+        if channel.end is not byte_channel.ChannelEnd.REMOTE_CLOSED:
+            return True
+        return await channel.confirm_received(deadline_s - self._connection.clock())
+
     def _join_buffered_data(self, data: bytes) -> bytes:
         """Join the parts already received, to be forwarded in one write."""
         parts = [data]
--- a/packages/transport/lacewingdrum_transport/socket_options.py
+++ b/packages/transport/lacewingdrum_transport/socket_options.py
@@ -1,14 +1,17 @@
-"""Sets options of the sockets of TCP connections."""
+"""Sets options of the sockets of TCP connections, and asks for their state."""
 
 import asyncio
 import contextlib
+import fcntl
 import socket
 import struct
+import termios
 
 KEEPALIVE_IDLE_S = 10
 KEEPALIVE_INTERVAL_S = 3
 KEEPALIVE_PROBES = 3
 # SO_LINGER with no time to linger makes the next close send a reset.
+_INTEGER = struct.Struct("i")
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -38,6 +41,30 @@
                 sock.setsockopt(level, option, value)
 
 
+def is_broken(transport: asyncio.Transport) -> bool:
+    """Return whether a connection was reset, also if nothing is read from it.
+
+    The kernel tells this once.
+    """
+    sock: socket.socket | None = transport.get_extra_info("socket")
+    if sock is None:
+        return False
+    with contextlib.suppress(OSError):
+        return bool(sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+    return False
+
+
+def unacknowledged_bytes(transport: asyncio.Transport) -> int:
+    """Return how many sent bytes are not acknowledged; 0 if unknown."""
+    sock: socket.socket | None = transport.get_extra_info("socket")
+    if sock is None:
+        return 0
+    with contextlib.suppress(OSError):
+        found = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, _INTEGER.pack(0))
+        return int(_INTEGER.unpack(found)[0])
+    return 0
+
+
 def reset_on_close(transport: asyncio.Transport) -> None:
     """Let the next close of a connection send a reset."""
     sock: socket.socket | None = transport.get_extra_info("socket")
