An answer with a status above 599 is no answer

What callers saw (MIXED): a runner's answer with the status 600, 666, 700 or 999 was passed on with its body. 000 and others that are not of three digits from 100 were not, as h11 refuses them.

Cause: h11 takes any status from 200 to 999; HTTP defines classes up to 599.

Change: the client treats such a response as bytes that are no response.

Result: odd_statuses_test, 18 statuses for orders, reads and streams, failed before (600 passed on) and passes.

--- a/packages/transport/lacewingdrum_transport/response_reader.py
+++ b/packages/transport/lacewingdrum_transport/response_reader.py
@@ -18,6 +18,8 @@
 # keep-alive timeout.
 KEEP_ALIVE_MARGIN_S = 0.6
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d{1,6})")
+# Those above are of no class that HTTP defines; h11 refuses those below 100.
+STATUS_MAX = 599
 STATUSES_WITHOUT_BODY = frozenset((204, 304))
 # A server may send some responses before the final one, but not without end.
 INTERIM_RESPONSES_MAX = 16
@@ -201,6 +203,9 @@
         if not isinstance(event, h11.Response):
             detail = "connection ended before the response"
             return HttpClientError(ClientErrorReason.LOST, True, detail)
+        if event.status_code > STATUS_MAX:
+            detail = f"status {event.status_code}"
+            return HttpClientError(ClientErrorReason.MALFORMED, True, detail)
         self_delimited = is_self_delimited(head.method.decode(), event)
         if self_delimited or allow_close_delimited:
             return event
