Tests of answers without end in further places

Other operators saw machines run out of memory by answers without end. It was looked for here once more, in places that the stand-in did not have: a status line, header lines, a declared length of 10^15 bytes, a chunk extension, trailers, bytes after a whole answer.

The new forms are tests now.

--- a/packages/gateway/lacewingdrum_gateway/endless_answers_test.py
+++ b/packages/gateway/lacewingdrum_gateway/endless_answers_test.py
@@ -45,6 +45,27 @@
     await check_endless_answer("/ask/x", Fault.ENDLESS_HEAD, headers=ASK)
 
 
+async def test_line_or_field_without_end_ends_its_attempt():
+    for fault in (
+        Fault.ENDLESS_STATUS,
+        Fault.ENDLESS_HEADERS,
+        Fault.ENDLESS_LENGTH,
+        Fault.ENDLESS_EXTENSION,
+        Fault.ENDLESS_TRAILERS,
+    ):
+        await check_endless_answer("/order/x", fault)
+
+
+async def test_bytes_without_end_after_an_answer_close_its_connection():
+    async with platform_site.running_site(engines=1, ledgers=1) as site:
+        (runner,) = site.ledgers
+        runner.faults = [Fault.ENDLESS_SURPLUS]
+        answer = await site.call("/order/x", "o1")
+        assert answer.status == 200 and answer.body == b"done"
+        await site.wait_until(lambda: runner.endless.closed_count == 1)
+        assert runner.endless.sent_bytes < TAKEN_MAX_BYTES
+
+
 async def test_interim_responses_without_end_end_their_attempt():
     await check_endless_answer("/order/x", Fault.ENDLESS_INTERIM)
 
--- a/standins/endless_answers.py
+++ b/standins/endless_answers.py
@@ -14,6 +14,12 @@
 FAULTS = frozenset(
     (
         Fault.ENDLESS_HEAD,
+        Fault.ENDLESS_STATUS,
+        Fault.ENDLESS_HEADERS,
+        Fault.ENDLESS_LENGTH,
+        Fault.ENDLESS_EXTENSION,
+        Fault.ENDLESS_TRAILERS,
+        Fault.ENDLESS_SURPLUS,
         Fault.ENDLESS_INTERIM,
         Fault.ENDLESS_BODY,
         Fault.ENDLESS_FAILURE,
@@ -41,6 +47,25 @@
         match fault:
             case Fault.ENDLESS_HEAD:
                 writer.write(platform_connection.format_head(headers)[:-2] + b"X-A: ")
+            case Fault.ENDLESS_STATUS:
+                writer.write(b"HTTP/1.1 200 ")
+            case Fault.ENDLESS_HEADERS:
+                block = b"X-A: a\r\n" * 2_048
+                writer.write(platform_connection.format_head(headers)[:-2])
+            case Fault.ENDLESS_LENGTH:
+                length = ("Content-Length", "9" * 15)
+                writer.write(platform_connection.format_head((*headers, length)))
+            case Fault.ENDLESS_EXTENSION:
+                head = platform_connection.format_head((*headers, CHUNKED))
+                writer.write(head + b"1;")
+            case Fault.ENDLESS_TRAILERS:
+                block = b"X-A: a\r\n" * 2_048
+                head = platform_connection.format_head((*headers, CHUNKED))
+                writer.write(head + b"0\r\n")
+            case Fault.ENDLESS_SURPLUS:
+                length = ("Content-Length", "4")
+                head = platform_connection.format_head((*headers, length))
+                writer.write(head + b"done")
             case Fault.ENDLESS_INTERIM:
                 block = b"HTTP/1.1 102 Processing\r\n\r\n" * 100
             case Fault.ENDLESS_BODY:
