--- a/tests/soak/cut_gateway.py
+++ b/tests/soak/cut_gateway.py
@@ -5,11 +5,12 @@
 """
 
 import asyncio
+import contextlib
 import pathlib
 import sys
 from collections.abc import Callable
 
-from lacewingdrum_gateway import early_listener, main as gateway_main
+from lacewingdrum_gateway import early_listener
 from lacewingdrum_state import fleet
 from standins import runner_paths
 
@@ -48,10 +49,23 @@
             await asyncio.sleep(POLL_S)
 
 
+def _hold_signals() -> None:
+    """Hold signals back as the daemon's own start does."""
+    # Earlier builds, whose packages this module may run with, do not.
+    with contextlib.suppress(ImportError):
+        from lacewingdrum_runtime import held_signals
+
+        held_signals.hold()
+
+
 def main() -> int:
     """Run the gateway and return its exit code."""
+    _hold_signals()
     settings_path = sys.argv[sys.argv.index("--settings") + 1]
     listener = early_listener.open_listener(sys.argv)
+    # As in the daemon's own start, callers can connect while this is loaded.
+    from lacewingdrum_gateway import main as gateway_main
+
     paths = FollowedPaths(cut_file(settings_path))
     return gateway_main.main(listener, paths.connect)
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,6 +13,8 @@
 # A cut lasts longer than the time in which it has to be noticed.
 CUT_MIN_S = 4.0
 DEAD_ROWS = 100
+# All gateways get settings signals, whatever else goes on.
+SETTINGS_INTERVAL_S = 0.1
 
 
 class Profile(enum.Enum):
@@ -52,6 +54,7 @@
         loop = asyncio.get_running_loop()
         until_s = loop.time() + length_s
         running: set[asyncio.Task[None]] = set()
+        running.add(asyncio.ensure_future(self._signal_settings(until_s)))
         build = self._upgrades.draw_build()
         if build is not None:
             self._site.faults.append(f"all become {build.name}")
@@ -64,6 +67,13 @@
             running.add(asyncio.ensure_future(injection.act()))
         await asyncio.gather(*running)
 
+    async def _signal_settings(self, until_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        while loop.time() < until_s:
+            for number in range(self._site.gateway_count):
+                self._site.signal_settings(number)
+            await asyncio.sleep(SETTINGS_INTERVAL_S)
+
     def _draw(self) -> Injection:
         rng = self._rng
         span_s = rng.uniform(0.3, 3.0)
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -7,6 +7,7 @@
 
 from standins import (
     fault_proxy,
+    listening_sockets,
     platform_runner,
     platform_site,
     platform_store,
@@ -53,12 +54,15 @@
         self.runner_proxies: list[fault_proxy.FaultProxy] = []
         self.store_proxies: list[fault_proxy.FaultProxy] = []
         self.processes: list[asyncio.subprocess.Process] = []
+        # Those that have listened for callers.
+        self._begun: set[asyncio.subprocess.Process] = set()
         self.disruptions: list[checks.Disruption] = []
         self.named_limits: list[checks.NamedLimit] = []
         self.cuts: list[checks.RunnerCut] = []
         self.faults: list[str] = []
         # What gateways of today had skipped of their peers' messages.
         self.unread: list[str] = []
+        self.ended_by_settings: list[str] = []
         self.credentials = ["key-0"]
         self.version = 1
         # The part of prompts that crashes engines now, if any.
@@ -181,6 +185,8 @@
         except TimeoutError:
             process.kill()
             await process.wait()
+        if process.returncode == -signal.SIGHUP:
+            self.ended_by_settings.append(f"SIGHUP ended gateway {number} in a stop")
         await asyncio.sleep(RESTART_S)
         self.processes[number] = await self._spawn(number)
         await self.wait_until_ready(number)
@@ -188,6 +194,22 @@
         is_planned = stop_signal is signal.SIGTERM
         self.disruptions.append(checks.Disruption(number, from_s, to_s, is_planned))
 
+    def signal_settings(self, number: int) -> None:
+        """Tell a gateway of today that its settings may have changed.
+
+        It may be starting or stopping, but it has listened before: what comes
+        while its interpreter starts ends it.
+        """
+        process = self.processes[number]
+        if self.builds[number] is not builds.TODAY or process.returncode is not None:
+            return
+        if process not in self._begun and not listening_sockets.is_listening(
+            self.host(number), self.caller_ports[number]
+        ):
+            return
+        self._begun.add(process)
+        process.send_signal(signal.SIGHUP)
+
     async def pause(self, number: int, pause_s: float) -> None:
         """Suspend a gateway's process for ``pause_s``."""
         process = self.processes[number]
@@ -217,7 +239,7 @@
         Returns:
             A line for each gateway that had already ended by itself.
         """
-        faults = [
+        faults = self.ended_by_settings + [
             f"gateway {number} ended by itself with {process.returncode}"
             for number, process in enumerate(self.processes)
             if process.returncode is not None
