Stand-ins and tests share the text of a gateway's settings

The same file was written out in the platform's demo, the soak and the new test of signals; an entry of a runner stood twice. standins/gateway_settings.py writes the file now.

--- a/packages/gateway/lacewingdrum_gateway/early_answer_test.py
+++ b/packages/gateway/lacewingdrum_gateway/early_answer_test.py
@@ -2,10 +2,9 @@
 
 import contextlib
 
-from standins import early_answers, platform_site
+from standins import early_answers, odd_rows, platform_site
 
 End = early_answers.End
-LEDGER = platform_site.LEDGER
 HOST = "127.0.0.1"
 PART = b"part of an answer"
 BODY = b"u" * 900_000
@@ -24,17 +23,7 @@
     early = early_answers.EarlyAnswers(end, PART)
     port = await early.start(HOST)
     async with platform_site.running_site(ledgers=other_count) as site:
-        entry = {
-            "service": LEDGER,
-            "address": f"{HOST}:{port}",
-            "zone": "north",
-            "version": "v1",
-            "slots": 8,
-            "state": "ready",
-            "cold_left_ms": 0,
-            "seq": 1,
-            "born": 1,
-        }
+        entry = {**odd_rows.ENTRY, "address": f"{HOST}:{port}"}
         site.store.put_json("servers", "early", entry)
         roster = site.gateways[0].daemon.components.roster
         await site.wait_until(lambda: roster.get("early") is not None)
--- a/packages/gateway/lacewingdrum_gateway/held_signals_test.py
+++ b/packages/gateway/lacewingdrum_gateway/held_signals_test.py
@@ -5,7 +5,7 @@
 import pathlib
 import signal
 
-from standins import ports, processes
+from standins import gateway_settings, ports, processes
 
 HOST = "127.0.0.1"
 START_S = 20.0
@@ -13,18 +13,6 @@
 STOP_S = 15.0
 SIGNAL_INTERVAL_S = 0.005
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
-SETTINGS = """
-[vm]
-vm_id = "vm-0"
-data_centre = "dc-0"
-host = "{host}"
-caller_address = "{host}:{caller_port}"
-ready_address = "{host}:{ready_port}"
-peer_port = {peer_port}
-metrics_port = 0
-[store]
-address = "{host}:{store_port}"
-"""
 
 
 @contextlib.asynccontextmanager
@@ -34,17 +22,16 @@
     Its modules are not loaded then, and its store is not there.
     """
     picker = ports.PortPicker()
-    names = ("caller_port", "ready_port", "peer_port", "store_port")
-    found = {name: picker.next() for name in names}
+    addresses = gateway_settings.Addresses(HOST, *(picker.next() for _ in range(4)))
     path = folder / "gateway.toml"
-    path.write_text(SETTINGS.format(host=HOST, **found))
+    path.write_text(gateway_settings.text(0, "north", addresses))
     arguments = ["-m", "lacewingdrum_gateway.start", "--settings", str(path)]
     child = await processes.start("gateway", arguments, folder, with_stdout=False)
     try:
         async with asyncio.timeout(START_S):
-            while not await accepts(found["caller_port"]):
+            while not await accepts(addresses.caller_port):
                 await asyncio.sleep(0.001)
-        yield child, found["caller_port"]
+        yield child, addresses.caller_port
     finally:
         await child.kill()
         picker.close()
--- a/standins/platform_processes.py
+++ b/standins/platform_processes.py
@@ -4,7 +4,7 @@
 import pathlib
 import sys
 
-from standins import ports
+from standins import gateway_settings, ports
 
 SEED_COUNT = 3
 DATA_CENTRES = 3
@@ -64,22 +64,19 @@
         self._ports.close()
 
     def _settings(self, number: int) -> str:
-        host = self.host(number)
         self.caller_ports.append(self._ports.next())
         self.ready_ports.append(self._ports.next())
-        seeds = [f"{self.host(seed)}:1" for seed in range(SEED_COUNT)]
-        return f"""
-[vm]
-vm_id = "vm-{number}"
-data_centre = "dc-{number % DATA_CENTRES}"
-host = "{host}"
-caller_address = "{host}:{self.caller_ports[number]}"
-ready_address = "{host}:{self.ready_ports[number]}"
-peer_port = {self.peer_port}
-metrics_port = 0
-seeds = {seeds}
-[store]
-address = "127.0.0.1:{self._store_port}"
-[bounds]
-configuration_max_ms = {self._configuration_max_ms}
-"""
+        addresses = gateway_settings.Addresses(
+            self.host(number),
+            self.caller_ports[number],
+            self.ready_ports[number],
+            self.peer_port,
+            self._store_port,
+        )
+        return gateway_settings.text(
+            number,
+            f"dc-{number % DATA_CENTRES}",
+            addresses,
+            tuple(f"{self.host(seed)}:1" for seed in range(SEED_COUNT)),
+            configuration_max_ms=self._configuration_max_ms,
+        )
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -7,6 +7,7 @@
 
 from standins import (
     fault_proxy,
+    gateway_settings,
     listening_sockets,
     platform_runner,
     platform_site,
@@ -299,20 +300,19 @@
             writer.transport.abort()
 
     def _write_settings(self, number: int) -> None:
-        host = self.host(number)
-        text = f"""
-[vm]
-vm_id = "vm-{number}"
-data_centre = "{DATA_CENTRES[number % len(DATA_CENTRES)]}"
-host = "{host}"
-caller_address = "{host}:{self.caller_ports[number]}"
-ready_address = "{host}:{self._ready_ports[number]}"
-peer_port = {self._peer_port}
-metrics_port = {self.metrics_port}
-seeds = ["{self.host(0)}:1", "{self.host(1)}:1"]
-[store]
-address = "127.0.0.1:{self.store_proxies[number].port}"
-[bounds]
-stop_grace_s = {GRACE_S}
-"""
+        addresses = gateway_settings.Addresses(
+            self.host(number),
+            self.caller_ports[number],
+            self._ready_ports[number],
+            self._peer_port,
+            self.store_proxies[number].port,
+            self.metrics_port,
+        )
+        text = gateway_settings.text(
+            number,
+            DATA_CENTRES[number % len(DATA_CENTRES)],
+            addresses,
+            (f"{self.host(0)}:1", f"{self.host(1)}:1"),
+            stop_grace_s=GRACE_S,
+        )
         pathlib.Path(self._settings_path(number)).write_text(text)
