Gateways of earlier builds in the soak do not hold signals back

Cause: a fault of the soak alone. cut_gateway imported held_signals beside the packages of an earlier build, which lacks it; the finder of the editable install found today's. The earlier build never delivers what is held back, so that SIGTERM had no effect and its gateway was killed at the end of its grace.

Change: signals are held back only where the build's own package has that module.

--- a/tests/soak/cut_gateway.py
+++ b/tests/soak/cut_gateway.py
@@ -5,11 +5,11 @@
 """
 
 import asyncio
-import contextlib
 import pathlib
 import sys
 from collections.abc import Callable
 
+import lacewingdrum_runtime
 from lacewingdrum_gateway import early_listener
 from lacewingdrum_state import fleet
 from standins import runner_paths
@@ -50,9 +50,13 @@
 
 
 def _hold_signals() -> None:
-    """Hold signals back as the daemon's own start does."""
-    # Earlier builds, whose packages this module may run with, do not.
-    with contextlib.suppress(ImportError):
+    """Hold signals back as the daemon's own start does.
+
+    Earlier builds, whose packages this module may run with, do not, and would
+    never deliver them. Of a module that they lack, an import can find today's.
+    """
+    package = pathlib.Path(lacewingdrum_runtime.__file__)
+    if package.with_name("held_signals.py").exists():
         from lacewingdrum_runtime import held_signals
 
         held_signals.hold()
