--- a/packages/coordination/lacewingdrum_coordination/runner_health.py
+++ b/packages/coordination/lacewingdrum_coordination/runner_health.py
@@ -1,6 +1,6 @@
 """Tracks runner failures, contacts, suspicions, pauses and refused help.
 
-All but the pauses is forgotten when a runner is gone.
+Only the pauses outlive the entry of a runner in the list.
 """
 
 import dataclasses
