The soak draws the faults that it drew before

Cause: a fault of the soak alone. It draws from all faults of the stand-in for runners, so that those that added were drawn too.

--- a/standins/endless_answers.py
+++ b/standins/endless_answers.py
@@ -11,15 +11,20 @@
 # An answer that nobody closes ends after so much, so that a test fails.
 SENT_MAX_BYTES = 64 * 1024 * 1024
 CHUNKED = ("Transfer-Encoding", "chunked")
-FAULTS = frozenset(
+# Single lines and fields, a declared length, and bytes after a whole answer.
+PLACE_FAULTS = frozenset(
     (
-        Fault.ENDLESS_HEAD,
         Fault.ENDLESS_STATUS,
         Fault.ENDLESS_HEADERS,
         Fault.ENDLESS_LENGTH,
         Fault.ENDLESS_EXTENSION,
         Fault.ENDLESS_TRAILERS,
         Fault.ENDLESS_SURPLUS,
+    )
+)
+FAULTS = PLACE_FAULTS | frozenset(
+    (
+        Fault.ENDLESS_HEAD,
         Fault.ENDLESS_INTERIM,
         Fault.ENDLESS_BODY,
         Fault.ENDLESS_FAILURE,
