--- a/packages/transport/lacewingdrum_transport/byte_channel.py
+++ b/packages/transport/lacewingdrum_transport/byte_channel.py
@@ -235,8 +235,8 @@
     async def confirm_received(self, timeout_s: float) -> bool:
         """Wait until the remote side's kernel has received all written bytes.
 
-        A remote side that has ended its stream, and whose connection is then
-        reset, is told from one that still reads.
+        After the end of the remote side's stream this tells a remote side that
+        still reads from one that answers further bytes with a reset.
 
         Args:
             timeout_s: how long to wait.
--- a/packages/transport/lacewingdrum_transport/response_reader.py
+++ b/packages/transport/lacewingdrum_transport/response_reader.py
@@ -18,7 +18,7 @@
 # keep-alive timeout.
 KEEP_ALIVE_MARGIN_S = 0.6
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d{1,6})")
-# Those above are of no class that HTTP defines; h11 refuses those below 100.
+# HTTP defines no class of statuses above this; h11 refuses those below 100.
 STATUS_MAX = 599
 STATUSES_WITHOUT_BODY = frozenset((204, 304))
 # A server may send some responses before the final one, but not without end.
--- a/packages/transport/lacewingdrum_transport/socket_options.py
+++ b/packages/transport/lacewingdrum_transport/socket_options.py
@@ -44,7 +44,7 @@
 def is_broken(transport: asyncio.Transport) -> bool:
     """Return whether a connection was reset, also if nothing is read from it.
 
-    The kernel tells this once.
+    The kernel reports a reset only once.
     """
     sock: socket.socket | None = transport.get_extra_info("socket")
     if sock is None:
