--- a/packages/coordination/lacewingdrum_coordination/runner_health.py
+++ b/packages/coordination/lacewingdrum_coordination/runner_health.py
@@ -140,13 +140,17 @@
         """Record that a runner accepted no connection for a request."""
         self._decayed(runner_id, now_s).is_unconnected = True
 
+    def is_unconnected(self, runner_id: ids.RunnerId) -> bool:
+        """Return whether the last connection to a runner failed."""
+        observed = self._by_runner.get(runner_id)
+        return observed is not None and observed.is_unconnected
+
     def take_unconnected(self, runner_id: ids.RunnerId) -> bool:
         """Return whether the last connection to a runner failed; forget it."""
-        observed = self._by_runner.get(runner_id)
-        if observed is None or not observed.is_unconnected:
-            return False
-        observed.is_unconnected = False
-        return True
+        is_unconnected = self.is_unconnected(runner_id)
+        if is_unconnected:
+            self._by_runner[runner_id].is_unconnected = False
+        return is_unconnected
 
     def is_unreachable(self, runner_id: ids.RunnerId) -> bool:
         """Return whether a runner accepts no connection, time and again."""
--- a/packages/gateway/lacewingdrum_gateway/components.py
+++ b/packages/gateway/lacewingdrum_gateway/components.py
@@ -13,6 +13,7 @@
     exchange,
     final_answers,
     forwarding,
+    lost_runners,
     relay,
     request_handler,
     retry_permits,
@@ -175,6 +176,9 @@
             permits,
             self.work_sync,
             self.health,
+            lost_runners.LostRunners(
+                self.roster, self.health, self.reach, connect_to_runners
+            ),
             self.crash_watch,
             answers_without_runner,
             self._room_control() if own_settings.serving.waits_for_room else None,
--- a/packages/gateway/lacewingdrum_gateway/serving/active_request.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/active_request.py
@@ -11,7 +11,7 @@
     plans,
 )
 from lacewingdrum_protocol import event_stream
-from lacewingdrum_state import crashes, ids, states
+from lacewingdrum_state import crashes, ids, runner_entries, states
 from lacewingdrum_transport import responder as responders
 
 
@@ -28,8 +28,10 @@
     runner, with other helpers, or if the request is repeated there.
     ``last_attempt`` is the attempt that answered or ended last.
     ``repeat_at`` is a runner that the request may be sent to again, and
-    ``repeat_count`` counts such repeats. ``suspect_attempt_count`` counts the
-    failed attempts after which their runner was suspect. ``is_blamed`` is set
+    ``repeat_count`` counts such repeats. ``suspects`` holds the entries of
+    runners that were suspect while they had the request, or after they had
+    failed with it, and ``lost_runners`` those of them that are known to have
+    ended or to be cut off. ``is_blamed`` is set
     if the request is ended because its prompt probably crashes engines,
     ``is_ended_early`` if because its answer would begin too late in a stop,
     ``has_caller_left`` if because its caller has left, ``is_caller_waiting``
@@ -62,7 +64,10 @@
     only_runner: ids.RunnerId | None = None
     repeat_at: ids.RunnerId | None = None
     repeat_count: int = 0
-    suspect_attempt_count: int = 0
+    suspects: dict[ids.RunnerId, runner_entries.RunnerEntry] = dataclasses.field(
+        default_factory=dict
+    )
+    lost_runners: set[ids.RunnerId] = dataclasses.field(default_factory=set)
     first_event_s: float | None = None
     last_event_s: float = 0.0
     longest_pause_s: float = 0.0
--- a/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
@@ -16,6 +16,7 @@
     caller_ends,
     exchange as exchanges,
     final_answers,
+    lost_runners,
     open_attempt,
     outcomes,
     plans,
@@ -58,6 +59,7 @@
         permits: retry_permits.RetryPermits,
         work_updates: work_sync.WorkSync,
         health: runner_health.RunnerHealth,
+        lost_runners: lost_runners.LostRunners,
         crashes: crash_watch.CrashWatch,
         answers: final_answers.FinalAnswers,
         room: room_control.RoomControl | None,
@@ -74,6 +76,7 @@
         self._permits = permits
         self._work_updates = work_updates
         self._health = health
+        self._lost_runners = lost_runners
         self._crashes = crashes
         self._final_answers = answers
         self._room = room
@@ -124,6 +127,7 @@
         responder = active.responder
         while (left_s := active.left_s(self._clock())) > 0 and not responder.finished:
             self._silences.update(active)
+            may_start = self._lost_runners.has_new(active) or may_start
             if active.race.waits_for_none:
                 await self._reach.wait_for_check()
             is_due = may_start and active.race.waits_for_none
@@ -265,12 +269,11 @@
             active.may_crash_runners = True
             return False
         is_suspect = self._health.is_suspect(plan.entry.runner_id)
-        refused_help = retry_limits.apply_end(
-            active, plan, end, is_suspect and not attempt.was_silent
-        )
+        refused_help = retry_limits.apply_end(active, plan, end, is_suspect)
         if refused_help is not None:
             self._work_updates.record_help_refused(refused_help)
         await self._reach.wait_for_check()
+        await self._lost_runners.check(active)
         left_s = active.left_s(self._clock())
         may_retry = retry_limits.may_retry(active, end, left_s)
         return may_retry or self._relay.pick_peer(active) is not None
--- a/packages/gateway/lacewingdrum_gateway/serving/retry_limits.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/retry_limits.py
@@ -1,6 +1,8 @@
 """Decides whether and where a request may be sent again after an attempt.
 
-A route limits the number of runners that a request is sent to. A request that
+A route limits the number of runners that a request is sent to. A runner that
+falls silent counts, as it may run the request, and one that is known to have
+ended or to be cut off does not. A request that
 may run more than once can still go again to a runner whose connection brought
 the answer of another request, because that runner itself is healthy.
 """
@@ -38,7 +40,17 @@
     active.sent_to.add(plan.entry.runner_id)
     active.only_runner = None
     if is_suspect:
-        active.suspect_attempt_count += 1
+        record_suspect(active, plan)
+
+
+def record_suspect(active: active_request.ActiveRequest, plan: plans.Plan) -> None:
+    """Record that the runner of an attempt is suspect.
+
+    Args:
+        active: the request.
+        plan: the plan of the attempt.
+    """
+    active.suspects[plan.entry.runner_id] = plan.entry
 
 
 def apply_end(
@@ -66,7 +78,7 @@
     if end.reason is attempt_ends.EndReason.FOREIGN_ANSWER:
         active.repeat_at = runner_id
     if is_suspect:
-        active.suspect_attempt_count += 1
+        record_suspect(active, plan)
     helper = next((item for item in plan.helpers if item.address == end.at_fault), None)
     if helper is None:
         _release_choice(active, end)
@@ -181,9 +193,19 @@
     return True
 
 
+def needs_lost_runner(active: active_request.ActiveRequest) -> bool:
+    """Return whether a further runner may be asked only if one was lost."""
+    return active.routed.route.is_retryable and not _has_runners_left(active)
+
+
+def may_follow_loss(active: active_request.ActiveRequest) -> bool:
+    """Return whether a request may go on elsewhere, as a runner was lost."""
+    return active.attempt_count < ATTEMPTS_MAX and not needs_lost_runner(active)
+
+
 def _has_runners_left(active: active_request.ActiveRequest) -> bool:
     """Return whether the request may be sent to a further runner."""
-    # One attempt at a runner that became suspect is not counted towards the
-    # route's limit.
-    limit = active.routed.route.max_attempts + min(active.suspect_attempt_count, 1)
-    return len(active.sent_to) + active.earlier_runner_count < limit
+    # One runner that ended or was cut off is not counted.
+    lost_count = min(len(active.lost_runners & active.sent_to), 1)
+    runner_count = len(active.sent_to) - lost_count + active.earlier_runner_count
+    return runner_count < active.routed.route.max_attempts
--- a/packages/gateway/lacewingdrum_gateway/serving/silence_watch.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/silence_watch.py
@@ -145,6 +145,8 @@
             return
         entry = attempt.source.plan.entry
         self._sender.record_silence(entry, attempt.started_s, attempt.progress_s)
+        if self._health.is_suspect(entry.runner_id):
+            retry_limits.record_suspect(active, attempt.source.plan)
         has_begun = active.responder.started
         if not has_begun and self._sender.is_unreachable(entry):
             active.race.end(attempt, attempt_ends.unreachable())
