--- a/packages/transport/lacewingdrum_transport/byte_channel.py
+++ b/packages/transport/lacewingdrum_transport/byte_channel.py
@@ -10,7 +10,7 @@
 import enum
 from collections.abc import Callable
 
-from lacewingdrum_transport import socket_options
+from lacewingdrum_transport import socket_options, unwritten_parts
 
 READ_BUFFER_BYTES = 256 * 1024
 READ_PART_BYTES = 16 * 1024
@@ -37,7 +37,9 @@
 
     ``input_ended`` is set when the remote side has ended its stream or the
     connection is lost. The remote side may still read in the first case.
-    ``end`` says how the remote side's stream ended.
+    ``end`` says how the remote side's stream ended. ``on_part_taken`` is
+    called when the remote side has taken a part of a long write and more is
+    left.
 
     Args:
         on_connected: called with the channel once it is connected.
@@ -56,6 +58,7 @@
         self.input_ended = asyncio.Event()
         self._input_ended_s = 0.0
         self.end = ChannelEnd.OPEN
+        self.on_part_taken: Callable[[], None] | None = None
         self.remote_address = ""
         self._on_connected = on_connected
         self._on_input: Callable[[], None] | None = None
@@ -68,6 +71,7 @@
         self._is_lost = False
         self._read_waiter: asyncio.Future[bool] | None = None
         self._drain_waiters: set[asyncio.Future[bool]] = set()
+        self._unwritten = unwritten_parts.UnwrittenParts()
 
     # Called by asyncio.
 
@@ -99,6 +103,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Mark the connection as lost and wake all waiters."""
         self._is_lost = True
+        self._unwritten.clear()
         if exc is not None:
             self.end = ChannelEnd.RESET
         elif self.end is ChannelEnd.OPEN:
@@ -111,9 +116,13 @@
         self._writing_paused = True
 
     def resume_writing(self) -> None:
-        """Wake the tasks that wait in ``drain``."""
+        """Write what waits, then wake the tasks that wait in ``drain``."""
         self._writing_paused = False
-        self._wake_drain_waiters(True)
+        if self._unwritten.size_bytes and self.on_part_taken is not None:
+            self.on_part_taken()
+        self._write_parts()
+        if not self._writing_paused:
+            self._wake_drain_waiters(True)
 
     # Called by the channel's user.
 
@@ -148,7 +157,7 @@
         """The number of written bytes not yet accepted by the kernel."""
         if self._transport is None:
             return 0
-        return self._transport.get_write_buffer_size()
+        return self._transport.get_write_buffer_size() + self._unwritten.size_bytes
 
     async def read(self, timeout_s: float) -> bytes | None:
         """Return the received bytes, and wait for some if there are none.
@@ -177,10 +186,10 @@
         self._on_input = handler
 
     def write(self, data: bytes) -> bool:
-        """Add bytes to the write buffer.
+        """Write bytes, or keep them until the write buffer has room.
 
         Args:
-            data: the bytes to send.
+            data: the bytes to send; they are not copied while they are kept.
 
         Returns:
             False if the connection was lost, so that none of the bytes were
@@ -188,8 +197,25 @@
         """
         if self.is_lost:
             return False
-        assert self._transport is not None
-        self._transport.write(data)
+        self._unwritten.add(data)
+        self._write_parts()
+        return True
+
+    def write_message(self, head: bytes, body: bytes) -> bool:
+        """Write a head and a body; a long body is not copied.
+
+        Args:
+            head: the bytes to send first.
+            body: the bytes to send after them.
+
+        Returns:
+            As for ``write``.
+        """
+        if len(head) + len(body) <= unwritten_parts.PART_BYTES:
+            return self.write(head + body)
+        if not self.write(head):
+            return False
+        self.write(body)
         return True
 
     async def drain(self, timeout_s: float) -> bool:
@@ -262,12 +288,14 @@
         """Close the write side of the connection."""
         if self._transport is None or self._transport.is_closing():
             return
+        self._write_all()
         with contextlib.suppress(OSError):
             self._transport.write_eof()
 
     def close(self) -> None:
         """Close the connection after all written bytes have been sent."""
         if self._transport is not None:
+            self._write_all()
             self._transport.close()
 
     def abort(self) -> None:
@@ -285,6 +313,18 @@
         socket_options.reset_on_close(self._transport)
         self._transport.abort()
 
+    def _write_parts(self) -> None:
+        while self._unwritten.size_bytes and not self._writing_paused:
+            if self.is_lost:
+                break
+            assert self._transport is not None
+            self._transport.write(self._unwritten.take())
+
+    def _write_all(self) -> None:
+        while self._unwritten.size_bytes and not self.is_lost:
+            assert self._transport is not None
+            self._transport.write(self._unwritten.take())
+
     def _take_received(self) -> bytes:
         part = bytes(self._received[:READ_PART_BYTES])
         del self._received[:READ_PART_BYTES]
--- a/packages/transport/lacewingdrum_transport/client_connection.py
+++ b/packages/transport/lacewingdrum_transport/client_connection.py
@@ -168,22 +168,28 @@
         return None
 
     def send_request(
-        self, head: h11.Request, body: bytes
+        self,
+        head: h11.Request,
+        body: bytes,
+        on_part_taken: Callable[[], None] | None = None,
     ) -> Result[None, HttpClientError]:
         """Write a request.
 
         Args:
-            head: the validated head.
+            head: the validated head, which states the length of the body.
             body: the complete body.
+            on_part_taken: called when the server has taken a part of a long
+                body, and more is to be sent.
 
         Returns:
             An error if nothing was written.
         """
         data = self.h11.send(head) or b""
         if body:
-            data += self.h11.send(h11.Data(data=body)) or b""
-        data += self.h11.send(h11.EndOfMessage()) or b""
-        if self.channel.write(data):
+            self.h11.send(h11.Data(data=body))
+        self.h11.send(h11.EndOfMessage())
+        self.channel.on_part_taken = on_part_taken
+        if self.channel.write_message(data, body):
             self.request_count += 1
             return Ok(None)
         detail = "connection ended before the request"
--- a/packages/transport/lacewingdrum_transport/http_client.py
+++ b/packages/transport/lacewingdrum_transport/http_client.py
@@ -109,6 +109,7 @@
         on_send: Callable[[], None] | None = None,
         may_send: Callable[[], bool] | None = None,
         connect_timeout_s: float = float("inf"),
+        on_part_taken: Callable[[], None] | None = None,
     ) -> Result[ResponseReader, HttpClientError]:
         """Send a request and wait for the response's head.
 
@@ -127,6 +128,8 @@
             may_send: called before ``on_send``; nothing is sent if not.
             connect_timeout_s: how long to wait for the connection, if that is
                 shorter than the client's limit.
+            on_part_taken: called when the server has taken a part of a long
+                body, and more is to be sent.
 
         Returns:
             The response, which the caller must close, or why the request
@@ -156,7 +159,12 @@
             if on_send is not None:
                 on_send()
             answer = await response_reader.exchange(
-                connection, head.ok_value, body, deadline_s, allow_close_delimited
+                connection,
+                head.ok_value,
+                body,
+                deadline_s,
+                allow_close_delimited,
+                on_part_taken,
             )
             if isinstance(answer, HttpClientError):
                 failure = answer
--- a/packages/transport/lacewingdrum_transport/responder.py
+++ b/packages/transport/lacewingdrum_transport/responder.py
@@ -82,10 +82,11 @@
         if response.status not in STATUSES_WITHOUT_BODY:
             headers.append((b"content-length", b"%d" % len(response.body)))
         data = self._serialize_head(response.status, headers)
-        if self._allows_body and response.body:
-            data += self._connection.send(h11.Data(data=response.body)) or b""
-        data += self._serialize_end()
-        return await self._write_last(data)
+        body = response.body if self._allows_body else b""
+        if body:
+            self._connection.send(h11.Data(data=body))
+        self._serialize_end()
+        return await self._write_last(data, body)
 
     async def send_interim(self) -> bool:
         """Send an interim response, which a caller that waits ignores.
@@ -193,12 +194,12 @@
             return False
         return await self._channel.drain(self._write_timeout_s) or self._abort_stalled()
 
-    async def _write_last(self, data: bytes) -> bool:
+    async def _write_last(self, data: bytes, body: bytes = b"") -> bool:
         """Write, and wait until the kernel has accepted all bytes.
 
         The response is then complete even if the process ends afterwards.
         """
-        if not self._channel.write(data):
+        if not self._channel.write_message(data, body):
             return False
         return await self.flush()
 
--- a/packages/transport/lacewingdrum_transport/response_reader.py
+++ b/packages/transport/lacewingdrum_transport/response_reader.py
@@ -173,6 +173,7 @@
     body: bytes,
     deadline_s: float,
     allow_close_delimited: bool,
+    on_part_taken: Callable[[], None] | None = None,
 ) -> h11.Response | HttpClientError:
     """Send a request and wait for the head of its final response.
 
@@ -182,11 +183,12 @@
         body: its complete body.
         deadline_s: when to give up, as a time of the connection's clock.
         allow_close_delimited: as for ``HttpClient.open``.
+        on_part_taken: as for ``HttpClient.open``.
 
     Returns:
         The head of the response, or why there is none.
     """
-    send_result = connection.send_request(head, body)
+    send_result = connection.send_request(head, body, on_part_taken)
     if isinstance(send_result, Err):
         return send_result.err_value
     interim_count = 0
