--- a/packages/gateway/lacewingdrum_gateway/serving/attempt.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/attempt.py
@@ -69,6 +69,7 @@
         on_send: Callable[[], None],
         may_send: Callable[[], bool],
         connect_timeout_s: float,
+        on_part_taken: Callable[[], None],
     ) -> Result[http_client.ResponseReader, attempt_ends.AttemptEnd]:
         """Send a request and wait for the head of a successful answer.
 
@@ -82,6 +83,8 @@
             on_send: called before the first byte is sent.
             may_send: whether the attempt may still begin once it is connected.
             connect_timeout_s: the time limit for a new connection.
+            on_part_taken: called when the runner has taken a part of a long
+                body, and more is to be sent.
 
         Returns:
             The answer, which the caller of this method closes, or the end of
@@ -99,6 +102,7 @@
             on_send=on_send,
             may_send=may_send,
             connect_timeout_s=connect_timeout_s,
+            on_part_taken=on_part_taken,
         )
         if isinstance(opened, Err):
             return Err(attempt_ends.open_failure(opened.err_value))
--- a/packages/gateway/lacewingdrum_gateway/serving/exchange.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/exchange.py
@@ -171,6 +171,8 @@
                 active.routed.route.objective_ms,
                 self._planner.candidates.delay_ms(active.routed.service, plan.entry),
             ),
+            # A runner that still reads the request is not silent.
+            on_part_taken=lambda: attempt.record_progress(self._clock()),
         )
         match opened:
             case Err(end):
--- a/packages/transport/lacewingdrum_transport/socket_options.py
+++ b/packages/transport/lacewingdrum_transport/socket_options.py
@@ -10,6 +10,9 @@
 KEEPALIVE_IDLE_S = 10
 KEEPALIVE_INTERVAL_S = 3
 KEEPALIVE_PROBES = 3
+# The kernel takes no more bytes while it has so many that it has not sent, so
+# that a long write shows how fast the remote side reads.
+UNSENT_MAX_BYTES = 128 * 1024
 # SO_LINGER with no time to linger makes the next close send a reset.
 _INTEGER = struct.Struct("i")
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -33,6 +36,7 @@
         (socket.IPPROTO_TCP, "TCP_KEEPINTVL", KEEPALIVE_INTERVAL_S),
         (socket.IPPROTO_TCP, "TCP_KEEPCNT", KEEPALIVE_PROBES),
         (socket.IPPROTO_TCP, "TCP_USER_TIMEOUT", unacknowledged_limit_ms),
+        (socket.IPPROTO_TCP, "TCP_NOTSENT_LOWAT", UNSENT_MAX_BYTES),
     )
     for level, name, value in options:
         option = getattr(socket, name, None)
--- a/standins/platform_connection.py
+++ b/standins/platform_connection.py
@@ -73,14 +73,21 @@
 
 
 async def read_request(
-    connection: h11.Connection, reader: asyncio.StreamReader
+    connection: h11.Connection, reader: asyncio.StreamReader, interval_s: float = 0.0
 ) -> tuple[h11.Request | None, bytes]:
-    """Read a request with its whole body; return None at the end."""
+    """Read a request with its whole body; return None at the end.
+
+    Args:
+        connection: the HTTP state of the connection.
+        reader: the connection.
+        interval_s: how long to wait before each part of it.
+    """
     request: h11.Request | None = None
     body = b""
     while True:
         event = connection.next_event()
         if event is h11.NEED_DATA:
+            await asyncio.sleep(interval_s)
             connection.receive_data(await reader.read(READ_BYTES))
         elif isinstance(event, h11.Request):
             request = event
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -39,6 +39,7 @@
         self.event_interval_s = EVENT_INTERVAL_S
         self.first_event_s = 0.0
         self.answer_s = 0.0
+        self.read_interval_s = 0.0
         # Whether answers have neither a length nor chunks.
         self.is_close_delimited = False
         self.faults: list[Fault | odd_answers.OddAnswer | odd_answers.RawAnswer] = []
@@ -154,7 +155,9 @@
         connection = h11.Connection(h11.SERVER)
         is_kept = False
         while True:
-            request, body = await platform_connection.read_request(connection, reader)
+            request, body = await platform_connection.read_request(
+                connection, reader, self.read_interval_s
+            )
             if request is None:
                 return
             headers = {name.decode(): value.decode() for name, value in request.headers}
