Only connections to servers bound what the kernel takes unsent

Cause: set TCP_NOTSENT_LOWAT on callers' connections too. A whole answer to a caller that reads slowly would have stayed with the daemon, and with its stop, until all but 128 KB of it had been read, where the kernel takes some MB of it and delivers them also after the process has ended.

--- a/packages/transport/lacewingdrum_transport/byte_channel.py
+++ b/packages/transport/lacewingdrum_transport/byte_channel.py
@@ -15,6 +15,7 @@
 READ_BUFFER_BYTES = 256 * 1024
 READ_PART_BYTES = 16 * 1024
 WRITE_BUFFER_BYTES = 64 * 1024
+UNSENT_MAX_BYTES = 128 * 1024
 UNACKNOWLEDGED_LIMIT_MS = 5_000
 ACKNOWLEDGED_POLL_S = 0.01
 
@@ -48,12 +49,16 @@
             default. The limit also closes connections whose remote side
             does not read for that long, so set it only if the remote side
             is expected to read.
+        unsent_max_bytes: how many bytes the kernel may take that it cannot
+            send yet, so that ``on_part_taken`` tells how fast the remote side
+            reads; 0 leaves the kernel's default, some MB.
     """
 
     def __init__(
         self,
         on_connected: Callable[["ByteChannel"], None] | None = None,
         unacknowledged_limit_ms: int = 0,
+        unsent_max_bytes: int = 0,
     ) -> None:
         self.input_ended = asyncio.Event()
         self._input_ended_s = 0.0
@@ -63,6 +68,7 @@
         self._on_connected = on_connected
         self._on_input: Callable[[], None] | None = None
         self._unacknowledged_limit_ms = unacknowledged_limit_ms
+        self._unsent_max_bytes = unsent_max_bytes
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._received = bytearray()
@@ -81,7 +87,9 @@
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self.remote_address = _format_remote_address(transport)
-        socket_options.set_options(transport, self._unacknowledged_limit_ms)
+        socket_options.set_options(
+            transport, self._unacknowledged_limit_ms, self._unsent_max_bytes
+        )
         if self._on_connected is not None:
             self._on_connected(self)
 
--- a/packages/transport/lacewingdrum_transport/http_client.py
+++ b/packages/transport/lacewingdrum_transport/http_client.py
@@ -265,8 +265,10 @@
         return connection
 
     def _new_channel(self) -> byte_channel.ByteChannel:
-        limit_ms = self._limits.unacknowledged_limit_ms
-        return byte_channel.ByteChannel(unacknowledged_limit_ms=limit_ms)
+        return byte_channel.ByteChannel(
+            unacknowledged_limit_ms=self._limits.unacknowledged_limit_ms,
+            unsent_max_bytes=byte_channel.UNSENT_MAX_BYTES,
+        )
 
     def _close_expired(self) -> None:
         """Close connections idle for too long, to any address."""
--- a/packages/transport/lacewingdrum_transport/socket_options.py
+++ b/packages/transport/lacewingdrum_transport/socket_options.py
@@ -10,21 +10,22 @@
 KEEPALIVE_IDLE_S = 10
 KEEPALIVE_INTERVAL_S = 3
 KEEPALIVE_PROBES = 3
-# The kernel takes no more bytes while it has so many that it has not sent, so
-# that a long write shows how fast the remote side reads.
-UNSENT_MAX_BYTES = 128 * 1024
 # SO_LINGER with no time to linger makes the next close send a reset.
 _INTEGER = struct.Struct("i")
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
-def set_options(transport: asyncio.Transport, unacknowledged_limit_ms: int) -> None:
+def set_options(
+    transport: asyncio.Transport, unacknowledged_limit_ms: int, unsent_max_bytes: int
+) -> None:
     """Disable Nagle's algorithm, and enable detection of broken paths.
 
     Args:
         transport: the connection.
         unacknowledged_limit_ms: how long sent data may stay unacknowledged; 0
             leaves the kernel's default.
+        unsent_max_bytes: the kernel takes no more bytes while it has so many
+            that it has not sent; 0 leaves its default.
     """
     sock: socket.socket | None = transport.get_extra_info("socket")
     if sock is None:
@@ -36,7 +37,7 @@
         (socket.IPPROTO_TCP, "TCP_KEEPINTVL", KEEPALIVE_INTERVAL_S),
         (socket.IPPROTO_TCP, "TCP_KEEPCNT", KEEPALIVE_PROBES),
         (socket.IPPROTO_TCP, "TCP_USER_TIMEOUT", unacknowledged_limit_ms),
-        (socket.IPPROTO_TCP, "TCP_NOTSENT_LOWAT", UNSENT_MAX_BYTES),
+        (socket.IPPROTO_TCP, "TCP_NOTSENT_LOWAT", unsent_max_bytes),
     )
     for level, name, value in options:
         option = getattr(socket, name, None)
