Suspects are not probed beyond the time limit of their request

Cause: probes the suspects of a request, for 0.5 s, at the end of each attempt; two attempts that ended at the time limit were followed by two probes.

Change: the probes have what is left until the time limit, and none is made after it.

--- a/packages/gateway/lacewingdrum_gateway/runner_limit_test.py
+++ b/packages/gateway/lacewingdrum_gateway/runner_limit_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import time
 
 from lacewingdrum_gateway.gateway_test import ASK, EVENTS
 from standins import platform_site, ports
@@ -11,6 +12,8 @@
 LIMIT_RUNNERS = 2
 # By then the second engine has failed.
 FAILED_S = 0.3
+DEADLINE_MS = 1_500
+LATE_S = 0.3
 
 
 def set_faults(runners, *faults: Fault) -> None:
@@ -76,6 +79,23 @@
         assert (answer.status, answer.body) == (200, EVENTS)
 
 
+async def test_request_ends_in_time_though_its_suspects_accept_no_connection():
+    # Each end at the deadline was followed by a probe of 0.5 s: a caller got
+    # its 504 1.05 s late.
+    async def hang(protocol, address):
+        await asyncio.Event().wait()
+
+    async with platform_site.running_site(ledgers=4) as site:
+        set_faults(site.ledgers, *(4 * [Fault.SILENT]))
+        handler = site.gateways[0].daemon.components.request_handler
+        handler._forwarder._lost_runners._connect = hang
+        headers = (("Deadline-Ms", str(DEADLINE_MS)),)
+        begun_s = time.monotonic()
+        answer = await site.call("/read/x", "r1", headers=headers)
+        assert answer.status == 504
+        assert time.monotonic() - begun_s < DEADLINE_MS / 1_000 + LATE_S
+
+
 def runners_of(site, name: str) -> set[str]:
     return {
         runner.runner_id
--- a/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
@@ -273,7 +273,8 @@
         if refused_help is not None:
             self._work_updates.record_help_refused(refused_help)
         await self._reach.wait_for_check()
-        await self._lost_runners.check(active)
+        left_s = active.left_s(self._clock())
+        await self._lost_runners.check(active, left_s - retry_limits.RETRY_MIN_LEFT_S)
         left_s = active.left_s(self._clock())
         may_retry = retry_limits.may_retry(active, end, left_s)
         return may_retry or self._relay.pick_peer(active) is not None
--- a/packages/gateway/lacewingdrum_gateway/serving/lost_runners.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/lost_runners.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 
 from lacewingdrum_coordination import runner_health, runner_roster
 from lacewingdrum_gateway.runners import reach_monitor, runner_probe
@@ -47,15 +48,22 @@
                 active.lost_runners.add(entry.runner_id)
         return retry_limits.may_follow_loss(active)
 
-    async def check(self, active: active_request.ActiveRequest) -> None:
+    async def check(self, active: active_request.ActiveRequest, wait_s: float) -> None:
         """Find out whether suspects are lost, if a further runner needs it.
 
         Args:
             active: a request.
+            wait_s: how long to wait at the most; nothing is asked if it is
+                not positive.
         """
         self.has_new(active)
-        if not retry_limits.needs_lost_runner(active):
+        if wait_s <= 0 or not retry_limits.needs_lost_runner(active):
             return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                await self._probe_suspects(active)
+
+    async def _probe_suspects(self, active: active_request.ActiveRequest) -> None:
         suspects = tuple(active.suspects.values())
         found = await asyncio.gather(*map(self._accepts, suspects))
         unreached = [
