Names and texts of the change, from a last read of the diff

record_known says that it records (it was has_new); the channel writes a part in one place; the tests of runners share set_faults; two docstrings are in order again. No change of behaviour.

--- a/packages/gateway/lacewingdrum_gateway/runner_limit_test.py
+++ b/packages/gateway/lacewingdrum_gateway/runner_limit_test.py
@@ -5,6 +5,7 @@
 import time
 
 from lacewingdrum_gateway.gateway_test import ASK, EVENTS
+from lacewingdrum_gateway.silent_runner_test import set_faults
 from standins import platform_site, ports
 from standins.platform_runner import Fault
 
@@ -16,13 +17,6 @@
 LATE_S = 0.3
 
 
-def set_faults(runners, *faults: Fault) -> None:
-    """Let the next requests fail so, whichever of the runners they reach."""
-    shared = list(faults)
-    for runner in runners:
-        runner.faults = shared
-
-
 async def test_silent_engine_that_goes_on_counts_towards_the_limit():
     async with platform_site.running_site(engines=4) as site:
         set_faults(site.engines, Fault.PAUSE, Fault.SILENT)
--- a/packages/gateway/lacewingdrum_gateway/serving/active_request.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/active_request.py
@@ -31,8 +31,8 @@
     ``repeat_count`` counts such repeats. ``suspects`` holds the entries of
     runners that were suspect while they had the request, or after they had
     failed with it, and ``lost_runners`` those of them that are known to have
-    ended or to be cut off. ``is_blamed`` is set
-    if the request is ended because its prompt probably crashes engines,
+    ended or to be cut off. ``is_blamed`` is set if the request is ended
+    because its prompt probably crashes engines,
     ``is_ended_early`` if because its answer would begin too late in a stop,
     ``has_caller_left`` if because its caller has left, ``is_caller_waiting``
     once a caller that has ended its stream is known to wait, and
--- a/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/forwarding.py
@@ -127,7 +127,7 @@
         responder = active.responder
         while (left_s := active.left_s(self._clock())) > 0 and not responder.finished:
             self._silences.update(active)
-            may_start = self._lost_runners.has_new(active) or may_start
+            may_start = self._lost_runners.record_known(active) or may_start
             if active.race.waits_for_none:
                 await self._reach.wait_for_check()
             is_due = may_start and active.race.waits_for_none
--- a/packages/gateway/lacewingdrum_gateway/serving/lost_runners.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/lost_runners.py
@@ -13,8 +13,6 @@
 from lacewingdrum_state import runner_entries
 from lacewingdrum_transport import connector
 
-CONNECT_TIMEOUT_S = runner_probe.CONNECT_TIMEOUT_S
-
 
 class LostRunners:
     """Records the runners of requests that have ended or are cut off."""
@@ -31,8 +29,8 @@
         self._reach = reach
         self._connect = connect
 
-    def has_new(self, active: active_request.ActiveRequest) -> bool:
-        """Record what is known, and return whether the request may go on.
+    def record_known(self, active: active_request.ActiveRequest) -> bool:
+        """Record which suspects are known to be lost.
 
         Args:
             active: a request.
@@ -56,7 +54,7 @@
             wait_s: how long to wait at the most; nothing is asked if it is
                 not positive.
         """
-        self.has_new(active)
+        self.record_known(active)
         if wait_s <= 0 or not retry_limits.needs_lost_runner(active):
             return
         with contextlib.suppress(TimeoutError):
@@ -77,7 +75,7 @@
 
     async def _accepts(self, entry: runner_entries.RunnerEntry) -> bool:
         found = await runner_probe.probe(
-            entry.address, CONNECT_TIMEOUT_S, self._connect
+            entry.address, runner_probe.CONNECT_TIMEOUT_S, self._connect
         )
         return found is runner_probe.Reachability.ACCEPTED
 
--- a/packages/gateway/lacewingdrum_gateway/serving/retry_limits.py
+++ b/packages/gateway/lacewingdrum_gateway/serving/retry_limits.py
@@ -1,10 +1,12 @@
 """Decides whether and where a request may be sent again after an attempt.
 
 A route limits the number of runners that a request is sent to. A runner that
-falls silent counts, as it may run the request, and one that is known to have
-ended or to be cut off does not. A request that
-may run more than once can still go again to a runner whose connection brought
-the answer of another request, because that runner itself is healthy.
+falls silent counts, as it may run the request. One that is known to have ended
+or to be cut off does not.
+
+A request that may run more than once can still go again to a runner whose
+connection brought the answer of another request, because that runner itself is
+healthy.
 """
 
 from lacewingdrum_gateway.serving import active_request, attempt_ends, plans
--- a/packages/transport/lacewingdrum_transport/byte_channel.py
+++ b/packages/transport/lacewingdrum_transport/byte_channel.py
@@ -325,13 +325,15 @@
         while self._unwritten.size_bytes and not self._writing_paused:
             if self.is_lost:
                 break
-            assert self._transport is not None
-            self._transport.write(self._unwritten.take())
+            self._write_part()
 
     def _write_all(self) -> None:
         while self._unwritten.size_bytes and not self.is_lost:
-            assert self._transport is not None
-            self._transport.write(self._unwritten.take())
+            self._write_part()
+
+    def _write_part(self) -> None:
+        assert self._transport is not None
+        self._transport.write(self._unwritten.take())
 
     def _take_received(self) -> bytes:
         part = bytes(self._received[:READ_PART_BYTES])
